--- /dev/null
+++ b/admitter/pacer.go
@@ -0,0 +1,33 @@
+package admitter
+
+import "time"
+
+// Bounds of the time when a refused caller is told to come back.
+const (
+	soonest  = 10 * time.Millisecond
+	furthest = 30 * time.Second
+	// spare is the part of the slots kept for callers that were not refused;
+	// the rest is dealt out to those that come back.
+	spare = 0.5
+)
+
+// pacer deals out times to come back, one after another at the rate that the
+// slots can serve, so that refused callers do not return in one wave.
+type pacer struct {
+	// last is the time dealt out last.
+	last time.Time
+}
+
+func (p *pacer) next(now time.Time, drain time.Duration, slots int) time.Time {
+	first := now.Add(max(drain, soonest))
+	if p.last.Before(first) {
+		p.last = first
+		return first
+	}
+	step := time.Duration(float64(drain) / (float64(max(slots, 1)) * (1 - spare)))
+	p.last = p.last.Add(max(step, time.Millisecond/10))
+	if far := now.Add(furthest); p.last.After(far) {
+		p.last = far
+	}
+	return p.last
+}
--- /dev/null
+++ b/decoder/fault.go
@@ -0,0 +1,36 @@
+package decoder
+
+import (
+	"fmt"
+	"strings"
+)
+
+// Fault is one thing wrong in a file, with the place to mend it.
+type Fault struct {
+	File   string `json:"file,omitempty"`
+	Line   int    `json:"line"`
+	Column int    `json:"column"`
+	Field  string `json:"field,omitempty"`
+	Text   string `json:"text"`
+}
+
+// Error writes the fault as file:line:column: field: text.
+func (f Fault) Error() string {
+	place := fmt.Sprintf("%s:%d:%d", f.File, f.Line, f.Column)
+	if f.Field == "" {
+		return place + ": " + f.Text
+	}
+	return place + ": " + f.Field + ": " + f.Text
+}
+
+// Faults holds everything wrong in one file.
+type Faults []Fault
+
+// Error writes one fault a line.
+func (f Faults) Error() string {
+	lines := make([]string, len(f))
+	for i, one := range f {
+		lines[i] = one.Error()
+	}
+	return strings.Join(lines, "\n")
+}
--- /dev/null
+++ b/decoder/size.go
@@ -0,0 +1,69 @@
+package decoder
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+)
+
+// Size is a number of bytes, written as 512MiB, 8GiB or 100GB.
+type Size int64
+
+// Units of Size, in bytes.
+const (
+	KiB Size = 1 << 10
+	MiB Size = 1 << 20
+	GiB Size = 1 << 30
+	TiB Size = 1 << 40
+)
+
+var units = []struct {
+	name  string
+	bytes float64
+}{
+	{"KiB", 1 << 10},
+	{"MiB", 1 << 20},
+	{"GiB", 1 << 30},
+	{"TiB", 1 << 40},
+	{"KB", 1e3},
+	{"MB", 1e6},
+	{"GB", 1e9},
+	{"TB", 1e12},
+	{"B", 1},
+}
+
+// UnmarshalText reads a number with a unit.
+func (s *Size) UnmarshalText(text []byte) error {
+	word := strings.TrimSpace(string(text))
+	factor := 1.0
+	for _, u := range units {
+		if strings.HasSuffix(word, u.name) {
+			word, factor = strings.TrimSpace(strings.TrimSuffix(word, u.name)), u.bytes
+			break
+		}
+	}
+	n, err := strconv.ParseFloat(word, 64)
+	if err != nil || n < 0 || n*factor > 1<<62 {
+		return fmt.Errorf("%q is no size; write a number with a unit, as in 8GiB", text)
+	}
+	*s = Size(n * factor)
+	return nil
+}
+
+// String writes the size with the largest unit that divides it.
+func (s Size) String() string {
+	for _, u := range []struct {
+		name string
+		size Size
+	}{{"TiB", TiB}, {"GiB", GiB}, {"MiB", MiB}, {"KiB", KiB}} {
+		if s >= u.size && s%u.size == 0 {
+			return fmt.Sprintf("%d%s", s/u.size, u.name)
+		}
+	}
+	return fmt.Sprintf("%dB", int64(s))
+}
+
+// UnmarshalJSON reads a number of bytes, or a text with a unit.
+func (s *Size) UnmarshalJSON(raw []byte) error {
+	return s.UnmarshalText([]byte(strings.Trim(string(raw), `"`)))
+}
--- /dev/null
+++ b/dispatcher/dispatcher.go
@@ -0,0 +1,281 @@
+// Package dispatcher takes callers' requests to targets: it routes, retries
+// within a budget, and tells each caller the whole answer or whether its
+// request ran.
+package dispatcher
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/zap"
+
+	"github.com/endivefall/endivefall/connector"
+	"github.com/endivefall/endivefall/curator"
+	"github.com/endivefall/endivefall/messenger"
+	"github.com/endivefall/endivefall/meter"
+	"github.com/endivefall/endivefall/parser"
+	"github.com/endivefall/endivefall/responder"
+	"github.com/endivefall/endivefall/router"
+)
+
+// Bounds of a request.
+const (
+	// maxTries bounds the targets that one request is sent to.
+	maxTries = 4
+	// replay is how much of a body is kept for another try, in bytes.
+	replay = 64 << 10
+	// maxWait bounds the deadline that a caller may ask for.
+	maxWait = 10 * time.Minute
+)
+
+// Config is what a Dispatcher needs.
+type Config struct {
+	Domain  string
+	MaxBody int64
+	Now     func() time.Time
+	Log     *zap.Logger
+	Meter   *meter.Meter
+	Curator *curator.Curator
+	// Local returns the local time of a time on the platform's clock, or one
+	// before it.
+	Local func(time.Time) time.Time
+	// Link returns the link to an agent, or nil.
+	Link func(agent string) *connector.Link
+}
+
+// serviceKey names a service.
+type serviceKey struct{ team, service string }
+
+// Dispatcher serves callers. It is safe for concurrent use.
+type Dispatcher struct {
+	cfg    Config
+	claims *claims
+	trail  *trail
+	// inside counts the requests being served.
+	inside atomic.Int64
+
+	mu sync.Mutex
+	// routers has one router for each service that a target announced.
+	routers map[serviceKey]*router.Router
+	// gauges has the metrics of each service.
+	gauges map[serviceKey]*gauges
+}
+
+type gauges struct {
+	latency                      tally.Histogram
+	done, notRun, unknown, retry tally.Counter
+}
+
+// New returns a Dispatcher that knows no targets.
+func New(cfg Config) *Dispatcher {
+	return &Dispatcher{
+		cfg: cfg, claims: newClaims(cfg), trail: newTrail(),
+		routers: map[serviceKey]*router.Router{}, gauges: map[serviceKey]*gauges{},
+	}
+}
+
+// Inside returns how many requests are being served.
+func (d *Dispatcher) Inside() int64 { return d.inside.Load() }
+
+// router returns the router of a service, or nil while no target announced it.
+func (d *Dispatcher) router(k serviceKey, create bool) *router.Router {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	r := d.routers[k]
+	if r == nil && create {
+		r = router.New(router.Config{Now: d.cfg.Now, Domain: d.cfg.Domain, Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))})
+		d.routers[k] = r
+	}
+	return r
+}
+
+// Join announces the target beside an agent.
+func (d *Dispatcher) Join(h *messenger.Hello) {
+	if h.Service == "" {
+		return
+	}
+	r := d.router(serviceKey{h.Team, h.Service}, true)
+	r.Join(h.ID, h.Domain, h.Beat.Load)
+	if h.Beat.Leaving {
+		r.Leave(h.ID)
+	}
+	d.cfg.Log.Info("target joined", zap.String("target", h.ID), zap.String("team", h.Team), zap.String("service", h.Service))
+}
+
+// Part takes the target of an agent out.
+func (d *Dispatcher) Part(h *messenger.Hello) {
+	if r := d.router(serviceKey{h.Team, h.Service}, false); r != nil {
+		r.Part(h.ID)
+	}
+}
+
+// Beat takes an agent's digest.
+func (d *Dispatcher) Beat(h *messenger.Hello, b *messenger.Beat) {
+	r := d.router(serviceKey{h.Team, h.Service}, false)
+	if r == nil {
+		return
+	}
+	r.Tell(h.ID, b.Load, b.Trip)
+	if b.Leaving {
+		r.Leave(h.ID)
+	}
+}
+
+// Claimed takes an agent's answer to a claim.
+func (d *Dispatcher) Claimed(f messenger.Frame) { d.claims.answer(f) }
+
+// request is one caller's request on its way.
+type request struct {
+	id         string
+	key        serviceKey
+	service    *parser.Service
+	kept       *curator.Kept
+	path       string
+	until      time.Time
+	idempotent bool
+	idemKey    string
+	body       *body
+	tries      []Try
+	r          *http.Request
+}
+
+// ServeHTTP serves /v1/call/{team}/{service}/{path}.
+func (d *Dispatcher) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	d.inside.Add(1)
+	defer d.inside.Add(-1)
+	start := d.cfg.Now()
+	q, p := d.read(r)
+	w.Header().Set(responder.RequestHeader, q.id)
+	if p != nil {
+		d.fail(w, q, p, start)
+		return
+	}
+	ctx, cancel := context.WithDeadline(r.Context(), time.Now().Add(q.until.Sub(start)))
+	defer cancel()
+	_ = http.NewResponseController(w).EnableFullDuplex()
+	if q.idemKey != "" && !q.idempotent {
+		d.once(ctx, w, q, start)
+		return
+	}
+	d.run(ctx, w, q, start, nil)
+}
+
+// read checks a request before anything is done.
+func (d *Dispatcher) read(r *http.Request) (*request, *responder.Problem) {
+	q := &request{
+		id:   uuid.NewString(),
+		key:  serviceKey{r.PathValue("team"), r.PathValue("service")},
+		path: "/" + r.PathValue("path"), r: r,
+	}
+	if r.URL.RawQuery != "" {
+		q.path += "?" + r.URL.RawQuery
+	}
+	q.service, q.kept = d.cfg.Curator.Service(q.key.team, q.key.service)
+	if q.service == nil {
+		return q, problem(http.StatusNotFound, "unknown-service", responder.NotRun, "no document has the service "+q.key.team+"/"+q.key.service)
+	}
+	if r.ContentLength > d.cfg.MaxBody {
+		return q, problem(http.StatusRequestEntityTooLarge, "body-too-large", responder.NotRun, "the body is larger than this entry takes")
+	}
+	q.until = d.cfg.Now().Add(q.service.Deadline)
+	if text := r.Header.Get(responder.DeadlineHeader); text != "" {
+		at, err := readDeadline(text, d.cfg.Now())
+		if err != nil {
+			return q, problem(http.StatusBadRequest, "bad-deadline", responder.NotRun, err.Error())
+		}
+		q.until = at
+	}
+	q.idempotent = q.service.Repeats(r.Method)
+	switch r.Header.Get(responder.RepeatHeader) {
+	case "":
+	case "true":
+		q.idempotent = true
+	case "false":
+		q.idempotent = false
+	default:
+		return q, problem(http.StatusBadRequest, "bad-header", responder.NotRun, responder.RepeatHeader+" must be true or false")
+	}
+	q.idemKey = r.Header.Get(responder.KeyHeader)
+	if len(q.idemKey) > maxKey {
+		return q, problem(http.StatusBadRequest, "bad-key", responder.NotRun, responder.KeyHeader+" is longer than 255 bytes")
+	}
+	q.body = newBody(r.Body, d.cfg.MaxBody)
+	return q, nil
+}
+
+// maxKey bounds an idempotency key, in bytes.
+const maxKey = 255
+
+var errDeadline = errors.New("a deadline is a time as 2026-12-03T10:00:00Z or a wait as 1.5s")
+
+// readDeadline reads a time, or the longest wait, as a deadline.
+func readDeadline(text string, now time.Time) (time.Time, error) {
+	at, err := time.Parse(time.RFC3339Nano, text)
+	if err != nil {
+		wait, err := time.ParseDuration(text)
+		if err != nil || wait <= 0 {
+			return at, errDeadline
+		}
+		at = now.Add(wait)
+	}
+	if latest := now.Add(maxWait); at.After(latest) {
+		return latest, nil
+	}
+	return at, nil
+}
+
+func problem(status int, code string, o responder.Outcome, detail string) *responder.Problem {
+	return &responder.Problem{Status: status, Code: code, Outcome: o, Detail: detail}
+}
+
+// fail answers with a problem and counts it.
+func (d *Dispatcher) fail(w http.ResponseWriter, q *request, p *responder.Problem, start time.Time) {
+	p.Request = q.id
+	d.note(q, p.Outcome, p.Code, start)
+	responder.Write(w, *p, d.cfg.Now())
+}
+
+// note counts an outcome and writes the request's log line.
+func (d *Dispatcher) note(q *request, o responder.Outcome, code string, start time.Time) {
+	took := d.cfg.Now().Sub(start)
+	if q.service != nil {
+		g := d.gauge(q.key)
+		switch o {
+		case responder.Done:
+			g.done.Inc(1)
+			g.latency.RecordDuration(took)
+		case responder.NotRun:
+			g.notRun.Inc(1)
+		case responder.Unknown:
+			g.unknown.Inc(1)
+		}
+		g.retry.Inc(int64(max(len(q.tries)-1, 0)))
+	}
+	d.trail.add(Trace{
+		Request: q.id, Team: q.key.team, Service: q.key.service, At: start, Took: took,
+		Outcome: string(o), Code: code, Tries: q.tries,
+	})
+}
+
+func (d *Dispatcher) gauge(k serviceKey) *gauges {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	g := d.gauges[k]
+	if g == nil {
+		s := d.cfg.Meter.Tagged(map[string]string{"team": k.team, "service": k.service})
+		g = &gauges{
+			latency: d.cfg.Meter.Latency("call_latency", k.team, k.service),
+			done:    s.Counter("calls_done"), notRun: s.Counter("calls_not_run"),
+			unknown: s.Counter("calls_unknown"), retry: s.Counter("call_retries"),
+		}
+		d.gauges[k] = g
+	}
+	return g
+}
--- /dev/null
+++ b/e2e/world_test.go
@@ -0,0 +1,311 @@
+// Package e2e runs the built binary as separate processes.
+package e2e
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/endivefall/endivefall/faker"
+)
+
+// patience bounds every wait for an event; it only ends a run that hangs.
+const patience = time.Minute
+
+var binary string
+
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "endivefall")
+	if err != nil {
+		panic(err)
+	}
+	binary = filepath.Join(dir, "endivefall")
+	if out, err := exec.Command("go", "build", "-race", "-o", binary, "..").CombinedOutput(); err != nil {
+		panic(string(out))
+	}
+	code := m.Run()
+	_ = os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+// process is one started process.
+type process struct {
+	cmd  *exec.Cmd
+	name string
+	done chan struct{}
+	err  error
+	mu   sync.Mutex
+	log  bytes.Buffer
+}
+
+// Write keeps what the process logs.
+func (p *process) Write(b []byte) (int, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.log.Write(b)
+}
+
+func (p *process) logs() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.log.String()
+}
+
+func (p *process) signal(s syscall.Signal) { _ = p.cmd.Process.Signal(s) }
+
+// instance is an agent with its stand-ins.
+type instance struct {
+	agent, fakes         *process
+	name, conf           string
+	worker, target, http string
+}
+
+// world is a small fleet of processes.
+type world struct {
+	c                 *qt.C
+	dir               string
+	platform          *process
+	platformAddr      string
+	entries           []*process
+	entryHTTP, confs  []string
+	instances         []*instance
+	cheap             *http.Client
+	mu                sync.Mutex
+	all               []*process
+	lease, hold, turn string
+}
+
+func freeAddr(c *qt.C) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	defer func() { _ = l.Close() }()
+	return l.Addr().String()
+}
+
+// newWorld starts a platform, entries and instances of the association's
+// booking service, and waits until every entry sees every target.
+func newWorld(t *testing.T, entries, instances int) *world {
+	w := &world{c: qt.New(t), dir: t.TempDir(), cheap: &http.Client{Timeout: patience}, lease: "3s", hold: "60s", turn: "200ms"}
+	t.Cleanup(w.stop)
+	w.platformAddr = freeAddr(w.c)
+	w.platform = w.start("platform", "fake", "-platform", w.platformAddr)
+	w.listening(w.platformAddr)
+	peers := make([]string, entries)
+	for i := range entries {
+		peers[i] = freeAddr(w.c)
+		addr := freeAddr(w.c)
+		w.entryHTTP = append(w.entryHTTP, addr)
+		conf := w.file(fmt.Sprintf("entry-%d.yaml", i), fmt.Sprintf(`
+id: entry-%d
+domain: d%d
+listen: %s
+peer: %s
+platform: %s
+secret: shared
+lease: %s
+hold: %s
+margin: 500ms
+turn: %s
+`, i, i, addr, peers[i], w.platformAddr, w.lease, w.hold, w.turn))
+		w.confs = append(w.confs, conf)
+		w.entries = append(w.entries, w.start(fmt.Sprintf("entry-%d", i), "entry", conf))
+	}
+	for i := range instances {
+		w.addInstance(i, peers)
+	}
+	w.eventually("every entry sees every agent", func() bool {
+		for _, addr := range w.entryHTTP {
+			if len(w.status(addr).Agents) != instances {
+				return false
+			}
+		}
+		return true
+	})
+	return w
+}
+
+func (w *world) addInstance(i int, peers []string) {
+	in := &instance{name: fmt.Sprintf("agent-%d", i), worker: freeAddr(w.c), target: freeAddr(w.c), http: freeAddr(w.c)}
+	in.fakes = w.start("fakes-"+in.name, "fake", "-worker", in.worker, "-target", in.target, "-name", in.name)
+	in.conf = w.file(in.name+".yaml", fmt.Sprintf(`
+id: %s
+domain: d%d
+listen: %s
+entries: [%s]
+worker: %s
+target: %s
+team: association
+service: booking
+secret: shared
+`, in.name, i, in.http, strings.Join(peers, ", "), in.worker, in.target))
+	in.agent = w.start(in.name, "agent", in.conf)
+	w.instances = append(w.instances, in)
+}
+
+func (w *world) file(name, text string) string {
+	path := filepath.Join(w.dir, name)
+	w.c.Assert(os.WriteFile(path, []byte(text), 0o600), qt.IsNil)
+	return path
+}
+
+func (w *world) start(name string, args ...string) *process {
+	p := &process{name: name, cmd: exec.Command(binary, args...), done: make(chan struct{})}
+	p.cmd.Stdout, p.cmd.Stderr = p, p
+	w.c.Assert(p.cmd.Start(), qt.IsNil)
+	go func() {
+		p.err = p.cmd.Wait()
+		close(p.done)
+	}()
+	w.mu.Lock()
+	w.all = append(w.all, p)
+	w.mu.Unlock()
+	return p
+}
+
+// stop ends every process that the world started, and shows the logs of a
+// failed test.
+func (w *world) stop() {
+	for _, p := range w.all {
+		_ = p.cmd.Process.Kill()
+		<-p.done
+		if w.c.Failed() {
+			text := p.logs()
+			w.c.Logf("---- %s\n%s", p.name, text[max(0, len(text)-2500):])
+		}
+	}
+}
+
+// ended waits for a process and returns its exit code.
+func (w *world) ended(p *process) int {
+	select {
+	case <-p.done:
+	case <-time.After(patience):
+		w.c.Fatalf("%s does not end", p.name)
+	}
+	return p.cmd.ProcessState.ExitCode()
+}
+
+// run runs a command of the binary to its end.
+func (w *world) run(args ...string) (string, int) {
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	out, err := exec.CommandContext(ctx, binary, args...).CombinedOutput()
+	code := 0
+	if exit, ok := err.(*exec.ExitError); ok {
+		code = exit.ExitCode()
+	}
+	return string(out), code
+}
+
+// eventually waits until an event has come about.
+func (w *world) eventually(what string, ok func() bool) {
+	w.c.Helper()
+	for end := time.Now().Add(patience); time.Now().Before(end); {
+		if ok() {
+			return
+		}
+		<-time.After(20 * time.Millisecond)
+	}
+	w.c.Fatalf("never: %s", what)
+}
+
+func (w *world) listening(addr string) {
+	w.eventually(addr+" listens", func() bool {
+		conn, err := net.Dial("tcp", addr)
+		if err == nil {
+			_ = conn.Close()
+		}
+		return err == nil
+	})
+}
+
+func (w *world) get(url string, into any) bool {
+	resp, err := w.cheap.Get(url)
+	if err != nil {
+		return false
+	}
+	defer func() { _ = resp.Body.Close() }()
+	return resp.StatusCode == http.StatusOK && json.NewDecoder(resp.Body).Decode(into) == nil
+}
+
+// seen is the part of an entry's or agent's status that tests look at.
+type seen struct {
+	Agents   []struct{ ID string }
+	Services map[string][]struct {
+		ID      string
+		Leaving bool
+	}
+	Teams  map[string]uint64
+	Shards []uint32
+	Grants int
+}
+
+func (w *world) status(addr string) seen {
+	var s seen
+	w.get("http://"+addr+"/v1/status", &s)
+	return s
+}
+
+// inForce waits until a team's version is in force at every agent.
+func (w *world) inForce(team string, version uint64) {
+	w.eventually(fmt.Sprintf("%s version %d is in force at every agent", team, version), func() bool {
+		for _, in := range w.instances {
+			if w.status(in.http).Teams[team] < version {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// call sends a request and reads its whole answer.
+func (w *world) call(entry int, method, path string, header map[string]string, body io.Reader) (*http.Response, []byte, error) {
+	req, err := http.NewRequest(method, "http://"+w.entryHTTP[entry]+path, body)
+	w.c.Assert(err, qt.IsNil)
+	for k, v := range header {
+		req.Header.Set(k, v)
+	}
+	resp, err := w.cheap.Do(req)
+	if err != nil {
+		return nil, nil, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	raw, err := io.ReadAll(resp.Body)
+	return resp, raw, err
+}
+
+// fault sets the platform's switches.
+func (w *world) fault(f faker.Faults) {
+	raw, err := json.Marshal(f)
+	w.c.Assert(err, qt.IsNil)
+	resp, err := http.Post("http://"+w.platformAddr+"/fault", "application/json", bytes.NewReader(raw))
+	w.c.Assert(err, qt.IsNil)
+	_ = resp.Body.Close()
+}
+
+// records collects what all stand-ins recorded.
+func (w *world) records() []faker.Record {
+	var all []faker.Record
+	for _, in := range w.instances {
+		for _, addr := range []string{in.worker, in.target} {
+			var some []faker.Record
+			w.get("http://"+addr+"/records", &some)
+			all = append(all, some...)
+		}
+	}
+	return all
+}
--- /dev/null
+++ b/entry/status.go
@@ -0,0 +1,66 @@
+package entry
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/endivefall/endivefall/announcer"
+	"github.com/endivefall/endivefall/parser"
+	"github.com/endivefall/endivefall/responder"
+	"github.com/endivefall/endivefall/router"
+)
+
+// Status is what an entry says of itself and what it sees.
+type Status struct {
+	ID       string                   `json:"id"`
+	Born     string                   `json:"born"`
+	Since    time.Time                `json:"since"`
+	Leaving  bool                     `json:"leaving"`
+	Inside   int64                    `json:"inside"`
+	Store    string                   `json:"store"`
+	Shards   []uint32                 `json:"shards"`
+	Entries  []announcer.Entry        `json:"entries"`
+	Teams    map[string]uint64        `json:"teams"`
+	Services map[string][]router.View `json:"services"`
+	Agents   []Agent                  `json:"agents"`
+}
+
+// Agent is what an entry knows of an agent.
+type Agent struct {
+	ID      string      `json:"id"`
+	Domain  string      `json:"domain"`
+	Rack    string      `json:"rack"`
+	Total   parser.Need `json:"total"`
+	Free    parser.Need `json:"free"`
+	Tight   bool        `json:"tight"`
+	Leaving bool        `json:"leaving"`
+}
+
+func (e *Entry) status(w http.ResponseWriter, _ *http.Request) {
+	s := Status{
+		ID: e.cfg.Settings.ID, Born: e.born, Since: e.started, Leaving: e.turning.Load(), Inside: e.dispatcher.Inside(),
+		Store: "up", Entries: e.announcer.Entries(), Teams: map[string]uint64{}, Services: e.dispatcher.Views(),
+	}
+	if !e.announcer.Settled() {
+		s.Store = "in doubt"
+	}
+	for _, k := range e.curator.All() {
+		s.Teams[k.Team] = k.Version
+	}
+	if sch := e.scheduler.Load(); sch != nil {
+		s.Shards = sch.Owned()
+	}
+	for _, a := range e.placer.Agents() {
+		s.Agents = append(s.Agents, Agent{a.ID, a.Domain, a.Rack, a.Total, a.Free, a.Tight, a.Leaving})
+	}
+	responder.JSON(w, http.StatusOK, s)
+}
+
+func (e *Entry) explainRequest(w http.ResponseWriter, r *http.Request) {
+	t, ok := e.dispatcher.Explain(r.PathValue("id"))
+	if !ok {
+		e.problem(w, responder.Problem{Status: http.StatusNotFound, Code: "unknown-request", Detail: "this entry does not remember the request; another may have served it"})
+		return
+	}
+	responder.JSON(w, http.StatusOK, t)
+}
--- /dev/null
+++ b/entry/teams.go
@@ -0,0 +1,157 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/endivefall/endivefall/decoder"
+	"github.com/endivefall/endivefall/keeper"
+	"github.com/endivefall/endivefall/parser"
+	"github.com/endivefall/endivefall/publisher"
+	"github.com/endivefall/endivefall/responder"
+)
+
+const (
+	// acceptTimeout bounds how long an operator waits for the store.
+	acceptTimeout = 8 * time.Second
+	// storeAgain is when an operator should come back while the store is down.
+	storeAgain = 5 * time.Second
+	// nonceHeader names a write, so that a later look tells whether it was
+	// accepted.
+	nonceHeader = "Endivefall-Nonce"
+)
+
+func (e *Entry) getTeam(w http.ResponseWriter, r *http.Request) {
+	ctx, cancel := context.WithTimeout(r.Context(), acceptTimeout)
+	defer cancel()
+	d, nonce, err := e.publisher.Current(ctx, r.PathValue("team"))
+	if errors.Is(err, keeper.ErrMissing) {
+		e.problem(w, responder.Problem{Status: http.StatusNotFound, Code: "unknown-team", Detail: "no document was accepted for this team"})
+		return
+	}
+	if err != nil && d.Version == 0 {
+		e.problem(w, responder.Problem{Status: http.StatusServiceUnavailable, Code: "store-down", Detail: err.Error(), Again: e.now().Add(storeAgain)})
+		return
+	}
+	if err != nil {
+		w.Header().Set("Warning", `110 - "the store is down; this is the version in force at this entry"`)
+	}
+	w.Header().Set("ETag", etag(d.Version))
+	w.Header().Set("Content-Type", "application/yaml")
+	if nonce != "" {
+		w.Header().Set(nonceHeader, nonce)
+	}
+	_, _ = w.Write(d.Source)
+}
+
+func etag(version uint64) string { return `"` + strconv.FormatUint(version, 10) + `"` }
+
+var errMatch = errors.New(`If-Match must be a version as "12", or If-None-Match: * for a new team`)
+
+// matched reads the version that a change was edited from; 0 for a new team.
+func matched(r *http.Request) (uint64, error) {
+	if r.Header.Get("If-None-Match") == "*" {
+		return 0, nil
+	}
+	tag := strings.Trim(r.Header.Get("If-Match"), `"`)
+	version, err := strconv.ParseUint(tag, 10, 64)
+	if err != nil || version == 0 {
+		return 0, errMatch
+	}
+	return version, nil
+}
+
+func (e *Entry) putTeam(w http.ResponseWriter, r *http.Request) {
+	team := r.PathValue("team")
+	version, err := matched(r)
+	if err != nil {
+		e.problem(w, responder.Problem{Status: http.StatusPreconditionRequired, Code: "no-version", Detail: err.Error()})
+		return
+	}
+	source, ok := e.readDocument(w, r)
+	if !ok {
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), acceptTimeout)
+	defer cancel()
+	got, nonce, err := e.publisher.Accept(ctx, team, source, version)
+	if nonce != "" {
+		w.Header().Set(nonceHeader, nonce)
+	}
+	if err != nil {
+		e.refuseDocument(ctx, w, team, nonce, err)
+		return
+	}
+	w.Header().Set("ETag", etag(got))
+	responder.JSON(w, http.StatusOK, map[string]any{"team": team, "version": got})
+}
+
+func (e *Entry) readDocument(w http.ResponseWriter, r *http.Request) ([]byte, bool) {
+	source, err := io.ReadAll(http.MaxBytesReader(w, r.Body, parser.MaxSource+1))
+	var large *http.MaxBytesError
+	if err != nil && !errors.As(err, &large) {
+		e.problem(w, responder.Problem{Status: http.StatusBadRequest, Code: "body-cut-short", Detail: "the document ended early; nothing was changed"})
+		return nil, false
+	}
+	if large != nil || len(source) > parser.MaxSource {
+		e.problem(w, responder.Problem{Status: http.StatusRequestEntityTooLarge, Code: "document-too-large", Detail: fmt.Sprintf("a document has at most %d bytes; split the team", parser.MaxSource)})
+		return nil, false
+	}
+	return source, true
+}
+
+// refuseDocument says why a document is not in force, or not known to be.
+func (e *Entry) refuseDocument(ctx context.Context, w http.ResponseWriter, team, nonce string, err error) {
+	var faults decoder.Faults
+	switch {
+	case errors.As(err, &faults):
+		e.problem(w, responder.Problem{Status: http.StatusUnprocessableEntity, Code: "bad-document", Detail: "nothing was changed", Faults: faults})
+	case errors.Is(err, publisher.ErrEdited):
+		p := responder.Problem{Status: http.StatusPreconditionFailed, Code: "edited", Detail: "the document was edited meanwhile; get it, merge, and send it again"}
+		if now, _, err := e.publisher.Current(ctx, team); err == nil {
+			p.Version = now.Version
+			w.Header().Set("ETag", etag(now.Version))
+		}
+		e.problem(w, p)
+	case errors.Is(err, keeper.ErrUnsettled):
+		e.problem(w, responder.Problem{
+			Status: http.StatusGatewayTimeout, Code: "not-known-yet", Nonce: nonce, Again: e.now().Add(storeAgain),
+			Detail: "the store did not answer, so the change may or may not have been accepted; get shows it by its nonce",
+		})
+	default:
+		e.problem(w, responder.Problem{
+			Status: http.StatusServiceUnavailable, Code: "store-down", Again: e.now().Add(storeAgain),
+			Detail: "nothing was changed: " + err.Error(),
+		})
+	}
+}
+
+// planTeam shows what a document would change, and changes nothing.
+func (e *Entry) planTeam(w http.ResponseWriter, r *http.Request) {
+	source, ok := e.readDocument(w, r)
+	if !ok {
+		return
+	}
+	team := r.PathValue("team")
+	next, err := parser.New().Parse(team, source)
+	if err != nil {
+		e.refuseDocument(r.Context(), w, team, "", err)
+		return
+	}
+	now := &parser.Document{Team: team}
+	version := uint64(0)
+	if k := e.curator.Get(team); k != nil {
+		now, version = k.Parsed, k.Version
+	}
+	responder.JSON(w, http.StatusOK, map[string]any{"team": team, "version": version, "changes": parser.Diff(now, next)})
+}
+
+func (e *Entry) problem(w http.ResponseWriter, p responder.Problem) {
+	responder.Write(w, p, e.now())
+}
--- /dev/null
+++ b/logger/logger.go
@@ -0,0 +1,22 @@
+// Package logger writes one key=value line for each event.
+package logger
+
+import (
+	"io"
+
+	zaplogfmt "github.com/jsternberg/zap-logfmt"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+)
+
+// New returns a logger that writes lines of at least the level to w.
+func New(w io.Writer, level string) (*zap.Logger, error) {
+	at, err := zapcore.ParseLevel(level)
+	if err != nil {
+		return nil, err
+	}
+	cfg := zap.NewProductionEncoderConfig()
+	cfg.EncodeTime = zapcore.RFC3339NanoTimeEncoder
+	cfg.EncodeDuration = zapcore.StringDurationEncoder
+	return zap.New(zapcore.NewCore(zaplogfmt.NewEncoder(cfg), zapcore.Lock(zapcore.AddSync(w)), at)), nil
+}
--- /dev/null
+++ b/messenger/frame.go
@@ -0,0 +1,174 @@
+// Package messenger carries frames between the system's own processes: CBOR
+// over one WebSocket a pair, with many streams on it.
+package messenger
+
+import (
+	"errors"
+	"fmt"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+// Version is the protocol's version; a peer of another version is turned away.
+const Version = 1
+
+// Bounds of the protocol, in bytes and counts.
+const (
+	// MaxFrame bounds one encoded frame.
+	MaxFrame = 1 << 20
+	// MaxChunk bounds the body bytes in one frame.
+	MaxChunk = 32 << 10
+	// Window bounds the body bytes that one stream may have unread.
+	Window = 256 << 10
+	// MaxStreams bounds the streams open on one connection.
+	MaxStreams = 4096
+)
+
+// Kind tells what a frame carries.
+type Kind uint8
+
+// Kinds of frame. Numbers are part of the protocol and never change.
+const (
+	KindHello   Kind = 1
+	KindWelcome Kind = 2
+	KindBeat    Kind = 3
+	KindPulse   Kind = 4
+	KindDocs    Kind = 5
+	KindPeers   Kind = 6
+
+	KindCall   Kind = 10
+	KindAnswer Kind = 11
+	KindRefuse Kind = 12
+	KindData   Kind = 13
+	KindEnd    Kind = 14
+	KindCredit Kind = 15
+	KindCancel Kind = 16
+
+	KindGrant   Kind = 20
+	KindDecline Kind = 21
+	KindReport  Kind = 22
+	KindSettled Kind = 23
+	KindRevoke  Kind = 24
+	KindSurvey  Kind = 25
+	KindHeld    Kind = 26
+
+	KindClaim   Kind = 30
+	KindClaimed Kind = 31
+	KindRecord  Kind = 32
+)
+
+// Errors of the protocol.
+var (
+	ErrFrame   = errors.New("bad frame")
+	ErrClosed  = errors.New("connection closed")
+	ErrVersion = errors.New("peer speaks another protocol version")
+)
+
+// Frame is one message. Only the field that Kind names is set.
+type Frame struct {
+	Kind    Kind     `cbor:"1,keyasint"`
+	ID      uint64   `cbor:"2,keyasint,omitempty"`
+	Data    []byte   `cbor:"3,keyasint,omitempty"`
+	Credit  uint32   `cbor:"4,keyasint,omitempty"`
+	Hello   *Hello   `cbor:"5,keyasint,omitempty"`
+	Welcome *Welcome `cbor:"6,keyasint,omitempty"`
+	Beat    *Beat    `cbor:"7,keyasint,omitempty"`
+	Pulse   *Pulse   `cbor:"8,keyasint,omitempty"`
+	Docs    *Docs    `cbor:"9,keyasint,omitempty"`
+	Peers   *Peers   `cbor:"10,keyasint,omitempty"`
+	Call    *Call    `cbor:"11,keyasint,omitempty"`
+	Answer  *Answer  `cbor:"12,keyasint,omitempty"`
+	Refuse  *Refuse  `cbor:"13,keyasint,omitempty"`
+	End     *End     `cbor:"14,keyasint,omitempty"`
+	Grant   *Grant   `cbor:"15,keyasint,omitempty"`
+	Report  *Report  `cbor:"16,keyasint,omitempty"`
+	Claim   *Claim   `cbor:"17,keyasint,omitempty"`
+	Claimed *Claimed `cbor:"18,keyasint,omitempty"`
+	Survey  *Survey  `cbor:"19,keyasint,omitempty"`
+}
+
+var (
+	encoding = must(cbor.EncOptions{Time: cbor.TimeUnixMicro}.EncMode())
+	decoding = must(cbor.DecOptions{
+		MaxNestedLevels:  16,
+		MaxArrayElements: 1 << 17,
+		MaxMapPairs:      1 << 16,
+	}.DecMode())
+)
+
+func must[T any](mode T, err error) T {
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}
+
+// Encode writes a frame as CBOR.
+func Encode(f Frame) ([]byte, error) {
+	raw, err := encoding.Marshal(f)
+	if err != nil {
+		return nil, fmt.Errorf("encoding a frame of kind %d: %w", f.Kind, err)
+	}
+	if len(raw) > MaxFrame {
+		return nil, fmt.Errorf("frame of kind %d is %d bytes, over %d: %w", f.Kind, len(raw), MaxFrame, ErrFrame)
+	}
+	return raw, nil
+}
+
+// Decode reads a frame and checks that it carries what its kind names. Unknown
+// fields are ignored, so that a newer peer may add some.
+func Decode(raw []byte) (Frame, error) {
+	var f Frame
+	if len(raw) > MaxFrame {
+		return f, fmt.Errorf("frame is %d bytes, over %d: %w", len(raw), MaxFrame, ErrFrame)
+	}
+	if err := decoding.Unmarshal(raw, &f); err != nil {
+		return f, fmt.Errorf("%w: %w", ErrFrame, err)
+	}
+	if !f.whole() {
+		return f, fmt.Errorf("frame of kind %d lacks its body: %w", f.Kind, ErrFrame)
+	}
+	return f, nil
+}
+
+// whole says whether the field that the kind needs is there. Kinds of a newer
+// version pass; their reader skips them.
+func (f *Frame) whole() bool {
+	switch f.Kind {
+	case 0:
+		return false
+	case KindHello:
+		return f.Hello != nil
+	case KindWelcome:
+		return f.Welcome != nil
+	case KindBeat:
+		return f.Beat != nil
+	case KindPulse:
+		return f.Pulse != nil
+	case KindDocs:
+		return f.Docs != nil
+	case KindPeers:
+		return f.Peers != nil
+	case KindCall:
+		return f.Call != nil && f.ID != 0
+	case KindAnswer:
+		return f.Answer != nil
+	case KindRefuse:
+		return f.Refuse != nil
+	case KindEnd:
+		return f.End != nil
+	case KindData:
+		return len(f.Data) <= MaxChunk
+	case KindGrant, KindDecline, KindRevoke:
+		return f.Grant != nil
+	case KindReport, KindSettled:
+		return f.Report != nil
+	case KindSurvey, KindHeld:
+		return f.Survey != nil
+	case KindClaim, KindRecord:
+		return f.Claim != nil
+	case KindClaimed:
+		return f.Claimed != nil
+	}
+	return true
+}
--- /dev/null
+++ b/meter/meter.go
@@ -0,0 +1,58 @@
+// Package meter holds a process's metrics and shows them to Prometheus.
+package meter
+
+import (
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/uber-go/tally/v4"
+	promreporter "github.com/uber-go/tally/v4/prometheus"
+)
+
+// flushEvery is how often counts reach the reporter.
+const flushEvery = time.Second
+
+// Meter is the root of a process's metrics.
+type Meter struct {
+	tally.Scope
+	closer  io.Closer
+	handler http.Handler
+}
+
+// buckets are the bounds of latency histograms.
+var buckets = tally.DurationBuckets{
+	time.Millisecond, 2 * time.Millisecond, 5 * time.Millisecond, 10 * time.Millisecond, 20 * time.Millisecond,
+	50 * time.Millisecond, 100 * time.Millisecond, 200 * time.Millisecond, 500 * time.Millisecond,
+	time.Second, 2 * time.Second, 5 * time.Second, 10 * time.Second, 30 * time.Second,
+}
+
+// New returns a Meter whose names begin with prefix.
+func New(prefix string) *Meter {
+	registry := prometheus.NewRegistry()
+	reporter := promreporter.NewReporter(promreporter.Options{Registerer: registry, Gatherer: registry})
+	scope, closer := tally.NewRootScope(tally.ScopeOptions{
+		Prefix:                 prefix,
+		CachedReporter:         reporter,
+		Separator:              promreporter.DefaultSeparator,
+		SanitizeOptions:        &promreporter.DefaultSanitizerOpts,
+		OmitCardinalityMetrics: true,
+	}, flushEvery)
+	return &Meter{
+		Scope: scope, closer: closer,
+		handler: promhttp.HandlerFor(registry, promhttp.HandlerOpts{}),
+	}
+}
+
+// Latency returns a histogram of times by service.
+func (m *Meter) Latency(name, team, service string) tally.Histogram {
+	return m.Tagged(map[string]string{"team": team, "service": service}).Histogram(name, buckets)
+}
+
+// ServeHTTP shows the metrics.
+func (m *Meter) ServeHTTP(w http.ResponseWriter, r *http.Request) { m.handler.ServeHTTP(w, r) }
+
+// Close flushes and ends the metrics.
+func (m *Meter) Close() { _ = m.closer.Close() }
--- /dev/null
+++ b/placer/placer.go
@@ -0,0 +1,253 @@
+// Package placer decides at which agent the tasks of a batch job run: by fit,
+// spread of load, past failures and the state of the instance.
+package placer
+
+import (
+	"math/rand/v2"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/endivefall/endivefall/parser"
+)
+
+// Config is what a Placer needs.
+type Config struct {
+	Now  func() time.Time
+	Rand *rand.Rand
+}
+
+// Agent is what an entry knows of an agent: its digest, less what this entry
+// has placed there since.
+type Agent struct {
+	ID, Domain, Rack, Region string
+	Total, Free              parser.Need
+	// Tight is set while the agent's contract is at risk.
+	Tight, Leaving bool
+	// failed counts failures of different runs' tasks since the last success.
+	failed map[string]bool
+	// aside is until when a worker that fails all it starts gets nothing.
+	aside time.Time
+	times int
+}
+
+// Bounds of setting a worker aside.
+const (
+	// runsFailed is how many different runs must fail at a worker.
+	runsFailed = 3
+	firstAside = 10 * time.Second
+	lastAside  = 10 * time.Minute
+	// sampled is how many agents are compared for one task.
+	sampled = 16
+)
+
+// Placer places tasks on agents. It is safe for concurrent use.
+type Placer struct {
+	cfg    Config
+	mu     sync.Mutex
+	agents map[string]*Agent
+	// order holds the ids for sampling.
+	order []string
+}
+
+// New returns a Placer that knows no agents.
+func New(cfg Config) *Placer {
+	return &Placer{cfg: cfg, agents: map[string]*Agent{}}
+}
+
+// Put notes an agent's digest.
+func (p *Placer) Put(a Agent) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	old := p.agents[a.ID]
+	if old == nil {
+		p.agents[a.ID] = &a
+		at := sort.SearchStrings(p.order, a.ID)
+		p.order = append(p.order[:at:at], append([]string{a.ID}, p.order[at:]...)...)
+		return
+	}
+	a.failed, a.aside, a.times = old.failed, old.aside, old.times
+	*old = a
+}
+
+// Drop forgets an agent.
+func (p *Placer) Drop(id string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.agents[id] == nil {
+		return
+	}
+	delete(p.agents, id)
+	at := sort.SearchStrings(p.order, id)
+	p.order = append(p.order[:at:at], p.order[at+1:]...)
+}
+
+// Want is a task that looks for a place.
+type Want struct {
+	Need parser.Need
+	// Bad names agents at which tasks of the same run failed.
+	Bad map[string]int
+	// Urgent work may go where the contract is at risk.
+	Urgent bool
+}
+
+// Choice is a decision, with what was passed over.
+type Choice struct {
+	ID     string
+	Score  float64
+	Reason string
+	Others []Other
+}
+
+// Other is an agent that was passed over.
+type Other struct {
+	ID     string  `json:"id"`
+	Score  float64 `json:"score"`
+	Reason string  `json:"reason"`
+}
+
+// Pick chooses an agent and takes the need from what it is known to have free.
+func (p *Placer) Pick(w Want) (Choice, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.cfg.Now()
+	best := Choice{Reason: "best-fit", Score: -1}
+	for _, id := range p.sample() {
+		a := p.agents[id]
+		if reason := unfit(a, w, now); reason != "" {
+			best.Others = append(best.Others, Other{ID: id, Reason: reason})
+			continue
+		}
+		score := fit(a, w)
+		if score > best.Score {
+			if best.ID != "" {
+				best.Others = append(best.Others, Other{best.ID, best.Score, "fits-worse"})
+			}
+			best.ID, best.Score = id, score
+			continue
+		}
+		best.Others = append(best.Others, Other{id, score, "fits-worse"})
+	}
+	if best.ID == "" {
+		return best, false
+	}
+	a := p.agents[best.ID]
+	a.Free = a.Free.Minus(w.Need)
+	return best, true
+}
+
+// sample returns some agents in random order.
+func (p *Placer) sample() []string {
+	n := len(p.order)
+	if n <= sampled {
+		return p.order
+	}
+	picked := make([]string, sampled)
+	for i := range picked {
+		picked[i] = p.order[p.cfg.Rand.IntN(n)]
+	}
+	return picked
+}
+
+func unfit(a *Agent, w Want, now time.Time) string {
+	switch {
+	case a.Leaving:
+		return "leaving"
+	case now.Before(a.aside):
+		return "set-aside"
+	case a.Tight && !w.Urgent:
+		return "contract-at-risk"
+	case !w.Need.Fits(a.Free):
+		return "no-room"
+	}
+	return ""
+}
+
+// fit is higher where less would be left over in the scarcest resource, and
+// lower where tasks of the run failed before.
+func fit(a *Agent, w Want) float64 {
+	left := a.Free.Minus(w.Need)
+	// Leaving resources even keeps room for tasks of any shape.
+	skew := spread(left, a.Total)
+	return 2 - w.Need.Share(a.Total) - skew - spreadOut*used(a) - float64(min(w.Bad[a.ID], 4))*badCost + 1
+}
+
+const (
+	// badCost is what a failure of the same run at an agent costs.
+	badCost = 0.5
+	// spreadOut is how much a fuller instance costs.
+	spreadOut = 0.25
+)
+
+func used(a *Agent) float64 {
+	return a.Total.Minus(a.Free).Share(a.Total)
+}
+
+func spread(left, total parser.Need) float64 {
+	if total.Processors == 0 || total.Memory == 0 {
+		return 0
+	}
+	d := left.Processors/total.Processors - float64(left.Memory)/float64(total.Memory)
+	return max(d, -d)
+}
+
+// Return gives back a need that Pick took and that did not come to run.
+func (p *Placer) Return(id string, need parser.Need) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if a := p.agents[id]; a != nil {
+		a.Free = a.Free.Plus(need)
+	}
+}
+
+// Note takes the end of a task. A worker at which tasks of several runs fail
+// one after another is set aside.
+func (p *Placer) Note(id, run string, failed bool) (aside bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	a := p.agents[id]
+	if a == nil {
+		return false
+	}
+	if !failed {
+		a.failed, a.times = nil, 0
+		return false
+	}
+	if a.failed == nil {
+		a.failed = map[string]bool{}
+	}
+	a.failed[run] = true
+	if len(a.failed) < runsFailed {
+		return false
+	}
+	a.aside = p.cfg.Now().Add(min(firstAside<<min(a.times, 8), lastAside))
+	a.times++
+	a.failed = nil
+	return true
+}
+
+// Largest returns the largest total of any agent, resource by resource, and
+// whether the need fits some agent when it is empty.
+func (p *Placer) Largest(need parser.Need) (largest parser.Need, fits bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, a := range p.agents {
+		fits = fits || need.Fits(a.Total)
+		if a.Total.Share(parser.Need{Processors: 1, Memory: 1 << 30, Accelerators: 1}) >
+			largest.Share(parser.Need{Processors: 1, Memory: 1 << 30, Accelerators: 1}) {
+			largest = a.Total
+		}
+	}
+	return largest, fits
+}
+
+// Agents returns what is known of the agents, sorted by id.
+func (p *Placer) Agents() []Agent {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := make([]Agent, 0, len(p.order))
+	for _, id := range p.order {
+		list = append(list, *p.agents[id])
+	}
+	return list
+}
--- /dev/null
+++ b/recorder/recorder.go
@@ -0,0 +1,291 @@
+// Package recorder keeps the ledger of accepted jobs and their grants: shards
+// in the platform's store, each with one owner, an epoch that only grows, and
+// group commits.
+package recorder
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/endivefall/endivefall/keeper"
+)
+
+// Errors of a shard.
+var (
+	// ErrLost says that this entry no longer owns the shard. What was asked
+	// may or may not be in the ledger; ask the new owner.
+	ErrLost = errors.New("shard has another owner")
+	// ErrTaken says that another live entry owns the shard.
+	ErrTaken = errors.New("shard is owned")
+	// ErrUnchanged is what a change returns when there is nothing to write.
+	ErrUnchanged = errors.New("nothing to write")
+)
+
+// Sizes of a shard, in bytes and counts.
+const (
+	// fullShard leaves room under the store's bound for what running work adds.
+	fullShard = 700 << 10
+	// queue bounds the changes that wait for the next commit; more of them
+	// wait at the caller.
+	queue = 1024
+	// kept is how many ended runs a shard remembers.
+	kept = 500
+)
+
+// Store is the part of the platform that a shard needs.
+type Store struct {
+	Get    func(ctx context.Context, key string) (keeper.Item, error)
+	Settle func(ctx context.Context, key string, value []byte, version uint64, lease string) (uint64, error)
+	// Earliest and Latest bound the platform's clock at a local time.
+	Earliest, Latest func(now time.Time) time.Time
+}
+
+// Config is what a Recorder needs.
+type Config struct {
+	Key   string // of the shard in the store
+	Owner string // this entry
+	Born  string // this process
+	// Alive says whether an entry's process is still announced.
+	Alive func(owner, born string) bool
+	Hold  time.Duration
+	Now   func() time.Time
+	Store Store
+}
+
+// change is one queued write.
+type change struct {
+	do   func(*Tx) error
+	done chan error
+}
+
+// Recorder is one shard that this entry owns.
+type Recorder struct {
+	cfg     Config
+	changes chan change
+	// lost is closed when the shard has another owner.
+	lost chan struct{}
+	once sync.Once
+	size atomic.Int64
+	// writes counts commits, changed those that they carried.
+	writes, changed atomic.Int64
+
+	mu sync.Mutex
+	// rec is what the store is known to hold. Its runs are never changed in
+	// place, so a reader may keep one without mu.
+	rec     *record
+	version uint64
+	// before is the hold that the last owner left.
+	before time.Time
+}
+
+// Claim takes a shard over, if its owner is gone, by raising its epoch.
+func Claim(ctx context.Context, cfg Config) (*Recorder, error) {
+	item, err := cfg.Store.Get(ctx, cfg.Key)
+	if err != nil && !errors.Is(err, keeper.ErrMissing) {
+		return nil, err
+	}
+	rec, err := decode(item.Value)
+	if err != nil {
+		return nil, err
+	}
+	if rec.Owner != "" && (rec.Owner != cfg.Owner || rec.Born != cfg.Born) && cfg.Alive(rec.Owner, rec.Born) {
+		return nil, fmt.Errorf("%s by %s: %w", cfg.Key, rec.Owner, ErrTaken)
+	}
+	k := &Recorder{
+		cfg: cfg, changes: make(chan change, queue), lost: make(chan struct{}),
+		rec: rec, version: item.Version, before: rec.Hold,
+	}
+	err = k.commit(ctx, func(r *record) {
+		r.Epoch++
+		r.Owner, r.Born = cfg.Owner, cfg.Born
+	})
+	if errors.Is(err, keeper.ErrConflict) {
+		return nil, fmt.Errorf("%s: %w", cfg.Key, ErrTaken)
+	}
+	if err != nil {
+		return nil, err
+	}
+	return k, nil
+}
+
+// Lost is closed when the shard has another owner.
+func (k *Recorder) Lost() <-chan struct{} { return k.lost }
+
+// Epoch returns the shard's epoch; it stays while this entry owns the shard.
+func (k *Recorder) Epoch() uint64 {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.rec.Epoch
+}
+
+// Inherited returns until when, on the platform's clock, an earlier owner may
+// have extended grants.
+func (k *Recorder) Inherited() time.Time { return k.before }
+
+// Limit returns the local time up to which the owner may extend grants.
+func (k *Recorder) Limit(now time.Time) time.Time {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return now.Add(k.rec.Hold.Sub(k.cfg.Store.Latest(now)))
+}
+
+// Runs returns the runs as they are known to stand in the store. They must not
+// be changed.
+func (k *Recorder) Runs() map[string]*Run {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.rec.Runs
+}
+
+// Counts tells how many commits there were, how many changes they carried, and
+// the size of the last one in bytes.
+func (k *Recorder) Counts() (writes, changes, size int64) {
+	return k.writes.Load(), k.changed.Load(), k.size.Load()
+}
+
+// Full says whether the shard should take no new runs.
+func (k *Recorder) Full() bool { return k.size.Load() > fullShard }
+
+// Do applies a change and returns when it is durable. A change that returns an
+// error must have left the Tx as it was.
+func (k *Recorder) Do(ctx context.Context, do func(*Tx) error) error {
+	c := change{do: do, done: make(chan error, 1)}
+	select {
+	case k.changes <- c:
+	case <-k.lost:
+		return ErrLost
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	select {
+	case err := <-c.done:
+		return err
+	case <-k.lost:
+		return ErrLost
+	case <-ctx.Done():
+		return fmt.Errorf("%w: %w", keeper.ErrUnsettled, ctx.Err())
+	}
+}
+
+// Serve commits changes until ctx ends or the shard is lost. All that comes
+// while one commit is on its way goes into the next.
+func (k *Recorder) Serve(ctx context.Context) error {
+	renew := time.NewTicker(k.cfg.Hold / 4)
+	defer renew.Stop()
+	for {
+		var batch []change
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-renew.C:
+		case c := <-k.changes:
+			batch = append(batch, c)
+		}
+		batch = k.gather(batch)
+		if err := k.group(ctx, batch); err != nil {
+			return err
+		}
+	}
+}
+
+func (k *Recorder) gather(batch []change) []change {
+	for len(batch) < queue {
+		select {
+		case c := <-k.changes:
+			batch = append(batch, c)
+		default:
+			return batch
+		}
+	}
+	return batch
+}
+
+// group commits a batch and answers its changes. The error is ErrLost or that
+// of ctx.
+func (k *Recorder) group(ctx context.Context, batch []change) error {
+	now := k.cfg.Store.Earliest(k.cfg.Now())
+	k.mu.Lock()
+	tx := &Tx{base: k.rec.Runs, fresh: map[string]*Run{}, Now: now, Epoch: k.rec.Epoch}
+	k.mu.Unlock()
+	var written []change
+	for _, c := range batch {
+		if err := c.do(tx); err != nil {
+			if errors.Is(err, ErrUnchanged) {
+				err = nil
+			}
+			c.done <- err
+			continue
+		}
+		written = append(written, c)
+	}
+	if len(written) == 0 && len(batch) > 0 {
+		return nil
+	}
+	err := k.commit(ctx, func(r *record) {
+		for id, run := range tx.fresh {
+			r.Runs[id] = run
+		}
+		forget(r.Runs)
+	})
+	k.changed.Add(int64(len(written)))
+	if err != nil {
+		k.once.Do(func() { close(k.lost) })
+		answer(written, fmt.Errorf("%w: %w", ErrLost, err))
+		return err
+	}
+	answer(written, nil)
+	return nil
+}
+
+func answer(batch []change, err error) {
+	for _, c := range batch {
+		c.done <- err
+	}
+}
+
+// commit writes the shard with an edit and does not return before it is known
+// whether the write took effect.
+func (k *Recorder) commit(ctx context.Context, edit func(*record)) error {
+	k.mu.Lock()
+	next := *k.rec
+	version := k.version
+	k.mu.Unlock()
+	runs := make(map[string]*Run, len(next.Runs))
+	for id, r := range next.Runs {
+		runs[id] = r
+	}
+	next.Runs = runs
+	next.Nonce = uuid.NewString()
+	next.Hold = k.cfg.Store.Earliest(k.cfg.Now()).Add(k.cfg.Hold)
+	edit(&next)
+	raw, err := encoding.Marshal(next)
+	if err != nil {
+		return err
+	}
+	version, err = k.cfg.Store.Settle(ctx, k.cfg.Key, raw, version, "")
+	if err != nil {
+		return err
+	}
+	k.size.Store(int64(len(raw)))
+	k.writes.Add(1)
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.rec, k.version = &next, version
+	return nil
+}
+
+// Leave hands the shard over: no owner stands in it afterwards. Serve must
+// have returned, and no grant may be extended any more; until is the latest
+// local deadline that was given.
+func (k *Recorder) Leave(ctx context.Context, until time.Time) error {
+	k.once.Do(func() { close(k.lost) })
+	now := k.cfg.Now()
+	hold := k.cfg.Store.Latest(now).Add(until.Sub(now))
+	return k.commit(ctx, func(r *record) { r.Owner, r.Born, r.Hold = "", "", hold })
+}
--- /dev/null
+++ b/runner/runner.go
@@ -0,0 +1,242 @@
+// Package runner runs an agent's batch tasks at its worker, under grants whose
+// deadlines it never outlives.
+package runner
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/endivefall/endivefall/committer"
+	"github.com/endivefall/endivefall/executor"
+	"github.com/endivefall/endivefall/messenger"
+)
+
+// Times of the runner.
+const (
+	// tick is how often worker leases are moved and lost reports repeated.
+	tick = 500 * time.Millisecond
+	// resend is how long a report waits for its answer.
+	resend = 2 * time.Second
+	// repeatLease is the worker lease of idempotent tasks, which may go on
+	// while no owner can be reached.
+	repeatLease = 10 * time.Second
+	// pause is the wait after a worker's call that failed.
+	pause = 100 * time.Millisecond
+)
+
+// Worker is the part of a worker that the runner needs.
+type Worker struct {
+	Poll       func(ctx context.Context, after uint64) (executor.Report, error)
+	Start      func(ctx context.Context, t executor.Task, until time.Time) error
+	Extend     func(ctx context.Context, ids []string, until time.Time) error
+	Checkpoint func(ctx context.Context, id string) (executor.Task, error)
+	Stop       func(ctx context.Context, id string) (executor.Task, error)
+	Forget     func(ctx context.Context, id string) error
+}
+
+// Config is what a Runner needs.
+type Config struct {
+	Worker Worker
+	Commit *committer.Committer
+	// Now is the agent's steady clock.
+	Now func() time.Time
+	// Send sends a frame to an entry, and drops it when there is no
+	// connection: what matters is sent again.
+	Send func(entry string, f messenger.Frame)
+	Log  *zap.Logger
+}
+
+// owner is who may extend a shard's grants.
+type owner struct {
+	epoch uint64
+	entry string
+}
+
+// Runner runs tasks. It is safe for concurrent use.
+type Runner struct {
+	cfg Config
+	// forget holds tasks that the worker may drop; a full queue keeps them at
+	// the worker until the next report of the same outcome.
+	forget chan string
+	lanes  sync.WaitGroup
+
+	mu sync.Mutex
+	// held has the grants that are not settled whole.
+	held map[key]*lane
+	// owners has the highest epoch seen of each shard; epochs only grow.
+	owners map[uint32]owner
+	// report is the worker's last; version counts them.
+	report  map[string]executor.Task
+	version uint64
+	leaving bool
+	// stopped is set when the agent ends; lanes then leave their tasks to the
+	// worker's leases.
+	ctx context.Context
+}
+
+// New returns a Runner. Nothing is accepted before Recover.
+func New(cfg Config) *Runner {
+	return &Runner{
+		cfg: cfg, forget: make(chan string, 4096),
+		held: map[key]*lane{}, owners: map[uint32]owner{}, report: map[string]executor.Task{},
+	}
+}
+
+// Serve polls the worker, moves leases and repeats reports until ctx ends.
+func (r *Runner) Serve(ctx context.Context) {
+	var duties sync.WaitGroup
+	duties.Go(func() { r.pollLoop(ctx) })
+	duties.Go(func() { r.tickLoop(ctx) })
+	duties.Go(func() { r.forgetLoop(ctx) })
+	duties.Wait()
+	r.lanes.Wait()
+}
+
+// pollLoop keeps the worker's report fresh.
+func (r *Runner) pollLoop(ctx context.Context) {
+	for ctx.Err() == nil {
+		r.mu.Lock()
+		after := r.version
+		r.mu.Unlock()
+		rep, err := r.cfg.Worker.Poll(ctx, after)
+		if err != nil {
+			sleep(ctx, pause)
+			continue
+		}
+		r.take(rep)
+	}
+}
+
+func (r *Runner) take(rep executor.Report) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.version = rep.Version
+	r.report = make(map[string]executor.Task, len(rep.Tasks))
+	for _, t := range rep.Tasks {
+		r.report[t.ID] = t
+	}
+	for _, l := range r.held {
+		l.nudge()
+	}
+}
+
+// tickLoop moves the worker's leases up to the grants' deadlines.
+func (r *Runner) tickLoop(ctx context.Context) {
+	beat := time.NewTicker(tick)
+	defer beat.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-beat.C:
+		}
+		r.extendWorker(ctx)
+		r.repeatReports()
+	}
+}
+
+func (r *Runner) extendWorker(ctx context.Context) {
+	now := r.cfg.Now()
+	r.mu.Lock()
+	groups := map[time.Time][]string{}
+	for _, l := range r.held {
+		if l.task == "" {
+			continue
+		}
+		if l.grant.Repeat && l.until.After(now) {
+			l.until = now.Add(repeatLease)
+		}
+		if l.until.After(now) {
+			groups[l.until] = append(groups[l.until], l.task)
+		}
+	}
+	r.mu.Unlock()
+	for until, ids := range groups {
+		_ = r.cfg.Worker.Extend(ctx, ids, until) // repeated at the next tick
+	}
+}
+
+func (r *Runner) repeatReports() {
+	now := r.cfg.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, l := range r.held {
+		if l.sent && now.Sub(l.sentAt) > resend {
+			l.sent = false
+			r.tell(l)
+		}
+	}
+}
+
+// tell reports to the owner what is not settled, unless a report is on its
+// way; the caller holds mu.
+func (r *Runner) tell(l *lane) {
+	if l.sent || (len(l.outcomes) == 0 && (!l.closed || l.mute)) {
+		return
+	}
+	l.sent, l.sentAt = true, r.cfg.Now()
+	r.cfg.Send(r.owners[l.grant.Shard].entry, messenger.Frame{Kind: messenger.KindReport, Report: l.report()})
+}
+
+// forgetLoop lets the worker drop tasks whose ends are durable.
+func (r *Runner) forgetLoop(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case id := <-r.forget:
+			_ = r.cfg.Worker.Forget(ctx, id)
+		}
+	}
+}
+
+// Leave takes no new grants and ends those that can resume elsewhere.
+func (r *Runner) Leave() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.leaving = true
+	for _, l := range r.held {
+		if l.grant.Keep || l.grant.Repeat {
+			l.stop(evict)
+		}
+	}
+}
+
+func (l *lane) stop(how halt) {
+	if l.halt == none || how == cancel {
+		l.halt = how
+	}
+	l.nudge()
+}
+
+// Busy returns how many grants are held.
+func (r *Runner) Busy() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.held)
+}
+
+// Shards lists the shards whose grants are held.
+func (r *Runner) Shards() []uint32 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	seen := map[uint32]bool{}
+	var list []uint32
+	for _, l := range r.held {
+		if !seen[l.grant.Shard] {
+			seen[l.grant.Shard] = true
+			list = append(list, l.grant.Shard)
+		}
+	}
+	return list
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
--- /dev/null
+++ b/scheduler/scheduler.go
@@ -0,0 +1,379 @@
+// Package scheduler owns shards of the ledger at an entry: it accepts jobs,
+// grants their tasks to agents and sees that each ends as it should.
+package scheduler
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"go.uber.org/zap"
+
+	"github.com/endivefall/endivefall/messenger"
+	"github.com/endivefall/endivefall/parser"
+	"github.com/endivefall/endivefall/placer"
+	"github.com/endivefall/endivefall/recorder"
+)
+
+// Errors of a job's request.
+var (
+	// ErrNotOwner says that another entry owns the job's shard.
+	ErrNotOwner = errors.New("another entry owns the job's shard")
+	// ErrUnknown says that there is no such run.
+	ErrUnknown = errors.New("no such run")
+	// ErrNeverFits says that no instance could ever run a task of the job.
+	ErrNeverFits = errors.New("no instance is large enough")
+	// ErrFull says that the shard takes no new runs now.
+	ErrFull = errors.New("ledger shard is full")
+)
+
+// Times of the scheduler.
+const (
+	// tick is how often a shard looks for what is due.
+	tick = 100 * time.Millisecond
+	// claimEvery is how often the owners of shards are looked at.
+	claimEvery = time.Second
+	// settleBefore is how long another entry must have been chosen for a shard
+	// before this one hands it over.
+	settleBefore = 5 * time.Second
+)
+
+// Peer is the link to an agent, as the scheduler needs it.
+type Peer struct {
+	ID, Born string
+	// Post queues a frame without waiting.
+	Post func(messenger.Frame) error
+	// Until returns the agent's time for a local deadline.
+	Until func(now, local time.Time) time.Time
+}
+
+// Config is what a Scheduler needs.
+type Config struct {
+	Shards int
+	// Lease is how long an agent may run on without hearing from the owner,
+	// Margin what is added before its work counts as ended: the worker's stop
+	// time and the drift of clocks.
+	Lease, Margin time.Duration
+	Now           func() time.Time
+	Placer        *placer.Placer
+	Log           *zap.Logger
+	// Chosen says whether this entry should own the shard.
+	Chosen func(shard uint32) bool
+	// Claim takes a shard over.
+	Claim func(ctx context.Context, shard uint32) (*recorder.Recorder, error)
+	// Peer returns the link to an agent.
+	Peer func(agent string) (Peer, bool)
+	// Earliest is the platform's clock at a local time, at the least.
+	Earliest func(now time.Time) time.Time
+	// Quota returns a team's quota; zero for none.
+	Quota func(team string) parser.Need
+}
+
+// Scheduler owns some shards. It is safe for concurrent use.
+type Scheduler struct {
+	cfg    Config
+	duties sync.WaitGroup
+	mu     sync.Mutex
+	// owned has the shards that this entry serves now.
+	owned map[uint32]*shard
+	// strange is since when another entry is chosen for an owned shard.
+	strange map[uint32]time.Time
+	leaving bool
+}
+
+// New returns a Scheduler that owns nothing yet.
+func New(cfg Config) *Scheduler {
+	return &Scheduler{cfg: cfg, owned: map[uint32]*shard{}, strange: map[uint32]time.Time{}}
+}
+
+// ShardOf returns the shard that keeps a team's jobs. All of a team's jobs are
+// in one, so that its quota has one keeper.
+func ShardOf(team string, shards int) uint32 {
+	return uint32(xxhash.Sum64String(team) % uint64(max(shards, 1)))
+}
+
+// Serve claims, serves and hands over shards until ctx ends.
+func (s *Scheduler) Serve(ctx context.Context) {
+	look := time.NewTicker(claimEvery)
+	defer look.Stop()
+	for {
+		for n := range uint32(s.cfg.Shards) {
+			s.look(ctx, n)
+		}
+		select {
+		case <-ctx.Done():
+			s.duties.Wait()
+			return
+		case <-look.C:
+		}
+	}
+}
+
+// look claims or hands over one shard.
+func (s *Scheduler) look(ctx context.Context, n uint32) {
+	s.mu.Lock()
+	sh, leaving := s.owned[n], s.leaving
+	s.mu.Unlock()
+	chosen := s.cfg.Chosen(n) && !leaving
+	switch {
+	case sh == nil && chosen:
+		s.claim(ctx, n)
+	case sh != nil && chosen:
+		s.mu.Lock()
+		delete(s.strange, n)
+		s.mu.Unlock()
+	case sh != nil && s.overdue(n):
+		sh.release()
+	}
+}
+
+// overdue says whether another entry has been chosen for the shard for long
+// enough.
+func (s *Scheduler) overdue(n uint32) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	since, ok := s.strange[n]
+	if !ok {
+		s.strange[n] = s.cfg.Now()
+		return s.leaving
+	}
+	return s.leaving || s.cfg.Now().Sub(since) > settleBefore
+}
+
+func (s *Scheduler) claim(ctx context.Context, n uint32) {
+	rec, err := s.cfg.Claim(ctx, n)
+	if err != nil {
+		if !errors.Is(err, recorder.ErrTaken) {
+			s.cfg.Log.Warn("shard not claimed", zap.Uint32("shard", n), zap.Error(err))
+		}
+		return
+	}
+	sh := newShard(n, rec, s)
+	s.mu.Lock()
+	s.owned[n] = sh
+	s.mu.Unlock()
+	s.cfg.Log.Info("shard claimed", zap.Uint32("shard", n), zap.Uint64("epoch", rec.Epoch()), zap.Int("runs", len(rec.Runs())))
+	s.duties.Go(func() {
+		sh.serve(ctx)
+		s.mu.Lock()
+		delete(s.owned, n)
+		delete(s.strange, n)
+		s.mu.Unlock()
+		s.cfg.Log.Info("shard left", zap.Uint32("shard", n))
+	})
+}
+
+// Leave hands all shards over and returns when that is done or ctx ends.
+func (s *Scheduler) Leave(ctx context.Context) {
+	s.mu.Lock()
+	s.leaving = true
+	owned := s.shards()
+	s.mu.Unlock()
+	for _, sh := range owned {
+		sh.release()
+	}
+	for _, sh := range owned {
+		select {
+		case <-sh.left:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// shards lists the owned shards; the caller holds mu.
+func (s *Scheduler) shards() []*shard {
+	list := make([]*shard, 0, len(s.owned))
+	for _, sh := range s.owned {
+		list = append(list, sh)
+	}
+	return list
+}
+
+func (s *Scheduler) all() []*shard {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.shards()
+}
+
+func (s *Scheduler) shard(n uint32) *shard {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.owned[n]
+}
+
+func (s *Scheduler) ofRun(id string) (*shard, error) {
+	team, _, _ := strings.Cut(id, "/")
+	sh := s.shard(ShardOf(team, s.cfg.Shards))
+	if sh == nil {
+		return nil, fmt.Errorf("%s: %w", id, ErrNotOwner)
+	}
+	return sh, nil
+}
+
+// Submit accepts a run of a job; it is durable when Submit returns. The same
+// id again returns the run that was accepted first.
+func (s *Scheduler) Submit(ctx context.Context, id string, spec parser.Job) (*recorder.Run, error) {
+	sh, err := s.ofRun(id)
+	if err != nil {
+		return nil, err
+	}
+	if r := sh.rec.Runs()[id]; r != nil {
+		return r, nil
+	}
+	if largest, fits := s.cfg.Placer.Largest(spec.Need); !fits && largest != (parser.Need{}) {
+		return nil, fmt.Errorf("%w: a task needs %s, the largest instance has %s", ErrNeverFits, describe(spec.Need), describe(largest))
+	}
+	if sh.rec.Full() {
+		return nil, ErrFull
+	}
+	err = sh.rec.Do(ctx, func(tx *recorder.Tx) error {
+		if tx.Run(id) != nil {
+			return recorder.ErrUnchanged
+		}
+		tx.Add(&recorder.Run{ID: id, Spec: spec, State: recorder.Running, Submitted: tx.Now, Until: tx.Now.Add(spec.Deadline)})
+		return nil
+	})
+	if err != nil {
+		return nil, err
+	}
+	sh.nudge()
+	s.cfg.Log.Info("job accepted", zap.String("run", id), zap.Int("tasks", spec.Tasks))
+	return sh.rec.Runs()[id], nil
+}
+
+func describe(n parser.Need) string {
+	return fmt.Sprintf("%g processors, %s memory, %d accelerators", n.Processors, n.Memory, n.Accelerators)
+}
+
+// Look returns a run as it stands.
+func (s *Scheduler) Look(id string) (*recorder.Run, error) {
+	sh, err := s.ofRun(id)
+	if err != nil {
+		return nil, err
+	}
+	if r := sh.rec.Runs()[id]; r != nil {
+		return r, nil
+	}
+	return nil, fmt.Errorf("%s: %w", id, ErrUnknown)
+}
+
+// List returns a team's runs.
+func (s *Scheduler) List(team string) ([]*recorder.Run, error) {
+	sh, err := s.ofRun(team)
+	if err != nil {
+		return nil, err
+	}
+	var list []*recorder.Run
+	for id, r := range sh.rec.Runs() {
+		if strings.HasPrefix(id, team+"/") {
+			list = append(list, r)
+		}
+	}
+	return list, nil
+}
+
+// Cancel ends a run for good: nothing of it starts after Cancel returns but
+// what an agent was already starting, and that is stopped.
+func (s *Scheduler) Cancel(ctx context.Context, id string) (*recorder.Run, error) {
+	sh, err := s.ofRun(id)
+	if err != nil {
+		return nil, err
+	}
+	err = sh.rec.Do(ctx, func(tx *recorder.Tx) error {
+		r := tx.Run(id)
+		if r == nil {
+			return fmt.Errorf("%s: %w", id, ErrUnknown)
+		}
+		if !r.End(recorder.Cancelled, "cancelled", tx.Now) {
+			return recorder.ErrUnchanged
+		}
+		return nil
+	})
+	if err != nil {
+		return nil, err
+	}
+	sh.nudge()
+	s.cfg.Log.Info("job cancelled", zap.String("run", id))
+	return sh.rec.Runs()[id], nil
+}
+
+// Join starts what a newly connected agent needs: a survey for each shard.
+func (s *Scheduler) Join(agent string) {
+	for _, sh := range s.all() {
+		sh.post(event{kind: joined, agent: agent})
+	}
+}
+
+// Held takes the answer to a survey.
+func (s *Scheduler) Held(agent, born string, v messenger.Survey) {
+	if sh := s.shard(v.Shard); sh != nil && sh.rec.Epoch() == v.Epoch {
+		sh.post(event{kind: surveyed, agent: agent, born: born, held: v.Held})
+	}
+}
+
+// Report takes the ends of tasks. It is answered when they are durable.
+func (s *Scheduler) Report(agent string, rep messenger.Report) {
+	if sh := s.shard(rep.Shard); sh != nil {
+		sh.post(event{kind: reported, agent: agent, report: &rep})
+	}
+}
+
+// Decline takes the word that a grant was not started.
+func (s *Scheduler) Decline(agent string, g messenger.Grant) {
+	if sh := s.shard(g.Shard); sh != nil {
+		sh.post(event{kind: declined, agent: agent, grant: &g})
+	}
+}
+
+// Extend returns the new deadlines of an agent's grants, on its clock.
+func (s *Scheduler) Extend(agent string, until func(now, local time.Time) time.Time) []messenger.Extend {
+	var list []messenger.Extend
+	for _, sh := range s.all() {
+		if e, ok := sh.extend(agent, until); ok {
+			list = append(list, e)
+		}
+	}
+	return list
+}
+
+// Owned lists the shards that this entry serves.
+func (s *Scheduler) Owned() []uint32 {
+	var list []uint32
+	for _, sh := range s.all() {
+		list = append(list, sh.n)
+	}
+	return list
+}
+
+// Shards returns the number of the ledger's shards.
+func (s *Scheduler) Shards() int { return s.cfg.Shards }
+
+// Explanation is where a run stands and why its last grant went where it did.
+type Explanation struct {
+	Run  *recorder.Run `json:"run"`
+	Last *Placement    `json:"last,omitempty"`
+}
+
+// Explain tells why a run's tasks are where they are.
+func (s *Scheduler) Explain(id string) (Explanation, error) {
+	r, err := s.Look(id)
+	if err != nil {
+		return Explanation{}, err
+	}
+	sh, err := s.ofRun(id)
+	if err != nil {
+		return Explanation{}, err
+	}
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	e := Explanation{Run: r}
+	if p, ok := sh.explained[id]; ok {
+		e.Last = &p
+	}
+	return e, nil
+}
