scheduler: Prove exclusive tasks under crashes, cuts and outages

A grant whose commit took longer than the hold was never sent, and nothing told the owner that it had not been.

Change: a start has a worker's lease of 2 s, so a late one is refused, and a restarted agent admits nothing and closes nothing for that time; a commit on its way is settled before a shard is handed over, and the hand-over is repeated while the process lives; unsent grants are closed; agents are surveyed again every 15 s.

--- a/agent/link.go
+++ b/agent/link.go
@@ -206,9 +206,12 @@
 // beat is the agent's heartbeat as of now.
 func (a *Agent) beat(l *link) messenger.Beat {
 	b := messenger.Beat{
-		Total: a.commit.Total(), Free: a.commit.Free(), Load: a.load(),
+		Total: a.commit.Total(), Load: a.load(),
 		Leaving: a.leaving.Load(), Tight: a.tight(), Shards: a.runner.Shards(),
 	}
+	if a.runner.Ready() {
+		b.Free = a.commit.Free()
+	}
 	if l != nil {
 		b.Trip = time.Duration(l.trip.Load())
 	}
--- a/faker/record.go
+++ b/faker/record.go
@@ -14,6 +14,7 @@
 	TaskFinish = "task-finish"
 	CallStart  = "call-start"
 	CallEnd    = "call-end"
+	Told       = "told" // a caller got its answer
 )
 
 // Record is one thing that happened at a stand-in, in its own words.
@@ -25,8 +26,11 @@
 	Attempt  string      `json:"attempt,omitempty"`
 	Point    string      `json:"point,omitempty"`
 	Request  string      `json:"request,omitempty"`
-	Used     parser.Need `json:"used"`  // committed at the instance after it
-	Total    parser.Need `json:"total"` // what the instance has
+	Repeat   bool        `json:"repeat,omitempty"`  // the request may run again
+	Outcome  string      `json:"outcome,omitempty"` // as the caller was told
+	Wrong    string      `json:"wrong,omitempty"`   // what is wrong with the answer
+	Used     parser.Need `json:"used"`              // committed at the instance after it
+	Total    parser.Need `json:"total"`             // what the instance has
 }
 
 // Records is a list that grows; it is safe for concurrent use.
--- a/faker/target.go
+++ b/faker/target.go
@@ -44,7 +44,7 @@
 	g.enter(1)
 	defer g.enter(-1)
 	id := r.Header.Get("Endivefall-Request")
-	g.Records.Add(Record{At: time.Now(), Instance: g.Name, What: CallStart, Request: id, Task: r.Header.Get("Idempotency-Key")})
+	g.Records.Add(Record{At: time.Now(), Instance: g.Name, What: CallStart, Request: id, Task: r.Header.Get("Idempotency-Key"), Repeat: r.Header.Get("Fake-Repeat") != ""})
 	defer func() {
 		g.Records.Add(Record{At: time.Now(), Instance: g.Name, What: CallEnd, Request: id})
 	}()
--- a/faker/worker.go
+++ b/faker/worker.go
@@ -21,11 +21,16 @@
 	Total   parser.Need
 	Now     func() time.Time
 	Records *Records
+	// Stamp is the clock of the records: one for all stand-ins, whatever Now
+	// shows.
+	Stamp func() time.Time
 
 	mu      sync.Mutex
 	tasks   map[string]*running
 	version uint64
 	changed chan struct{}
+	// poke gets a token when Watch should look again.
+	poke    chan struct{}
 	broken  bool
 	leaving bool
 }
@@ -41,8 +46,8 @@
 // NewWorker returns a worker that has total.
 func NewWorker(name string, total parser.Need) *Worker {
 	return &Worker{
-		Name: name, Total: total, Now: time.Now, Records: &Records{},
-		tasks: map[string]*running{}, changed: make(chan struct{}),
+		Name: name, Total: total, Now: time.Now, Stamp: time.Now, Records: &Records{},
+		tasks: map[string]*running{}, changed: make(chan struct{}), poke: make(chan struct{}, 1),
 	}
 }
 
@@ -53,6 +58,21 @@
 	k.broken = on
 }
 
+// Crash ends all tasks at once and forgets them, as a lost instance does.
+func (k *Worker) Crash() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.advance()
+	for id, t := range k.tasks {
+		if t.State == executor.Running {
+			t.Point = ""
+			k.end(t, executor.Stopped, TaskStop)
+		}
+		delete(k.tasks, id)
+	}
+	k.wake()
+}
+
 // Leave gives the notice that the instance is going.
 func (k *Worker) Leave() {
 	k.mu.Lock()
@@ -61,20 +81,45 @@
 	k.wake()
 }
 
-// Watch advances tasks until done is closed.
+// Watch advances tasks until done is closed. It looks when the next task ends
+// by itself, and whenever something else has changed.
 func (k *Worker) Watch(done <-chan struct{}) {
 	for {
+		k.mu.Lock()
+		k.advance()
+		wait := k.next()
+		k.mu.Unlock()
 		select {
 		case <-done:
 			return
-		case <-time.After(5 * time.Millisecond):
-			k.mu.Lock()
-			k.advance()
-			k.mu.Unlock()
+		case <-k.poke:
+		case <-time.After(wait):
 		}
 	}
 }
 
+// next returns how long it is until a running task ends or lapses.
+func (k *Worker) next() time.Duration {
+	wait := time.Hour
+	for _, t := range k.tasks {
+		if t.State != executor.Running {
+			continue
+		}
+		if t.Share > 0 {
+			wait = min(wait, time.Duration(float64(t.length-t.done)/t.Share))
+		}
+		wait = min(wait, t.Until.Sub(t.since))
+	}
+	return max(wait, 0) + time.Millisecond
+}
+
+func (k *Worker) touch() {
+	select {
+	case k.poke <- struct{}{}:
+	default:
+	}
+}
+
 func (k *Worker) wake() {
 	k.version++
 	close(k.changed)
@@ -99,7 +144,7 @@
 		switch {
 		case t.done >= t.length:
 			k.end(t, executor.Done, TaskFinish)
-		case now.After(t.Until):
+		case !now.Before(t.Until):
 			k.end(t, executor.Lapsed, TaskStop)
 		}
 	}
@@ -114,7 +159,7 @@
 func (k *Worker) record(t *running, what string) {
 	run := t.ID[:strings.LastIndex(t.ID, ".")]
 	k.Records.Add(Record{
-		At: k.Now(), Instance: k.Name, What: what, Task: run, Attempt: t.ID, Point: t.Point,
+		At: k.Stamp(), Instance: k.Name, What: what, Task: run, Attempt: t.ID, Point: t.Point,
 		Used: k.used(), Total: k.Total,
 	})
 }
@@ -138,6 +183,7 @@
 	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	defer k.touch()
 	k.advance()
 	switch {
 	case r.URL.Path == "/v1/leases":
--- a/recorder/recorder.go
+++ b/recorder/recorder.go
@@ -174,8 +174,9 @@
 }
 
 // Serve commits changes until ctx ends or the shard is lost. All that comes
-// while one commit is on its way goes into the next.
-func (k *Recorder) Serve(ctx context.Context) error {
+// while one commit is on its way goes into the next. A commit on its way is
+// settled before Serve returns, unless hard ends too.
+func (k *Recorder) Serve(ctx, hard context.Context) error {
 	renew := time.NewTicker(k.cfg.Hold / 4)
 	defer renew.Stop()
 	for {
@@ -188,7 +189,7 @@
 			batch = append(batch, c)
 		}
 		batch = k.gather(batch)
-		if err := k.group(ctx, batch); err != nil {
+		if err := k.group(hard, batch); err != nil {
 			return err
 		}
 	}
@@ -282,10 +283,16 @@
 
 // Leave hands the shard over: no owner stands in it afterwards. Serve must
 // have returned, and no grant may be extended any more; until is the latest
-// local deadline that was given.
+// local deadline that was given. It may be called again after it failed.
 func (k *Recorder) Leave(ctx context.Context, until time.Time) error {
-	k.once.Do(func() { close(k.lost) })
 	now := k.cfg.Now()
 	hold := k.cfg.Store.Latest(now).Add(until.Sub(now))
-	return k.commit(ctx, func(r *record) { r.Owner, r.Born, r.Hold = "", "", hold })
+	err := k.commit(ctx, func(r *record) { r.Owner, r.Born, r.Hold = "", "", hold })
+	if errors.Is(err, keeper.ErrConflict) {
+		err = fmt.Errorf("%w: %w", ErrLost, err)
+	}
+	if err == nil || errors.Is(err, ErrLost) {
+		k.once.Do(func() { close(k.lost) })
+	}
+	return err
 }
--- a/runner/grants.go
+++ b/runner/grants.go
@@ -13,6 +13,7 @@
 	errOld     = errors.New("a newer owner has the shard")
 	errLate    = errors.New("deadline has passed")
 	errLeaving = errors.New("instance is leaving")
+	errEarly   = errors.New("agent has just started")
 	errKnown   = errors.New("grant is held already")
 )
 
@@ -45,6 +46,8 @@
 		return errKnown
 	case r.leaving:
 		return errLeaving
+	case r.cfg.Now().Before(r.ready):
+		return errEarly
 	case !g.Until.After(r.cfg.Now()):
 		return errLate
 	}
@@ -132,7 +135,7 @@
 		}
 	}
 	l.outcomes = left
-	if l.closed && len(left) == 0 && (rep.Closed || l.mute) {
+	if l.closed && len(left) == 0 && rep.Closed {
 		delete(r.held, l.key())
 		return
 	}
--- a/runner/lane.go
+++ b/runner/lane.go
@@ -32,7 +32,7 @@
 	// unset for a grant that an earlier process of the agent may have been
 	// starting, because a start may still be on its way to the worker.
 	closed bool
-	// mute is set for such a grant.
+	// mute is set for such a grant until that cannot be any more.
 	mute bool
 	halt halt
 	// next is the task that runs or is about to; task its name at the worker.
@@ -89,8 +89,3 @@
 		Outcomes: append([]messenger.Outcome(nil), l.outcomes...), Closed: l.closed && !l.mute,
 	}
 }
-
-// over says whether nothing is left to tell the owner.
-func (l *lane) over() bool {
-	return len(l.outcomes) == 0 && l.closed && (l.mute || !l.sent)
-}
--- a/runner/recover.go
+++ b/runner/recover.go
@@ -38,7 +38,7 @@
 		return rep, err
 	}
 	r.mu.Lock()
-	r.ctx = ctx
+	r.ctx, r.ready = ctx, r.cfg.Now().Add(startLease)
 	r.mu.Unlock()
 	r.take(rep)
 	r.mu.Lock()
--- a/runner/run.go
+++ b/runner/run.go
@@ -61,9 +61,6 @@
 	l.closed = true
 	l.sent = false
 	r.tell(l)
-	if l.over() {
-		delete(r.held, l.key())
-	}
 }
 
 // attempt runs one task and returns how it ended; false when the agent ends
@@ -75,7 +72,7 @@
 		Point: l.grant.Points[index], Note: note(l.grant, index),
 	}
 	for {
-		err := r.cfg.Worker.Start(ctx, t, r.deadline(l))
+		err := r.cfg.Worker.Start(ctx, t, r.startUntil(l))
 		if err == nil {
 			return r.follow(ctx, l, t, o)
 		}
@@ -93,6 +90,15 @@
 	}
 }
 
+// startUntil is the worker's lease of a task that starts now.
+func (r *Runner) startUntil(l *lane) time.Time {
+	until := r.deadline(l)
+	if short := r.cfg.Now().Add(startLease); short.Before(until) {
+		return short
+	}
+	return until
+}
+
 func (r *Runner) deadline(l *lane) time.Time {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -23,6 +23,11 @@
 	// repeatLease is the worker lease of idempotent tasks, which may go on
 	// while no owner can be reached.
 	repeatLease = 10 * time.Second
+	// startLease is the worker's lease of a task that starts, before it is moved
+	// up to its grant's deadline. A start that is held up for longer is
+	// refused by the worker, so that after this time nothing of an earlier
+	// process of the agent can start any more.
+	startLease = 2 * time.Second
 	// pause is the wait after a worker's call that failed.
 	pause = 100 * time.Millisecond
 )
@@ -72,9 +77,13 @@
 	report  map[string]executor.Task
 	version uint64
 	leaving bool
-	// stopped is set when the agent ends; lanes then leave their tasks to the
+	// ctx ends when the agent does; lanes then leave their tasks to the
 	// worker's leases.
 	ctx context.Context
+	// ready is when no start of an earlier process can be on its way to the
+	// worker any more. Nothing new is admitted before, and nothing that such a
+	// process may have been starting is called closed.
+	ready time.Time
 }
 
 // New returns a Runner. Nothing is accepted before Recover.
@@ -134,6 +143,7 @@
 		case <-beat.C:
 		}
 		r.extendWorker(ctx)
+		r.unmute()
 		r.repeatReports()
 	}
 }
@@ -159,6 +169,22 @@
 	}
 }
 
+// unmute closes the grants that an earlier process held, once nothing of them
+// can start any more.
+func (r *Runner) unmute() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.cfg.Now().Before(r.ready) || r.ctx.Err() != nil {
+		return
+	}
+	for _, l := range r.held {
+		if l.mute {
+			l.mute, l.sent = false, false
+			r.tell(l)
+		}
+	}
+}
+
 func (r *Runner) repeatReports() {
 	now := r.cfg.Now()
 	r.mu.Lock()
@@ -212,6 +238,13 @@
 	l.nudge()
 }
 
+// Ready says whether grants are taken.
+func (r *Runner) Ready() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return !r.leaving && !r.cfg.Now().Before(r.ready)
+}
+
 // Busy returns how many grants are held.
 func (r *Runner) Busy() int {
 	r.mu.Lock()
--- /dev/null
+++ b/scheduler/fleet_test.go
@@ -0,0 +1,371 @@
+package scheduler_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"go.uber.org/zap"
+
+	"github.com/endivefall/endivefall/committer"
+	"github.com/endivefall/endivefall/executor"
+	"github.com/endivefall/endivefall/faker"
+	"github.com/endivefall/endivefall/keeper"
+	"github.com/endivefall/endivefall/messenger"
+	"github.com/endivefall/endivefall/parser"
+	"github.com/endivefall/endivefall/placer"
+	"github.com/endivefall/endivefall/recorder"
+	"github.com/endivefall/endivefall/runner"
+	"github.com/endivefall/endivefall/scheduler"
+)
+
+// Settings of the small fleet: short, so that lapses come often.
+const (
+	shards = 2
+	lease  = 5 * time.Second
+	margin = time.Second
+	hold   = 25 * time.Second
+	named  = 6 * time.Second // an entry's name lapses so long after its last call
+)
+
+var errNet = errors.New("connection lost")
+
+// fleet is schedulers, runners and stand-ins joined by links that can be cut.
+type fleet struct {
+	t        *testing.T
+	seed     uint64
+	thrown   map[string]int
+	log      *zap.Logger
+	platform *faker.Platform
+	records  *faker.Records
+	story    story
+
+	mu      sync.Mutex
+	entries map[string]*entryNode
+	agents  map[string]*agentNode
+	cut     map[string]bool // "from>to"
+	busy    map[string]bool // processes that are being replaced
+	down    time.Time       // when the platform came back last
+	isDown  bool
+}
+
+// clock returns a clock that is off by up to an hour.
+func (f *fleet) clock(name string) func() time.Time {
+	off := f.between("clock "+name, -time.Hour, time.Hour)
+	return func() time.Time { return time.Now().Add(off) }
+}
+
+// dice returns the randomness for the next use of a key. It does not depend on
+// the order in which goroutines run, so that a seed gives the same history.
+func (f *fleet) dice(key string) *rand.Rand {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.thrown[key]++
+	return rand.New(rand.NewPCG(f.seed, xxhash.Sum64String(fmt.Sprint(key, f.thrown[key]))))
+}
+
+func (f *fleet) chance(key string, p float64) bool { return f.dice(key).Float64() < p }
+
+func (f *fleet) between(key string, from, to time.Duration) time.Duration {
+	return from + time.Duration(f.dice(key).Int64N(int64(to-from)))
+}
+
+func (f *fleet) isCut(from, to string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.cut[from+">"+to]
+}
+
+func (f *fleet) setCut(from, to string, on bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.cut[from+">"+to] = on
+}
+
+// born names a process, as a uuid does outside of tests.
+func (f *fleet) born(name string) string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.thrown["born "+name]++
+	return fmt.Sprintf("%s-%d", name, f.thrown["born "+name])
+}
+
+// direct calls a handler without a network. A call may be delayed, lost before
+// it has effect, or take effect and lose its answer.
+func direct(h http.Handler, before, after func(*http.Request) error) func(*http.Request) (*http.Response, error) {
+	return func(r *http.Request) (*http.Response, error) {
+		type result struct {
+			resp *http.Response
+			err  error
+		}
+		done := make(chan result, 1)
+		go func() {
+			if err := before(r); err != nil {
+				done <- result{nil, err}
+				return
+			}
+			// The effect comes about even if the caller has gone.
+			w := httptest.NewRecorder()
+			in := r.Clone(context.WithoutCancel(r.Context()))
+			if in.Body == nil {
+				in.Body = http.NoBody
+			}
+			h.ServeHTTP(w, in)
+			done <- result{w.Result(), after(r)}
+		}()
+		select {
+		case got := <-done:
+			return got.resp, got.err
+		case <-r.Context().Done():
+			return nil, r.Context().Err()
+		}
+	}
+}
+
+// entryNode is one process of an entry.
+type entryNode struct {
+	f          *fleet
+	name, born string
+	now        func() time.Time
+	sched      *scheduler.Scheduler
+	placer     *placer.Placer
+	keeper     *keeper.Keeper
+	cancel     context.CancelFunc
+	ended      chan struct{}
+
+	mu       sync.Mutex
+	dead     bool
+	sessions map[string]*session
+	lastCall time.Time // when the store last answered
+}
+
+func (f *fleet) startEntry(name string) *entryNode {
+	e := &entryNode{f: f, name: name, born: f.born(name), now: f.clock(name), sessions: map[string]*session{}, ended: make(chan struct{}), lastCall: time.Now()}
+	e.keeper = keeper.New(keeper.Config{
+		Addr: netip.MustParseAddrPort("127.0.0.1:1"), Calls: 1000, Now: e.now,
+		Do: direct(f.platform, e.beforeStore, e.afterStore),
+	})
+	e.placer = placer.New(placer.Config{Now: e.now, Rand: rand.New(rand.NewPCG(1, 1))})
+	e.sched = scheduler.New(scheduler.Config{
+		Shards: shards, Lease: lease, Margin: margin, Now: e.now, Placer: e.placer, Log: f.log,
+		Chosen: func(n uint32) bool { return f.chosen(n) == name },
+		Claim: func(ctx context.Context, n uint32) (*recorder.Recorder, error) {
+			return recorder.Claim(ctx, recorder.Config{
+				Key: fmt.Sprintf("ledger/%d", n), Owner: name, Born: e.born, Alive: f.alive, Hold: hold, Now: e.now,
+				Store: recorder.Store{Get: e.keeper.Get, Settle: e.keeper.Settle, Earliest: e.keeper.Clock.Earliest, Latest: e.keeper.Clock.Latest},
+			})
+		},
+		Peer: e.peer, Earliest: e.keeper.Clock.Earliest, Quota: func(string) parser.Need { return parser.Need{} },
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	e.cancel = cancel
+	f.mu.Lock()
+	f.entries[name] = e
+	f.mu.Unlock()
+	go func() {
+		e.sched.Serve(ctx)
+		close(e.ended)
+	}()
+	go e.pingLoop(ctx)
+	return e
+}
+
+// pingLoop keeps the entry's name, by any call to the store.
+func (e *entryNode) pingLoop(ctx context.Context) {
+	for ctx.Err() == nil {
+		_, _ = e.keeper.List(ctx, "nothing/")
+		select {
+		case <-ctx.Done():
+		case <-time.After(2 * time.Second):
+		}
+	}
+}
+
+func (e *entryNode) gone() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.dead
+}
+
+func (e *entryNode) beforeStore(r *http.Request) error {
+	time.Sleep(e.f.between(e.name+r.URL.Path, time.Millisecond, 10*time.Millisecond))
+	if e.gone() || e.f.isCut(e.name, "platform") {
+		return errNet
+	}
+	return nil
+}
+
+func (e *entryNode) afterStore(r *http.Request) error {
+	time.Sleep(e.f.between(e.name+r.URL.Path, time.Millisecond, 10*time.Millisecond))
+	if e.gone() || e.f.isCut("platform", e.name) {
+		return errNet
+	}
+	e.mu.Lock()
+	e.lastCall = time.Now()
+	e.mu.Unlock()
+	return nil
+}
+
+// kill ends the process as SIGKILL does: nothing that it does afterwards
+// reaches anyone.
+func (e *entryNode) kill() {
+	e.mu.Lock()
+	e.dead = true
+	open := make([]*session, 0, len(e.sessions))
+	for _, s := range e.sessions {
+		open = append(open, s)
+	}
+	e.mu.Unlock()
+	for _, s := range open {
+		s.closeEntry()
+	}
+	e.cancel()
+	<-e.ended
+}
+
+func (e *entryNode) peer(agent string) (scheduler.Peer, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	s := e.sessions[agent]
+	if s == nil {
+		return scheduler.Peer{}, false
+	}
+	return scheduler.Peer{ID: agent, Born: s.agent.born, Post: s.postAgent, Until: s.clock.Until}, true
+}
+
+// alive and chosen stand for the entries' names in the store.
+func (f *fleet) alive(name, born string) bool {
+	f.mu.Lock()
+	e := f.entries[name]
+	settled := !f.isDown && time.Since(f.down) > 2*named
+	f.mu.Unlock()
+	if !settled {
+		return true
+	}
+	return e != nil && e.born == born && e.listed()
+}
+
+func (e *entryNode) listed() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return time.Since(e.lastCall) < named
+}
+
+func (f *fleet) chosen(n uint32) string {
+	f.mu.Lock()
+	e1, e2 := f.entries["e1"], f.entries["e2"]
+	f.mu.Unlock()
+	first, second := e1, e2
+	if n%2 == 1 {
+		first, second = e2, e1
+	}
+	if first.listed() {
+		return first.name
+	}
+	return second.name
+}
+
+// agentNode is one process of an agent; its instance outlives it.
+type agentNode struct {
+	f          *fleet
+	name, born string
+	now        func() time.Time
+	worker     *faker.Worker
+	commit     *committer.Committer
+	runner     *runner.Runner
+	cancel     context.CancelFunc
+
+	mu       sync.Mutex
+	dead     bool
+	leaving  bool
+	sessions map[string]*session
+}
+
+func (a *agentNode) gone() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.dead
+}
+
+// startAgent starts a process beside a worker, and returns when it has taken
+// over what runs there.
+func (f *fleet) startAgent(name string, k *faker.Worker) *agentNode {
+	a := &agentNode{f: f, name: name, born: f.born(name), now: f.clock(name), worker: k, sessions: map[string]*session{}}
+	x := executor.New(executor.Config{
+		Addr: netip.MustParseAddrPort("127.0.0.1:1"), Now: a.now,
+		Do: direct(k, func(r *http.Request) error {
+			time.Sleep(f.between(name+r.URL.Path, 0, 4*time.Millisecond))
+			if a.gone() {
+				return errNet
+			}
+			if r.Method != http.MethodGet && f.chance(name+r.URL.Path, 0.02) {
+				time.Sleep(f.between(name+r.URL.Path, 0, 6*time.Second)) // a call that is stuck, and may come after the caller's end
+			}
+			return nil
+		}, func(r *http.Request) error {
+			time.Sleep(f.between(name+r.URL.Path, 0, 4*time.Millisecond))
+			if a.gone() || (r.Method != http.MethodGet && f.chance(name+r.URL.Path, 0.02)) {
+				return errNet
+			}
+			return nil
+		}),
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	a.cancel = cancel
+	var rep executor.Report
+	var err error
+	for {
+		if rep, err = x.Poll(ctx, 0); err == nil {
+			break
+		}
+	}
+	a.commit = committer.New(rep.Total)
+	a.runner = runner.New(runner.Config{
+		Worker: runner.Worker{Poll: x.Poll, Start: x.Start, Extend: x.Extend, Checkpoint: x.Checkpoint, Stop: x.Stop, Forget: x.Forget},
+		Commit: a.commit, Now: a.now, Send: a.send, Log: f.log,
+	})
+	for {
+		if _, err = a.runner.Recover(ctx); err == nil {
+			break
+		}
+	}
+	f.mu.Lock()
+	f.agents[name] = a
+	f.mu.Unlock()
+	go a.runner.Serve(ctx)
+	for _, entry := range []string{"e1", "e2"} {
+		go a.dialLoop(ctx, entry)
+	}
+	return a
+}
+
+func (a *agentNode) kill() {
+	a.mu.Lock()
+	a.dead = true
+	open := make([]*session, 0, len(a.sessions))
+	for _, s := range a.sessions {
+		open = append(open, s)
+	}
+	a.mu.Unlock()
+	for _, s := range open {
+		s.closeAgent()
+	}
+	a.cancel()
+}
+
+func (a *agentNode) send(entry string, m messenger.Frame) {
+	a.mu.Lock()
+	s := a.sessions[entry]
+	a.mu.Unlock()
+	if s != nil && !a.gone() {
+		s.postEntry(m)
+	}
+}
--- /dev/null
+++ b/scheduler/history_test.go
@@ -0,0 +1,397 @@
+package scheduler_test
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"go.uber.org/zap"
+
+	"github.com/endivefall/endivefall/checker"
+	"github.com/endivefall/endivefall/faker"
+	"github.com/endivefall/endivefall/logger"
+	"github.com/endivefall/endivefall/parser"
+	"github.com/endivefall/endivefall/recorder"
+)
+
+var (
+	seedFlag  = flag.Uint64("seed", 0, "replay only this history")
+	histories = flag.Uint64("histories", 300, "how many histories to try")
+	verbose   = flag.Bool("narrate", false, "print the log of a replayed history")
+)
+
+// TestHistories runs seeded histories of jobs under crashes, cuts, outages,
+// lost answers and cancels, and checks what the workers recorded.
+func TestHistories(t *testing.T) {
+	if *seedFlag != 0 {
+		synctest.Test(t, func(t *testing.T) { history(t, *seedFlag) })
+		return
+	}
+	const groups = 8
+	for g := range uint64(groups) {
+		t.Run(fmt.Sprintf("group-%d", g), func(t *testing.T) {
+			t.Parallel()
+			for seed := g + 1; seed <= *histories && !t.Failed(); seed += groups {
+				synctest.Test(t, func(t *testing.T) { history(t, seed) })
+			}
+		})
+	}
+}
+
+func newFleet(t *testing.T, seed uint64) *fleet {
+	f := &fleet{
+		t: t, seed: seed, thrown: map[string]int{}, log: zap.NewNop(), platform: faker.NewPlatform(), records: &faker.Records{},
+		entries: map[string]*entryNode{}, agents: map[string]*agentNode{}, cut: map[string]bool{}, busy: map[string]bool{},
+	}
+	if *verbose {
+		f.log, _ = zap.NewDevelopment()
+	} else {
+		f.log, _ = logger.New(&f.story, "info")
+	}
+	f.platform.Now = f.clock("platform")
+	return f
+}
+
+// trouble is what the history does to the fleet, by weight.
+var trouble = []struct {
+	name string
+	do   func(*fleet, context.Context)
+}{
+	{"kill entry", func(f *fleet, ctx context.Context) {
+		e := f.entry()
+		if !f.take(e.name) {
+			return
+		}
+		defer f.free(e.name)
+		e.kill()
+		f.pause(ctx, 100*time.Millisecond, 15*time.Second)
+		f.startEntry(e.name)
+	}},
+	{"kill agent", func(f *fleet, ctx context.Context) {
+		a := f.agent()
+		if !f.take(a.name) {
+			return
+		}
+		defer f.free(a.name)
+		a.kill()
+		f.pause(ctx, 10*time.Millisecond, 12*time.Second)
+		f.startAgent(a.name, a.worker)
+	}},
+	{"lose instance", func(f *fleet, ctx context.Context) {
+		a := f.agent()
+		if !f.take(a.name) {
+			return
+		}
+		defer f.free(a.name)
+		a.kill()
+		a.worker.Crash()
+		f.pause(ctx, 100*time.Millisecond, 12*time.Second)
+		f.startAgent(a.name, a.worker)
+	}},
+	{"leave", func(f *fleet, ctx context.Context) {
+		a := f.agent()
+		if !f.take(a.name) {
+			return
+		}
+		defer f.free(a.name)
+		a.mu.Lock()
+		a.leaving = true
+		a.mu.Unlock()
+		a.runner.Leave()
+		f.pause(ctx, 100*time.Millisecond, 8*time.Second)
+		a.kill()
+		f.startAgent(a.name, a.worker)
+	}},
+	{"cut link", func(f *fleet, ctx context.Context) {
+		e, a := f.entry().name, f.agent().name
+		f.setCut(e, a, true)
+		f.setCut(a, e, true)
+		f.pause(ctx, 100*time.Millisecond, 20*time.Second)
+		f.setCut(e, a, false)
+		f.setCut(a, e, false)
+	}},
+	{"cut one way", func(f *fleet, ctx context.Context) {
+		from, to := f.entry().name, f.agent().name
+		if f.chance("trouble", 0.5) {
+			from, to = to, from
+		}
+		f.setCut(from, to, true)
+		f.pause(ctx, 100*time.Millisecond, 20*time.Second)
+		f.setCut(from, to, false)
+	}},
+	{"cut agent off", func(f *fleet, ctx context.Context) {
+		a := f.agent().name
+		for _, e := range []string{"e1", "e2"} {
+			f.setCut(e, a, true)
+			f.setCut(a, e, true)
+		}
+		f.pause(ctx, 100*time.Millisecond, 40*time.Second)
+		for _, e := range []string{"e1", "e2"} {
+			f.setCut(e, a, false)
+			f.setCut(a, e, false)
+		}
+	}},
+	{"cut entry from store", func(f *fleet, ctx context.Context) {
+		e := f.entry().name
+		f.setCut(e, "platform", true)
+		f.setCut("platform", e, f.chance("trouble", 0.5))
+		f.pause(ctx, 100*time.Millisecond, 30*time.Second)
+		f.setCut(e, "platform", false)
+		f.setCut("platform", e, false)
+	}},
+	{"lose answers of the store", func(f *fleet, ctx context.Context) {
+		e := f.entry().name
+		f.setCut("platform", e, true)
+		f.pause(ctx, 100*time.Millisecond, 3*time.Second)
+		f.setCut("platform", e, false)
+	}},
+	{"outage", func(f *fleet, ctx context.Context) {
+		f.mu.Lock()
+		f.isDown = true
+		f.mu.Unlock()
+		f.platform.Set(faker.Faults{Down: true})
+		f.pause(ctx, time.Second, 50*time.Second)
+		f.platform.Set(faker.Faults{})
+		f.mu.Lock()
+		f.isDown, f.down = false, time.Now()
+		f.mu.Unlock()
+	}},
+	{"slow store", func(f *fleet, ctx context.Context) {
+		f.platform.Set(faker.Faults{Slow: f.between("slow", 100*time.Millisecond, 8*time.Second)})
+		f.pause(ctx, time.Second, 10*time.Second)
+		f.platform.Set(faker.Faults{})
+	}},
+}
+
+// take keeps a process from being replaced twice at once.
+func (f *fleet) take(name string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.busy[name] {
+		return false
+	}
+	f.busy[name] = true
+	return true
+}
+
+func (f *fleet) free(name string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.busy[name] = false
+}
+
+func (f *fleet) entry() *entryNode {
+	name := "e1"
+	if f.chance("entry", 0.5) {
+		name = "e2"
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.entries[name]
+}
+
+func (f *fleet) agent() *agentNode {
+	n := f.dice("agent").IntN(3)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.agents[fmt.Sprintf("a%d", 1+n)]
+}
+
+func (f *fleet) pause(ctx context.Context, from, to time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(f.between("pause", from, to)):
+	}
+}
+
+// spec is a random job.
+func (f *fleet) spec(n int) (string, parser.Job) {
+	dice := f.dice("spec")
+	j := parser.Job{
+		Name: "job", Tasks: 1 + dice.IntN(8), Deadline: time.Hour, Checkpoint: dice.IntN(3) > 0,
+		Need: parser.Need{Processors: float64(1 + dice.IntN(3)), Memory: 1 << 30},
+		Run:  (50*time.Millisecond + time.Duration(dice.IntN(5000))*time.Millisecond).String(),
+	}
+	kind := []string{"once", "again", "idem"}[dice.IntN(3)]
+	switch kind {
+	case "again":
+		j.Retries = 50
+	case "idem":
+		j.Idempotent, j.Retries = true, 3
+	}
+	return fmt.Sprintf("team%d/job/%s-%d", n%3, kind, n), j
+}
+
+// submit accepts a run at whichever entry owns it.
+func (f *fleet) submit(id string, j parser.Job) bool {
+	for range 3000 {
+		for _, name := range []string{"e1", "e2"} {
+			f.mu.Lock()
+			e := f.entries[name]
+			f.mu.Unlock()
+			ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+			_, err := e.sched.Submit(ctx, id, j)
+			cancel()
+			if err == nil {
+				return true
+			}
+		}
+		time.Sleep(200 * time.Millisecond)
+	}
+	return false
+}
+
+// look returns a run as its owner has it.
+func (f *fleet) look(id string) *recorder.Run {
+	for _, name := range []string{"e1", "e2"} {
+		f.mu.Lock()
+		e := f.entries[name]
+		f.mu.Unlock()
+		if r, err := e.sched.Look(id); err == nil {
+			return r
+		}
+	}
+	return nil
+}
+
+// story keeps the log of a history for the case that it fails.
+type story struct {
+	mu    sync.Mutex
+	lines []string
+}
+
+func (s *story) Write(p []byte) (int, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lines = append(s.lines, string(p))
+	return len(p), nil
+}
+
+// last returns the end of the story.
+func (s *story) last() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return strings.Join(s.lines[max(0, len(s.lines)-told):], "")
+}
+
+// told is how many lines of a failed history are printed.
+const told = 150
+
+// history is one seeded run of the fleet.
+func history(t *testing.T, seed uint64) {
+	c := qt.New(t)
+	f := newFleet(t, seed)
+	done := make(chan struct{})
+	for i := 1; i <= 3; i++ {
+		k := faker.NewWorker(fmt.Sprintf("a%d", i), parser.Need{Processors: 4, Memory: 8 << 30})
+		k.Now, k.Records = f.clock(k.Name), f.records
+		k.Stamp = time.Now
+		go k.Watch(done)
+		if i == 1 {
+			f.startEntry("e1")
+			f.startEntry("e2")
+		}
+		f.startAgent(k.Name, k)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 60*time.Second)
+	specs := map[string]parser.Job{}
+	for n := range 3 + f.dice("jobs").IntN(4) {
+		id, j := f.spec(n)
+		specs[id] = j
+	}
+	accepted := make(chan string, len(specs))
+	for id, j := range specs {
+		go func() {
+			time.Sleep(f.between(id, 0, 20*time.Second))
+			if f.submit(id, j) {
+				accepted <- id
+				if f.chance(id, 0.15) {
+					time.Sleep(f.between(id, 0, 10*time.Second))
+					for _, e := range []*entryNode{f.entry(), f.entry()} {
+						short, stop := context.WithTimeout(context.Background(), 5*time.Second)
+						_, _ = e.sched.Cancel(short, id)
+						stop()
+					}
+				}
+				return
+			}
+			accepted <- ""
+		}()
+	}
+	var happened []string
+	troubles := make(chan struct{})
+	for range 2 { // two faults may be in force at once
+		go func() {
+			for ctx.Err() == nil {
+				f.pause(ctx, 500*time.Millisecond, 12*time.Second)
+				one := trouble[f.dice("which").IntN(len(trouble))]
+				f.mu.Lock()
+				happened = append(happened, one.name)
+				f.mu.Unlock()
+				f.log.Info("TROUBLE " + one.name)
+				one.do(f, ctx)
+			}
+			troubles <- struct{}{}
+		}()
+	}
+	<-troubles
+	<-troubles
+	cancel()
+	faults := []string{}
+	for range specs {
+		if <-accepted == "" {
+			faults = append(faults, "a job was never accepted")
+		}
+	}
+	if len(faults) == 0 {
+		faults = f.settled(specs)
+	}
+	for _, e := range f.entries {
+		e.kill()
+	}
+	for _, a := range f.agents {
+		a.kill()
+	}
+	close(done)
+	time.Sleep(time.Minute) // lets calls that are on their way end
+	bad := checker.Check(f.records.All(), checker.Rules{
+		Exclusive: func(task string) bool { return !strings.Contains(task, "idem") },
+		Once:      func(task string) bool { return strings.Contains(task, "once") },
+	})
+	if len(bad)+len(faults) > 0 {
+		c.Logf("%s", f.story.last())
+	}
+	note := qt.Commentf("replay with -seed %d; what happened: %v", seed, happened)
+	c.Assert(bad, qt.HasLen, 0, note)
+	c.Assert(faults, qt.HasLen, 0, note)
+}
+
+// settled waits until every run has ended and every grant is back, and returns
+// what did not come about.
+func (f *fleet) settled(specs map[string]parser.Job) []string {
+	var faults []string
+	end := time.Now().Add(20 * time.Minute)
+	for id, j := range specs {
+		r := f.look(id)
+		for ; r == nil || r.State == recorder.Running || len(r.Grants) > 0; r = f.look(id) {
+			if time.Now().After(end) {
+				raw, _ := json.Marshal(r)
+				return append(faults, fmt.Sprintf("%s never ends: %s", id, raw))
+			}
+			time.Sleep(time.Second)
+		}
+		// Only a run that may not run again ends without all its tasks.
+		short := r.State == recorder.Done && r.Done.Count() != j.Tasks
+		if short || (r.State == recorder.Failed && !strings.Contains(id, "once")) {
+			faults = append(faults, fmt.Sprintf("%s ended as %+v", id, r))
+		}
+	}
+	return faults
+}
--- a/scheduler/plan.go
+++ b/scheduler/plan.go
@@ -26,6 +26,9 @@
 	maxRange = 512
 	// resurvey is how long an answer to a survey is awaited.
 	resurvey = 2 * time.Second
+	// recheck is how often an agent that answered is asked again, which finds
+	// what a dropped message left behind.
+	recheck = 15 * time.Second
 	// revokeAgain is how long a revoke is given to show.
 	revokeAgain = 2 * time.Second
 )
@@ -100,7 +103,7 @@
 }
 
 // survey asks agents that have grants in the ledger and have not taken this
-// epoch on their present connection.
+// epoch on their present connection, and now and then the others.
 func (sh *shard) survey() {
 	now := sh.s.cfg.Now()
 	for agent := range sh.holders() {
@@ -109,7 +112,11 @@
 			continue
 		}
 		sh.mu.Lock()
-		if sh.track.confirmed[agent] != p.Born && now.Sub(sh.asked[agent]) > resurvey {
+		wait := recheck
+		if sh.track.confirmed[agent] != p.Born {
+			wait = resurvey
+		}
+		if now.Sub(sh.asked[agent]) > wait {
 			sh.asked[agent] = now
 			sh.track.surveyed[agent] = sh.track.next()
 			_ = p.Post(messenger.Frame{Kind: messenger.KindSurvey, Survey: &messenger.Survey{Shard: sh.n, Epoch: sh.rec.Epoch()}})
@@ -266,11 +273,12 @@
 		return nil
 	})
 	for _, p := range round {
-		if err != nil || !p.made {
+		switch {
+		case err != nil || !p.made:
 			sh.s.cfg.Placer.Return(p.grant.Agent, p.spec.Need)
-			continue
+		case !sh.send(p):
+			sh.close(ctx, p.grant.Agent, p.run, p.seq)
 		}
-		sh.send(p)
 	}
 	if err == nil && len(round) == maxGrants {
 		sh.nudge()
@@ -290,20 +298,22 @@
 	return some
 }
 
-// send sends a durable grant. When the agent has gone, the grant lapses.
-func (sh *shard) send(p *planned) {
+// send sends a durable grant. It returns false if the grant was surely not
+// sent: its agent has gone, or the commit took so long that the hold in the
+// store has passed.
+func (sh *shard) send(p *planned) bool {
 	now := sh.s.cfg.Now()
 	agent := p.grant.Agent
 	link, ok := sh.s.cfg.Peer(agent)
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
 	local, able := sh.deadline(now)
+	if sh.released || !able || !ok || link.Born != p.grant.Born {
+		return false
+	}
 	k := grantKey{p.run, p.seq}
 	sh.track.sent[k] = sh.track.next()
 	sh.since[k] = now
-	if sh.released || !able || !ok || link.Born != p.grant.Born {
-		return
-	}
 	sh.track.give(process{agent, link.Born}, local)
 	_ = link.Post(messenger.Frame{Kind: messenger.KindGrant, Grant: &messenger.Grant{
 		Shard: sh.n, Epoch: p.grant.Epoch, Run: p.run, Seq: p.seq, From: p.grant.From, To: p.grant.To,
@@ -313,6 +323,7 @@
 	sh.s.cfg.Log.Info("task placed", zap.String("run", p.run), zap.Uint64("seq", p.seq), zap.String("agent", agent),
 		zap.Int("from", p.grant.From), zap.Int("to", p.grant.To),
 		zap.String("reason", p.choice.Reason), zap.Float64("score", p.choice.Score), zap.Int("others", len(p.choice.Others)))
+	return true
 }
 
 // team is a team's runs and use, for the order in which they are served.
--- a/scheduler/shard.go
+++ b/scheduler/shard.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -113,12 +114,18 @@
 // serve runs the shard until it is lost, handed over or ctx ends.
 func (sh *shard) serve(ctx context.Context) {
 	defer close(sh.left)
+	process := ctx
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	committing, end := context.WithCancel(ctx)
+	committing, end := context.WithCancel(context.WithoutCancel(ctx))
 	defer end()
+	// A write on its way is settled first; only the end of the process bounds
+	// that, a lease later.
+	hard, kill := context.WithCancel(context.WithoutCancel(ctx))
+	defer kill()
+	defer context.AfterFunc(process, func() { time.AfterFunc(sh.s.cfg.Lease, kill) })()
 	var duties, commits sync.WaitGroup
-	commits.Go(func() { _ = sh.rec.Serve(committing) })
+	commits.Go(func() { _ = sh.rec.Serve(committing, hard) })
 	duties.Go(func() { sh.eventLoop(ctx) })
 	duties.Go(func() { sh.planLoop(ctx) })
 	duties.Go(func() { sh.askLoop(ctx) })
@@ -133,21 +140,30 @@
 	sh.writes.Wait()
 	end()
 	commits.Wait()
-	sh.handOver()
+	sh.handOver(process, hard)
 }
 
-// handOver writes that the shard has no owner, so that the next need not wait
-// for the lease of this one.
-func (sh *shard) handOver() {
-	select {
-	case <-sh.rec.Lost():
-		return
-	default:
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), sh.s.cfg.Lease)
-	defer cancel()
-	if err := sh.rec.Leave(ctx, sh.s.cfg.Now().Add(sh.s.cfg.Lease)); err != nil {
+// handOver writes that the shard has no owner, so that the next one need not
+// wait for the end of this process. While the process lives it does not give
+// up: until that is written, nobody else may take the shard.
+func (sh *shard) handOver(process, hard context.Context) {
+	until := sh.s.cfg.Now().Add(sh.s.cfg.Lease)
+	for {
+		select {
+		case <-sh.rec.Lost():
+			return
+		default:
+		}
+		bound, cancel := context.WithTimeout(hard, sh.s.cfg.Lease)
+		err := sh.rec.Leave(bound, until)
+		cancel()
+		if err == nil || errors.Is(err, recorder.ErrLost) {
+			return
+		}
 		sh.s.cfg.Log.Warn("shard not handed over", zap.Uint32("shard", sh.n), zap.Error(err))
+		if process.Err() != nil {
+			return
+		}
 	}
 }
 
