--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -64,6 +64,9 @@
 	hold   time.Duration
 	pacer  pacer
 	number uint64
+	// top is the highest priority seen lately, topAt when.
+	top   int
+	topAt time.Time
 }
 
 // New returns an Admitter.
@@ -156,7 +159,7 @@
 		a.start(w, now)
 	case a.late(w, now, a.line.before(w)):
 		a.refuse(w, Late)
-	case a.running+len(a.line) < a.cfg.Connections:
+	case a.running+len(a.line) < a.cfg.Connections-a.reserve(w, now):
 		a.line.push(w)
 	case len(a.line) > 0 && w.ahead(a.line.worst()):
 		a.refuse(a.line.drop(), Overtook)
@@ -167,6 +170,20 @@
 	return w
 }
 
+// topSeen is how long the most important class is remembered.
+const topSeen = 10 * time.Second
+
+// reserve returns how many places of the line are kept for more important
+// classes, so that they seldom have to push out what waits already: a refusal
+// should come at once.
+func (a *Admitter) reserve(w *waiter, now time.Time) int {
+	if w.Priority >= a.top || now.Sub(a.topAt) > topSeen {
+		a.top, a.topAt = w.Priority, now
+		return 0
+	}
+	return a.cfg.Slots
+}
+
 // late says whether a request with so many before it would end too late.
 func (a *Admitter) late(w *waiter, now time.Time, before int) bool {
 	if a.cfg.Slots < 1 {
@@ -187,7 +204,7 @@
 
 func (a *Admitter) refuse(w *waiter, reason string) {
 	now := a.cfg.Now()
-	w.refusal = &Refusal{Reason: reason, Again: a.pacer.next(now, a.drain(), a.cfg.Slots)}
+	w.refusal = &Refusal{Reason: reason, Again: a.pacer.next(now, a.drain(), a.hold, a.cfg.Slots)}
 	close(w.decided)
 }
 
--- a/admitter/pacer.go
+++ b/admitter/pacer.go
@@ -18,16 +18,15 @@
 	last time.Time
 }
 
-func (p *pacer) next(now time.Time, drain time.Duration, slots int) time.Time {
+// next returns a time to come back. drain is the time until a slot is free for
+// a new request, hold the mean time that a slot is held.
+func (p *pacer) next(now time.Time, drain, hold time.Duration, slots int) time.Time {
 	first := now.Add(max(drain, soonest))
-	if p.last.Before(first) {
+	step := time.Duration(float64(hold) / (float64(max(slots, 1)) * (1 - spare)))
+	p.last = p.last.Add(max(step, time.Microsecond))
+	// A time that is too far off is of no use: another lap begins.
+	if p.last.Before(first) || p.last.After(now.Add(furthest)) {
 		p.last = first
-		return first
-	}
-	step := time.Duration(float64(drain) / (float64(max(slots, 1)) * (1 - spare)))
-	p.last = p.last.Add(max(step, time.Millisecond/10))
-	if far := now.Add(furthest); p.last.After(far) {
-		p.last = far
 	}
 	return p.last
 }
