scheduler: Match a survey's answer with what was sent before it

An owner surveyed an agent that was cut off, sent it a grant, and surveyed it again; the answer to the first survey then passed for one to the second, the grant for unsent, and its task was granted again.

Ruled out: the lapse (no deadline had passed) and the epoch (one owner).

Change: a survey carries the number of the owner's message and its answer repeats it.

Also preemption: an urgent grant evicts the cheapest tasks at its agent, which alone knows all that run there (TestUrgentWorkStartsWithinThreeSeconds).

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -72,7 +72,10 @@
 	admit   *admitter.Admitter
 	ready   atomic.Bool
 	leaving atomic.Bool
-	inside  atomic.Int64
+	// atRisk is set while the contract is at risk; protectLoop writes it.
+	atRisk atomic.Bool
+	window window
+	inside atomic.Int64
 
 	mu sync.Mutex
 	// links has one link for each entry, by the entry's id.
@@ -140,6 +143,7 @@
 	a.ready.Store(true)
 	a.duties.Go(func() { a.runner.Serve(work) })
 	a.duties.Go(func() { a.fitLoop(work) })
+	a.duties.Go(func() { a.protectLoop(work) })
 	a.connect(s.Entries)
 	a.cfg.Log.Info("agent serving", zap.String("id", s.ID), zap.String("team", s.Team), zap.String("service", s.Service))
 	select {
--- a/agent/apply.go
+++ b/agent/apply.go
@@ -50,11 +50,11 @@
 	a.reserved = a.wanted
 }
 
-// tight says whether the service lacks room.
+// tight says whether the service lacks room or has its contract at risk.
 func (a *Agent) tight() bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.wanted != a.reserved
+	return a.wanted != a.reserved || a.atRisk.Load()
 }
 
 func (a *Agent) fitLoop(ctx context.Context) {
--- a/agent/link.go
+++ b/agent/link.go
@@ -210,7 +210,7 @@
 		Leaving: a.leaving.Load(), Tight: a.tight(), Shards: a.runner.Shards(),
 	}
 	if a.runner.Ready() {
-		b.Free = a.commit.Free()
+		b.Free, b.Loose = a.commit.Free(), a.runner.Loose()
 	}
 	if l != nil {
 		b.Trip = time.Duration(l.trip.Load())
--- /dev/null
+++ b/agent/protect.go
@@ -0,0 +1,94 @@
+package agent
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/endivefall/endivefall/protector"
+)
+
+// fewRequests is how many answers are needed to tell a tail latency; fewer are
+// kept for the next step.
+const fewRequests = 50
+
+// window collects the latencies of the target's answers since the last step.
+type window struct {
+	mu   sync.Mutex
+	took []time.Duration
+}
+
+// maxTook bounds the latencies of one step; more add nothing to the tail.
+const maxTook = 20_000
+
+func (w *window) add(took time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if len(w.took) < maxTook {
+		w.took = append(w.took, took)
+	}
+}
+
+// tail returns the percentile of what was collected, or 0 when that is too
+// little.
+func (w *window) tail(percentile float64) time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	n := len(w.took)
+	if n < fewRequests {
+		return 0
+	}
+	slices.Sort(w.took)
+	tail := w.took[min(int(percentile/100*float64(n)), n-1)]
+	w.took = w.took[:0]
+	return tail
+}
+
+// protectLoop keeps the target's contract beside the batch tasks.
+func (a *Agent) protectLoop(ctx context.Context) {
+	p := protector.New(0)
+	hurts := map[string]float64{}
+	tick := time.NewTicker(protector.Every)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		service, _ := a.curator.Service(a.cfg.Settings.Team, a.cfg.Settings.Service)
+		if service == nil {
+			continue
+		}
+		p.SetBound(service.Contract.Bound)
+		a.protect(ctx, p, hurts, a.window.tail(service.Contract.Percentile))
+		a.atRisk.Store(p.Risk(a.now()))
+	}
+}
+
+// protect takes one step: what the worker measured goes in, shares and
+// evictions come out.
+func (a *Agent) protect(ctx context.Context, p *protector.Protector, hurts map[string]float64, tail time.Duration) {
+	var tasks []protector.Task
+	for _, w := range a.runner.Working() {
+		tasks = append(tasks, protector.Task{ID: w.ID, Kind: w.Kind, Began: w.Began, Keep: w.Keep})
+		// The worker repeats a measurement until it has a newer one.
+		if w.Hurt > 0 && hurts[w.Kind] != w.Hurt {
+			hurts[w.Kind] = w.Hurt
+			p.Measured(w.Kind, w.Hurt)
+		}
+	}
+	for _, o := range p.Step(a.now(), tasks, tail) {
+		if o.Evict {
+			a.runner.Evict(o.ID, o.Reason)
+			continue
+		}
+		a.cfg.Log.Info("task throttled", zap.String("task", o.ID), zap.Float64("share", o.Share), zap.Duration("tail", tail))
+		if err := a.worker.Throttle(ctx, o.ID, o.Share); err != nil {
+			a.cfg.Log.Warn("task not throttled", zap.String("task", o.ID), zap.Error(err))
+		}
+	}
+}
--- a/agent/serve.go
+++ b/agent/serve.go
@@ -23,6 +23,7 @@
 		a.refuse(s, "another service is here", a.now().Add(time.Second))
 		return
 	}
+	came := a.now()
 	ticket, err := a.admit.Admit(ctx, admitter.Ask{Until: call.Until, Priority: call.Priority})
 	if err != nil {
 		var r *admitter.Refusal
@@ -37,6 +38,7 @@
 		return
 	}
 	a.forward(ctx, s, call)
+	a.window.add(a.now().Sub(came))
 }
 
 func (a *Agent) refuse(s *messenger.Stream, reason string, again time.Time) {
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -63,7 +63,7 @@
 	h := &l.Hello
 	e.placer.Put(placer.Agent{
 		ID: h.ID, Domain: h.Domain, Rack: h.Rack, Region: h.Region,
-		Total: b.Total, Free: b.Free, Tight: b.Tight, Leaving: b.Leaving,
+		Total: b.Total, Free: b.Free, Loose: b.Loose, Tight: b.Tight, Leaving: b.Leaving,
 	})
 }
 
--- a/messenger/messages.go
+++ b/messenger/messages.go
@@ -53,6 +53,8 @@
 	Shards  []uint32    `cbor:"7,keyasint,omitempty"` // shards whose grants the agent holds
 	// Trip is the last measured round trip to the entry.
 	Trip time.Duration `cbor:"8,keyasint,omitempty"`
+	// Loose is what tasks hold that may be evicted for urgent work.
+	Loose parser.Need `cbor:"9,keyasint"`
 }
 
 // Pulse answers a Beat. Until is on the agent's clock and extends every grant
@@ -151,6 +153,7 @@
 	Repeat bool           `cbor:"12,keyasint,omitempty"` // idempotent: may outlive its grant
 	Reason string         `cbor:"13,keyasint,omitempty"` // why declined or revoked
 	Evict  bool           `cbor:"14,keyasint,omitempty"` // a revoke that keeps a checkpoint
+	Urgent bool           `cbor:"15,keyasint,omitempty"` // may evict others at the agent
 }
 
 // Verdict is how a task's attempt ended.
@@ -192,6 +195,9 @@
 	Shard uint32 `cbor:"1,keyasint"`
 	Epoch uint64 `cbor:"2,keyasint"`
 	Held  []Held `cbor:"3,keyasint,omitempty"`
+	// Order numbers the owner's messages; the answer repeats it, and so tells
+	// only of grants with a lower number.
+	Order uint64 `cbor:"4,keyasint,omitempty"`
 }
 
 // Held is a grant that an agent holds.
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -21,7 +21,8 @@
 // has placed there since.
 type Agent struct {
 	ID, Domain, Rack, Region string
-	Total, Free              parser.Need
+	// Loose is what could be evicted for urgent work.
+	Total, Free, Loose parser.Need
 	// Tight is set while the agent's contract is at risk.
 	Tight, Leaving bool
 	// failed counts failures of different runs' tasks since the last success.
@@ -157,7 +158,8 @@
 		return "set-aside"
 	case a.Tight && !w.Urgent:
 		return "contract-at-risk"
-	case !w.Need.Fits(a.Free):
+	case w.Need.Fits(a.Free):
+	case !w.Urgent || !w.Need.Fits(a.Free.Plus(a.Loose)):
 		return "no-room"
 	}
 	return ""
@@ -200,6 +202,15 @@
 	}
 }
 
+// Doubt places nothing at an agent before its next digest.
+func (p *Placer) Doubt(id string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if a := p.agents[id]; a != nil {
+		a.Free = parser.Need{}
+	}
+}
+
 // Note takes the end of a task. A worker at which tasks of several runs fail
 // one after another is set aside.
 func (p *Placer) Note(id, run string, failed bool) (aside bool) {
--- a/runner/grants.go
+++ b/runner/grants.go
@@ -14,6 +14,7 @@
 	errLate    = errors.New("deadline has passed")
 	errLeaving = errors.New("instance is leaving")
 	errEarly   = errors.New("agent has just started")
+	errUrgent  = errors.New("urgent work waits for the room")
 	errKnown   = errors.New("grant is held already")
 )
 
@@ -52,7 +53,16 @@
 		return errLate
 	}
 	r.owners[g.Shard] = owner{g.Epoch, entry}
-	return r.cfg.Commit.Commit(l.name(), g.Need)
+	if r.waiting > 0 && !g.Urgent {
+		return errUrgent
+	}
+	err := r.cfg.Commit.Commit(l.name(), g.Need)
+	if err != nil && g.Urgent && r.preempt(g.Need) {
+		l.roomless = true
+		r.waiting++
+		return nil
+	}
+	return err
 }
 
 // Extend moves the deadlines of a shard's grants. A deadline that has passed is
--- a/runner/lane.go
+++ b/runner/lane.go
@@ -35,6 +35,8 @@
 	// mute is set for such a grant until that cannot be any more.
 	mute bool
 	halt halt
+	// roomless is set while the lane waits for the room of evicted tasks.
+	roomless bool
 	// next is the task that runs or is about to; task its name at the worker.
 	next int
 	task string
--- a/runner/run.go
+++ b/runner/run.go
@@ -14,6 +14,9 @@
 // run is the goroutine of a lane: it runs the tasks of the grant in turn.
 func (r *Runner) run(ctx context.Context, l *lane) {
 	defer r.close(l)
+	if !r.makeRoom(ctx, l) {
+		return
+	}
 	for index := l.grant.From; index < l.grant.To; index++ {
 		if !r.begin(l, index) {
 			return
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -77,6 +77,8 @@
 	report  map[string]executor.Task
 	version uint64
 	leaving bool
+	// waiting counts the urgent grants that wait for room.
+	waiting int
 	// ctx ends when the agent does; lanes then leave their tasks to the
 	// worker's leases.
 	ctx context.Context
--- a/scheduler/events.go
+++ b/scheduler/events.go
@@ -101,9 +101,10 @@
 	sh.pace[k.run] = took
 }
 
-// close ends a grant that was never started.
+// close ends a grant that was never started. Its agent's digest was wrong or
+// is old, so the agent gets nothing before the next one.
 func (sh *shard) close(ctx context.Context, agent, run string, seq uint64) {
-	need := sh.need(run)
+	sh.s.cfg.Placer.Doubt(agent)
 	err := sh.rec.Do(ctx, func(tx *recorder.Tx) error {
 		r := tx.Run(run)
 		if r == nil || !r.Take(seq, nil, true, tx.Now) {
@@ -112,7 +113,6 @@
 		return nil
 	})
 	if err == nil {
-		sh.s.cfg.Placer.Return(agent, need)
 		sh.nudge()
 	}
 }
@@ -157,7 +157,7 @@
 			case held[k]:
 				delete(held, k)
 				sh.track.adopted[k] = e.born
-			case sh.track.unsent(k, g, e.born):
+			case sh.track.unsent(k, g, e.born, e.order):
 				unsent = append(unsent, k)
 			}
 		}
--- a/scheduler/history_test.go
+++ b/scheduler/history_test.go
@@ -59,6 +59,31 @@
 	return f
 }
 
+// startWorkers starts two entries and three instances.
+func (f *fleet) startWorkers(done chan struct{}) {
+	f.startEntry("e1")
+	f.startEntry("e2")
+	for i := 1; i <= 3; i++ {
+		k := faker.NewWorker(fmt.Sprintf("a%d", i), parser.Need{Processors: 4, Memory: 8 << 30})
+		k.Now, k.Records = f.clock(k.Name), f.records
+		k.Stamp = time.Now
+		go k.Watch(done)
+		f.startAgent(k.Name, k)
+	}
+}
+
+// end stops everything.
+func (f *fleet) end(done chan struct{}) {
+	for _, e := range f.entries {
+		e.kill()
+	}
+	for _, a := range f.agents {
+		a.kill()
+	}
+	close(done)
+	time.Sleep(time.Minute) // lets calls that are on their way end
+}
+
 // trouble is what the history does to the fleet, by weight.
 var trouble = []struct {
 	name string
@@ -216,8 +241,9 @@
 	dice := f.dice("spec")
 	j := parser.Job{
 		Name: "job", Tasks: 1 + dice.IntN(8), Deadline: time.Hour, Checkpoint: dice.IntN(3) > 0,
-		Need: parser.Need{Processors: float64(1 + dice.IntN(3)), Memory: 1 << 30},
-		Run:  (50*time.Millisecond + time.Duration(dice.IntN(5000))*time.Millisecond).String(),
+		Need:   parser.Need{Processors: float64(1 + dice.IntN(3)), Memory: 1 << 30},
+		Urgent: dice.IntN(5) == 0,
+		Run:    (50*time.Millisecond + time.Duration(dice.IntN(5000))*time.Millisecond).String(),
 	}
 	kind := []string{"once", "again", "idem"}[dice.IntN(3)]
 	switch kind {
@@ -289,17 +315,7 @@
 	c := qt.New(t)
 	f := newFleet(t, seed)
 	done := make(chan struct{})
-	for i := 1; i <= 3; i++ {
-		k := faker.NewWorker(fmt.Sprintf("a%d", i), parser.Need{Processors: 4, Memory: 8 << 30})
-		k.Now, k.Records = f.clock(k.Name), f.records
-		k.Stamp = time.Now
-		go k.Watch(done)
-		if i == 1 {
-			f.startEntry("e1")
-			f.startEntry("e2")
-		}
-		f.startAgent(k.Name, k)
-	}
+	f.startWorkers(done)
 	ctx, cancel := context.WithTimeout(context.Background(), 60*time.Second)
 	specs := map[string]parser.Job{}
 	for n := range 3 + f.dice("jobs").IntN(4) {
@@ -353,14 +369,7 @@
 	if len(faults) == 0 {
 		faults = f.settled(specs)
 	}
-	for _, e := range f.entries {
-		e.kill()
-	}
-	for _, a := range f.agents {
-		a.kill()
-	}
-	close(done)
-	time.Sleep(time.Minute) // lets calls that are on their way end
+	f.end(done)
 	bad := checker.Check(f.records.All(), checker.Rules{
 		Exclusive: func(task string) bool { return !strings.Contains(task, "idem") },
 		Once:      func(task string) bool { return strings.Contains(task, "once") },
--- a/scheduler/plan.go
+++ b/scheduler/plan.go
@@ -118,8 +118,8 @@
 		}
 		if now.Sub(sh.asked[agent]) > wait {
 			sh.asked[agent] = now
-			sh.track.surveyed[agent] = sh.track.next()
-			_ = p.Post(messenger.Frame{Kind: messenger.KindSurvey, Survey: &messenger.Survey{Shard: sh.n, Epoch: sh.rec.Epoch()}})
+			ask := &messenger.Survey{Shard: sh.n, Epoch: sh.rec.Epoch(), Order: sh.track.next()}
+			_ = p.Post(messenger.Frame{Kind: messenger.KindSurvey, Survey: ask})
 		}
 		sh.mu.Unlock()
 	}
@@ -230,14 +230,6 @@
 	_ = p.Post(messenger.Frame{Kind: messenger.KindRevoke, Grant: stop})
 }
 
-// need returns what a task of a run needs.
-func (sh *shard) need(run string) parser.Need {
-	if r := sh.rec.Runs()[run]; r != nil {
-		return r.Spec.Need
-	}
-	return parser.Need{}
-}
-
 // planned is a grant that is to be made durable and then sent.
 type planned struct {
 	run    string
@@ -318,7 +310,7 @@
 	_ = link.Post(messenger.Frame{Kind: messenger.KindGrant, Grant: &messenger.Grant{
 		Shard: sh.n, Epoch: p.grant.Epoch, Run: p.run, Seq: p.seq, From: p.grant.From, To: p.grant.To,
 		Until: link.Until(now, local), Need: p.spec.Need, Work: p.spec.Run, Points: p.points,
-		Keep: p.spec.Checkpoint, Repeat: p.spec.Idempotent,
+		Keep: p.spec.Checkpoint, Repeat: p.spec.Idempotent, Urgent: p.spec.Urgent,
 	}})
 	sh.s.cfg.Log.Info("task placed", zap.String("run", p.run), zap.Uint64("seq", p.seq), zap.String("agent", agent),
 		zap.Int("from", p.grant.From), zap.Int("to", p.grant.To),
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -312,7 +312,7 @@
 // Held takes the answer to a survey.
 func (s *Scheduler) Held(agent, born string, v messenger.Survey) {
 	if sh := s.shard(v.Shard); sh != nil && sh.rec.Epoch() == v.Epoch {
-		sh.post(event{kind: surveyed, agent: agent, born: born, held: v.Held})
+		sh.post(event{kind: surveyed, agent: agent, born: born, held: v.Held, order: v.Order})
 	}
 }
 
--- a/scheduler/session_test.go
+++ b/scheduler/session_test.go
@@ -141,7 +141,7 @@
 	defer a.mu.Unlock()
 	b := messenger.Beat{Total: a.commit.Total(), Leaving: a.leaving, Shards: a.runner.Shards(), Sent: a.now()}
 	if a.runner.Ready() {
-		b.Free = a.commit.Free()
+		b.Free, b.Loose = a.commit.Free(), a.runner.Loose()
 	}
 	return b
 }
@@ -192,7 +192,7 @@
 func (s *session) closeAgent() { s.agentOnce.Do(func() { close(s.agentEnd) }) }
 
 func (e *entryNode) digest(s *session, b messenger.Beat) {
-	e.placer.Put(placer.Agent{ID: s.agent.name, Total: b.Total, Free: b.Free, Leaving: b.Leaving})
+	e.placer.Put(placer.Agent{ID: s.agent.name, Total: b.Total, Free: b.Free, Loose: b.Loose, Leaving: b.Leaving})
 }
 
 func (s *session) atEntry(m messenger.Frame) {
--- a/scheduler/shard.go
+++ b/scheduler/shard.go
@@ -35,6 +35,7 @@
 	kind        kind
 	agent, born string
 	held        []messenger.Held
+	order       uint64
 	report      *messenger.Report
 	grant       *messenger.Grant
 }
--- a/scheduler/tracker.go
+++ b/scheduler/tracker.go
@@ -35,19 +35,17 @@
 	// adopted has the process that holds a grant made to an earlier process of
 	// the same agent.
 	adopted map[grantKey]string
-	// order numbers what is sent to agents; sent and surveyed have the number
-	// of a grant and of the last survey of an agent. An answer to a survey
-	// tells nothing of grants that were sent after it.
-	order    uint64
-	sent     map[grantKey]uint64
-	surveyed map[string]uint64
+	// order numbers what is sent to agents; sent has the number of each grant.
+	// An answer to a survey tells nothing of grants that were sent after it.
+	order uint64
+	sent  map[grantKey]uint64
 }
 
 func newTracker(epoch uint64, inherited time.Time) *tracker {
 	return &tracker{
 		epoch: epoch, inherited: inherited,
 		reach: map[process]time.Time{}, taken: map[process]bool{}, confirmed: map[string]string{},
-		adopted: map[grantKey]string{}, sent: map[grantKey]uint64{}, surveyed: map[string]uint64{},
+		adopted: map[grantKey]string{}, sent: map[grantKey]uint64{},
 	}
 }
 
@@ -94,9 +92,9 @@
 	return end
 }
 
-// unsent says whether a process that holds the listed grants surely never
-// started a grant, and never will.
-func (t *tracker) unsent(k grantKey, g *recorder.Grant, born string) bool {
+// unsent says whether a process that does not hold a grant, by its answer to
+// the survey of that order, surely never started it, and never will.
+func (t *tracker) unsent(k grantKey, g *recorder.Grant, born string, order uint64) bool {
 	if g.Born != born {
 		return false // an earlier process may have left a start on its way
 	}
@@ -104,7 +102,7 @@
 		return true // its sender's epoch is no longer taken
 	}
 	number, ok := t.sent[k]
-	return ok && number < t.surveyed[g.Agent]
+	return ok && number < order
 }
 
 // forget drops what is known of grants that are gone.
--- /dev/null
+++ b/scheduler/urgent_test.go
@@ -0,0 +1,50 @@
+package scheduler_test
+
+import (
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/endivefall/endivefall/checker"
+	"github.com/endivefall/endivefall/faker"
+	"github.com/endivefall/endivefall/parser"
+)
+
+// TestUrgentWorkStartsWithinThreeSeconds: on a fleet that is full of other
+// work, urgent tasks start within 3 s of their acceptance, by evicting what has
+// run for the shortest time, and what was evicted resumes once.
+func TestUrgentWorkStartsWithinThreeSeconds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		f := newFleet(t, 1)
+		done := make(chan struct{})
+		f.startWorkers(done)
+		time.Sleep(5 * time.Second)
+
+		full := parser.Job{Name: "job", Tasks: 12, Deadline: time.Hour, Checkpoint: true, Need: parser.Need{Processors: 1, Memory: 1 << 30}, Run: "40s"}
+		c.Assert(f.submit("team1/job/once-full", full), qt.IsTrue)
+		time.Sleep(10 * time.Second)
+		urgent := parser.Job{Name: "job", Tasks: 4, Deadline: time.Hour, Urgent: true, Need: parser.Need{Processors: 2, Memory: 1 << 30}, Run: "1s"}
+		accepted := time.Now()
+		c.Assert(f.submit("team2/job/once-urgent", urgent), qt.IsTrue)
+		faults := f.settled(map[string]parser.Job{"team1/job/once-full": full, "team2/job/once-urgent": urgent})
+		c.Assert(faults, qt.HasLen, 0)
+
+		first := map[string]time.Time{}
+		for _, r := range f.records.All() {
+			if r.What == faker.TaskStart && strings.Contains(r.Task, "urgent") && first[r.Task].IsZero() {
+				first[r.Task] = r.At
+			}
+		}
+		c.Assert(first, qt.HasLen, 4)
+		for task, at := range first {
+			c.Check(at.Sub(accepted) <= 3*time.Second, qt.IsTrue, qt.Commentf("%s started after %v", task, at.Sub(accepted)))
+		}
+		f.end(done)
+		always := func(string) bool { return true }
+		c.Assert(checker.Check(f.records.All(), checker.Rules{Exclusive: always, Once: always}), qt.HasLen, 0)
+	})
+}
