recorder: Answer no change before its whole batch is durable

An agent had repeated a report while the store was slow; both copies went into one batch, the second found nothing to write and was answered at once, the agent forgot the task's end, and then the commit was fenced.

Ruled out: the survey (its order matched), the lapse (none was logged).

Change: all changes of a batch are answered after its commit.

Also found by real processes under load (e2e), each fixed here: - a panic of net/http, two readers of one body: the handler returned while an upload still read it.

--- a/agent/serve.go
+++ b/agent/serve.go
@@ -92,7 +92,9 @@
 func (a *Agent) failed(s *messenger.Stream, err error) {
 	var op *net.OpError
 	if errors.As(err, &op) && op.Op == "dial" {
-		a.refuse(s, "target does not listen", a.now().Add(time.Second))
+		_ = s.Send(context.Background(), messenger.Frame{Kind: messenger.KindRefuse, Refuse: &messenger.Refuse{
+			Reason: "target does not listen", Again: a.now().Add(time.Second), Now: a.now(), Load: a.load(), Broken: true,
+		}})
 		return
 	}
 	_ = s.Send(context.Background(), messenger.Frame{Kind: messenger.KindAnswer, Answer: &messenger.Answer{
--- a/dispatcher/body.go
+++ b/dispatcher/body.go
@@ -54,6 +54,13 @@
 	return b.err
 }
 
+// read says whether the whole body was read, or failed.
+func (b *body) read() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.err != nil
+}
+
 // try reads the body from its beginning.
 type try struct {
 	b      *body
--- a/dispatcher/claims.go
+++ b/dispatcher/claims.go
@@ -185,6 +185,7 @@
 		if first.Type != "" {
 			h.Set("Content-Type", first.Type)
 		}
+		q.hangUp(w)
 		w.WriteHeader(first.Status)
 		_, _ = w.Write(first.Body)
 		d.note(q, responder.Done, "replayed", start)
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"math/rand/v2"
 	"net/http"
 	"sync"
@@ -144,6 +145,39 @@
 	body       *body
 	tries      []Try
 	r          *http.Request
+	// uploads counts the goroutines that read the caller's body.
+	uploads sync.WaitGroup
+}
+
+// Bounds of reading on in a body that nobody wants, so that the connection can
+// be used again, or at least is not reset before the caller has its answer.
+const (
+	drainTime  = 500 * time.Millisecond
+	drainBytes = 256 << 10
+)
+
+// finish waits until nothing reads the caller's body any more, because the
+// server goes on to read the next request from the same connection.
+func (q *request) finish(w http.ResponseWriter) {
+	if q.body == nil || q.body.read() {
+		q.uploads.Wait()
+		return
+	}
+	conn := http.NewResponseController(w)
+	_ = conn.SetReadDeadline(time.Now().Add(drainTime))
+	q.uploads.Wait()
+	if !q.body.read() {
+		_, _ = io.CopyN(io.Discard, q.r.Body, drainBytes)
+	}
+	_ = conn.SetReadDeadline(time.Time{})
+}
+
+// hangUp ends the connection after the answer if the caller's body is not read
+// yet: what is left of it must not be taken for the next request.
+func (q *request) hangUp(w http.ResponseWriter) {
+	if q.body != nil && !q.body.read() {
+		w.Header().Set("Connection", "close")
+	}
 }
 
 // ServeHTTP serves /v1/call/{team}/{service}/{path}.
@@ -152,6 +186,7 @@
 	defer d.inside.Add(-1)
 	start := d.cfg.Now()
 	q, p := d.read(r)
+	defer q.finish(w)
 	w.Header().Set(responder.RequestHeader, q.id)
 	if p != nil {
 		d.fail(w, q, p, start)
@@ -207,6 +242,9 @@
 		return q, problem(http.StatusBadRequest, "bad-key", responder.NotRun, responder.KeyHeader+" is longer than 255 bytes")
 	}
 	q.body = newBody(r.Body, d.cfg.MaxBody)
+	if r.ContentLength == 0 {
+		q.body.err = io.EOF
+	}
 	return q, nil
 }
 
@@ -238,6 +276,7 @@
 // fail answers with a problem and counts it.
 func (d *Dispatcher) fail(w http.ResponseWriter, q *request, p *responder.Problem, start time.Time) {
 	p.Request = q.id
+	q.hangUp(w)
 	d.note(q, p.Outcome, p.Code, start)
 	responder.Write(w, *p, d.cfg.Now())
 }
--- a/dispatcher/run.go
+++ b/dispatcher/run.go
@@ -33,6 +33,7 @@
 	answer  *messenger.Answer
 	reason  string
 	again   time.Time // when a refused request should come back
+	broken  bool      // the target itself is unwell
 }
 
 // run sends the request to targets until one answers, and answers the caller.
@@ -85,7 +86,7 @@
 		if t.verdict == answered {
 			return t, choice.ID, rt, nil
 		}
-		rt.Done(choice.ID, router.End{Failed: t.verdict == doubtful, Refused: t.verdict == refused, Load: t.load()})
+		rt.Done(choice.ID, router.End{Failed: t.verdict == doubtful || t.broken, Refused: t.verdict == refused, Load: t.load()})
 		if t.verdict == refused {
 			code, detail = "refused", "the targets asked refused it: "+t.reason
 			if soonest.IsZero() || t.again.Before(soonest) {
@@ -178,7 +179,7 @@
 		// The call was never queued, so it was never sent.
 		return tried{verdict: refused, reason: "target is gone", again: again}
 	}
-	go d.upload(s, q, from)
+	q.uploads.Go(func() { d.upload(s, q, from) })
 	f, err := s.Head(ctx)
 	switch {
 	case err != nil:
@@ -187,7 +188,7 @@
 	case f.Kind == messenger.KindRefuse:
 		s.Forget()
 		wait := f.Refuse.Again.Sub(f.Refuse.Now)
-		return tried{verdict: refused, reason: f.Refuse.Reason, again: d.cfg.Now().Add(wait), answer: &messenger.Answer{Load: f.Refuse.Load}}
+		return tried{verdict: refused, reason: f.Refuse.Reason, again: d.cfg.Now().Add(wait), broken: f.Refuse.Broken, answer: &messenger.Answer{Load: f.Refuse.Load}}
 	case f.Answer.Fault != "":
 		s.Forget()
 		return tried{verdict: doubtful, reason: f.Answer.Fault}
@@ -246,14 +247,19 @@
 	if t.answer.Length >= 0 {
 		h.Set("Content-Length", strconv.FormatInt(t.answer.Length, 10))
 	}
+	q.hangUp(w)
 	w.WriteHeader(t.answer.Status)
 	stop := context.AfterFunc(ctx, t.stream.Cancel)
 	first := &capture{limit: maxReplay}
 	n, err := copyFlush(w, io.TeeReader(t.stream, first))
-	if err == nil && t.answer.Length >= 0 && n != t.answer.Length && q.r.Method != http.MethodHead {
+	stop()
+	switch {
+	case t.answer.Length < 0 || q.r.Method == http.MethodHead:
+	case n == t.answer.Length:
+		err = nil // whole, even if the caller went before the end was seen here
+	case err == nil:
 		err = messenger.ErrBroken
 	}
-	stop()
 	end := router.End{Took: d.cfg.Now().Sub(start), Failed: failure(t.answer.Status)}
 	if last := t.stream.Last(); last != nil {
 		end.Load = &last.Load
--- a/messenger/messages.go
+++ b/messenger/messages.go
@@ -128,6 +128,7 @@
 	Again  time.Time `cbor:"2,keyasint"` // when to come back, on the agent's clock
 	Now    time.Time `cbor:"3,keyasint"` // the agent's clock
 	Load   Load      `cbor:"4,keyasint"`
+	Broken bool      `cbor:"5,keyasint,omitempty"` // the target itself is unwell
 }
 
 // End closes a stream. An empty fault means that the body is whole.
--- a/recorder/recorder.go
+++ b/recorder/recorder.go
@@ -214,18 +214,18 @@
 	k.mu.Lock()
 	tx := &Tx{base: k.rec.Runs, fresh: map[string]*Run{}, Now: now, Epoch: k.rec.Epoch}
 	k.mu.Unlock()
-	var written []change
-	for _, c := range batch {
-		if err := c.do(tx); err != nil {
-			if errors.Is(err, ErrUnchanged) {
-				err = nil
-			}
-			c.done <- err
-			continue
+	results := make([]error, len(batch))
+	written := 0
+	for i, c := range batch {
+		switch err := c.do(tx); {
+		case err == nil:
+			written++
+		case !errors.Is(err, ErrUnchanged):
+			results[i] = err
 		}
-		written = append(written, c)
 	}
-	if len(written) == 0 && len(batch) > 0 {
+	if written == 0 && len(batch) > 0 {
+		answer(batch, results)
 		return nil
 	}
 	err := k.commit(ctx, func(r *record) {
@@ -234,19 +234,23 @@
 		}
 		forget(r.Runs)
 	})
-	k.changed.Add(int64(len(written)))
+	k.changed.Add(int64(written))
 	if err != nil {
 		k.once.Do(func() { close(k.lost) })
-		answer(written, fmt.Errorf("%w: %w", ErrLost, err))
-		return err
+		for i := range results {
+			results[i] = fmt.Errorf("%w: %w", ErrLost, err)
+		}
 	}
-	answer(written, nil)
-	return nil
+	answer(batch, results)
+	return err
 }
 
-func answer(batch []change, err error) {
-	for _, c := range batch {
-		c.done <- err
+// answer tells the changes of a batch how they ended. None is told before the
+// whole batch is durable, not even one that found nothing to write: what it
+// found may have been an earlier change of the same batch.
+func answer(batch []change, results []error) {
+	for i, c := range batch {
+		c.done <- results[i]
 	}
 }
 
--- /dev/null
+++ b/recorder/recorder_test.go
@@ -0,0 +1,145 @@
+package recorder
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/endivefall/endivefall/keeper"
+	"github.com/endivefall/endivefall/parser"
+)
+
+// memory is a store of one key, with what it is asked to do wrong.
+type memory struct {
+	value   []byte
+	version uint64
+	writes  int
+	slow    time.Duration
+	fail    error
+}
+
+func (m *memory) store() Store {
+	same := func(now time.Time) time.Time { return now }
+	return Store{
+		Get: func(context.Context, string) (keeper.Item, error) {
+			if m.version == 0 {
+				return keeper.Item{}, keeper.ErrMissing
+			}
+			return keeper.Item{Value: m.value, Version: m.version}, nil
+		},
+		Settle: func(_ context.Context, _ string, value []byte, version uint64, _ string) (uint64, error) {
+			time.Sleep(m.slow)
+			if m.fail != nil {
+				return 0, m.fail
+			}
+			if version != m.version {
+				return 0, keeper.ErrConflict
+			}
+			m.writes++
+			m.value, m.version = value, version+1
+			return m.version, nil
+		},
+		Earliest: same, Latest: same,
+	}
+}
+
+func claim(m *memory, owner string, alive bool) (*Recorder, error) {
+	return Claim(context.Background(), Config{
+		Key: "ledger/0", Owner: owner, Born: owner + "-1", Hold: time.Minute, Now: time.Now,
+		Alive: func(string, string) bool { return alive }, Store: m.store(),
+	})
+}
+
+// serve runs a recorder for a test in a bubble.
+func serve(t *testing.T, f func(c *qt.C, m *memory, k *Recorder)) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		m := &memory{}
+		k, err := claim(m, "e1", false)
+		c.Assert(err, qt.IsNil)
+		ctx, cancel := context.WithCancel(context.Background())
+		ended := make(chan struct{})
+		go func() {
+			_ = k.Serve(ctx, ctx)
+			close(ended)
+		}()
+		f(c, m, k)
+		cancel()
+		<-ended
+	})
+}
+
+func add(id string) func(*Tx) error {
+	return func(tx *Tx) error {
+		if tx.Run(id) != nil {
+			return ErrUnchanged
+		}
+		tx.Add(&Run{ID: id, State: Running, Spec: parser.Job{Tasks: 3}})
+		return nil
+	}
+}
+
+// TestNothingIsAnsweredBeforeItsBatchIsDurable: a report that an agent sent
+// twice found the first one's change in the same batch, passed for settled at
+// once, and the agent forgot the end of a task; then the commit failed and the
+// task ran again (history with seed 10318).
+func TestNothingIsAnsweredBeforeItsBatchIsDurable(t *testing.T) {
+	serve(t, func(c *qt.C, m *memory, k *Recorder) {
+		m.slow = time.Second
+		errs := make(chan error, 3)
+		go func() { errs <- k.Do(context.Background(), add("other")) }()
+		time.Sleep(100 * time.Millisecond) // its commit is on its way
+		for range 2 {
+			go func() { errs <- k.Do(context.Background(), add("run")) }()
+		}
+		time.Sleep(time.Second)
+		c.Assert(<-errs, qt.IsNil)
+		m.fail = errors.New("fenced")
+		for range 2 {
+			c.Assert(<-errs, qt.ErrorIs, ErrLost)
+		}
+	})
+}
+
+func TestGroupCommit(t *testing.T) {
+	serve(t, func(c *qt.C, m *memory, k *Recorder) {
+		m.slow = 10 * time.Millisecond
+		const n = 200
+		errs := make(chan error, n)
+		for i := range n {
+			go func() { errs <- k.Do(context.Background(), add(string(rune('a'+i)))) }()
+		}
+		for range n {
+			c.Assert(<-errs, qt.IsNil)
+		}
+		c.Assert(k.Runs(), qt.HasLen, n)
+		c.Assert(m.writes <= 4, qt.IsTrue, qt.Commentf("%d writes for %d changes", m.writes, n))
+	})
+}
+
+func TestClaim(t *testing.T) {
+	c := qt.New(t)
+	m := &memory{}
+	first, err := claim(m, "e1", false)
+	c.Assert(err, qt.IsNil)
+	c.Assert(first.Epoch(), qt.Equals, uint64(1))
+
+	_, err = claim(m, "e2", true)
+	c.Assert(err, qt.ErrorIs, ErrTaken, qt.Commentf("a live owner keeps its shard"))
+
+	second, err := claim(m, "e2", false)
+	c.Assert(err, qt.IsNil)
+	c.Assert(second.Epoch(), qt.Equals, uint64(2))
+
+	err = first.commit(context.Background(), func(*record) {})
+	c.Assert(err, qt.ErrorIs, keeper.ErrConflict, qt.Commentf("the old owner's writes are fenced"))
+
+	c.Assert(second.Leave(context.Background(), time.Now().Add(time.Second)), qt.IsNil)
+	third, err := claim(m, "e1", true)
+	c.Assert(err, qt.IsNil, qt.Commentf("a shard that was handed over is free"))
+	c.Assert(time.Until(third.Inherited()) <= time.Second, qt.IsTrue, qt.Commentf("and only the last deadline counts"))
+}
--- a/responder/problem.go
+++ b/responder/problem.go
@@ -64,8 +64,15 @@
 		h.Set("Retry-After", strconv.Itoa(max(1, int(math.Ceil(p.Again.Sub(now).Seconds())))))
 		h.Set(AgainHeader, p.Again.UTC().Format(time.RFC3339Nano))
 	}
+	raw, err := json.Marshal(p)
+	if err != nil {
+		raw = []byte("{}")
+	}
+	h.Set("Content-Length", strconv.Itoa(len(raw)))
 	w.WriteHeader(p.Status)
-	_ = json.NewEncoder(w).Encode(p)
+	_, _ = w.Write(raw)
+	// The answer goes out at once, whatever the caller's body still does.
+	_ = http.NewResponseController(w).Flush()
 }
 
 // JSON answers with a value.
--- a/router/router.go
+++ b/router/router.go
@@ -224,7 +224,8 @@
 	// Took is how long the answer took; 0 when there was none.
 	Took time.Duration
 	// Failed is set when the target failed the request: it broke off, or
-	// answered with a fault of its own. A refusal is no failure.
+	// answered with a fault of its own. A refusal is a failure only if the
+	// target is unwell, and not just loaded.
 	Failed bool
 	// Refused is set when the request did not run.
 	Refused bool
@@ -243,7 +244,7 @@
 	if end.Load != nil {
 		t.tell(*end.Load, now)
 	}
-	if end.Refused {
+	if end.Refused && !end.Failed {
 		t.health.probes = 0
 		return
 	}
