runner: Checkpoint a cut-off task before its lease ends

Cause: TestOwnerKilled (real processes) and TestCutOffTaskResumesFromItsCheckpoint found tasks lost at every lapse: the agent began the checkpoint at the deadline, when the worker's lease ended too; one stuck call to move leases held up all others; and a task that may not run again was given up while its agent could still return with the checkpoint. TestWithoutRequestsNobodyIsThrottled: a service without requests had every task at the floor for good.

Ruled out: the take-over itself; the throttle as the cause of the losses.

Change: stop a second before the deadline; move leases in calls of their own; wait for the agent of a task that may not run again as long as the hold; treat a service without requests as having all the room; start again after a late start.

Before: these tests failed.

--- /dev/null
+++ b/e2e/jobs_test.go
@@ -0,0 +1,226 @@
+package e2e
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"syscall"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/endivefall/endivefall/checker"
+	"github.com/endivefall/endivefall/faker"
+)
+
+// batchDocument has one job of each sort.
+const batchDocument = `
+team: association
+services:
+  - name: booking
+    need: {processors: 2, memory: 1GiB}
+jobs:
+  - {name: exclusive, tasks: 24, retries: 50, deadline: 1h, checkpoint: true, run: 2500ms, need: {processors: 1, memory: 1GiB}}
+  - {name: once, tasks: 16, deadline: 1h, checkpoint: true, run: 2500ms, need: {processors: 1, memory: 1GiB}}
+  - {name: long, tasks: 6, deadline: 1h, checkpoint: true, run: 15s, need: {processors: 1, memory: 1GiB}}
+`
+
+func (w *world) submit(entry int, job, run string) {
+	w.c.Helper()
+	w.eventually(job+" is accepted", func() bool {
+		_, code := w.run("submit", "-entry", w.entryHTTP[entry], "-run", run, "association/"+job)
+		return code == 0
+	})
+}
+
+// run is the part of a run that tests look at.
+type run struct {
+	State string
+	Done  [][2]int
+	Spec  struct{ Tasks int }
+}
+
+func (w *world) look(entry int, name string) run {
+	var r run
+	w.get("http://"+w.entryHTTP[entry]+"/v1/jobs/association/"+name, &r)
+	return r
+}
+
+func (w *world) ends(entry int, name, state string) {
+	w.c.Helper()
+	w.eventually(name+" ends", func() bool { return w.look(entry, name).State == state })
+}
+
+// started counts the attempts of a run's tasks.
+func (w *world) started(run string) int {
+	n := 0
+	for _, r := range w.records() {
+		if r.What == faker.TaskStart && strings.Contains(r.Task, run) {
+			n++
+		}
+	}
+	return n
+}
+
+// owner returns the entry that serves the team's shard: the one that places its
+// tasks.
+func (w *world) owner(run string) int {
+	found := -1
+	w.eventually("a task of "+run+" is placed", func() bool {
+		found = slices.IndexFunc(w.entries, func(p *process) bool {
+			return strings.Contains(p.logs(), `msg="task placed" run=association/`+run)
+		})
+		return found >= 0
+	})
+	return found
+}
+
+// rules of the batch document: no task in two places, and those of the job
+// without retries finish at most once.
+func batchRules() checker.Rules {
+	return checker.Rules{
+		Exclusive: func(string) bool { return true },
+		Once:      func(task string) bool { return strings.Contains(task, ":once:") },
+	}
+}
+
+// TestOwnerKilled: the entry that owns a job is killed while its tasks run; the
+// other takes over, and every task is done, never in two places at once.
+func TestOwnerKilled(t *testing.T) {
+	w := newWorld(t, 2, 3)
+	w.apply(w.file("batch.yaml", batchDocument))
+	w.submit(0, "exclusive", "r1")
+	w.submit(1, "once", "r1")
+	dies := w.owner("exclusive/r1")
+	w.entries[dies].signal(syscall.SIGKILL)
+	w.ended(w.entries[dies])
+	lives := 1 - dies
+	w.ends(lives, "exclusive/r1", "done")
+	w.ends(lives, "once/r1", "done")
+	w.verify(nil, batchRules())
+}
+
+// TestOwnerFrozenPastItsLease: the owner is frozen until the other has taken
+// over, and woken; it must not act on what it believed.
+func TestOwnerFrozenPastItsLease(t *testing.T) {
+	w := newWorld(t, 2, 3)
+	w.apply(w.file("batch.yaml", batchDocument))
+	w.submit(0, "exclusive", "r1")
+	frozen := w.owner("exclusive/r1")
+	other := 1 - frozen
+	w.entries[frozen].signal(syscall.SIGSTOP)
+	w.eventually("the other entry owns every shard", func() bool { return len(w.status(w.entryHTTP[other]).Shards) == 4 })
+	w.submit(other, "once", "r2")
+	w.entries[frozen].signal(syscall.SIGCONT)
+	w.ends(other, "exclusive/r1", "done")
+	w.ends(other, "once/r2", "done")
+	w.verify(nil, batchRules())
+}
+
+// TestAgentFrozenPastItsGrants: an agent is frozen until its grants have lapsed
+// and their tasks run elsewhere, and woken.
+func TestAgentFrozenPastItsGrants(t *testing.T) {
+	w := newWorld(t, 2, 3)
+	w.apply(w.file("batch.yaml", batchDocument))
+	w.submit(0, "exclusive", "r1")
+	w.submit(0, "long", "r1")
+	w.eventually("tasks of both run", func() bool { return w.started(":exclusive:") > 0 && w.started(":long:") > 0 })
+	w.instances[0].agent.signal(syscall.SIGSTOP)
+	w.eventually("its grants lapse", func() bool {
+		return strings.Contains(w.entries[0].logs()+w.entries[1].logs(), `msg="grant lapsed"`)
+	})
+	w.instances[0].agent.signal(syscall.SIGCONT)
+	w.ends(0, "exclusive/r1", "done")
+	w.ends(0, "long/r1", "done")
+	w.verify(nil, batchRules())
+}
+
+// TestAgentKilledAndRestarted: an agent dies and comes back within its lease;
+// it takes over what runs, and nothing runs again.
+func TestAgentKilledAndRestarted(t *testing.T) {
+	w := newWorld(t, 2, 3)
+	w.apply(w.file("batch.yaml", batchDocument))
+	w.submit(0, "long", "r1")
+	w.eventually("all tasks run", func() bool { return w.started(":long:") == 6 })
+	in := w.instances[0]
+	in.agent.signal(syscall.SIGKILL)
+	w.ended(in.agent)
+	in.agent = w.start(in.name+" again", "agent", in.conf)
+	w.ends(0, "long/r1", "done")
+	w.c.Assert(w.started(":long:"), qt.Equals, 6, qt.Commentf("a task ran again"))
+	w.verify(nil, batchRules())
+}
+
+// TestStoreOutage: the store is down for longer than the agents' lease. Running
+// tasks go on, requests are served, no job is lost; nothing is accepted that is
+// not durable.
+func TestStoreOutage(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(t, 2, 3)
+	w.apply(w.file("batch.yaml", batchDocument))
+	w.submit(0, "long", "r1")
+	w.eventually("all tasks run", func() bool { return w.started(":long:") == 6 })
+	load := w.load(4)
+	w.fault(faker.Faults{Down: true})
+	load.served(100)
+	out, code := w.run("submit", "-entry", w.entryHTTP[0], "-run", "r2", "association/once")
+	c.Assert(code, qt.Not(qt.Equals), 0, qt.Commentf("%s", out))
+	out, code = w.run("apply", "-entry", w.entryHTTP[0], "../examples/association.yaml")
+	c.Assert(code, qt.Not(qt.Equals), 0, qt.Commentf("%s", out))
+	w.eventually("all tasks end during the outage", func() bool {
+		n := 0
+		for _, r := range w.records() {
+			if r.What == faker.TaskFinish && strings.Contains(r.Task, ":long:") {
+				n++
+			}
+		}
+		return n == 6
+	})
+	w.fault(faker.Faults{})
+	w.ends(0, "long/r1", "done")
+	load.end()
+	c.Assert(w.started(":long:"), qt.Equals, 6)
+	w.verify(load.told.All(), batchRules())
+}
+
+// TestOutageBeyondTheHold: with the store down for longer than the hold,
+// exclusive tasks are checkpointed and pause, and each resumes once.
+func TestOutageBeyondTheHold(t *testing.T) {
+	c := qt.New(t)
+	w := newWorldWith(t, 2, 3, "9s")
+	w.apply(w.file("batch.yaml", batchDocument))
+	w.submit(0, "long", "r1")
+	w.eventually("all tasks run", func() bool { return w.started(":long:") == 6 })
+	w.fault(faker.Faults{Down: true})
+	stopped := func() int {
+		n := 0
+		for _, r := range w.records() {
+			if r.What == faker.TaskStop && r.Point != "" {
+				n++
+			}
+		}
+		return n
+	}
+	w.eventually("all tasks are checkpointed", func() bool { return stopped() == 6 })
+	w.fault(faker.Faults{})
+	w.ends(0, "long/r1", "done")
+	c.Assert(w.started(":long:"), qt.Equals, 12, qt.Commentf("each resumes once"))
+	w.verify(nil, checker.Rules{})
+}
+
+// TestAllEntriesKilledAtOnce: accepted jobs survive the loss of every entry.
+func TestAllEntriesKilledAtOnce(t *testing.T) {
+	w := newWorld(t, 2, 3)
+	w.apply(w.file("batch.yaml", batchDocument))
+	w.submit(0, "exclusive", "r1")
+	w.eventually("tasks run", func() bool { return w.started(":exclusive:") > 3 })
+	for _, e := range w.entries {
+		e.signal(syscall.SIGKILL)
+	}
+	for i, e := range w.entries {
+		w.ended(e)
+		w.entries[i] = w.start(fmt.Sprintf("entry-%d again", i), "entry", w.confs[i])
+	}
+	w.ends(0, "exclusive/r1", "done")
+	w.verify(nil, batchRules())
+}
--- a/e2e/world_test.go
+++ b/e2e/world_test.go
@@ -14,6 +14,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -89,17 +90,34 @@
 	lease, hold, turn string
 }
 
+// nextPort gives out ports below those that the system uses for outgoing
+// connections, so that none is taken between its choice and its use.
+var nextPort atomic.Int64
+
 func freeAddr(c *qt.C) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	c.Assert(err, qt.IsNil)
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+	const first, last = 15000, 31000
+	nextPort.CompareAndSwap(0, int64(first+os.Getpid()%1000*10))
+	for range last - first {
+		port := first + (nextPort.Add(1)-first)%(last-first)
+		addr := fmt.Sprintf("127.0.0.1:%d", port)
+		if l, err := net.Listen("tcp", addr); err == nil {
+			_ = l.Close()
+			return addr
+		}
+	}
+	c.Fatal("no free port")
+	return ""
 }
 
 // newWorld starts a platform, entries and instances of the association's
 // booking service, and waits until every entry sees every target.
 func newWorld(t *testing.T, entries, instances int) *world {
-	w := &world{c: qt.New(t), dir: t.TempDir(), cheap: &http.Client{Timeout: patience}, lease: "3s", hold: "60s", turn: "200ms"}
+	return newWorldWith(t, entries, instances, "60s")
+}
+
+// newWorldWith sets how long grants are extended without the store.
+func newWorldWith(t *testing.T, entries, instances int, hold string) *world {
+	w := &world{c: qt.New(t), dir: t.TempDir(), cheap: &http.Client{Timeout: patience}, lease: "3s", hold: hold, turn: "200ms"}
 	t.Cleanup(w.stop)
 	w.platformAddr = freeAddr(w.c)
 	w.platform = w.start("platform", "fake", "-platform", w.platformAddr)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -197,7 +197,7 @@
 	}
 	s := e.cfg.Settings
 	sch := scheduler.New(scheduler.Config{
-		Shards: shards, Lease: s.Lease, Margin: s.Margin, Now: e.now, Placer: e.placer, Log: e.cfg.Log,
+		Shards: shards, Lease: s.Lease, Margin: s.Margin, Await: s.Hold, Now: e.now, Placer: e.placer, Log: e.cfg.Log,
 		Chosen:   func(n uint32) bool { return e.announcer.Fresh() && e.announcer.Chosen(shardKey(n)).ID == s.ID },
 		Claim:    e.claim,
 		Peer:     e.peer,
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -24,6 +24,9 @@
 	ErrUnsure = errors.New("worker's answer was lost")
 	// ErrRejected says that the worker did nothing.
 	ErrRejected = errors.New("worker rejected the call")
+	// ErrLate says that a start came after its lease had ended; the worker did
+	// nothing.
+	ErrLate = errors.New("start came after its lease had ended")
 	// ErrUnknown says that the worker has no such task.
 	ErrUnknown = errors.New("worker has no such task")
 )
@@ -189,6 +192,8 @@
 		return fmt.Errorf("%w: %w", ErrUnsure, err)
 	case resp.StatusCode == http.StatusNotFound:
 		return ErrUnknown
+	case resp.StatusCode == http.StatusConflict:
+		return ErrLate
 	case resp.StatusCode >= http.StatusInternalServerError:
 		return fmt.Errorf("%w: %s", ErrUnsure, resp.Status)
 	case resp.StatusCode >= http.StatusBadRequest:
--- a/faker/worker.go
+++ b/faker/worker.go
@@ -190,7 +190,7 @@
 		var l executor.Lease
 		_ = json.NewDecoder(r.Body).Decode(&l)
 		for _, id := range l.IDs {
-			if t := k.tasks[id]; t != nil && t.State == executor.Running {
+			if t := k.tasks[id]; t != nil && t.State == executor.Running && l.Until.After(t.Until) {
 				t.Until = l.Until
 			}
 		}
--- a/protector/protector.go
+++ b/protector/protector.go
@@ -4,6 +4,7 @@
 package protector
 
 import (
+	"math"
 	"sort"
 	"time"
 )
@@ -98,7 +99,9 @@
 	// seen counts the late measurements of each kind.
 	seen map[string]int
 	// base is the tail latency without batch work, as it is estimated.
-	base    float64
+	base float64
+	// heard is when there was a tail latency last.
+	heard   time.Time
 	alarmed time.Time
 	evicted time.Time
 }
@@ -136,12 +139,20 @@
 	return known
 }
 
+// idle is how long without a tail latency the service counts as without
+// requests.
+const idle = 10 * time.Second
+
 // Step takes the tasks that run and the tail latency since the last step, 0 if
 // there were too few requests to tell, and returns what should change.
 func (p *Protector) Step(now time.Time, running []Task, tail time.Duration) []Order {
 	before := p.follow(running)
-	if tail > 0 {
+	switch {
+	case tail > 0:
+		p.heard = now
 		p.learn(now, float64(tail))
+	case now.Sub(p.heard) > idle:
+		p.base = 0
 	}
 	p.plan(now, float64(tail))
 	orders := p.evict(now, float64(tail))
@@ -274,7 +285,7 @@
 	if tail > alarm*float64(p.bound) {
 		p.alarmed = now
 	}
-	room := 0.0
+	room := math.Inf(1) // without requests there is nobody to hurt
 	if p.base > 0 {
 		room = max(aim*float64(p.bound)/p.base-1, 0)
 	}
--- a/recorder/run.go
+++ b/recorder/run.go
@@ -187,6 +187,20 @@
 	return true
 }
 
+// Final says whether losing a grant would end a task for good: the first that
+// has not ended may not be tried again.
+func (r *Run) Final(g *Grant) bool {
+	if r.Spec.Idempotent || r.State != Running {
+		return false
+	}
+	for i := g.From; i < g.To; i++ {
+		if !r.ended(i) {
+			return r.Tries[i] >= r.Spec.Retries
+		}
+	}
+	return false
+}
+
 // lost counts an attempt that may have run. An idempotent task just runs again;
 // any other that may be tried no more ends with its outcome unknown rather than
 // run twice.
--- a/runner/run.go
+++ b/runner/run.go
@@ -49,7 +49,7 @@
 func (r *Runner) begin(l *lane, index int) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if l.halt != none || !l.until.After(r.cfg.Now()) || r.ctx.Err() != nil {
+	if l.halt != none || !l.until.After(r.cfg.Now().Add(stopTime)) || r.ctx.Err() != nil {
 		return false
 	}
 	l.next, l.task, l.began = index, taskID(l.grant, index), r.cfg.Now()
@@ -82,6 +82,8 @@
 		switch {
 		case ctx.Err() != nil:
 			return o, false
+		case errors.Is(err, executor.ErrLate) && r.deadline(l).After(r.cfg.Now()):
+			continue // held up on its way; the next start has a fresh lease
 		case errors.Is(err, executor.ErrRejected):
 			o.Verdict, o.Reason = messenger.Failed, err.Error()
 			return o, true
@@ -124,14 +126,14 @@
 		case !there && fresh && r.gone(ctx, t.ID):
 			o.Verdict, o.Reason = messenger.Lost, "worker has lost the task"
 			return o, true
-		case how != none || left <= 0:
+		case how != none || left <= stopTime:
 			return r.finish(ctx, l, t, o, how)
 		}
 		select {
 		case <-ctx.Done():
 			return o, false
 		case <-l.wake:
-		case <-time.After(min(left, time.Second)):
+		case <-time.After(min(left-stopTime, time.Second)):
 		}
 	}
 }
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -18,6 +18,10 @@
 const (
 	// tick is how often worker leases are moved and lost reports repeated.
 	tick = 500 * time.Millisecond
+	// extendTimeout bounds one call to move leases, maxExtends how many may be
+	// on their way.
+	extendTimeout = time.Second
+	maxExtends    = 8
 	// resend is how long a report waits for its answer.
 	resend = 2 * time.Second
 	// repeatLease is the worker lease of idempotent tasks, which may go on
@@ -28,6 +32,9 @@
 	// refused by the worker, so that after this time nothing of an earlier
 	// process of the agent can start any more.
 	startLease = 2 * time.Second
+	// stopTime is how long before its deadline a task is stopped: a checkpoint
+	// must be whole before the worker's lease ends.
+	stopTime = time.Second
 	// pause is the wait after a worker's call that failed.
 	pause = 100 * time.Millisecond
 )
@@ -67,7 +74,9 @@
 	// forget holds tasks that the worker may drop; a full queue keeps them at
 	// the worker until the next report of the same outcome.
 	forget chan string
-	lanes  sync.WaitGroup
+	// extending bounds the calls on their way that move leases.
+	extending chan struct{}
+	lanes     sync.WaitGroup
 
 	mu sync.Mutex
 	// held has the grants that are not settled whole.
@@ -92,7 +101,7 @@
 // New returns a Runner. Nothing is accepted before Recover.
 func New(cfg Config) *Runner {
 	return &Runner{
-		cfg: cfg, forget: make(chan string, 4096),
+		cfg: cfg, forget: make(chan string, 4096), extending: make(chan struct{}, maxExtends),
 		held: map[key]*lane{}, owners: map[uint32]owner{}, report: map[string]executor.Task{},
 	}
 }
@@ -169,10 +178,27 @@
 	}
 	r.mu.Unlock()
 	for until, ids := range groups {
-		_ = r.cfg.Worker.Extend(ctx, ids, until) // repeated at the next tick
+		r.extend(ctx, ids, until)
 	}
 }
 
+// extend moves leases without holding up the next tick: a call may be stuck on
+// its way while the tasks must go on. A lease at a worker only moves forward,
+// so a late call does no harm.
+func (r *Runner) extend(ctx context.Context, ids []string, until time.Time) {
+	select {
+	case r.extending <- struct{}{}:
+	default:
+		return
+	}
+	r.lanes.Go(func() {
+		defer func() { <-r.extending }()
+		ctx, cancel := context.WithTimeout(ctx, extendTimeout)
+		defer cancel()
+		_ = r.cfg.Worker.Extend(ctx, ids, until) // repeated at the next tick
+	})
+}
+
 // unmute closes the grants that an earlier process held, once nothing of them
 // can start any more.
 func (r *Runner) unmute() {
--- a/scheduler/fleet_test.go
+++ b/scheduler/fleet_test.go
@@ -155,7 +155,7 @@
 	})
 	e.placer = placer.New(placer.Config{Now: e.now, Rand: rand.New(rand.NewPCG(1, 1))})
 	e.sched = scheduler.New(scheduler.Config{
-		Shards: shards, Lease: lease, Margin: margin, Now: e.now, Placer: e.placer, Log: f.log,
+		Shards: shards, Lease: lease, Margin: margin, Await: 2 * hold, Now: e.now, Placer: e.placer, Log: f.log,
 		Chosen: func(n uint32) bool { return f.chosen(n) == name },
 		Claim: func(ctx context.Context, n uint32) (*recorder.Recorder, error) {
 			return recorder.Claim(ctx, recorder.Config{
--- a/scheduler/plan.go
+++ b/scheduler/plan.go
@@ -132,7 +132,7 @@
 	for id, r := range sh.rec.Runs() {
 		for seq, g := range r.Grants {
 			k := grantKey{id, seq}
-			if !sh.gone(k, g, r.Spec.Idempotent) {
+			if !sh.gone(k, g, r) {
 				continue
 			}
 			lost = append(lost, k)
@@ -158,7 +158,7 @@
 
 // gone says whether a grant may be given to another agent because its own is
 // lost.
-func (sh *shard) gone(k grantKey, g *recorder.Grant, idempotent bool) bool {
+func (sh *shard) gone(k grantKey, g *recorder.Grant, r *recorder.Run) bool {
 	now := sh.s.cfg.Now()
 	p, connected := sh.s.cfg.Peer(g.Agent)
 	sh.mu.Lock()
@@ -166,12 +166,18 @@
 	if connected && p.Born == sh.track.holder(k, g).born {
 		return false
 	}
-	if idempotent {
+	if r.Spec.Idempotent {
 		// Running such a task twice does no harm, so only the last deadline
 		// that this owner gave counts, and not in full.
 		return now.After(sh.track.reach[sh.track.holder(k, g)].Add(-sh.s.cfg.Lease/2)) && now.After(sh.born.Add(sh.s.cfg.Lease/2))
 	}
-	return now.After(sh.track.end(k, g).Add(sh.s.cfg.Margin))
+	end := sh.track.end(k, g).Add(sh.s.cfg.Margin)
+	if r.Final(g) {
+		// Nothing would be gained by giving the task up: it may not run again,
+		// and its agent may yet return with its end or its checkpoint.
+		end = end.Add(sh.s.cfg.Await)
+	}
+	return now.After(end)
 }
 
 // expire ends runs whose deadline has passed, and those that fail everywhere.
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -59,9 +59,12 @@
 	// Margin what is added before its work counts as ended: the worker's stop
 	// time and the drift of clocks.
 	Lease, Margin time.Duration
-	Now           func() time.Time
-	Placer        *placer.Placer
-	Log           *zap.Logger
+	// Await is how long an agent that was lost may take to return with the end
+	// of a task that may not run again.
+	Await  time.Duration
+	Now    func() time.Time
+	Placer *placer.Placer
+	Log    *zap.Logger
 	// Chosen says whether this entry should own the shard.
 	Chosen func(shard uint32) bool
 	// Claim takes a shard over.
