all: Test each interface's contract with its faults

Cause: frames, streams, the store's contract, documents, admission, routing, claims and commitments were only tried through whole processes.

Found on the way: the place of a block of fields was that of its first colon.

--- /dev/null
+++ b/committer/committer_test.go
@@ -0,0 +1,63 @@
+package committer
+
+import (
+	"fmt"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"github.com/endivefall/endivefall/decoder"
+	"github.com/endivefall/endivefall/parser"
+)
+
+// TestNeverOvercommitted: whatever is committed, resized and released, in any
+// order, the sum never passes what the instance has.
+func TestNeverOvercommitted(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		total := parser.Need{Processors: 8, Memory: 32, Accelerators: 2}
+		c := New(total)
+		held := map[string]parser.Need{}
+		draw := rapid.Custom(func(t *rapid.T) parser.Need {
+			return parser.Need{
+				Processors:   rapid.Float64Range(0, 9).Draw(t, "processors"),
+				Memory:       decoder.Size(rapid.IntRange(0, 40).Draw(t, "memory")),
+				Accelerators: rapid.IntRange(0, 3).Draw(t, "accelerators"),
+			}
+		})
+		name := func(t *rapid.T) string { return fmt.Sprint(rapid.IntRange(0, 5).Draw(t, "name")) }
+		t.Repeat(map[string]func(*rapid.T){
+			"commit": func(t *rapid.T) {
+				n, need := name(t), draw.Draw(t, "need")
+				if c.Commit(n, need) == nil {
+					if _, twice := held[n]; twice {
+						t.Fatal("committed twice")
+					}
+					held[n] = need
+				}
+			},
+			"resize": func(t *rapid.T) {
+				n, need := name(t), draw.Draw(t, "need")
+				if c.Resize(n, need) == nil {
+					held[n] = need
+				}
+			},
+			"release": func(t *rapid.T) {
+				n := name(t)
+				c.Release(n)
+				delete(held, n)
+			},
+			"": func(t *rapid.T) {
+				var sum parser.Need
+				for _, need := range held {
+					sum = sum.Plus(need)
+				}
+				if !sum.Fits(total) {
+					t.Fatalf("%+v is committed of %+v", sum, total)
+				}
+				if free := c.Free(); !free.Fits(total.Minus(sum)) || !total.Minus(sum).Fits(free) {
+					t.Fatalf("%+v is free, with %+v committed", free, sum)
+				}
+			},
+		})
+	})
+}
--- a/decoder/decoder.go
+++ b/decoder/decoder.go
@@ -120,7 +120,12 @@
 	return name
 }
 
+// place is where a node begins; that of a block of fields is its first key.
 func place(node ast.Node) Fault {
-	at := node.GetToken().Position
+	token := node.GetToken()
+	if values, ok := pairs(node); ok && len(values) > 0 && token.Value == ":" {
+		token = values[0].Key.GetToken()
+	}
+	at := token.Position
 	return Fault{Line: at.Line, Column: at.Column}
 }
--- /dev/null
+++ b/messenger/frame_test.go
@@ -0,0 +1,105 @@
+package messenger
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/fxamacker/cbor/v2"
+)
+
+func TestFrames(t *testing.T) {
+	c := qt.New(t)
+	for _, f := range []Frame{
+		{Kind: KindHello, Hello: &Hello{Version: Version, ID: "a"}},
+		{Kind: KindCall, ID: 7, Call: &Call{Method: "GET", Path: "/x", Length: -1}},
+		{Kind: KindData, ID: 7, Data: []byte("body")},
+		{Kind: KindCredit, ID: 7, Credit: 12},
+	} {
+		raw, err := Encode(f)
+		c.Assert(err, qt.IsNil)
+		got, err := Decode(raw)
+		c.Assert(err, qt.IsNil)
+		c.Assert(got.Kind, qt.Equals, f.Kind)
+	}
+	c.Run("an unknown field is ignored", func(c *qt.C) {
+		raw, err := cbor.Marshal(map[int]any{1: KindCredit, 2: 7, 4: 12, 99: "from a newer peer"})
+		c.Assert(err, qt.IsNil)
+		f, err := Decode(raw)
+		c.Assert(err, qt.IsNil)
+		c.Assert(f.Credit, qt.Equals, uint32(12))
+	})
+	c.Run("an unknown kind passes, for its reader to skip", func(c *qt.C) {
+		raw, err := cbor.Marshal(map[int]any{1: 200})
+		c.Assert(err, qt.IsNil)
+		_, err = Decode(raw)
+		c.Assert(err, qt.IsNil)
+	})
+	for name, raw := range map[string][]byte{
+		"empty":            {},
+		"not CBOR":         []byte("GET / HTTP/1.1"),
+		"no kind":          {0xa0},
+		"hello without it": must(cbor.Marshal(map[int]any{1: KindHello})),
+		"call without id":  must(cbor.Marshal(map[int]any{1: KindCall, 11: map[int]any{1: "r"}})),
+		"too large":        make([]byte, MaxFrame+1),
+		"chunk too large":  must(cbor.Marshal(map[int]any{1: KindData, 3: make([]byte, MaxChunk+1)})),
+	} {
+		c.Run("refuses "+name, func(c *qt.C) {
+			_, err := Decode(raw)
+			c.Assert(err, qt.ErrorIs, ErrFrame)
+		})
+	}
+	c.Run("a frame over the bound is not sent", func(c *qt.C) {
+		_, err := Encode(Frame{Kind: KindDocs, Docs: &Docs{Docs: []Doc{{Source: make([]byte, MaxFrame)}}}})
+		c.Assert(err, qt.ErrorIs, ErrFrame)
+	})
+}
+
+// FuzzDecode: no input makes the decoder panic, and what it takes it can write
+// again.
+func FuzzDecode(f *testing.F) {
+	for _, frame := range []Frame{
+		{Kind: KindBeat, Beat: &Beat{Shards: []uint32{1, 2}}},
+		{Kind: KindGrant, Grant: &Grant{Run: "team/job/run", Points: map[int]string{3: "1s"}}},
+		{Kind: KindRefuse, ID: 1, Refuse: &Refuse{Reason: "full"}},
+	} {
+		raw, err := Encode(frame)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(raw)
+	}
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		frame, err := Decode(raw)
+		if err != nil {
+			return
+		}
+		if _, err := Encode(frame); err != nil {
+			t.Fatalf("decoded and cannot be encoded: %v", err)
+		}
+	})
+}
+
+// BenchmarkFrame is the processor time and size of one frame of control.
+func BenchmarkFrame(b *testing.B) {
+	for name, f := range map[string]Frame{
+		"beat":   {Kind: KindBeat, Beat: &Beat{Shards: []uint32{1, 2, 3}, Load: Load{Running: 7, Waiting: 3, Slots: 8, Service: 20e6}}},
+		"pulse":  {Kind: KindPulse, Pulse: &Pulse{Extend: []Extend{{Shard: 1, Epoch: 3}, {Shard: 2, Epoch: 5}, {Shard: 3, Epoch: 9}}}},
+		"grant":  {Kind: KindGrant, Grant: &Grant{Run: "companhia/reconcile/2026-12-03", Seq: 1234, From: 10, To: 20, Work: "reconcile --day 2026-12-03"}},
+		"report": {Kind: KindReport, Report: &Report{Run: "companhia/reconcile/2026-12-03", Seq: 1234, Outcomes: []Outcome{{Index: 12, Verdict: Finished}}}},
+	} {
+		b.Run(name, func(b *testing.B) {
+			var size int
+			for b.Loop() {
+				raw, err := Encode(f)
+				if err != nil {
+					b.Fatal(err)
+				}
+				if _, err := Decode(raw); err != nil {
+					b.Fatal(err)
+				}
+				size = len(raw)
+			}
+			b.ReportMetric(float64(size), "B/frame")
+		})
+	}
+}
--- /dev/null
+++ b/router/router_test.go
@@ -0,0 +1,139 @@
+package router
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/endivefall/endivefall/messenger"
+)
+
+// newRouter returns a router with n targets that have been there for long.
+func newRouter(n int) (*Router, *time.Time) {
+	now := time.Unix(1000, 0)
+	r := New(Config{Now: func() time.Time { return now }, Rand: rand.New(rand.NewPCG(1, 1))})
+	for i := range n {
+		r.Join(fmt.Sprintf("t%d", i), "a", messenger.Load{Slots: 8, Service: 20 * time.Millisecond})
+	}
+	now = now.Add(time.Minute)
+	return r, &now
+}
+
+// answers sends requests that end at once and counts who got them.
+func answers(r *Router, n int, failed func(id string) bool) map[string]int {
+	got := map[string]int{}
+	for range n {
+		choice, err := r.Pick(nil)
+		if err != nil {
+			continue
+		}
+		got[choice.ID]++
+		r.Done(choice.ID, End{Took: 20 * time.Millisecond, Failed: failed(choice.ID)})
+	}
+	return got
+}
+
+func well(string) bool { return false }
+
+func TestPick(t *testing.T) {
+	c := qt.New(t)
+	c.Run("no target", func(c *qt.C) {
+		r, _ := newRouter(0)
+		_, err := r.Pick(nil)
+		c.Assert(err, qt.ErrorIs, ErrNone)
+	})
+	c.Run("the least loaded", func(c *qt.C) {
+		r, _ := newRouter(2)
+		r.Tell("t0", messenger.Load{Running: 8, Waiting: 4, Slots: 8, Service: 20 * time.Millisecond}, 0)
+		got, err := r.Pick(nil)
+		c.Assert(err, qt.IsNil)
+		c.Assert(got.ID, qt.Equals, "t1")
+		c.Assert(got.Others[0].ID, qt.Equals, "t0")
+	})
+	c.Run("the nearer of two alike", func(c *qt.C) {
+		r, _ := newRouter(2)
+		load := messenger.Load{Slots: 8, Service: 20 * time.Millisecond}
+		r.Tell("t0", load, 3*time.Millisecond)
+		r.Tell("t1", load, 200*time.Microsecond)
+		got, _ := r.Pick(nil)
+		c.Assert(got.ID, qt.Equals, "t1")
+	})
+	c.Run("never one that was tried, or is leaving", func(c *qt.C) {
+		r, _ := newRouter(3)
+		r.Leave("t2")
+		for range 50 {
+			got, err := r.Pick(map[string]bool{"t0": true})
+			c.Assert(err, qt.IsNil)
+			c.Assert(got.ID, qt.Equals, "t1")
+		}
+	})
+	c.Run("requests of an earlier connection still count", func(c *qt.C) {
+		r, _ := newRouter(1)
+		_, _ = r.Pick(nil)
+		r.Join("t0", "a", messenger.Load{Slots: 8})
+		c.Assert(r.Views()[0].Own, qt.Equals, 1)
+	})
+}
+
+func TestEjection(t *testing.T) {
+	c := qt.New(t)
+	c.Run("a target that fails everything gets tens of requests, then probes", func(c *qt.C) {
+		r, now := newRouter(4)
+		bad := func(id string) bool { return id == "t1" }
+		c.Assert(answers(r, 400, bad)["t1"] <= 20, qt.IsTrue)
+		*now = now.Add(firstEject)
+		c.Assert(answers(r, 100, bad)["t1"], qt.Equals, 1, qt.Commentf("one probe"))
+		*now = now.Add(lastEject)
+		c.Assert(answers(r, 400, well)["t1"] > 50, qt.IsTrue, qt.Commentf("a probe that ends well brings it back"))
+	})
+	c.Run("never more than a third is ejected", func(c *qt.C) {
+		r, _ := newRouter(6)
+		answers(r, 1000, func(string) bool { return true })
+		ejected := 0
+		for _, v := range r.Views() {
+			if v.Ejected {
+				ejected++
+			}
+		}
+		c.Assert(ejected, qt.Equals, 2)
+	})
+	c.Run("a refusal for load ejects nobody, one of an unwell target does", func(c *qt.C) {
+		r, _ := newRouter(4)
+		for range 30 {
+			r.Done("t0", End{Refused: true})
+			r.Done("t1", End{Refused: true, Failed: true})
+		}
+		c.Assert(r.Views()[0].Ejected, qt.IsFalse)
+		c.Assert(r.Views()[1].Ejected, qt.IsTrue)
+	})
+}
+
+func TestRetryBudget(t *testing.T) {
+	c := qt.New(t)
+	r, _ := newRouter(2)
+	spent := 0
+	for r.Retry() {
+		spent++
+	}
+	c.Assert(spent, qt.Equals, most)
+	answers(r, 100, well)
+	for spent = 0; r.Retry(); spent++ {
+	}
+	c.Assert(spent >= 9 && spent <= 10, qt.IsTrue, qt.Commentf("a tenth of 100 successes, got %d", spent))
+}
+
+// BenchmarkPick is the time of one routing decision by the number of targets.
+func BenchmarkPick(b *testing.B) {
+	for _, n := range []int{11, 100, 1000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			r, _ := newRouter(n)
+			for b.Loop() {
+				choice, _ := r.Pick(nil)
+				r.Done(choice.ID, End{Took: time.Millisecond})
+			}
+		})
+	}
+}
