--- a/claimer/claimer_test.go
+++ b/claimer/claimer_test.go
@@ -12,7 +12,7 @@
 func TestClaims(t *testing.T) {
 	start := time.Unix(1000, 0)
 	now := start
-	fresh := func(c *qt.C) *Claimer {
+	fresh := func() *Claimer {
 		now = start
 		return New(time.Minute, func() time.Time { return now })
 	}
@@ -21,7 +21,7 @@
 	}
 	c := qt.New(t)
 	c.Run("a key is granted to one execution", func(c *qt.C) {
-		k := fresh(c)
+		k := fresh()
 		c.Assert(k.Claim(ask("a", "1")).Granted, qt.IsTrue)
 		second := k.Claim(ask("a", "2"))
 		c.Assert(second.Granted, qt.IsFalse)
@@ -29,7 +29,7 @@
 		c.Assert(k.Claim(ask("a", "1")).Granted, qt.IsTrue, qt.Commentf("the same one asks again"))
 	})
 	c.Run("a later one learns how the first ended", func(c *qt.C) {
-		k := fresh(c)
+		k := fresh()
 		k.Claim(ask("a", "1"))
 		k.Record(messenger.Claim{Key: "a", Nonce: "1", State: Done, Status: 201, Body: []byte("slot 7")})
 		got := k.Claim(ask("a", "2"))
@@ -38,7 +38,7 @@
 		c.Assert(k.Claim(ask("a", "1")).Granted, qt.IsFalse, qt.Commentf("nor may the first run again"))
 	})
 	c.Run("one that did not run frees the key", func(c *qt.C) {
-		k := fresh(c)
+		k := fresh()
 		k.Claim(ask("a", "1"))
 		k.Record(messenger.Claim{Key: "a", Nonce: "2", State: NotRun})
 		c.Assert(k.Claim(ask("a", "2")).Granted, qt.IsFalse, qt.Commentf("but only its own claim"))
@@ -46,7 +46,7 @@
 		c.Assert(k.Claim(ask("a", "2")).Granted, qt.IsTrue)
 	})
 	c.Run("a young agent says that it cannot rule out an earlier claim", func(c *qt.C) {
-		k := fresh(c)
+		k := fresh()
 		old := ask("a", "1")
 		old.Since = start.Add(-time.Hour)
 		c.Assert(k.Claim(old).Young, qt.IsTrue)
@@ -56,13 +56,13 @@
 		c.Assert(k.Claim(old).Young, qt.IsFalse, qt.Commentf("a claim of before would have expired"))
 	})
 	c.Run("a claim expires", func(c *qt.C) {
-		k := fresh(c)
+		k := fresh()
 		k.Claim(ask("a", "1"))
 		now = now.Add(time.Minute)
 		c.Assert(k.Claim(ask("a", "2")).Granted, qt.IsTrue)
 	})
 	c.Run("a full table grants nothing and says so", func(c *qt.C) {
-		k := fresh(c)
+		k := fresh()
 		for n := range MaxClaims {
 			k.Claim(ask(time.Duration(n).String(), "1"))
 		}
--- /dev/null
+++ b/connector/bench_test.go
@@ -0,0 +1,68 @@
+package connector
+
+import (
+	"context"
+	"fmt"
+	"net/http/httptest"
+	"net/netip"
+	"runtime"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/endivefall/endivefall/messenger"
+)
+
+// BenchmarkLinks is the memory of a link to an agent, both ends counted, and
+// the time of one heartbeat and its answer, over loopback.
+func BenchmarkLinks(b *testing.B) {
+	for _, n := range []int{100, 300, 1000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			beats := make(chan struct{}, 1024)
+			var joined atomic.Int64
+			c := New(Config{
+				ID: "entry", Born: "1", Now: time.Now, Log: zap.NewNop(), Welcome: func(*messenger.Welcome) {},
+				Join: func(*Link) { joined.Add(1) }, Part: func(*Link) {},
+				Handle: func(l *Link, f messenger.Frame) {
+					if f.Kind == messenger.KindBeat {
+						_ = l.Post(messenger.Frame{Kind: messenger.KindPulse, Pulse: &messenger.Pulse{Echo: f.Beat.Sent, Now: time.Now()}})
+					}
+				},
+			})
+			server := httptest.NewServer(c)
+			defer server.Close()
+			addr := netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://"))
+			var before, after runtime.MemStats
+			runtime.GC()
+			runtime.ReadMemStats(&before)
+			conns := make([]*messenger.Conn, n)
+			for i := range conns {
+				ws, _, err := messenger.Dial(context.Background(), addr, messenger.Hello{Version: messenger.Version, Role: messenger.RoleAgent, ID: fmt.Sprint(i), Born: "1"})
+				if err != nil {
+					b.Fatal(err)
+				}
+				conns[i] = messenger.New(messenger.Config{Socket: ws, Handle: func(*messenger.Conn, messenger.Frame) { beats <- struct{}{} }})
+				go func() { _ = conns[i].Run(context.Background()) }()
+			}
+			for joined.Load() < int64(n) {
+				runtime.Gosched()
+			}
+			runtime.GC()
+			runtime.ReadMemStats(&after)
+			at := 0
+			for b.Loop() {
+				_ = conns[at%n].Post(messenger.Frame{Kind: messenger.KindBeat, Beat: &messenger.Beat{Sent: time.Now()}})
+				<-beats
+				at++
+			}
+			b.ReportMetric(float64(after.HeapAlloc+after.StackInuse-before.HeapAlloc-before.StackInuse)/float64(n), "B-held/link")
+			for _, conn := range conns {
+				conn.Close("done")
+			}
+			c.Close()
+		})
+	}
+}
--- a/e2e/world_test.go
+++ b/e2e/world_test.go
@@ -35,7 +35,8 @@
 		panic(err)
 	}
 	binary = filepath.Join(dir, "endivefall")
-	if out, err := exec.Command("go", "build", "-race", "-o", binary, "..").CombinedOutput(); err != nil {
+	build := append(append([]string{"build"}, buildFlags...), "-o", binary, "..")
+	if out, err := exec.Command("go", build...).CombinedOutput(); err != nil {
 		panic(string(out))
 	}
 	code := m.Run()
@@ -111,12 +112,12 @@
 
 // newWorld starts a platform, entries and instances of the association's
 // booking service, and waits until every entry sees every target.
-func newWorld(t *testing.T, entries, instances int) *world {
+func newWorld(t testing.TB, entries, instances int) *world {
 	return newWorldWith(t, entries, instances, "60s")
 }
 
 // newWorldWith sets how long grants are extended without the store.
-func newWorldWith(t *testing.T, entries, instances int, hold string) *world {
+func newWorldWith(t testing.TB, entries, instances int, hold string) *world {
 	w := &world{c: qt.New(t), dir: t.TempDir(), cheap: &http.Client{Timeout: patience}, lease: "3s", hold: hold, turn: "200ms"}
 	t.Cleanup(w.stop)
 	w.platformAddr = freeAddr(w.c)
--- a/keeper/keeper_test.go
+++ b/keeper/keeper_test.go
@@ -174,7 +174,7 @@
 
 // TestBudgetOfCalls: calls wait for the budget, whoever makes them.
 func TestBudgetOfCalls(t *testing.T) {
-	with(t, "calls a second", func(c *qt.C, s *store, k *keeper.Keeper) {
+	with(t, "calls a second", func(c *qt.C, _ *store, k *keeper.Keeper) {
 		start := time.Now()
 		for range 400 {
 			_, _ = k.Get(context.Background(), "a")
--- a/messenger/conn_test.go
+++ b/messenger/conn_test.go
@@ -128,7 +128,7 @@
 	c := qt.New(t)
 	ctx := context.Background()
 	wrote := make(chan int, 1)
-	near, _ := pair(t, Config{Accept: func(ctx context.Context, s *Stream, _ *Call) {
+	near, _ := pair(t, Config{Accept: func(_ context.Context, s *Stream, _ *Call) {
 		n, _ := s.Write(make([]byte, 10*Window)) // ends when the stream is cancelled
 		wrote <- n
 	}})
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -120,7 +120,9 @@
 	}
 	c.Assert(spent, qt.Equals, most)
 	answers(r, 100, well)
-	for spent = 0; r.Retry(); spent++ {
+	spent = 0
+	for r.Retry() {
+		spent++
 	}
 	c.Assert(spent >= 9 && spent <= 10, qt.IsTrue, qt.Commentf("a tenth of 100 successes, got %d", spent))
 }
