messenger: Write what waits in one message, and hold less for a link

Each frame was a WebSocket message and a write of its own.

Change: the queues hold pointers; the writer sends all that waits, up to 64 KiB, as a sequence of frames in one message.

--- a/messenger/conn.go
+++ b/messenger/conn.go
@@ -36,8 +36,8 @@
 // Conn is a connection to a peer, with many streams on it.
 type Conn struct {
 	cfg     Config
-	control chan Frame
-	data    chan Frame
+	control chan *Frame
+	data    chan *Frame
 	// done is closed once, when the connection has ended; err is set before.
 	done chan struct{}
 	once sync.Once
@@ -52,11 +52,11 @@
 
 // New returns a connection over cfg.Socket. Nothing moves until Run.
 func New(cfg Config) *Conn {
-	cfg.Socket.SetReadLimit(MaxFrame)
+	cfg.Socket.SetReadLimit(MaxFrame + batch)
 	return &Conn{
 		cfg:     cfg,
-		control: make(chan Frame, controlQueue),
-		data:    make(chan Frame, dataQueue),
+		control: make(chan *Frame, controlQueue),
+		data:    make(chan *Frame, dataQueue),
 		done:    make(chan struct{}),
 		streams: map[uint64]*Stream{},
 	}
@@ -117,7 +117,7 @@
 	default:
 	}
 	select {
-	case queue <- f:
+	case queue <- &f:
 		return nil
 	case <-c.done:
 		return c.err
@@ -135,7 +135,7 @@
 	default:
 	}
 	select {
-	case c.control <- f:
+	case c.control <- &f:
 		return nil
 	default:
 		c.fail(fmt.Errorf("%w: peer reads too slowly", ErrClosed))
@@ -170,14 +170,27 @@
 	delete(c.streams, id)
 }
 
-// writeLoop is the only writer of the socket.
+// batch bounds the bytes that are written together.
+const batch = 64 << 10
+
+// writeLoop is the only writer of the socket. What waits when it comes round
+// goes out in one message.
 func (c *Conn) writeLoop(ctx context.Context) {
+	var raw []byte
 	for {
 		f, ok := c.pull(ctx)
 		if !ok {
 			return
 		}
-		raw, err := Encode(f)
+		var err error
+		raw = raw[:0]
+		for f != nil && err == nil {
+			raw, err = Append(raw, f)
+			f = nil
+			if len(raw) < batch {
+				f = c.poll()
+			}
+		}
 		if err == nil {
 			err = c.write(ctx, raw)
 		}
@@ -189,22 +202,35 @@
 	}
 }
 
-// pull takes the next frame, control frames first.
-func (c *Conn) pull(ctx context.Context) (Frame, bool) {
+// poll takes the next frame that waits, control frames first, or nil.
+func (c *Conn) poll() *Frame {
 	select {
 	case f := <-c.control:
-		return f, true
+		return f
 	default:
 	}
 	select {
+	case f := <-c.data:
+		return f
+	default:
+		return nil
+	}
+}
+
+// pull takes the next frame, control frames first.
+func (c *Conn) pull(ctx context.Context) (*Frame, bool) {
+	if f := c.poll(); f != nil {
+		return f, true
+	}
+	select {
 	case f := <-c.control:
 		return f, true
 	case f := <-c.data:
 		return f, true
 	case <-c.done:
-		return Frame{}, false
+		return nil, false
 	case <-ctx.Done():
-		return Frame{}, false
+		return nil, false
 	}
 }
 
@@ -221,14 +247,15 @@
 		if err != nil {
 			return fmt.Errorf("%w: %w", ErrClosed, err)
 		}
-		var f Frame
-		if kind == websocket.MessageBinary {
-			f, err = Decode(raw)
-		} else {
+		if kind != websocket.MessageBinary {
 			err = fmt.Errorf("%w: text message", ErrFrame)
 		}
-		if err == nil {
-			err = c.take(ctx, f)
+		for err == nil && len(raw) > 0 {
+			var f Frame
+			f, raw, err = DecodeFirst(raw)
+			if err == nil {
+				err = c.take(ctx, f)
+			}
 		}
 		if err != nil {
 			_ = c.cfg.Socket.Close(websocket.StatusProtocolError, reason(err))
--- a/messenger/conn_test.go
+++ b/messenger/conn_test.go
@@ -37,6 +37,25 @@
 	return near, ended
 }
 
+// reader reads frames from a raw socket, of which a message may hold several.
+type reader struct {
+	ws   *websocket.Conn
+	rest []byte
+}
+
+func (r *reader) next() (Frame, error) {
+	if len(r.rest) == 0 {
+		_, raw, err := r.ws.Read(context.Background())
+		if err != nil {
+			return Frame{}, err
+		}
+		r.rest = raw
+	}
+	f, rest, err := DecodeFirst(r.rest)
+	r.rest = rest
+	return f, err
+}
+
 // echo answers a call with its body.
 func echo(_ context.Context, s *Stream, _ *Call) {
 	_ = s.Send(context.Background(), Frame{Kind: KindAnswer, Answer: &Answer{Status: 200, Length: -1}})
@@ -85,8 +104,8 @@
 				c.Assert(near.Write(ctx, websocket.MessageBinary, one.raw), qt.IsNil)
 			}
 			var err error
-			for err == nil {
-				_, err = Receive(ctx, near)
+			for in := (&reader{ws: near}); err == nil; {
+				_, err = in.next()
 			}
 			c.Assert(websocket.CloseStatus(err), qt.Equals, websocket.StatusProtocolError, qt.Commentf("%v", err))
 			c.Assert(<-ended, qt.ErrorIs, ErrFrame)
@@ -110,8 +129,8 @@
 		c.Assert(Transmit(ctx, near, f), qt.IsNil)
 	}
 	var body []byte
-	for {
-		f, err := Receive(ctx, near)
+	for in := (&reader{ws: near}); ; {
+		f, err := in.next()
 		c.Assert(err, qt.IsNil)
 		c.Assert(f.ID, qt.Equals, uint64(41))
 		body = append(body, f.Data...)
@@ -134,8 +153,8 @@
 	}})
 	c.Assert(Transmit(ctx, near, Frame{Kind: KindCall, ID: 1, Call: &Call{Length: -1}}), qt.IsNil)
 	got := 0
-	for got < Window {
-		f, err := Receive(ctx, near)
+	for in := (&reader{ws: near}); got < Window; {
+		f, err := in.next()
 		c.Assert(err, qt.IsNil)
 		got += len(f.Data)
 	}
--- a/messenger/frame.go
+++ b/messenger/frame.go
@@ -3,6 +3,7 @@
 package messenger
 
 import (
+	"bytes"
 	"errors"
 	"fmt"
 
@@ -88,7 +89,7 @@
 }
 
 var (
-	encoding = must(cbor.EncOptions{Time: cbor.TimeUnixMicro}.EncMode())
+	encoding = must(cbor.EncOptions{Time: cbor.TimeUnixMicro}.UserBufferEncMode())
 	decoding = must(cbor.DecOptions{
 		MaxNestedLevels:  16,
 		MaxArrayElements: 1 << 17,
@@ -104,31 +105,44 @@
 }
 
 // Encode writes a frame as CBOR.
-func Encode(f Frame) ([]byte, error) {
-	raw, err := encoding.Marshal(f)
-	if err != nil {
-		return nil, fmt.Errorf("encoding a frame of kind %d: %w", f.Kind, err)
+func Encode(f Frame) ([]byte, error) { return Append(nil, &f) }
+
+// Append writes a frame as CBOR behind others.
+func Append(to []byte, f *Frame) ([]byte, error) {
+	buf := bytes.NewBuffer(to)
+	if err := encoding.MarshalToBuffer(f, buf); err != nil {
+		return to, fmt.Errorf("encoding a frame of kind %d: %w", f.Kind, err)
 	}
-	if len(raw) > MaxFrame {
-		return nil, fmt.Errorf("frame of kind %d is %d bytes, over %d: %w", f.Kind, len(raw), MaxFrame, ErrFrame)
+	if size := buf.Len() - len(to); size > MaxFrame {
+		return to, fmt.Errorf("frame of kind %d is %d bytes, over %d: %w", f.Kind, size, MaxFrame, ErrFrame)
 	}
-	return raw, nil
+	return buf.Bytes(), nil
 }
 
-// Decode reads a frame and checks that it carries what its kind names. Unknown
-// fields are ignored, so that a newer peer may add some.
+// Decode reads the one frame that raw is.
 func Decode(raw []byte) (Frame, error) {
-	var f Frame
-	if len(raw) > MaxFrame {
-		return f, fmt.Errorf("frame is %d bytes, over %d: %w", len(raw), MaxFrame, ErrFrame)
-	}
-	if err := decoding.Unmarshal(raw, &f); err != nil {
-		return f, fmt.Errorf("%w: %w", ErrFrame, err)
+	f, rest, err := DecodeFirst(raw)
+	if err == nil && len(rest) > 0 {
+		return f, fmt.Errorf("%w: %d bytes follow it", ErrFrame, len(rest))
 	}
-	if !f.whole() {
-		return f, fmt.Errorf("frame of kind %d lacks its body: %w", f.Kind, ErrFrame)
+	return f, err
+}
+
+// DecodeFirst reads the first frame of raw, checks that it carries what its
+// kind names, and returns what follows it. Unknown fields are ignored, so that
+// a newer peer may add some.
+func DecodeFirst(raw []byte) (Frame, []byte, error) {
+	var f Frame
+	rest, err := decoding.UnmarshalFirst(raw, &f)
+	switch {
+	case err != nil:
+		return f, nil, fmt.Errorf("%w: %w", ErrFrame, err)
+	case len(raw)-len(rest) > MaxFrame:
+		return f, nil, fmt.Errorf("frame is %d bytes, over %d: %w", len(raw)-len(rest), MaxFrame, ErrFrame)
+	case !f.whole():
+		return f, nil, fmt.Errorf("frame of kind %d lacks its body: %w", f.Kind, ErrFrame)
 	}
-	return f, nil
+	return f, rest, nil
 }
 
 // whole says whether the field that the kind needs is there. Kinds of a newer
