--- a/dispatcher/claims.go
+++ b/dispatcher/claims.go
@@ -122,7 +122,7 @@
 // everywhere.
 func (d *Dispatcher) once(ctx context.Context, w http.ResponseWriter, q *request, start time.Time) {
 	claim := messenger.Claim{
-		Key: q.key.team + "/" + q.key.service + "/" + q.idemKey, Nonce: uuid.NewString(), Since: d.serviceSince(q),
+		Key: q.key.team + "/" + q.key.service + "/" + q.idemKey, Nonce: uuid.NewString(), Since: d.openSince(ctx, q),
 	}
 	agents := d.keepers(q)
 	if len(agents) == 0 {
@@ -163,9 +163,15 @@
 	d.claims.record(agents, claim)
 }
 
-// serviceSince returns, on this entry's clock, a time before which the
-// team had no document.
-func (d *Dispatcher) serviceSince(q *request) time.Time { return d.cfg.Local(q.kept.Since) }
+// openSince returns, on this entry's clock, a time before which no request with
+// a key can have run at the service; the zero time when that is not known.
+func (d *Dispatcher) openSince(ctx context.Context, q *request) time.Time {
+	at, err := d.cfg.Opened(ctx, q.key.team, q.key.service)
+	if err != nil {
+		return time.Time{}
+	}
+	return d.cfg.Local(at)
+}
 
 // turnAway answers a request whose key is taken, or could not be claimed.
 func (d *Dispatcher) turnAway(w http.ResponseWriter, q *request, start time.Time, got messenger.Claimed, err error) {
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -47,6 +47,9 @@
 	// Local returns the local time of a time on the platform's clock, or one
 	// before it.
 	Local func(time.Time) time.Time
+	// Opened returns since when, on the platform's clock, requests with keys may
+	// have run at a service, and opens it.
+	Opened func(ctx context.Context, team, service string) (time.Time, error)
 	// Link returns the link to an agent, or nil.
 	Link func(agent string) *connector.Link
 }
@@ -137,7 +140,6 @@
 	id         string
 	key        serviceKey
 	service    *parser.Service
-	kept       *curator.Kept
 	path       string
 	until      time.Time
 	idempotent bool
@@ -212,7 +214,7 @@
 	if r.URL.RawQuery != "" {
 		q.path += "?" + r.URL.RawQuery
 	}
-	q.service, q.kept = d.cfg.Curator.Service(q.key.team, q.key.service)
+	q.service, _ = d.cfg.Curator.Service(q.key.team, q.key.service)
 	if q.service == nil {
 		return q, problem(http.StatusNotFound, "unknown-service", responder.NotRun, "no document has the service "+q.key.team+"/"+q.key.service)
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -25,6 +25,7 @@
 	"github.com/endivefall/endivefall/keeper"
 	"github.com/endivefall/endivefall/messenger"
 	"github.com/endivefall/endivefall/meter"
+	"github.com/endivefall/endivefall/opener"
 	"github.com/endivefall/endivefall/placer"
 	"github.com/endivefall/endivefall/publisher"
 	"github.com/endivefall/endivefall/recorder"
@@ -96,9 +97,10 @@
 		Keeper: e.keeper, Now: e.now, Log: cfg.Log, Changed: e.entriesChanged,
 	})
 	e.placer = placer.New(placer.Config{Now: e.now, Rand: newRand()})
+	openings := opener.New(opener.Config{Get: e.keeper.Get, Settle: e.keeper.Settle, Earliest: e.keeper.Clock.Earliest, Now: e.now})
 	e.dispatcher = dispatcher.New(dispatcher.Config{
 		Domain: s.Domain, MaxBody: int64(s.Body), Now: e.now, Log: cfg.Log, Meter: e.meter,
-		Curator: e.curator, Link: e.connector.Link, Local: e.local,
+		Curator: e.curator, Link: e.connector.Link, Local: e.local, Opened: openings.Since,
 	})
 	return e
 }
--- a/messenger/messages.go
+++ b/messenger/messages.go
@@ -87,10 +87,9 @@
 
 // Doc is one version of a team's document.
 type Doc struct {
-	Team    string    `cbor:"1,keyasint"`
-	Version uint64    `cbor:"2,keyasint"`
-	Source  []byte    `cbor:"3,keyasint"`
-	Since   time.Time `cbor:"4,keyasint"` // when the team's first document was accepted
+	Team    string `cbor:"1,keyasint"`
+	Version uint64 `cbor:"2,keyasint"`
+	Source  []byte `cbor:"3,keyasint"`
 }
 
 // Peers lists the entries' peer addresses.
@@ -213,7 +212,7 @@
 type Claim struct {
 	Key    string    `cbor:"1,keyasint"`
 	Nonce  string    `cbor:"2,keyasint"`
-	Since  time.Time `cbor:"3,keyasint"` // no claim can be older: when the service came to be, on the agent's clock
+	Since  time.Time `cbor:"3,keyasint"` // no claim can be older, on the agent's clock
 	State  string    `cbor:"4,keyasint,omitempty"`
 	Status int       `cbor:"5,keyasint,omitempty"`
 	Body   []byte    `cbor:"6,keyasint,omitempty"`
--- /dev/null
+++ b/opener/opener_test.go
@@ -0,0 +1,60 @@
+package opener
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/endivefall/endivefall/keeper"
+)
+
+// TestServiceIsOpenedOnce: whoever asks gets the time of the first, and while
+// the store is down nobody gets one.
+func TestServiceIsOpenedOnce(t *testing.T) {
+	c := qt.New(t)
+	ctx := context.Background()
+	values := map[string][]byte{}
+	down := false
+	now := time.Unix(1000, 0)
+	entry := func() *Opener {
+		return New(Config{
+			Now: func() time.Time { return now }, Earliest: func(now time.Time) time.Time { return now },
+			Get: func(_ context.Context, key string) (keeper.Item, error) {
+				if down {
+					return keeper.Item{}, keeper.ErrDown
+				}
+				if values[key] == nil {
+					return keeper.Item{}, keeper.ErrMissing
+				}
+				return keeper.Item{Value: values[key]}, nil
+			},
+			Settle: func(_ context.Context, key string, value []byte, _ uint64, _ string) (uint64, error) {
+				if values[key] != nil {
+					return 0, keeper.ErrConflict
+				}
+				values[key] = value
+				return 1, nil
+			},
+		})
+	}
+	first, second := entry(), entry()
+	at, err := first.Since(ctx, "team", "service")
+	c.Assert(err, qt.IsNil)
+	c.Assert(at, qt.Equals, now)
+	now = now.Add(time.Hour)
+	at, err = second.Since(ctx, "team", "service")
+	c.Assert(err, qt.IsNil)
+	c.Assert(at, qt.Equals, time.Unix(1000, 0))
+
+	down = true
+	_, err = second.Since(ctx, "team", "service")
+	c.Assert(err, qt.IsNil, qt.Commentf("what is known stays known"))
+	_, err = second.Since(ctx, "team", "other")
+	c.Assert(err, qt.ErrorIs, keeper.ErrDown)
+	down = false
+	now = now.Add(pause)
+	_, err = second.Since(ctx, "team", "other")
+	c.Assert(err, qt.IsNil)
+}
--- a/publisher/publisher.go
+++ b/publisher/publisher.go
@@ -32,9 +32,8 @@
 // stored is a document in the store. The nonce makes each write unlike every
 // other, so that reading it back settles whether it took effect.
 type stored struct {
-	Nonce  string    `cbor:"1,keyasint"`
-	Since  time.Time `cbor:"2,keyasint"`
-	Source []byte    `cbor:"3,keyasint"`
+	Nonce  string `cbor:"1,keyasint"`
+	Source []byte `cbor:"2,keyasint"`
 }
 
 // Config is what a Publisher needs.
@@ -73,10 +72,7 @@
 	if doc.Team != team {
 		return 0, "", decoder.Faults{{File: team, Line: 1, Column: 1, Field: "team", Text: fmt.Sprintf("is %q, but the document was sent for %q", doc.Team, team)}}
 	}
-	s := stored{Nonce: uuid.NewString(), Since: p.cfg.Keeper.Clock.Earliest(p.cfg.Now()), Source: source}
-	if old := p.cfg.Curator.Get(team); old != nil {
-		s.Since = old.Since
-	}
+	s := stored{Nonce: uuid.NewString(), Source: source}
 	raw, err := cbor.Marshal(s)
 	if err != nil {
 		return 0, "", err
@@ -88,7 +84,7 @@
 	if err != nil {
 		return 0, s.Nonce, err
 	}
-	d := messenger.Doc{Team: team, Version: got, Source: source, Since: s.Since}
+	d := messenger.Doc{Team: team, Version: got, Source: source}
 	p.put(d)
 	p.cfg.Log.Info("document accepted", zap.String("team", team), zap.Uint64("version", got))
 	return got, s.Nonce, nil
@@ -116,7 +112,7 @@
 	if err := cbor.Unmarshal(item.Value, &s); err != nil {
 		return messenger.Doc{}, "", fmt.Errorf("reading %s: %w", item.Key, err)
 	}
-	return messenger.Doc{Team: item.Key[len(prefix):], Version: item.Version, Source: s.Source, Since: s.Since}, s.Nonce, nil
+	return messenger.Doc{Team: item.Key[len(prefix):], Version: item.Version, Source: s.Source}, s.Nonce, nil
 }
 
 func (p *Publisher) put(d messenger.Doc) {
