runner: Take over a start that comes after its sender died

A directed test (TestStartOfADeadProcessComesLate) found the guard itself short: a start that came within the 2 s, but after the worker's list was read, was held by nobody, and the instance could be taken over its size.

Ruled out: later starts, which the worker refuses.

Change: the list is read again when the wait is over, and what came meanwhile is taken over before anything is admitted. A fresh worker is asked without a wait.

Before: a start held up for 500 ms or 1.5 s would run beside what was admitted since.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -164,7 +164,7 @@
 // admitted before.
 func (a *Agent) recover(ctx, work context.Context) error {
 	for {
-		rep, err := a.worker.Poll(ctx, 0)
+		rep, err := a.worker.Poll(ctx, executor.Any)
 		if err == nil {
 			a.commit = committer.New(rep.Total)
 			break
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"net/http"
 	"net/netip"
 	"time"
@@ -111,6 +112,9 @@
 	Wait  int64  `url:"wait"` // ms
 }
 
+// Any is a version that no report has: polling after it returns at once.
+const Any = math.MaxUint64
+
 // Poll returns the worker's report when it has another version than after, or
 // after a moment.
 func (e *Executor) Poll(ctx context.Context, after uint64) (Report, error) {
--- a/runner/grants.go
+++ b/runner/grants.go
@@ -47,7 +47,7 @@
 		return errKnown
 	case r.leaving:
 		return errLeaving
-	case r.cfg.Now().Before(r.ready):
+	case !r.opened:
 		return errEarly
 	case !g.Until.After(r.cfg.Now()):
 		return errLate
--- a/runner/run.go
+++ b/runner/run.go
@@ -146,7 +146,7 @@
 
 // gone asks the worker itself: the report may be older than the start.
 func (r *Runner) gone(ctx context.Context, id string) bool {
-	rep, err := r.cfg.Worker.Poll(ctx, 0)
+	rep, err := r.cfg.Worker.Poll(ctx, executor.Any)
 	if err != nil {
 		return false
 	}
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -96,6 +96,8 @@
 	// worker any more. Nothing new is admitted before, and nothing that such a
 	// process may have been starting is called closed.
 	ready time.Time
+	// opened is set after that, once what came meanwhile was taken over.
+	opened bool
 }
 
 // New returns a Runner. Nothing is accepted before Recover.
@@ -155,6 +157,7 @@
 		case <-beat.C:
 		}
 		r.extendWorker(ctx)
+		r.open(ctx)
 		r.unmute()
 		r.outgrow(ctx)
 		r.repeatReports()
@@ -204,7 +207,7 @@
 func (r *Runner) unmute() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.cfg.Now().Before(r.ready) || r.ctx.Err() != nil {
+	if !r.opened || r.ctx.Err() != nil {
 		return
 	}
 	for _, l := range r.held {
@@ -272,7 +275,7 @@
 func (r *Runner) Ready() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return !r.leaving && !r.cfg.Now().Before(r.ready)
+	return !r.leaving && r.opened
 }
 
 // Busy returns how many grants are held.
--- a/scheduler/fleet_test.go
+++ b/scheduler/fleet_test.go
@@ -323,7 +323,7 @@
 	var rep executor.Report
 	var err error
 	for {
-		if rep, err = x.Poll(ctx, 0); err == nil {
+		if rep, err = x.Poll(ctx, executor.Any); err == nil {
 			break
 		}
 	}
