runner: Drop the second look at a restarted agent's worker

With the wait itself taken out it fails, 4 processors of 2 at a start held up for 500 ms and 1.5 s; with the short lease taken out it fails at 2.5 and 10 s.

Change: the second look is gone; the wait and the short lease stay.

--- a/runner/grants.go
+++ b/runner/grants.go
@@ -47,7 +47,7 @@
 		return errKnown
 	case r.leaving:
 		return errLeaving
-	case !r.opened:
+	case r.cfg.Now().Before(r.ready):
 		return errEarly
 	case !g.Until.After(r.cfg.Now()):
 		return errLate
--- a/runner/recover.go
+++ b/runner/recover.go
@@ -41,31 +41,6 @@
 	r.ctx, r.ready = ctx, r.cfg.Now().Add(startLease)
 	r.mu.Unlock()
 	r.take(rep)
-	r.adoptAll(rep)
-	return rep, nil
-}
-
-// open lets grants in, once no start of an earlier process can come any more.
-// One that came since Recover is taken over first.
-func (r *Runner) open(ctx context.Context) {
-	r.mu.Lock()
-	due := !r.opened && !r.cfg.Now().Before(r.ready)
-	r.mu.Unlock()
-	if !due {
-		return
-	}
-	rep, err := r.cfg.Worker.Poll(ctx, executor.Any)
-	if err != nil {
-		return // the next tick tries again
-	}
-	r.adoptAll(rep)
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.opened = true
-}
-
-// adoptAll takes over the tasks that the worker has and this process does not.
-func (r *Runner) adoptAll(rep executor.Report) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, t := range rep.Tasks {
@@ -75,24 +50,9 @@
 			r.cfg.Commit.Adopt("task:"+t.ID, t.Need)
 			continue
 		}
-		if !r.known(n, t) {
-			r.adopt(n, t, rep)
-		}
+		r.adopt(n, t, rep)
 	}
-}
-
-// known says whether a task of the worker is held already; the caller holds mu.
-func (r *Runner) known(n keptNote, t executor.Task) bool {
-	l := r.held[key{n.Run, n.Seq}]
-	if l == nil {
-		return false
-	}
-	for _, o := range l.outcomes {
-		if o.Index == n.Index {
-			return true
-		}
-	}
-	return l.task == t.ID
+	return rep, nil
 }
 
 // adopt notes a task that an earlier process of the agent started.
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -93,11 +93,10 @@
 	// worker's leases.
 	ctx context.Context
 	// ready is when no start of an earlier process can be on its way to the
-	// worker any more. Nothing new is admitted before, and nothing that such a
+	// worker any more, and the lease of one that came since Recover has ended,
+	// because nobody moved it. Nothing new is admitted before, and nothing that such a
 	// process may have been starting is called closed.
 	ready time.Time
-	// opened is set after that, once what came meanwhile was taken over.
-	opened bool
 }
 
 // New returns a Runner. Nothing is accepted before Recover.
@@ -157,7 +156,6 @@
 		case <-beat.C:
 		}
 		r.extendWorker(ctx)
-		r.open(ctx)
 		r.unmute()
 		r.outgrow(ctx)
 		r.repeatReports()
@@ -207,7 +205,7 @@
 func (r *Runner) unmute() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if !r.opened || r.ctx.Err() != nil {
+	if r.cfg.Now().Before(r.ready) || r.ctx.Err() != nil {
 		return
 	}
 	for _, l := range r.held {
@@ -275,7 +273,7 @@
 func (r *Runner) Ready() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return !r.leaving && r.opened
+	return !r.leaving && !r.cfg.Now().Before(r.ready)
 }
 
 // Busy returns how many grants are held.
--- a/runner/runner_test.go
+++ b/runner/runner_test.go
@@ -37,7 +37,7 @@
 // sit starts a runner beside a worker, and waits until it takes grants.
 func sit(c *qt.C, worker *faker.Worker) *desk {
 	d := sitNow(c, worker)
-	time.Sleep(startLease + 2*tick)
+	time.Sleep(startLease)
 	return d
 }
 
@@ -257,8 +257,8 @@
 }
 
 // TestStartOfADeadProcessComesLate: a start that is held up on its way, and
-// comes after its sender died, never takes the instance over its size: in time
-// it is taken over by the next process, later the worker refuses it.
+// comes after its sender died, never takes the instance over its size: its
+// short lease has ended before the next process admits anything.
 func TestStartOfADeadProcessComesLate(t *testing.T) {
 	for _, held := range []time.Duration{500 * time.Millisecond, 1500 * time.Millisecond, startLease + 500*time.Millisecond, 10 * time.Second} {
 		story(t, held.String(), func(c *qt.C, k *faker.Worker) {
