--- a/demonstrator/fleet.go
+++ b/demonstrator/fleet.go
@@ -25,7 +25,10 @@
 	instances []*instance
 	entries   []netip.AddrPort // for callers
 	stops     []context.CancelFunc
-	running   sync.WaitGroup
+	// processes counts entries and agents, running the stand-ins' servers,
+	// which end after them.
+	processes, running sync.WaitGroup
+	store              *http.Server
 }
 
 // instance is an agent with its stand-ins.
@@ -73,7 +76,7 @@
 	if err != nil {
 		return f, err
 	}
-	f.stops = append(f.stops, func() { _ = server.Close() })
+	f.store = server
 	var peers []netip.AddrPort
 	for i := range entries {
 		peer, err := f.startEntry(log, i, platform)
@@ -108,7 +111,7 @@
 	f.stops = append(f.stops, cancel)
 	f.entries = append(f.entries, frontAddr)
 	e := entry.New(entry.Config{Settings: s, Log: log, Listen: given(front, peer)})
-	f.running.Go(func() { _ = e.Run(ctx) })
+	f.processes.Go(func() { _ = e.Run(ctx) })
 	return peerAddr, nil
 }
 
@@ -138,7 +141,7 @@
 	work, stopWork := context.WithCancel(context.Background())
 	in.stop, in.stopWork = cancel, stopWork
 	a := agent.New(agent.Config{Settings: s, Log: log, Listen: given(l)})
-	f.running.Go(func() { _ = a.Run(ctx) })
+	f.processes.Go(func() { _ = a.Run(ctx) })
 	f.running.Go(func() { in.worker.Watch(work.Done()) })
 	f.instances = append(f.instances, in)
 	return nil
@@ -163,12 +166,16 @@
 	for _, stop := range f.stops {
 		stop()
 	}
+	f.processes.Wait()
 	for _, in := range f.instances {
 		in.stopWork()
 		for _, s := range in.servers {
 			_ = s.Close()
 		}
 	}
+	if f.store != nil {
+		_ = f.store.Close()
+	}
 	f.running.Wait()
 }
 
