--- a/agent/status.go
+++ b/agent/status.go
@@ -3,10 +3,45 @@
 import (
 	"net/http"
 	"sort"
+	"time"
 
+	"github.com/endivefall/endivefall/parser"
 	"github.com/endivefall/endivefall/responder"
 )
 
+// InForce returns the version of each team's document here.
+func (a *Agent) InForce() map[string]uint64 {
+	versions := map[string]uint64{}
+	for _, k := range a.curator.All() {
+		versions[k.Team] = k.Version
+	}
+	return versions
+}
+
+// status is what an agent says of itself.
+type status struct {
+	ID      string            `json:"id"`
+	Born    string            `json:"born"`
+	Since   time.Time         `json:"since"`
+	Leaving bool              `json:"leaving"`
+	Tight   bool              `json:"tight"`
+	Inside  int64             `json:"inside"`
+	Grants  int               `json:"grants"`
+	Total   parser.Need       `json:"total"`
+	Free    parser.Need       `json:"free"`
+	Teams   map[string]uint64 `json:"teams"`
+	Entries []string          `json:"entries"`
+}
+
+// routes serves health, metrics and status.
+func (a *Agent) routes() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	mux.Handle("GET /metrics", a.meter)
+	mux.HandleFunc("GET /v1/status", a.showStatus)
+	return mux
+}
+
 func (a *Agent) showStatus(w http.ResponseWriter, _ *http.Request) {
 	a.mu.Lock()
 	var entries []string
--- a/decisions/limits_test.go
+++ b/decisions/limits_test.go
@@ -43,6 +43,7 @@
 // TestOverloadKeepsGoodput: at 2x and 10x load, goodput is at least 95% of its
 // peak, the highest class keeps its contract, and refusals come at once.
 func TestOverloadKeepsGoodput(t *testing.T) {
+	t.Parallel()
 	const span = 15 * time.Second
 	c := qt.New(t)
 	peak := 0.0
@@ -93,6 +94,7 @@
 // burst stays near the capacity, where callers that all come back a second
 // later make the burst again.
 func TestReturningCallersMakeNoSecondWave(t *testing.T) {
+	t.Parallel()
 	wave := func(told bool) (peak float64, served float64) {
 		var mu sync.Mutex
 		arrivals := map[int]int{}
--- a/decisions/placement_test.go
+++ b/decisions/placement_test.go
@@ -195,6 +195,7 @@
 // TestPlacementNearOfflinePacking: batch throughput is at least 90% of an
 // offline packing that knows true sizes and run times.
 func TestPlacementNearOfflinePacking(t *testing.T) {
+	t.Parallel()
 	for seed := uint64(1); seed <= 3; seed++ {
 		list := backlog(seed)
 		ideal := offline(list)
--- a/decisions/protection_test.go
+++ b/decisions/protection_test.go
@@ -231,6 +231,7 @@
 // windows, batch keeps at least 80% of what perfect knowledge keeps, with under
 // a tenth of the evictions of a simple threshold.
 func TestProtectionKeepsTheContract(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	var own, simple, ideal, none verdict
 	const seeds = 5
--- a/decisions/retries_test.go
+++ b/decisions/retries_test.go
@@ -13,6 +13,7 @@
 // TestOutageAddsLittleLoad: when every target fails, retries add at most a tenth
 // to the load.
 func TestOutageAddsLittleLoad(t *testing.T) {
+	t.Parallel()
 	broken := func(s *scene) {
 		for _, target := range s.targets {
 			target.failing = true
@@ -32,6 +33,7 @@
 // TestBlackHoleIsFoundSoon: a target that fails everything fast gets only tens
 // of requests before it is ejected, and its failures reach almost no caller.
 func TestBlackHoleIsFoundSoon(t *testing.T) {
+	t.Parallel()
 	for _, c := range []struct {
 		name string
 		set  func(*target)
@@ -65,6 +67,7 @@
 
 // TestFreshTargetTakesItsShare: a target that joins takes its share within 5 s.
 func TestFreshTargetTakesItsShare(t *testing.T) {
+	t.Parallel()
 	jobs := load(1, 0.7, 12*time.Second)
 	bubble(t, func(t *testing.T) {
 		s := newScene(ours, 1, 0)
--- a/decisions/routing_test.go
+++ b/decisions/routing_test.go
@@ -51,6 +51,7 @@
 // TestRoutingNearSharedQueue: p99 at 85% load is at most 1.3 times that of one
 // ideal shared queue.
 func TestRoutingNearSharedQueue(t *testing.T) {
+	t.Parallel()
 	for seed := uint64(1); seed <= 3; seed++ {
 		jobs := load(seed, 0.85, long)
 		ideal := quantile(shared(jobs, targetCount*slots), 0.99)
@@ -66,6 +67,7 @@
 // TestRoutingOneSlowTarget: a target ten times slower moves the fleet's p99 by
 // under 10%.
 func TestRoutingOneSlowTarget(t *testing.T) {
+	t.Parallel()
 	slow := func(s *scene) { s.targets[3].slower = 10 }
 	for seed := uint64(1); seed <= 3; seed++ {
 		jobs := load(seed, 0.6, long)
--- /dev/null
+++ b/scheduler/trouble_test.go
@@ -0,0 +1,161 @@
+package scheduler_test
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/endivefall/endivefall/faker"
+)
+
+// trouble is what the history does to the fleet, by weight.
+var trouble = []struct {
+	name string
+	do   func(*fleet, context.Context)
+}{
+	{"kill entry", func(f *fleet, ctx context.Context) {
+		e := f.entry()
+		if !f.take(e.name) {
+			return
+		}
+		defer f.free(e.name)
+		e.kill()
+		f.pause(ctx, 100*time.Millisecond, 15*time.Second)
+		f.startEntry(e.name)
+	}},
+	{"kill agent", func(f *fleet, ctx context.Context) {
+		a := f.agent()
+		if !f.take(a.name) {
+			return
+		}
+		defer f.free(a.name)
+		a.kill()
+		f.pause(ctx, 10*time.Millisecond, 12*time.Second)
+		f.startAgent(a.name, a.worker)
+	}},
+	{"lose instance", func(f *fleet, ctx context.Context) {
+		a := f.agent()
+		if !f.take(a.name) {
+			return
+		}
+		defer f.free(a.name)
+		a.kill()
+		a.worker.Crash()
+		f.pause(ctx, 100*time.Millisecond, 12*time.Second)
+		f.startAgent(a.name, a.worker)
+	}},
+	{"leave", func(f *fleet, ctx context.Context) {
+		a := f.agent()
+		if !f.take(a.name) {
+			return
+		}
+		defer f.free(a.name)
+		a.mu.Lock()
+		a.leaving = true
+		a.mu.Unlock()
+		a.runner.Leave()
+		f.pause(ctx, 100*time.Millisecond, 8*time.Second)
+		a.kill()
+		f.startAgent(a.name, a.worker)
+	}},
+	{"cut link", func(f *fleet, ctx context.Context) {
+		e, a := f.entry().name, f.agent().name
+		f.setCut(e, a, true)
+		f.setCut(a, e, true)
+		f.pause(ctx, 100*time.Millisecond, 20*time.Second)
+		f.setCut(e, a, false)
+		f.setCut(a, e, false)
+	}},
+	{"cut one way", func(f *fleet, ctx context.Context) {
+		from, to := f.entry().name, f.agent().name
+		if f.chance("trouble", 0.5) {
+			from, to = to, from
+		}
+		f.setCut(from, to, true)
+		f.pause(ctx, 100*time.Millisecond, 20*time.Second)
+		f.setCut(from, to, false)
+	}},
+	{"cut agent off", func(f *fleet, ctx context.Context) {
+		a := f.agent().name
+		for _, e := range []string{"e1", "e2"} {
+			f.setCut(e, a, true)
+			f.setCut(a, e, true)
+		}
+		f.pause(ctx, 100*time.Millisecond, 40*time.Second)
+		for _, e := range []string{"e1", "e2"} {
+			f.setCut(e, a, false)
+			f.setCut(a, e, false)
+		}
+	}},
+	{"cut entry from store", func(f *fleet, ctx context.Context) {
+		e := f.entry().name
+		f.setCut(e, "platform", true)
+		f.setCut("platform", e, f.chance("trouble", 0.5))
+		f.pause(ctx, 100*time.Millisecond, 30*time.Second)
+		f.setCut(e, "platform", false)
+		f.setCut("platform", e, false)
+	}},
+	{"lose answers of the store", func(f *fleet, ctx context.Context) {
+		e := f.entry().name
+		f.setCut("platform", e, true)
+		f.pause(ctx, 100*time.Millisecond, 3*time.Second)
+		f.setCut("platform", e, false)
+	}},
+	{"outage", func(f *fleet, ctx context.Context) {
+		f.mu.Lock()
+		f.isDown = true
+		f.mu.Unlock()
+		f.platform.Set(faker.Faults{Down: true})
+		f.pause(ctx, time.Second, 50*time.Second)
+		f.platform.Set(faker.Faults{})
+		f.mu.Lock()
+		f.isDown, f.down = false, time.Now()
+		f.mu.Unlock()
+	}},
+	{"slow store", func(f *fleet, ctx context.Context) {
+		f.platform.Set(faker.Faults{Slow: f.between("slow", 100*time.Millisecond, 8*time.Second)})
+		f.pause(ctx, time.Second, 10*time.Second)
+		f.platform.Set(faker.Faults{})
+	}},
+}
+
+// take keeps a process from being replaced twice at once.
+func (f *fleet) take(name string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.busy[name] {
+		return false
+	}
+	f.busy[name] = true
+	return true
+}
+
+func (f *fleet) free(name string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.busy[name] = false
+}
+
+func (f *fleet) entry() *entryNode {
+	name := "e1"
+	if f.chance("entry", 0.5) {
+		name = "e2"
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.entries[name]
+}
+
+func (f *fleet) agent() *agentNode {
+	n := f.dice("agent").IntN(3)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.agents[fmt.Sprintf("a%d", 1+n)]
+}
+
+func (f *fleet) pause(ctx context.Context, from, to time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(f.between("pause", from, to)):
+	}
+}
