entry: Show the ledger, the links and the agents' room as metrics

Cause: the agent had no metrics, the ledger's size could not be seen, and a missing key counted as a failure of the store (8 of 9 reads at a first start).

Functions that nothing called are gone.

Seen: curl of /metrics of an entry and an agent beside stand-ins.

--- a/agent/protect.go
+++ b/agent/protect.go
@@ -59,6 +59,7 @@
 			return
 		case <-tick.C:
 		}
+		a.gauge()
 		service, _ := a.curator.Service(a.cfg.Settings.Team, a.cfg.Settings.Service)
 		if service == nil {
 			continue
@@ -69,6 +70,21 @@
 	}
 }
 
+// gauge shows the agent's state as metrics.
+func (a *Agent) gauge() {
+	load, free := a.load(), a.commit.Free()
+	a.meter.Gauge("requests_running").Update(float64(load.Running))
+	a.meter.Gauge("requests_waiting").Update(float64(load.Waiting))
+	a.meter.Gauge("grants").Update(float64(a.runner.Busy()))
+	a.meter.Gauge("free_processors").Update(free.Processors)
+	a.meter.Gauge("free_memory").Update(float64(free.Memory))
+	tight := 0.0
+	if a.tight() {
+		tight = 1
+	}
+	a.meter.Gauge("tight").Update(tight)
+}
+
 // protect takes one step: what the worker measured goes in, shares and
 // evictions come out.
 func (a *Agent) protect(ctx context.Context, p *protector.Protector, hurts map[string]float64, tail time.Duration) {
--- a/decoder/decoder_test.go
+++ b/decoder/decoder_test.go
@@ -77,3 +77,11 @@
 	_, err := New().Decode("f.yaml", []byte("name: [a\n"), &s)
 	c.Assert(err, qt.ErrorMatches, `f\.yaml:\d+:\d+: .*`)
 }
+
+func TestSizes(t *testing.T) {
+	for text, want := range map[string]string{"1TB": "1TB", "2048MiB": "2GiB", "1500MB": "1500MB", "0.5KiB": "512B", "7": "7B", "1000KB": "1MB"} {
+		var s Size
+		qt.Assert(t, s.UnmarshalText([]byte(text)), qt.IsNil)
+		qt.Assert(t, s.String(), qt.Equals, want)
+	}
+}
--- a/decoder/size.go
+++ b/decoder/size.go
@@ -55,7 +55,7 @@
 	for _, u := range []struct {
 		name string
 		size Size
-	}{{"TiB", TiB}, {"GiB", GiB}, {"MiB", MiB}, {"KiB", KiB}} {
+	}{{"TiB", TiB}, {"TB", 1e12}, {"GiB", GiB}, {"GB", 1e9}, {"MiB", MiB}, {"MB", 1e6}, {"KiB", KiB}, {"KB", 1e3}} {
 		if s >= u.size && s%u.size == 0 {
 			return fmt.Sprintf("%d%s", s/u.size, u.name)
 		}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -108,9 +109,9 @@
 func newRand() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
 
 func (e *Entry) countCall(call string, err error) {
-	result := "ok"
-	if err != nil {
-		result = "error"
+	result := "error"
+	if err == nil || errors.Is(err, keeper.ErrMissing) || errors.Is(err, keeper.ErrConflict) {
+		result = "ok" // the store answered
 	}
 	e.meter.Tagged(map[string]string{"call": call, "result": result}).Counter("store_calls").Inc(1)
 }
@@ -154,6 +155,7 @@
 	e.duties.Go(func() { e.announcer.Serve(work) })
 	e.duties.Go(func() { e.publisher.Serve(work) })
 	e.duties.Go(func() { e.schedule(work) })
+	e.duties.Go(func() { e.gaugeLoop(work) })
 	e.cfg.Log.Info("entry serving", zap.String("id", s.ID), zap.Stringer("listen", s.Listen), zap.Stringer("peer", s.Peer))
 	<-ctx.Done()
 	err = e.leave(callers)
--- /dev/null
+++ b/entry/gauges.go
@@ -0,0 +1,36 @@
+package entry
+
+import (
+	"context"
+	"time"
+)
+
+// gaugeEvery is how often an entry's gauges are set.
+const gaugeEvery = 2 * time.Second
+
+// gaugeLoop shows the entry's state as metrics.
+func (e *Entry) gaugeLoop(ctx context.Context) {
+	tick := time.NewTicker(gaugeEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		e.meter.Gauge("requests_inside").Update(float64(e.dispatcher.Inside()))
+		e.meter.Gauge("links").Update(float64(len(e.connector.Links())))
+		settled := 0.0
+		if e.announcer.Settled() {
+			settled = 1
+		}
+		e.meter.Gauge("store_settled").Update(settled)
+		if s := e.scheduler.Load(); s != nil {
+			c := s.Counts()
+			e.meter.Gauge("ledger_shards").Update(float64(c.Shards))
+			e.meter.Gauge("ledger_commits").Update(float64(c.Commits))
+			e.meter.Gauge("ledger_changes").Update(float64(c.Changes))
+			e.meter.Gauge("ledger_bytes").Update(float64(c.Bytes))
+		}
+	}
+}
--- a/messenger/conn.go
+++ b/messenger/conn.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"sync"
 	"sync/atomic"
@@ -323,6 +322,3 @@
 	})
 	return nil
 }
-
-// IsBadFrame says whether a connection ended for a fault of the peer.
-func IsBadFrame(err error) bool { return errors.Is(err, ErrFrame) }
--- a/protector/protector.go
+++ b/protector/protector.go
@@ -130,15 +130,6 @@
 	return first
 }
 
-// Effects returns what is known of each kind.
-func (p *Protector) Effects() map[string]float64 {
-	known := make(map[string]float64, len(p.effects))
-	for kind, e := range p.effects {
-		known[kind] = e
-	}
-	return known
-}
-
 // idle is how long without a tail latency the service counts as without
 // requests.
 const idle = 10 * time.Second
--- /dev/null
+++ b/scheduler/counts.go
@@ -0,0 +1,22 @@
+package scheduler
+
+// Counts sums up the shards that an entry owns.
+type Counts struct {
+	// Commits and Changes count writes of the ledger and what they carried,
+	// since the shards were claimed; Bytes is the size of their last writes.
+	Commits, Changes, Bytes int64
+	Shards                  int
+}
+
+// Counts returns the sums as of now.
+func (s *Scheduler) Counts() Counts {
+	var sum Counts
+	for _, sh := range s.all() {
+		commits, changes, size := sh.rec.Counts()
+		sum.Commits += commits
+		sum.Changes += changes
+		sum.Bytes += size
+		sum.Shards++
+	}
+	return sum
+}
