--- a/e2e/path_test.go
+++ b/e2e/path_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"crypto/rand"
 	"net/http"
 	"strings"
@@ -99,3 +100,46 @@
 		c.Assert(times, qt.Equals, 1, qt.Commentf("%s", task))
 	}
 }
+
+// TestCallerThatGoesEndsItsRequest: the cancel reaches the target. (A server of
+// net/http sees that its caller went only once it has read the body, so the
+// request has none.)
+func TestCallerThatGoesEndsItsRequest(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(t, 1, 1)
+	w.apply("../examples/association.yaml")
+	ctx, cancel := context.WithCancel(context.Background())
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+w.entryHTTP[0]+"/v1/call/association/booking/long", nil)
+	c.Assert(err, qt.IsNil)
+	req.Header.Set("Fake-Sleep", "1h")
+	req.Header.Set("Endivefall-Deadline", "10m")
+	gone := make(chan error, 1)
+	go func() {
+		_, err := w.cheap.Do(req)
+		gone <- err
+	}()
+	w.eventually("the request runs", func() bool { return starts(w.records()) == 1 })
+	cancel()
+	c.Assert(<-gone, qt.ErrorIs, context.Canceled)
+	w.eventually("the target's request ends", func() bool {
+		for _, r := range w.records() {
+			if r.What == faker.CallEnd {
+				return true
+			}
+		}
+		return false
+	})
+}
+
+// TestDeadlineGivesTheFinalAnswerAtOnce: when the deadline passes while the
+// target works, the caller is told unknown, and not before.
+func TestDeadlineGivesTheFinalAnswerAtOnce(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(t, 1, 1)
+	w.apply("../examples/association.yaml")
+	resp, body, err := w.call(0, http.MethodPost, "/v1/call/association/booking/long",
+		map[string]string{"Fake-Sleep": "1h", "Endivefall-Deadline": "300ms"}, strings.NewReader("x"))
+	c.Assert(err, qt.IsNil)
+	c.Assert(resp.StatusCode, qt.Equals, http.StatusGatewayTimeout, qt.Commentf("%s", body))
+	c.Assert(resp.Header.Get("Endivefall-Outcome"), qt.Equals, "unknown")
+}
