recorder: Guard the test store's fault

Cause: the race detector failed a clean checkout's run: the test set the fault of its store while Serve read it.

Change: a lock in the test's store. The test is as strict as before; 20 runs with the race detector pass.

--- a/recorder/recorder_test.go
+++ b/recorder/recorder_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -15,6 +16,7 @@
 
 // memory is a store of one key, with what it is asked to do wrong.
 type memory struct {
+	mu      sync.Mutex // guards fail
 	value   []byte
 	version uint64
 	writes  int
@@ -33,8 +35,11 @@
 		},
 		Settle: func(_ context.Context, _ string, value []byte, version uint64, _ string) (uint64, error) {
 			time.Sleep(m.slow)
-			if m.fail != nil {
-				return 0, m.fail
+			m.mu.Lock()
+			fail := m.fail
+			m.mu.Unlock()
+			if fail != nil {
+				return 0, fail
 			}
 			if version != m.version {
 				return 0, keeper.ErrConflict
@@ -98,7 +103,9 @@
 		}
 		time.Sleep(time.Second)
 		c.Assert(<-errs, qt.IsNil)
+		m.mu.Lock()
 		m.fail = errors.New("fenced")
+		m.mu.Unlock()
 		for range 2 {
 			c.Assert(<-errs, qt.ErrorIs, ErrLost)
 		}
