scheduler: Merge the set-up of two stories

Cause: the tests of cut-off and of urgent work stood in the same frame.

Change: calm tells a story on a fleet and checks its records. The same tests pass, with the same assertions.

--- a/scheduler/cutoff_test.go
+++ b/scheduler/cutoff_test.go
@@ -2,12 +2,10 @@
 
 import (
 	"testing"
-	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 
-	"github.com/endivefall/endivefall/checker"
 	"github.com/endivefall/endivefall/parser"
 	"github.com/endivefall/endivefall/recorder"
 )
@@ -16,12 +14,7 @@
 // its tasks before their deadline. It began only at the deadline, when the
 // worker's lease ended too, and the tasks were lost.
 func TestCutOffTaskResumesFromItsCheckpoint(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		c := qt.New(t)
-		f := newFleet(t, 1)
-		done := make(chan struct{})
-		f.startWorkers(done)
-		time.Sleep(5 * time.Second)
+	calm(t, func(c *qt.C, f *fleet) {
 		job := parser.Job{Name: "job", Tasks: 12, Deadline: time.Hour, Checkpoint: true, Need: parser.Need{Processors: 1, Memory: 1 << 30}, Run: "30s"}
 		c.Assert(f.submit("team1/job/once", job), qt.IsTrue)
 		time.Sleep(5 * time.Second)
@@ -37,8 +30,5 @@
 		c.Assert(f.settled(map[string]parser.Job{"team1/job/once": job}), qt.HasLen, 0)
 		r := f.look("team1/job/once")
 		c.Assert(r.State, qt.Equals, recorder.Done, qt.Commentf("%s\n%s", r.Reason, f.story.last()))
-		f.end(done)
-		always := func(string) bool { return true }
-		c.Assert(checker.Check(f.records.All(), checker.Rules{Exclusive: always, Once: always}), qt.HasLen, 0)
 	})
 }
--- a/scheduler/fleet_test.go
+++ b/scheduler/fleet_test.go
@@ -10,11 +10,14 @@
 	"net/netip"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	qt "github.com/frankban/quicktest"
 	"go.uber.org/zap"
 
+	"github.com/endivefall/endivefall/checker"
 	"github.com/endivefall/endivefall/faker"
 	"github.com/endivefall/endivefall/keeper"
 	"github.com/endivefall/endivefall/parser"
@@ -268,3 +271,19 @@
 	}
 	return second.name
 }
+
+// calm tells a story on a fleet without faults of its own, and then checks what
+// the workers recorded: no task in two places, none that finished twice.
+func calm(t *testing.T, story func(c *qt.C, f *fleet)) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		f := newFleet(t, 1)
+		done := make(chan struct{})
+		f.startWorkers(done)
+		time.Sleep(5 * time.Second)
+		story(c, f)
+		f.end(done)
+		always := func(string) bool { return true }
+		c.Assert(checker.Check(f.records.All(), checker.Rules{Exclusive: always, Once: always}), qt.HasLen, 0)
+	})
+}
--- a/scheduler/urgent_test.go
+++ b/scheduler/urgent_test.go
@@ -3,12 +3,10 @@
 import (
 	"strings"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 
-	"github.com/endivefall/endivefall/checker"
 	"github.com/endivefall/endivefall/faker"
 	"github.com/endivefall/endivefall/parser"
 )
@@ -17,13 +15,7 @@
 // work, urgent tasks start within 3 s of their acceptance, by evicting what has
 // run for the shortest time, and what was evicted resumes once.
 func TestUrgentWorkStartsWithinThreeSeconds(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		c := qt.New(t)
-		f := newFleet(t, 1)
-		done := make(chan struct{})
-		f.startWorkers(done)
-		time.Sleep(5 * time.Second)
-
+	calm(t, func(c *qt.C, f *fleet) {
 		full := parser.Job{Name: "job", Tasks: 12, Deadline: time.Hour, Checkpoint: true, Need: parser.Need{Processors: 1, Memory: 1 << 30}, Run: "40s"}
 		c.Assert(f.submit("team1/job/once-full", full), qt.IsTrue)
 		time.Sleep(10 * time.Second)
@@ -43,8 +35,5 @@
 		for task, at := range first {
 			c.Check(at.Sub(accepted) <= 3*time.Second, qt.IsTrue, qt.Commentf("%s started after %v", task, at.Sub(accepted)))
 		}
-		f.end(done)
-		always := func(string) bool { return true }
-		c.Assert(checker.Check(f.records.All(), checker.Rules{Exclusive: always, Once: always}), qt.HasLen, 0)
 	})
 }
