e2e: Kill the agent after its leases were moved

Cause: a run of e2e failed TestAgentKilledAndRestarted, 8 starts of 6: the agent was killed within the 2 s lease of tasks that had just started; the next process adopted them, checkpointed them for lack of time, and they resumed once elsewhere, as the log shows. That is allowed, and not what the test is about.

Change: the test waits until the worker shows the moved leases. The count stays.

--- a/e2e/jobs_test.go
+++ b/e2e/jobs_test.go
@@ -7,10 +7,12 @@
 	"strings"
 	"syscall"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
 	"github.com/endivefall/endivefall/checker"
+	"github.com/endivefall/endivefall/executor"
 	"github.com/endivefall/endivefall/faker"
 )
 
@@ -164,6 +166,20 @@
 	w.submit(0, "long", "r1")
 	w.eventually("all tasks run", func() bool { return w.started(":long:") == 6 })
 	in := w.instances[0]
+	// A task that has just started has a lease of 2 s at its worker, and would
+	// rightly be evicted; the next moves of the leases are awaited.
+	w.eventually("the worker's leases are moved", func() bool {
+		var rep executor.Report
+		if !w.get("http://"+in.worker+"/v1/worker?wait=1", &rep) {
+			return false
+		}
+		for _, task := range rep.Tasks {
+			if task.Until.Sub(rep.Now) < 6*time.Second {
+				return false
+			}
+		}
+		return true
+	})
 	in.agent.signal(syscall.SIGKILL)
 	w.ended(in.agent)
 	in.agent = w.start(in.name+" again", "agent", in.conf)
