--- /dev/null
+++ b/acceptor/acceptor.go
@@ -0,0 +1,379 @@
+// Package acceptor takes jobs, questions and cancels of callers. A job is
+// accepted once the store has it; whichever entry a caller reaches can do that.
+package acceptor
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/endivefall/endivefall/keeper"
+	"github.com/endivefall/endivefall/messenger"
+	"github.com/endivefall/endivefall/overseer"
+	"github.com/endivefall/endivefall/sequencer"
+)
+
+// Errors of a call.
+var (
+	// ErrTurnedAway says that nothing was stored and nothing will run.
+	ErrTurnedAway = errors.New("not accepted, nothing was stored")
+	// ErrUnknown says that the job may have been accepted.
+	ErrUnknown = errors.New("it is not known whether the job was accepted")
+	// ErrGone says that there is no such job in the queue.
+	ErrGone = errors.New("no such job")
+	// ErrUnread says that the state can't be read now.
+	ErrUnread = errors.New("state can't be read now")
+)
+
+// Bounds of the work.
+const (
+	// waiting bounds the submissions that wait for the store, beyond which
+	// more are turned away: two seconds of the store's whole write rate.
+	waiting = 800
+	// writers is how many transactions are on their way at once.
+	writers = 3
+	// batchJobs bounds the jobs in one transaction; each takes a check and a
+	// write.
+	batchJobs = keeper.MaxEntries/2 - 1
+	// patience is how long a store that does nothing is asked again before the
+	// job is turned away: a caller's next try may reach an entry that is served.
+	patience = 350 * time.Millisecond
+	// retryPause is the wait after a failed call to the store.
+	retryPause = 40 * time.Millisecond
+	// askTimeout bounds a question to the owner before the store is read.
+	askTimeout = 400 * time.Millisecond
+	// replyMargin is left of a caller's time for the answer to reach it.
+	replyMargin = 150 * time.Millisecond
+)
+
+// Config is what an Acceptor needs.
+type Config struct {
+	Store *keeper.Store
+	// Ask asks the owner.
+	Ask   func(ctx context.Context, ask messenger.Ask) (messenger.Tell, error)
+	Now   func() time.Time
+	Wall  func() time.Time
+	Log   *zap.Logger
+	Count func(name string)
+	Time  func(name string, d time.Duration)
+}
+
+// Acceptor takes calls of callers. It is safe for concurrent use.
+type Acceptor struct {
+	cfg    Config
+	queues atomic.Pointer[Queues]
+	in     chan *submission
+	// down is since when the store has answered nothing, in Unix ns; 0 while it
+	// answers.
+	down atomic.Int64
+}
+
+// submission is a job on its way to the store.
+type submission struct {
+	spec  *sequencer.Spec
+	value []byte
+	// until is when the caller stops waiting.
+	until time.Time
+	// begun is when it came.
+	begun time.Time
+	// doubt is set once a write that may have it got no answer.
+	doubt bool
+	// done gets the outcome; it has room for it.
+	done chan error
+}
+
+// New returns an Acceptor; Serve runs it.
+func New(cfg Config) *Acceptor {
+	return &Acceptor{cfg: cfg, in: make(chan *submission, waiting)}
+}
+
+// Configure sets the queues, unless newer ones are known.
+func (a *Acceptor) Configure(q *Queues) {
+	for {
+		old := a.queues.Load()
+		if old != nil && old.Version >= q.Version {
+			return
+		}
+		if a.queues.CompareAndSwap(old, q) {
+			a.cfg.Log.Info("configuration in force", zap.Uint64("version", q.Version), zap.Int("hosts", len(q.byHost)))
+			return
+		}
+	}
+}
+
+// Queues returns the queues in force; nil before the first are known.
+func (a *Acceptor) Queues() *Queues { return a.queues.Load() }
+
+// Serve writes submissions until ctx ends.
+func (a *Acceptor) Serve(ctx context.Context) {
+	var duties sync.WaitGroup
+	for range writers {
+		duties.Go(func() { a.writeLoop(ctx) })
+	}
+	duties.Wait()
+}
+
+// Submit stores a job. A job of the same ID that is stored is the same job.
+func (a *Acceptor) Submit(ctx context.Context, spec *sequencer.Spec, until time.Time) error {
+	spec.Accepted = a.cfg.Wall()
+	if err := spec.Check(); err != nil {
+		return err
+	}
+	value, err := spec.Encode()
+	if err != nil {
+		return err
+	}
+	s := &submission{spec: spec, value: value, until: until, begun: a.cfg.Now(), done: make(chan error, 1)}
+	select {
+	case a.in <- s:
+	default:
+		return ErrTurnedAway
+	}
+	select {
+	case err = <-s.done:
+	case <-ctx.Done():
+		err = ErrUnknown // the caller has left; the writer goes on
+	}
+	a.cfg.Time("submit", a.cfg.Now().Sub(s.begun))
+	return err
+}
+
+// writeLoop writes what waits, several jobs at a time.
+func (a *Acceptor) writeLoop(ctx context.Context) {
+	for {
+		var batch []*submission
+		select {
+		case <-ctx.Done():
+			return
+		case s := <-a.in:
+			batch = append(batch, s)
+		}
+		for more := true; more && len(batch) < batchJobs; {
+			select {
+			case s := <-a.in:
+				batch = append(batch, s)
+			default:
+				more = false
+			}
+		}
+		for len(batch) > 0 && ctx.Err() == nil {
+			batch = a.write(ctx, batch)
+		}
+		for _, s := range batch {
+			s.done <- a.outcome(s)
+		}
+	}
+}
+
+// outcome is what a caller is told of a job that was not seen stored.
+func (a *Acceptor) outcome(s *submission) error {
+	if s.doubt {
+		return ErrUnknown
+	}
+	return ErrTurnedAway
+}
+
+// write sends one transaction and returns the submissions that need another.
+func (a *Acceptor) write(ctx context.Context, batch []*submission) []*submission {
+	var change keeper.Change
+	seen := map[string]bool{}
+	var later []*submission
+	for _, s := range batch {
+		if seen[s.spec.ID] {
+			later = append(later, s)
+			continue
+		}
+		seen[s.spec.ID] = true
+		key := overseer.JobKey(s.spec.ID)
+		change.Checks = append(change.Checks, keeper.Check{Key: key})
+		change.Writes = append(change.Writes, keeper.Write{Key: key, Value: s.value})
+	}
+	_, err := a.cfg.Store.Commit(ctx, change)
+	var clash *keeper.Clash
+	switch {
+	case err == nil:
+		a.down.Store(0)
+		for _, s := range batch {
+			if !contains(later, s) {
+				s.done <- nil
+			}
+		}
+		return later
+	case errors.As(err, &clash):
+		a.down.Store(0)
+		var rest []*submission
+		for _, s := range batch {
+			if clash.Item(overseer.JobKey(s.spec.ID)).Version != 0 {
+				s.done <- nil // it is stored already
+				continue
+			}
+			rest = append(rest, s)
+		}
+		return rest
+	}
+	a.down.CompareAndSwap(0, a.cfg.Now().UnixNano())
+	unsettled := !errors.Is(err, keeper.ErrDown)
+	now := a.cfg.Now()
+	var rest []*submission
+	for _, s := range batch {
+		s.doubt = s.doubt || unsettled
+		limit := s.begun.Add(patience)
+		if s.doubt {
+			limit = s.until.Add(-replyMargin)
+		}
+		if now.Before(limit) && now.Before(s.until.Add(-replyMargin)) {
+			rest = append(rest, s)
+			continue
+		}
+		a.cfg.Log.Info("job not stored", zap.String("job", s.spec.ID), zap.String("queue", s.spec.Queue), zap.Bool("doubt", s.doubt), zap.Duration("waited", now.Sub(s.begun)), zap.Error(err))
+		s.done <- a.outcome(s)
+	}
+	if len(rest) > 0 {
+		t := time.NewTimer(retryPause)
+		defer t.Stop()
+		select {
+		case <-ctx.Done():
+		case <-t.C:
+		}
+	}
+	return rest
+}
+
+func contains(list []*submission, s *submission) bool {
+	for _, other := range list {
+		if other == s {
+			return true
+		}
+	}
+	return false
+}
+
+// Reaching says since when the store has answered no write; ok is true while it
+// answers or nothing was asked.
+func (a *Acceptor) Reaching() (since time.Time, ok bool) {
+	at := a.down.Load()
+	return time.Unix(0, at), at == 0
+}
+
+// State returns a job's state: the owner's word, or else the store's.
+func (a *Acceptor) State(ctx context.Context, queue, id string) (sequencer.State, error) {
+	bound, cancel := context.WithTimeout(ctx, askTimeout)
+	t, err := a.cfg.Ask(bound, messenger.Ask{Job: id})
+	cancel()
+	if err == nil && t.Known {
+		if t.Queue != queue {
+			return "", ErrGone
+		}
+		return sequencer.State(t.State), nil
+	}
+	return a.stored(ctx, queue, id)
+}
+
+// stored reads a job's state from the store.
+func (a *Acceptor) stored(ctx context.Context, queue, id string) (sequencer.State, error) {
+	item, err := a.read(ctx, overseer.JobKey(id))
+	if err != nil {
+		return "", err
+	}
+	spec, err := sequencer.DecodeSpec(item.Value)
+	if err != nil {
+		a.cfg.Log.Error("stored job can't be read", zap.String("job", id), zap.Error(err))
+		return "", ErrUnread
+	}
+	if spec.Queue != queue {
+		return "", ErrGone
+	}
+	out, err := a.read(ctx, overseer.OutKey(id))
+	if err == nil {
+		p, err := sequencer.DecodeProgress(out.Value)
+		if err != nil {
+			a.cfg.Log.Error("stored progress can't be read", zap.String("job", id), zap.Error(err))
+			return "", ErrUnread
+		}
+		if p.State.Final() {
+			return p.State, nil
+		}
+	} else if !errors.Is(err, ErrGone) {
+		return "", err
+	}
+	switch _, canceled := a.read(ctx, overseer.CancelKey(id)); {
+	case canceled == nil:
+		return sequencer.Canceled, nil
+	case !errors.Is(canceled, ErrGone):
+		return "", canceled
+	case err == nil:
+		return sequencer.Running, nil
+	}
+	return sequencer.Queued, nil
+}
+
+// read reads a key, again while the store does not answer and ctx lasts.
+func (a *Acceptor) read(ctx context.Context, key string) (keeper.Item, error) {
+	for {
+		item, err := a.cfg.Store.Get(ctx, key)
+		if err == nil {
+			return item, nil
+		}
+		if errors.Is(err, keeper.ErrMissing) {
+			return item, ErrGone
+		}
+		t := time.NewTimer(retryPause)
+		select {
+		case <-ctx.Done():
+			t.Stop()
+			return item, errors.Join(ErrUnread, err)
+		case <-t.C:
+		}
+	}
+}
+
+// Cancel makes a job's cancel durable.
+func (a *Acceptor) Cancel(ctx context.Context, queue, id string) error {
+	item, err := a.read(ctx, overseer.JobKey(id))
+	if err != nil {
+		return err
+	}
+	spec, err := sequencer.DecodeSpec(item.Value)
+	if err != nil || spec.Queue != queue {
+		return ErrGone
+	}
+	key := overseer.CancelKey(id)
+	change := keeper.Change{
+		Checks: []keeper.Check{{Key: key}, {Key: overseer.JobKey(id), Version: item.Version}},
+		Writes: []keeper.Write{{Key: key, Value: []byte(id)}},
+	}
+	for {
+		_, err := a.cfg.Store.Commit(ctx, change)
+		var clash *keeper.Clash
+		switch {
+		case err == nil:
+			a.cfg.Log.Info("cancel stored", zap.String("job", id))
+			return nil
+		case errors.As(err, &clash):
+			if clash.Item(key).Version != 0 {
+				return nil
+			}
+			return ErrGone // the job was forgotten meanwhile
+		}
+		t := time.NewTimer(retryPause)
+		select {
+		case <-ctx.Done():
+			t.Stop()
+			return errors.Join(ErrUnknown, err)
+		case <-t.C:
+		}
+	}
+}
+
+// Pending returns how many accepted jobs of a queue no task has started of.
+func (a *Acceptor) Pending(ctx context.Context, queue string) (int, error) {
+	t, err := a.cfg.Ask(ctx, messenger.Ask{Queue: queue})
+	if err != nil {
+		return 0, errors.Join(ErrUnread, err)
+	}
+	return t.Pending, nil
+}
--- a/commander/commander.go
+++ b/commander/commander.go
@@ -78,7 +78,7 @@
 	s := streams{out, errs}
 	cdr.Register(cdr.HelpCommand(), "")
 	cdr.Register(cdr.FlagsCommand(), "")
-	for _, c := range []*command{newEntry(s), newAgent(s), newCheck(s), newFake(s), newDemo(s)} {
+	for _, c := range []*command{newEntry(s), newAgent(s), newCheck(s), newPoolEntry(s), newPoolAgent(s), newFake(s), newDemo(s)} {
 		cdr.Register(c, "processes")
 	}
 	for _, c := range []*command{newApply(s), newGet(s), newSubmit(s), newCancel(s), newStatus(s), newExplain(s)} {
--- /dev/null
+++ b/configurer/pool.go
@@ -0,0 +1,58 @@
+package configurer
+
+import (
+	"net/netip"
+	"time"
+)
+
+// PoolEntry holds the settings of an entry of the pools.
+type PoolEntry struct {
+	ID      string         `yaml:"id" validate:"required,max=63"`
+	Domain  string         `yaml:"domain" validate:"required"`
+	Listen  netip.AddrPort `yaml:"listen" validate:"required"` // for callers
+	Ready   netip.AddrPort `yaml:"ready" validate:"required"`  // for the balancer's check
+	Peer    netip.AddrPort `yaml:"peer" validate:"required"`   // for entries and agents
+	Metrics netip.AddrPort `yaml:"metrics"`
+	Store   netip.AddrPort `yaml:"store" validate:"required"`
+	// Hold is the longest lease that a worker takes.
+	Hold time.Duration `yaml:"hold" validate:"gt=0"`
+	// Keep is how long the state of a job that is over is kept at least.
+	Keep time.Duration `yaml:"keep" validate:"gt=0"`
+	// Drain is how long the process may take to end.
+	Drain time.Duration `yaml:"drain" validate:"gt=0"`
+	Level string        `yaml:"level" validate:"omitempty,oneof=debug info warn error"`
+}
+
+// PoolAgent holds the settings of an agent of a pool.
+type PoolAgent struct {
+	ID      string         `yaml:"id" validate:"required,max=63"`
+	Domain  string         `yaml:"domain" validate:"required"`
+	Listen  netip.AddrPort `yaml:"listen" validate:"required"` // for the worker's heartbeats
+	Metrics netip.AddrPort `yaml:"metrics"`
+	Worker  netip.AddrPort `yaml:"worker" validate:"required"`
+	Store   netip.AddrPort `yaml:"store" validate:"required"`
+	Pool    string         `yaml:"pool" validate:"required"` // service that the worker belongs to
+	// Hold is the longest lease that the worker takes.
+	Hold  time.Duration `yaml:"hold" validate:"gt=0"`
+	Level string        `yaml:"level" validate:"omitempty,oneof=debug info warn error"`
+}
+
+// ReadPoolEntry reads the settings of an entry of the pools from a file.
+func (c *Configurer) ReadPoolEntry(file string) (*PoolEntry, error) {
+	var e PoolEntry
+	if err := c.read(file, &e); err != nil {
+		return nil, err
+	}
+	fill(&e.Level, "info")
+	return &e, nil
+}
+
+// ReadPoolAgent reads the settings of an agent of a pool from a file.
+func (c *Configurer) ReadPoolAgent(file string) (*PoolAgent, error) {
+	var a PoolAgent
+	if err := c.read(file, &a); err != nil {
+		return nil, err
+	}
+	fill(&a.Level, "info")
+	return &a, nil
+}
--- a/connector/link.go
+++ b/connector/link.go
@@ -75,6 +75,9 @@
 // Post queues a frame and never waits.
 func (l *Link) Post(f messenger.Frame) error { return l.conn.Post(f) }
 
+// Close ends the connection with a reason for the peer.
+func (l *Link) Close(reason string) { l.conn.Close(reason) }
+
 // Open starts a request at an agent.
 func (l *Link) Open(ctx context.Context, call *messenger.Call) (*messenger.Stream, error) {
 	return l.conn.Open(ctx, call)
--- /dev/null
+++ b/elector/elector.go
@@ -0,0 +1,475 @@
+// Package elector knows which entries live and which one owns the pools, and
+// claims ownership when its owner is gone. A claim is a compare-and-swap; the
+// version of the owner's key fences every write of an earlier owner.
+package elector
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/netip"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/fxamacker/cbor/v2"
+	"go.uber.org/zap"
+
+	"github.com/endivefall/endivefall/keeper"
+)
+
+// Keys of the membership.
+const (
+	prefix      = "ef/live/"
+	entryPrefix = prefix + "entry/"
+	// OwnerKey names the owner.
+	OwnerKey = prefix + "owner"
+)
+
+// Times of the membership.
+const (
+	// liveTTL is the lease of an entry's live key. It bounds how soon a lost
+	// owner is replaced.
+	liveTTL = 1500 * time.Millisecond
+	// renewEvery is how often the live key is renewed: two renewals may be lost.
+	renewEvery = 450 * time.Millisecond
+	// watchWait bounds a watch, so that a silent connection is noticed.
+	watchWait = 2 * time.Second
+	// checkEvery is how often the owner's health is judged.
+	checkEvery = 150 * time.Millisecond
+	// rankDelay is what each next candidate waits before it claims.
+	rankDelay = 300 * time.Millisecond
+	// restAfter is how long an entry that released ownership claims none, while
+	// another one lives.
+	restAfter = 6 * time.Second
+	// retryPause is the wait after a failed call to the store.
+	retryPause = 200 * time.Millisecond
+	// proveEvery is how often an owner asks the store whether it still is.
+	proveEvery = 500 * time.Millisecond
+)
+
+// Config is what an Elector needs.
+type Config struct {
+	Self  Member
+	Store *keeper.Store
+	// Now is a clock that counts the time in which the instance was suspended.
+	Now func() time.Time
+	Log *zap.Logger
+	// Reached says when the owner last answered on a link.
+	Reached func() time.Time
+	// Seen is told of the owner's record and the living entries, in order.
+	Seen func(Record, []Member)
+}
+
+// Elector follows the membership. It is safe for concurrent use.
+type Elector struct {
+	cfg Config
+
+	mu sync.Mutex
+	// record and version are the owner's key as last seen.
+	record  Record
+	version uint64
+	// members has the living entries by ID, as the store shows them.
+	members map[string]Member
+	// proven is when the newest call was sent that showed this entry as owner.
+	proven time.Time
+	// rest is until when this entry claims nothing.
+	rest time.Time
+	// vacant is since when the owner is taken for gone; zero while it is not.
+	vacant time.Time
+	lease  string
+}
+
+// New returns an Elector; Serve runs it.
+func New(cfg Config) *Elector { return &Elector{cfg: cfg, members: map[string]Member{}} }
+
+// Owner returns the owner's record and the version of its key.
+func (e *Elector) Owner() (Record, uint64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.record, e.version
+}
+
+// Mine says whether this process is the owner, as far as it knows.
+func (e *Elector) Mine() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.mine()
+}
+
+func (e *Elector) mine() bool { return e.record.Owner == e.cfg.Self && !e.record.Released }
+
+// Proven returns when the newest call was sent that showed this process as
+// owner.
+func (e *Elector) Proven() time.Time {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.proven
+}
+
+// Prove notes that a call sent at a time showed this process as owner.
+func (e *Elector) Prove(sent time.Time) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if sent.After(e.proven) {
+		e.proven = sent
+	}
+}
+
+// Members returns the living entries but this one.
+func (e *Elector) Members() []Member {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	list := make([]Member, 0, len(e.members))
+	for id, m := range e.members {
+		if id != e.cfg.Self.ID {
+			list = append(list, m)
+		}
+	}
+	return list
+}
+
+// Peers returns the addresses of the living entries but this one.
+func (e *Elector) Peers() []netip.AddrPort {
+	var list []netip.AddrPort
+	for _, m := range e.Members() {
+		list = append(list, m.Peer)
+	}
+	return list
+}
+
+// Serve announces this entry, follows the membership and claims ownership where
+// it is free, until ctx ends.
+func (e *Elector) Serve(ctx context.Context) {
+	var duties sync.WaitGroup
+	duties.Go(func() { e.announceLoop(ctx) })
+	duties.Go(func() { e.watchLoop(ctx) })
+	duties.Go(func() { e.claimLoop(ctx) })
+	duties.Wait()
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
+
+// announceLoop keeps the live key.
+func (e *Elector) announceLoop(ctx context.Context) {
+	key := entryPrefix + e.cfg.Self.ID
+	for ctx.Err() == nil {
+		if err := e.announce(ctx, key); err != nil && ctx.Err() == nil {
+			e.cfg.Log.Warn("live key lost", zap.Error(err))
+			pause(ctx, retryPause)
+		}
+	}
+}
+
+// announce writes the live key under a new lease and renews it until it ends.
+func (e *Elector) announce(ctx context.Context, key string) error {
+	lease, err := e.cfg.Store.Lease(ctx, liveTTL)
+	if err != nil {
+		return err
+	}
+	value, err := cbor.Marshal(e.cfg.Self)
+	if err != nil {
+		return err
+	}
+	if _, err := e.cfg.Store.Commit(ctx, keeper.Change{Writes: []keeper.Write{{Key: key, Value: value, Lease: lease}}}); err != nil {
+		return err
+	}
+	e.mu.Lock()
+	e.lease = lease
+	e.mu.Unlock()
+	e.cfg.Log.Info("live key written", zap.String("lease", lease))
+	for {
+		pause(ctx, renewEvery)
+		if ctx.Err() != nil {
+			return nil
+		}
+		err := e.cfg.Store.Renew(ctx, lease)
+		if errors.Is(err, keeper.ErrMissing) {
+			return err
+		}
+		e.mu.Lock()
+		_, shown := e.members[e.cfg.Self.ID]
+		e.mu.Unlock()
+		if err == nil && !shown { // the store took the key away without its lease
+			if _, err := e.cfg.Store.Get(ctx, key); errors.Is(err, keeper.ErrMissing) {
+				return err
+			}
+		}
+	}
+}
+
+// watchLoop follows the keys of the membership.
+func (e *Elector) watchLoop(ctx context.Context) {
+	for ctx.Err() == nil {
+		page, err := e.cfg.Store.List(ctx, prefix)
+		if err != nil {
+			pause(ctx, retryPause)
+			continue
+		}
+		e.reset(page)
+		at := page.Version
+		for ctx.Err() == nil {
+			page, err := e.cfg.Store.Watch(ctx, prefix, at, time.Now().Add(watchWait))
+			if err != nil {
+				e.cfg.Log.Debug("watch of the membership broke", zap.Error(err))
+				pause(ctx, retryPause)
+				break
+			}
+			e.apply(page.Items)
+			at = max(at, page.Version)
+		}
+	}
+}
+
+func (e *Elector) reset(page keeper.Page) {
+	e.mu.Lock()
+	e.members = map[string]Member{}
+	e.mu.Unlock()
+	e.apply(page.Items)
+}
+
+// apply takes keys as the store shows them, in the order of their versions.
+func (e *Elector) apply(items []keeper.Item) {
+	e.mu.Lock()
+	for _, item := range items {
+		if item.Key == OwnerKey {
+			e.see(item)
+			continue
+		}
+		id, ok := strings.CutPrefix(item.Key, entryPrefix)
+		if !ok {
+			continue
+		}
+		if item.Gone {
+			delete(e.members, id)
+			continue
+		}
+		m, err := decode[Member](item.Value)
+		if err != nil {
+			e.cfg.Log.Warn("unreadable entry", zap.String("key", item.Key), zap.Error(err))
+			continue
+		}
+		e.members[id] = m
+	}
+	record := e.record
+	e.mu.Unlock()
+	if len(items) > 0 {
+		e.cfg.Seen(record, e.Members())
+	}
+}
+
+// see takes the owner's key; mu is held.
+func (e *Elector) see(item keeper.Item) {
+	if item.Gone || item.Version <= e.version {
+		return
+	}
+	r, err := decode[Record](item.Value)
+	if err != nil {
+		e.cfg.Log.Warn("unreadable owner", zap.Error(err))
+		return
+	}
+	if r.Owner != e.record.Owner || r.Released != e.record.Released {
+		e.cfg.Log.Info("owner changed", zap.String("owner", r.Owner.ID), zap.Uint64("term", r.Term), zap.Bool("released", r.Released), zap.Uint64("version", item.Version))
+	}
+	e.record, e.version, e.vacant = r, item.Version, time.Time{}
+}
+
+// claimLoop judges the owner, proves ownership, and claims it where it is free.
+func (e *Elector) claimLoop(ctx context.Context) {
+	for ctx.Err() == nil {
+		pause(ctx, checkEvery)
+		if e.Mine() {
+			e.prove(ctx)
+			continue
+		}
+		if why := e.vacancy(); why != "" {
+			if err := e.claim(ctx, why); err != nil && ctx.Err() == nil {
+				e.cfg.Log.Info("claim failed", zap.String("why", why), zap.Error(err))
+			}
+		}
+	}
+}
+
+// prove asks the store whether this process still is the owner.
+func (e *Elector) prove(ctx context.Context) {
+	sent := e.cfg.Now()
+	if sent.Sub(e.Proven()) < proveEvery {
+		return
+	}
+	item, err := e.cfg.Store.Get(ctx, OwnerKey)
+	if err != nil {
+		e.cfg.Log.Warn("ownership not proven", zap.Error(err), zap.Duration("age", e.cfg.Now().Sub(e.Proven())))
+		return
+	}
+	e.apply([]keeper.Item{item})
+	e.mu.Lock()
+	if e.mine() && item.Version == e.version && sent.After(e.proven) {
+		e.proven = sent
+	}
+	e.mu.Unlock()
+}
+
+// vacancy says why this entry should claim ownership now; empty while it
+// should not.
+func (e *Elector) vacancy() string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := e.cfg.Now()
+	why := ""
+	owner, lives := e.members[e.record.Owner.ID]
+	switch {
+	case e.members[e.cfg.Self.ID] != e.cfg.Self:
+		return "" // the store does not know this entry as living
+	case e.version == 0:
+		why = "no owner yet"
+	case e.record.Released:
+		why = "owner released"
+	case lives && owner.Born != e.record.Owner.Born:
+		why = "owner started anew"
+	case !lives && now.Sub(e.cfg.Reached()) > time.Second:
+		why = "owner is gone"
+	}
+	if why == "" {
+		e.vacant = time.Time{}
+		return ""
+	}
+	if e.vacant.IsZero() {
+		e.vacant = now
+	}
+	rank := e.rank()
+	if now.Before(e.rest) && rank > 0 {
+		return ""
+	}
+	if now.Before(e.vacant.Add(time.Duration(rank) * rankDelay)) {
+		return ""
+	}
+	return why
+}
+
+// rank is the place of this entry among the candidates of the next term, from 0.
+func (e *Elector) rank() int {
+	score := func(id string) uint64 { return xxhash.Sum64String(fmt.Sprint(id, e.record.Term)) }
+	rank, mine := 0, score(e.cfg.Self.ID)
+	for id, m := range e.members {
+		if id != e.cfg.Self.ID && m != e.record.Owner && score(id) > mine {
+			rank++
+		}
+	}
+	if e.cfg.Now().Before(e.rest) {
+		rank += len(e.members) - 1
+	}
+	return rank
+}
+
+// claim makes this process the owner if the owner's key is as last seen.
+func (e *Elector) claim(ctx context.Context, why string) error {
+	e.mu.Lock()
+	record, version := e.record, e.version
+	e.mu.Unlock()
+	if why == "owner is gone" { // the watch may be behind
+		item, err := e.cfg.Store.Get(ctx, entryPrefix+record.Owner.ID)
+		if err == nil {
+			e.apply([]keeper.Item{item})
+			return nil
+		}
+		if !errors.Is(err, keeper.ErrMissing) {
+			return err
+		}
+	}
+	next := Record{Owner: e.cfg.Self, Term: record.Term + 1}
+	sent := e.cfg.Now()
+	at, err := e.write(ctx, next, version)
+	if err != nil {
+		return err
+	}
+	e.mu.Lock()
+	e.record, e.version, e.proven, e.vacant = next, at, sent, time.Time{}
+	e.mu.Unlock()
+	e.cfg.Log.Info("ownership claimed", zap.Uint64("term", next.Term), zap.Uint64("version", at), zap.String("why", why), zap.String("before", record.Owner.ID))
+	e.cfg.Seen(next, e.Members())
+	return nil
+}
+
+// write sets the owner's key if it has the version.
+func (e *Elector) write(ctx context.Context, r Record, version uint64) (uint64, error) {
+	value, err := cbor.Marshal(r)
+	if err != nil {
+		return 0, err
+	}
+	change := keeper.Change{
+		Checks: []keeper.Check{{Key: OwnerKey, Version: version}},
+		Writes: []keeper.Write{{Key: OwnerKey, Value: value}},
+	}
+	at, err := e.cfg.Store.Commit(ctx, change)
+	var clash *keeper.Clash
+	if errors.As(err, &clash) {
+		item := clash.Item(OwnerKey)
+		if clash.Holds(change) {
+			return item.Version, nil // an attempt without an answer took effect
+		}
+		e.apply([]keeper.Item{item})
+	}
+	return at, err
+}
+
+// Release gives ownership up, if this process has it, and claims none for a
+// while. The caller has stopped giving orders.
+func (e *Elector) Release(ctx context.Context, why string) {
+	e.mu.Lock()
+	record, version, mine := e.record, e.version, e.mine()
+	e.rest = e.cfg.Now().Add(restAfter)
+	e.mu.Unlock()
+	if !mine {
+		return
+	}
+	record.Released = true
+	at, err := e.write(ctx, record, version)
+	e.cfg.Log.Info("ownership released", zap.Uint64("term", record.Term), zap.String("why", why), zap.Error(err))
+	if err != nil {
+		return
+	}
+	e.mu.Lock()
+	e.record, e.version = record, at
+	e.mu.Unlock()
+	e.cfg.Seen(record, e.Members())
+}
+
+// Leave drops the live key.
+func (e *Elector) Leave(ctx context.Context) {
+	e.mu.Lock()
+	lease := e.lease
+	e.mu.Unlock()
+	if lease == "" {
+		return
+	}
+	if err := e.cfg.Store.End(ctx, lease); err != nil {
+		e.cfg.Log.Info("live key not dropped; its lease ends it", zap.Error(err))
+	}
+}
+
+// ErrVacant says that nobody owns the pools now.
+var ErrVacant = errors.New("pools have no owner")
+
+// Find returns where the owner accepts links, and its term.
+func Find(ctx context.Context, s *keeper.Store) (netip.AddrPort, uint64, error) {
+	item, err := s.Get(ctx, OwnerKey)
+	if err != nil {
+		return netip.AddrPort{}, 0, fmt.Errorf("finding the owner: %w", err)
+	}
+	r, err := decode[Record](item.Value)
+	if err != nil {
+		return netip.AddrPort{}, 0, err
+	}
+	if r.Released {
+		return netip.AddrPort{}, r.Term, ErrVacant
+	}
+	return r.Owner.Peer, r.Term, nil
+}
--- /dev/null
+++ b/elector/record.go
@@ -0,0 +1,32 @@
+package elector
+
+import (
+	"fmt"
+	"net/netip"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+// Member is an entry as others see it.
+type Member struct {
+	ID   string         `cbor:"1,keyasint"`
+	Born string         `cbor:"2,keyasint"` // a new word for each start of the process
+	Peer netip.AddrPort `cbor:"3,keyasint"` // where it accepts links
+}
+
+// Record is the value of the key that names the owner.
+type Record struct {
+	Owner Member `cbor:"1,keyasint"`
+	// Term grows by one with each claim.
+	Term uint64 `cbor:"2,keyasint"`
+	// Released is set when the owner has stopped of its own accord.
+	Released bool `cbor:"3,keyasint,omitempty"`
+}
+
+func decode[T any](raw []byte) (T, error) {
+	var v T
+	if err := cbor.Unmarshal(raw, &v); err != nil {
+		return v, fmt.Errorf("reading membership: %w", err)
+	}
+	return v, nil
+}
--- /dev/null
+++ b/keeper/store.go
@@ -0,0 +1,118 @@
+package keeper
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"time"
+)
+
+// ErrCompacted says that the store no longer has the changes that a watch asked
+// for; the caller reads everything again.
+var ErrCompacted = errors.New("history is no longer available")
+
+// Check is a condition of a Change: the key still has the version, 0 meaning
+// that it is not there.
+type Check struct {
+	Key     string `cbor:"1,keyasint"`
+	Version uint64 `cbor:"2,keyasint"`
+}
+
+// Write sets a key; it goes when its lease lapses, an empty lease keeps it.
+type Write struct {
+	Key   string `cbor:"1,keyasint"`
+	Value []byte `cbor:"2,keyasint"`
+	Lease string `cbor:"3,keyasint,omitempty"`
+}
+
+// MaxEntries bounds the checks, writes and removals of a Change, together: a
+// platform's transaction takes 32.
+const MaxEntries = 32
+
+// Change is a transaction: all of it takes effect, or nothing.
+type Change struct {
+	Checks  []Check  `cbor:"1,keyasint,omitempty"`
+	Writes  []Write  `cbor:"2,keyasint,omitempty"`
+	Removes []string `cbor:"3,keyasint,omitempty"`
+}
+
+// Clash is the error of a Change whose conditions do not hold.
+type Clash struct {
+	// Items has the present state of the keys of the checks that exist.
+	Items []Item
+}
+
+// Error names the keys.
+func (c *Clash) Error() string { return fmt.Sprintf("conditions on %d keys do not hold", len(c.Items)) }
+
+// Is makes a Clash an ErrConflict.
+func (c *Clash) Is(target error) bool { return target == ErrConflict }
+
+// Item returns the present state of a key; Version is 0 where it is missing.
+func (c *Clash) Item(key string) Item {
+	for _, item := range c.Items {
+		if item.Key == key {
+			return item
+		}
+	}
+	return Item{Key: key}
+}
+
+// Holds says whether every write of the change is what the store holds now, so
+// that the change, sent before without an answer, has taken effect. It needs a
+// check on each key written.
+func (c *Clash) Holds(change Change) bool {
+	for _, w := range change.Writes {
+		item := c.Item(w.Key)
+		if item.Version == 0 || !bytes.Equal(item.Value, w.Value) {
+			return false
+		}
+	}
+	return len(change.Writes) > 0
+}
+
+// Page is a part of a listing in the order of keys.
+type Page struct {
+	Items   []Item `cbor:"1,keyasint,omitempty"`
+	More    bool   `cbor:"2,keyasint,omitempty"`
+	Version uint64 `cbor:"3,keyasint,omitempty"` // the store's when it answered
+}
+
+// Store is a platform's store as function fields. Errors are ErrMissing,
+// ErrConflict (a Clash), ErrCompacted, ErrDown where nothing was done, and
+// ErrUnsettled where a write may have taken effect or still may.
+type Store struct {
+	Get func(ctx context.Context, key string) (Item, error)
+	// Page lists keys under a prefix, after a key.
+	Page func(ctx context.Context, prefix, after string) (Page, error)
+	// Watch returns changes after a version, or none when until is reached. A
+	// deleted key has Gone set.
+	Watch  func(ctx context.Context, prefix string, after uint64, until time.Time) (Page, error)
+	Commit func(ctx context.Context, change Change) (uint64, error)
+	// Lease starts a lease of at least ttl, Renew keeps it, End drops its keys.
+	Lease func(ctx context.Context, ttl time.Duration) (string, error)
+	Renew func(ctx context.Context, lease string) error
+	End   func(ctx context.Context, lease string) error
+}
+
+// List reads every key under a prefix. Version is that of the first page, so
+// that a watch from there misses nothing.
+func (s *Store) List(ctx context.Context, prefix string) (Page, error) {
+	var all Page
+	after := ""
+	for {
+		p, err := s.Page(ctx, prefix, after)
+		if err != nil {
+			return Page{}, fmt.Errorf("listing %s: %w", prefix, err)
+		}
+		if after == "" {
+			all.Version = p.Version
+		}
+		all.Items = append(all.Items, p.Items...)
+		if !p.More || len(p.Items) == 0 {
+			return all, nil
+		}
+		after = p.Items[len(p.Items)-1].Key
+	}
+}
--- a/messenger/frame.go
+++ b/messenger/frame.go
@@ -56,6 +56,12 @@
 	KindClaim   Kind = 30
 	KindClaimed Kind = 31
 	KindRecord  Kind = 32
+
+	KindOrder Kind = 40
+	KindTable Kind = 41
+	KindVouch Kind = 42
+	KindAsk   Kind = 43
+	KindTell  Kind = 44
 )
 
 // Errors of the protocol.
@@ -86,6 +92,11 @@
 	Claim   *Claim   `cbor:"17,keyasint,omitempty"`
 	Claimed *Claimed `cbor:"18,keyasint,omitempty"`
 	Survey  *Survey  `cbor:"19,keyasint,omitempty"`
+	Order   *Order   `cbor:"20,keyasint,omitempty"`
+	Table   *Table   `cbor:"21,keyasint,omitempty"`
+	Vouch   *Vouch   `cbor:"22,keyasint,omitempty"`
+	Ask     *Ask     `cbor:"23,keyasint,omitempty"`
+	Tell    *Tell    `cbor:"24,keyasint,omitempty"`
 }
 
 var (
@@ -183,6 +194,16 @@
 		return f.Claim != nil
 	case KindClaimed:
 		return f.Claimed != nil
+	case KindOrder:
+		return f.Order != nil && (f.Order.Start == nil) != (f.Order.Stop == nil)
+	case KindTable:
+		return f.Table != nil
+	case KindVouch:
+		return f.Vouch != nil
+	case KindAsk:
+		return f.Ask != nil && f.ID != 0
+	case KindTell:
+		return f.Tell != nil && f.ID != 0
 	}
 	return true
 }
--- /dev/null
+++ b/messenger/pool.go
@@ -0,0 +1,152 @@
+package messenger
+
+import (
+	"time"
+)
+
+// Order is an instruction of the pool's owner to an agent. Exactly one of
+// Start and Stop is set.
+type Order struct {
+	// Seq numbers the orders on one connection, from 1.
+	Seq uint64 `cbor:"1,keyasint"`
+	// Term is the owner's; an agent refuses orders of a lower one.
+	Term  uint64    `cbor:"2,keyasint"`
+	Start *RunStart `cbor:"3,keyasint,omitempty"`
+	Stop  *RunStop  `cbor:"4,keyasint,omitempty"`
+}
+
+// RunStart tells an agent to start a task.
+type RunStart struct {
+	Task    string `cbor:"1,keyasint"`
+	Attempt uint64 `cbor:"2,keyasint"`
+	Payload string `cbor:"3,keyasint,omitempty"`
+	Saved   string `cbor:"4,keyasint,omitempty"` // checkpoint to resume from; empty for none
+	Traits  Traits `cbor:"5,keyasint"`
+	Ticket  string `cbor:"6,keyasint,omitempty"`
+	// Known says that the run goes on already; only its traits are told.
+	Known bool `cbor:"7,keyasint,omitempty"`
+}
+
+// Traits is what an agent must know of a task to guard its worker.
+type Traits struct {
+	CPU    int64  `cbor:"1,keyasint,omitempty"` // thousandths of a core
+	Memory int64  `cbor:"2,keyasint,omitempty"` // MB
+	GPU    int64  `cbor:"3,keyasint,omitempty"`
+	Fills  bool   `cbor:"4,keyasint,omitempty"` // runs on what others leave unused
+	Image  string `cbor:"5,keyasint,omitempty"`
+	// Target bounds the tail latency of a task that serves, in ms; 0 for none.
+	Target int64 `cbor:"6,keyasint,omitempty"`
+}
+
+// RunStop tells an agent to stop a run.
+type RunStop struct {
+	Task    string `cbor:"1,keyasint"`
+	Attempt uint64 `cbor:"2,keyasint"`
+}
+
+// Table is all that an agent knows of its worker. Each replaces the one before.
+type Table struct {
+	// Term is the highest that the agent has heard of.
+	Term uint64 `cbor:"1,keyasint"`
+	// Seq is the last order that is reflected in Runs and Ends.
+	Seq    uint64 `cbor:"2,keyasint"`
+	Worker string `cbor:"3,keyasint"` // life of the worker; empty while none is known
+	// Asked is the worker's clock when the table was sent; the owner's answer
+	// extends the lease from there.
+	Asked     time.Time `cbor:"4,keyasint"`
+	CPU       int64     `cbor:"5,keyasint"` // capacity, thousandths of a core
+	Memory    int64     `cbor:"6,keyasint"` // MB
+	GPU       int64     `cbor:"7,keyasint,omitempty"`
+	Labels    []string  `cbor:"8,keyasint,omitempty"`
+	Pool      string    `cbor:"9,keyasint"`
+	Draining  bool      `cbor:"10,keyasint,omitempty"`
+	Leaves    int64     `cbor:"11,keyasint,omitempty"` // ms that a draining worker has at least
+	Silent    bool      `cbor:"12,keyasint,omitempty"` // the worker does not answer
+	Runs      []RunRow  `cbor:"13,keyasint,omitempty"`
+	Ends      []EndRow  `cbor:"14,keyasint,omitempty"`
+	Surveyed  bool      `cbor:"15,keyasint,omitempty"` // Runs has been compared with the worker's list
+	Warmup    int64     `cbor:"16,keyasint,omitempty"` // ms for which the worker is still slow
+	Authority bool      `cbor:"17,keyasint,omitempty"` // the agent may start tasks
+}
+
+// RunRow is a run at an agent's worker.
+type RunRow struct {
+	Task    string `cbor:"1,keyasint"`
+	Attempt uint64 `cbor:"2,keyasint"`
+	Phase   Phase  `cbor:"3,keyasint"`
+	Saved   string `cbor:"4,keyasint,omitempty"`
+	Percent int    `cbor:"5,keyasint,omitempty"`
+	Figure  int64  `cbor:"6,keyasint,omitempty"` // tail latency in ms, or processor in use
+	Pace    int    `cbor:"7,keyasint,omitempty"` // percent at which the task may work
+	Bare    bool   `cbor:"8,keyasint,omitempty"` // the agent does not know the task's traits
+}
+
+// Phase is how far a run has come.
+type Phase uint8
+
+// Phases of a run.
+const (
+	PhaseStarting Phase = 1 // the worker has not confirmed it
+	PhaseRunning  Phase = 2
+	PhaseStopping Phase = 3
+)
+
+// How tells how a run ended.
+type How uint8
+
+// Ends of a run.
+const (
+	EndDone    How = 1
+	EndFailed  How = 2
+	EndStopped How = 3
+	EndLapsed  How = 4
+	EndBroken  How = 5 // another member of its gang ended
+	EndAlone   How = 6 // the other members of its gang did not come
+	EndNever   How = 7 // it never began
+	EndGone    How = 8 // it went with its worker
+)
+
+// EndRow is a run that has ended. Numbers grow over one process of an agent.
+type EndRow struct {
+	N       uint64 `cbor:"1,keyasint"`
+	Task    string `cbor:"2,keyasint"`
+	Attempt uint64 `cbor:"3,keyasint"`
+	How     How    `cbor:"4,keyasint"`
+	Saved   string `cbor:"5,keyasint,omitempty"`
+	Reason  string `cbor:"6,keyasint,omitempty"` // why it never began
+}
+
+// Vouch is an owner's answer to a Table.
+type Vouch struct {
+	Term uint64 `cbor:"1,keyasint"`
+	// Asked echoes the table's; the zero time vouches for nothing.
+	Asked time.Time `cbor:"2,keyasint"`
+	// Durable is the last end, with all before it, that may be forgotten.
+	Durable uint64 `cbor:"3,keyasint"`
+	// Worker echoes the table's; Asked is on that life's clock.
+	Worker string `cbor:"4,keyasint,omitempty"`
+}
+
+// Ask is an entry's question to the owner: of a job, or of a queue.
+type Ask struct {
+	Job   string `cbor:"1,keyasint,omitempty"`
+	Queue string `cbor:"2,keyasint,omitempty"`
+}
+
+// Tell answers an Ask. Known is false where the owner has no such job.
+type Tell struct {
+	Known   bool   `cbor:"1,keyasint,omitempty"`
+	Queue   string `cbor:"2,keyasint,omitempty"`
+	State   string `cbor:"3,keyasint,omitempty"`
+	Pending int    `cbor:"4,keyasint,omitempty"`
+}
+
+// String names the end.
+func (h How) String() string {
+	if int(h) < len(hows) {
+		return hows[h]
+	}
+	return "unknown"
+}
+
+var hows = [...]string{"unknown", "done", "failed", "stopped", "lapsed", "broken", "alone", "never", "gone"}
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -56,3 +56,9 @@
 
 // Close flushes and ends the metrics.
 func (m *Meter) Close() { _ = m.closer.Close() }
+
+// Count adds one to a counter.
+func (m *Meter) Count(name string) { m.Counter(name).Inc(1) }
+
+// Time adds to a histogram of times.
+func (m *Meter) Time(name string, d time.Duration) { m.Histogram(name, buckets).RecordDuration(d) }
--- /dev/null
+++ b/overseer/agent.go
@@ -0,0 +1,278 @@
+package overseer
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/endivefall/endivefall/messenger"
+	"github.com/endivefall/endivefall/sequencer"
+)
+
+// Link is a connection to an agent.
+type Link struct {
+	ID, Born string
+	// Post sends a frame without waiting.
+	Post func(messenger.Frame) error
+}
+
+// agent is an agent that may hold work.
+type agent struct {
+	id string
+	// link is the present connection, or nil; born the process it leads to.
+	link *Link
+	born string
+	// heard is the local time of its last table.
+	heard time.Time
+	table *messenger.Table
+	// kept is the version of its key in the ledger; 0 while it has none. No
+	// order and no lease goes to an agent without one.
+	kept      uint64
+	enrolling bool
+	// vouched is the local time up to which its runs may go on without a word
+	// of the owner. It only grows.
+	vouched time.Time
+	// surveyed is set once its whole table was heard in this term; missing while
+	// an earlier owner may have left runs there that are not known here.
+	surveyed, missing bool
+	// seq is the last order on link.
+	seq uint64
+	// taken is the newest end taken over from the process born; durable the
+	// newest that it may forget, told the last that it was told of.
+	taken, durable, told uint64
+	// ends are those after durable.
+	ends []pendingEnd
+	// record is how its runs have ended lately.
+	record record
+}
+
+// pendingEnd is an end that the agent must keep until the ledger has it.
+type pendingEnd struct {
+	n uint64
+	// job is nil where the ledger needs nothing of the end.
+	job    *job
+	change uint64
+}
+
+func (o *Overseer) agent(id string) *agent {
+	a := o.agents[id]
+	if a == nil {
+		a = &agent{id: id}
+		o.agents[id] = a
+	}
+	return a
+}
+
+// Join takes a new connection to an agent.
+func (o *Overseer) Join(l *Link) {
+	o.hand(func() {
+		a := o.agent(l.ID)
+		if a.born != l.Born {
+			a.born, a.taken, a.durable, a.told, a.ends = l.Born, 0, 0, 0, nil
+		}
+		a.link, a.seq, a.table, a.heard = l, 0, nil, o.cfg.Now()
+		o.cfg.Log.Info("agent joined", zap.String("agent", l.ID), zap.String("born", l.Born))
+	})
+}
+
+// Part notes that a connection has ended.
+func (o *Overseer) Part(l *Link) {
+	o.hand(func() {
+		if a := o.agents[l.ID]; a != nil && a.link == l {
+			a.link, a.table = nil, nil
+			o.cfg.Log.Info("agent parted", zap.String("agent", l.ID), zap.Duration("lease", a.vouched.Sub(o.cfg.Now())))
+		}
+	})
+}
+
+// Heard takes a frame of an agent.
+func (o *Overseer) Heard(l *Link, f messenger.Frame) {
+	if f.Kind != messenger.KindTable {
+		return
+	}
+	o.hand(func() {
+		if a := o.agents[l.ID]; a != nil && a.link == l {
+			o.hear(a, f.Table)
+		}
+	})
+}
+
+// hear takes an agent's table.
+func (o *Overseer) hear(a *agent, t *messenger.Table) {
+	if t.Term > o.cfg.Term {
+		o.ending = ErrDeposed
+		return
+	}
+	now := o.cfg.Now()
+	a.table, a.heard = t, now
+	if a.kept == 0 {
+		a.enrolling = true
+	}
+	if o.loaded {
+		o.compare(a, t)
+	}
+	v := &messenger.Vouch{Term: o.cfg.Term, Durable: a.durable}
+	if a.kept != 0 && o.current() && t.Worker != "" {
+		v.Asked, v.Worker = t.Asked, t.Worker
+		a.vouched = o.later(a.vouched, now.Add(o.leaseBound()))
+	}
+	a.told = a.durable
+	o.post(a, messenger.Frame{Kind: messenger.KindVouch, Vouch: v})
+}
+
+func (o *Overseer) post(a *agent, f messenger.Frame) {
+	if err := a.link.Post(f); err != nil {
+		o.cfg.Log.Info("agent not reached", zap.String("agent", a.id), zap.Error(err))
+	}
+}
+
+// compare brings what is known of an agent's runs in line with its table.
+func (o *Overseer) compare(a *agent, t *messenger.Table) {
+	listed := map[runKey]bool{}
+	for _, row := range t.Ends {
+		listed[runKey{row.Task, row.Attempt}] = true
+		if row.N > a.taken {
+			a.taken = row.N
+			o.ended(a, row)
+		}
+	}
+	o.settle(a)
+	if !t.Surveyed {
+		return
+	}
+	for _, row := range t.Runs {
+		listed[runKey{row.Task, row.Attempt}] = true
+		o.listed(a, row)
+	}
+	if !a.surveyed || a.missing {
+		a.surveyed, a.missing = true, false
+		o.plan = true
+		o.cfg.Log.Info("agent surveyed", zap.String("agent", a.id), zap.Int("runs", len(t.Runs)), zap.Int("ends", len(t.Ends)), zap.Int("missing", o.missing()))
+	}
+	if len(t.Ends) >= maxEnds {
+		return // runs may be among the ends that were left out
+	}
+	for _, r := range o.runsOf(a) {
+		if listed[r.key] || r.link == a.link && r.seq > t.Seq {
+			continue
+		}
+		o.over(r, messenger.EndRow{Task: r.key.task, Attempt: r.key.attempt, How: messenger.EndNever, Reason: "the agent does not know it"})
+	}
+}
+
+// maxEnds is how many ends an agent lists at most.
+const maxEnds = 500
+
+func (o *Overseer) runsOf(a *agent) []*run {
+	var list []*run
+	for _, r := range o.runs {
+		if r.agent == a {
+			list = append(list, r)
+		}
+	}
+	return list
+}
+
+// missing counts agents that may hold runs of an earlier owner.
+func (o *Overseer) missing() int {
+	n := 0
+	for _, a := range o.agents {
+		if a.missing {
+			n++
+		}
+	}
+	return n
+}
+
+// listed takes a run that an agent lists.
+func (o *Overseer) listed(a *agent, row messenger.RunRow) {
+	key := runKey{row.Task, row.Attempt}
+	r := o.runs[key]
+	if r == nil {
+		if r = o.found(a, row); r == nil {
+			return
+		}
+	}
+	if r.agent != a {
+		o.cfg.Log.Error("run is at two agents", zap.String("task", row.Task), zap.Uint64("attempt", row.Attempt), zap.String("agent", a.id), zap.String("other", r.agent.id))
+		return
+	}
+	if row.Bare {
+		o.order(a, &messenger.Order{Start: o.startOf(r, true)})
+	}
+	now := o.cfg.Now()
+	if row.Percent > r.percent || r.moved.IsZero() {
+		r.moved = now
+	}
+	r.phase, r.percent, r.figure, r.pace = row.Phase, row.Percent, row.Figure, row.Pace
+	if row.Saved != "" {
+		r.task.Saved = row.Saved
+	}
+	if (r.evict || r.job.Over() || r.task.Done) && r.stopped != a.link {
+		o.stop(r, "it is not wanted any more")
+	}
+}
+
+// found takes a run that an earlier owner started.
+func (o *Overseer) found(a *agent, row messenger.RunRow) *run {
+	id, k, step, index, err := sequencer.SplitName(row.Task)
+	j := o.jobs[id]
+	if err != nil || j == nil || j.Task(k, step, index) == nil {
+		o.cfg.Log.Warn("run of an unknown job", zap.String("task", row.Task), zap.String("agent", a.id), zap.Error(err))
+		o.order(a, &messenger.Order{Stop: &messenger.RunStop{Task: row.Task, Attempt: row.Attempt}})
+		return nil
+	}
+	t := j.Task(k, step, index)
+	r := &run{key: runKey{row.Task, row.Attempt}, task: t, job: j, agent: a, phase: row.Phase, pace: 100, began: o.cfg.Now()}
+	if t.Live > 0 && !t.Shape().Copies {
+		r.evict = true
+		o.cfg.Log.Warn("run of a task that runs elsewhere", zap.String("task", row.Task), zap.Uint64("attempt", row.Attempt), zap.String("agent", a.id))
+	}
+	t.Attempt = max(t.Attempt, row.Attempt)
+	t.Live++
+	j.Began = true
+	o.runs[r.key], j.live[r.key] = r, r
+	return r
+}
+
+// expire gives up on an agent whose runs have surely ended.
+func (o *Overseer) expire(a *agent, now time.Time) {
+	if a.link != nil && now.Sub(a.heard) < isolated || now.Before(a.vouched) || !o.loaded {
+		return
+	}
+	for _, r := range o.runsOf(a) {
+		// An order still on its way finds no lease at the agent.
+		o.over(r, messenger.EndRow{Task: r.key.task, Attempt: r.key.attempt, How: messenger.EndLapsed, Reason: "the agent is out of reach and its lease has ended"})
+	}
+	if a.missing {
+		a.missing, o.plan = false, true
+		o.cfg.Log.Info("agent given up", zap.String("agent", a.id), zap.Time("vouched", a.vouched))
+	}
+	a.surveyed = false
+}
+
+// order sends an order to an agent.
+func (o *Overseer) order(a *agent, order *messenger.Order) bool {
+	if a.link == nil {
+		return false
+	}
+	a.seq++
+	order.Seq, order.Term = a.seq, o.cfg.Term
+	if err := a.link.Post(messenger.Frame{Kind: messenger.KindOrder, Order: order}); err != nil {
+		o.cfg.Log.Info("order not sent", zap.String("agent", a.id), zap.Error(err))
+		return false
+	}
+	return true
+}
+
+// stop tells a run's agent to stop it.
+func (o *Overseer) stop(r *run, why string) {
+	r.evict = true
+	if r.agent.link == nil || r.stopped == r.agent.link {
+		return
+	}
+	if o.order(r.agent, &messenger.Order{Stop: &messenger.RunStop{Task: r.key.task, Attempt: r.key.attempt}}) {
+		r.stopped = r.agent.link
+		o.cfg.Log.Info("stop", zap.String("task", r.key.task), zap.Uint64("attempt", r.key.attempt), zap.String("agent", r.agent.id), zap.String("why", why))
+	}
+}
--- /dev/null
+++ b/overseer/ends.go
@@ -0,0 +1,148 @@
+package overseer
+
+import (
+	"strings"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/endivefall/endivefall/messenger"
+	"github.com/endivefall/endivefall/sequencer"
+)
+
+// neverPause is how long a task waits after a start that was refused.
+const neverPause = 60 * time.Millisecond
+
+// ended takes an end that an agent lists.
+func (o *Overseer) ended(a *agent, row messenger.EndRow) {
+	p := pendingEnd{n: row.N}
+	key := runKey{row.Task, row.Attempt}
+	if r := o.runs[key]; r != nil && r.agent == a {
+		o.over(r, row)
+		p.job, p.change = r.job, r.job.changes
+	} else {
+		p.job, p.change = o.strayEnd(a, row)
+	}
+	if row.How != messenger.EndDone && row.How != messenger.EndFailed {
+		p.job = nil // the ledger keeps nothing of it
+	}
+	a.ends = append(a.ends, p)
+}
+
+// strayEnd takes an end of a run that is not known here: an earlier owner
+// started it, or it was given up. It counts unless the task has been started
+// again since.
+func (o *Overseer) strayEnd(a *agent, row messenger.EndRow) (*job, uint64) {
+	id, k, step, index, err := sequencer.SplitName(row.Task)
+	j := o.jobs[id]
+	if err != nil || j == nil || j.Over() {
+		return nil, 0
+	}
+	t := j.Task(k, step, index)
+	if t == nil || t.Done || t.Attempt > row.Attempt {
+		return nil, 0
+	}
+	o.cfg.Log.Info("end of a run that was not known", zap.String("task", row.Task), zap.Uint64("attempt", row.Attempt), zap.Stringer("how", row.How), zap.String("agent", a.id))
+	t.Attempt = row.Attempt
+	o.score(j, t, a, row)
+	return j, j.changes
+}
+
+// over takes a run out of the table and draws the conclusions of its end.
+func (o *Overseer) over(r *run, row messenger.EndRow) {
+	delete(o.runs, r.key)
+	delete(r.job.live, r.key)
+	r.task.Live--
+	now := o.cfg.Now()
+	o.cfg.Log.Info("end", zap.String("task", row.Task), zap.Uint64("attempt", row.Attempt), zap.Stringer("how", row.How),
+		zap.String("reason", row.Reason), zap.String("agent", r.agent.id), zap.Duration("ran", now.Sub(r.began)), zap.Int("percent", r.percent))
+	o.cfg.Count("end_" + row.How.String())
+	if row.How == messenger.EndDone {
+		o.cfg.Time("run", now.Sub(r.began))
+		r.agent.record.good()
+		o.learn(r, now)
+	}
+	o.score(r.job, r.task, r.agent, row)
+}
+
+// score notes an end at its task and its job.
+func (o *Overseer) score(j *job, t *sequencer.Task, a *agent, row messenger.EndRow) {
+	now := o.cfg.Now()
+	t.Since = now
+	if row.Saved != "" {
+		t.Saved = row.Saved
+	}
+	o.plan = true
+	step := t.Shape()
+	switch row.How {
+	case messenger.EndDone:
+		if step.Lasting {
+			return
+		}
+		if step.Gang {
+			for _, other := range j.Tasks(t.Occurrence, t.Step) {
+				j.Finish(other)
+			}
+		}
+		j.Finish(t)
+		for _, r := range j.live {
+			if r.task == t {
+				o.stop(r, "another run of the task is done")
+			}
+		}
+		o.changed(j)
+		if j.Done() {
+			delete(o.open, j.Spec.ID)
+		}
+	case messenger.EndFailed:
+		if a.record.bad(now) {
+			o.cfg.Log.Warn("worker set aside", zap.String("agent", a.id), zap.Float64("doubt", a.record.doubt), zap.Int("row", a.record.row))
+		}
+		if step.Lasting {
+			return
+		}
+		t.Fails++
+		t.Avoid = append(t.Avoid, a.id)
+		if j.Spec.Attempts > 0 && t.Fails >= j.Spec.Attempts && !j.Over() {
+			j.Failed = true
+			o.cfg.Log.Info("job failed", zap.String("job", j.Spec.ID), zap.String("task", row.Task), zap.Int("fails", t.Fails))
+			o.close(j)
+		}
+		o.changed(j)
+	case messenger.EndNever:
+		t.After = now.Add(neverPause)
+		if strings.Contains(row.Reason, "unhealthy") {
+			a.record.busy(now)
+		}
+	}
+}
+
+// changed says that a job's progress is to be written.
+func (o *Overseer) changed(j *job) {
+	j.changes++
+	if !j.queued {
+		j.queued = true
+		o.dirty = append(o.dirty, j)
+	}
+}
+
+// settle lets an agent forget the ends that the ledger has.
+func (o *Overseer) settle(a *agent) {
+	n := 0
+	for n < len(a.ends) && (a.ends[n].job == nil || a.ends[n].job.written >= a.ends[n].change) {
+		a.durable = a.ends[n].n
+		n++
+	}
+	a.ends = a.ends[n:]
+}
+
+// tell sends agents what has become durable.
+func (o *Overseer) tell() {
+	for _, a := range o.agents {
+		o.settle(a)
+		if a.link != nil && a.told < a.durable {
+			a.told = a.durable
+			o.post(a, messenger.Frame{Kind: messenger.KindVouch, Vouch: &messenger.Vouch{Term: o.cfg.Term, Durable: a.durable}})
+		}
+	}
+}
--- /dev/null
+++ b/overseer/follow.go
@@ -0,0 +1,190 @@
+package overseer
+
+import (
+	"context"
+	"errors"
+	"strings"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/endivefall/endivefall/keeper"
+	"github.com/endivefall/endivefall/sequencer"
+)
+
+// follow reads the ledger, then its changes, until ctx ends.
+func (o *Overseer) follow(ctx context.Context) {
+	for ctx.Err() == nil {
+		at, err := o.load(ctx)
+		if err != nil {
+			o.cfg.Log.Warn("ledger not read", zap.Error(err))
+			pause(ctx, retryPause)
+			continue
+		}
+		for ctx.Err() == nil {
+			page, err := o.cfg.Store.Watch(ctx, JobPrefix, at, time.Now().Add(watchWait))
+			if errors.Is(err, keeper.ErrCompacted) {
+				o.cfg.Log.Info("history of the ledger is gone; reading it again", zap.Uint64("at", at))
+				break
+			}
+			if err != nil {
+				if ctx.Err() == nil {
+					o.cfg.Log.Info("watch of the ledger broke", zap.Error(err))
+					// A watch can't be relayed; reading everything can.
+					pause(ctx, retryPause)
+				}
+				break
+			}
+			at = max(at, page.Version)
+			if len(page.Items) > 0 {
+				o.hand(func() { o.take(page.Items) })
+			}
+		}
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
+
+// load reads the whole ledger and returns the version from which to watch.
+func (o *Overseer) load(ctx context.Context) (uint64, error) {
+	in, err := o.cfg.Store.List(ctx, JobPrefix)
+	if err != nil {
+		return 0, err
+	}
+	loaded := make(chan bool, 1)
+	o.hand(func() { loaded <- o.loaded })
+	select {
+	case again := <-loaded:
+		if again { // progress and agents are only ever written by the owner
+			o.hand(func() { o.take(in.Items) })
+			return in.Version, nil
+		}
+	case <-ctx.Done():
+		return 0, ctx.Err()
+	case <-o.done:
+		return 0, ErrDeposed
+	}
+	out, err := o.cfg.Store.List(ctx, outPrefix)
+	if err != nil {
+		return 0, err
+	}
+	agents, err := o.cfg.Store.List(ctx, agentPrefix)
+	if err != nil {
+		return 0, err
+	}
+	o.hand(func() { o.begin(in.Items, out.Items, agents.Items) })
+	return in.Version, nil
+}
+
+// begin takes the ledger over.
+func (o *Overseer) begin(in, out, agents []keeper.Item) {
+	progress := map[string]keeper.Item{}
+	for _, item := range out {
+		progress[strings.TrimPrefix(item.Key, outPrefix)] = item
+	}
+	for _, item := range in {
+		id, ok := strings.CutPrefix(item.Key, JobPrefix+"j")
+		if !ok {
+			continue
+		}
+		var p *sequencer.Progress
+		kept := progress[id]
+		if kept.Version != 0 {
+			var err error
+			if p, err = sequencer.DecodeProgress(kept.Value); err != nil {
+				// Nothing of the job may run again without its ends.
+				o.cfg.Log.Error("progress can't be read; the job stays as it is", zap.String("job", id), zap.Error(err))
+				continue
+			}
+		}
+		o.admit(item, p, kept.Version)
+	}
+	for _, item := range agents {
+		id := strings.TrimPrefix(item.Key, agentPrefix)
+		a := o.agent(id)
+		a.kept, a.missing = item.Version, !a.surveyed
+		// An earlier owner may have vouched for it until its proof ended.
+		a.vouched = o.later(a.vouched, o.claimed.Add(o.cfg.Foreign+o.leaseBound()))
+	}
+	o.take(in) // cancels
+	o.loaded, o.plan = true, true
+	o.cfg.Log.Info("ledger read", zap.Uint64("term", o.cfg.Term), zap.Int("jobs", len(o.jobs)), zap.Int("open", len(o.open)), zap.Int("agents", len(agents)), zap.Duration("after", o.cfg.Now().Sub(o.claimed)))
+	for _, a := range o.agents {
+		if a.table != nil {
+			o.compare(a, a.table)
+		}
+	}
+}
+
+func (o *Overseer) later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// leaseBound is how long after a word of the owner a worker's runs have
+// surely ended.
+func (o *Overseer) leaseBound() time.Duration { return o.cfg.Lease*(1000+slowClock)/1000 + margin }
+
+// take takes jobs and cancels as the store shows them.
+func (o *Overseer) take(items []keeper.Item) {
+	for _, item := range items {
+		rest := strings.TrimPrefix(item.Key, JobPrefix)
+		switch {
+		case item.Gone || len(rest) < 2:
+		case rest[0] == 'j':
+			if o.jobs[rest[1:]] == nil {
+				o.admit(item, nil, 0)
+			}
+		case rest[0] == 'x':
+			o.cancel(rest[1:])
+		}
+	}
+}
+
+// admit takes a job of the ledger.
+func (o *Overseer) admit(item keeper.Item, p *sequencer.Progress, kept uint64) {
+	spec, err := sequencer.DecodeSpec(item.Value)
+	if err != nil {
+		o.cfg.Log.Error("job can't be read", zap.String("key", item.Key), zap.Error(err))
+		return
+	}
+	j := &job{Job: sequencer.NewJob(spec, item.Version, p), live: map[runKey]*run{}}
+	j.Kept = kept
+	o.jobs[spec.ID] = j
+	if j.Over() {
+		j.over = o.cfg.Now()
+		return
+	}
+	o.open[spec.ID] = j
+	o.plan = true
+	o.cfg.Log.Info("job taken", zap.String("job", spec.ID), zap.String("queue", spec.Queue), zap.Uint64("version", item.Version), zap.Int("steps", len(spec.Steps)), zap.Int("tasks", spec.Steps[0].Count), zap.Duration("age", o.cfg.Wall().Sub(spec.Accepted)))
+}
+
+// cancel ends a job whose cancel is durable.
+func (o *Overseer) cancel(id string) {
+	j := o.jobs[id]
+	if j == nil || j.Over() {
+		return
+	}
+	j.Canceled, j.Durable = true, sequencer.Canceled
+	o.cfg.Log.Info("job canceled", zap.String("job", id), zap.Int("runs", len(j.live)))
+	o.close(j)
+}
+
+// close takes a job that is over out of the work: its runs are stopped.
+func (o *Overseer) close(j *job) {
+	delete(o.open, j.Spec.ID)
+	for _, r := range j.live {
+		o.stop(r, "job is over")
+	}
+	o.plan = true
+}
--- /dev/null
+++ b/overseer/overseer.go
@@ -0,0 +1,251 @@
+// Package overseer schedules the jobs of the pools while its process is their
+// owner: it hears the agents, places tasks, and writes to the ledger what has
+// ended before the agents may forget it.
+package overseer
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/endivefall/endivefall/keeper"
+	"github.com/endivefall/endivefall/messenger"
+	"github.com/endivefall/endivefall/sequencer"
+)
+
+// ErrDeposed says that another process owns the pools now.
+var ErrDeposed = errors.New("another process is the owner")
+
+// ErrIsolated says that too few agents are heard to own the pools.
+var ErrIsolated = errors.New("most agents are out of reach")
+
+// Keys of the ledger.
+const (
+	// JobPrefix stands before the keys of accepted jobs and of cancels.
+	JobPrefix = "ef/in/"
+	// outPrefix stands before the keys of progress.
+	outPrefix = "ef/out/"
+	// agentPrefix stands before the keys of agents that may hold work.
+	agentPrefix = "ef/agent/"
+)
+
+// JobKey is the key of an accepted job, CancelKey that of its cancel.
+func JobKey(id string) string    { return JobPrefix + "j" + id }
+func CancelKey(id string) string { return JobPrefix + "x" + id }
+
+// OutKey is the key of a job's progress.
+func OutKey(id string) string { return outPrefix + id }
+
+// Times of an owner.
+const (
+	// tickEvery is how often deadlines are looked at.
+	tickEvery = 50 * time.Millisecond
+	// planPause is the least time between two rounds of placement.
+	planPause = 8 * time.Millisecond
+	// slowClock is how much slower than ours a worker's clock may run, in parts
+	// of 1,000; the platform states 2%, rounded up.
+	slowClock = 21
+	// margin covers the way of a message and the end of a lease at a worker.
+	margin = 150 * time.Millisecond
+	// watchWait bounds a watch, so that a silent connection is noticed.
+	watchWait = 2 * time.Second
+	// retryPause is the wait after a failed call to the store.
+	retryPause = 100 * time.Millisecond
+	// isolated is how long most agents may be silent before ownership is given
+	// up: less than a short cut, more than two lost heartbeats.
+	isolated = 2200 * time.Millisecond
+)
+
+// queue bounds what waits for the owner's goroutine; a link's reader waits
+// when it is full.
+const queue = 1024
+
+// Config is what an Overseer needs.
+type Config struct {
+	// Term and Epoch are of this process's claim: the owner's key and its
+	// version are a condition of every write.
+	Term, Epoch uint64
+	OwnerKey    string
+	Store       *keeper.Store
+	// Now is a clock that counts the time in which the instance was suspended;
+	// Wall is the time of day.
+	Now, Wall func() time.Time
+	// Lease is how long runs go on without a word of the owner.
+	Lease time.Duration
+	// Proof is how long a proof of ownership holds.
+	Proof time.Duration
+	// Foreign is how long an earlier owner may have given orders after the
+	// claim: Proof, or 0 where it surely had stopped.
+	Foreign time.Duration
+	// Keep is how long the state of a job that is over is kept.
+	Keep time.Duration
+	// Proven and Prove read and note the newest proof of ownership.
+	Proven func() time.Time
+	Prove  func(sent time.Time)
+	// Others says whether another living entry could own the pools.
+	Others func() bool
+	Log    *zap.Logger
+	// Count and Time are told of events for metrics.
+	Count func(name string)
+	Time  func(name string, d time.Duration)
+}
+
+// Overseer is the owner's state. All of it belongs to the goroutine of Serve;
+// others hand it functions through do.
+type Overseer struct {
+	cfg Config
+	do  chan func()
+	// done is closed when Serve has returned.
+	done chan struct{}
+	// claimed is the local time at which ownership was known.
+	claimed time.Time
+	loaded  bool
+	jobs    map[string]*job
+	open    map[string]*job // jobs that are not over
+	runs    map[runKey]*run
+	agents  map[string]*agent
+	// dirty has jobs whose progress is not in the ledger, in order.
+	dirty []*job
+	// writing is set while a commit is on its way.
+	writing bool
+	// plan is set when a round of placement is due.
+	plan    bool
+	planned time.Time
+	// lonely is since when too few agents are heard; zero while enough are.
+	lonely time.Time
+	// ending is why Serve is to return.
+	ending error
+	works  sync.WaitGroup
+}
+
+// job is a job of the ledger.
+type job struct {
+	*sequencer.Job
+	// changes counts changes of the progress, written those in the ledger.
+	changes, written uint64
+	queued           bool // it is in dirty
+	live             map[runKey]*run
+	// over is the local time at which the job's final state became durable.
+	over time.Time
+}
+
+// runKey names a run.
+type runKey struct {
+	task    string
+	attempt uint64
+}
+
+// run is a run that may be going on.
+type run struct {
+	key   runKey
+	task  *sequencer.Task
+	job   *job
+	agent *agent
+	// link and seq tell by which order it was started; a nil link means that
+	// the run was found at the agent.
+	link  *Link
+	seq   uint64
+	phase messenger.Phase
+	// stopped is set once a stop was sent on the link.
+	stopped *Link
+	percent int
+	figure  int64
+	pace    int
+	began   time.Time
+	// moved is the local time at which percent last grew.
+	moved time.Time
+	// evict is set when the run is to be stopped for another reason than the
+	// job's end.
+	evict bool
+}
+
+// New returns an Overseer; Serve runs it.
+func New(cfg Config) *Overseer {
+	return &Overseer{
+		cfg: cfg, do: make(chan func(), queue), done: make(chan struct{}),
+		jobs: map[string]*job{}, open: map[string]*job{}, runs: map[runKey]*run{}, agents: map[string]*agent{},
+	}
+}
+
+// Serve owns the pools until ctx ends or ownership is lost, and says why.
+func (o *Overseer) Serve(ctx context.Context) error {
+	defer close(o.done)
+	ctx, cancel := context.WithCancel(ctx)
+	defer o.works.Wait()
+	defer cancel()
+	o.claimed = o.cfg.Now()
+	o.works.Go(func() { o.follow(ctx) })
+	tick := time.NewTicker(tickEvery)
+	defer tick.Stop()
+	var soon <-chan time.Time
+	for {
+		select {
+		case <-ctx.Done():
+			o.cfg.Log.Info("owner ends", zap.Uint64("term", o.cfg.Term), zap.Int("open", len(o.open)), zap.Int("runs", len(o.runs)))
+			return nil
+		case f := <-o.do:
+			f()
+		case <-tick.C:
+			o.tick(ctx)
+		case <-soon:
+			soon = nil
+		}
+		if o.ending != nil {
+			o.cfg.Log.Warn("ownership ends", zap.Uint64("term", o.cfg.Term), zap.Error(o.ending))
+			return o.ending
+		}
+		o.flush(ctx)
+		if o.plan && o.loaded && soon == nil {
+			if rest := planPause - o.cfg.Now().Sub(o.planned); rest > 0 {
+				soon = time.After(rest)
+				continue
+			}
+			o.planned = o.cfg.Now()
+			o.plan = false
+			o.place()
+		}
+	}
+}
+
+// hand gives the owner's goroutine something to do; it waits while the queue is
+// full and drops it when the owner has ended.
+func (o *Overseer) hand(f func()) {
+	select {
+	case o.do <- f:
+	case <-o.done:
+	}
+}
+
+// current says whether this process may give orders: its ownership was proven
+// lately enough.
+func (o *Overseer) current() bool { return o.cfg.Now().Sub(o.cfg.Proven()) < o.cfg.Proof }
+
+// tick looks at deadlines.
+func (o *Overseer) tick(ctx context.Context) {
+	now := o.cfg.Now()
+	heard := 0
+	for _, a := range o.agents {
+		if a.link != nil && now.Sub(a.heard) < isolated {
+			heard++
+		}
+		o.expire(a, now)
+	}
+	if o.loaded && len(o.agents) >= 3 && heard*2 < len(o.agents) && o.cfg.Others() {
+		if o.lonely.IsZero() {
+			o.lonely = now
+		}
+		if now.Sub(o.lonely) > isolated {
+			o.ending = ErrIsolated
+		}
+	} else {
+		o.lonely = time.Time{}
+	}
+	if o.loaded {
+		o.watchRuns(now)
+		o.plan = o.plan || len(o.open) > 0
+		o.sweep(ctx, now)
+	}
+}
--- /dev/null
+++ b/overseer/place.go
@@ -0,0 +1,197 @@
+package overseer
+
+import (
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/endivefall/endivefall/messenger"
+	"github.com/endivefall/endivefall/seater"
+	"github.com/endivefall/endivefall/sequencer"
+)
+
+// Bounds of a round of placement.
+const (
+	// termAttempts keeps the attempt numbers of two owners apart: one owner
+	// starts a task less often than this.
+	termAttempts = 100000
+	// maxOrders bounds the starts that one agent gets in a round, below the
+	// frames that a link queues.
+	maxOrders = 64
+)
+
+// place gives waiting tasks to workers that have room.
+func (o *Overseer) place() {
+	if !o.current() {
+		return
+	}
+	byPool := map[string][]*seater.Seat{}
+	agents := map[string]*agent{}
+	for _, a := range o.agents {
+		if s := o.seat(a); s != nil {
+			byPool[a.table.Pool] = append(byPool[a.table.Pool], s)
+			agents[a.id] = a
+		}
+	}
+	if len(agents) == 0 {
+		return
+	}
+	for _, seats := range byPool {
+		slices.SortFunc(seats, func(a, b *seater.Seat) int { return compareID(a.ID, b.ID) })
+	}
+	o.fill(byPool)
+	unknown := o.missing() > 0
+	now, wall := o.cfg.Now(), o.cfg.Wall()
+	ordered := map[*agent]int{}
+	for _, j := range o.ranked(wall) {
+		if unknown && j.Version < o.cfg.Epoch {
+			continue // an agent that was not heard yet may run its tasks
+		}
+		o.placeJob(j, byPool[j.Spec.Pool], agents, ordered, now, wall)
+	}
+}
+
+func compareID(a, b string) int {
+	switch {
+	case a < b:
+		return -1
+	case a > b:
+		return 1
+	}
+	return 0
+}
+
+// ranked returns the open jobs in the order in which they are served.
+func (o *Overseer) ranked(wall time.Time) []*job {
+	type entry struct {
+		j    *job
+		rank seater.Rank
+	}
+	list := make([]entry, 0, len(o.open))
+	for _, j := range o.open {
+		list = append(list, entry{j, seater.RankOf(j.Job, wall)})
+	}
+	slices.SortFunc(list, func(a, b entry) int {
+		if c := a.rank.Compare(b.rank); c != 0 {
+			return c
+		}
+		return compareID(a.j.Spec.ID, b.j.Spec.ID)
+	})
+	jobs := make([]*job, len(list))
+	for n, e := range list {
+		jobs[n] = e.j
+	}
+	return jobs
+}
+
+// seat returns an agent's worker as a place for tasks, or nil while it is none.
+func (o *Overseer) seat(a *agent) *seater.Seat {
+	t := a.table
+	now := o.cfg.Now()
+	if a.link == nil || t == nil || a.kept == 0 || !a.surveyed || t.Draining || t.Silent || !t.Authority ||
+		now.Before(a.record.aside) || now.Sub(a.heard) > isolated/2 {
+		return nil
+	}
+	speed := a.record.speed
+	if speed == 0 {
+		speed = 1
+	}
+	return &seater.Seat{
+		ID: a.id, CPU: t.CPU, Memory: t.Memory, GPU: t.GPU, Labels: t.Labels, Speed: speed, Doubt: a.record.doubt,
+	}
+}
+
+// fill books what runs, or may run, at the seats.
+func (o *Overseer) fill(byPool map[string][]*seater.Seat) {
+	index := map[string]*seater.Seat{}
+	for _, seats := range byPool {
+		for _, s := range seats {
+			index[s.ID] = s
+		}
+	}
+	for _, r := range o.runs {
+		if s := index[r.agent.id]; s != nil {
+			s.Take(r.task.Shape(), stepName(r.task))
+		}
+	}
+}
+
+// stepName names a step of an occurrence.
+func stepName(t *sequencer.Task) string {
+	name := t.Name()
+	for n := len(name) - 1; n >= 0; n-- {
+		if name[n] == '.' {
+			return name[:n]
+		}
+	}
+	return name
+}
+
+// placeJob starts what of a job can be started.
+func (o *Overseer) placeJob(j *job, seats []*seater.Seat, agents map[string]*agent, ordered map[*agent]int, now, wall time.Time) {
+	for _, t := range j.Waiting(wall) {
+		if t.Since.IsZero() {
+			t.Since = now
+		}
+		if now.Before(t.After) || t.Shape().Gang {
+			continue
+		}
+		name := stepName(t)
+		s := seater.Pick(t, name, seats)
+		if s == nil {
+			continue
+		}
+		a := agents[s.ID]
+		if ordered[a] >= maxOrders {
+			continue
+		}
+		if o.start(t, j, a) {
+			ordered[a]++
+			s.Take(t.Shape(), name)
+		}
+	}
+}
+
+// start orders a run of a task.
+func (o *Overseer) start(t *sequencer.Task, j *job, a *agent) bool {
+	t.Attempt = max(t.Attempt, (o.cfg.Term-1)*termAttempts) + 1
+	r := &run{
+		key: runKey{t.Name(), t.Attempt}, task: t, job: j, agent: a, link: a.link,
+		phase: messenger.PhaseStarting, pace: 100, began: o.cfg.Now(),
+	}
+	if !o.order(a, &messenger.Order{Start: o.startOf(r, false)}) {
+		return false
+	}
+	r.seq = a.seq
+	t.Live++
+	j.Began = true
+	o.runs[r.key], j.live[r.key] = r, r
+	o.cfg.Count("start")
+	o.cfg.Log.Info("start", zap.String("task", r.key.task), zap.Uint64("attempt", t.Attempt), zap.String("agent", a.id),
+		zap.Duration("waited", r.began.Sub(t.Since)), zap.Duration("table_age", r.began.Sub(a.heard)), zap.Bool("resumes", t.Saved != ""))
+	return true
+}
+
+// startOf returns what an agent needs to start a run, or to know it.
+func (o *Overseer) startOf(r *run, known bool) *messenger.RunStart {
+	step := r.task.Shape()
+	return &messenger.RunStart{
+		Task: r.key.task, Attempt: r.key.attempt, Payload: r.job.Spec.Payload, Saved: r.task.Saved, Known: known,
+		Traits: messenger.Traits{
+			CPU: step.CPU, Memory: step.Memory, GPU: step.GPU, Fills: step.Fills, Image: step.Image, Target: step.Target,
+		},
+	}
+}
+
+// learn notes how fast a worker was.
+func (o *Overseer) learn(r *run, now time.Time) {
+	step := r.task.Shape()
+	if step.Fills || step.Estimate <= 0 || r.task.Saved != "" {
+		return
+	}
+	_ = now // the speed of workers is not weighed yet
+}
+
+// watchRuns looks for runs that must move.
+func (o *Overseer) watchRuns(time.Time) {}
--- /dev/null
+++ b/overseer/write.go
@@ -0,0 +1,187 @@
+package overseer
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/endivefall/endivefall/keeper"
+	"github.com/endivefall/endivefall/sequencer"
+)
+
+// maxWrites bounds the keys in one transaction: each takes a check and a write,
+// and the owner's key takes a check.
+const maxWrites = (keeper.MaxEntries - 2) / 2
+
+// batch is a transaction on its way.
+type batch struct {
+	change keeper.Change
+	jobs   []written
+	agents []*agent
+	// forgotten are jobs whose keys are removed.
+	forgotten []*job
+}
+
+// written is a job's progress as a batch has it.
+type written struct {
+	job     *job
+	changes uint64
+	state   sequencer.State
+}
+
+// flush sends what is to be written, one transaction at a time.
+func (o *Overseer) flush(ctx context.Context) {
+	if o.writing || !o.loaded {
+		return
+	}
+	b := o.gather()
+	if len(b.change.Writes)+len(b.change.Removes) == 0 {
+		return
+	}
+	o.writing = true
+	o.works.Go(func() {
+		at, sent, err := o.commit(ctx, &b.change)
+		o.hand(func() {
+			o.writing = false
+			o.committed(b, at, sent, err)
+		})
+	})
+}
+
+// gather takes agents to enroll and jobs to write, up to a transaction's size.
+func (o *Overseer) gather() *batch {
+	b := &batch{change: keeper.Change{Checks: []keeper.Check{{Key: o.cfg.OwnerKey, Version: o.cfg.Epoch}}}}
+	add := func(key string, version uint64, value []byte) {
+		b.change.Checks = append(b.change.Checks, keeper.Check{Key: key, Version: version})
+		b.change.Writes = append(b.change.Writes, keeper.Write{Key: key, Value: value})
+	}
+	for _, a := range o.agents {
+		if a.enrolling && len(b.change.Writes) < maxWrites {
+			a.enrolling = false
+			b.agents = append(b.agents, a)
+			add(agentPrefix+a.id, 0, []byte(a.id))
+		}
+	}
+	for len(o.dirty) > 0 && len(b.change.Writes) < maxWrites {
+		j := o.dirty[0]
+		o.dirty = o.dirty[1:]
+		j.queued = false
+		p := j.Progress()
+		value, err := p.Encode()
+		if err != nil {
+			o.cfg.Log.Error("progress not encoded", zap.String("job", j.Spec.ID), zap.Error(err))
+			continue
+		}
+		b.jobs = append(b.jobs, written{j, j.changes, p.State})
+		add(OutKey(j.Spec.ID), j.Kept, value)
+	}
+	return b
+}
+
+// commit repeats a transaction until it is known what became of it. The
+// conditions keep a repeated or late one from taking effect twice.
+func (o *Overseer) commit(ctx context.Context, change *keeper.Change) (uint64, time.Time, error) {
+	for {
+		sent := o.cfg.Now()
+		at, err := o.cfg.Store.Commit(ctx, *change)
+		var clash *keeper.Clash
+		if errors.As(err, &clash) && clash.Holds(*change) {
+			return clash.Item(change.Writes[0].Key).Version, sent, nil
+		}
+		o.cfg.Time("ledger_write", o.cfg.Now().Sub(sent))
+		if err == nil || errors.Is(err, keeper.ErrConflict) || ctx.Err() != nil {
+			return at, sent, err
+		}
+		o.cfg.Log.Warn("ledger not written", zap.Int("keys", len(change.Writes)), zap.Error(err))
+		pause(ctx, retryPause)
+	}
+}
+
+// committed takes the outcome of a transaction.
+func (o *Overseer) committed(b *batch, at uint64, sent time.Time, err error) {
+	var clash *keeper.Clash
+	if errors.As(err, &clash) {
+		if clash.Item(o.cfg.OwnerKey).Version != o.cfg.Epoch {
+			o.ending = ErrDeposed
+			return
+		}
+		o.reconcile(b, clash)
+		return
+	}
+	if err != nil {
+		return // the owner ends
+	}
+	o.cfg.Prove(sent)
+	for _, a := range b.agents {
+		a.kept = at
+		o.plan = true
+		o.cfg.Log.Info("agent enrolled", zap.String("agent", a.id))
+	}
+	now := o.cfg.Now()
+	for _, w := range b.jobs {
+		w.job.Kept, w.job.written = at, max(w.job.written, w.changes)
+		if w.state.Final() && !w.job.Durable.Final() {
+			w.job.Durable, w.job.over = w.state, now
+			delete(o.open, w.job.Spec.ID)
+			o.cfg.Log.Info("job over", zap.String("job", w.job.Spec.ID), zap.String("state", string(w.state)), zap.Duration("age", o.cfg.Wall().Sub(w.job.Spec.Accepted)))
+			o.cfg.Time("job", o.cfg.Wall().Sub(w.job.Spec.Accepted))
+			o.cfg.Count("job_" + string(w.state))
+		}
+	}
+	for _, j := range b.forgotten {
+		delete(o.jobs, j.Spec.ID)
+	}
+	o.tell()
+}
+
+// reconcile takes the versions that the ledger has for keys that differ from
+// what was expected, and writes again. Only this owner writes them, so a
+// difference is an answer that was lost.
+func (o *Overseer) reconcile(b *batch, clash *keeper.Clash) {
+	for _, a := range b.agents {
+		if item := clash.Item(agentPrefix + a.id); item.Version != 0 {
+			a.kept = item.Version
+		} else {
+			a.enrolling = true
+		}
+	}
+	for _, w := range b.jobs {
+		w.job.Kept = clash.Item(OutKey(w.job.Spec.ID)).Version
+		o.changed(w.job)
+	}
+	o.cfg.Log.Info("ledger differs; writing again", zap.Int("jobs", len(b.jobs)), zap.Int("agents", len(b.agents)))
+}
+
+// sweep removes jobs whose state was kept long enough.
+func (o *Overseer) sweep(ctx context.Context, now time.Time) {
+	if o.writing {
+		return
+	}
+	b := &batch{change: keeper.Change{Checks: []keeper.Check{{Key: o.cfg.OwnerKey, Version: o.cfg.Epoch}}}}
+	for id, j := range o.jobs {
+		if !j.Over() || len(j.live) > 0 || j.over.IsZero() || now.Sub(j.over) < o.cfg.Keep {
+			if j.Over() && j.over.IsZero() {
+				j.over = now
+			}
+			continue
+		}
+		b.change.Removes = append(b.change.Removes, JobKey(id), CancelKey(id), OutKey(id))
+		b.forgotten = append(b.forgotten, j)
+		if len(b.change.Removes) > keeper.MaxEntries-4 {
+			break
+		}
+	}
+	if len(b.forgotten) == 0 {
+		return
+	}
+	o.writing = true
+	o.works.Go(func() {
+		at, sent, err := o.commit(ctx, &b.change)
+		o.hand(func() {
+			o.writing = false
+			o.committed(b, at, sent, err)
+		})
+	})
+}
--- /dev/null
+++ b/relayer/message.go
@@ -0,0 +1,88 @@
+package relayer
+
+import (
+	"errors"
+
+	"github.com/endivefall/endivefall/keeper"
+)
+
+// op names a call to the store.
+type op uint8
+
+const (
+	opGet op = iota + 1
+	opPage
+	opWatch
+	opCommit
+	opLease
+	opRenew
+	opEnd
+)
+
+// call is a call that another entry makes for this one.
+type call struct {
+	Op      op            `cbor:"1,keyasint"`
+	Key     string        `cbor:"2,keyasint,omitempty"` // a key, prefix or lease
+	After   string        `cbor:"3,keyasint,omitempty"`
+	Version uint64        `cbor:"4,keyasint,omitempty"`
+	Wait    int64         `cbor:"5,keyasint,omitempty"` // ms that a watch may wait, or a lease lasts
+	Change  keeper.Change `cbor:"6,keyasint,omitempty"`
+}
+
+// reply is its outcome.
+type reply struct {
+	Code    code          `cbor:"1,keyasint,omitempty"`
+	Text    string        `cbor:"2,keyasint,omitempty"`
+	Items   []keeper.Item `cbor:"3,keyasint,omitempty"`
+	More    bool          `cbor:"4,keyasint,omitempty"`
+	Version uint64        `cbor:"5,keyasint,omitempty"`
+	Lease   string        `cbor:"6,keyasint,omitempty"`
+}
+
+// code is an error on its way between entries; 0 is none.
+type code uint8
+
+const (
+	codeMissing code = iota + 1
+	codeClash
+	codeCompacted
+	codeDown
+	codeUnsettled
+	codeOther
+)
+
+func codeOf(err error) code {
+	switch {
+	case err == nil:
+		return 0
+	case errors.Is(err, keeper.ErrMissing):
+		return codeMissing
+	case errors.Is(err, keeper.ErrConflict):
+		return codeClash
+	case errors.Is(err, keeper.ErrCompacted):
+		return codeCompacted
+	case errors.Is(err, keeper.ErrDown):
+		return codeDown
+	case errors.Is(err, keeper.ErrUnsettled):
+		return codeUnsettled
+	}
+	return codeOther
+}
+
+func (r *reply) err() error {
+	switch r.Code {
+	case 0:
+		return nil
+	case codeMissing:
+		return keeper.ErrMissing
+	case codeClash:
+		return &keeper.Clash{Items: r.Items}
+	case codeCompacted:
+		return keeper.ErrCompacted
+	case codeDown:
+		return keeper.ErrDown
+	case codeUnsettled:
+		return keeper.ErrUnsettled
+	}
+	return errors.New(r.Text)
+}
--- /dev/null
+++ b/seater/seater.go
@@ -0,0 +1,168 @@
+// Package seater decides in which order waiting tasks are served and which
+// worker each one goes to. It does no input or output.
+package seater
+
+import (
+	"slices"
+	"time"
+
+	"github.com/endivefall/endivefall/sequencer"
+)
+
+// Seat is a worker as a place for tasks.
+type Seat struct {
+	ID string
+	// CPU, Memory and GPU are its capacity: thousandths of a core, MB, count.
+	CPU, Memory, GPU int64
+	// UsedCPU leaves out the tasks that fill; UsedMemory counts all.
+	UsedCPU, UsedMemory, UsedGPU int64
+	// Filling is the processor that the filling tasks there ask for.
+	Filling int64
+	// Serving counts tasks with a target for their tail.
+	Serving int
+	// Speed is how fast tasks get on there, 1 being as declared.
+	Speed  float64
+	Labels []string
+	// Doubt is how likely runs fail there, from 0 to 1.
+	Doubt float64
+	// Steps counts the tasks there by step, for steps that spread.
+	Steps map[string]int
+}
+
+// Free returns the processor that no reservation holds.
+func (s *Seat) Free() int64 { return s.CPU - s.UsedCPU }
+
+// Take reserves room for a task.
+func (s *Seat) Take(step *sequencer.Step, name string) {
+	if step.Fills {
+		s.Filling += step.CPU
+	} else {
+		s.UsedCPU += step.CPU
+	}
+	s.UsedMemory += step.Memory
+	s.UsedGPU += step.GPU
+	if step.Target > 0 {
+		s.Serving++
+	}
+	if s.Steps == nil {
+		s.Steps = map[string]int{}
+	}
+	s.Steps[name]++
+}
+
+// Weights of a placement.
+const (
+	// failureCost is what a certain failure costs against an empty worker.
+	failureCost = 2.0
+	// farCost is what a worker away from the data costs: work takes 1.5 to 2
+	// times as long there.
+	farCost = 0.6
+	// servingCost is what a serving task beside it costs a task that fills,
+	// which may be slowed for it.
+	servingCost = 0.15
+	// crowd is how much of a worker's unused processor the filling tasks may
+	// ask for together.
+	crowd = 1.0
+)
+
+// Fits says whether a task has room at a seat.
+func Fits(t *sequencer.Task, name string, s *Seat) bool {
+	step := t.Shape()
+	switch {
+	case s.UsedMemory+step.Memory > s.Memory || s.UsedGPU+step.GPU > s.GPU:
+		return false
+	case !step.Fills && s.UsedCPU+step.CPU > s.CPU:
+		return false
+	case step.Label != "" && !slices.Contains(s.Labels, step.Label):
+		return false
+	case step.Spread > 0 && s.Steps[name] >= step.Spread:
+		return false
+	}
+	return true
+}
+
+// Pick returns the best seat for a task, or nil. A worker on which the task
+// has failed is taken only where no other one is known.
+func Pick(t *sequencer.Task, name string, seats []*Seat) *Seat {
+	var best *Seat
+	bestCost := 0.0
+	for _, s := range seats {
+		if !Fits(t, name, s) {
+			continue
+		}
+		step := t.Shape()
+		if step.Fills && s.Filling > 0 && float64(s.Filling+step.CPU) > crowd*float64(s.Free()) {
+			continue // it would only share what is there
+		}
+		cost := Cost(t, s)
+		if best == nil || cost < bestCost {
+			best, bestCost = s, cost
+		}
+	}
+	return best
+}
+
+// Cost weighs a seat for a task; less is better.
+func Cost(t *sequencer.Task, s *Seat) float64 {
+	step := t.Shape()
+	capacity := float64(max(s.CPU, 1))
+	load := float64(s.UsedCPU) / capacity
+	if step.Fills {
+		load += float64(s.Filling+step.CPU)/capacity + servingCost*float64(s.Serving)
+	} else {
+		load += 0.3 * float64(s.Filling) / capacity
+	}
+	cost := load/max(s.Speed, 0.05) + failureCost*s.Doubt
+	if step.Rack != "" && !slices.Contains(s.Labels, step.Rack) {
+		cost += farCost
+	}
+	if slices.Contains(t.Avoid, s.ID) {
+		cost += 10
+	}
+	return cost
+}
+
+// Rank is a job's place among those that wait; less is served first.
+type Rank struct {
+	// Class is 0 for tasks that last, 1 for jobs that can still be in time, 2
+	// for those that are late, 3 for those whose time is long over.
+	Class    int
+	Priority int
+	Due      time.Time
+}
+
+// lateFactor is up to how many times its objective a job still earns something.
+const lateFactor = 3
+
+// RankOf places a job by what it can still earn at a wall time.
+func RankOf(j *sequencer.Job, now time.Time) Rank {
+	s := j.Spec
+	if s.Steps[0].Lasting {
+		return Rank{Class: 0, Priority: s.Priority, Due: s.Accepted}
+	}
+	chain := time.Duration(0)
+	for _, step := range s.Steps {
+		chain += step.Estimate
+	}
+	objective := time.Duration(float64(chain)*s.Stretch) + s.Aim
+	due := s.Accepted.Add(objective)
+	class := 1
+	switch {
+	case now.After(s.Accepted.Add(lateFactor * objective)):
+		class = 3
+	case now.After(due):
+		class = 2
+	}
+	return Rank{Class: class, Priority: s.Priority, Due: due}
+}
+
+// Compare orders ranks.
+func (r Rank) Compare(o Rank) int {
+	if r.Class != o.Class {
+		return r.Class - o.Class
+	}
+	if r.Priority != o.Priority {
+		return r.Priority - o.Priority
+	}
+	return r.Due.Compare(o.Due)
+}
--- /dev/null
+++ b/sequencer/job.go
@@ -0,0 +1,186 @@
+package sequencer
+
+import (
+	"slices"
+	"time"
+)
+
+// Job is a job with its progress. It belongs to one goroutine.
+type Job struct {
+	Spec *Spec
+	// Version is the store's version of the job itself.
+	Version uint64
+	// Kept is the store's version of the progress; 0 before the first write.
+	Kept uint64
+	// Canceled is set once a cancel is durable.
+	Canceled bool
+	// Failed is set once a task has used up its attempts.
+	Failed bool
+	// Durable is the state that the ledger has; what callers see as final.
+	Durable State
+	// Began is set once any task has been started.
+	Began bool
+	// steps has the tasks of each step that has been looked at, by occurrence.
+	steps map[[2]int][]*Task
+	// done counts the tasks that are done, by occurrence and step.
+	done map[[2]int]int
+}
+
+// NewJob returns a job with the progress that the ledger has; nil for none.
+func NewJob(spec *Spec, version uint64, p *Progress) *Job {
+	j := &Job{Spec: spec, Version: version, steps: map[[2]int][]*Task{}, done: map[[2]int]int{}}
+	if p == nil {
+		return j
+	}
+	j.Durable = p.State
+	j.Canceled, j.Failed = p.State == Canceled, p.State == Failed
+	for _, r := range p.Tasks {
+		t := j.Task(r.Occurrence, r.Step, r.Index)
+		if t == nil {
+			continue // another version wrote it; the task does not exist
+		}
+		j.Began = true
+		t.Fails, t.Saved = r.Fails, r.Saved
+		if r.Done {
+			j.Finish(t)
+		}
+	}
+	return j
+}
+
+// Occurrences returns how often the steps run.
+func (j *Job) Occurrences() int { return max(j.Spec.Repeat, 1) }
+
+// Due returns the wall time at which an occurrence may begin.
+func (j *Job) Due(occurrence int) time.Time {
+	if j.Spec.Repeat == 0 {
+		return time.Time{}
+	}
+	return j.Spec.First.Add(time.Duration(occurrence) * j.Spec.Every)
+}
+
+// Tasks returns the tasks of a step of an occurrence.
+func (j *Job) Tasks(occurrence, step int) []*Task {
+	key := [2]int{occurrence, step}
+	list := j.steps[key]
+	if list == nil {
+		list = make([]*Task, j.Spec.Steps[step].Count)
+		for n := range list {
+			list[n] = &Task{Job: j, Occurrence: occurrence, Step: step, Index: n}
+		}
+		j.steps[key] = list
+	}
+	return list
+}
+
+// Task returns a task, or nil where the job has none such.
+func (j *Job) Task(occurrence, step, index int) *Task {
+	if occurrence < 0 || occurrence >= j.Occurrences() || step < 0 || step >= len(j.Spec.Steps) ||
+		index < 0 || index >= j.Spec.Steps[step].Count {
+		return nil
+	}
+	return j.Tasks(occurrence, step)[index]
+}
+
+// Finish notes that a task is done. A gang is done with any of its members.
+func (j *Job) Finish(t *Task) {
+	if t.Done {
+		return
+	}
+	t.Done = true
+	j.done[[2]int{t.Occurrence, t.Step}]++
+}
+
+// StepDone says whether all tasks of a step are done.
+func (j *Job) StepDone(occurrence, step int) bool {
+	return j.done[[2]int{occurrence, step}] == j.Spec.Steps[step].Count
+}
+
+// Open says whether a step may run: all steps before it are done.
+func (j *Job) Open(occurrence, step int) bool {
+	return !slices.ContainsFunc(j.Spec.Steps[step].After, func(before int) bool { return !j.StepDone(occurrence, before) })
+}
+
+// Done says whether all tasks of all occurrences are done.
+func (j *Job) Done() bool {
+	for k := range j.Occurrences() {
+		for n := range j.Spec.Steps {
+			if !j.StepDone(k, n) {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// Over says whether no task of the job is to be started any more.
+func (j *Job) Over() bool { return j.Canceled || j.Failed || j.Durable.Final() }
+
+// State is what the job has come to; final states count once they are Durable.
+func (j *Job) State() State {
+	switch {
+	case j.Durable.Final():
+		return j.Durable
+	case j.Canceled:
+		return Canceled
+	case j.Failed:
+		return Failed
+	case j.Done():
+		return Complete
+	case j.Began:
+		return Running
+	}
+	return Queued
+}
+
+// Waiting returns the tasks that may be started now: their step is open, their
+// time has come, and no run of them is going on.
+func (j *Job) Waiting(now time.Time) []*Task {
+	if j.Over() {
+		return nil
+	}
+	var list []*Task
+	for k := range j.Occurrences() {
+		if due := j.Due(k); !due.IsZero() && now.Before(due) {
+			break
+		}
+		for n := range j.Spec.Steps {
+			if j.StepDone(k, n) || !j.Open(k, n) {
+				continue
+			}
+			for _, t := range j.Tasks(k, n) {
+				if !t.Done && t.Live == 0 {
+					list = append(list, t)
+				}
+			}
+		}
+	}
+	return list
+}
+
+// Progress returns what the ledger is to keep.
+func (j *Job) Progress() *Progress {
+	p := &Progress{State: j.State()}
+	if p.State.Final() {
+		return p // nothing of it will run again
+	}
+	for key, list := range j.steps {
+		for _, t := range list {
+			if t.Done || t.Fails > 0 {
+				p.Tasks = append(p.Tasks, TaskRecord{
+					Occurrence: key[0], Step: key[1], Index: t.Index, Done: t.Done, Fails: t.Fails, Saved: t.Saved,
+				})
+			}
+		}
+	}
+	slices.SortFunc(p.Tasks, func(a, b TaskRecord) int {
+		if a.Occurrence != b.Occurrence {
+			return a.Occurrence - b.Occurrence
+		}
+		if a.Step != b.Step {
+			return a.Step - b.Step
+		}
+		return a.Index - b.Index
+	})
+	return p
+}
--- /dev/null
+++ b/sequencer/progress.go
@@ -0,0 +1,52 @@
+package sequencer
+
+import (
+	"fmt"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+// State is what callers see of a job.
+type State string
+
+// States of a job.
+const (
+	Queued   State = "queued"
+	Running  State = "running"
+	Complete State = "complete"
+	Failed   State = "failed"
+	Canceled State = "canceled"
+)
+
+// Final says whether the state never changes again.
+func (s State) Final() bool { return s == Complete || s == Failed || s == Canceled }
+
+// Progress is what the ledger keeps of a job: all that a new owner can't learn
+// from the agents.
+type Progress struct {
+	State State `cbor:"1,keyasint"`
+	// Tasks has the tasks that are done or have failed, by their place.
+	Tasks []TaskRecord `cbor:"2,keyasint,omitempty"`
+}
+
+// TaskRecord is the durable part of a task.
+type TaskRecord struct {
+	Occurrence int    `cbor:"1,keyasint,omitempty"`
+	Step       int    `cbor:"2,keyasint,omitempty"`
+	Index      int    `cbor:"3,keyasint,omitempty"`
+	Done       bool   `cbor:"4,keyasint,omitempty"`
+	Fails      int    `cbor:"5,keyasint,omitempty"`
+	Saved      string `cbor:"6,keyasint,omitempty"`
+}
+
+// Encode writes the progress for the store.
+func (p *Progress) Encode() ([]byte, error) { return encoding.Marshal(p) }
+
+// DecodeProgress reads progress from the store.
+func DecodeProgress(raw []byte) (*Progress, error) {
+	var p Progress
+	if err := cbor.Unmarshal(raw, &p); err != nil {
+		return nil, fmt.Errorf("%w: progress: %w", ErrSpec, err)
+	}
+	return &p, nil
+}
--- /dev/null
+++ b/sequencer/spec.go
@@ -0,0 +1,108 @@
+// Package sequencer holds what a job with steps is, how far it has come, and
+// which of its tasks may run next. It does no input or output.
+package sequencer
+
+import (
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+// ErrSpec says that a job can't be read or makes no sense.
+var ErrSpec = errors.New("bad job")
+
+// Bounds of a job: what one progress record has to carry.
+const (
+	maxSteps = 64
+	maxTasks = 10000
+)
+
+// Step is a number of like tasks.
+type Step struct {
+	Count  int   `cbor:"1,keyasint"`
+	CPU    int64 `cbor:"2,keyasint,omitempty"` // thousandths of a core for each task
+	Memory int64 `cbor:"3,keyasint,omitempty"` // MB
+	GPU    int64 `cbor:"4,keyasint,omitempty"`
+	// Estimate is the submitter's rough guess of a task's time.
+	Estimate    time.Duration `cbor:"5,keyasint,omitempty"`
+	After       []int         `cbor:"6,keyasint,omitempty"` // steps that must be done first
+	Checkpoints bool          `cbor:"7,keyasint,omitempty"`
+	Gang        bool          `cbor:"8,keyasint,omitempty"`
+	Tight       bool          `cbor:"9,keyasint,omitempty"`  // a gang that is slower across racks
+	Label       string        `cbor:"10,keyasint,omitempty"` // that the worker must have
+	Rack        string        `cbor:"11,keyasint,omitempty"` // where the data is
+	// Spread is how many tasks of the step one worker may run; 0 is any number.
+	Spread  int    `cbor:"12,keyasint,omitempty"`
+	Copies  bool   `cbor:"13,keyasint,omitempty"` // a second copy may run at the same time
+	Lasting bool   `cbor:"14,keyasint,omitempty"` // runs until the job is cancelled
+	Image   string `cbor:"15,keyasint,omitempty"`
+	Target  int64  `cbor:"16,keyasint,omitempty"` // bound of the tail latency in ms
+	Fills   bool   `cbor:"17,keyasint,omitempty"` // runs on what others leave unused
+	// Missing is how many tasks of a lasting step may be away at once by the
+	// system's own doing; 0 means that none is given.
+	Missing int `cbor:"18,keyasint,omitempty"`
+}
+
+// Spec is an accepted job. It never changes.
+type Spec struct {
+	ID       string        `cbor:"1,keyasint"`
+	Queue    string        `cbor:"2,keyasint"`
+	Pool     string        `cbor:"3,keyasint"` // service whose workers run it
+	Payload  string        `cbor:"4,keyasint,omitempty"`
+	Steps    []Step        `cbor:"5,keyasint"`
+	Priority int           `cbor:"6,keyasint,omitempty"` // 0 comes first
+	Attempts int           `cbor:"7,keyasint,omitempty"` // failed runs after which a task fails
+	Stretch  float64       `cbor:"8,keyasint,omitempty"`
+	Aim      time.Duration `cbor:"9,keyasint,omitempty"` // objective beyond Stretch times the work
+	// Repeat is how often the steps run; 0 is once, without a time.
+	Repeat int           `cbor:"10,keyasint,omitempty"`
+	First  time.Time     `cbor:"11,keyasint,omitempty"` // due time of occurrence 0
+	Every  time.Duration `cbor:"12,keyasint,omitempty"`
+	// Accepted is the wall time at which an entry took the job.
+	Accepted time.Time `cbor:"13,keyasint"`
+}
+
+// Check says what is wrong with a job, or nil.
+func (s *Spec) Check() error {
+	if len(s.Steps) == 0 || len(s.Steps) > maxSteps {
+		return fmt.Errorf("%w: %d steps, want 1 to %d", ErrSpec, len(s.Steps), maxSteps)
+	}
+	tasks := 0
+	for n, step := range s.Steps {
+		if step.Count < 1 || step.CPU < 0 || step.Memory < 0 || step.GPU < 0 || step.Spread < 0 {
+			return fmt.Errorf("%w: step %d has a count or need out of range", ErrSpec, n)
+		}
+		for _, before := range step.After {
+			if before < 0 || before >= n {
+				return fmt.Errorf("%w: step %d waits for step %d, which is not before it", ErrSpec, n, before)
+			}
+		}
+		tasks += step.Count
+	}
+	if tasks*max(s.Repeat, 1) > maxTasks {
+		return fmt.Errorf("%w: over %d tasks", ErrSpec, maxTasks)
+	}
+	return nil
+}
+
+// Encode writes the job for the store.
+func (s *Spec) Encode() ([]byte, error) { return encoding.Marshal(s) }
+
+// DecodeSpec reads a job from the store.
+func DecodeSpec(raw []byte) (*Spec, error) {
+	var s Spec
+	if err := cbor.Unmarshal(raw, &s); err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrSpec, err)
+	}
+	return &s, s.Check()
+}
+
+var encoding = func() cbor.EncMode {
+	mode, err := cbor.EncOptions{Time: cbor.TimeRFC3339Nano}.EncMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}()
--- /dev/null
+++ b/sequencer/task.go
@@ -0,0 +1,55 @@
+package sequencer
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// Task is one task of one occurrence of a job.
+type Task struct {
+	Job        *Job
+	Occurrence int
+	Step       int
+	Index      int
+	// Done is set once a run has ended as done; it is never taken back.
+	Done bool
+	// Fails counts ends by the task's own fault or the worker's.
+	Fails int
+	// Saved is the newest checkpoint known.
+	Saved string
+	// Attempt is the number of the newest start; the next one is higher.
+	Attempt uint64
+	// Live counts the runs that may be going on.
+	Live int
+	// Avoid has workers on which a run of the task has failed.
+	Avoid []string
+	// Since is when the task's turn came, or its last run ended.
+	Since time.Time
+	// After is when it may be started again, after a refusal.
+	After time.Time
+}
+
+// Name returns the task's name for workers: JOB.OCCURRENCE.STEP.INDEX.
+func (t *Task) Name() string {
+	return t.Job.Spec.ID + "." + strconv.Itoa(t.Occurrence) + "." + strconv.Itoa(t.Step) + "." + strconv.Itoa(t.Index)
+}
+
+// Shape returns the step that the task is of.
+func (t *Task) Shape() *Step { return &t.Job.Spec.Steps[t.Step] }
+
+// SplitName takes a task's name apart.
+func SplitName(name string) (job string, occurrence, step, index int, err error) {
+	parts := strings.Split(name, ".")
+	if len(parts) != 4 {
+		return "", 0, 0, 0, fmt.Errorf("%w: task name %q", ErrSpec, name)
+	}
+	var n [3]int
+	for i := range n {
+		if n[i], err = strconv.Atoi(parts[i+1]); err != nil || n[i] < 0 {
+			return "", 0, 0, 0, fmt.Errorf("%w: task name %q", ErrSpec, name)
+		}
+	}
+	return parts[0], n[0], n[1], n[2], nil
+}
--- /dev/null
+++ b/warden/link.go
@@ -0,0 +1,158 @@
+package warden
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/endivefall/endivefall/messenger"
+)
+
+// Times of the connection to the owner.
+const (
+	// beatEvery is how often the table is sent when nothing changes; the owner
+	// extends the lease with each.
+	beatEvery = 500 * time.Millisecond
+	// gather is how long changes are gathered before the table is sent.
+	gather = 5 * time.Millisecond
+	// ownerSilence is how long the owner may answer nothing before another one
+	// is looked for: two beats and a slow answer.
+	ownerSilence = 1200 * time.Millisecond
+	// findPause is the wait between two looks for an owner.
+	findPause = 150 * time.Millisecond
+)
+
+// linkLoop keeps a connection to the pool's owner.
+func (w *Warden) linkLoop(ctx context.Context) {
+	lost := false
+	for ctx.Err() == nil {
+		err := w.link(ctx)
+		if ctx.Err() != nil {
+			return
+		}
+		if !lost {
+			w.cfg.Log.Warn("owner lost", zap.Error(err))
+		}
+		lost = err != nil
+		select {
+		case <-ctx.Done():
+		case <-time.After(findPause):
+		}
+	}
+}
+
+// link finds the owner and serves one connection to it.
+func (w *Warden) link(ctx context.Context) error {
+	addr, term, err := w.cfg.Find(ctx)
+	if err != nil {
+		return err
+	}
+	w.mu.Lock()
+	w.term = max(w.term, term)
+	w.mu.Unlock()
+	ws, welcome, err := messenger.DialWith(ctx, w.cfg.Caller, addr, messenger.Hello{
+		Version: messenger.Version, Role: messenger.RoleAgent, ID: w.cfg.ID, Born: w.cfg.Born, Started: w.cfg.Now(),
+	})
+	if err != nil {
+		return err
+	}
+	if len(welcome.Peers) > 0 {
+		w.cfg.Peers(welcome.Peers)
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var heard atomic.Int64
+	heard.Store(w.cfg.Now().UnixNano())
+	var conn *messenger.Conn
+	conn = messenger.New(messenger.Config{Socket: ws, Handle: func(_ *messenger.Conn, f messenger.Frame) {
+		w.mu.Lock()
+		current := w.conn == conn
+		w.mu.Unlock()
+		if !current {
+			return
+		}
+		switch f.Kind {
+		case messenger.KindOrder:
+			w.obey(context.WithoutCancel(ctx), f.Order)
+		case messenger.KindVouch:
+			if w.vouched(f.Vouch) {
+				heard.Store(w.cfg.Now().UnixNano())
+			}
+		}
+	}})
+	w.mu.Lock()
+	w.conn, w.seq = conn, 0
+	w.mu.Unlock()
+	w.cfg.Log.Info("owner found", zap.Stringer("addr", addr), zap.Uint64("term", term), zap.String("owner", welcome.ID))
+	w.touch()
+	var sending sync.WaitGroup
+	sending.Go(func() { w.sendLoop(ctx, conn, &heard) })
+	err = conn.Run(ctx)
+	cancel()
+	sending.Wait()
+	w.mu.Lock()
+	w.conn = nil
+	w.mu.Unlock()
+	return err
+}
+
+// vouched takes the owner's answer and says whether it is the owner's of now.
+func (w *Warden) vouched(v *messenger.Vouch) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if v.Term < w.term {
+		return false
+	}
+	w.term = v.Term
+	w.forget(v.Durable)
+	if v.Asked.IsZero() || w.beat.Life == "" {
+		return true
+	}
+	before := w.startable()
+	if until := v.Asked.Add(w.cfg.Lease); v.Worker == w.beat.Life && until.After(w.lease) {
+		w.lease = until
+	}
+	if before == "no lease" && w.startable() == "" {
+		w.touch()
+		w.hurry()
+	}
+	return true
+}
+
+// sendLoop sends the table when it changes, and as a heartbeat.
+func (w *Warden) sendLoop(ctx context.Context, conn *messenger.Conn, heard *atomic.Int64) {
+	for {
+		beat := time.NewTimer(beatEvery)
+		select {
+		case <-ctx.Done():
+			beat.Stop()
+			return
+		case <-beat.C:
+		case <-w.dirty:
+			beat.Stop()
+			select {
+			case <-ctx.Done():
+				return
+			case <-time.After(gather):
+			}
+		}
+		if silent := w.cfg.Now().UnixNano() - heard.Load(); silent > int64(ownerSilence) {
+			w.cfg.Log.Warn("owner is silent", zap.Duration("silent", time.Duration(silent)))
+			conn.Close("silent for too long")
+			return
+		}
+		select { // changes up to here are in this table
+		case <-w.dirty:
+		default:
+		}
+		w.mu.Lock()
+		t := w.table()
+		w.mu.Unlock()
+		if err := conn.Post(messenger.Frame{Kind: messenger.KindTable, Table: t}); err != nil {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/warden/orders.go
@@ -0,0 +1,213 @@
+package warden
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/endivefall/endivefall/messenger"
+	"github.com/endivefall/endivefall/pacer"
+)
+
+// obey carries out an order of the owner. It does not wait for the worker.
+func (w *Warden) obey(ctx context.Context, o *messenger.Order) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.seq = o.Seq
+	if o.Term < w.term {
+		w.cfg.Log.Warn("order of an earlier owner refused", zap.Uint64("term", o.Term), zap.Uint64("heard", w.term))
+		return
+	}
+	w.term = o.Term
+	if o.Stop != nil {
+		w.obeyStop(ctx, o.Stop)
+		return
+	}
+	w.obeyStart(ctx, o.Start)
+}
+
+func (w *Warden) obeyStart(ctx context.Context, s *messenger.RunStart) {
+	k := key{s.Task, s.Attempt}
+	if r := w.runs[k]; r != nil {
+		if r.adopted {
+			r.traits, r.adopted = s.Traits, false
+			w.touch()
+		}
+		return
+	}
+	if s.Known {
+		return // it has ended since
+	}
+	r := &run{
+		task: s.Task, attempt: s.Attempt, traits: s.Traits, phase: messenger.PhaseStarting, saved: s.Saved, pace: 100,
+	}
+	w.runs[k] = r
+	if why := w.unfit(s); why != "" {
+		w.finish(r, messenger.EndNever, "", why, 0)
+		return
+	}
+	w.cfg.Log.Info("run ordered", zap.String("task", s.Task), zap.Uint64("attempt", s.Attempt), zap.Uint64("term", w.term),
+		zap.String("worker", w.beat.Life), zap.Duration("lease", w.lease.Sub(w.workerNow())))
+	w.tasks.Go(func() { w.start(ctx, r, s) })
+}
+
+// unfit says why a start can't be carried out; empty where it can.
+func (w *Warden) unfit(s *messenger.RunStart) string {
+	if why := w.startable(); why != "" {
+		return why
+	}
+	cpu, memory, gpu := s.Traits.CPU, s.Traits.Memory, s.Traits.GPU
+	if s.Traits.Fills {
+		cpu = 0
+	}
+	for _, r := range w.runs {
+		if r.task == s.Task && r.attempt != s.Attempt {
+			return "another run of the task is here"
+		}
+		if r.attempt == s.Attempt && r.task == s.Task {
+			continue
+		}
+		if !r.traits.Fills {
+			cpu += r.traits.CPU
+		}
+		memory += r.traits.Memory
+		gpu += r.traits.GPU
+	}
+	if cpu > w.beat.CPU || memory > w.beat.Memory || gpu > w.beat.GPU {
+		return "no room"
+	}
+	return ""
+}
+
+// start calls the worker until it is known whether the run began.
+func (w *Warden) start(ctx context.Context, r *run, s *messenger.RunStart) {
+	for {
+		w.mu.Lock()
+		if r.over || r.phase != messenger.PhaseStarting {
+			w.mu.Unlock()
+			return
+		}
+		call := Start{
+			Aim:     Aim{Life: w.beat.Life, Fence: w.fence, Task: r.task, Attempt: r.attempt},
+			Payload: s.Payload, Saved: s.Saved, Ticket: s.Ticket, Until: w.lease,
+		}
+		if w.lease.After(w.sent) {
+			w.sent = w.lease
+		}
+		w.mu.Unlock()
+		bound, cancel := context.WithTimeout(ctx, callTimeout)
+		clock, err := w.cfg.Worker.Start(bound, call)
+		cancel()
+		w.mu.Lock()
+		again := w.started(r, call.Fence, clock, err)
+		stop := r.stop && !r.over && r.phase == messenger.PhaseRunning
+		w.mu.Unlock()
+		if stop {
+			w.stop(ctx, r)
+		}
+		if !again {
+			return
+		}
+	}
+}
+
+// started takes the outcome of a start and says whether it is to be sent again.
+func (w *Warden) started(r *run, fence uint64, clock time.Time, err error) bool {
+	if r.over {
+		return false
+	}
+	switch {
+	case err == nil:
+		if r.phase == messenger.PhaseStarting {
+			r.phase, r.since = messenger.PhaseRunning, clock
+		}
+	case errors.Is(err, ErrFence) && w.fence > fence:
+		return true
+	case errors.Is(err, ErrUnknown):
+		r.doubt = fence
+		w.fence = max(w.fence, fence+1, uint64(w.workerNow().UnixMilli()))
+		w.cfg.Log.Warn("start without an answer; fence raised", zap.String("task", r.task), zap.Uint64("attempt", r.attempt), zap.Uint64("fence", w.fence), zap.Error(err))
+		w.hurry()
+	default:
+		w.finish(r, messenger.EndNever, "", err.Error(), 0)
+	}
+	w.touch()
+	return false
+}
+
+func (w *Warden) obeyStop(ctx context.Context, s *messenger.RunStop) {
+	r := w.runs[key{s.Task, s.Attempt}]
+	if r == nil || r.stop {
+		return
+	}
+	r.stop = true
+	w.cfg.Log.Info("stop ordered", zap.String("task", s.Task), zap.Uint64("attempt", s.Attempt), zap.Uint64("term", w.term))
+	if r.phase == messenger.PhaseRunning {
+		w.tasks.Go(func() { w.stop(ctx, r) })
+	}
+}
+
+// stop calls the worker until the run has ended.
+func (w *Warden) stop(ctx context.Context, r *run) {
+	for ctx.Err() == nil {
+		w.mu.Lock()
+		if r.over {
+			w.mu.Unlock()
+			return
+		}
+		r.phase = messenger.PhaseStopping
+		call := Aim{Life: w.beat.Life, Fence: w.fence, Task: r.task, Attempt: r.attempt}
+		w.mu.Unlock()
+		bound, cancel := context.WithTimeout(ctx, callTimeout)
+		err := w.cfg.Worker.Stop(bound, call)
+		cancel()
+		if err != nil {
+			w.cfg.Log.Info("stop failed", zap.String("task", r.task), zap.Uint64("attempt", r.attempt), zap.Error(err))
+		}
+		w.hurry()
+		select {
+		case <-ctx.Done():
+		case <-time.After(callTimeout):
+		}
+	}
+}
+
+// repace slows what fills beside tasks that serve, as the pacer decides.
+func (w *Warden) repace() {
+	if w.cfg.Pacer == nil {
+		return
+	}
+	list := make([]pacer.Run, 0, len(w.runs))
+	for _, r := range w.sortedRuns() {
+		if r.phase == messenger.PhaseRunning {
+			list = append(list, pacer.Run{
+				Task: r.task, Attempt: r.attempt, Image: r.traits.Image, Fills: r.traits.Fills,
+				Target: r.traits.Target, Tail: r.figure, Percent: r.percent, Pace: r.pace,
+			})
+		}
+	}
+	for _, c := range w.cfg.Pacer.Decide(w.cfg.Now(), list) {
+		r := w.runs[key{c.Task, c.Attempt}]
+		if r == nil || r.pace == c.Pace {
+			continue
+		}
+		w.cfg.Log.Info("pace changed", zap.String("task", r.task), zap.Int("from", r.pace), zap.Int("to", c.Pace), zap.String("because", c.Because), zap.Int64("tail", c.Tail), zap.Int64("target", c.Target))
+		before := r.pace
+		r.pace = c.Pace
+		call := Aim{Life: w.beat.Life, Fence: w.fence, Task: r.task, Attempt: r.attempt}
+		w.tasks.Go(func() {
+			bound, cancel := context.WithTimeout(context.Background(), callTimeout)
+			defer cancel()
+			if err := w.cfg.Worker.Pace(bound, call, c.Pace); err != nil {
+				w.cfg.Log.Info("pace failed", zap.String("task", call.Task), zap.Error(err))
+				w.mu.Lock()
+				if r.pace == c.Pace {
+					r.pace = before
+				}
+				w.mu.Unlock()
+			}
+		})
+	}
+}
--- /dev/null
+++ b/warden/run.go
@@ -0,0 +1,53 @@
+package warden
+
+import (
+	"time"
+
+	"github.com/endivefall/endivefall/messenger"
+)
+
+// run is a run at the worker. The warden's mu guards all of it.
+type run struct {
+	task    string
+	attempt uint64
+	traits  messenger.Traits
+	phase   messenger.Phase
+	saved   string
+	percent int
+	figure  int64
+	// pace is the percent at which the task may work.
+	pace int
+	// since is the worker's clock when it confirmed the run; a later listing
+	// that lacks the run says that it is over.
+	since time.Time
+	// doubt is the fence of a start without an answer; a listing under a higher
+	// one settles it. 0 while there is no doubt.
+	doubt uint64
+	// adopted is set while the traits of a run are not known: an earlier
+	// process of the agent started it.
+	adopted bool
+	// stop is set once the owner wants the run stopped.
+	stop bool
+	// over is set when the run has left the table.
+	over bool
+}
+
+func (r *run) row() messenger.RunRow {
+	return messenger.RunRow{
+		Task: r.task, Attempt: r.attempt, Phase: r.phase, Saved: r.saved,
+		Percent: r.percent, Figure: r.figure, Pace: r.pace, Bare: r.adopted,
+	}
+}
+
+// key names a run.
+type key struct {
+	task    string
+	attempt uint64
+}
+
+// end is a run that has ended and that the ledger does not have yet.
+type end struct {
+	messenger.EndRow
+	// number is the worker's own for the end; 0 for one that it has not listed.
+	number uint64
+}
--- /dev/null
+++ b/warden/warden.go
@@ -0,0 +1,322 @@
+// Package warden is the part of an agent that commands one worker of a pool: it
+// starts and stops runs, keeps their lease, and tells the pool's owner of all
+// that runs and has ended. It alone calls the worker.
+package warden
+
+import (
+	"context"
+	"maps"
+	"net/http"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/endivefall/endivefall/messenger"
+	"github.com/endivefall/endivefall/pacer"
+)
+
+// Times of a warden.
+const (
+	// callTimeout bounds a start, stop or pace; answers take 1 to 2 ms.
+	callTimeout = 700 * time.Millisecond
+	// lookWait is how long a look may wait for an end; it bounds how late a
+	// lease is extended and an end forgotten.
+	lookWait = 500 * time.Millisecond
+	// lookPause is the least time between two looks.
+	lookPause = 15 * time.Millisecond
+	// retryPause is the wait after a call that failed.
+	retryPause = 100 * time.Millisecond
+	// slowClock is how much slower than ours the worker's clock may run, in
+	// parts of 1,000; the platform states 2%, rounded up.
+	slowClock = 21
+	// lapseMargin covers what a call may still have been on its way.
+	lapseMargin = 100 * time.Millisecond
+	// minLease is the least lease left for a start to be worth sending.
+	minLease = 500 * time.Millisecond
+)
+
+// Config is what a Warden needs.
+type Config struct {
+	// ID names the instance, Born this process.
+	ID, Born string
+	Worker   Worker
+	// Lease is how long runs go on without the owner.
+	Lease time.Duration
+	// Now is a clock that counts the time in which the instance was suspended.
+	Now func() time.Time
+	Log *zap.Logger
+	// Find returns the owner's address and term.
+	Find func(ctx context.Context) (netip.AddrPort, uint64, error)
+	// Caller opens connections to owners.
+	Caller *http.Client
+	// Peers is told of the entries that the owner knows.
+	Peers func([]netip.AddrPort)
+	// Count is told of each event for metrics.
+	Count func(name string)
+	Pacer *pacer.Pacer
+}
+
+// Warden commands one worker.
+type Warden struct {
+	cfg Config
+	// dirty holds one token while the table has changed since it was sent.
+	dirty chan struct{}
+	// looks holds one token while a look should not wait for an end.
+	looks chan struct{}
+
+	mu sync.Mutex
+	// beat is the newest heartbeat of the worker's life; Life is empty while no
+	// life is confirmed.
+	beat Heartbeat
+	// surveyed is set once the table has been compared with the life's lists.
+	surveyed bool
+	// left is set when the worker has said that it ends now.
+	left bool
+	// fence is above every fence number used before in this life.
+	fence uint64
+	// term is the highest that any owner has shown.
+	term uint64
+	// lease is the worker's time up to which runs may go on. It only grows
+	// within a life.
+	lease time.Time
+	// sent is the latest lease that a call to this life has carried.
+	sent time.Time
+	// clock is the worker's newest known time, seen at the local time at.
+	clock, at time.Time
+	// failing is since when the worker has not answered; zero while it does.
+	failing time.Time
+	runs    map[key]*run
+	ends    []end
+	// number is of the newest end, of this process; seen of the worker's newest
+	// end taken over, acked of its newest that may be forgotten.
+	number, seen, acked uint64
+	// seq is the last order on the present connection.
+	seq uint64
+	// conn is the connection to the owner, or nil.
+	conn  *messenger.Conn
+	tasks sync.WaitGroup
+}
+
+// New returns a Warden; Serve runs it.
+func New(cfg Config) *Warden {
+	if cfg.Count == nil {
+		cfg.Count = func(string) {}
+	}
+	if cfg.Peers == nil {
+		cfg.Peers = func([]netip.AddrPort) {}
+	}
+	return &Warden{
+		cfg: cfg, dirty: make(chan struct{}, 1), looks: make(chan struct{}, 1), runs: map[key]*run{},
+	}
+}
+
+// Serve commands the worker until ctx ends.
+func (w *Warden) Serve(ctx context.Context) {
+	var duties sync.WaitGroup
+	duties.Go(func() { w.lookLoop(ctx) })
+	duties.Go(func() { w.linkLoop(ctx) })
+	duties.Wait()
+	w.tasks.Wait()
+}
+
+// touch says that the table has changed; mu need not be held.
+func (w *Warden) touch() {
+	select {
+	case w.dirty <- struct{}{}:
+	default:
+	}
+}
+
+// hurry makes the next look return at once.
+func (w *Warden) hurry() {
+	select {
+	case w.looks <- struct{}{}:
+	default:
+	}
+}
+
+// workerNow returns a time that the worker's clock has surely reached.
+func (w *Warden) workerNow() time.Time {
+	return w.clock.Add(w.cfg.Now().Sub(w.at) * (1000 - slowClock) / 1000)
+}
+
+// lapsed says whether every lease that the worker was given has surely ended.
+func (w *Warden) lapsed() bool {
+	if w.sent.IsZero() {
+		return true
+	}
+	return w.workerNow().After(w.sent.Add(lapseMargin))
+}
+
+// Table returns what the owner is told.
+func (w *Warden) table() *messenger.Table {
+	t := &messenger.Table{
+		Term: w.term, Seq: w.seq, Worker: w.beat.Life, CPU: w.beat.CPU, Memory: w.beat.Memory, GPU: w.beat.GPU,
+		Labels: w.beat.Labels, Pool: w.beat.Pool, Draining: w.beat.Draining || w.left,
+		Silent: !w.failing.IsZero() && w.cfg.Now().Sub(w.failing) > time.Second, Surveyed: w.surveyed,
+		Warmup: w.beat.Warmup.Milliseconds(), Authority: w.startable() == "",
+	}
+	if w.beat.Life != "" {
+		t.Asked = w.workerNow()
+	}
+	if w.beat.Draining && !w.beat.Leaves.IsZero() {
+		t.Leaves = max(w.beat.Leaves.Sub(w.workerNow()).Milliseconds(), 0)
+	}
+	for _, k := range slices.SortedFunc(maps.Keys(w.runs), func(a, b key) int { return compare(a.task, b.task) }) {
+		t.Runs = append(t.Runs, w.runs[k].row())
+	}
+	for _, e := range w.ends[:min(len(w.ends), maxEnds)] {
+		t.Ends = append(t.Ends, e.EndRow)
+	}
+	return t
+}
+
+// maxEnds bounds the ends in one table: 500 rows are about 30 KB.
+const maxEnds = 500
+
+func compare(a, b string) int {
+	switch {
+	case a < b:
+		return -1
+	case a > b:
+		return 1
+	}
+	return 0
+}
+
+// startable says why no run may be started now; empty where one may.
+func (w *Warden) startable() string {
+	switch {
+	case w.beat.Life == "":
+		return "no worker"
+	case !w.surveyed:
+		return "not surveyed"
+	case w.beat.Draining || w.left:
+		return "draining"
+	case w.lease.Sub(w.workerNow()) < minLease:
+		return "no lease"
+	}
+	return ""
+}
+
+// finish moves a run from the table to the ends.
+func (w *Warden) finish(r *run, how messenger.How, saved, reason string, number uint64) {
+	if r.over {
+		return
+	}
+	r.over = true
+	delete(w.runs, key{r.task, r.attempt})
+	if saved == "" {
+		saved = r.saved
+	}
+	w.list(messenger.EndRow{Task: r.task, Attempt: r.attempt, How: how, Saved: saved, Reason: reason}, number)
+}
+
+func (w *Warden) list(row messenger.EndRow, number uint64) {
+	w.number++
+	row.N = w.number
+	w.ends = append(w.ends, end{EndRow: row, number: number})
+	w.cfg.Log.Info("run ended", zap.String("task", row.Task), zap.Uint64("attempt", row.Attempt),
+		zap.Stringer("how", row.How), zap.String("reason", row.Reason), zap.Uint64("listed", number), zap.String("worker", w.beat.Life))
+	w.touch()
+}
+
+// forget drops the ends that the ledger has.
+func (w *Warden) forget(durable uint64) {
+	n := 0
+	for n < len(w.ends) && w.ends[n].N <= durable {
+		w.acked = max(w.acked, w.ends[n].number)
+		n++
+	}
+	if n > 0 {
+		w.ends = slices.Delete(w.ends, 0, n)
+		w.hurry()
+	}
+}
+
+// endLife ends every run of the worker's life and waits for another one.
+func (w *Warden) endLife(why string) {
+	if w.beat.Life == "" {
+		return
+	}
+	w.cfg.Log.Warn("worker's life ended", zap.String("worker", w.beat.Life), zap.String("why", why), zap.Int("runs", len(w.runs)))
+	for _, r := range w.sortedRuns() {
+		w.finish(r, messenger.EndGone, "", why, 0)
+	}
+	for i := range w.ends {
+		w.ends[i].number = 0 // the numbers were of that life
+	}
+	w.beat, w.surveyed, w.left = Heartbeat{}, false, false
+	w.fence, w.seen, w.acked = 0, 0, 0
+	w.lease, w.sent, w.clock, w.failing = time.Time{}, time.Time{}, time.Time{}, time.Time{}
+	w.touch()
+}
+
+func (w *Warden) sortedRuns() []*run {
+	list := slices.Collect(maps.Values(w.runs))
+	slices.SortFunc(list, func(a, b *run) int { return compare(a.task, b.task) })
+	return list
+}
+
+// Heard takes a heartbeat of the worker. A life that is new must answer a call
+// before it counts: a heartbeat may be older than the life that is known.
+func (w *Warden) Heard(ctx context.Context, b Heartbeat) {
+	w.mu.Lock()
+	known := w.beat.Life == b.Life
+	if known && b.Seq > w.beat.Seq {
+		if b.Draining && !w.beat.Draining {
+			w.cfg.Log.Info("worker drains", zap.String("worker", b.Life), zap.Time("leaves", b.Leaves), zap.Int("runs", len(w.runs)))
+			w.touch()
+		}
+		b.Draining = b.Draining || w.beat.Draining
+		w.beat = b
+	}
+	w.mu.Unlock()
+	if !known {
+		w.adopt(ctx, b)
+	}
+}
+
+// Left notes that a life of the worker ends now.
+func (w *Warden) Left(life string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.beat.Life == life {
+		w.left = true
+		w.cfg.Log.Info("worker leaves", zap.String("worker", life), zap.Int("runs", len(w.runs)))
+		w.touch()
+	}
+}
+
+// adopt makes a life of the worker the present one, if it answers.
+func (w *Warden) adopt(ctx context.Context, b Heartbeat) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	asked := w.cfg.Now()
+	// A fence of 0 is refused by a life that has seen one, and changes nothing
+	// at one that has not; both show the clock.
+	listing, err := w.cfg.Worker.Look(ctx, Look{Life: b.Life})
+	if listing == nil || listing.Clock.IsZero() {
+		w.cfg.Log.Info("heartbeat of a life that does not answer", zap.String("worker", b.Life), zap.Error(err))
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.beat.Life == b.Life {
+		return
+	}
+	w.endLife("replaced by " + b.Life)
+	w.beat = b
+	w.clock, w.at = listing.Clock, asked
+	// The worker's steady clock grows faster than this agent or an earlier
+	// process of it raises the fence.
+	w.fence = uint64(listing.Clock.UnixMilli())
+	// An earlier process of this agent may have sent leases of up to this.
+	w.sent = listing.Clock.Add(w.cfg.Lease)
+	w.cfg.Log.Info("worker's life begins", zap.String("worker", b.Life), zap.Uint64("fence", w.fence), zap.Int64("cpu", b.CPU), zap.Int64("memory", b.Memory), zap.Strings("labels", b.Labels))
+	w.hurry()
+	w.touch()
+}
