--- a/overseer/follow.go
+++ b/overseer/follow.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
 
 	"github.com/endivefall/endivefall/keeper"
 	"github.com/endivefall/endivefall/sequencer"
@@ -166,7 +167,18 @@
 	}
 	o.open[spec.ID] = j
 	o.plan = true
-	o.cfg.Log.Info("job taken", zap.String("job", spec.ID), zap.String("queue", spec.Queue), zap.Uint64("version", item.Version), zap.Int("steps", len(spec.Steps)), zap.Int("tasks", spec.Steps[0].Count), zap.Duration("age", o.cfg.Wall().Sub(spec.Accepted)))
+	o.cfg.Log.Info("job taken", zap.String("job", spec.ID), zap.String("queue", spec.Queue), zap.Uint64("version", item.Version), zap.Array("steps", shapes(spec.Steps)), zap.Int("priority", spec.Priority), zap.Duration("age", o.cfg.Wall().Sub(spec.Accepted)))
+}
+
+// shapes tells steps in a log line.
+type shapes []sequencer.Step
+
+// MarshalLogArray writes each step's shape.
+func (s shapes) MarshalLogArray(to zapcore.ArrayEncoder) error {
+	for n := range s {
+		to.AppendString(s[n].String())
+	}
+	return nil
 }
 
 // cancel ends a job whose cancel is durable.
--- a/seater/seater.go
+++ b/seater/seater.go
@@ -18,8 +18,10 @@
 	UsedCPU, UsedMemory, UsedGPU int64
 	// Filling is the processor that the filling tasks there ask for.
 	Filling int64
-	// Serving counts tasks with a target for their tail.
-	Serving int
+	// Serving counts tasks with a target for their tail, ServingCPU what they
+	// reserve.
+	Serving    int
+	ServingCPU int64
 	// Speed is how fast tasks get on there, 1 being as declared.
 	Speed  float64
 	Labels []string
@@ -32,6 +34,11 @@
 // Free returns the processor that no reservation holds.
 func (s *Seat) Free() int64 { return s.CPU - s.UsedCPU }
 
+// Unused returns the processor that tasks that fill may count on.
+func (s *Seat) Unused() int64 {
+	return s.CPU - s.UsedCPU + int64(float64(s.ServingCPU)*(1-servingLoad))
+}
+
 // Take reserves room for a task.
 func (s *Seat) Take(step *sequencer.Step, name string) {
 	if step.Fills {
@@ -43,6 +50,7 @@
 	s.UsedGPU += step.GPU
 	if step.Target > 0 {
 		s.Serving++
+		s.ServingCPU += step.CPU
 	}
 	if s.Steps == nil {
 		s.Steps = map[string]int{}
@@ -57,12 +65,16 @@
 	// farCost is what a worker away from the data costs: work takes 1.5 to 2
 	// times as long there.
 	farCost = 0.6
-	// servingCost is what a serving task beside it costs a task that fills,
-	// which may be slowed for it.
-	servingCost = 0.15
-	// crowd is how much of a worker's unused processor the filling tasks may
-	// ask for together.
-	crowd = 1.0
+	// servingCost is what a worker with tasks that serve costs a task that
+	// fills: it will be slowed for them.
+	servingCost = 1.0
+	// aloneCost is what a worker without tasks that serve costs one that needs
+	// a reservation: such workers are kept for tasks that fill.
+	aloneCost = 1.0
+	// avoidCost is what a worker on which the task has failed costs.
+	avoidCost = 10.0
+	// servingLoad is the part of its reservation that a serving task uses.
+	servingLoad = 0.5
 )
 
 // Fits says whether a task has room at a seat.
@@ -90,8 +102,7 @@
 		if !Fits(t, name, s) {
 			continue
 		}
-		step := t.Shape()
-		if step.Fills && s.Filling > 0 && float64(s.Filling+step.CPU) > crowd*float64(s.Free()) {
+		if t.Shape().Fills && s.Filling > 0 && s.Filling+t.Shape().CPU > s.Unused() {
 			continue // it would only share what is there
 		}
 		cost := Cost(t, s)
@@ -102,22 +113,30 @@
 	return best
 }
 
-// Cost weighs a seat for a task; less is better.
+// Cost weighs a seat for a task; less is better. Tasks that serve share few
+// workers, so that those that fill have others to themselves: what fills is
+// slowed beside what serves.
 func Cost(t *sequencer.Task, s *Seat) float64 {
 	step := t.Shape()
 	capacity := float64(max(s.CPU, 1))
-	load := float64(s.UsedCPU) / capacity
-	if step.Fills {
-		load += float64(s.Filling+step.CPU)/capacity + servingCost*float64(s.Serving)
-	} else {
-		load += 0.3 * float64(s.Filling) / capacity
+	cost := failureCost * s.Doubt
+	switch {
+	case step.Fills:
+		cost += float64(s.CPU-s.Unused()+s.Filling+step.CPU) / capacity / max(s.Speed, 0.05)
+		if s.Serving > 0 {
+			cost += servingCost
+		}
+	default:
+		cost += float64(s.Free()-step.CPU) / capacity / max(s.Speed, 0.05)
+		if s.Serving == 0 {
+			cost += aloneCost
+		}
 	}
-	cost := load/max(s.Speed, 0.05) + failureCost*s.Doubt
 	if step.Rack != "" && !slices.Contains(s.Labels, step.Rack) {
 		cost += farCost
 	}
 	if slices.Contains(t.Avoid, s.ID) {
-		cost += 10
+		cost += avoidCost
 	}
 	return cost
 }
--- a/sequencer/spec.go
+++ b/sequencer/spec.go
@@ -64,6 +64,32 @@
 	Accepted time.Time `cbor:"13,keyasint"`
 }
 
+// String tells a step's shape in one word, for logs.
+func (s *Step) String() string {
+	word := fmt.Sprintf("%dx%dm/%dMB/%s", s.Count, s.CPU, s.Memory, s.Estimate)
+	for _, trait := range []struct {
+		set  bool
+		name string
+	}{
+		{s.Checkpoints, "saves"},
+		{s.Gang, "gang"},
+		{s.Tight, "tight"},
+		{s.Copies, "copies"},
+		{s.Lasting, "lasts"},
+		{s.Fills, "fills"},
+		{s.Spread > 0, "spread" + fmt.Sprint(s.Spread)},
+		{s.Target > 0, "target" + fmt.Sprint(s.Target)},
+		{s.Label != "", "label-" + s.Label},
+		{s.Rack != "", "rack-" + s.Rack},
+		{s.Missing > 0, "missing" + fmt.Sprint(s.Missing)},
+	} {
+		if trait.set {
+			word += "," + trait.name
+		}
+	}
+	return word
+}
+
 // Check says what is wrong with a job, or nil.
 func (s *Spec) Check() error {
 	if len(s.Steps) == 0 || len(s.Steps) > maxSteps {
--- a/warden/orders.go
+++ b/warden/orders.go
@@ -179,6 +179,7 @@
 	if w.cfg.Pacer == nil {
 		return
 	}
+	w.describe()
 	list := make([]pacer.Run, 0, len(w.runs))
 	for _, r := range w.sortedRuns() {
 		if r.phase == messenger.PhaseRunning {
@@ -211,3 +212,37 @@
 		})
 	}
 }
+
+// describeEvery is how often the worker's load is told in the log.
+const describeEvery = 2 * time.Second
+
+// describe tells what the worker does: what the paces are decided from.
+func (w *Warden) describe() {
+	now := w.cfg.Now()
+	if now.Sub(w.described) < describeEvery || len(w.runs) == 0 {
+		return
+	}
+	w.described = now
+	var reserved, filling, filled, used int64
+	serving, tail := 0, 0.0
+	paces := []int{}
+	for _, r := range w.sortedRuns() {
+		switch {
+		case r.traits.Fills:
+			filling += r.traits.CPU
+			filled += r.figure
+			paces = append(paces, r.pace)
+		default:
+			reserved += r.traits.CPU
+			if r.traits.Target > 0 {
+				serving++
+				tail = max(tail, float64(r.figure)/float64(r.traits.Target))
+			} else {
+				used += r.figure
+			}
+		}
+	}
+	w.cfg.Log.Info("worker load", zap.String("worker", w.beat.Life), zap.Int64("capacity", w.beat.CPU), zap.Int64("reserved", reserved),
+		zap.Int("serving", serving), zap.Float64("tail", tail), zap.Int64("used", used),
+		zap.Int64("filling", filling), zap.Int64("filled", filled), zap.Ints("paces", paces))
+}
--- a/warden/warden.go
+++ b/warden/warden.go
@@ -95,6 +95,8 @@
 	number, seen, acked uint64
 	// seq is the last order on the present connection.
 	seq uint64
+	// described is when the worker's load was last told in the log.
+	described time.Time
 	// conn is the connection to the owner, or nil.
 	conn  *messenger.Conn
 	tasks sync.WaitGroup
