pacer: Slow what fills only near the target

Cause: tails swing up to 0.9 of the target with their own load, so what fills stood at low paces without need. Thresholds 0.94 and 0.86, given back in two seconds.

--- a/pacer/pacer.go
+++ b/pacer/pacer.go
@@ -11,15 +11,17 @@
 const (
 	// every is the time between two decisions; a figure covers half a second.
 	every = 500 * time.Millisecond
-	// high is the share of the target from which what fills is slowed.
-	high = 0.85
+	// high is the share of the target from which what fills is slowed. Tails
+	// swing with their own load up to 0.9 without anything beside them.
+	high = 0.94
 	// low is the share below which it is let go again.
-	low = 0.65
+	low = 0.86
 	// up is how many percent points are given back at a time: full work after
-	// four seconds of calm.
-	up = 12
-	// down is the part of its pace that a task keeps near the target.
-	down = 0.6
+	// two seconds of calm.
+	up = 25
+	// down is the part of its pace that a task keeps near the target, and over
+	// keeps over it for the first time.
+	down, over = 0.7, 0.35
 )
 
 // Run is a run at the worker.
@@ -47,6 +49,8 @@
 type Pacer struct {
 	// next is when the next decision is due.
 	next time.Time
+	// excess counts the decisions in a row with a tail over its target.
+	excess int
 }
 
 // New returns a Pacer.
@@ -66,6 +70,11 @@
 			}
 		}
 	}
+	if pressure >= 1 {
+		p.excess++
+	} else {
+		p.excess = 0
+	}
 	var changes []Change
 	for _, r := range runs {
 		if !r.Fills {
@@ -73,8 +82,10 @@
 		}
 		pace, because := r.Pace, ""
 		switch {
-		case pressure >= 1:
-			pace, because = 0, "tail over its target"
+		case p.excess > 1:
+			pace, because = 0, "tail stays over its target"
+		case p.excess == 1:
+			pace, because = int(float64(r.Pace)*over), "tail over its target"
 		case pressure >= high:
 			pace, because = int(float64(r.Pace)*down), "tail near its target"
 		case pressure < low && r.Pace < 100:
--- a/warden/orders.go
+++ b/warden/orders.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 
 	"go.uber.org/zap"
@@ -225,17 +226,18 @@
 	w.described = now
 	var reserved, filling, filled, used int64
 	serving, tail := 0, 0.0
-	paces := []int{}
+	var serves, fills []string
 	for _, r := range w.sortedRuns() {
 		switch {
 		case r.traits.Fills:
 			filling += r.traits.CPU
 			filled += r.figure
-			paces = append(paces, r.pace)
+			fills = append(fills, fmt.Sprintf("%s:%d/%d@%d", r.traits.Image, r.figure, r.traits.CPU, r.pace))
 		default:
 			reserved += r.traits.CPU
 			if r.traits.Target > 0 {
 				serving++
+				serves = append(serves, fmt.Sprintf("%s:%d/%d", r.traits.Image, r.figure, r.traits.Target))
 				tail = max(tail, float64(r.figure)/float64(r.traits.Target))
 			} else {
 				used += r.figure
@@ -244,5 +246,5 @@
 	}
 	w.cfg.Log.Info("worker load", zap.String("worker", w.beat.Life), zap.Int64("capacity", w.beat.CPU), zap.Int64("reserved", reserved),
 		zap.Int("serving", serving), zap.Float64("tail", tail), zap.Int64("used", used),
-		zap.Int64("filling", filling), zap.Int64("filled", filled), zap.Ints("paces", paces))
+		zap.Int64("filling", filling), zap.Int64("filled", filled), zap.Strings("serves", serves), zap.Strings("fills", fills))
 }
