overseer: Learn what images press on each other, and move slowed tasks

Cause: filling tasks stood slowed beside serving ones that they press on, while others press on nothing. Presses are learned from changes between two tables; placement counts what a task would be slowed by, and slowed tasks that save their progress move.

--- a/overseer/overseer.go
+++ b/overseer/overseer.go
@@ -13,6 +13,7 @@
 
 	"github.com/endivefall/endivefall/keeper"
 	"github.com/endivefall/endivefall/messenger"
+	"github.com/endivefall/endivefall/profiler"
 	"github.com/endivefall/endivefall/sequencer"
 )
 
@@ -114,6 +115,10 @@
 	// plan is set when a round of placement is due.
 	plan    bool
 	planned time.Time
+	// press is what is known of images beside each other.
+	press *profiler.Profiler
+	// moved is when runs were last looked at for a better place.
+	moved time.Time
 	// lonely is since when too few agents are heard; zero while enough are.
 	lonely time.Time
 	// ending is why Serve is to return.
@@ -167,6 +172,7 @@
 	return &Overseer{
 		cfg: cfg, do: make(chan func(), queue), done: make(chan struct{}),
 		jobs: map[string]*job{}, open: map[string]*job{}, runs: map[runKey]*run{}, agents: map[string]*agent{},
+		press: profiler.New(),
 	}
 }
 
@@ -244,7 +250,7 @@
 		o.lonely = time.Time{}
 	}
 	if o.loaded {
-		o.watchRuns(now)
+		o.relieve(now)
 		o.plan = o.plan || len(o.open) > 0
 		o.sweep(ctx, now)
 	}
--- a/overseer/place.go
+++ b/overseer/place.go
@@ -26,21 +26,10 @@
 	if !o.current() {
 		return
 	}
-	byPool := map[string][]*seater.Seat{}
-	agents := map[string]*agent{}
-	for _, a := range o.agents {
-		if s := o.seat(a); s != nil {
-			byPool[a.table.Pool] = append(byPool[a.table.Pool], s)
-			agents[a.id] = a
-		}
-	}
+	byPool, agents := o.seats()
 	if len(agents) == 0 {
 		return
 	}
-	for _, seats := range byPool {
-		slices.SortFunc(seats, func(a, b *seater.Seat) int { return compareID(a.ID, b.ID) })
-	}
-	o.fill(byPool)
 	unknown := o.missing() > 0
 	now, wall := o.cfg.Now(), o.cfg.Wall()
 	ordered := map[*agent]int{}
@@ -52,6 +41,24 @@
 	}
 }
 
+// seats returns the workers that may get tasks, by pool, with what runs there
+// booked, and their agents.
+func (o *Overseer) seats() (map[string][]*seater.Seat, map[string]*agent) {
+	byPool := map[string][]*seater.Seat{}
+	agents := map[string]*agent{}
+	for _, a := range o.agents {
+		if s := o.seat(a); s != nil {
+			byPool[a.table.Pool] = append(byPool[a.table.Pool], s)
+			agents[a.id] = a
+		}
+	}
+	for _, seats := range byPool {
+		slices.SortFunc(seats, func(a, b *seater.Seat) int { return compareID(a.ID, b.ID) })
+	}
+	o.fill(byPool)
+	return byPool, agents
+}
+
 func compareID(a, b string) int {
 	switch {
 	case a < b:
@@ -111,12 +118,37 @@
 		}
 	}
 	for _, r := range o.runs {
-		if s := index[r.agent.id]; s != nil {
-			s.Take(r.task.Shape(), stepName(r.task))
+		s := index[r.agent.id]
+		if s == nil {
+			continue
+		}
+		step := r.task.Shape()
+		s.Take(step, stepName(r.task))
+		if step.Target > 0 && r.phase == messenger.PhaseRunning {
+			s.Serves = append(s.Serves, seater.Serve{
+				Image:    step.Image,
+				Pressure: o.press.Pressure(step.Image, float64(r.figure)),
+				Room:     o.press.Pressure(step.Image, bearable*float64(step.Target)),
+			})
+		}
+	}
+	now := o.cfg.Now()
+	for _, r := range o.runs {
+		if s := index[r.agent.id]; s != nil && r.task.Shape().Fills && now.Sub(r.began) < shownAfter {
+			s.Press(r.task.Shape(), o.press.Press)
 		}
 	}
 }
 
+// Bounds of what filling tasks may do beside serving ones.
+const (
+	// bearable is the share of its target up to which a tail may be pressed.
+	bearable = 0.85
+	// shownAfter is when the figures of a serving task show a run that was
+	// started beside it: they cover half a second.
+	shownAfter = 900 * time.Millisecond
+)
+
 // stepName names a step of an occurrence.
 func stepName(t *sequencer.Task) string {
 	name := t.Name()
@@ -138,7 +170,7 @@
 			continue
 		}
 		name := stepName(t)
-		s := seater.Pick(t, name, seats)
+		s := seater.Pick(t, name, seats, now, o.press.Press)
 		if s == nil {
 			continue
 		}
@@ -149,6 +181,9 @@
 		if o.start(t, j, a) {
 			ordered[a]++
 			s.Take(t.Shape(), name)
+			if t.Shape().Fills {
+				s.Press(t.Shape(), o.press.Press)
+			}
 		}
 	}
 }
@@ -192,6 +227,3 @@
 	}
 	_ = now // the speed of workers is not weighed yet
 }
-
-// watchRuns looks for runs that must move.
-func (o *Overseer) watchRuns(time.Time) {}
--- /dev/null
+++ b/overseer/relieve.go
@@ -0,0 +1,91 @@
+package overseer
+
+import (
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/endivefall/endivefall/messenger"
+	"github.com/endivefall/endivefall/profiler"
+	"github.com/endivefall/endivefall/seater"
+)
+
+// Bounds of moving tasks that are slowed.
+const (
+	// relieveEvery is how often slowed runs are looked at.
+	relieveEvery = 250 * time.Millisecond
+	// slowPace is the percent below which a run is worth a move.
+	slowPace = 50
+	// settleTime is how long a run is left where it is.
+	settleTime = 1200 * time.Millisecond
+	// nearEnd is the percent from which a run is left to end.
+	nearEnd = 85
+	// maxMoves bounds the moves of one look, so that what they free shows.
+	maxMoves = 4
+	// betterShare is the share of its pace that a run must find elsewhere.
+	betterShare = 0.9
+)
+
+// profile learns from a table what filling images do to serving ones.
+func (o *Overseer) profile(a *agent, t *messenger.Table) {
+	use := profiler.Use{}
+	for _, row := range t.Runs {
+		r := o.runs[runKey{row.Task, row.Attempt}]
+		if r != nil && r.task.Shape().Fills && t.CPU > 0 {
+			use[r.task.Shape().Image] += float64(row.Figure) / float64(t.CPU)
+		}
+	}
+	for _, row := range t.Runs {
+		r := o.runs[runKey{row.Task, row.Attempt}]
+		if r == nil || r.task.Shape().Target <= 0 || row.Percent < 100 {
+			continue
+		}
+		o.press.Observe(row.Task+"/"+strconv.FormatUint(row.Attempt, 10), r.task.Shape().Image, float64(row.Figure), use)
+	}
+}
+
+// relieve moves runs that are slowed beside serving tasks to workers where
+// they would not be. A run that saves its progress loses nothing by it.
+func (o *Overseer) relieve(now time.Time) {
+	if now.Sub(o.moved) < relieveEvery || !o.current() {
+		return
+	}
+	o.moved = now
+	var slowed []*run
+	for _, r := range o.runs {
+		step := r.task.Shape()
+		if step.Fills && step.Checkpoints && !step.Gang && r.phase == messenger.PhaseRunning && !r.evict &&
+			r.pace < slowPace && r.percent < nearEnd && now.Sub(r.began) > settleTime {
+			slowed = append(slowed, r)
+		}
+	}
+	if len(slowed) == 0 {
+		return
+	}
+	slices.SortFunc(slowed, func(a, b *run) int {
+		if c := a.pace - b.pace; c != 0 {
+			return c
+		}
+		return compareID(a.key.task, b.key.task)
+	})
+	byPool, _ := o.seats()
+	moves := 0
+	for _, r := range slowed {
+		step, name := r.task.Shape(), stepName(r.task)
+		for _, s := range byPool[r.job.Spec.Pool] {
+			if s.ID == r.agent.id || !seater.Fits(r.task, name, s) || s.Filling+step.CPU > s.Unused() ||
+				seater.Share(step, s, o.press.Press) < betterShare {
+				continue
+			}
+			s.Take(step, name)
+			s.Press(step, o.press.Press)
+			o.stop(r, "it is slowed to "+strconv.Itoa(r.pace)+" percent and would not be at "+s.ID)
+			o.cfg.Count("moved")
+			moves++
+			break
+		}
+		if moves >= maxMoves {
+			return
+		}
+	}
+}
--- a/seater/seater.go
+++ b/seater/seater.go
@@ -22,6 +22,8 @@
 	// reserve.
 	Serving    int
 	ServingCPU int64
+	// Serves has the tasks with a target, where it is known what presses on them.
+	Serves []Serve
 	// Speed is how fast tasks get on there, 1 being as declared.
 	Speed  float64
 	Labels []string
@@ -31,6 +33,14 @@
 	Steps map[string]int
 }
 
+// Serve is a serving task as filling ones meet it.
+type Serve struct {
+	Image string
+	// Pressure is what its tail shows, with what was placed since; Room is what
+	// it bears.
+	Pressure, Room float64
+}
+
 // Free returns the processor that no reservation holds.
 func (s *Seat) Free() int64 { return s.CPU - s.UsedCPU }
 
@@ -65,9 +75,12 @@
 	// farCost is what a worker away from the data costs: work takes 1.5 to 2
 	// times as long there.
 	farCost = 0.6
-	// servingCost is what a worker with tasks that serve costs a task that
-	// fills: it will be slowed for them.
-	servingCost = 1.0
+	// slowCost is what a filling task costs that will be slowed to a half.
+	slowCost = 0.5
+	// leastShare is the share of its pace below which a filling task waits for
+	// another worker, for as long as patience.
+	leastShare = 0.3
+	patience   = 1500 * time.Millisecond
 	// aloneCost is what a worker without tasks that serve costs one that needs
 	// a reservation: such workers are kept for tasks that fill.
 	aloneCost = 1.0
@@ -94,18 +107,25 @@
 }
 
 // Pick returns the best seat for a task, or nil. A worker on which the task
-// has failed is taken only where no other one is known.
-func Pick(t *sequencer.Task, name string, seats []*Seat) *Seat {
+// has failed is taken only where no other one is known. Press tells what a
+// whole worker's use by one image adds to the pressure on another.
+func Pick(t *sequencer.Task, name string, seats []*Seat, now time.Time, press func(fills, serves string) float64) *Seat {
 	var best *Seat
 	bestCost := 0.0
 	for _, s := range seats {
 		if !Fits(t, name, s) {
 			continue
 		}
-		if t.Shape().Fills && s.Filling > 0 && s.Filling+t.Shape().CPU > s.Unused() {
-			continue // it would only share what is there
+		share := 1.0
+		if t.Shape().Fills {
+			if s.Filling > 0 && s.Filling+t.Shape().CPU > s.Unused() {
+				continue // it would only share what is there
+			}
+			if share = Share(t.Shape(), s, press); share < leastShare && now.Sub(t.Since) < patience {
+				continue
+			}
 		}
-		cost := Cost(t, s)
+		cost := Cost(t, s, share)
 		if best == nil || cost < bestCost {
 			best, bestCost = s, cost
 		}
@@ -113,19 +133,38 @@
 	return best
 }
 
-// Cost weighs a seat for a task; less is better. Tasks that serve share few
+// Share returns the part of its full pace at which a filling task can work at a
+// seat without pressing a serving one over its room.
+func Share(step *sequencer.Step, s *Seat, press func(fills, serves string) float64) float64 {
+	share := 1.0
+	for _, serve := range s.Serves {
+		adds := press(step.Image, serve.Image) * float64(step.CPU) / float64(max(s.CPU, 1))
+		if room := serve.Room - serve.Pressure; adds > room {
+			share = min(share, max(room, 0)/adds)
+		}
+	}
+	return share
+}
+
+// Press books what a filling task placed at the seat adds to its serving ones.
+func (s *Seat) Press(step *sequencer.Step, press func(fills, serves string) float64) {
+	for n := range s.Serves {
+		s.Serves[n].Pressure += press(step.Image, s.Serves[n].Image) * float64(step.CPU) / float64(max(s.CPU, 1))
+	}
+}
+
+// Cost weighs a seat for a task that would work at a share of its pace there;
+// less is better. Tasks that serve share few
 // workers, so that those that fill have others to themselves: what fills is
 // slowed beside what serves.
-func Cost(t *sequencer.Task, s *Seat) float64 {
+func Cost(t *sequencer.Task, s *Seat, share float64) float64 {
 	step := t.Shape()
 	capacity := float64(max(s.CPU, 1))
 	cost := failureCost * s.Doubt
 	switch {
 	case step.Fills:
 		cost += float64(s.CPU-s.Unused()+s.Filling+step.CPU) / capacity / max(s.Speed, 0.05)
-		if s.Serving > 0 {
-			cost += servingCost
-		}
+		cost += slowCost * (1/max(share, 0.05) - 1)
 	default:
 		cost += float64(s.Free()-step.CPU) / capacity / max(s.Speed, 0.05)
 		if s.Serving == 0 {
