pacer: Slow only what presses on a tail near its target

Agents learn the presses of images and slow by them; a tail over its target for two seconds still stops all.

--- a/warden/orders.go
+++ b/warden/orders.go
@@ -186,16 +186,16 @@
 		if r.phase == messenger.PhaseRunning {
 			list = append(list, pacer.Run{
 				Task: r.task, Attempt: r.attempt, Image: r.traits.Image, Fills: r.traits.Fills,
-				Target: r.traits.Target, Tail: r.figure, Percent: r.percent, Pace: r.pace,
+				CPU: r.traits.CPU, Used: r.figure, Target: r.traits.Target, Tail: r.figure, Percent: r.percent, Pace: r.pace,
 			})
 		}
 	}
-	for _, c := range w.cfg.Pacer.Decide(w.cfg.Now(), list) {
+	for _, c := range w.cfg.Pacer.Decide(w.cfg.Now(), w.beat.CPU, list) {
 		r := w.runs[key{c.Task, c.Attempt}]
 		if r == nil || r.pace == c.Pace {
 			continue
 		}
-		w.cfg.Log.Info("pace changed", zap.String("task", r.task), zap.Int("from", r.pace), zap.Int("to", c.Pace), zap.String("because", c.Because), zap.Int64("tail", c.Tail), zap.Int64("target", c.Target))
+		w.cfg.Log.Info("pace changed", zap.String("task", r.task), zap.Int("from", r.pace), zap.Int("to", c.Pace), zap.String("because", c.Because), zap.Int64("tail", c.Tail), zap.Int64("target", c.Target), zap.Float64("press", c.Press))
 		before := r.pace
 		r.pace = c.Pace
 		call := Aim{Life: w.beat.Life, Fence: w.fence, Task: r.task, Attempt: r.attempt}
