seater: Serve jobs that can't be in time after those that can

Cause: under a burst, jobs whose objective was lost already kept workers from those that could still meet theirs.

--- a/seater/seater.go
+++ b/seater/seater.go
@@ -192,15 +192,22 @@
 // lateFactor is up to how many times its objective a job still earns something.
 const lateFactor = 3
 
+// hopeful is the part of the estimated time in which the rest of a job may yet
+// be done; estimates are off by more than a half.
+const hopeful = 0.6
+
 // RankOf places a job by what it can still earn at a wall time.
 func RankOf(j *sequencer.Job, now time.Time) Rank {
 	s := j.Spec
 	if s.Steps[0].Lasting {
 		return Rank{Class: 0, Priority: s.Priority, Due: s.Accepted}
 	}
-	chain := time.Duration(0)
-	for _, step := range s.Steps {
+	chain, left := time.Duration(0), time.Duration(0)
+	for n, step := range s.Steps {
 		chain += step.Estimate
+		if !j.StepDone(0, n) {
+			left += step.Estimate
+		}
 	}
 	objective := time.Duration(float64(chain)*s.Stretch) + s.Aim
 	due := s.Accepted.Add(objective)
@@ -208,7 +215,7 @@
 	switch {
 	case now.After(s.Accepted.Add(lateFactor * objective)):
 		class = 3
-	case now.After(due):
+	case now.Add(time.Duration(hopeful * float64(left))).After(due):
 		class = 2
 	}
 	return Rank{Class: class, Priority: s.Priority, Due: due}
