overseer: Write checkpoints of running tasks to the ledger

Cause: after a loss of power of all instances every running task began anew; only ends were in the ledger.

--- a/overseer/agent.go
+++ b/overseer/agent.go
@@ -206,8 +206,9 @@
 		r.moved = now
 	}
 	r.phase, r.percent, r.figure, r.pace = row.Phase, row.Percent, row.Figure, row.Pace
-	if row.Saved != "" {
+	if row.Saved != "" && row.Saved != r.task.Saved {
 		r.task.Saved = row.Saved
+		o.saved(r.job, now)
 	}
 	if (r.evict || r.job.Over() || r.task.Done) && r.stopped != a.link {
 		o.stop(r, "it is not wanted any more")
--- a/overseer/ends.go
+++ b/overseer/ends.go
@@ -126,6 +126,19 @@
 	}
 }
 
+// saveEvery is how often a job's new checkpoints are written: what is lost when
+// owner and workers lose power together. A write costs less than two seconds
+// of a core.
+const saveEvery = 1500 * time.Millisecond
+
+// saved notes a new checkpoint of a job.
+func (o *Overseer) saved(j *job, now time.Time) {
+	if now.Sub(j.saved) >= saveEvery {
+		j.saved = now
+		o.changed(j)
+	}
+}
+
 // settle lets an agent forget the ends that the ledger has.
 func (o *Overseer) settle(a *agent) {
 	n := 0
--- a/overseer/overseer.go
+++ b/overseer/overseer.go
@@ -133,6 +133,8 @@
 	changes, written uint64
 	queued           bool // it is in dirty
 	live             map[runKey]*run
+	// saved is the local time at which checkpoints were last written.
+	saved time.Time
 	// over is the local time at which the job's final state became durable.
 	over time.Time
 }
--- a/sequencer/job.go
+++ b/sequencer/job.go
@@ -166,10 +166,12 @@
 	}
 	for key, list := range j.steps {
 		for _, t := range list {
-			if t.Done || t.Fails > 0 {
-				p.Tasks = append(p.Tasks, TaskRecord{
-					Occurrence: key[0], Step: key[1], Index: t.Index, Done: t.Done, Fails: t.Fails, Saved: t.Saved,
-				})
+			if t.Done || t.Fails > 0 || t.Saved != "" {
+				r := TaskRecord{Occurrence: key[0], Step: key[1], Index: t.Index, Done: t.Done, Fails: t.Fails}
+				if !t.Done {
+					r.Saved = t.Saved
+				}
+				p.Tasks = append(p.Tasks, r)
 			}
 		}
 	}
