--- a/overseer/agent.go
+++ b/overseer/agent.go
@@ -206,6 +206,7 @@
 		r.moved = now
 	}
 	r.phase, r.percent, r.figure, r.pace = row.Phase, row.Percent, row.Figure, row.Pace
+	r.paced = r.paced || row.Pace < 100
 	if row.Saved != "" && row.Saved != r.task.Saved {
 		r.task.Saved = row.Saved
 		o.saved(r.job, now)
@@ -225,7 +226,7 @@
 		return nil
 	}
 	t := j.Task(k, step, index)
-	r := &run{key: runKey{row.Task, row.Attempt}, task: t, job: j, agent: a, phase: row.Phase, pace: 100, began: o.cfg.Now()}
+	r := &run{key: runKey{row.Task, row.Attempt}, task: t, job: j, agent: a, phase: row.Phase, pace: 100, began: o.cfg.Now(), resumed: true}
 	if t.Live > 0 && !t.Shape().Copies {
 		r.evict = true
 		o.cfg.Log.Warn("run of a task that runs elsewhere", zap.String("task", row.Task), zap.Uint64("attempt", row.Attempt), zap.String("agent", a.id))
--- a/overseer/overseer.go
+++ b/overseer/overseer.go
@@ -117,6 +117,9 @@
 	planned time.Time
 	// press is what is known of images beside each other.
 	press *profiler.Profiler
+	// slowness is the mean of how much longer than estimated runs take, as a
+	// logarithm.
+	slowness fading
 	// moved is when runs were last looked at for a better place.
 	moved time.Time
 	// lonely is since when too few agents are heard; zero while enough are.
@@ -164,6 +167,9 @@
 	began   time.Time
 	// moved is the local time at which percent last grew.
 	moved time.Time
+	// paced is set once the run was slowed; resumed for one that began from a
+	// checkpoint.
+	paced, resumed bool
 	// evict is set when the run is to be stopped for another reason than the
 	// job's end.
 	evict bool
--- a/overseer/place.go
+++ b/overseer/place.go
@@ -1,6 +1,7 @@
 package overseer
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -100,12 +101,8 @@
 		now.Before(a.record.aside) || now.Sub(a.heard) > isolated/2 {
 		return nil
 	}
-	speed := a.record.speed
-	if speed == 0 {
-		speed = 1
-	}
 	return &seater.Seat{
-		ID: a.id, CPU: t.CPU, Memory: t.Memory, GPU: t.GPU, Labels: t.Labels, Speed: speed, Doubt: a.record.doubt,
+		ID: a.id, CPU: t.CPU, Memory: t.Memory, GPU: t.GPU, Labels: t.Labels, Speed: a.record.speed(), Doubt: a.record.doubt,
 	}
 }
 
@@ -193,7 +190,7 @@
 	t.Attempt = max(t.Attempt, (o.cfg.Term-1)*termAttempts) + 1
 	r := &run{
 		key: runKey{t.Name(), t.Attempt}, task: t, job: j, agent: a, link: a.link,
-		phase: messenger.PhaseStarting, pace: 100, began: o.cfg.Now(),
+		phase: messenger.PhaseStarting, pace: 100, began: o.cfg.Now(), resumed: t.Saved != "",
 	}
 	if !o.order(a, &messenger.Order{Start: o.startOf(r, false)}) {
 		return false
@@ -219,11 +216,33 @@
 	}
 }
 
-// learn notes how fast a worker was.
+// learn notes how fast a worker was with a run that nothing slowed.
 func (o *Overseer) learn(r *run, now time.Time) {
 	step := r.task.Shape()
-	if step.Fills || step.Estimate <= 0 || r.task.Saved != "" {
+	if r.paced || step.Estimate <= 0 || r.resumed || step.Lasting {
 		return
 	}
-	_ = now // the speed of workers is not weighed yet
+	slow := math.Log(max(now.Sub(r.began).Seconds(), minTime) / max(step.Estimate.Seconds(), minTime))
+	mean := &o.slowness
+	if !mean.known {
+		mean.value, mean.known = slow, true
+	}
+	mean.value += meanFade * (slow - mean.value)
+	r.agent.record.slow += slowFade * (slow - mean.value - r.agent.record.slow)
+}
+
+// Weights of the speed of workers.
+const (
+	// minTime keeps the quotient of two short times from saying much, in s.
+	minTime = 0.05
+	// meanFade and slowFade are the weights of the newest run in the mean of
+	// all workers and of one: estimates are off by more than a half, so that it
+	// takes a dozen runs to tell.
+	meanFade, slowFade = 0.02, 0.12
+)
+
+// fading is a mean that follows the newest values.
+type fading struct {
+	value float64
+	known bool
 }
--- a/overseer/record.go
+++ b/overseer/record.go
@@ -1,6 +1,9 @@
 package overseer
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Weights of an agent's record.
 const (
@@ -20,13 +23,29 @@
 	// a row.
 	doubt float64
 	row   int
-	// speed is the fading speed of its runs against their estimate of time,
-	// relative to other workers; 0 while none is known.
-	speed float64
+	// slow is how much longer its runs take than those of other workers, as a
+	// fading logarithm.
+	slow float64
 	// aside is until when it gets no tasks.
 	aside time.Time
 }
 
+// Bounds of a worker's speed as placement sees it.
+const (
+	// noise is the slowness that chance alone may show.
+	noise = 0.5
+	// minSpeed bounds the speed of the slowest worker.
+	minSpeed = 0.15
+)
+
+// speed is how fast the worker is, 1 being like the others.
+func (r *record) speed() float64 {
+	if r.slow < noise {
+		return 1
+	}
+	return max(math.Exp(-r.slow), minSpeed)
+}
+
 // good notes a run that was done.
 func (r *record) good() {
 	r.doubt *= 1 - fade
--- a/overseer/relieve.go
+++ b/overseer/relieve.go
@@ -51,6 +51,7 @@
 		return
 	}
 	o.moved = now
+	o.unstick(now)
 	var slowed []*run
 	for _, r := range o.runs {
 		step := r.task.Shape()
@@ -89,3 +90,30 @@
 		}
 	}
 }
+
+// stuckAfter is how long a run may make no progress before it is started
+// elsewhere. A task of two minutes grows by a percent in 1.2 s.
+const stuckAfter = 2500 * time.Millisecond
+
+// unstick stops runs that make no progress though nothing slows them: their
+// worker stalls what it started.
+func (o *Overseer) unstick(now time.Time) {
+	for _, r := range o.runs {
+		step := r.task.Shape()
+		if r.phase != messenger.PhaseRunning || r.evict || step.Gang || r.agent.link == nil || r.agent.table == nil || r.agent.table.Silent ||
+			step.Lasting && r.percent >= 100 {
+			continue
+		}
+		if r.pace < slowPace {
+			r.moved = now // it is slowed on purpose
+			continue
+		}
+		if r.moved.IsZero() || now.Sub(r.moved) < stuckAfter {
+			continue
+		}
+		r.task.Avoid = append(r.task.Avoid, r.agent.id)
+		r.agent.record.bad(now)
+		o.cfg.Count("stuck")
+		o.stop(r, "it makes no progress")
+	}
+}
--- a/seater/seater.go
+++ b/seater/seater.go
@@ -171,6 +171,7 @@
 			cost += aloneCost
 		}
 	}
+	cost += slowCost * (1/max(s.Speed, 0.05) - 1)
 	if step.Rack != "" && !slices.Contains(s.Labels, step.Rack) {
 		cost += farCost
 	}
