--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -42,6 +43,9 @@
 	// patience is how long a store that does nothing is asked again before the
 	// job is turned away: a caller's next try may reach an entry that is served.
 	patience = 350 * time.Millisecond
+	// breakAfter is how long the store may answer no write before new jobs are
+	// turned away at once, but for one that tries it.
+	breakAfter = 600 * time.Millisecond
 	// retryPause is the wait after a failed call to the store.
 	retryPause = 40 * time.Millisecond
 	// askTimeout bounds a question to the owner before the store is read.
@@ -70,6 +74,8 @@
 	// down is since when the store has answered nothing, in Unix ns; 0 while it
 	// answers.
 	down atomic.Int64
+	// probing is set while one submission tries a store that does not answer.
+	probing atomic.Bool
 }
 
 // submission is a job on its way to the store.
@@ -128,16 +134,21 @@
 		return err
 	}
 	s := &submission{spec: spec, value: value, until: until, begun: a.cfg.Now(), done: make(chan error, 1)}
+	if since, ok := a.Reaching(); !ok && a.cfg.Now().Sub(since) > breakAfter && !a.probing.CompareAndSwap(false, true) {
+		return fmt.Errorf("%w: the store has not answered for %s", ErrTurnedAway, a.cfg.Now().Sub(since).Round(time.Millisecond))
+	}
 	select {
 	case a.in <- s:
 	default:
-		return ErrTurnedAway
+		a.probing.Store(false)
+		return fmt.Errorf("%w: %d jobs wait for the store", ErrTurnedAway, waiting)
 	}
 	select {
 	case err = <-s.done:
 	case <-ctx.Done():
 		err = ErrUnknown // the caller has left; the writer goes on
 	}
+	a.probing.Store(false)
 	a.cfg.Time("submit", a.cfg.Now().Sub(s.begun))
 	return err
 }
--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -199,9 +199,13 @@
 func (c *Conductor) own(ctx context.Context, record elector.Record, epoch uint64) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	foreign := proof
+	if record.Clean {
+		foreign = 0
+	}
 	o := overseer.New(overseer.Config{
 		Term: record.Term, Epoch: epoch, OwnerKey: elector.OwnerKey, Store: c.relayer.Store(), Now: c.cfg.Now, Wall: time.Now,
-		Lease: Lease(c.cfg.Hold), Proof: proof, Foreign: proof, Keep: c.cfg.Keep,
+		Lease: Lease(c.cfg.Hold), Proof: proof, Foreign: foreign, Keep: c.cfg.Keep,
 		Proven: c.elector.Proven, Prove: c.elector.Prove,
 		Others: func() bool { return len(c.elector.Members()) > 0 },
 		Log:    c.cfg.Log, Count: c.cfg.Count, Time: c.cfg.Time,
--- a/elector/elector.go
+++ b/elector/elector.go
@@ -317,6 +317,9 @@
 	e.mu.Unlock()
 }
 
+// ownerGone is the reason of a claim whose owner may live on unseen.
+const ownerGone = "owner is gone"
+
 // vacancy says why this entry should claim ownership now; empty while it
 // should not.
 func (e *Elector) vacancy() string {
@@ -335,7 +338,7 @@
 	case lives && owner.Born != e.record.Owner.Born:
 		why = "owner started anew"
 	case !lives && now.Sub(e.cfg.Reached()) > time.Second:
-		why = "owner is gone"
+		why = ownerGone
 	}
 	if why == "" {
 		e.vacant = time.Time{}
@@ -374,7 +377,7 @@
 	e.mu.Lock()
 	record, version := e.record, e.version
 	e.mu.Unlock()
-	if why == "owner is gone" { // the watch may be behind
+	if why == ownerGone { // the watch may be behind
 		item, err := e.cfg.Store.Get(ctx, entryPrefix+record.Owner.ID)
 		if err == nil {
 			e.apply([]keeper.Item{item})
@@ -384,7 +387,7 @@
 			return err
 		}
 	}
-	next := Record{Owner: e.cfg.Self, Term: record.Term + 1}
+	next := Record{Owner: e.cfg.Self, Term: record.Term + 1, Clean: why != ownerGone}
 	sent := e.cfg.Now()
 	at, err := e.write(ctx, next, version)
 	if err != nil {
@@ -393,7 +396,7 @@
 	e.mu.Lock()
 	e.record, e.version, e.proven, e.vacant = next, at, sent, time.Time{}
 	e.mu.Unlock()
-	e.cfg.Log.Info("ownership claimed", zap.Uint64("term", next.Term), zap.Uint64("version", at), zap.String("why", why), zap.String("before", record.Owner.ID))
+	e.cfg.Log.Info("ownership claimed", zap.Uint64("term", next.Term), zap.Uint64("version", at), zap.String("why", why), zap.Bool("clean", next.Clean), zap.String("before", record.Owner.ID))
 	e.cfg.Seen(next, e.Members())
 	return nil
 }
--- a/keeper/store.go
+++ b/keeper/store.go
@@ -59,17 +59,26 @@
 	return Item{Key: key}
 }
 
-// Holds says whether every write of the change is what the store holds now, so
-// that the change, sent before without an answer, has taken effect. It needs a
-// check on each key written.
+// Holds says whether the store is as the change would leave it, so that the
+// change, sent before without an answer, has taken effect. It needs a check on
+// each key written or removed.
 func (c *Clash) Holds(change Change) bool {
+	checked := map[string]bool{}
+	for _, check := range change.Checks {
+		checked[check.Key] = true
+	}
 	for _, w := range change.Writes {
 		item := c.Item(w.Key)
-		if item.Version == 0 || !bytes.Equal(item.Value, w.Value) {
+		if !checked[w.Key] || item.Version == 0 || !bytes.Equal(item.Value, w.Value) {
+			return false
+		}
+	}
+	for _, key := range change.Removes {
+		if !checked[key] || c.Item(key).Version != 0 {
 			return false
 		}
 	}
-	return len(change.Writes) > 0
+	return len(change.Writes)+len(change.Removes) > 0
 }
 
 // Page is a part of a listing in the order of keys.
--- a/overseer/agent.go
+++ b/overseer/agent.go
@@ -27,10 +27,11 @@
 	table *messenger.Table
 	// kept is the version of its key in the ledger; 0 while it has none. No
 	// order and no lease goes to an agent without one.
-	kept      uint64
-	enrolling bool
+	kept uint64
+	// enrolling and striking are set while its key is to be written or removed.
+	enrolling, striking bool
 	// vouched is the local time up to which its runs may go on without a word
-	// of the owner. It only grows.
+	// of the owner.
 	vouched time.Time
 	// surveyed is set once its whole table was heard in this term; missing while
 	// an earlier owner may have left runs there that are not known here.
@@ -79,6 +80,9 @@
 func (o *Overseer) Part(l *Link) {
 	o.hand(func() {
 		if a := o.agents[l.ID]; a != nil && a.link == l {
+			if a.table != nil && a.table.Surveyed && a.table.Draining && len(a.table.Runs) == 0 && len(o.runsOf(a)) == 0 {
+				a.vouched = o.cfg.Now() // it took no more starts and had none
+			}
 			a.link, a.table = nil, nil
 			o.cfg.Log.Info("agent parted", zap.String("agent", l.ID), zap.Duration("lease", a.vouched.Sub(o.cfg.Now())))
 		}
@@ -105,7 +109,7 @@
 	}
 	now := o.cfg.Now()
 	a.table, a.heard = t, now
-	if a.kept == 0 {
+	if o.loaded && a.kept == 0 && !a.striking {
 		a.enrolling = true
 	}
 	if o.loaded {
@@ -208,7 +212,7 @@
 	r.phase, r.percent, r.figure, r.pace = row.Phase, row.Percent, row.Figure, row.Pace
 	r.paced = r.paced || row.Pace < 100
 	if row.Saved != "" && row.Saved != r.task.Saved {
-		r.task.Saved = row.Saved
+		r.task.Saved, r.task.SavedAt = row.Saved, now
 		o.saved(r.job, now)
 	}
 	if (r.evict || r.job.Over() || r.task.Done) && r.stopped != a.link {
@@ -252,8 +256,15 @@
 		o.cfg.Log.Info("agent given up", zap.String("agent", a.id), zap.Time("vouched", a.vouched))
 	}
 	a.surveyed = false
+	if a.link == nil && a.kept != 0 && !a.striking && now.After(a.vouched.Add(strikeAfter)) {
+		a.striking = true
+	}
 }
 
+// strikeAfter is how long after its lease an agent that does not return is
+// struck from the ledger: a new owner need not wait for it then.
+const strikeAfter = 2 * time.Second
+
 // order sends an order to an agent.
 func (o *Overseer) order(a *agent, order *messenger.Order) bool {
 	if a.link == nil {
--- a/overseer/ends.go
+++ b/overseer/ends.go
@@ -70,7 +70,7 @@
 	now := o.cfg.Now()
 	t.Since = now
 	if row.Saved != "" {
-		t.Saved = row.Saved
+		t.Saved, t.SavedAt = row.Saved, now
 	}
 	o.plan = true
 	step := t.Shape()
@@ -101,8 +101,13 @@
 		if step.Lasting {
 			return
 		}
-		t.Fails++
 		t.Avoid = append(t.Avoid, a.id)
+		if step.Gang {
+			if t = o.gangFailed(j, t, row.Attempt); t == nil {
+				return
+			}
+		}
+		t.Fails++
 		if j.Spec.Attempts > 0 && t.Fails >= j.Spec.Attempts && !j.Over() {
 			j.Failed = true
 			o.cfg.Log.Info("job failed", zap.String("job", j.Spec.ID), zap.String("task", row.Task), zap.Int("fails", t.Fails))
--- /dev/null
+++ b/overseer/gang.go
@@ -0,0 +1,145 @@
+package overseer
+
+import (
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/endivefall/endivefall/seater"
+	"github.com/endivefall/endivefall/sequencer"
+)
+
+// placeGang starts all members of a gang together, or none: they work only when
+// all are there, and all resume from the same checkpoint.
+func (o *Overseer) placeGang(j *job, members []*sequencer.Task, seats []*seater.Seat, agents map[string]*agent, ordered map[*agent]int, now time.Time) {
+	step, name := members[0].Shape(), stepName(members[0])
+	if members[len(members)-1].Step != members[0].Step || members[len(members)-1].Occurrence != members[0].Occurrence {
+		return // some member is not waiting
+	}
+	for _, t := range members {
+		if t.Since.IsZero() {
+			t.Since = now
+		}
+		if now.Before(t.After) {
+			return
+		}
+	}
+	for _, among := range gangSeats(step, seats) {
+		if chosen := seatGang(members, name, among, now, o.press.Press); chosen != nil {
+			o.startGang(j, members, chosen, seats, agents, ordered)
+			return
+		}
+	}
+}
+
+// gangSeats returns the sets of seats to try: for a gang that is slower across
+// racks each rack first, then all.
+func gangSeats(step *sequencer.Step, seats []*seater.Seat) [][]*seater.Seat {
+	if !step.Tight {
+		return [][]*seater.Seat{seats}
+	}
+	byRack := map[string][]*seater.Seat{}
+	var racks []string
+	for _, s := range seats {
+		rack := s.Rack()
+		if byRack[rack] == nil {
+			racks = append(racks, rack)
+		}
+		byRack[rack] = append(byRack[rack], s)
+	}
+	slices.Sort(racks)
+	sets := make([][]*seater.Seat, 0, len(racks)+1)
+	for _, rack := range racks {
+		sets = append(sets, byRack[rack])
+	}
+	return append(sets, seats)
+}
+
+// seatGang finds a seat for each member, or nil.
+func seatGang(members []*sequencer.Task, name string, seats []*seater.Seat, now time.Time, press func(fills, serves string) float64) []*seater.Seat {
+	trial := make([]*seater.Seat, len(seats))
+	original := make(map[*seater.Seat]*seater.Seat, len(seats))
+	for n, s := range seats {
+		trial[n] = s.Clone()
+		original[trial[n]] = s
+	}
+	chosen := make([]*seater.Seat, len(members))
+	for n, t := range members {
+		s := seater.Pick(t, name, trial, now, press)
+		if s == nil {
+			return nil
+		}
+		s.Take(t.Shape(), name)
+		chosen[n] = original[s]
+	}
+	return chosen
+}
+
+// startGang orders all members under one attempt number and one checkpoint.
+func (o *Overseer) startGang(j *job, members []*sequencer.Task, chosen []*seater.Seat, seats []*seater.Seat, agents map[string]*agent, ordered map[*agent]int) {
+	attempt := uint64(0)
+	newest := members[0]
+	for n, t := range members {
+		attempt = max(attempt, o.nextAttempt(t))
+		if t.Saved != "" && (newest.Saved == "" || t.SavedAt.After(newest.SavedAt)) {
+			newest = t
+		}
+		if ordered[agents[chosen[n].ID]] >= maxOrders {
+			return
+		}
+	}
+	saved := newest.Saved
+	for n, t := range members {
+		t.Saved = saved
+		a := agents[chosen[n].ID]
+		if !o.launch(t, j, a, attempt) {
+			return // mendGangs stops the others
+		}
+		ordered[a]++
+		chosen[n].Take(t.Shape(), stepName(t))
+	}
+}
+
+// mendGangs stops the members of gangs that are not whole: they would wait for
+// the others in vain.
+func (o *Overseer) mendGangs() {
+	if o.missing() > 0 {
+		return // members may be at agents that were not heard yet
+	}
+	type gang struct {
+		j                *job
+		occurrence, step int
+	}
+	live := map[gang][]*run{}
+	for _, r := range o.runs {
+		if r.task.Shape().Gang && !r.task.Done {
+			g := gang{r.job, r.task.Occurrence, r.task.Step}
+			live[g] = append(live[g], r)
+		}
+	}
+	for g, runs := range live {
+		if len(runs) == g.j.Spec.Steps[g.step].Count && !slices.ContainsFunc(runs, func(r *run) bool { return r.key.attempt != runs[0].key.attempt || r.evict }) {
+			continue
+		}
+		for _, r := range runs {
+			if r.stopped != r.agent.link {
+				o.stop(r, "its gang is not whole")
+			}
+		}
+	}
+}
+
+// gangFailed counts a failed run of a gang once, however many members fail.
+func (o *Overseer) gangFailed(j *job, t *sequencer.Task, attempt uint64) *sequencer.Task {
+	first := j.Tasks(t.Occurrence, t.Step)[0]
+	if j.failed == nil {
+		j.failed = map[*sequencer.Task]uint64{}
+	}
+	if j.failed[first] == attempt {
+		return nil
+	}
+	j.failed[first] = attempt
+	o.cfg.Log.Info("gang failed", zap.String("step", stepName(t)), zap.Uint64("attempt", attempt))
+	return first
+}
--- a/overseer/overseer.go
+++ b/overseer/overseer.go
@@ -136,6 +136,8 @@
 	changes, written uint64
 	queued           bool // it is in dirty
 	live             map[runKey]*run
+	// failed has the newest failed attempt of each gang, by its first member.
+	failed map[*sequencer.Task]uint64
 	// saved is the local time at which checkpoints were last written.
 	saved time.Time
 	// over is the local time at which the job's final state became durable.
@@ -259,6 +261,7 @@
 	}
 	if o.loaded {
 		o.relieve(now)
+		o.mendGangs()
 		o.plan = o.plan || len(o.open) > 0
 		o.sweep(ctx, now)
 	}
--- a/overseer/place.go
+++ b/overseer/place.go
@@ -159,11 +159,18 @@
 
 // placeJob starts what of a job can be started.
 func (o *Overseer) placeJob(j *job, seats []*seater.Seat, agents map[string]*agent, ordered map[*agent]int, now, wall time.Time) {
-	for _, t := range j.Waiting(wall) {
+	waiting := j.Waiting(wall)
+	for n, t := range waiting {
 		if t.Since.IsZero() {
 			t.Since = now
 		}
-		if now.Before(t.After) || t.Shape().Gang {
+		if t.Shape().Gang {
+			if t.Index == 0 && len(waiting) >= n+t.Shape().Count {
+				o.placeGang(j, waiting[n:n+t.Shape().Count], seats, agents, ordered, now)
+			}
+			continue
+		}
+		if now.Before(t.After) {
 			continue
 		}
 		name := stepName(t)
@@ -187,7 +194,17 @@
 
 // start orders a run of a task.
 func (o *Overseer) start(t *sequencer.Task, j *job, a *agent) bool {
-	t.Attempt = max(t.Attempt, (o.cfg.Term-1)*termAttempts) + 1
+	return o.launch(t, j, a, o.nextAttempt(t))
+}
+
+// nextAttempt is the number of a task's next start.
+func (o *Overseer) nextAttempt(t *sequencer.Task) uint64 {
+	return max(t.Attempt, (o.cfg.Term-1)*termAttempts) + 1
+}
+
+// launch orders a run of a task under an attempt number.
+func (o *Overseer) launch(t *sequencer.Task, j *job, a *agent, attempt uint64) bool {
+	t.Attempt = attempt
 	r := &run{
 		key: runKey{t.Name(), t.Attempt}, task: t, job: j, agent: a, link: a.link,
 		phase: messenger.PhaseStarting, pace: 100, began: o.cfg.Now(), resumed: t.Saved != "",
--- a/overseer/write.go
+++ b/overseer/write.go
@@ -20,6 +20,8 @@
 	change keeper.Change
 	jobs   []written
 	agents []*agent
+	// struck are agents whose keys are removed.
+	struck []*agent
 	// forgotten are jobs whose keys are removed.
 	forgotten []*job
 }
@@ -64,6 +66,14 @@
 			add(agentPrefix+a.id, 0, []byte(a.id))
 		}
 	}
+	for _, a := range o.agents {
+		if a.striking && a.kept != 0 && len(b.change.Checks) < maxWrites {
+			b.struck = append(b.struck, a)
+			b.change.Checks = append(b.change.Checks, keeper.Check{Key: agentPrefix + a.id, Version: a.kept})
+			b.change.Removes = append(b.change.Removes, agentPrefix+a.id)
+			a.kept = 0 // no order and no lease goes there from now on
+		}
+	}
 	for len(o.dirty) > 0 && len(b.change.Writes) < maxWrites {
 		j := o.dirty[0]
 		o.dirty = o.dirty[1:]
@@ -88,7 +98,7 @@
 		at, err := o.cfg.Store.Commit(ctx, *change)
 		var clash *keeper.Clash
 		if errors.As(err, &clash) && clash.Holds(*change) {
-			return clash.Item(change.Writes[0].Key).Version, sent, nil
+			return newest(clash, change), sent, nil
 		}
 		o.cfg.Time("ledger_write", o.cfg.Now().Sub(sent))
 		if err == nil || errors.Is(err, keeper.ErrConflict) || ctx.Err() != nil {
@@ -99,6 +109,15 @@
 	}
 }
 
+// newest is the version that a change gave to the keys that it wrote.
+func newest(clash *keeper.Clash, change *keeper.Change) uint64 {
+	at := uint64(0)
+	for _, w := range change.Writes {
+		at = max(at, clash.Item(w.Key).Version)
+	}
+	return at
+}
+
 // committed takes the outcome of a transaction.
 func (o *Overseer) committed(b *batch, at uint64, sent time.Time, err error) {
 	var clash *keeper.Clash
@@ -119,6 +138,13 @@
 		o.plan = true
 		o.cfg.Log.Info("agent enrolled", zap.String("agent", a.id))
 	}
+	for _, a := range b.struck {
+		a.striking = false
+		o.cfg.Log.Info("agent struck", zap.String("agent", a.id))
+		if a.link == nil {
+			delete(o.agents, a.id)
+		}
+	}
 	now := o.cfg.Now()
 	for _, w := range b.jobs {
 		w.job.Kept, w.job.written = at, max(w.job.written, w.changes)
@@ -147,6 +173,9 @@
 			a.enrolling = true
 		}
 	}
+	for _, a := range b.struck {
+		a.striking, a.kept = false, clash.Item(agentPrefix+a.id).Version
+	}
 	for _, w := range b.jobs {
 		w.job.Kept = clash.Item(OutKey(w.job.Spec.ID)).Version
 		o.changed(w.job)
--- a/seater/seater.go
+++ b/seater/seater.go
@@ -3,6 +3,7 @@
 package seater
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -33,6 +34,22 @@
 	Steps map[string]int
 }
 
+// Rack returns the label that names the worker's rack: the last one.
+func (s *Seat) Rack() string {
+	if len(s.Labels) == 0 {
+		return ""
+	}
+	return s.Labels[len(s.Labels)-1]
+}
+
+// Clone returns a copy that can be booked without a trace.
+func (s *Seat) Clone() *Seat {
+	c := *s
+	c.Steps = maps.Clone(s.Steps)
+	c.Serves = slices.Clone(s.Serves)
+	return &c
+}
+
 // Serve is a serving task as filling ones meet it.
 type Serve struct {
 	Image string
@@ -200,21 +217,26 @@
 // RankOf places a job by what it can still earn at a wall time.
 func RankOf(j *sequencer.Job, now time.Time) Rank {
 	s := j.Spec
+	begin, occurrence := s.Accepted, 0
+	if s.Repeat > 0 {
+		occurrence = j.Current()
+		begin = j.Due(occurrence)
+	}
 	if s.Steps[0].Lasting {
-		return Rank{Class: 0, Priority: s.Priority, Due: s.Accepted}
+		return Rank{Class: 0, Priority: s.Priority, Due: begin}
 	}
 	chain, left := time.Duration(0), time.Duration(0)
 	for n, step := range s.Steps {
 		chain += step.Estimate
-		if !j.StepDone(0, n) {
+		if !j.StepDone(occurrence, n) {
 			left += step.Estimate
 		}
 	}
 	objective := time.Duration(float64(chain)*s.Stretch) + s.Aim
-	due := s.Accepted.Add(objective)
+	due := begin.Add(objective)
 	class := 1
 	switch {
-	case now.After(s.Accepted.Add(lateFactor * objective)):
+	case now.After(begin.Add(lateFactor * objective)):
 		class = 3
 	case now.Add(time.Duration(hopeful * float64(left))).After(due):
 		class = 2
--- a/sequencer/job.go
+++ b/sequencer/job.go
@@ -113,6 +113,18 @@
 	return true
 }
 
+// Current returns the first occurrence that is not done, or the last.
+func (j *Job) Current() int {
+	for k := range j.Occurrences() {
+		for n := range j.Spec.Steps {
+			if !j.StepDone(k, n) {
+				return k
+			}
+		}
+	}
+	return j.Occurrences() - 1
+}
+
 // Over says whether no task of the job is to be started any more.
 func (j *Job) Over() bool { return j.Canceled || j.Failed || j.Durable.Final() }
 
--- a/sequencer/task.go
+++ b/sequencer/task.go
@@ -19,6 +19,8 @@
 	Fails int
 	// Saved is the newest checkpoint known.
 	Saved string
+	// SavedAt is when Saved was heard of.
+	SavedAt time.Time
 	// Attempt is the number of the newest start; the next one is higher.
 	Attempt uint64
 	// Live counts the runs that may be going on.
