--- /dev/null
+++ b/conductor/book_test.go
@@ -0,0 +1,138 @@
+package conductor_test
+
+import (
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/endivefall/endivefall/faker"
+	"github.com/endivefall/endivefall/messenger"
+	"github.com/endivefall/endivefall/sequencer"
+)
+
+// book checks the promises from what workers and callers saw.
+type book struct {
+	mu   sync.Mutex
+	jobs map[string]*bookJob
+	// running has the lives on which a task runs.
+	running map[string][]string
+	// done has the tasks of which an end as done was forgotten; ended those of
+	// which one was seen.
+	done, ended map[string]bool
+	// failed counts forgotten ends as failed.
+	failed map[string]int
+	faults []string
+	starts int
+}
+
+// bookJob is a job as its caller knows it.
+type bookJob struct {
+	spec     *sequencer.Spec
+	accepted bool
+	canceled time.Time // when the cancel was acknowledged
+}
+
+func newBook() *book {
+	return &book{
+		jobs: map[string]*bookJob{}, running: map[string][]string{}, done: map[string]bool{}, ended: map[string]bool{},
+		failed: map[string]int{},
+	}
+}
+
+func (b *book) fault(format string, args ...any) { b.faults = append(b.faults, fmt.Sprintf(format, args...)) }
+
+func (b *book) lasting(task string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	id, _, step, _, err := sequencer.SplitName(task)
+	j := b.jobs[id]
+	return err == nil && j != nil && j.spec.Steps[step].Lasting
+}
+
+// told takes an event of a worker.
+func (b *book) told(e faker.PoolEvent) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	switch e.Kind {
+	case "gone":
+		for task, lives := range b.running {
+			b.running[task] = slices.DeleteFunc(lives, func(l string) bool { return l == e.Life })
+		}
+	case "start":
+		b.starts++
+		b.started(e)
+	case "end":
+		b.running[e.Task] = slices.DeleteFunc(b.running[e.Task], func(l string) bool { return l == e.Life })
+		if e.How == messenger.EndDone {
+			b.ended[e.Task] = true
+		}
+	case "forgotten":
+		switch e.How {
+		case messenger.EndDone:
+			b.done[e.Task] = true
+		case messenger.EndFailed:
+			b.failed[e.Task]++
+		}
+	}
+}
+
+func (b *book) started(e faker.PoolEvent) {
+	id, k, step, _, err := sequencer.SplitName(e.Task)
+	j := b.jobs[id]
+	if err != nil || j == nil {
+		b.fault("%s started, which nobody asked for", e.Task)
+		return
+	}
+	if others := b.running[e.Task]; len(others) > 0 {
+		b.fault("%s runs on %v and started on %s", e.Task, others, e.Life)
+	}
+	b.running[e.Task] = append(b.running[e.Task], e.Life)
+	if b.done[e.Task] {
+		b.fault("%s started on %s after its end was taken note of", e.Task, e.Life)
+	}
+	if j.spec.Attempts > 0 && b.failed[e.Task] >= j.spec.Attempts {
+		b.fault("%s started after %d failed runs", e.Task, b.failed[e.Task])
+	}
+	if !j.canceled.IsZero() && e.At.Sub(j.canceled) > 20*time.Second {
+		b.fault("%s started %s after its cancel", e.Task, e.At.Sub(j.canceled))
+	}
+	for _, before := range j.spec.Steps[step].After {
+		for n := range j.spec.Steps[before].Count {
+			if name := fmt.Sprintf("%s.%d.%d.%d", id, k, before, n); !b.ended[name] {
+				b.fault("%s started before %s was done", e.Task, name)
+			}
+		}
+	}
+}
+
+// shown checks a state that a caller was shown.
+func (b *book) shown(id string, state sequencer.State) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	j := b.jobs[id]
+	switch state {
+	case sequencer.Complete:
+		for step, s := range j.spec.Steps {
+			for n := range s.Count {
+				if name := fmt.Sprintf("%s.0.%d.%d", id, step, n); !b.ended[name] {
+					b.fault("%s is shown as complete before %s was done", id, name)
+				}
+			}
+		}
+	case sequencer.Canceled:
+		if j.canceled.IsZero() {
+			b.fault("%s is shown as canceled", id)
+		}
+	case sequencer.Failed:
+		worst := 0
+		for task, n := range b.failed {
+			if task[:16] == id {
+				worst = max(worst, n)
+			}
+		}
+		if worst < j.spec.Attempts {
+			b.fault("%s is shown as failed after %d failed runs of a task", id, worst)
+		}
+	}
+}
--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -37,6 +37,9 @@
 	holdMargin = 200 * time.Millisecond
 	// silence ends connections whose bytes stay unacknowledged.
 	silence = 1500 * time.Millisecond
+	// peerConns bounds the connections to one peer: relayed calls run side by
+	// side.
+	peerConns = 16
 	// headerTimeout bounds a peer's request head.
 	headerTimeout = 3 * time.Second
 	// handover bounds the release of ownership at the end.
@@ -56,11 +59,16 @@
 	// Hold is the longest lease that workers take; Keep how long the state of a
 	// job that is over is kept.
 	Hold, Keep time.Duration
-	// Now is a clock that counts the time in which the instance was suspended.
-	Now   func() time.Time
-	Log   *zap.Logger
-	Count func(name string)
-	Time  func(name string, d time.Duration)
+	// Now is a clock that counts the time in which the instance was suspended;
+	// Wall is the time of day, time.Now when nil.
+	Now, Wall func() time.Time
+	Log       *zap.Logger
+	Count     func(name string)
+	Time      func(name string, d time.Duration)
+	// Listen opens the listener for peers; net.Listen when nil. Client calls
+	// them; one that notices silent peers when nil.
+	Listen func(network, addr string) (net.Listener, error)
+	Client *http.Client
 }
 
 // Conductor is one entry of the pools.
@@ -87,8 +95,17 @@
 
 // New returns a Conductor; Serve runs it.
 func New(cfg Config) *Conductor {
+	if cfg.Wall == nil {
+		cfg.Wall = time.Now
+	}
+	if cfg.Listen == nil {
+		cfg.Listen = net.Listen
+	}
+	if cfg.Client == nil {
+		cfg.Client = dialer.New(silence).Client(peerConns)
+	}
 	c := &Conductor{cfg: cfg, born: uuid.NewString(), wake: make(chan struct{}, 1), links: map[*connector.Link]*overseer.Link{}}
-	client := dialer.New(silence).Client(16)
+	client := cfg.Client
 	c.relayer = relayer.New(relayer.Config{
 		Store: cfg.Store, Peers: func() []netip.AddrPort { return c.elector.Peers() }, Client: client,
 		Now: cfg.Now, Log: cfg.Log, Count: func(name string) { cfg.Count("store_" + name) },
@@ -105,7 +122,7 @@
 		Welcome: func(w *messenger.Welcome) { w.Peers = append(c.elector.Peers(), cfg.Peer) },
 	})
 	c.Acceptor = acceptor.New(acceptor.Config{
-		Store: store, Ask: c.ask, Now: cfg.Now, Wall: time.Now, Log: cfg.Log, Count: cfg.Count, Time: cfg.Time,
+		Store: store, Ask: c.ask, Now: cfg.Now, Wall: cfg.Wall, Log: cfg.Log, Count: cfg.Count, Time: cfg.Time,
 	})
 	return c
 }
@@ -127,7 +144,7 @@
 // Serve runs the entry until ctx ends. Release must come first for a quick
 // handover.
 func (c *Conductor) Serve(ctx context.Context) error {
-	listener, err := net.Listen("tcp", c.cfg.Peer.String())
+	listener, err := c.cfg.Listen("tcp", c.cfg.Peer.String())
 	if err != nil {
 		return fmt.Errorf("listening for peers: %w", err)
 	}
@@ -204,7 +221,7 @@
 		foreign = 0
 	}
 	o := overseer.New(overseer.Config{
-		Term: record.Term, Epoch: epoch, OwnerKey: elector.OwnerKey, Store: c.relayer.Store(), Now: c.cfg.Now, Wall: time.Now,
+		Term: record.Term, Epoch: epoch, OwnerKey: elector.OwnerKey, Store: c.relayer.Store(), Now: c.cfg.Now, Wall: c.cfg.Wall,
 		Lease: Lease(c.cfg.Hold), Proof: proof, Foreign: foreign, Keep: c.cfg.Keep,
 		Proven: c.elector.Proven, Prove: c.elector.Prove,
 		Others: func() bool { return len(c.elector.Members()) > 0 },
--- a/overseer/ends.go
+++ b/overseer/ends.go
@@ -30,8 +30,8 @@
 }
 
 // strayEnd takes an end of a run that is not known here: an earlier owner
-// started it, or it was given up. It counts unless the task has been started
-// again since.
+// started it, or it was given up. A task that was done is done, also where it
+// has been started again since; of other ends only the newest attempt's count.
 func (o *Overseer) strayEnd(a *agent, row messenger.EndRow) (*job, uint64) {
 	id, k, step, index, err := sequencer.SplitName(row.Task)
 	j := o.jobs[id]
@@ -39,11 +39,18 @@
 		return nil, 0
 	}
 	t := j.Task(k, step, index)
-	if t == nil || t.Done || t.Attempt > row.Attempt {
+	if t == nil || t.Done {
+		return j, j.changes // what made it done may not be written yet
+	}
+	old := t.Attempt > row.Attempt
+	if old && row.How != messenger.EndDone && row.How != messenger.EndFailed {
 		return nil, 0
 	}
 	o.cfg.Log.Info("end of a run that was not known", zap.String("task", row.Task), zap.Uint64("attempt", row.Attempt), zap.Stringer("how", row.How), zap.String("agent", a.id))
-	t.Attempt = row.Attempt
+	t.Attempt = max(t.Attempt, row.Attempt)
+	if old {
+		row.Saved = ""
+	}
 	o.score(j, t, a, row)
 	return j, j.changes
 }
@@ -103,14 +110,14 @@
 		}
 		t.Avoid = append(t.Avoid, a.id)
 		if step.Gang {
-			if t = o.gangFailed(j, t, row.Attempt); t == nil {
-				return
-			}
+			t = j.Tasks(t.Occurrence, t.Step)[0] // a gang fails once, however many members do
+		}
+		if !t.Fail(row.Attempt) {
+			return
 		}
-		t.Fails++
-		if j.Spec.Attempts > 0 && t.Fails >= j.Spec.Attempts && !j.Over() {
+		if j.Spec.Attempts > 0 && len(t.Failed) >= j.Spec.Attempts && !j.Over() {
 			j.Failed = true
-			o.cfg.Log.Info("job failed", zap.String("job", j.Spec.ID), zap.String("task", row.Task), zap.Int("fails", t.Fails))
+			o.cfg.Log.Info("job failed", zap.String("job", j.Spec.ID), zap.String("task", row.Task), zap.Uint64s("attempts", t.Failed))
 			o.close(j)
 		}
 		o.changed(j)
--- a/overseer/gang.go
+++ b/overseer/gang.go
@@ -4,8 +4,6 @@
 	"slices"
 	"time"
 
-	"go.uber.org/zap"
-
 	"github.com/endivefall/endivefall/seater"
 	"github.com/endivefall/endivefall/sequencer"
 )
@@ -129,17 +127,3 @@
 		}
 	}
 }
-
-// gangFailed counts a failed run of a gang once, however many members fail.
-func (o *Overseer) gangFailed(j *job, t *sequencer.Task, attempt uint64) *sequencer.Task {
-	first := j.Tasks(t.Occurrence, t.Step)[0]
-	if j.failed == nil {
-		j.failed = map[*sequencer.Task]uint64{}
-	}
-	if j.failed[first] == attempt {
-		return nil
-	}
-	j.failed[first] = attempt
-	o.cfg.Log.Info("gang failed", zap.String("step", stepName(t)), zap.Uint64("attempt", attempt))
-	return first
-}
--- a/overseer/overseer.go
+++ b/overseer/overseer.go
@@ -136,8 +136,6 @@
 	changes, written uint64
 	queued           bool // it is in dirty
 	live             map[runKey]*run
-	// failed has the newest failed attempt of each gang, by its first member.
-	failed map[*sequencer.Task]uint64
 	// saved is the local time at which checkpoints were last written.
 	saved time.Time
 	// over is the local time at which the job's final state became durable.
--- a/sequencer/job.go
+++ b/sequencer/job.go
@@ -40,7 +40,10 @@
 			continue // another version wrote it; the task does not exist
 		}
 		j.Began = true
-		t.Fails, t.Saved = r.Fails, r.Saved
+		t.Failed, t.Saved = r.Failed, r.Saved
+		for _, attempt := range r.Failed {
+			t.Attempt = max(t.Attempt, attempt)
+		}
 		if r.Done {
 			j.Finish(t)
 		}
@@ -178,8 +181,8 @@
 	}
 	for key, list := range j.steps {
 		for _, t := range list {
-			if t.Done || t.Fails > 0 || t.Saved != "" {
-				r := TaskRecord{Occurrence: key[0], Step: key[1], Index: t.Index, Done: t.Done, Fails: t.Fails}
+			if t.Done || len(t.Failed) > 0 || t.Saved != "" {
+				r := TaskRecord{Occurrence: key[0], Step: key[1], Index: t.Index, Done: t.Done, Failed: t.Failed}
 				if !t.Done {
 					r.Saved = t.Saved
 				}
--- a/sequencer/progress.go
+++ b/sequencer/progress.go
@@ -35,8 +35,9 @@
 	Step       int    `cbor:"2,keyasint,omitempty"`
 	Index      int    `cbor:"3,keyasint,omitempty"`
 	Done       bool   `cbor:"4,keyasint,omitempty"`
-	Fails      int    `cbor:"5,keyasint,omitempty"`
-	Saved      string `cbor:"6,keyasint,omitempty"`
+	Saved      string `cbor:"5,keyasint,omitempty"`
+	// Failed has the attempts that failed.
+	Failed []uint64 `cbor:"6,keyasint,omitempty"`
 }
 
 // Encode writes the progress for the store.
--- a/sequencer/task.go
+++ b/sequencer/task.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -15,8 +16,9 @@
 	Index      int
 	// Done is set once a run has ended as done; it is never taken back.
 	Done bool
-	// Fails counts ends by the task's own fault or the worker's.
-	Fails int
+	// Failed has the attempts that ended by the task's own fault or the worker's,
+	// each once, however often their ends are heard of.
+	Failed []uint64
 	// Saved is the newest checkpoint known.
 	Saved string
 	// SavedAt is when Saved was heard of.
@@ -41,6 +43,15 @@
 // Shape returns the step that the task is of.
 func (t *Task) Shape() *Step { return &t.Job.Spec.Steps[t.Step] }
 
+// Fail notes a failed attempt and says whether it was not known.
+func (t *Task) Fail(attempt uint64) bool {
+	if slices.Contains(t.Failed, attempt) {
+		return false
+	}
+	t.Failed = append(t.Failed, attempt)
+	return true
+}
+
 // SplitName takes a task's name apart.
 func SplitName(name string) (job string, occurrence, step, index int, err error) {
 	parts := strings.Split(name, ".")
