--- a/conductor/book_test.go
+++ b/conductor/book_test.go
@@ -40,7 +40,9 @@
 	}
 }
 
-func (b *book) fault(format string, args ...any) { b.faults = append(b.faults, fmt.Sprintf(format, args...)) }
+func (b *book) fault(format string, args ...any) {
+	b.faults = append(b.faults, fmt.Sprintf(format, args...))
+}
 
 func (b *book) lasting(task string) bool {
 	b.mu.Lock()
--- a/conductor/history_test.go
+++ b/conductor/history_test.go
@@ -24,7 +24,11 @@
 )
 
 // failedSeeds are seeds that once failed, with the cause.
-var failedSeeds = []uint64{}
+var failedSeeds = []uint64{
+	77,  // a transaction with struck agents had 33 entries and was refused for ever
+	120, // an end listed twice was counted twice as failed
+	138, // a done end was dropped where the task had been started again
+}
 
 // TestHistories plays fleets of entries, agents and workers under kills, cuts,
 // outages and lost calls, and checks what workers and callers saw.
--- a/overseer/write.go
+++ b/overseer/write.go
@@ -11,9 +11,9 @@
 	"github.com/endivefall/endivefall/sequencer"
 )
 
-// maxWrites bounds the keys in one transaction: each takes a check and a write,
-// and the owner's key takes a check.
-const maxWrites = (keeper.MaxEntries - 2) / 2
+// maxKeys bounds the keys in one transaction: each takes a check and a write or
+// removal, and the owner's key takes a check.
+const maxKeys = (keeper.MaxEntries - 1) / 2
 
 // batch is a transaction on its way.
 type batch struct {
@@ -26,6 +26,9 @@
 	forgotten []*job
 }
 
+// keys counts the keys that the batch writes or removes.
+func (b *batch) keys() int { return len(b.change.Writes) + len(b.change.Removes) }
+
 // written is a job's progress as a batch has it.
 type written struct {
 	job     *job
@@ -60,21 +63,21 @@
 		b.change.Writes = append(b.change.Writes, keeper.Write{Key: key, Value: value})
 	}
 	for _, a := range o.agents {
-		if a.enrolling && len(b.change.Writes) < maxWrites {
+		if a.enrolling && b.keys() < maxKeys {
 			a.enrolling = false
 			b.agents = append(b.agents, a)
 			add(agentPrefix+a.id, 0, []byte(a.id))
 		}
 	}
 	for _, a := range o.agents {
-		if a.striking && a.kept != 0 && len(b.change.Checks) < maxWrites {
+		if a.striking && a.kept != 0 && b.keys() < maxKeys {
 			b.struck = append(b.struck, a)
 			b.change.Checks = append(b.change.Checks, keeper.Check{Key: agentPrefix + a.id, Version: a.kept})
 			b.change.Removes = append(b.change.Removes, agentPrefix+a.id)
 			a.kept = 0 // no order and no lease goes there from now on
 		}
 	}
-	for len(o.dirty) > 0 && len(b.change.Writes) < maxWrites {
+	for len(o.dirty) > 0 && b.keys() < maxKeys {
 		j := o.dirty[0]
 		o.dirty = o.dirty[1:]
 		j.queued = false
@@ -101,7 +104,7 @@
 			return newest(clash, change), sent, nil
 		}
 		o.cfg.Time("ledger_write", o.cfg.Now().Sub(sent))
-		if err == nil || errors.Is(err, keeper.ErrConflict) || ctx.Err() != nil {
+		if err == nil || ctx.Err() != nil || !errors.Is(err, keeper.ErrDown) && !errors.Is(err, keeper.ErrUnsettled) {
 			return at, sent, err
 		}
 		o.cfg.Log.Warn("ledger not written", zap.Int("keys", len(change.Writes)), zap.Error(err))
@@ -130,7 +133,11 @@
 		return
 	}
 	if err != nil {
-		return // the owner ends
+		if !errors.Is(err, context.Canceled) {
+			o.cfg.Log.Error("ledger refuses a write", zap.Int("keys", b.keys()), zap.Error(err))
+			o.reconcile(b, &keeper.Clash{})
+		}
+		return
 	}
 	o.cfg.Prove(sent)
 	for _, a := range b.agents {
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -123,34 +123,39 @@
 	return !errors.Is(err, keeper.ErrDown) && !errors.Is(err, keeper.ErrUnsettled)
 }
 
-// send makes a call in the way that is likely to work, then in the other.
+// send makes a call in the way that is likely to work, then in the other. A
+// write that any way may have made is unsettled unless another way tells.
 func (r *Relayer) send(ctx context.Context, c *call) (*reply, error) {
 	r.mu.Lock()
 	now := r.cfg.Now()
 	away, vain := now.Before(r.away), now.Before(r.vain)
 	r.mu.Unlock()
+	var doubt error
 	if away && !vain {
-		if p, err := r.relay(ctx, c); settled(err) {
+		p, err := r.relay(ctx, c)
+		if settled(err) {
 			return p, err
 		}
+		if errors.Is(err, keeper.ErrUnsettled) {
+			doubt = err
+		}
 	}
 	p, err := r.direct(ctx, c)
 	r.note(err)
-	if settled(err) || ctx.Err() != nil {
-		return p, err
-	}
-	if away || vain {
-		return p, err
-	}
-	through, other := r.relay(ctx, c)
-	if settled(other) {
-		r.mu.Lock()
-		r.away = r.cfg.Now().Add(awayFor)
-		r.mu.Unlock()
-		return through, other
+	if !settled(err) && ctx.Err() == nil && !away && !vain {
+		through, other := r.relay(ctx, c)
+		if settled(other) {
+			r.mu.Lock()
+			r.away = r.cfg.Now().Add(awayFor)
+			r.mu.Unlock()
+			return through, other
+		}
+		if errors.Is(other, keeper.ErrUnsettled) {
+			doubt = other
+		}
 	}
-	if errors.Is(other, keeper.ErrUnsettled) {
-		return p, fmt.Errorf("%w: %w", keeper.ErrUnsettled, other)
+	if doubt != nil && errors.Is(err, keeper.ErrDown) {
+		return p, fmt.Errorf("%w: %w", keeper.ErrUnsettled, doubt)
 	}
 	return p, err
 }
--- /dev/null
+++ b/relayer/relayer_test.go
@@ -0,0 +1,134 @@
+package relayer
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"go.uber.org/zap"
+
+	"github.com/endivefall/endivefall/faker"
+	"github.com/endivefall/endivefall/keeper"
+)
+
+// pair is an entry whose way to the store may fail, and one that helps it.
+type pair struct {
+	store *faker.Store
+	r     *Relayer
+	// direct and helper are the errors of calls from here and through the other.
+	direct, helper error
+	now            time.Time
+}
+
+func newPair(c *qt.C) *pair {
+	p := &pair{store: faker.NewStore(), now: time.Unix(1000, 0)}
+	failing := func(fail *error) *keeper.Store {
+		s := p.store.Keeper()
+		get, commit := s.Get, s.Commit
+		s.Get = func(ctx context.Context, key string) (keeper.Item, error) {
+			if *fail != nil {
+				return keeper.Item{}, *fail
+			}
+			return get(ctx, key)
+		}
+		s.Commit = func(ctx context.Context, change keeper.Change) (uint64, error) {
+			if *fail != nil {
+				return 0, *fail
+			}
+			return commit(ctx, change)
+		}
+		return s
+	}
+	cfg := Config{
+		Client: http.DefaultClient, Now: func() time.Time { return p.now }, Log: zap.NewNop(), Count: func(string) {},
+	}
+	help := cfg
+	help.Store = failing(&p.helper)
+	server := httptest.NewServer(New(help))
+	c.Cleanup(server.Close)
+	cfg.Store = failing(&p.direct)
+	cfg.Peers = func() []netip.AddrPort {
+		return []netip.AddrPort{netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://"))}
+	}
+	p.r = New(cfg)
+	return p
+}
+
+func (p *pair) write(key string) error {
+	_, err := p.r.Store().Commit(context.Background(), keeper.Change{
+		Checks: []keeper.Check{{Key: key}}, Writes: []keeper.Write{{Key: key, Value: []byte("v")}},
+	})
+	return err
+}
+
+func TestCallsGoThroughAnotherEntryThatTheStoreServes(t *testing.T) {
+	c := qt.New(t)
+	p := newPair(c)
+	p.direct = keeper.ErrDown
+	c.Assert(p.write("a"), qt.IsNil)
+	item, err := p.r.Store().Get(context.Background(), "a")
+	c.Assert(err, qt.IsNil)
+	c.Assert(string(item.Value), qt.Equals, "v")
+	err = p.write("a")
+	var clash *keeper.Clash
+	c.Assert(errors.As(err, &clash), qt.IsTrue)
+	c.Assert(clash.Item("a").Version > 0, qt.IsTrue)
+	_, err = p.r.Store().Get(context.Background(), "none")
+	c.Assert(err, qt.ErrorIs, keeper.ErrMissing)
+}
+
+// A write whose fate is unknown on either way must not be told as not done: a
+// caller would be told that its job never runs (history seeds 1048 and 1072).
+func TestAWriteInDoubtOnOneWayIsInDoubt(t *testing.T) {
+	lost := fmt.Errorf("%w: no answer", keeper.ErrUnsettled)
+	for name, errs := range map[string][2]error{
+		"here":               {lost, keeper.ErrDown},
+		"through the other":  {keeper.ErrDown, lost},
+		"both":               {lost, lost},
+		"the other is asked": {keeper.ErrDown, lost},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			p := newPair(c)
+			p.direct, p.helper = errs[0], errs[1]
+			if name == "the other is asked" {
+				p.r.away = p.now.Add(time.Second) // first
+			}
+			c.Assert(p.write("a"), qt.ErrorIs, keeper.ErrUnsettled)
+		})
+	}
+	c := qt.New(t)
+	p := newPair(c)
+	p.direct, p.helper = keeper.ErrDown, keeper.ErrDown
+	c.Assert(p.write("a"), qt.ErrorIs, keeper.ErrDown)
+}
+
+func TestNobodyIsAskedInVainAgainAndAgain(t *testing.T) {
+	c := qt.New(t)
+	p := newPair(c)
+	p.direct, p.helper = keeper.ErrDown, keeper.ErrDown
+	c.Assert(p.write("a"), qt.ErrorIs, keeper.ErrDown)
+	p.helper = nil
+	c.Assert(p.write("a"), qt.ErrorIs, keeper.ErrDown, qt.Commentf("none could help a moment ago"))
+	p.now = p.now.Add(vainFor)
+	c.Assert(p.write("a"), qt.IsNil)
+}
+
+func TestDirectSaysSinceWhenTheStoreIsLost(t *testing.T) {
+	c := qt.New(t)
+	p := newPair(c)
+	_, ok := p.r.Direct()
+	c.Assert(ok, qt.IsTrue)
+	p.direct = keeper.ErrDown
+	c.Assert(p.write("a"), qt.IsNil)
+	since, ok := p.r.Direct()
+	c.Assert(ok, qt.IsFalse)
+	c.Assert(since, qt.Equals, p.now)
+}
