--- a/warden/link.go
+++ b/warden/link.go
@@ -62,6 +62,7 @@
 	if len(welcome.Peers) > 0 {
 		w.cfg.Peers(welcome.Peers)
 	}
+	serving := ctx // calls to the worker outlive the connection
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	var heard atomic.Int64
@@ -76,7 +77,7 @@
 		}
 		switch f.Kind {
 		case messenger.KindOrder:
-			w.obey(context.WithoutCancel(ctx), f.Order)
+			w.obey(serving, f.Order)
 		case messenger.KindVouch:
 			if w.vouched(f.Vouch) {
 				heard.Store(w.cfg.Now().UnixNano())
