--- a/commander/fake.go
+++ b/commander/fake.go
@@ -62,7 +62,7 @@
 			return
 		}
 		g.Go(func() error {
-			if err := serve(ctx, addr, h); err != nil {
+			if err := serveHTTP(ctx, addr, h); err != nil {
 				return fmt.Errorf("serving a stand-in: %w", err)
 			}
 			return nil
--- a/commander/pools.go
+++ b/commander/pools.go
@@ -3,9 +3,13 @@
 import (
 	"context"
 
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
 	"github.com/endivefall/endivefall/configurer"
 	"github.com/endivefall/endivefall/logger"
 	"github.com/endivefall/endivefall/platform"
+	"github.com/endivefall/endivefall/reloader"
 )
 
 func newPoolEntry(s streams) *command {
@@ -14,25 +18,29 @@
 		usage: `endivefall pool-entry SETTINGS
 
 Takes jobs with steps, and schedules them while it owns the pools, until SIGTERM.
-Exit code 1 if a request had to be cut off.
+Reads its settings again on SIGHUP and when the file changes; the level takes
+effect at once, the rest at the next start. Exit code 1 if a request had to be
+cut off.
 
   endivefall pool-entry examples/pool-entry.yaml`,
 		run: func(ctx context.Context, args []string) int {
 			if len(args) != 1 {
 				return s.misuse("pool-entry takes one settings file; see endivefall help pool-entry")
 			}
-			cfg, err := configurer.New().ReadPoolEntry(args[0])
-			if err != nil {
-				return s.fail(err)
-			}
-			log, err := logger.New(s.out, cfg.Level)
+			read := configurer.New().ReadPoolEntry
+			cfg, err := read(args[0])
 			if err != nil {
 				return s.fail(err)
 			}
-			if err := platform.Entry(ctx, cfg, log); err != nil {
-				return s.fail(err)
-			}
-			return ExitOK
+			return s.serve(ctx, args[0], cfg.Level, func(ctx context.Context, log *zap.Logger) error {
+				return platform.Entry(ctx, cfg, log)
+			}, func(file string) (string, error) {
+				next, err := read(file)
+				if err != nil {
+					return "", err
+				}
+				return next.Level, nil
+			})
 		},
 	}
 }
@@ -42,25 +50,59 @@
 		streams: s, name: "pool-agent", synopsis: "run the process beside a worker of a pool on a platform",
 		usage: `endivefall pool-agent SETTINGS
 
-Commands the worker for the pools' owner until SIGTERM.
+Commands the worker for the pools' owner until SIGTERM. Reads its settings again
+as pool-entry does.
 
   endivefall pool-agent examples/pool-agent.yaml`,
 		run: func(ctx context.Context, args []string) int {
 			if len(args) != 1 {
 				return s.misuse("pool-agent takes one settings file; see endivefall help pool-agent")
 			}
-			cfg, err := configurer.New().ReadPoolAgent(args[0])
+			read := configurer.New().ReadPoolAgent
+			cfg, err := read(args[0])
 			if err != nil {
 				return s.fail(err)
 			}
-			log, err := logger.New(s.out, cfg.Level)
-			if err != nil {
-				return s.fail(err)
-			}
-			if err := platform.Agent(ctx, cfg, log); err != nil {
-				return s.fail(err)
-			}
-			return ExitOK
+			return s.serve(ctx, args[0], cfg.Level, func(ctx context.Context, log *zap.Logger) error {
+				return platform.Agent(ctx, cfg, log)
+			}, func(file string) (string, error) {
+				next, err := read(file)
+				if err != nil {
+					return "", err
+				}
+				return next.Level, nil
+			})
 		},
 	}
 }
+
+// serve runs a process whose log goes to standard output and never holds it up,
+// and whose level follows its settings file.
+func (s streams) serve(ctx context.Context, file, level string, run func(context.Context, *zap.Logger) error, levelOf func(file string) (string, error)) int {
+	out := logger.NewLimiter(s.out)
+	defer out.Close()
+	at, err := zapcore.ParseLevel(level)
+	if err != nil {
+		return s.fail(err)
+	}
+	shown := zap.NewAtomicLevelAt(at)
+	log := logger.NewAt(out, shown)
+	following, stop := context.WithCancel(ctx)
+	defer stop()
+	go reloader.New(reloader.Config{File: file, Log: log, Apply: func(file string) error {
+		next, err := levelOf(file)
+		if err != nil {
+			return err
+		}
+		at, err := zapcore.ParseLevel(next)
+		if err != nil {
+			return err
+		}
+		shown.SetLevel(at)
+		return nil
+	}}).Serve(following)
+	if err := run(ctx, log); err != nil {
+		return s.fail(err)
+	}
+	return ExitOK
+}
--- a/commander/processes.go
+++ b/commander/processes.go
@@ -131,8 +131,8 @@
 	return err
 }
 
-// serve serves a handler until ctx ends.
-func serve(ctx context.Context, addr string, h http.Handler) error {
+// serveHTTP serves a handler until ctx ends.
+func serveHTTP(ctx context.Context, addr string, h http.Handler) error {
 	server := &http.Server{Addr: addr, Handler: h, ReadHeaderTimeout: readTimeout}
 	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
 	defer stop()
--- a/logger/logger.go
+++ b/logger/logger.go
@@ -15,8 +15,13 @@
 	if err != nil {
 		return nil, err
 	}
+	return NewAt(w, zap.NewAtomicLevelAt(at)), nil
+}
+
+// NewAt returns a logger whose level can change.
+func NewAt(w io.Writer, level zap.AtomicLevel) *zap.Logger {
 	cfg := zap.NewProductionEncoderConfig()
 	cfg.EncodeTime = zapcore.RFC3339NanoTimeEncoder
 	cfg.EncodeDuration = zapcore.StringDurationEncoder
-	return zap.New(zapcore.NewCore(zaplogfmt.NewEncoder(cfg), zapcore.Lock(zapcore.AddSync(w)), at)), nil
+	return zap.New(zapcore.NewCore(zaplogfmt.NewEncoder(cfg), zapcore.Lock(zapcore.AddSync(w)), level))
 }
