--- a/overseer/relieve.go
+++ b/overseer/relieve.go
@@ -40,10 +40,13 @@
 		if r == nil || r.task.Shape().Target <= 0 || row.Percent < 100 {
 			continue
 		}
-		o.press.Observe(row.Task+"/"+strconv.FormatUint(row.Attempt, 10), r.task.Shape().Image, float64(row.Figure), use)
+		o.press.Observe(runName(row.Task, row.Attempt), r.task.Shape().Image, float64(row.Figure), use)
 	}
 }
 
+// runName names a run for the profiler.
+func runName(task string, attempt uint64) string { return task + "/" + strconv.FormatUint(attempt, 10) }
+
 // relieve moves runs that are slowed beside serving tasks to workers where
 // they would not be. A run that saves its progress loses nothing by it.
 func (o *Overseer) relieve(now time.Time) {
--- a/pacer/pacer.go
+++ b/pacer/pacer.go
@@ -62,6 +62,8 @@
 	Known *profiler.Profiler
 	// next is when the next decision is due.
 	next time.Time
+	// watched has the serving runs of the last decision.
+	watched map[string]bool
 	// excess counts the decisions in a row with a tail over its target.
 	excess int
 }
@@ -135,6 +137,7 @@
 	}
 	var serves []serve
 	var fills []Run
+	watched := map[string]bool{}
 	for _, r := range runs {
 		if r.Fills {
 			fills = append(fills, r)
@@ -142,7 +145,9 @@
 		if r.Target <= 0 || r.Percent < 100 {
 			continue
 		}
-		p.Known.Observe(r.Task+"/"+strconv.FormatUint(r.Attempt, 10), r.Image, float64(r.Tail), use)
+		name := r.Task + "/" + strconv.FormatUint(r.Attempt, 10)
+		watched[name] = true
+		p.Known.Observe(name, r.Image, float64(r.Tail), use)
 		now := p.Known.Pressure(r.Image, float64(r.Tail))
 		good := p.Known.Pressure(r.Image, aim*float64(r.Target))
 		s := serve{Run: r, room: max(good-now, 0)}
@@ -151,6 +156,12 @@
 		}
 		serves = append(serves, s)
 	}
+	for name := range p.watched {
+		if !watched[name] {
+			p.Known.Forget(name)
+		}
+	}
+	p.watched = watched
 	slices.SortStableFunc(serves, func(a, b serve) int { return int(b.Tail*a.Target - a.Tail*b.Target) })
 	return serves, fills
 }
--- /dev/null
+++ b/seater/seater_test.go
@@ -0,0 +1,142 @@
+package seater
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/endivefall/endivefall/sequencer"
+)
+
+var now = time.Unix(1000, 0)
+
+// task returns a task of a job with one step.
+func task(step sequencer.Step) *sequencer.Task {
+	step.Count = max(step.Count, 1)
+	j := sequencer.NewJob(&sequencer.Spec{ID: "j", Steps: []sequencer.Step{step}}, 1, nil)
+	t := j.Task(0, 0, 0)
+	t.Since = now
+	return t
+}
+
+// flat is a press that is the same for all images.
+func flat(press float64) func(string, string) float64 {
+	return func(string, string) float64 { return press }
+}
+
+// serving is a worker with tasks that serve, empty one without.
+func serving(id string, pressure float64) *Seat {
+	return &Seat{
+		ID: id, CPU: 64000, Memory: 256000, UsedCPU: 40000, Serving: 4, ServingCPU: 40000, Speed: 1,
+		Serves: []Serve{{Image: "s", Pressure: pressure, Room: 0.7}},
+	}
+}
+
+func empty(id string) *Seat { return &Seat{ID: id, CPU: 64000, Memory: 256000, Speed: 1} }
+
+func TestReservedTasksShareWorkersAndLeaveOthersToWhatFills(t *testing.T) {
+	c := qt.New(t)
+	seats := []*Seat{empty("a"), serving("b", 0.3)}
+	c.Assert(Pick(task(sequencer.Step{CPU: 1000}), "s", seats, now, flat(1)).ID, qt.Equals, "b")
+	c.Assert(Pick(task(sequencer.Step{CPU: 1000, Target: 50, Lasting: true}), "s", seats, now, flat(1)).ID, qt.Equals, "b")
+	c.Assert(Pick(task(sequencer.Step{CPU: 7000, Fills: true}), "s", seats, now, flat(6)).ID, qt.Equals, "a")
+}
+
+func TestWhatFillsGoesBesideWhatItDoesNotPressOn(t *testing.T) {
+	c := qt.New(t)
+	full := empty("a")
+	full.Filling = 60000
+	seats := []*Seat{full, serving("b", 0.3)}
+	filling := task(sequencer.Step{CPU: 8000, Fills: true})
+	c.Assert(Pick(filling, "s", seats, now, flat(0)).ID, qt.Equals, "b")
+	c.Assert(Pick(filling, "s", seats, now, flat(30)), qt.IsNil, qt.Commentf("it would be slowed to nothing"))
+	c.Assert(Pick(filling, "s", seats, now.Add(2*patience), flat(30)).ID, qt.Equals, "b", qt.Commentf("it has waited long enough"))
+}
+
+func TestTheBurstIsSpreadOverWhatIsLeft(t *testing.T) {
+	c := qt.New(t)
+	seats := []*Seat{empty("a"), empty("b"), empty("c")}
+	placed := map[string]int{}
+	filling := task(sequencer.Step{CPU: 8000, Fills: true, Count: 30})
+	for range 30 {
+		s := Pick(filling, "s", seats, now, flat(1))
+		if s == nil {
+			break
+		}
+		s.Take(filling.Shape(), "s")
+		placed[s.ID]++
+	}
+	c.Assert(placed, qt.DeepEquals, map[string]int{"a": 8, "b": 8, "c": 8})
+}
+
+func TestFits(t *testing.T) {
+	s := serving("a", 0)
+	s.Labels = []string{"kind", "rack"}
+	s.Steps = map[string]int{"s": 1}
+	for name, one := range map[string]struct {
+		step sequencer.Step
+		fits bool
+	}{
+		"in what is free":       {sequencer.Step{CPU: 24000}, true},
+		"over what is free":     {sequencer.Step{CPU: 24001}, false},
+		"filling needs no room": {sequencer.Step{CPU: 60000, Fills: true}, true},
+		"memory counts for all": {sequencer.Step{CPU: 1, Memory: 256001, Fills: true}, false},
+		"label there":           {sequencer.Step{Label: "kind"}, true},
+		"label missing":         {sequencer.Step{Label: "other"}, false},
+		"spread used up":        {sequencer.Step{Spread: 1}, false},
+		"spread left":           {sequencer.Step{Spread: 2}, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			qt.New(t).Assert(Fits(task(one.step), "s", s), qt.Equals, one.fits)
+		})
+	}
+}
+
+func TestATaskAvoidsWhereItFailedAndWhatIsSlow(t *testing.T) {
+	c := qt.New(t)
+	a, b := serving("a", 0), serving("b", 0)
+	failed := task(sequencer.Step{CPU: 100})
+	failed.Avoid = []string{"a"}
+	c.Assert(Pick(failed, "s", []*Seat{a, b}, now, flat(0)).ID, qt.Equals, "b")
+	c.Assert(Pick(failed, "s", []*Seat{a}, now, flat(0)).ID, qt.Equals, "a", qt.Commentf("there is no other"))
+	a.Speed = 0.2
+	c.Assert(Pick(task(sequencer.Step{CPU: 100}), "s", []*Seat{a, b}, now, flat(0)).ID, qt.Equals, "b")
+}
+
+func rank(accepted time.Duration, estimate time.Duration, priority int, lasting bool) Rank {
+	j := sequencer.NewJob(&sequencer.Spec{
+		ID: "j", Steps: []sequencer.Step{{Count: 1, Estimate: estimate, Lasting: lasting}}, Stretch: 2, Aim: time.Second,
+		Accepted: now.Add(accepted), Priority: priority,
+	}, 1, nil)
+	return RankOf(j, now)
+}
+
+// Under more load than the workers can take, what can still be in time goes
+// before what can't.
+func TestOrderUnderOverload(t *testing.T) {
+	c := qt.New(t)
+	order := []Rank{
+		rank(-time.Minute, time.Second, 0, true),              // it lasts
+		rank(0, time.Second, 0, false),                        // urgent
+		rank(-time.Second, 2*time.Second, 2, false),           // due sooner
+		rank(0, 2*time.Second, 2, false),                      // due later
+		rank(-4500*time.Millisecond, 2*time.Second, 2, false), // can't be in time any more
+		rank(-time.Minute, 2*time.Second, 0, false),           // its time is long over
+	}
+	for n := range order[1:] {
+		c.Assert(order[n].Compare(order[n+1]) < 0, qt.IsTrue, qt.Commentf("%d before %d", n, n+1))
+	}
+}
+
+func TestATrialLeavesNoTrace(t *testing.T) {
+	c := qt.New(t)
+	s := serving("a", 0.1)
+	trial := s.Clone()
+	step := sequencer.Step{CPU: 1000, Memory: 10, Target: 5}
+	trial.Take(&step, "x")
+	trial.Press(&step, flat(3))
+	c.Assert(s.UsedCPU, qt.Equals, int64(40000))
+	c.Assert(s.Steps, qt.HasLen, 0)
+	c.Assert(s.Serves[0].Pressure, qt.Equals, 0.1)
+}
