--- a/overseer/agent.go
+++ b/overseer/agent.go
@@ -1,6 +1,8 @@
 package overseer
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -43,6 +45,8 @@
 	taken, durable, told uint64
 	// ends are those after durable.
 	ends []pendingEnd
+	// runs are those that may be going on there.
+	runs map[runKey]*run
 	// record is how its runs have ended lately.
 	record record
 }
@@ -58,7 +62,7 @@
 func (o *Overseer) agent(id string) *agent {
 	a := o.agents[id]
 	if a == nil {
-		a = &agent{id: id}
+		a = &agent{id: id, runs: map[runKey]*run{}}
 		o.agents[id] = a
 	}
 	return a
@@ -168,15 +172,8 @@
 // maxEnds is how many ends an agent lists at most.
 const maxEnds = 500
 
-func (o *Overseer) runsOf(a *agent) []*run {
-	var list []*run
-	for _, r := range o.runs {
-		if r.agent == a {
-			list = append(list, r)
-		}
-	}
-	return list
-}
+// runsOf returns an agent's runs, in any order.
+func (o *Overseer) runsOf(a *agent) []*run { return slices.Collect(maps.Values(a.runs)) }
 
 // missing counts agents that may hold runs of an earlier owner.
 func (o *Overseer) missing() int {
@@ -238,7 +235,7 @@
 	t.Attempt = max(t.Attempt, row.Attempt)
 	t.Live++
 	j.Began = true
-	o.runs[r.key], j.live[r.key] = r, r
+	o.runs[r.key], j.live[r.key], a.runs[r.key] = r, r, r
 	return r
 }
 
--- a/overseer/ends.go
+++ b/overseer/ends.go
@@ -59,6 +59,7 @@
 func (o *Overseer) over(r *run, row messenger.EndRow) {
 	delete(o.runs, r.key)
 	delete(r.job.live, r.key)
+	delete(r.agent.runs, r.key)
 	r.task.Live--
 	o.press.Forget(runName(row.Task, row.Attempt))
 	now := o.cfg.Now()
--- /dev/null
+++ b/overseer/evacuate.go
@@ -0,0 +1,112 @@
+package overseer
+
+import (
+	"slices"
+	"time"
+
+	"github.com/endivefall/endivefall/messenger"
+	"github.com/endivefall/endivefall/seater"
+	"github.com/endivefall/endivefall/sequencer"
+)
+
+// evacuate moves what can be moved off workers that drain: tasks that last, and
+// tasks that resume from a checkpoint. The others end there if there is time.
+func (o *Overseer) evacuate() {
+	draining := o.draining()
+	if len(draining) == 0 || !o.current() {
+		return
+	}
+	byPool, _ := o.seats()
+	for _, a := range draining {
+		for _, r := range o.runsOf(a) {
+			step, name := r.task.Shape(), stepName(r.task)
+			if r.phase != messenger.PhaseRunning || r.evict || step.Gang || !step.Lasting && !step.Checkpoints {
+				continue
+			}
+			for _, s := range byPool[r.job.Spec.Pool] {
+				if !seater.Fits(r.task, name, s) {
+					continue
+				}
+				s.Take(step, name)
+				o.stop(r, "its worker drains")
+				o.cfg.Count("evacuated")
+				break
+			}
+		}
+	}
+}
+
+// draining returns the agents whose worker drains, in order.
+func (o *Overseer) draining() []*agent {
+	var list []*agent
+	for _, a := range o.agents {
+		if a.link != nil && a.table != nil && a.table.Draining {
+			list = append(list, a)
+		}
+	}
+	slices.SortFunc(list, func(a, b *agent) int { return compareID(a.id, b.id) })
+	return list
+}
+
+// Bounds of preemption.
+const (
+	// preemptAfter is how long a task waits before less urgent ones make room.
+	preemptAfter = 250 * time.Millisecond
+	// preemptEvery keeps one wait from evicting twice before room shows.
+	preemptEvery = 500 * time.Millisecond
+)
+
+// preempt evicts less urgent tasks that resume from a checkpoint, on the worker
+// where the fewest make room for a task that waits.
+func (o *Overseer) preempt(t *sequencer.Task, name string, seats []*seater.Seat, agents map[string]*agent, now time.Time) {
+	if now.Sub(t.Since) < preemptAfter || now.Sub(o.preempted) < preemptEvery {
+		return
+	}
+	var victims []*run
+	for _, s := range seats {
+		trial := s.Clone()
+		var list []*run
+		for _, r := range o.lessUrgent(agents[s.ID], t.Job.Spec.Priority) {
+			if seater.Fits(t, name, trial) {
+				break
+			}
+			step := r.task.Shape()
+			if !step.Fills {
+				trial.UsedCPU -= step.CPU
+			}
+			trial.UsedMemory -= step.Memory
+			trial.UsedGPU -= step.GPU
+			list = append(list, r)
+		}
+		if len(list) > 0 && seater.Fits(t, name, trial) && (victims == nil || len(list) < len(victims)) {
+			victims = list
+		}
+	}
+	for _, r := range victims {
+		o.preempted = now
+		o.cfg.Count("preempted")
+		o.stop(r, "more urgent work waits: "+t.Name())
+	}
+}
+
+// lessUrgent returns the runs of an agent that work of a priority may evict: the
+// least urgent first, and of those the ones that have got least far.
+func (o *Overseer) lessUrgent(a *agent, priority int) []*run {
+	var list []*run
+	for _, r := range o.runsOf(a) {
+		step := r.task.Shape()
+		if r.job.Spec.Priority > priority && step.Checkpoints && !step.Gang && !step.Lasting && r.phase == messenger.PhaseRunning && !r.evict {
+			list = append(list, r)
+		}
+	}
+	slices.SortFunc(list, func(a, b *run) int {
+		if c := b.job.Spec.Priority - a.job.Spec.Priority; c != 0 {
+			return c
+		}
+		if c := a.percent - b.percent; c != 0 {
+			return c
+		}
+		return compareID(a.key.task, b.key.task)
+	})
+	return list
+}
--- a/overseer/overseer.go
+++ b/overseer/overseer.go
@@ -120,6 +120,8 @@
 	// slowness is the mean of how much longer than estimated runs take, as a
 	// logarithm.
 	slowness fading
+	// preempted is when tasks were last evicted for a more urgent one.
+	preempted time.Time
 	// moved is when runs were last looked at for a better place.
 	moved time.Time
 	// lonely is since when too few agents are heard; zero while enough are.
@@ -258,6 +260,7 @@
 		o.lonely = time.Time{}
 	}
 	if o.loaded {
+		o.evacuate()
 		o.relieve(now)
 		o.mendGangs()
 		o.plan = o.plan || len(o.open) > 0
--- a/overseer/place.go
+++ b/overseer/place.go
@@ -176,6 +176,7 @@
 		name := stepName(t)
 		s := seater.Pick(t, name, seats, now, o.press.Press)
 		if s == nil {
+			o.preempt(t, name, seats, agents, now)
 			continue
 		}
 		a := agents[s.ID]
@@ -215,7 +216,7 @@
 	r.seq = a.seq
 	t.Live++
 	j.Began = true
-	o.runs[r.key], j.live[r.key] = r, r
+	o.runs[r.key], j.live[r.key], a.runs[r.key] = r, r, r
 	o.cfg.Count("start")
 	o.cfg.Log.Info("start", zap.String("task", r.key.task), zap.Uint64("attempt", t.Attempt), zap.String("agent", a.id),
 		zap.Duration("waited", r.began.Sub(t.Since)), zap.Duration("table_age", r.began.Sub(a.heard)), zap.Bool("resumes", t.Saved != ""))
