--- a/overseer/agent.go
+++ b/overseer/agent.go
@@ -129,6 +129,9 @@
 }
 
 func (o *Overseer) post(a *agent, f messenger.Frame) {
+	if a.link == nil {
+		return
+	}
 	if err := a.link.Post(f); err != nil {
 		o.cfg.Log.Info("agent not reached", zap.String("agent", a.id), zap.Error(err))
 	}
@@ -270,7 +273,9 @@
 	a.seq++
 	order.Seq, order.Term = a.seq, o.cfg.Term
 	if err := a.link.Post(messenger.Frame{Kind: messenger.KindOrder, Order: order}); err != nil {
+		// The connection has ended; it takes no order any more.
 		o.cfg.Log.Info("order not sent", zap.String("agent", a.id), zap.Error(err))
+		a.link, a.table = nil, nil
 		return false
 	}
 	return true
--- a/overseer/evacuate.go
+++ b/overseer/evacuate.go
@@ -52,7 +52,8 @@
 const (
 	// preemptAfter is how long a task waits before less urgent ones make room.
 	preemptAfter = 250 * time.Millisecond
-	// preemptEvery keeps one wait from evicting twice before room shows.
+	// preemptEvery keeps one wait from evicting twice before room shows, and
+	// bounds what looking for victims costs.
 	preemptEvery = 500 * time.Millisecond
 )
 
@@ -62,6 +63,7 @@
 	if now.Sub(t.Since) < preemptAfter || now.Sub(o.preempted) < preemptEvery {
 		return
 	}
+	o.preempted = now // looking costs, also in vain
 	var victims []*run
 	for _, s := range seats {
 		trial := s.Clone()
@@ -83,7 +85,6 @@
 		}
 	}
 	for _, r := range victims {
-		o.preempted = now
 		o.cfg.Count("preempted")
 		o.stop(r, "more urgent work waits: "+t.Name())
 	}
--- a/overseer/overseer.go
+++ b/overseer/overseer.go
@@ -44,8 +44,11 @@
 const (
 	// tickEvery is how often deadlines are looked at.
 	tickEvery = 50 * time.Millisecond
-	// planPause is the least time between two rounds of placement.
+	// planPause is the least time between two rounds of placement; planShare is
+	// how many times as long as a round the next one is put off, so that under
+	// load most of the processor is left for what agents say.
 	planPause = 8 * time.Millisecond
+	planShare = 6
 	// slowClock is how much slower than ours a worker's clock may run, in parts
 	// of 1,000; the platform states 2%, rounded up.
 	slowClock = 21
@@ -112,7 +115,8 @@
 	dirty []*job
 	// writing is set while a commit is on its way.
 	writing bool
-	// plan is set when a round of placement is due.
+	// plan is set when a round of placement is due, planned is when the next
+	// one may begin.
 	plan    bool
 	planned time.Time
 	// press is what is known of images beside each other.
@@ -120,7 +124,7 @@
 	// slowness is the mean of how much longer than estimated runs take, as a
 	// logarithm.
 	slowness fading
-	// preempted is when tasks were last evicted for a more urgent one.
+	// preempted is when victims for a more urgent task were last looked for.
 	preempted time.Time
 	// moved is when runs were last looked at for a better place.
 	moved time.Time
@@ -215,13 +219,16 @@
 		}
 		o.flush(ctx)
 		if o.plan && o.loaded && soon == nil {
-			if rest := planPause - o.cfg.Now().Sub(o.planned); rest > 0 {
+			begun := o.cfg.Now()
+			if rest := o.planned.Sub(begun); rest > 0 {
 				soon = time.After(rest)
 				continue
 			}
-			o.planned = o.cfg.Now()
 			o.plan = false
 			o.place()
+			took := o.cfg.Now().Sub(begun)
+			o.cfg.Time("plan", took)
+			o.planned = begun.Add(max(planPause, took*planShare))
 		}
 	}
 }
--- a/overseer/place.go
+++ b/overseer/place.go
@@ -160,6 +160,7 @@
 // placeJob starts what of a job can be started.
 func (o *Overseer) placeJob(j *job, seats []*seater.Seat, agents map[string]*agent, ordered map[*agent]int, now, wall time.Time) {
 	waiting := j.Waiting(wall)
+	full := "" // the step that found no seat in this round
 	for n, t := range waiting {
 		if t.Since.IsZero() {
 			t.Since = now
@@ -174,13 +175,17 @@
 			continue
 		}
 		name := stepName(t)
+		if name == full && len(t.Avoid) == 0 {
+			continue
+		}
 		s := seater.Pick(t, name, seats, now, o.press.Press)
 		if s == nil {
 			o.preempt(t, name, seats, agents, now)
+			full = name
 			continue
 		}
 		a := agents[s.ID]
-		if ordered[a] >= maxOrders {
+		if ordered[a] >= maxOrders || a.link == nil {
 			continue
 		}
 		if o.start(t, j, a) {
@@ -205,20 +210,20 @@
 
 // launch orders a run of a task under an attempt number.
 func (o *Overseer) launch(t *sequencer.Task, j *job, a *agent, attempt uint64) bool {
-	t.Attempt = attempt
 	r := &run{
-		key: runKey{t.Name(), t.Attempt}, task: t, job: j, agent: a, link: a.link,
+		key: runKey{t.Name(), attempt}, task: t, job: j, agent: a, link: a.link,
 		phase: messenger.PhaseStarting, pace: 100, began: o.cfg.Now(), resumed: t.Saved != "",
 	}
 	if !o.order(a, &messenger.Order{Start: o.startOf(r, false)}) {
 		return false
 	}
 	r.seq = a.seq
+	t.Attempt = attempt
 	t.Live++
 	j.Began = true
 	o.runs[r.key], j.live[r.key], a.runs[r.key] = r, r, r
 	o.cfg.Count("start")
-	o.cfg.Log.Info("start", zap.String("task", r.key.task), zap.Uint64("attempt", t.Attempt), zap.String("agent", a.id),
+	o.cfg.Log.Info("start", zap.String("task", r.key.task), zap.Uint64("attempt", attempt), zap.String("agent", a.id),
 		zap.Duration("waited", r.began.Sub(t.Since)), zap.Duration("table_age", r.began.Sub(a.heard)), zap.Bool("resumes", t.Saved != ""))
 	return true
 }
