--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -44,8 +44,18 @@
 	// job is turned away: a caller's next try may reach an entry that is served.
 	patience = 350 * time.Millisecond
 	// breakAfter is how long the store may answer no write before new jobs are
-	// turned away at once, but for one that tries it.
+	// turned away at once.
 	breakAfter = 600 * time.Millisecond
+	// probeEvery is how often such a store is asked whether it is back, with a
+	// key that is never written.
+	probeEvery = 300 * time.Millisecond
+	probeKey   = "ef/probe"
+	// doubtPatience is how long a write without an answer is tried again before
+	// the caller is told that its fate is not known: it can ask another entry.
+	doubtPatience = 1300 * time.Millisecond
+	// doubtFor is how long a write without an answer may still take effect: the
+	// platform states seconds, and callers try again for less.
+	doubtFor = 30 * time.Second
 	// retryPause is the wait after a failed call to the store.
 	retryPause = 40 * time.Millisecond
 	// askTimeout bounds a question to the owner before the store is read.
@@ -74,8 +84,11 @@
 	// down is since when the store has answered nothing, in Unix ns; 0 while it
 	// answers.
 	down atomic.Int64
-	// probing is set while one submission tries a store that does not answer.
-	probing atomic.Bool
+
+	mu sync.Mutex
+	// doubts has jobs whose write got no answer here, and until when it may
+	// still take effect; mu guards it.
+	doubts map[string]time.Time
 }
 
 // submission is a job on its way to the store.
@@ -94,7 +107,7 @@
 
 // New returns an Acceptor; Serve runs it.
 func New(cfg Config) *Acceptor {
-	return &Acceptor{cfg: cfg, in: make(chan *submission, waiting)}
+	return &Acceptor{cfg: cfg, in: make(chan *submission, waiting), doubts: map[string]time.Time{}}
 }
 
 // Configure sets the queues, unless newer ones are known.
@@ -120,9 +133,57 @@
 	for range writers {
 		duties.Go(func() { a.writeLoop(ctx) })
 	}
+	duties.Go(func() { a.probeLoop(ctx) })
 	duties.Wait()
 }
 
+// probeLoop asks a store that answers no writes whether it is back, so that no
+// caller has to wait for that.
+func (a *Acceptor) probeLoop(ctx context.Context) {
+	t := time.NewTicker(probeEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+		since, ok := a.Reaching()
+		if ok || a.cfg.Now().Sub(since) <= breakAfter {
+			continue
+		}
+		_, err := a.cfg.Store.Get(ctx, probeKey)
+		if err == nil || errors.Is(err, keeper.ErrMissing) {
+			a.down.Store(0)
+			a.cfg.Log.Info("jobs are taken again", zap.Duration("after", a.cfg.Now().Sub(since)))
+		}
+	}
+}
+
+// refuse turns a job away, unless an earlier try here may have stored it.
+func (a *Acceptor) refuse(id, why string) error {
+	a.mu.Lock()
+	until, doubted := a.doubts[id]
+	a.mu.Unlock()
+	if doubted && a.cfg.Now().Before(until) {
+		return fmt.Errorf("%w: an earlier try got no answer, and %s", ErrUnknown, why)
+	}
+	return fmt.Errorf("%w: %s", ErrTurnedAway, why)
+}
+
+// doubted notes a job that may have been stored.
+func (a *Acceptor) doubted(id string) {
+	now := a.cfg.Now()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for other, until := range a.doubts {
+		if now.After(until) {
+			delete(a.doubts, other)
+		}
+	}
+	a.doubts[id] = now.Add(doubtFor)
+}
+
 // Submit stores a job. A job of the same ID that is stored is the same job.
 func (a *Acceptor) Submit(ctx context.Context, spec *sequencer.Spec, until time.Time) error {
 	spec.Accepted = a.cfg.Wall()
@@ -134,21 +195,22 @@
 		return err
 	}
 	s := &submission{spec: spec, value: value, until: until, begun: a.cfg.Now(), done: make(chan error, 1)}
-	if since, ok := a.Reaching(); !ok && a.cfg.Now().Sub(since) > breakAfter && !a.probing.CompareAndSwap(false, true) {
-		return fmt.Errorf("%w: the store has not answered for %s", ErrTurnedAway, a.cfg.Now().Sub(since).Round(time.Millisecond))
+	if since, ok := a.Reaching(); !ok && a.cfg.Now().Sub(since) > breakAfter {
+		return a.refuse(spec.ID, fmt.Sprintf("the store has not answered for %s", a.cfg.Now().Sub(since).Round(time.Millisecond)))
 	}
 	select {
 	case a.in <- s:
 	default:
-		a.probing.Store(false)
-		return fmt.Errorf("%w: %d jobs wait for the store", ErrTurnedAway, waiting)
+		return a.refuse(spec.ID, fmt.Sprintf("%d jobs wait for the store", waiting))
 	}
 	select {
 	case err = <-s.done:
 	case <-ctx.Done():
 		err = ErrUnknown // the caller has left; the writer goes on
 	}
-	a.probing.Store(false)
+	if errors.Is(err, ErrUnknown) {
+		a.doubted(spec.ID)
+	}
 	a.cfg.Time("submit", a.cfg.Now().Sub(s.begun))
 	return err
 }
@@ -234,7 +296,7 @@
 		s.doubt = s.doubt || unsettled
 		limit := s.begun.Add(patience)
 		if s.doubt {
-			limit = s.until.Add(-replyMargin)
+			limit = s.begun.Add(doubtPatience)
 		}
 		if now.Before(limit) && now.Before(s.until.Add(-replyMargin)) {
 			rest = append(rest, s)
--- /dev/null
+++ b/acceptor/acceptor_test.go
@@ -0,0 +1,252 @@
+package acceptor
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"go.uber.org/zap"
+
+	"github.com/endivefall/endivefall/faker"
+	"github.com/endivefall/endivefall/keeper"
+	"github.com/endivefall/endivefall/messenger"
+	"github.com/endivefall/endivefall/overseer"
+	"github.com/endivefall/endivefall/sequencer"
+)
+
+// desk is an acceptor over a stand-in of the store, without an owner to ask.
+type desk struct {
+	c     *qt.C
+	store *faker.Store
+	a     *Acceptor
+	fault faker.StoreFault
+	// owner answers questions; nil where there is none.
+	owner func(messenger.Ask) messenger.Tell
+}
+
+// with runs a story in fake time.
+func with(t *testing.T, story func(c *qt.C, d *desk)) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		d := &desk{c: c, store: faker.NewStore()}
+		d.store.Fault = func(call string) faker.StoreFault {
+			f := d.fault
+			if f.Lose && call != "commit" {
+				return faker.StoreFault{Refuse: true, Delay: f.Delay}
+			}
+			return f
+		}
+		d.a = New(Config{
+			Store: d.store.Keeper(), Now: time.Now, Wall: time.Now, Log: zap.NewNop(),
+			Count: func(string) {}, Time: func(string, time.Duration) {},
+			Ask: func(_ context.Context, ask messenger.Ask) (messenger.Tell, error) {
+				if d.owner == nil {
+					return messenger.Tell{}, errors.New("no owner")
+				}
+				return d.owner(ask), nil
+			},
+		})
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			d.a.Serve(ctx)
+		}()
+		story(c, d)
+		cancel()
+		<-done
+		time.Sleep(time.Minute)
+	})
+}
+
+func id(n int) string { return fmt.Sprintf("%016x", n) }
+
+// submit hands a job in and returns its outcome and how long that took.
+func (d *desk) submit(n int) (error, time.Duration) { //nolint:revive // the outcome is what the test is about
+	began := time.Now()
+	spec := &sequencer.Spec{ID: id(n), Queue: "q", Pool: "p", Steps: []sequencer.Step{{Count: 1}}}
+	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+	defer cancel()
+	err := d.a.Submit(ctx, spec, began.Add(3*time.Second))
+	return err, time.Since(began)
+}
+
+func (d *desk) state(n int) (sequencer.State, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	return d.a.State(ctx, "q", id(n))
+}
+
+func TestAJobIsAcceptedOnceItIsStored(t *testing.T) {
+	with(t, func(c *qt.C, d *desk) {
+		_, err := d.state(1)
+		c.Assert(err, qt.ErrorIs, ErrGone)
+		err, _ = d.submit(1)
+		c.Assert(err, qt.IsNil)
+		state, err := d.state(1)
+		c.Assert(err, qt.IsNil)
+		c.Assert(state, qt.Equals, sequencer.Queued)
+		err, _ = d.submit(1)
+		c.Assert(err, qt.IsNil, qt.Commentf("it remains one job"))
+		_, err = d.a.State(context.Background(), "other", id(1))
+		c.Assert(err, qt.ErrorIs, ErrGone)
+	})
+}
+
+func TestAStoreThatIsDownTurnsAwayAtOnceAndTruly(t *testing.T) {
+	with(t, func(c *qt.C, d *desk) {
+		d.fault = faker.StoreFault{Refuse: true}
+		err, took := d.submit(1)
+		c.Assert(err, qt.ErrorIs, ErrTurnedAway)
+		c.Assert(took < time.Second, qt.IsTrue)
+		time.Sleep(time.Second)
+		err, took = d.submit(2)
+		c.Assert(err, qt.ErrorIs, ErrTurnedAway)
+		c.Assert(took, qt.Equals, time.Duration(0))
+		d.fault = faker.StoreFault{}
+		time.Sleep(2 * probeEvery)
+		_, err = d.state(1)
+		c.Assert(err, qt.ErrorIs, ErrGone, qt.Commentf("it was said that nothing was stored"))
+		err, _ = d.submit(2)
+		c.Assert(err, qt.IsNil, qt.Commentf("the store is back"))
+	})
+}
+
+// A job in doubt is never told as not accepted, also when it is handed in again
+// while the store does not answer; the answer does not wait for the caller's
+// deadline.
+func TestAJobInDoubtIsNotToldAsTurnedAway(t *testing.T) {
+	with(t, func(c *qt.C, d *desk) {
+		d.fault = faker.StoreFault{Lose: true, Late: 4 * time.Second, Delay: 500 * time.Millisecond}
+		err, took := d.submit(1)
+		c.Assert(err, qt.ErrorIs, ErrUnknown)
+		c.Assert(took < 2500*time.Millisecond, qt.IsTrue, qt.Commentf("%s", took))
+		err, _ = d.submit(1)
+		c.Assert(err, qt.ErrorIs, ErrUnknown)
+		d.fault = faker.StoreFault{}
+		time.Sleep(6 * time.Second)
+		_, err = d.state(1)
+		c.Assert(err, qt.IsNil, qt.Commentf("it took effect late"))
+	})
+}
+
+func TestAWriteWhoseAnswerIsLostIsFound(t *testing.T) {
+	with(t, func(c *qt.C, d *desk) {
+		lost := 1
+		d.store.Fault = func(call string) faker.StoreFault {
+			if call == "commit" && lost > 0 {
+				lost--
+				return faker.StoreFault{Lose: true}
+			}
+			return faker.StoreFault{}
+		}
+		err, _ := d.submit(1)
+		c.Assert(err, qt.IsNil)
+	})
+}
+
+func TestManyJobsShareTransactions(t *testing.T) {
+	with(t, func(c *qt.C, d *desk) {
+		commits := 0
+		d.store.Fault = func(call string) faker.StoreFault {
+			if call == "commit" {
+				commits++
+			}
+			return faker.StoreFault{Delay: 4 * time.Millisecond}
+		}
+		results := make(chan error, 100)
+		for n := range 100 {
+			go func() {
+				err, _ := d.submit(n)
+				results <- err
+			}()
+		}
+		for range 100 {
+			c.Assert(<-results, qt.IsNil)
+		}
+		c.Assert(commits < 20, qt.IsTrue, qt.Commentf("%d transactions", commits))
+	})
+}
+
+func TestCancel(t *testing.T) {
+	with(t, func(c *qt.C, d *desk) {
+		ctx := context.Background()
+		c.Assert(d.a.Cancel(ctx, "q", id(1)), qt.ErrorIs, ErrGone)
+		err, _ := d.submit(1)
+		c.Assert(err, qt.IsNil)
+		c.Assert(d.a.Cancel(ctx, "other", id(1)), qt.ErrorIs, ErrGone)
+		c.Assert(d.a.Cancel(ctx, "q", id(1)), qt.IsNil)
+		c.Assert(d.a.Cancel(ctx, "q", id(1)), qt.IsNil)
+		state, err := d.state(1)
+		c.Assert(err, qt.IsNil)
+		c.Assert(state, qt.Equals, sequencer.Canceled)
+	})
+}
+
+func TestTheOwnersWordGoesFirst(t *testing.T) {
+	with(t, func(c *qt.C, d *desk) {
+		err, _ := d.submit(1)
+		c.Assert(err, qt.IsNil)
+		d.owner = func(ask messenger.Ask) messenger.Tell {
+			if ask.Queue != "" {
+				return messenger.Tell{Known: true, Pending: 7}
+			}
+			return messenger.Tell{Known: true, Queue: "q", State: string(sequencer.Running)}
+		}
+		state, err := d.state(1)
+		c.Assert(err, qt.IsNil)
+		c.Assert(state, qt.Equals, sequencer.Running)
+		n, err := d.a.Pending(context.Background(), "q")
+		c.Assert(err, qt.IsNil)
+		c.Assert(n, qt.Equals, 7)
+		d.owner = func(messenger.Ask) messenger.Tell { return messenger.Tell{} }
+		state, err = d.state(1)
+		c.Assert(err, qt.IsNil, qt.Commentf("the owner may not have read it yet"))
+		c.Assert(state, qt.Equals, sequencer.Queued)
+	})
+}
+
+func TestFinalStatesAreReadFromTheLedger(t *testing.T) {
+	with(t, func(c *qt.C, d *desk) {
+		err, _ := d.submit(1)
+		c.Assert(err, qt.IsNil)
+		raw, err := (&sequencer.Progress{State: sequencer.Complete}).Encode()
+		c.Assert(err, qt.IsNil)
+		_, err = d.store.Keeper().Commit(context.Background(), keeper.Change{Writes: []keeper.Write{{Key: overseer.OutKey(id(1)), Value: raw}}})
+		c.Assert(err, qt.IsNil)
+		state, err := d.state(1)
+		c.Assert(err, qt.IsNil)
+		c.Assert(state, qt.Equals, sequencer.Complete)
+	})
+}
+
+func TestQueuesAreFoundByHostAndLongestPrefix(t *testing.T) {
+	c := qt.New(t)
+	q := NewQueues(3, 0, []Queue{{Name: "short", Host: "h.example", Prefix: "/a/"}, {Name: "long", Host: "H.example", Prefix: "/a/b/"}})
+	for _, one := range []struct {
+		host, path, name, rest string
+		ok                     bool
+	}{
+		{"h.example", "/a/b/x", "long", "x", true},
+		{"h.example:80", "/a/bx", "short", "bx", true},
+		{"H.EXAMPLE", "/a/", "short", "", true},
+		{"h.example", "/b/x", "", "", false},
+		{"other", "/a/x", "", "", false},
+	} {
+		queue, rest, ok := q.Find(one.host, one.path)
+		c.Assert([]any{queue.Name, rest, ok}, qt.DeepEquals, []any{one.name, one.rest, one.ok}, qt.Commentf("%+v", one))
+	}
+}
+
+func TestAnOlderConfigurationNeverComesBack(t *testing.T) {
+	c := qt.New(t)
+	a := New(Config{Log: zap.NewNop()})
+	for _, version := range []uint64{4, 9, 7, 9} {
+		a.Configure(NewQueues(version, 0, nil))
+	}
+	c.Assert(a.Queues().Version, qt.Equals, uint64(9))
+}
--- a/warden/look.go
+++ b/warden/look.go
@@ -49,6 +49,9 @@
 	if w.left {
 		l.Until = time.Time{} // it ends by itself; nothing is to keep its runs
 	}
+	if !w.failing.IsZero() {
+		l.Until = w.sent // it may be gone; then what runs there ends with this
+	}
 	if l.Until.After(w.sent) {
 		w.sent = l.Until
 	}
--- a/warden/warden.go
+++ b/warden/warden.go
@@ -198,6 +198,8 @@
 		return "not surveyed"
 	case w.beat.Draining || w.left:
 		return "draining"
+	case !w.failing.IsZero():
+		return "worker does not answer"
 	case w.lease.Sub(w.workerNow()) < minLease:
 		return "no lease"
 	}
--- a/warden/warden_test.go
+++ b/warden/warden_test.go
@@ -248,3 +248,19 @@
 		}
 	})
 }
+
+// The lease of a worker that had gone was extended with each look that got no
+// answer, so that its runs were never given up (store-away-and-a-worker-gone).
+func TestRunsOfASilentWorkerEndWithTheLeaseThatItHeardOfLast(t *testing.T) {
+	inBubble(t, func(c *qt.C, p *post) {
+		p.worker.Plan = func(string, uint64) faker.PoolPlan { return faker.PoolPlan{} }
+		p.order(start("j.0.0.0", 1))
+		p.fault = func(string) faker.PoolFault { return faker.PoolFault{Lose: true, Drop: true} }
+		time.Sleep(4 * time.Second)
+		c.Assert(p.ends(), qt.HasLen, 0, qt.Commentf("it may still run there"))
+		c.Assert(p.table.Authority, qt.IsFalse)
+		time.Sleep(4 * time.Second)
+		c.Assert(p.ends(), qt.DeepEquals, []string{"j.0.0.0#1 lapsed"})
+		c.Assert(p.worker.Running(), qt.HasLen, 0)
+	})
+}
