--- a/acceptor/acceptor_test.go
+++ b/acceptor/acceptor_test.go
@@ -66,13 +66,13 @@
 func id(n int) string { return fmt.Sprintf("%016x", n) }
 
 // submit hands a job in and returns its outcome and how long that took.
-func (d *desk) submit(n int) (error, time.Duration) { //nolint:revive // the outcome is what the test is about
+func (d *desk) submit(n int) (time.Duration, error) {
 	began := time.Now()
 	spec := &sequencer.Spec{ID: id(n), Queue: "q", Pool: "p", Steps: []sequencer.Step{{Count: 1}}}
 	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
 	defer cancel()
 	err := d.a.Submit(ctx, spec, began.Add(3*time.Second))
-	return err, time.Since(began)
+	return time.Since(began), err
 }
 
 func (d *desk) state(n int) (sequencer.State, error) {
@@ -85,12 +85,12 @@
 	with(t, func(c *qt.C, d *desk) {
 		_, err := d.state(1)
 		c.Assert(err, qt.ErrorIs, ErrGone)
-		err, _ = d.submit(1)
+		_, err = d.submit(1)
 		c.Assert(err, qt.IsNil)
 		state, err := d.state(1)
 		c.Assert(err, qt.IsNil)
 		c.Assert(state, qt.Equals, sequencer.Queued)
-		err, _ = d.submit(1)
+		_, err = d.submit(1)
 		c.Assert(err, qt.IsNil, qt.Commentf("it remains one job"))
 		_, err = d.a.State(context.Background(), "other", id(1))
 		c.Assert(err, qt.ErrorIs, ErrGone)
@@ -100,18 +100,18 @@
 func TestAStoreThatIsDownTurnsAwayAtOnceAndTruly(t *testing.T) {
 	with(t, func(c *qt.C, d *desk) {
 		d.fault = faker.StoreFault{Refuse: true}
-		err, took := d.submit(1)
+		took, err := d.submit(1)
 		c.Assert(err, qt.ErrorIs, ErrTurnedAway)
 		c.Assert(took < time.Second, qt.IsTrue)
 		time.Sleep(time.Second)
-		err, took = d.submit(2)
+		took, err = d.submit(2)
 		c.Assert(err, qt.ErrorIs, ErrTurnedAway)
 		c.Assert(took, qt.Equals, time.Duration(0))
 		d.fault = faker.StoreFault{}
 		time.Sleep(2 * probeEvery)
 		_, err = d.state(1)
 		c.Assert(err, qt.ErrorIs, ErrGone, qt.Commentf("it was said that nothing was stored"))
-		err, _ = d.submit(2)
+		_, err = d.submit(2)
 		c.Assert(err, qt.IsNil, qt.Commentf("the store is back"))
 	})
 }
@@ -122,10 +122,10 @@
 func TestAJobInDoubtIsNotToldAsTurnedAway(t *testing.T) {
 	with(t, func(c *qt.C, d *desk) {
 		d.fault = faker.StoreFault{Lose: true, Late: 4 * time.Second, Delay: 500 * time.Millisecond}
-		err, took := d.submit(1)
+		took, err := d.submit(1)
 		c.Assert(err, qt.ErrorIs, ErrUnknown)
 		c.Assert(took < 2500*time.Millisecond, qt.IsTrue, qt.Commentf("%s", took))
-		err, _ = d.submit(1)
+		_, err = d.submit(1)
 		c.Assert(err, qt.ErrorIs, ErrUnknown)
 		d.fault = faker.StoreFault{}
 		time.Sleep(6 * time.Second)
@@ -144,7 +144,7 @@
 			}
 			return faker.StoreFault{}
 		}
-		err, _ := d.submit(1)
+		_, err := d.submit(1)
 		c.Assert(err, qt.IsNil)
 	})
 }
@@ -161,7 +161,7 @@
 		results := make(chan error, 100)
 		for n := range 100 {
 			go func() {
-				err, _ := d.submit(n)
+				_, err := d.submit(n)
 				results <- err
 			}()
 		}
@@ -176,7 +176,7 @@
 	with(t, func(c *qt.C, d *desk) {
 		ctx := context.Background()
 		c.Assert(d.a.Cancel(ctx, "q", id(1)), qt.ErrorIs, ErrGone)
-		err, _ := d.submit(1)
+		_, err := d.submit(1)
 		c.Assert(err, qt.IsNil)
 		c.Assert(d.a.Cancel(ctx, "other", id(1)), qt.ErrorIs, ErrGone)
 		c.Assert(d.a.Cancel(ctx, "q", id(1)), qt.IsNil)
@@ -189,7 +189,7 @@
 
 func TestTheOwnersWordGoesFirst(t *testing.T) {
 	with(t, func(c *qt.C, d *desk) {
-		err, _ := d.submit(1)
+		_, err := d.submit(1)
 		c.Assert(err, qt.IsNil)
 		d.owner = func(ask messenger.Ask) messenger.Tell {
 			if ask.Queue != "" {
@@ -212,7 +212,7 @@
 
 func TestFinalStatesAreReadFromTheLedger(t *testing.T) {
 	with(t, func(c *qt.C, d *desk) {
-		err, _ := d.submit(1)
+		_, err := d.submit(1)
 		c.Assert(err, qt.IsNil)
 		raw, err := (&sequencer.Progress{State: sequencer.Complete}).Encode()
 		c.Assert(err, qt.IsNil)
--- /dev/null
+++ b/acceptor/state.go
@@ -0,0 +1,133 @@
+package acceptor
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/endivefall/endivefall/keeper"
+	"github.com/endivefall/endivefall/messenger"
+	"github.com/endivefall/endivefall/overseer"
+	"github.com/endivefall/endivefall/sequencer"
+)
+
+// State returns a job's state: the owner's word, or else the store's.
+func (a *Acceptor) State(ctx context.Context, queue, id string) (sequencer.State, error) {
+	bound, cancel := context.WithTimeout(ctx, askTimeout)
+	t, err := a.cfg.Ask(bound, messenger.Ask{Job: id})
+	cancel()
+	if err == nil && t.Known {
+		if t.Queue != queue {
+			return "", ErrGone
+		}
+		return sequencer.State(t.State), nil
+	}
+	return a.stored(ctx, queue, id)
+}
+
+// stored reads a job's state from the store.
+func (a *Acceptor) stored(ctx context.Context, queue, id string) (sequencer.State, error) {
+	item, err := a.read(ctx, overseer.JobKey(id))
+	if err != nil {
+		return "", err
+	}
+	spec, err := sequencer.DecodeSpec(item.Value)
+	if err != nil {
+		a.cfg.Log.Error("stored job can't be read", zap.String("job", id), zap.Error(err))
+		return "", ErrUnread
+	}
+	if spec.Queue != queue {
+		return "", ErrGone
+	}
+	out, err := a.read(ctx, overseer.OutKey(id))
+	if err == nil {
+		p, err := sequencer.DecodeProgress(out.Value)
+		if err != nil {
+			a.cfg.Log.Error("stored progress can't be read", zap.String("job", id), zap.Error(err))
+			return "", ErrUnread
+		}
+		if p.State.Final() {
+			return p.State, nil
+		}
+	} else if !errors.Is(err, ErrGone) {
+		return "", err
+	}
+	switch _, canceled := a.read(ctx, overseer.CancelKey(id)); {
+	case canceled == nil:
+		return sequencer.Canceled, nil
+	case !errors.Is(canceled, ErrGone):
+		return "", canceled
+	case err == nil:
+		return sequencer.Running, nil
+	}
+	return sequencer.Queued, nil
+}
+
+// read reads a key, again while the store does not answer and ctx lasts.
+func (a *Acceptor) read(ctx context.Context, key string) (keeper.Item, error) {
+	for {
+		item, err := a.cfg.Store.Get(ctx, key)
+		if err == nil {
+			return item, nil
+		}
+		if errors.Is(err, keeper.ErrMissing) {
+			return item, ErrGone
+		}
+		t := time.NewTimer(retryPause)
+		select {
+		case <-ctx.Done():
+			t.Stop()
+			return item, errors.Join(ErrUnread, err)
+		case <-t.C:
+		}
+	}
+}
+
+// Cancel makes a job's cancel durable.
+func (a *Acceptor) Cancel(ctx context.Context, queue, id string) error {
+	item, err := a.read(ctx, overseer.JobKey(id))
+	if err != nil {
+		return err
+	}
+	spec, err := sequencer.DecodeSpec(item.Value)
+	if err != nil || spec.Queue != queue {
+		return ErrGone
+	}
+	key := overseer.CancelKey(id)
+	change := keeper.Change{
+		Checks: []keeper.Check{{Key: key}, {Key: overseer.JobKey(id), Version: item.Version}},
+		Writes: []keeper.Write{{Key: key, Value: []byte(id)}},
+	}
+	for {
+		_, err := a.cfg.Store.Commit(ctx, change)
+		var clash *keeper.Clash
+		switch {
+		case err == nil:
+			a.cfg.Log.Info("cancel stored", zap.String("job", id))
+			return nil
+		case errors.As(err, &clash):
+			if clash.Item(key).Version != 0 {
+				return nil
+			}
+			return ErrGone // the job was forgotten meanwhile
+		}
+		t := time.NewTimer(retryPause)
+		select {
+		case <-ctx.Done():
+			t.Stop()
+			return errors.Join(ErrUnknown, err)
+		case <-t.C:
+		}
+	}
+}
+
+// Pending returns how many accepted jobs of a queue no task has started of.
+func (a *Acceptor) Pending(ctx context.Context, queue string) (int, error) {
+	t, err := a.cfg.Ask(ctx, messenger.Ask{Queue: queue})
+	if err != nil {
+		return 0, errors.Join(ErrUnread, err)
+	}
+	return t.Pending, nil
+}
--- a/conductor/fleet_test.go
+++ b/conductor/fleet_test.go
@@ -68,7 +68,7 @@
 	seq    uint64
 }
 
-func newFleet(t *testing.T, ctx context.Context, seed uint64, entries, agents int) *fleet {
+func newFleet(ctx context.Context, t *testing.T, seed uint64, entries, agents int) *fleet {
 	f := &fleet{
 		t: t, seed: seed, ctx: ctx, store: faker.NewStore(), network: faker.NewNetwork(), book: newBook(), log: zap.NewNop(),
 		entries: map[string]*entryNode{}, agents: map[string]*agentNode{}, away: map[string]bool{}, rolls: map[string]int{},
@@ -127,7 +127,7 @@
 // storeFor returns the store as an instance reaches it.
 func (f *fleet) storeFor(name string) *keeper.Store {
 	s := f.store.Keeper()
-	fault := func(call string) error {
+	fault := func() error {
 		f.mu.Lock()
 		down := f.down || f.away[name]
 		f.mu.Unlock()
@@ -140,25 +140,25 @@
 	}
 	get, page, watch, commit, lease, renew := s.Get, s.Page, s.Watch, s.Commit, s.Lease, s.Renew
 	s.Get = func(ctx context.Context, key string) (keeper.Item, error) {
-		if err := fault("get"); err != nil {
+		if err := fault(); err != nil {
 			return keeper.Item{}, err
 		}
 		return get(ctx, key)
 	}
 	s.Page = func(ctx context.Context, prefix, after string) (keeper.Page, error) {
-		if err := fault("page"); err != nil {
+		if err := fault(); err != nil {
 			return keeper.Page{}, err
 		}
 		return page(ctx, prefix, after)
 	}
 	s.Watch = func(ctx context.Context, prefix string, after uint64, until time.Time) (keeper.Page, error) {
-		if err := fault("watch"); err != nil {
+		if err := fault(); err != nil {
 			return keeper.Page{}, err
 		}
 		return watch(ctx, prefix, after, until)
 	}
 	s.Commit = func(ctx context.Context, change keeper.Change) (uint64, error) {
-		if err := fault("commit"); err != nil {
+		if err := fault(); err != nil {
 			return 0, err
 		}
 		f.mu.Lock()
@@ -177,13 +177,13 @@
 		return 0, keeper.ErrUnsettled
 	}
 	s.Lease = func(ctx context.Context, ttl time.Duration) (string, error) {
-		if err := fault("lease"); err != nil {
+		if err := fault(); err != nil {
 			return "", err
 		}
 		return lease(ctx, ttl)
 	}
 	s.Renew = func(ctx context.Context, id string) error {
-		if err := fault("renew"); err != nil {
+		if err := fault(); err != nil {
 			return err
 		}
 		return renew(ctx, id)
--- a/conductor/history_test.go
+++ b/conductor/history_test.go
@@ -49,7 +49,7 @@
 	c := qt.New(t)
 	r := rand.New(rand.NewPCG(seed, 0))
 	ctx, cancel := context.WithCancel(context.Background())
-	f := newFleet(t, ctx, seed, 3, 5)
+	f := newFleet(ctx, t, seed, 3, 5)
 	time.Sleep(3 * time.Second)
 	var ids []string
 	end := time.Now().Add(40 * time.Second)
--- /dev/null
+++ b/elector/claim.go
@@ -0,0 +1,190 @@
+package elector
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/fxamacker/cbor/v2"
+	"go.uber.org/zap"
+
+	"github.com/endivefall/endivefall/keeper"
+)
+
+// claimLoop judges the owner, proves ownership, and claims it where it is free.
+func (e *Elector) claimLoop(ctx context.Context) {
+	for ctx.Err() == nil {
+		pause(ctx, checkEvery)
+		if e.Mine() {
+			e.prove(ctx)
+			continue
+		}
+		if why := e.vacancy(); why != "" {
+			if err := e.claim(ctx, why); err != nil && ctx.Err() == nil {
+				e.cfg.Log.Info("claim failed", zap.String("why", why), zap.Error(err))
+			}
+		}
+	}
+}
+
+// prove asks the store whether this process still is the owner.
+func (e *Elector) prove(ctx context.Context) {
+	sent := e.cfg.Now()
+	if sent.Sub(e.Proven()) < proveEvery {
+		return
+	}
+	item, err := e.cfg.Store.Get(ctx, OwnerKey)
+	if err != nil {
+		e.cfg.Log.Warn("ownership not proven", zap.Error(err), zap.Duration("age", e.cfg.Now().Sub(e.Proven())))
+		return
+	}
+	e.apply([]keeper.Item{item})
+	e.mu.Lock()
+	if e.mine() && item.Version == e.version && sent.After(e.proven) {
+		e.proven = sent
+	}
+	e.mu.Unlock()
+}
+
+// ownerGone is the reason of a claim whose owner may live on unseen.
+const ownerGone = "owner is gone"
+
+// vacancy says why this entry should claim ownership now; empty while it
+// should not.
+func (e *Elector) vacancy() string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := e.cfg.Now()
+	why := ""
+	owner, lives := e.members[e.record.Owner.ID]
+	switch {
+	case e.members[e.cfg.Self.ID] != e.cfg.Self:
+		return "" // the store does not know this entry as living
+	case e.version == 0:
+		why = "no owner yet"
+	case e.record.Released:
+		why = "owner released"
+	case lives && owner.Born != e.record.Owner.Born:
+		why = "owner started anew"
+	case !lives && now.Sub(e.cfg.Reached()) > time.Second:
+		why = ownerGone
+	}
+	if why == "" {
+		e.vacant = time.Time{}
+		return ""
+	}
+	if e.vacant.IsZero() {
+		e.vacant = now
+	}
+	rank := e.rank()
+	if now.Before(e.rest) && rank > 0 {
+		return ""
+	}
+	if now.Before(e.vacant.Add(time.Duration(rank) * rankDelay)) {
+		return ""
+	}
+	return why
+}
+
+// rank is the place of this entry among the candidates of the next term, from 0.
+func (e *Elector) rank() int {
+	score := func(id string) uint64 { return xxhash.Sum64String(fmt.Sprint(id, e.record.Term)) }
+	rank, mine := 0, score(e.cfg.Self.ID)
+	for id, m := range e.members {
+		if id != e.cfg.Self.ID && m != e.record.Owner && score(id) > mine {
+			rank++
+		}
+	}
+	if e.cfg.Now().Before(e.rest) {
+		rank += len(e.members) - 1
+	}
+	return rank
+}
+
+// claim makes this process the owner if the owner's key is as last seen.
+func (e *Elector) claim(ctx context.Context, why string) error {
+	e.mu.Lock()
+	record, version := e.record, e.version
+	e.mu.Unlock()
+	if why == ownerGone { // the watch may be behind
+		item, err := e.cfg.Store.Get(ctx, entryPrefix+record.Owner.ID)
+		if err == nil {
+			e.apply([]keeper.Item{item})
+			return nil
+		}
+		if !errors.Is(err, keeper.ErrMissing) {
+			return err
+		}
+	}
+	next := Record{Owner: e.cfg.Self, Term: record.Term + 1, Clean: why != ownerGone}
+	sent := e.cfg.Now()
+	at, err := e.write(ctx, next, version)
+	if err != nil {
+		return err
+	}
+	e.mu.Lock()
+	e.record, e.version, e.proven, e.vacant = next, at, sent, time.Time{}
+	e.mu.Unlock()
+	e.cfg.Log.Info("ownership claimed", zap.Uint64("term", next.Term), zap.Uint64("version", at), zap.String("why", why), zap.Bool("clean", next.Clean), zap.String("before", record.Owner.ID))
+	e.cfg.Seen(next, e.Members())
+	return nil
+}
+
+// write sets the owner's key if it has the version.
+func (e *Elector) write(ctx context.Context, r Record, version uint64) (uint64, error) {
+	value, err := cbor.Marshal(r)
+	if err != nil {
+		return 0, err
+	}
+	change := keeper.Change{
+		Checks: []keeper.Check{{Key: OwnerKey, Version: version}},
+		Writes: []keeper.Write{{Key: OwnerKey, Value: value}},
+	}
+	at, err := e.cfg.Store.Commit(ctx, change)
+	var clash *keeper.Clash
+	if errors.As(err, &clash) {
+		item := clash.Item(OwnerKey)
+		if clash.Holds(change) {
+			return item.Version, nil // an attempt without an answer took effect
+		}
+		e.apply([]keeper.Item{item})
+	}
+	return at, err
+}
+
+// Release gives ownership up, if this process has it, and claims none for a
+// while. The caller has stopped giving orders.
+func (e *Elector) Release(ctx context.Context, why string) {
+	e.mu.Lock()
+	record, version, mine := e.record, e.version, e.mine()
+	e.rest = e.cfg.Now().Add(restAfter)
+	e.mu.Unlock()
+	if !mine {
+		return
+	}
+	record.Released = true
+	at, err := e.write(ctx, record, version)
+	e.cfg.Log.Info("ownership released", zap.Uint64("term", record.Term), zap.String("why", why), zap.Error(err))
+	if err != nil {
+		return
+	}
+	e.mu.Lock()
+	e.record, e.version = record, at
+	e.mu.Unlock()
+	e.cfg.Seen(record, e.Members())
+}
+
+// Leave drops the live key.
+func (e *Elector) Leave(ctx context.Context) {
+	e.mu.Lock()
+	lease := e.lease
+	e.mu.Unlock()
+	if lease == "" {
+		return
+	}
+	if err := e.cfg.Store.End(ctx, lease); err != nil {
+		e.cfg.Log.Info("live key not dropped; its lease ends it", zap.Error(err))
+	}
+}
--- a/overseer/agent.go
+++ b/overseer/agent.go
@@ -155,7 +155,7 @@
 		listed[runKey{row.Task, row.Attempt}] = true
 		o.listed(a, row)
 	}
-	o.profile(a, t)
+	o.profile(t)
 	if !a.surveyed || a.missing {
 		a.surveyed, a.missing = true, false
 		o.plan = true
--- a/overseer/gang.go
+++ b/overseer/gang.go
@@ -25,7 +25,7 @@
 	}
 	for _, among := range gangSeats(step, seats) {
 		if chosen := seatGang(members, name, among, now, o.press.Press); chosen != nil {
-			o.startGang(j, members, chosen, seats, agents, ordered)
+			o.startGang(j, members, chosen, agents, ordered)
 			return
 		}
 	}
@@ -75,7 +75,7 @@
 }
 
 // startGang orders all members under one attempt number and one checkpoint.
-func (o *Overseer) startGang(j *job, members []*sequencer.Task, chosen []*seater.Seat, seats []*seater.Seat, agents map[string]*agent, ordered map[*agent]int) {
+func (o *Overseer) startGang(j *job, members []*sequencer.Task, chosen []*seater.Seat, agents map[string]*agent, ordered map[*agent]int) {
 	attempt := uint64(0)
 	newest := members[0]
 	for n, t := range members {
--- a/overseer/overseer.go
+++ b/overseer/overseer.go
@@ -33,8 +33,10 @@
 	agentPrefix = "ef/agent/"
 )
 
-// JobKey is the key of an accepted job, CancelKey that of its cancel.
-func JobKey(id string) string    { return JobPrefix + "j" + id }
+// JobKey is the key of an accepted job.
+func JobKey(id string) string { return JobPrefix + "j" + id }
+
+// CancelKey is the key of a job's cancel.
 func CancelKey(id string) string { return JobPrefix + "x" + id }
 
 // OutKey is the key of a job's progress.
--- a/overseer/relieve.go
+++ b/overseer/relieve.go
@@ -27,7 +27,7 @@
 )
 
 // profile learns from a table what filling images do to serving ones.
-func (o *Overseer) profile(a *agent, t *messenger.Table) {
+func (o *Overseer) profile(t *messenger.Table) {
 	use := profiler.Use{}
 	for _, row := range t.Runs {
 		r := o.runs[runKey{row.Task, row.Attempt}]
