--- a/conductor/fleet_test.go
+++ b/conductor/fleet_test.go
@@ -33,7 +33,7 @@
 	ctx     context.Context
 	store   *faker.Store
 	network *faker.Network
-	book    *book
+	book    *faker.Book
 	log     *zap.Logger
 
 	mu      sync.Mutex
@@ -70,7 +70,7 @@
 
 func newFleet(ctx context.Context, t *testing.T, seed uint64, entries, agents int) *fleet {
 	f := &fleet{
-		t: t, seed: seed, ctx: ctx, store: faker.NewStore(), network: faker.NewNetwork(), book: newBook(), log: zap.NewNop(),
+		t: t, seed: seed, ctx: ctx, store: faker.NewStore(), network: faker.NewNetwork(), book: faker.NewBook(), log: zap.NewNop(),
 		entries: map[string]*entryNode{}, agents: map[string]*agentNode{}, away: map[string]bool{}, rolls: map[string]int{},
 	}
 	if *logged {
@@ -87,7 +87,7 @@
 		name := fmt.Sprintf("agent-%d", n)
 		w := faker.NewPoolWorker()
 		w.CPU, w.Memory = 8000, 16000
-		w.Plan, w.Told = f.plan, f.book.told
+		w.Plan, w.Told = f.plan, f.book.Told
 		w.Fault = func(call string) faker.PoolFault { return f.workerFault(name, call) }
 		a := &agentNode{name: name, worker: w}
 		f.agents[name] = a
@@ -107,7 +107,7 @@
 }
 
 func (f *fleet) plan(task string, attempt uint64) faker.PoolPlan {
-	if f.book.lasting(task) {
+	if f.book.Lasting(task) {
 		return faker.PoolPlan{}
 	}
 	r := rand.New(rand.NewPCG(f.seed, xxhash.Sum64String(fmt.Sprint(task, attempt))))
--- a/conductor/history_test.go
+++ b/conductor/history_test.go
@@ -77,9 +77,9 @@
 	open := f.open(ids)
 	cancel()
 	f.close()
-	c.Check(f.book.faults, qt.HasLen, 0)
+	c.Check(f.book.Faults(), qt.HasLen, 0)
 	c.Check(open, qt.HasLen, 0)
-	c.Check(f.book.starts > 50, qt.IsTrue, qt.Commentf("only %d starts", f.book.starts))
+	c.Check(f.book.Starts() > 50, qt.IsTrue, qt.Commentf("only %d starts", f.book.Starts()))
 	time.Sleep(time.Minute) // what was late ends
 }
 
@@ -98,40 +98,25 @@
 		spec.Steps = []sequencer.Step{{Count: 2, CPU: 500, Memory: 100, Lasting: true}}
 	}
 	e := f.some(r.IntN(16))
-	j := &bookJob{spec: spec}
-	f.book.mu.Lock()
-	f.book.jobs[id] = j
-	f.book.mu.Unlock()
+	f.book.Add(spec)
 	ctx, cancel := context.WithTimeout(f.ctx, 3*time.Second)
 	defer cancel()
 	err := e.c.Acceptor.Submit(ctx, spec, time.Now().Add(3*time.Second))
 	if errors.Is(err, acceptor.ErrTurnedAway) {
-		f.book.mu.Lock()
-		delete(f.book.jobs, id) // a start from now on is a fault
-		f.book.mu.Unlock()
+		f.book.Refuse(id)
 	}
 	if err != nil {
 		return ""
 	}
-	f.book.mu.Lock()
-	j.accepted = true
-	f.book.mu.Unlock()
 	return id
 }
 
 func (f *fleet) cancel(id string, r *rand.Rand) {
 	ctx, cancel := context.WithTimeout(f.ctx, 3*time.Second)
 	defer cancel()
-	f.book.mu.Lock()
-	j := f.book.jobs[id]
-	if j.canceled.IsZero() {
-		j.canceled = time.Now().Add(time.Hour) // it may be canceled from now on
-	}
-	f.book.mu.Unlock()
+	f.book.Cancel(id, false)
 	if err := f.some(r.IntN(16)).c.Acceptor.Cancel(ctx, "queue", id); err == nil {
-		f.book.mu.Lock()
-		j.canceled = time.Now()
-		f.book.mu.Unlock()
+		f.book.Cancel(id, true)
 	}
 }
 
@@ -140,12 +125,10 @@
 	defer cancel()
 	state, err := f.some(r.IntN(16)).c.Acceptor.State(ctx, "queue", id)
 	if errors.Is(err, acceptor.ErrGone) {
-		f.book.mu.Lock()
-		f.book.fault("%s was accepted and is not known", id)
-		f.book.mu.Unlock()
+		f.book.Gone(id)
 	}
 	if err == nil {
-		f.book.shown(id, state)
+		f.book.Shown(id, state)
 	}
 }
 
@@ -241,10 +224,7 @@
 			open = append(open, fmt.Sprintf("%s: %v", id, err))
 			continue
 		}
-		f.book.shown(id, state)
-		f.book.mu.Lock()
-		j := f.book.jobs[id]
-		f.book.mu.Unlock()
+		f.book.Shown(id, state)
 		switch {
 		case state.Final():
 			for task := range running {
@@ -252,7 +232,7 @@
 					open = append(open, fmt.Sprintf("%s is %s and %s runs on", id, state, task))
 				}
 			}
-		case j.spec.Steps[0].Lasting:
+		case f.book.Spec(id).Steps[0].Lasting:
 			for k := range 2 {
 				if name := fmt.Sprintf("%s.0.0.%d", id, k); !running[name] {
 					open = append(open, name+" does not run")
--- /dev/null
+++ b/e2e/pools_test.go
@@ -0,0 +1,284 @@
+package e2e
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	qt "github.com/frankban/quicktest"
+
+	"github.com/endivefall/endivefall/faker"
+	"github.com/endivefall/endivefall/keeper"
+	"github.com/endivefall/endivefall/platform/standin"
+	"github.com/endivefall/endivefall/sequencer"
+)
+
+var (
+	soakSeeds = flag.Int("soaks", 1, "seeded soaks of the pools' real processes")
+	soakSeed  = flag.Uint64("soakseed", 1, "seed of the first soak")
+	soakTime  = flag.Duration("soaktime", 20*time.Second, "how long faults are brought about in a soak")
+)
+
+// pools is real entries and agents of the pools, with the platform's store and
+// workers as stand-ins in this process.
+type pools struct {
+	*world
+	store   *faker.Store
+	book    *faker.Book
+	r       *rand.Rand
+	procs   []*pooled
+	fronts  []string
+	workers []*standin.Worker
+	lives   int
+	stop    context.CancelFunc
+}
+
+// pooled is a process that is started again after its end.
+type pooled struct {
+	*process
+	role, conf string
+	paused     bool
+}
+
+func (w *world) serveHTTP(h http.Handler) string {
+	addr := freeAddr(w.c)
+	l, err := net.Listen("tcp", addr)
+	w.c.Assert(err, qt.IsNil)
+	server := &http.Server{Handler: h}
+	go func() { _ = server.Serve(l) }()
+	w.c.Cleanup(func() { _ = server.Close() })
+	return addr
+}
+
+func newPools(t *testing.T, seed uint64, entries, agents int) *pools {
+	c := qt.New(t)
+	p := &pools{
+		world: &world{c: c, dir: t.TempDir(), cheap: &http.Client{Timeout: 3 * time.Second}},
+		store: faker.NewStore(), book: faker.NewBook(), r: rand.New(rand.NewPCG(seed, 1)),
+	}
+	c.Cleanup(p.world.stop)
+	store := p.serveHTTP(&standin.Store{Kept: p.store})
+	config := `{"version":1,"routes":[{"name":"q","host":"h.example","prefix":"/q/","service":"pool","maxAttempts":6}]}`
+	_, err := p.store.Keeper().Commit(context.Background(), keeper.Change{Writes: []keeper.Write{{Key: "op/config", Value: []byte(config)}}})
+	c.Assert(err, qt.IsNil)
+	for n := range entries {
+		front := freeAddr(c)
+		conf := p.file(fmt.Sprintf("entry-%d.yaml", n), fmt.Sprintf(
+			"id: entry-%d\ndomain: d\nlisten: %s\nready: %s\npeer: %s\nstore: %s\nhold: 6s\nkeep: 10m\ndrain: 4s\n",
+			n, front, freeAddr(c), freeAddr(c), store))
+		p.fronts = append(p.fronts, front)
+		p.procs = append(p.procs, &pooled{process: p.start(fmt.Sprint("entry-", n), "pool-entry", conf), role: "pool-entry", conf: conf})
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	p.stop = stop
+	c.Cleanup(stop)
+	for n := range agents {
+		runs := faker.NewPoolWorker()
+		runs.CPU, runs.Memory, runs.Told = 4000, 8000, p.book.Told
+		runs.Plan = func(task string, attempt uint64) faker.PoolPlan {
+			if p.book.Lasting(task) {
+				return faker.PoolPlan{}
+			}
+			r := rand.New(rand.NewPCG(seed, xxhash.Sum64String(fmt.Sprint(task, attempt))))
+			return faker.PoolPlan{Takes: time.Duration(50+r.IntN(1200)) * time.Millisecond, Fails: r.Float64() < 0.04}
+		}
+		worker := &standin.Worker{Runs: runs, Service: "pool"}
+		p.workers = append(p.workers, worker)
+		p.boot(worker)
+		beats := freeAddr(c)
+		conf := p.file(fmt.Sprintf("agent-%d.yaml", n), fmt.Sprintf(
+			"id: agent-%d\ndomain: d\nlisten: %s\nworker: %s\npool: pool\nstore: %s\nhold: 6s\n", n, beats, p.serveHTTP(worker), store))
+		p.procs = append(p.procs, &pooled{process: p.start(fmt.Sprint("agent-", n), "pool-agent", conf), role: "pool-agent", conf: conf})
+		go beat(ctx, worker, netip.MustParseAddrPort(beats))
+	}
+	return p
+}
+
+// beat sends a worker's heartbeats until ctx ends.
+func beat(ctx context.Context, w *standin.Worker, agent netip.AddrPort) {
+	client := &http.Client{Timeout: time.Second}
+	tick := time.NewTicker(500 * time.Millisecond)
+	defer tick.Stop()
+	for seq := uint64(1); ; seq++ {
+		_ = w.Beat(ctx, client, agent, seq) // an agent that is away hears a later one
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+	}
+}
+
+func (p *pools) boot(w *standin.Worker) {
+	p.lives++
+	w.Runs.Boot(fmt.Sprint("life-", p.lives), time.UnixMilli(int64(1000000+p.lives*7919000%5000000)))
+}
+
+// call sends a caller's request to some entry; status is 0 without an answer.
+func (p *pools) call(method, id, body string) (status int, state string) {
+	front := p.fronts[p.r.IntN(len(p.fronts))]
+	req, err := http.NewRequest(method, "http://"+front+"/q/"+id, strings.NewReader(body))
+	p.c.Assert(err, qt.IsNil)
+	req.Host = "h.example"
+	resp, err := p.cheap.Do(req)
+	if err != nil {
+		return 0, ""
+	}
+	defer func() { _ = resp.Body.Close() }()
+	raw, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return 0, ""
+	}
+	var answer struct {
+		State string `json:"state"`
+	}
+	if err := json.Unmarshal(raw, &answer); err != nil {
+		return 0, ""
+	}
+	return resp.StatusCode, answer.State
+}
+
+// submit hands a job in, and says whether it was accepted.
+func (p *pools) submit() (string, bool) {
+	id := fmt.Sprintf("%016x", p.r.Uint64())
+	spec := &sequencer.Spec{ID: id, Attempts: 6}
+	phases := []map[string]any{}
+	for n := range 1 + p.r.IntN(2) {
+		s := sequencer.Step{Count: 1 + p.r.IntN(4), CPU: int64(200 + p.r.IntN(1000)), Memory: 100}
+		phase := map[string]any{"count": s.Count, "cpu": s.CPU, "memMb": s.Memory, "estimateMs": 500}
+		if n > 0 {
+			s.After, phase["after"] = []int{n - 1}, []int{n - 1}
+		}
+		spec.Steps, phases = append(spec.Steps, s), append(phases, phase)
+	}
+	raw, err := json.Marshal(map[string]any{"spec": "x", "phases": phases})
+	p.c.Assert(err, qt.IsNil)
+	p.book.Add(spec)
+	status, _ := p.call(http.MethodPost, id, string(raw))
+	if status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests {
+		p.book.Refuse(id)
+	}
+	return id, status == http.StatusOK
+}
+
+// trouble brings one fault about, from outside the processes.
+func (p *pools) trouble() {
+	victim := p.procs[p.r.IntN(len(p.procs))]
+	switch p.r.IntN(6) {
+	case 0:
+		victim.signal(syscall.SIGKILL)
+	case 1:
+		victim.signal(syscall.SIGTERM)
+	case 2:
+		if !victim.paused {
+			victim.paused = true
+			victim.signal(syscall.SIGSTOP)
+		}
+	case 3:
+		p.boot(p.workers[p.r.IntN(len(p.workers))])
+	case 4:
+		refuse := p.r.IntN(2) == 0
+		p.store.SetFault(func(call string) faker.StoreFault {
+			return faker.StoreFault{Refuse: refuse, Lose: !refuse && call == "commit" && rand.Float64() < 0.3}
+		})
+	case 5:
+		victim.signal(syscall.SIGHUP)
+	}
+}
+
+// mend lets paused processes go on, starts ended ones again, and ends the
+// store's faults.
+func (p *pools) mend(all bool) {
+	for _, v := range p.procs {
+		if v.paused && (all || p.r.IntN(3) == 0) {
+			v.paused = false
+			v.signal(syscall.SIGCONT)
+		}
+		select {
+		case <-v.done:
+			v.process = p.start(v.name, v.role, v.conf)
+		default:
+		}
+	}
+	if all || p.r.IntN(3) == 0 {
+		p.store.SetFault(nil)
+	}
+}
+
+// failedSoaks are seeds that once failed, with the cause.
+var failedSoaks = []uint64{}
+
+// TestSoakOfPools kills, stops, pauses and restarts real processes of the pools
+// at random, with troubles of their store and workers, and checks what callers
+// and workers see.
+func TestSoakOfPools(t *testing.T) {
+	seeds := failedSoaks
+	for n := range *soakSeeds {
+		seeds = append(seeds, *soakSeed+uint64(n))
+	}
+	for _, seed := range seeds {
+		t.Run(fmt.Sprint("seed-", seed), func(t *testing.T) { soak(t, seed) })
+	}
+}
+
+func soak(t *testing.T, seed uint64) {
+	p := newPools(t, seed, 3, 3)
+	p.eventually("a job is accepted", func() bool {
+		_, ok := p.submit()
+		return ok
+	})
+	var ids []string
+	tick := time.NewTicker(100 * time.Millisecond)
+	defer tick.Stop()
+	for n, end := 0, time.Now().Add(*soakTime); time.Now().Before(end); n++ {
+		<-tick.C
+		if id, ok := p.submit(); ok {
+			ids = append(ids, id)
+		}
+		if len(ids) > 0 {
+			p.look(ids[p.r.IntN(len(ids))])
+		}
+		if n%12 == 11 {
+			p.trouble()
+		}
+		if n%12 == 5 {
+			p.mend(false)
+		}
+	}
+	p.mend(true)
+	p.eventually("every accepted job is over", func() bool {
+		p.mend(true)
+		for _, id := range ids {
+			if !p.look(id) {
+				return false
+			}
+		}
+		return true
+	})
+	p.c.Check(p.book.Faults(), qt.HasLen, 0)
+	p.c.Check(len(ids) > 20, qt.IsTrue, qt.Commentf("%d jobs were accepted", len(ids)))
+}
+
+// look asks for an accepted job, and says whether it is over.
+func (p *pools) look(id string) bool {
+	status, state := p.call(http.MethodGet, id, "")
+	if status == http.StatusGone {
+		p.book.Gone(id)
+	}
+	if status != http.StatusOK {
+		return false
+	}
+	p.book.Shown(id, sequencer.State(state))
+	return sequencer.State(state).Final()
+}
--- a/conductor/book_test.go
+++ b/faker/book.go
@@ -1,4 +1,4 @@
-package conductor_test
+package faker
 
 import (
 	"fmt"
@@ -6,13 +6,13 @@
 	"sync"
 	"time"
 
-	"github.com/endivefall/endivefall/faker"
 	"github.com/endivefall/endivefall/messenger"
 	"github.com/endivefall/endivefall/sequencer"
 )
 
-// book checks the promises from what workers and callers saw.
-type book struct {
+// Book checks the promises of a pool from what workers and callers saw. It is
+// safe for concurrent use.
+type Book struct {
 	mu   sync.Mutex
 	jobs map[string]*bookJob
 	// running has the lives on which a task runs.
@@ -28,23 +28,26 @@
 
 // bookJob is a job as its caller knows it.
 type bookJob struct {
-	spec     *sequencer.Spec
-	accepted bool
-	canceled time.Time // when the cancel was acknowledged
+	spec *sequencer.Spec
+	// canceled is when the cancel was acknowledged; in the future for one that
+	// may have taken effect.
+	canceled time.Time
 }
 
-func newBook() *book {
-	return &book{
+// NewBook returns an empty Book.
+func NewBook() *Book {
+	return &Book{
 		jobs: map[string]*bookJob{}, running: map[string][]string{}, done: map[string]bool{}, ended: map[string]bool{},
 		failed: map[string]int{},
 	}
 }
 
-func (b *book) fault(format string, args ...any) {
+func (b *Book) fault(format string, args ...any) {
 	b.faults = append(b.faults, fmt.Sprintf(format, args...))
 }
 
-func (b *book) lasting(task string) bool {
+// Lasting says whether a task runs until its job is cancelled.
+func (b *Book) Lasting(task string) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	id, _, step, _, err := sequencer.SplitName(task)
@@ -52,8 +55,8 @@
 	return err == nil && j != nil && j.spec.Steps[step].Lasting
 }
 
-// told takes an event of a worker.
-func (b *book) told(e faker.PoolEvent) {
+// Told takes an event of a worker.
+func (b *Book) Told(e PoolEvent) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	switch e.Kind {
@@ -79,7 +82,7 @@
 	}
 }
 
-func (b *book) started(e faker.PoolEvent) {
+func (b *Book) started(e PoolEvent) {
 	id, k, step, _, err := sequencer.SplitName(e.Task)
 	j := b.jobs[id]
 	if err != nil || j == nil {
@@ -108,8 +111,8 @@
 	}
 }
 
-// shown checks a state that a caller was shown.
-func (b *book) shown(id string, state sequencer.State) {
+// Shown checks a state that a caller was shown.
+func (b *Book) Shown(id string, state sequencer.State) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	j := b.jobs[id]
@@ -138,3 +141,60 @@
 		}
 	}
 }
+
+// Add notes a job before it is handed in.
+func (b *Book) Add(spec *sequencer.Spec) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.jobs[spec.ID] = &bookJob{spec: spec}
+}
+
+// Refuse notes that a caller was told that a job never runs: a start from now
+// on is a fault.
+func (b *Book) Refuse(id string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	delete(b.jobs, id)
+}
+
+// Spec returns a job that was added.
+func (b *Book) Spec(id string) *sequencer.Spec {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.jobs[id].spec
+}
+
+// Cancel notes a cancel: that it may take effect from now on, or that it was
+// acknowledged.
+func (b *Book) Cancel(id string, acknowledged bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	j := b.jobs[id]
+	switch {
+	case acknowledged:
+		j.canceled = time.Now()
+	case j.canceled.IsZero():
+		j.canceled = time.Now().Add(time.Hour)
+	}
+}
+
+// Gone notes that an accepted job was told as not known.
+func (b *Book) Gone(id string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.fault("%s was accepted and is not known", id)
+}
+
+// Faults returns what went wrong.
+func (b *Book) Faults() []string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return slices.Clone(b.faults)
+}
+
+// Starts counts the runs that began.
+func (b *Book) Starts() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.starts
+}
--- a/faker/store.go
+++ b/faker/store.go
@@ -73,8 +73,11 @@
 // run carries a call out under the faults of the moment.
 func (s *Store) run(ctx context.Context, call string, do func() error) error {
 	var f StoreFault
-	if s.Fault != nil {
-		f = s.Fault(call)
+	s.mu.Lock()
+	fault := s.Fault
+	s.mu.Unlock()
+	if fault != nil {
+		f = fault(call)
 	}
 	if f.Delay > 0 {
 		t := time.NewTimer(f.Delay)
@@ -98,6 +101,13 @@
 	return do()
 }
 
+// SetFault changes what befalls calls, while the store is in use.
+func (s *Store) SetFault(fault func(call string) StoreFault) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.Fault = fault
+}
+
 // expire ends leases whose time is over; mu is held.
 func (s *Store) expire() {
 	now := s.Now()
