overseer: Ask which workers a queue's policy allows

Queues may have a policy that only its service knows; starts there carry a ticket. Asked once a step for the workers that could run it, and again when the ticket runs out.

--- a/acceptor/queue.go
+++ b/acceptor/queue.go
@@ -15,6 +15,8 @@
 	Attempts int    // failed runs after which a task fails; 0 is without limit
 	Stretch  float64
 	Aim      time.Duration // objective beyond Stretch times the work
+	// Advised is set where the queue's policy allows only some workers.
+	Advised bool
 }
 
 // Queues is one version of the operator's configuration.
--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -65,6 +65,8 @@
 	Log       *zap.Logger
 	Count     func(name string)
 	Time      func(name string, d time.Duration)
+	// Advise asks the service of the queues' policies.
+	Advise func(ctx context.Context, step string, workers []string) ([]overseer.Grant, time.Duration, error)
 	// Listen opens the listener for peers; net.Listen when nil. Client calls
 	// them; one that notices silent peers when nil.
 	Listen func(network, addr string) (net.Listener, error)
@@ -223,7 +225,7 @@
 	o := overseer.New(overseer.Config{
 		Term: record.Term, Epoch: epoch, OwnerKey: elector.OwnerKey, Store: c.relayer.Store(), Now: c.cfg.Now, Wall: c.cfg.Wall,
 		Lease: Lease(c.cfg.Hold), Proof: proof, Foreign: foreign, Keep: c.cfg.Keep,
-		Proven: c.elector.Proven, Prove: c.elector.Prove,
+		Advise: c.cfg.Advise, Proven: c.elector.Proven, Prove: c.elector.Prove,
 		Others: func() bool { return len(c.elector.Members()) > 0 },
 		Log:    c.cfg.Log, Count: c.cfg.Count, Time: c.cfg.Time,
 	})
--- a/configurer/pool.go
+++ b/configurer/pool.go
@@ -14,6 +14,8 @@
 	Peer    netip.AddrPort `yaml:"peer" validate:"required"`   // for entries and agents
 	Metrics netip.AddrPort `yaml:"metrics"`
 	Store   netip.AddrPort `yaml:"store" validate:"required"`
+	// Advice is the service of the queues' policies, where there is one.
+	Advice netip.AddrPort `yaml:"advice"`
 	// Hold is the longest lease that a worker takes.
 	Hold time.Duration `yaml:"hold" validate:"gt=0"`
 	// Keep is how long the state of a job that is over is kept at least.
--- a/overseer/follow.go
+++ b/overseer/follow.go
@@ -195,6 +195,7 @@
 // close takes a job that is over out of the work: its runs are stopped.
 func (o *Overseer) close(j *job) {
 	delete(o.open, j.Spec.ID)
+	o.forgetAdvice(j)
 	for _, r := range j.live {
 		o.stop(r, "job is over")
 	}
--- a/overseer/overseer.go
+++ b/overseer/overseer.go
@@ -91,6 +91,9 @@
 	// Proven and Prove read and note the newest proof of ownership.
 	Proven func() time.Time
 	Prove  func(sent time.Time)
+	// Advise asks the service of a queue's policy which lives of workers may run
+	// a step, and how long that holds.
+	Advise func(ctx context.Context, step string, workers []string) ([]Grant, time.Duration, error)
 	// Others says whether another living entry could own the pools.
 	Others func() bool
 	Log    *zap.Logger
@@ -121,6 +124,10 @@
 	// one may begin.
 	plan    bool
 	planned time.Time
+	// advice has what is known of steps of queues with a policy, asking counts
+	// the calls on their way.
+	advice map[string]*advice
+	asking int
 	// press is what is known of images beside each other.
 	press *profiler.Profiler
 	// slowness is the mean of how much longer than estimated runs take, as a
@@ -188,7 +195,7 @@
 	return &Overseer{
 		cfg: cfg, do: make(chan func(), queue), done: make(chan struct{}),
 		jobs: map[string]*job{}, open: map[string]*job{}, runs: map[runKey]*run{}, agents: map[string]*agent{},
-		press: profiler.New(),
+		press: profiler.New(), advice: map[string]*advice{},
 	}
 }
 
--- a/overseer/overseer_test.go
+++ b/overseer/overseer_test.go
@@ -304,3 +304,48 @@
 	d.o.hear(d.o.agents["a0"], &messenger.Table{Term: 2})
 	c.Assert(d.o.ending, qt.ErrorIs, ErrDeposed)
 }
+
+func TestStepsOfAQueueWithAPolicyRunOnlyWhereItIsGranted(t *testing.T) {
+	c := qt.New(t)
+	d := newDesk(c, 3)
+	asked := 0
+	d.o.cfg.Advise = func(_ context.Context, _ string, workers []string) ([]Grant, time.Duration, error) {
+		asked++
+		want := []string{"life-a0", "life-a1", "life-a2"}
+		if asked == 3 {
+			want = []string{"life-a1"} // a policy does not change; its ticket ran out
+		}
+		c.Check(workers, qt.DeepEquals, want)
+		return []Grant{{Worker: "life-a1", Ticket: "t1"}, {Worker: "never-asked", Ticket: "x"}}, 3 * time.Second, nil
+	}
+	j := d.submit(sequencer.Spec{Steps: []sequencer.Step{step(4, 10)}, Advised: true})
+	d.o.place()
+	d.o.place()
+	c.Assert(j.live, qt.HasLen, 0)
+	(<-d.o.do)()
+	d.o.place()
+	c.Assert(asked, qt.Equals, 1)
+	c.Assert(j.live, qt.HasLen, 4)
+	for _, r := range j.live {
+		c.Assert(r.agent.id, qt.Equals, "a1")
+	}
+	for _, f := range d.sent["a1"] {
+		if f.Kind == messenger.KindOrder {
+			c.Assert(f.Order.Start.Ticket, qt.Equals, "t1")
+		}
+	}
+	// A ticket near its end is not used; it is asked for again.
+	more := d.submit(sequencer.Spec{Steps: []sequencer.Step{step(1, 10)}, Advised: true})
+	d.o.place()
+	(<-d.o.do)()
+	d.now = d.now.Add(3 * time.Second)
+	for _, id := range []string{"a0", "a1", "a2"} {
+		d.table(id, &messenger.Table{})
+	}
+	d.o.place()
+	c.Assert(more.live, qt.HasLen, 0)
+	(<-d.o.do)()
+	d.o.place()
+	c.Assert(more.live, qt.HasLen, 1)
+	c.Assert(asked, qt.Equals, 3)
+}
--- a/overseer/place.go
+++ b/overseer/place.go
@@ -166,6 +166,7 @@
 			t.Since = now
 		}
 		if t.Shape().Gang {
+			seats := o.advised(j, stepName(t), seats, agents, now)
 			if t.Index == 0 && len(waiting) >= n+t.Shape().Count {
 				o.placeGang(j, waiting[n:n+t.Shape().Count], seats, agents, ordered, now)
 			}
@@ -178,7 +179,7 @@
 		if name == full && len(t.Avoid) == 0 {
 			continue
 		}
-		s := seater.Pick(t, name, seats, now, o.press.Press)
+		s := seater.Pick(t, name, o.advised(j, name, seats, agents, now), now, o.press.Press)
 		if s == nil {
 			o.preempt(t, name, seats, agents, now)
 			full = name
@@ -233,6 +234,7 @@
 	step := r.task.Shape()
 	return &messenger.RunStart{
 		Task: r.key.task, Attempt: r.key.attempt, Payload: r.job.Spec.Payload, Saved: r.task.Saved, Known: known,
+		Ticket: o.ticketOf(stepName(r.task), r.agent),
 		Traits: messenger.Traits{
 			CPU: step.CPU, Memory: step.Memory, GPU: step.GPU, Fills: step.Fills, Image: step.Image, Target: step.Target,
 		},
--- a/overseer/write.go
+++ b/overseer/write.go
@@ -158,6 +158,7 @@
 		if w.state.Final() && !w.job.Durable.Final() {
 			w.job.Durable, w.job.over = w.state, now
 			delete(o.open, w.job.Spec.ID)
+			o.forgetAdvice(w.job)
 			o.cfg.Log.Info("job over", zap.String("job", w.job.Spec.ID), zap.String("state", string(w.state)), zap.Duration("age", o.cfg.Wall().Sub(w.job.Spec.Accepted)))
 			o.cfg.Time("job", o.cfg.Wall().Sub(w.job.Spec.Accepted))
 			o.cfg.Count("job_" + string(w.state))
--- a/sequencer/spec.go
+++ b/sequencer/spec.go
@@ -60,6 +60,9 @@
 	Repeat int           `cbor:"10,keyasint,omitempty"`
 	First  time.Time     `cbor:"11,keyasint,omitempty"` // due time of occurrence 0
 	Every  time.Duration `cbor:"12,keyasint,omitempty"`
+	// Advised is set where the queue's policy allows only some workers, which a
+	// service tells.
+	Advised bool `cbor:"14,keyasint,omitempty"`
 	// Accepted is the wall time at which an entry took the job.
 	Accepted time.Time `cbor:"13,keyasint"`
 }
