--- a/e2e/pools_test.go
+++ b/e2e/pools_test.go
@@ -64,7 +64,7 @@
 func newPools(t *testing.T, seed uint64, entries, agents int) *pools {
 	c := qt.New(t)
 	p := &pools{
-		world: &world{c: c, dir: t.TempDir(), cheap: &http.Client{Timeout: 3 * time.Second}},
+		world: &world{c: c, dir: t.TempDir(), cheap: &http.Client{Timeout: time.Second}}, // a paused entry is not to hold the load up
 		store: faker.NewStore(), book: faker.NewBook(), r: rand.New(rand.NewPCG(seed, 1)),
 	}
 	c.Cleanup(p.world.stop)
@@ -217,7 +217,9 @@
 }
 
 // failedSoaks are seeds that once failed, with the cause.
-var failedSoaks = []uint64{}
+var failedSoaks = []uint64{
+	303, // calls to paused entries held the load up: 20 jobs in 20 s
+}
 
 // TestSoakOfPools kills, stops, pauses and restarts real processes of the pools
 // at random, with troubles of their store and workers, and checks what callers
