--- a/elector/claim.go
+++ b/elector/claim.go
@@ -11,12 +11,13 @@
 	"go.uber.org/zap"
 
 	"github.com/endivefall/endivefall/keeper"
+	"github.com/endivefall/endivefall/sleeper"
 )
 
 // claimLoop judges the owner, proves ownership, and claims it where it is free.
 func (e *Elector) claimLoop(ctx context.Context) {
 	for ctx.Err() == nil {
-		pause(ctx, checkEvery)
+		sleeper.Sleep(ctx, checkEvery)
 		if e.Mine() {
 			e.prove(ctx)
 			continue
--- a/elector/elector.go
+++ b/elector/elector.go
@@ -15,6 +15,7 @@
 	"go.uber.org/zap"
 
 	"github.com/endivefall/endivefall/keeper"
+	"github.com/endivefall/endivefall/sleeper"
 )
 
 // Keys of the membership.
@@ -147,22 +148,13 @@
 	duties.Wait()
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
-
 // announceLoop keeps the live key.
 func (e *Elector) announceLoop(ctx context.Context) {
 	key := entryPrefix + e.cfg.Self.ID
 	for ctx.Err() == nil {
 		if err := e.announce(ctx, key); err != nil && ctx.Err() == nil {
 			e.cfg.Log.Warn("live key lost", zap.Error(err))
-			pause(ctx, retryPause)
+			sleeper.Sleep(ctx, retryPause)
 		}
 	}
 }
@@ -185,7 +177,7 @@
 	e.mu.Unlock()
 	e.cfg.Log.Info("live key written", zap.String("lease", lease))
 	for {
-		pause(ctx, renewEvery)
+		sleeper.Sleep(ctx, renewEvery)
 		if ctx.Err() != nil {
 			return nil
 		}
@@ -209,7 +201,7 @@
 	for ctx.Err() == nil {
 		page, err := e.cfg.Store.List(ctx, prefix)
 		if err != nil {
-			pause(ctx, retryPause)
+			sleeper.Sleep(ctx, retryPause)
 			continue
 		}
 		e.reset(page)
@@ -218,7 +210,7 @@
 			page, err := e.cfg.Store.Watch(ctx, prefix, at, time.Now().Add(watchWait))
 			if err != nil {
 				e.cfg.Log.Debug("watch of the membership broke", zap.Error(err))
-				pause(ctx, retryPause)
+				sleeper.Sleep(ctx, retryPause)
 				break
 			}
 			e.apply(page.Items)
--- a/overseer/follow.go
+++ b/overseer/follow.go
@@ -9,8 +9,10 @@
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 
+	"github.com/endivefall/endivefall/estimator"
 	"github.com/endivefall/endivefall/keeper"
 	"github.com/endivefall/endivefall/sequencer"
+	"github.com/endivefall/endivefall/sleeper"
 )
 
 // follow reads the ledger, then its changes, until ctx ends.
@@ -19,7 +21,7 @@
 		at, err := o.load(ctx)
 		if err != nil {
 			o.cfg.Log.Warn("ledger not read", zap.Error(err))
-			pause(ctx, retryPause)
+			sleeper.Sleep(ctx, retryPause)
 			continue
 		}
 		for ctx.Err() == nil {
@@ -32,7 +34,7 @@
 				if ctx.Err() == nil {
 					o.cfg.Log.Info("watch of the ledger broke", zap.Error(err))
 					// A watch can't be relayed; reading everything can.
-					pause(ctx, retryPause)
+					sleeper.Sleep(ctx, retryPause)
 				}
 				break
 			}
@@ -44,15 +46,6 @@
 	}
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
-
 // load reads the whole ledger and returns the version from which to watch.
 func (o *Overseer) load(ctx context.Context) (uint64, error) {
 	in, err := o.cfg.Store.List(ctx, JobPrefix)
@@ -133,7 +126,7 @@
 
 // leaseBound is how long after a word of the owner a worker's runs have
 // surely ended.
-func (o *Overseer) leaseBound() time.Duration { return o.cfg.Lease*(1000+slowClock)/1000 + margin }
+func (o *Overseer) leaseBound() time.Duration { return estimator.Longest(o.cfg.Lease) + margin }
 
 // take takes jobs and cancels as the store shows them.
 func (o *Overseer) take(items []keeper.Item) {
--- a/overseer/overseer.go
+++ b/overseer/overseer.go
@@ -51,9 +51,6 @@
 	// load most of the processor is left for what agents say.
 	planPause = 8 * time.Millisecond
 	planShare = 6
-	// slowClock is how much slower than ours a worker's clock may run, in parts
-	// of 1,000; the platform states 2%, rounded up.
-	slowClock = 21
 	// margin covers the way of a message and the end of a lease at a worker.
 	margin = 150 * time.Millisecond
 	// watchWait bounds a watch, so that a silent connection is noticed.
--- a/overseer/write.go
+++ b/overseer/write.go
@@ -9,6 +9,7 @@
 
 	"github.com/endivefall/endivefall/keeper"
 	"github.com/endivefall/endivefall/sequencer"
+	"github.com/endivefall/endivefall/sleeper"
 )
 
 // maxKeys bounds the keys in one transaction: each takes a check and a write or
@@ -108,7 +109,7 @@
 			return at, sent, err
 		}
 		o.cfg.Log.Warn("ledger not written", zap.Int("keys", len(change.Writes)), zap.Error(err))
-		pause(ctx, retryPause)
+		sleeper.Sleep(ctx, retryPause)
 	}
 }
 
--- /dev/null
+++ b/sleeper/sleeper_test.go
@@ -0,0 +1,24 @@
+package sleeper
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+func TestSleepEndsWithItsTimeOrItsContext(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		began := time.Now()
+		Sleep(context.Background(), time.Second)
+		Sleep(context.Background(), -time.Second)
+		c.Assert(time.Since(began), qt.Equals, time.Second)
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		Sleep(ctx, time.Hour)
+		c.Assert(time.Since(began), qt.Equals, 2*time.Second)
+	})
+}
--- a/warden/warden.go
+++ b/warden/warden.go
@@ -14,6 +14,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/endivefall/endivefall/estimator"
 	"github.com/endivefall/endivefall/messenger"
 	"github.com/endivefall/endivefall/pacer"
 )
@@ -29,9 +30,6 @@
 	lookPause = 15 * time.Millisecond
 	// retryPause is the wait after a call that failed.
 	retryPause = 100 * time.Millisecond
-	// slowClock is how much slower than ours the worker's clock may run, in
-	// parts of 1,000; the platform states 2%, rounded up.
-	slowClock = 21
 	// lapseMargin covers what a call may still have been on its way.
 	lapseMargin = 100 * time.Millisecond
 	// minLease is the least lease left for a start to be worth sending.
@@ -142,7 +140,7 @@
 
 // workerNow returns a time that the worker's clock has surely reached.
 func (w *Warden) workerNow() time.Time {
-	return w.clock.Add(w.cfg.Now().Sub(w.at) * (1000 - slowClock) / 1000)
+	return w.clock.Add(estimator.Least(w.cfg.Now().Sub(w.at)))
 }
 
 // lapsed says whether every lease that the worker was given has surely ended.
