--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -23,6 +23,7 @@
 	"github.com/endivefall/endivefall/messenger"
 	"github.com/endivefall/endivefall/overseer"
 	"github.com/endivefall/endivefall/relayer"
+	"github.com/endivefall/endivefall/sleeper"
 )
 
 // Times of an entry.
@@ -42,6 +43,8 @@
 	peerConns = 16
 	// headerTimeout bounds a peer's request head.
 	headerTimeout = 3 * time.Second
+	// releasePause is the wait before a release that failed is tried again.
+	releasePause = 200 * time.Millisecond
 	// handover bounds the release of ownership at the end.
 	handover = 1500 * time.Millisecond
 )
@@ -215,8 +218,8 @@
 }
 
 // own schedules the pools until ownership is lost or given up.
-func (c *Conductor) own(ctx context.Context, record elector.Record, epoch uint64) {
-	ctx, cancel := context.WithCancel(ctx)
+func (c *Conductor) own(parent context.Context, record elector.Record, epoch uint64) {
+	ctx, cancel := context.WithCancel(parent)
 	defer cancel()
 	foreign := proof
 	if record.Clean {
@@ -232,7 +235,7 @@
 	c.mu.Lock()
 	if c.leaving {
 		c.mu.Unlock()
-		c.elector.Release(context.WithoutCancel(ctx), "process ends")
+		c.release(parent, epoch, "process ends")
 		return
 	}
 	c.overseer = o
@@ -267,12 +270,25 @@
 	for l := range links {
 		l.Close("not the owner any more")
 	}
-	bound, done := context.WithTimeout(context.WithoutCancel(ctx), handover)
-	defer done()
-	c.elector.Release(bound, why)
 	c.mu.Lock()
 	c.overseer = nil
 	c.mu.Unlock()
+	c.release(parent, epoch, why)
+}
+
+// release gives ownership up, again until the store has it or ctx ends. An epoch
+// is never owned twice: what it started is not known any more, and jobs newer
+// than the epoch would count as never started.
+func (c *Conductor) release(ctx context.Context, epoch uint64, why string) {
+	for {
+		bound, done := context.WithTimeout(context.WithoutCancel(ctx), handover)
+		c.elector.Release(bound, why)
+		done()
+		if _, now := c.elector.Owner(); ctx.Err() != nil || !c.elector.Mine() || now != epoch {
+			return
+		}
+		sleeper.Sleep(ctx, releasePause)
+	}
 }
 
 func (c *Conductor) owner() *overseer.Overseer {
--- a/conductor/history_test.go
+++ b/conductor/history_test.go
@@ -25,9 +25,10 @@
 
 // failedSeeds are seeds that once failed, with the cause.
 var failedSeeds = []uint64{
-	77,  // a transaction with struck agents had 33 entries and was refused for ever
-	120, // an end listed twice was counted twice as failed
-	138, // a done end was dropped where the task had been started again
+	77,   // a transaction with struck agents had 33 entries and was refused for ever
+	120,  // an end listed twice was counted twice as failed
+	4029, // an isolated owner whose release failed owned its epoch a second time
+	138,  // a done end was dropped where the task had been started again
 }
 
 // TestHistories plays fleets of entries, agents and workers under kills, cuts,
--- a/elector/claim.go
+++ b/elector/claim.go
@@ -49,8 +49,11 @@
 	e.mu.Unlock()
 }
 
-// ownerGone is the reason of a claim whose owner may live on unseen.
-const ownerGone = "owner is gone"
+// Reasons of a claim that tell whether an earlier owner may live on unseen.
+const (
+	noOwner   = "no owner yet"
+	ownerGone = "owner is gone"
+)
 
 // vacancy says why this entry should claim ownership now; empty while it
 // should not.
@@ -64,7 +67,7 @@
 	case e.members[e.cfg.Self.ID] != e.cfg.Self:
 		return "" // the store does not know this entry as living
 	case e.version == 0:
-		why = "no owner yet"
+		why = noOwner
 	case e.record.Released:
 		why = "owner released"
 	case lives && owner.Born != e.record.Owner.Born:
@@ -119,7 +122,7 @@
 			return err
 		}
 	}
-	next := Record{Owner: e.cfg.Self, Term: record.Term + 1, Clean: why != ownerGone}
+	next := Record{Owner: e.cfg.Self, Term: record.Term + 1, Clean: why == noOwner || record.Clean && why != ownerGone}
 	sent := e.cfg.Now()
 	at, err := e.write(ctx, next, version)
 	if err != nil {
--- a/elector/record.go
+++ b/elector/record.go
@@ -21,9 +21,9 @@
 	Term uint64 `cbor:"2,keyasint"`
 	// Released is set when the owner has stopped of its own accord.
 	Released bool `cbor:"3,keyasint,omitempty"`
-	// Clean is set when the owner before had surely stopped at the claim: it had
-	// released, or its process had ended. Else it may still give orders until
-	// its proof of ownership is over.
+	// Clean is set while every owner before had surely stopped at the next claim:
+	// it had released, or its process had ended. Else one may still give orders
+	// until its proof of ownership is over.
 	Clean bool `cbor:"4,keyasint,omitempty"`
 }
 
--- a/overseer/agent.go
+++ b/overseer/agent.go
@@ -120,7 +120,7 @@
 		o.compare(a, t)
 	}
 	v := &messenger.Vouch{Term: o.cfg.Term, Durable: a.durable}
-	if a.kept != 0 && o.current() && t.Worker != "" {
+	if a.kept != 0 && o.current() && t.Surveyed {
 		v.Asked, v.Worker = t.Asked, t.Worker
 		a.vouched = o.later(a.vouched, now.Add(o.leaseBound()))
 	}
@@ -244,7 +244,7 @@
 
 // expire gives up on an agent whose runs have surely ended.
 func (o *Overseer) expire(a *agent, now time.Time) {
-	if a.link != nil && now.Sub(a.heard) < isolated || now.Before(a.vouched) || !o.loaded {
+	if a.link != nil && a.surveyed && now.Sub(a.heard) < isolated || now.Before(a.vouched) || !o.loaded {
 		return
 	}
 	for _, r := range o.runsOf(a) {
--- a/overseer/overseer_test.go
+++ b/overseer/overseer_test.go
@@ -349,3 +349,22 @@
 	c.Assert(more.live, qt.HasLen, 1)
 	c.Assert(asked, qt.Equals, 3)
 }
+
+// An agent that is there but whose worker does not answer can't be surveyed;
+// what an earlier owner left at that worker ends with its lease all the same.
+func TestAnAgentWithoutAWorkerIsNotWaitedForWithoutEnd(t *testing.T) {
+	c := qt.New(t)
+	d := newDesk(c, 2)
+	a := d.o.agents["a0"]
+	a.surveyed, a.missing, a.vouched = false, true, d.now.Add(6*time.Second)
+	old := d.submit(sequencer.Spec{Steps: []sequencer.Step{step(1, 10)}})
+	old.Version = 5
+	for range 14 {
+		d.now = d.now.Add(500 * time.Millisecond)
+		d.run("a1", 1)
+		d.o.hear(a, &messenger.Table{Term: 1, Worker: "dark", Asked: time.UnixMilli(5)})
+		d.o.tick(context.Background())
+	}
+	d.o.place()
+	c.Assert(old.Task(0, 0, 0).Live, qt.Equals, 1)
+}
