--- a/acceptor/acceptor_test.go
+++ b/acceptor/acceptor_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -23,7 +24,6 @@
 	c     *qt.C
 	store *faker.Store
 	a     *Acceptor
-	fault faker.StoreFault
 	// owner answers questions; nil where there is none.
 	owner func(messenger.Ask) messenger.Tell
 }
@@ -33,13 +33,6 @@
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
 		d := &desk{c: c, store: faker.NewStore()}
-		d.store.Fault = func(call string) faker.StoreFault {
-			f := d.fault
-			if f.Lose && call != "commit" {
-				return faker.StoreFault{Refuse: true, Delay: f.Delay}
-			}
-			return f
-		}
 		d.a = New(Config{
 			Store: d.store.Keeper(), Now: time.Now, Wall: time.Now, Log: zap.NewNop(),
 			Count: func(string) {}, Time: func(string, time.Duration) {},
@@ -63,6 +56,17 @@
 	})
 }
 
+// trouble has a fault befall calls from now on; a read whose answer is lost was
+// not made.
+func (d *desk) trouble(f faker.StoreFault) {
+	d.store.SetFault(func(call string) faker.StoreFault {
+		if f.Lose && call != "commit" {
+			return faker.StoreFault{Refuse: true, Delay: f.Delay}
+		}
+		return f
+	})
+}
+
 func id(n int) string { return fmt.Sprintf("%016x", n) }
 
 // submit hands a job in and returns its outcome and how long that took.
@@ -99,7 +103,7 @@
 
 func TestAStoreThatIsDownTurnsAwayAtOnceAndTruly(t *testing.T) {
 	with(t, func(c *qt.C, d *desk) {
-		d.fault = faker.StoreFault{Refuse: true}
+		d.trouble(faker.StoreFault{Refuse: true})
 		took, err := d.submit(1)
 		c.Assert(err, qt.ErrorIs, ErrTurnedAway)
 		c.Assert(took < time.Second, qt.IsTrue)
@@ -107,7 +111,7 @@
 		took, err = d.submit(2)
 		c.Assert(err, qt.ErrorIs, ErrTurnedAway)
 		c.Assert(took, qt.Equals, time.Duration(0))
-		d.fault = faker.StoreFault{}
+		d.trouble(faker.StoreFault{})
 		time.Sleep(2 * probeEvery)
 		_, err = d.state(1)
 		c.Assert(err, qt.ErrorIs, ErrGone, qt.Commentf("it was said that nothing was stored"))
@@ -121,13 +125,13 @@
 // deadline.
 func TestAJobInDoubtIsNotToldAsTurnedAway(t *testing.T) {
 	with(t, func(c *qt.C, d *desk) {
-		d.fault = faker.StoreFault{Lose: true, Late: 4 * time.Second, Delay: 500 * time.Millisecond}
+		d.trouble(faker.StoreFault{Lose: true, Late: 4 * time.Second, Delay: 500 * time.Millisecond})
 		took, err := d.submit(1)
 		c.Assert(err, qt.ErrorIs, ErrUnknown)
 		c.Assert(took < 2500*time.Millisecond, qt.IsTrue, qt.Commentf("%s", took))
 		_, err = d.submit(1)
 		c.Assert(err, qt.ErrorIs, ErrUnknown)
-		d.fault = faker.StoreFault{}
+		d.trouble(faker.StoreFault{})
 		time.Sleep(6 * time.Second)
 		_, err = d.state(1)
 		c.Assert(err, qt.IsNil, qt.Commentf("it took effect late"))
@@ -136,14 +140,10 @@
 
 func TestAWriteWhoseAnswerIsLostIsFound(t *testing.T) {
 	with(t, func(c *qt.C, d *desk) {
-		lost := 1
-		d.store.Fault = func(call string) faker.StoreFault {
-			if call == "commit" && lost > 0 {
-				lost--
-				return faker.StoreFault{Lose: true}
-			}
-			return faker.StoreFault{}
-		}
+		var commits atomic.Int64
+		d.store.SetFault(func(call string) faker.StoreFault {
+			return faker.StoreFault{Lose: call == "commit" && commits.Add(1) == 1}
+		})
 		_, err := d.submit(1)
 		c.Assert(err, qt.IsNil)
 	})
@@ -151,13 +151,13 @@
 
 func TestManyJobsShareTransactions(t *testing.T) {
 	with(t, func(c *qt.C, d *desk) {
-		commits := 0
-		d.store.Fault = func(call string) faker.StoreFault {
+		var commits atomic.Int64
+		d.store.SetFault(func(call string) faker.StoreFault {
 			if call == "commit" {
-				commits++
+				commits.Add(1)
 			}
 			return faker.StoreFault{Delay: 4 * time.Millisecond}
-		}
+		})
 		results := make(chan error, 100)
 		for n := range 100 {
 			go func() {
@@ -168,7 +168,7 @@
 		for range 100 {
 			c.Assert(<-results, qt.IsNil)
 		}
-		c.Assert(commits < 20, qt.IsTrue, qt.Commentf("%d transactions", commits))
+		c.Assert(commits.Load() < 20, qt.IsTrue, qt.Commentf("%d transactions", commits.Load()))
 	})
 }
 
--- a/elector/elector_test.go
+++ b/elector/elector_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/netip"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -19,8 +20,8 @@
 	c       *qt.C
 	store   *faker.Store
 	members map[string]*tenant
-	// reached is when the owner last answered on a link.
-	reached time.Time
+	// reached is when the owner last answered on a link, in ns.
+	reached atomic.Int64
 }
 
 type tenant struct {
@@ -47,7 +48,7 @@
 func (h *house) enter(id, born string) {
 	e := New(Config{
 		Self:  Member{ID: id, Born: born, Peer: netip.MustParseAddrPort("10.0.0.1:1")},
-		Store: h.store.Keeper(), Now: time.Now, Log: zap.NewNop(), Reached: func() time.Time { return h.reached },
+		Store: h.store.Keeper(), Now: time.Now, Log: zap.NewNop(), Reached: func() time.Time { return time.Unix(0, h.reached.Load()) },
 		Seen: func(Record, []Member) {},
 	})
 	ctx, stop := context.WithCancel(context.Background())
@@ -138,7 +139,7 @@
 	inHouse(t, 3, func(c *qt.C, h *house) {
 		before := h.owner()
 		for range 40 {
-			h.reached = time.Now()
+			h.reached.Store(time.Now().UnixNano())
 			h.store.Revoke(entryPrefix + before)
 			time.Sleep(100 * time.Millisecond)
 		}
--- a/warden/warden_test.go
+++ b/warden/warden_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"net/netip"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -22,6 +23,9 @@
 
 // post is an agent with its worker, and a stand-in of the owner.
 type post struct {
+	// mu guards what the processes' goroutines touch: all but c, worker, w, stop
+	// and done.
+	mu     sync.Mutex
 	c      *qt.C
 	worker *faker.PoolWorker
 	w      *warden.Warden
@@ -37,14 +41,43 @@
 	term     uint64
 	seq      uint64
 	fault    func(call string) faker.PoolFault
+	plan     faker.PoolPlan
+}
+
+// set changes the stand-ins while they are in use.
+func (p *post) set(change func()) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	change()
+}
+
+// shown returns the newest table that the owner got.
+func (p *post) shown() *messenger.Table {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.table
+}
+
+// link returns the present connection to the owner, or nil.
+func (p *post) link() *messenger.Conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.conn
 }
 
 func newPost(c *qt.C) *post {
 	p := &post{c: c, worker: faker.NewPoolWorker(), vouching: true, term: 1, done: make(chan struct{})}
 	p.worker.CPU, p.worker.Memory = 4000, 8000
-	p.worker.Plan = func(string, uint64) faker.PoolPlan { return faker.PoolPlan{Takes: time.Second} }
-	p.worker.Told = func(e faker.PoolEvent) { p.events = append(p.events, e) }
+	p.plan = faker.PoolPlan{Takes: time.Second}
+	p.worker.Plan = func(string, uint64) faker.PoolPlan {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		return p.plan
+	}
+	p.worker.Told = func(e faker.PoolEvent) { p.set(func() { p.events = append(p.events, e) }) }
 	p.worker.Fault = func(call string) faker.PoolFault {
+		p.mu.Lock()
+		defer p.mu.Unlock()
 		if p.fault != nil {
 			return p.fault(call)
 		}
@@ -60,7 +93,11 @@
 	p.stop = stop
 	p.w = warden.New(warden.Config{
 		ID: "agent", Born: "b", Worker: p.worker.Calls(), Lease: lease, Now: time.Now, Log: zap.NewNop(),
-		Find:   func(context.Context) (netip.AddrPort, uint64, error) { return addr, p.term, nil },
+		Find: func(context.Context) (netip.AddrPort, uint64, error) {
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			return addr, p.term, nil
+		},
 		Caller: network.Client("agent"),
 	})
 	go func() {
@@ -69,8 +106,8 @@
 	}()
 	c.Cleanup(func() {
 		stop()
-		if p.conn != nil {
-			p.conn.Close("test ends")
+		if conn := p.link(); conn != nil {
+			conn.Close("test ends")
 		}
 		<-p.done
 		_ = server.Close()
@@ -94,11 +131,12 @@
 	if err := messenger.Transmit(r.Context(), ws, welcome); err != nil {
 		return
 	}
-	p.seq = 0
-	p.conn = messenger.New(messenger.Config{Socket: ws, Handle: func(conn *messenger.Conn, f messenger.Frame) {
+	conn := messenger.New(messenger.Config{Socket: ws, Handle: func(conn *messenger.Conn, f messenger.Frame) {
 		if f.Kind != messenger.KindTable {
 			return
 		}
+		p.mu.Lock()
+		defer p.mu.Unlock()
 		p.table = f.Table
 		if p.vouching {
 			_ = conn.Post(messenger.Frame{Kind: messenger.KindVouch, Vouch: &messenger.Vouch{
@@ -106,16 +144,19 @@
 			}})
 		}
 	}})
-	_ = p.conn.Run(r.Context())
+	p.set(func() { p.conn, p.seq = conn, 0 })
+	_ = conn.Run(r.Context())
 }
 
 func (p *post) order(o messenger.Order) {
-	p.seq++
-	o.Seq = p.seq
-	if o.Term == 0 {
-		o.Term = p.term
-	}
-	p.c.Assert(p.conn.Post(messenger.Frame{Kind: messenger.KindOrder, Order: &o}), qt.IsNil)
+	p.set(func() {
+		p.seq++
+		o.Seq = p.seq
+		if o.Term == 0 {
+			o.Term = p.term
+		}
+	})
+	p.c.Assert(p.link().Post(messenger.Frame{Kind: messenger.KindOrder, Order: &o}), qt.IsNil)
 	time.Sleep(200 * time.Millisecond)
 }
 
@@ -125,6 +166,8 @@
 
 // count counts the worker's events of a kind.
 func (p *post) count(kind string) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	n := 0
 	for _, e := range p.events {
 		if e.Kind == kind {
@@ -136,7 +179,7 @@
 
 func (p *post) ends() []string {
 	var list []string
-	for _, e := range p.table.Ends {
+	for _, e := range p.shown().Ends {
 		list = append(list, fmt.Sprint(e.Task, "#", e.Attempt, " ", e.How))
 	}
 	return list
@@ -153,12 +196,13 @@
 func TestARunIsStartedListedAndForgottenOnlyWhenDurable(t *testing.T) {
 	inBubble(t, func(c *qt.C, p *post) {
 		p.order(start("j.0.0.0", 1))
-		c.Assert(p.table.Runs, qt.HasLen, 1)
-		c.Assert(p.table.Runs[0].Phase, qt.Equals, messenger.PhaseRunning)
+		c.Assert(p.shown().Runs, qt.HasLen, 1)
+		c.Assert(p.shown().Runs[0].Phase, qt.Equals, messenger.PhaseRunning)
 		time.Sleep(3 * time.Second)
 		c.Assert(p.ends(), qt.DeepEquals, []string{"j.0.0.0#1 done"})
 		c.Assert(p.count("forgotten"), qt.Equals, 0, qt.Commentf("the ledger does not have it"))
-		p.durable = p.table.Ends[0].N
+		last := p.shown().Ends[0].N
+		p.set(func() { p.durable = last })
 		time.Sleep(2 * time.Second)
 		c.Assert(p.count("forgotten"), qt.Equals, 1)
 		c.Assert(p.ends(), qt.HasLen, 0)
@@ -167,7 +211,7 @@
 
 func TestOrdersOfAnEarlierOwnerAreRefused(t *testing.T) {
 	inBubble(t, func(c *qt.C, p *post) {
-		p.term = 3
+		p.set(func() { p.term = 3 })
 		p.order(start("j.0.0.0", 1))
 		old := start("j.0.0.1", 1)
 		old.Term = 2
@@ -188,9 +232,9 @@
 
 func TestRunsEndWithTheLeaseOfASilentOwner(t *testing.T) {
 	inBubble(t, func(c *qt.C, p *post) {
-		p.worker.Plan = func(string, uint64) faker.PoolPlan { return faker.PoolPlan{} }
+		p.set(func() { p.plan = faker.PoolPlan{} })
 		p.order(start("j.0.0.0", 1))
-		p.vouching = false
+		p.set(func() { p.vouching = false })
 		time.Sleep(lease - 500*time.Millisecond)
 		c.Assert(p.worker.Running(), qt.HasLen, 1)
 		time.Sleep(time.Second)
@@ -204,9 +248,11 @@
 	for name, dropped := range map[string]bool{"carried out late": false, "never": true} {
 		t.Run(name, func(t *testing.T) {
 			inBubble(t, func(c *qt.C, p *post) {
-				p.fault = func(call string) faker.PoolFault {
-					return faker.PoolFault{Lose: call == "start", Drop: dropped, Late: 3 * time.Second}
-				}
+				p.set(func() {
+					p.fault = func(call string) faker.PoolFault {
+						return faker.PoolFault{Lose: call == "start", Drop: dropped, Late: 3 * time.Second}
+					}
+				})
 				p.order(start("j.0.0.0", 1))
 				time.Sleep(1500 * time.Millisecond)
 				c.Assert(p.ends(), qt.DeepEquals, []string{"j.0.0.0#1 never"})
@@ -225,10 +271,10 @@
 		p.w.Heard(context.Background(), p.worker.Heartbeat(1))
 		time.Sleep(time.Second)
 		c.Assert(p.ends(), qt.DeepEquals, []string{"j.0.0.0#1 gone"})
-		c.Assert(p.table.Worker, qt.Equals, "life-2")
+		c.Assert(p.shown().Worker, qt.Equals, "life-2")
 		p.w.Heard(context.Background(), before) // delayed by a partition
 		time.Sleep(time.Second)
-		c.Assert(p.table.Worker, qt.Equals, "life-2")
+		c.Assert(p.shown().Worker, qt.Equals, "life-2")
 	})
 }
 
@@ -236,9 +282,11 @@
 // stop was repeated without bound (history seed 1453).
 func TestTheAgentEndsWhileAStopIsUnanswered(t *testing.T) {
 	inBubble(t, func(c *qt.C, p *post) {
-		p.worker.Plan = func(string, uint64) faker.PoolPlan { return faker.PoolPlan{} }
+		p.set(func() { p.plan = faker.PoolPlan{} })
 		p.order(start("j.0.0.0", 1))
-		p.fault = func(call string) faker.PoolFault { return faker.PoolFault{Lose: call == "stop", Drop: true} }
+		p.set(func() {
+			p.fault = func(call string) faker.PoolFault { return faker.PoolFault{Lose: call == "stop", Drop: true} }
+		})
 		p.order(messenger.Order{Stop: &messenger.RunStop{Task: "j.0.0.0", Attempt: 1}})
 		p.stop()
 		select {
@@ -253,12 +301,14 @@
 // answer, so that its runs were never given up (store-away-and-a-worker-gone).
 func TestRunsOfASilentWorkerEndWithTheLeaseThatItHeardOfLast(t *testing.T) {
 	inBubble(t, func(c *qt.C, p *post) {
-		p.worker.Plan = func(string, uint64) faker.PoolPlan { return faker.PoolPlan{} }
+		p.set(func() { p.plan = faker.PoolPlan{} })
 		p.order(start("j.0.0.0", 1))
-		p.fault = func(string) faker.PoolFault { return faker.PoolFault{Lose: true, Drop: true} }
+		p.set(func() {
+			p.fault = func(string) faker.PoolFault { return faker.PoolFault{Lose: true, Drop: true} }
+		})
 		time.Sleep(4 * time.Second)
 		c.Assert(p.ends(), qt.HasLen, 0, qt.Commentf("it may still run there"))
-		c.Assert(p.table.Authority, qt.IsFalse)
+		c.Assert(p.shown().Authority, qt.IsFalse)
 		time.Sleep(4 * time.Second)
 		c.Assert(p.ends(), qt.DeepEquals, []string{"j.0.0.0#1 lapsed"})
 		c.Assert(p.worker.Running(), qt.HasLen, 0)
