--- a/conductor/history_test.go
+++ b/conductor/history_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"flag"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -168,11 +169,12 @@
 		f.boot(a)
 	case 4: // an agent is cut off from the entries
 		silent := r.IntN(2) == 0
-		for name := range f.entries {
+		names := slices.Collect(maps.Keys(f.entries)) // entries come back under their names
+		for _, name := range names {
 			f.network.Cut(a.name, name, true, silent)
 		}
 		later(1000, 12000, func() {
-			for name := range f.entries {
+			for _, name := range names {
 				f.network.Cut(a.name, name, false, false)
 			}
 		})
