dreamer: Let tests sleep in fake time only

Cause: nothing kept a test from sleeping in real time; 97 calls had to be read one by one. Running all of them found one outside a bubble: the recorder's store in TestClaim slept for nothing; it does not sleep there any more.

--- a/acceptor/acceptor_test.go
+++ b/acceptor/acceptor_test.go
@@ -12,6 +12,7 @@
 	qt "github.com/frankban/quicktest"
 	"go.uber.org/zap"
 
+	"github.com/endivefall/endivefall/dreamer"
 	"github.com/endivefall/endivefall/faker"
 	"github.com/endivefall/endivefall/keeper"
 	"github.com/endivefall/endivefall/messenger"
@@ -52,7 +53,7 @@
 		story(c, d)
 		cancel()
 		<-done
-		time.Sleep(time.Minute)
+		dreamer.Sleep(time.Minute)
 	})
 }
 
@@ -107,12 +108,12 @@
 		took, err := d.submit(1)
 		c.Assert(err, qt.ErrorIs, ErrTurnedAway)
 		c.Assert(took < time.Second, qt.IsTrue)
-		time.Sleep(time.Second)
+		dreamer.Sleep(time.Second)
 		took, err = d.submit(2)
 		c.Assert(err, qt.ErrorIs, ErrTurnedAway)
 		c.Assert(took, qt.Equals, time.Duration(0))
 		d.trouble(faker.StoreFault{})
-		time.Sleep(2 * probeEvery)
+		dreamer.Sleep(2 * probeEvery)
 		_, err = d.state(1)
 		c.Assert(err, qt.ErrorIs, ErrGone, qt.Commentf("it was said that nothing was stored"))
 		_, err = d.submit(2)
@@ -132,7 +133,7 @@
 		_, err = d.submit(1)
 		c.Assert(err, qt.ErrorIs, ErrUnknown)
 		d.trouble(faker.StoreFault{})
-		time.Sleep(6 * time.Second)
+		dreamer.Sleep(6 * time.Second)
 		_, err = d.state(1)
 		c.Assert(err, qt.IsNil, qt.Commentf("it took effect late"))
 	})
--- a/conductor/fleet_test.go
+++ b/conductor/fleet_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/endivefall/endivefall/acceptor"
 	"github.com/endivefall/endivefall/conductor"
+	"github.com/endivefall/endivefall/dreamer"
 	"github.com/endivefall/endivefall/elector"
 	"github.com/endivefall/endivefall/faker"
 	"github.com/endivefall/endivefall/keeper"
@@ -132,10 +133,10 @@
 		down := f.down || f.away[name]
 		f.mu.Unlock()
 		if down {
-			time.Sleep(300 * time.Millisecond)
+			dreamer.Sleep(300 * time.Millisecond)
 			return keeper.ErrDown
 		}
-		time.Sleep(4 * time.Millisecond)
+		dreamer.Sleep(4 * time.Millisecond)
 		return nil
 	}
 	get, page, watch, commit, lease, renew := s.Get, s.Page, s.Watch, s.Commit, s.Lease, s.Renew
@@ -173,7 +174,7 @@
 		} else {
 			_, _ = commit(ctx, change)
 		}
-		time.Sleep(500 * time.Millisecond)
+		dreamer.Sleep(500 * time.Millisecond)
 		return 0, keeper.ErrUnsettled
 	}
 	s.Lease = func(ctx context.Context, ttl time.Duration) (string, error) {
--- a/decisions/limits_test.go
+++ b/decisions/limits_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"github.com/endivefall/endivefall/dreamer"
 )
 
 // bound is the contract of the service under overload.
@@ -109,7 +111,7 @@
 					if told {
 						wait = time.Until(a.again)
 					}
-					time.Sleep(wait)
+					dreamer.Sleep(wait)
 					mu.Lock()
 					arrivals[int(time.Since(start)/(100*time.Millisecond))]++
 					mu.Unlock()
--- a/decisions/retries_test.go
+++ b/decisions/retries_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"github.com/endivefall/endivefall/dreamer"
 )
 
 // eager retries everything at once, at any target.
@@ -76,14 +78,14 @@
 			e.router.Part(late.id)
 		}
 		go func() {
-			time.Sleep(4 * time.Second)
+			dreamer.Sleep(4 * time.Second)
 			for _, e := range s.entries {
 				e.router.Join(late.id, "0", late.load())
 			}
 		}()
 		served := 0
 		go func() {
-			time.Sleep(9 * time.Second)
+			dreamer.Sleep(9 * time.Second)
 			late.mu.Lock()
 			served = late.served
 			late.mu.Unlock()
--- a/decisions/scene_test.go
+++ b/decisions/scene_test.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/endivefall/endivefall/admitter"
+	"github.com/endivefall/endivefall/dreamer"
 	"github.com/endivefall/endivefall/messenger"
 	"github.com/endivefall/endivefall/router"
 )
@@ -153,7 +154,7 @@
 	start := time.Now()
 	var all sync.WaitGroup
 	for _, j := range jobs {
-		time.Sleep(time.Until(start.Add(j.after)))
+		dreamer.Sleep(time.Until(start.Add(j.after)))
 		all.Go(func() {
 			a := s.request(j)
 			s.mu.Lock()
@@ -174,7 +175,7 @@
 func (s *scene) request(j job) answer {
 	sent := time.Now()
 	until := sent.Add(j.until)
-	time.Sleep(toCaller)
+	dreamer.Sleep(toCaller)
 	e := s.entries[j.entry]
 	a := answer{at: sent, priority: j.priority}
 	tried := map[string]bool{}
@@ -200,7 +201,7 @@
 			break
 		}
 	}
-	time.Sleep(toCaller)
+	dreamer.Sleep(toCaller)
 	a.took = time.Since(sent)
 	a.ok = a.ok && !time.Now().After(until)
 	return a
@@ -241,22 +242,22 @@
 	s.sent++
 	s.mu.Unlock()
 	way := hop(e.domain, t.domain)
-	time.Sleep(way)
-	defer time.Sleep(way)
+	dreamer.Sleep(way)
+	defer dreamer.Sleep(way)
 	t.mu.Lock()
 	slower, failing, black := t.slower, t.failing, t.black
 	t.mu.Unlock()
 	if black {
-		time.Sleep(time.Until(until))
+		dreamer.Sleep(time.Until(until))
 		return errTimeout
 	}
 	if failing {
-		time.Sleep(time.Millisecond)
+		dreamer.Sleep(time.Millisecond)
 		return errFailed
 	}
 	if t.plain != nil {
 		t.plain <- struct{}{}
-		time.Sleep(time.Duration(float64(j.service) * slower))
+		dreamer.Sleep(time.Duration(float64(j.service) * slower))
 		<-t.plain
 		return nil
 	}
@@ -267,7 +268,7 @@
 	t.mu.Lock()
 	t.served++
 	t.mu.Unlock()
-	time.Sleep(time.Duration(float64(j.service) * slower))
+	dreamer.Sleep(time.Duration(float64(j.service) * slower))
 	ticket.Release()
 	return nil
 }
--- a/elector/elector_test.go
+++ b/elector/elector_test.go
@@ -12,6 +12,7 @@
 	qt "github.com/frankban/quicktest"
 	"go.uber.org/zap"
 
+	"github.com/endivefall/endivefall/dreamer"
 	"github.com/endivefall/endivefall/faker"
 )
 
@@ -36,12 +37,12 @@
 		for k := range n {
 			h.enter(fmt.Sprint("entry-", k), "1")
 		}
-		time.Sleep(2 * time.Second)
+		dreamer.Sleep(2 * time.Second)
 		story(h.c, h)
 		for id := range h.members {
 			h.kill(id)
 		}
-		time.Sleep(time.Minute)
+		dreamer.Sleep(time.Minute)
 	})
 }
 
@@ -99,7 +100,7 @@
 func TestAnOwnerThatIsKilledIsReplaced(t *testing.T) {
 	inHouse(t, 3, func(c *qt.C, h *house) {
 		h.kill(h.owner())
-		time.Sleep(4 * time.Second)
+		dreamer.Sleep(4 * time.Second)
 		owner := h.owner()
 		c.Assert(owner, qt.Not(qt.Equals), "")
 		record, _ := h.members[owner].Owner()
@@ -111,7 +112,7 @@
 	inHouse(t, 3, func(c *qt.C, h *house) {
 		before := h.owner()
 		h.members[before].Release(context.Background(), "test")
-		time.Sleep(time.Second)
+		dreamer.Sleep(time.Second)
 		owner := h.owner()
 		c.Assert(owner, qt.Not(qt.Equals), before)
 		record, _ := h.members[owner].Owner()
@@ -124,7 +125,7 @@
 		before := h.owner()
 		h.kill(before)
 		h.enter(before, "2")
-		time.Sleep(4 * time.Second)
+		dreamer.Sleep(4 * time.Second)
 		owner := h.owner()
 		c.Assert(owner, qt.Not(qt.Equals), "")
 		record, _ := h.members[owner].Owner()
@@ -141,7 +142,7 @@
 		for range 40 {
 			h.reached.Store(time.Now().UnixNano())
 			h.store.Revoke(entryPrefix + before)
-			time.Sleep(100 * time.Millisecond)
+			dreamer.Sleep(100 * time.Millisecond)
 		}
 		c.Assert(h.owner(), qt.Equals, before)
 		record, _ := h.members[before].Owner()
@@ -153,7 +154,7 @@
 func TestARevokedKeyComesBack(t *testing.T) {
 	inHouse(t, 1, func(c *qt.C, h *house) {
 		h.store.Revoke(entryPrefix + "entry-0")
-		time.Sleep(3 * time.Second)
+		dreamer.Sleep(3 * time.Second)
 		_, err := h.store.Keeper().Get(context.Background(), entryPrefix+"entry-0")
 		c.Assert(err, qt.IsNil)
 	})
@@ -163,10 +164,10 @@
 	inHouse(t, 1, func(c *qt.C, h *house) {
 		h.store.SetFault(func(string) faker.StoreFault { return faker.StoreFault{Refuse: true} })
 		last := h.members["entry-0"].Proven()
-		time.Sleep(5 * time.Second)
+		dreamer.Sleep(5 * time.Second)
 		c.Assert(h.members["entry-0"].Proven(), qt.Equals, last)
 		h.store.SetFault(nil)
-		time.Sleep(2 * time.Second)
+		dreamer.Sleep(2 * time.Second)
 		c.Assert(h.members["entry-0"].Proven().After(last), qt.IsTrue)
 	})
 }
--- a/executor/executor_test.go
+++ b/executor/executor_test.go
@@ -12,6 +12,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/endivefall/endivefall/dreamer"
 	"github.com/endivefall/endivefall/executor"
 	"github.com/endivefall/endivefall/faker"
 	"github.com/endivefall/endivefall/parser"
@@ -31,7 +32,7 @@
 	}{
 		{"a task runs to its end and is kept until it is forgotten", func(c *qt.C, x *executor.Executor, _ *faker.Worker, _ *bool) {
 			c.Assert(x.Start(ctx, task, in(time.Minute)), qt.IsNil)
-			time.Sleep(11 * time.Second)
+			dreamer.Sleep(11 * time.Second)
 			rep, err := x.Poll(ctx, executor.Any)
 			c.Assert(err, qt.IsNil)
 			c.Assert(rep.Tasks[0].State, qt.Equals, executor.Done)
@@ -51,7 +52,7 @@
 		}},
 		{"a task stops when its lease ends", func(c *qt.C, x *executor.Executor, _ *faker.Worker, _ *bool) {
 			c.Assert(x.Start(ctx, task, in(3*time.Second)), qt.IsNil)
-			time.Sleep(4 * time.Second)
+			dreamer.Sleep(4 * time.Second)
 			rep, err := x.Poll(ctx, executor.Any)
 			c.Assert(err, qt.IsNil)
 			c.Assert(rep.Tasks[0].State, qt.Equals, executor.Lapsed)
@@ -60,21 +61,21 @@
 			c.Assert(x.Start(ctx, task, in(3*time.Second)), qt.IsNil)
 			c.Assert(x.Extend(ctx, []string{task.ID}, in(20*time.Second)), qt.IsNil)
 			c.Assert(x.Extend(ctx, []string{task.ID}, in(time.Second)), qt.IsNil)
-			time.Sleep(11 * time.Second)
+			dreamer.Sleep(11 * time.Second)
 			rep, err := x.Poll(ctx, executor.Any)
 			c.Assert(err, qt.IsNil)
 			c.Assert(rep.Tasks[0].State, qt.Equals, executor.Done)
 		}},
 		{"a checkpoint stops the task, and another goes on from it", func(c *qt.C, x *executor.Executor, _ *faker.Worker, _ *bool) {
 			c.Assert(x.Start(ctx, task, in(time.Minute)), qt.IsNil)
-			time.Sleep(6 * time.Second)
+			dreamer.Sleep(6 * time.Second)
 			got, err := x.Checkpoint(ctx, task.ID)
 			c.Assert(err, qt.IsNil)
 			c.Assert(got.State, qt.Equals, executor.Checkpointed)
 			again := task
 			again.ID, again.Point = "run.0.2", got.Point
 			c.Assert(x.Start(ctx, again, in(time.Minute)), qt.IsNil)
-			time.Sleep(5 * time.Second)
+			dreamer.Sleep(5 * time.Second)
 			rep, err := x.Poll(ctx, executor.Any)
 			c.Assert(err, qt.IsNil)
 			c.Assert(rep.Tasks[1].State, qt.Equals, executor.Done)
@@ -82,7 +83,7 @@
 		{"a throttled task takes longer", func(c *qt.C, x *executor.Executor, _ *faker.Worker, _ *bool) {
 			c.Assert(x.Start(ctx, task, in(time.Minute)), qt.IsNil)
 			c.Assert(x.Throttle(ctx, task.ID, 0.5), qt.IsNil)
-			time.Sleep(11 * time.Second)
+			dreamer.Sleep(11 * time.Second)
 			rep, err := x.Poll(ctx, executor.Any)
 			c.Assert(err, qt.IsNil)
 			c.Assert(rep.Tasks[0].State, qt.Equals, executor.Running)
@@ -92,7 +93,7 @@
 			c.Assert(err, qt.IsNil)
 			began := time.Now()
 			go func() {
-				time.Sleep(300 * time.Millisecond)
+				dreamer.Sleep(300 * time.Millisecond)
 				_ = x.Start(ctx, task, in(time.Minute))
 			}()
 			rep, err = x.Poll(ctx, rep.Version)
@@ -136,7 +137,7 @@
 				c.Assert(err, qt.IsNil)
 				one.story(c, x, k, &lose)
 				close(done)
-				time.Sleep(time.Minute)
+				dreamer.Sleep(time.Minute)
 			})
 		})
 	}
--- a/keeper/keeper_test.go
+++ b/keeper/keeper_test.go
@@ -13,6 +13,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/endivefall/endivefall/dreamer"
 	"github.com/endivefall/endivefall/faker"
 	"github.com/endivefall/endivefall/keeper"
 )
@@ -90,12 +91,12 @@
 		c.Assert(err, qt.IsNil)
 		_, err = k.Swap(ctx, "entry/1", []byte("x"), 0, id)
 		c.Assert(err, qt.IsNil)
-		time.Sleep(4 * time.Second)
+		dreamer.Sleep(4 * time.Second)
 		c.Assert(k.Keep(ctx, id), qt.IsNil)
-		time.Sleep(4 * time.Second)
+		dreamer.Sleep(4 * time.Second)
 		_, err = k.Get(ctx, "entry/1")
 		c.Assert(err, qt.IsNil)
-		time.Sleep(2 * time.Second)
+		dreamer.Sleep(2 * time.Second)
 		_, err = k.Get(ctx, "entry/1")
 		c.Assert(err, qt.ErrorIs, keeper.ErrMissing)
 		c.Assert(k.Keep(ctx, id), qt.ErrorIs, keeper.ErrMissing)
@@ -104,9 +105,9 @@
 		l, err := k.List(ctx, "team/")
 		c.Assert(err, qt.IsNil)
 		go func() {
-			time.Sleep(time.Second)
+			dreamer.Sleep(time.Second)
 			v, _ := k.Swap(ctx, "team/a", []byte("x"), 0, "")
-			time.Sleep(time.Second)
+			dreamer.Sleep(time.Second)
 			_ = k.Delete(ctx, "team/a", v)
 		}()
 		first, err := k.Watch(ctx, "team/", l.Version)
--- a/logger/limiter_test.go
+++ b/logger/limiter_test.go
@@ -8,6 +8,8 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"github.com/endivefall/endivefall/dreamer"
 )
 
 // output takes lines, or holds them up.
@@ -41,7 +43,7 @@
 				_, err := l.Write([]byte("line\n"))
 				c.Assert(err, qt.IsNil)
 			}
-			time.Sleep(time.Second)
+			dreamer.Sleep(time.Second)
 		}
 		c.Assert(l.Dropped() > 0, qt.IsTrue)
 		close(out.held)
--- a/recorder/recorder_test.go
+++ b/recorder/recorder_test.go
@@ -10,6 +10,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/endivefall/endivefall/dreamer"
 	"github.com/endivefall/endivefall/keeper"
 	"github.com/endivefall/endivefall/parser"
 )
@@ -34,7 +35,9 @@
 			return keeper.Item{Value: m.value, Version: m.version}, nil
 		},
 		Settle: func(_ context.Context, _ string, value []byte, version uint64, _ string) (uint64, error) {
-			time.Sleep(m.slow)
+			if m.slow > 0 {
+				dreamer.Sleep(m.slow)
+			}
 			m.mu.Lock()
 			fail := m.fail
 			m.mu.Unlock()
@@ -97,11 +100,11 @@
 		m.slow = time.Second
 		errs := make(chan error, 3)
 		go func() { errs <- k.Do(context.Background(), add("other")) }()
-		time.Sleep(100 * time.Millisecond) // its commit is on its way
+		dreamer.Sleep(100 * time.Millisecond) // its commit is on its way
 		for range 2 {
 			go func() { errs <- k.Do(context.Background(), add("run")) }()
 		}
-		time.Sleep(time.Second)
+		dreamer.Sleep(time.Second)
 		c.Assert(<-errs, qt.IsNil)
 		m.mu.Lock()
 		m.fail = errors.New("fenced")
--- a/runner/runner_test.go
+++ b/runner/runner_test.go
@@ -16,6 +16,7 @@
 	"go.uber.org/zap"
 
 	"github.com/endivefall/endivefall/committer"
+	"github.com/endivefall/endivefall/dreamer"
 	"github.com/endivefall/endivefall/executor"
 	"github.com/endivefall/endivefall/faker"
 	"github.com/endivefall/endivefall/messenger"
@@ -37,7 +38,7 @@
 // sit starts a runner beside a worker, and waits until it takes grants.
 func sit(c *qt.C, worker *faker.Worker) *desk {
 	d := sitNow(c, worker)
-	time.Sleep(startLease)
+	dreamer.Sleep(startLease)
 	return d
 }
 
@@ -54,7 +55,7 @@
 			raw, _ := io.ReadAll(r.Body)
 			late.Body = io.NopCloser(bytes.NewReader(raw))
 			go func() { // it arrives whatever becomes of its sender
-				time.Sleep(held)
+				dreamer.Sleep(held)
 				worker.ServeHTTP(httptest.NewRecorder(), late)
 			}()
 			<-r.Context().Done()
@@ -118,7 +119,7 @@
 			go k.Watch(done)
 			f(qt.New(t), k)
 			close(done)
-			time.Sleep(time.Minute)
+			dreamer.Sleep(time.Minute)
 		})
 	})
 }
@@ -139,7 +140,7 @@
 		d.Survey("e2", messenger.Survey{Shard: 1, Epoch: 5})
 		d.Grant("e1", grant(4, 1, 1, time.Minute))
 		c.Assert(d.got(messenger.KindDecline).Grant.Reason, qt.Equals, errOld.Error())
-		time.Sleep(time.Second)
+		dreamer.Sleep(time.Second)
 		c.Assert(starts(k), qt.Equals, 0)
 		d.rise()
 	})
@@ -178,13 +179,13 @@
 	story(t, "a revoked one stops, and nothing more of it starts", func(c *qt.C, k *faker.Worker) {
 		d := sit(c, k)
 		d.Grant("e1", grant(1, 1, 3, time.Minute))
-		time.Sleep(time.Second)
+		dreamer.Sleep(time.Second)
 		d.Revoke(messenger.Grant{Shard: 1, Epoch: 1, Run: "team/job/run", Seq: 1})
 		r := d.got(messenger.KindReport).Report
 		for !r.Closed {
 			r = d.got(messenger.KindReport).Report
 		}
-		time.Sleep(30 * time.Second)
+		dreamer.Sleep(30 * time.Second)
 		c.Assert(starts(k), qt.Equals, 1)
 		d.rise()
 	})
@@ -197,14 +198,14 @@
 		o := d.got(messenger.KindReport).Report.Outcomes[0]
 		c.Assert(o.Verdict, qt.Equals, messenger.Evicted)
 		c.Assert(o.Point, qt.Not(qt.Equals), "")
-		time.Sleep(30 * time.Second)
+		dreamer.Sleep(30 * time.Second)
 		c.Assert(starts(k), qt.Equals, 1, qt.Commentf("the second task never starts"))
 		d.rise()
 	})
 	story(t, "an extension of the owner keeps it, one of an earlier owner does not", func(c *qt.C, k *faker.Worker) {
 		d := sit(c, k)
 		d.Grant("e1", grant(2, 1, 1, 5*time.Second))
-		time.Sleep(2 * time.Second)
+		dreamer.Sleep(2 * time.Second)
 		d.Extend("e2", messenger.Extend{Shard: 1, Epoch: 2, Until: time.Now().Add(5 * time.Second)})
 		d.Extend("e1", messenger.Extend{Shard: 1, Epoch: 1, Until: time.Now().Add(time.Hour)})
 		o := d.got(messenger.KindReport).Report.Outcomes[0]
@@ -217,11 +218,11 @@
 	story(t, "a deadline that has passed is final", func(c *qt.C, k *faker.Worker) {
 		d := sit(c, k)
 		d.Grant("e1", grant(1, 1, 2, 5*time.Second))
-		time.Sleep(time.Second)
+		dreamer.Sleep(time.Second)
 		d.skew.Store(int64(10 * time.Second))
 		d.Extend("e1", messenger.Extend{Shard: 1, Epoch: 1, Until: time.Now().Add(time.Hour)})
 		c.Assert(d.got(messenger.KindReport).Report.Outcomes[0].Verdict, qt.Not(qt.Equals), messenger.Finished)
-		time.Sleep(30 * time.Second)
+		dreamer.Sleep(30 * time.Second)
 		c.Assert(starts(k), qt.Equals, 1)
 		d.rise()
 	})
@@ -234,7 +235,7 @@
 	story(t, "restart", func(c *qt.C, k *faker.Worker) {
 		d := sit(c, k)
 		d.Grant("e1", grant(1, 1, 3, time.Minute))
-		time.Sleep(time.Second)
+		dreamer.Sleep(time.Second)
 		d.rise()
 
 		next := sitNow(c, k)
@@ -267,7 +268,7 @@
 			g := grant(1, 1, 1, time.Minute)
 			g.Need.Processors = 2 // all that the instance has
 			d.Grant("e1", g)
-			time.Sleep(10 * time.Millisecond)
+			dreamer.Sleep(10 * time.Millisecond)
 			d.rise()
 
 			next := sitNow(c, k)
@@ -275,7 +276,7 @@
 				g := grant(1, 10+n, 1, time.Minute)
 				g.Need.Processors = 2
 				next.Grant("e1", g)
-				time.Sleep(250 * time.Millisecond)
+				dreamer.Sleep(250 * time.Millisecond)
 			}
 			for _, r := range k.Records.All() {
 				c.Check(r.Used.Fits(r.Total), qt.IsTrue, qt.Commentf("%s at %v: %+v", r.Attempt, r.At, r.Used))
--- a/scheduler/agent_test.go
+++ b/scheduler/agent_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/endivefall/endivefall/committer"
+	"github.com/endivefall/endivefall/dreamer"
 	"github.com/endivefall/endivefall/executor"
 	"github.com/endivefall/endivefall/faker"
 	"github.com/endivefall/endivefall/messenger"
@@ -43,16 +44,16 @@
 	x := executor.New(executor.Config{
 		Addr: netip.MustParseAddrPort("127.0.0.1:1"), Now: a.now,
 		Do: direct(k, func(r *http.Request) error {
-			time.Sleep(f.between(name+r.URL.Path, 0, 4*time.Millisecond))
+			dreamer.Sleep(f.between(name+r.URL.Path, 0, 4*time.Millisecond))
 			if a.gone() {
 				return errNet
 			}
 			if r.Method != http.MethodGet && f.chance(name+r.URL.Path, 0.02) {
-				time.Sleep(f.between(name+r.URL.Path, 0, 6*time.Second)) // a call that is stuck, and may come after the caller's end
+				dreamer.Sleep(f.between(name+r.URL.Path, 0, 6*time.Second)) // a call that is stuck, and may come after the caller's end
 			}
 			return nil
 		}, func(r *http.Request) error {
-			time.Sleep(f.between(name+r.URL.Path, 0, 4*time.Millisecond))
+			dreamer.Sleep(f.between(name+r.URL.Path, 0, 4*time.Millisecond))
 			if a.gone() || (r.Method != http.MethodGet && f.chance(name+r.URL.Path, 0.02)) {
 				return errNet
 			}
--- a/scheduler/cutoff_test.go
+++ b/scheduler/cutoff_test.go
@@ -6,6 +6,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/endivefall/endivefall/dreamer"
 	"github.com/endivefall/endivefall/parser"
 	"github.com/endivefall/endivefall/recorder"
 )
@@ -17,12 +18,12 @@
 	calm(t, func(c *qt.C, f *fleet) {
 		job := parser.Job{Name: "job", Tasks: 12, Deadline: time.Hour, Checkpoint: true, Need: parser.Need{Processors: 1, Memory: 1 << 30}, Run: "30s"}
 		c.Assert(f.submit("team1/job/once", job), qt.IsTrue)
-		time.Sleep(5 * time.Second)
+		dreamer.Sleep(5 * time.Second)
 		for _, e := range []string{"e1", "e2"} {
 			f.setCut(e, "a1", true)
 			f.setCut("a1", e, true)
 		}
-		time.Sleep(20 * time.Second)
+		dreamer.Sleep(20 * time.Second)
 		for _, e := range []string{"e1", "e2"} {
 			f.setCut(e, "a1", false)
 			f.setCut("a1", e, false)
--- a/scheduler/fleet_test.go
+++ b/scheduler/fleet_test.go
@@ -18,6 +18,7 @@
 	"go.uber.org/zap"
 
 	"github.com/endivefall/endivefall/checker"
+	"github.com/endivefall/endivefall/dreamer"
 	"github.com/endivefall/endivefall/faker"
 	"github.com/endivefall/endivefall/keeper"
 	"github.com/endivefall/endivefall/parser"
@@ -195,7 +196,7 @@
 }
 
 func (e *entryNode) beforeStore(r *http.Request) error {
-	time.Sleep(e.f.between(e.name+r.URL.Path, time.Millisecond, 10*time.Millisecond))
+	dreamer.Sleep(e.f.between(e.name+r.URL.Path, time.Millisecond, 10*time.Millisecond))
 	if e.gone() || e.f.isCut(e.name, "platform") {
 		return errNet
 	}
@@ -203,7 +204,7 @@
 }
 
 func (e *entryNode) afterStore(r *http.Request) error {
-	time.Sleep(e.f.between(e.name+r.URL.Path, time.Millisecond, 10*time.Millisecond))
+	dreamer.Sleep(e.f.between(e.name+r.URL.Path, time.Millisecond, 10*time.Millisecond))
 	if e.gone() || e.f.isCut("platform", e.name) {
 		return errNet
 	}
@@ -280,7 +281,7 @@
 		f := newFleet(t, 1)
 		done := make(chan struct{})
 		f.startWorkers(done)
-		time.Sleep(5 * time.Second)
+		dreamer.Sleep(5 * time.Second)
 		story(c, f)
 		f.end(done)
 		always := func(string) bool { return true }
--- a/warden/warden_test.go
+++ b/warden/warden_test.go
@@ -14,6 +14,7 @@
 	qt "github.com/frankban/quicktest"
 	"go.uber.org/zap"
 
+	"github.com/endivefall/endivefall/dreamer"
 	"github.com/endivefall/endivefall/faker"
 	"github.com/endivefall/endivefall/messenger"
 	"github.com/endivefall/endivefall/warden"
@@ -111,10 +112,10 @@
 		}
 		<-p.done
 		_ = server.Close()
-		time.Sleep(time.Minute) // what was sent late arrives
+		dreamer.Sleep(time.Minute) // what was sent late arrives
 	})
 	p.w.Heard(ctx, p.worker.Heartbeat(1))
-	time.Sleep(time.Second)
+	dreamer.Sleep(time.Second)
 	return p
 }
 
@@ -157,7 +158,7 @@
 		}
 	})
 	p.c.Assert(p.link().Post(messenger.Frame{Kind: messenger.KindOrder, Order: &o}), qt.IsNil)
-	time.Sleep(200 * time.Millisecond)
+	dreamer.Sleep(200 * time.Millisecond)
 }
 
 func start(task string, attempt uint64) messenger.Order {
@@ -198,12 +199,12 @@
 		p.order(start("j.0.0.0", 1))
 		c.Assert(p.shown().Runs, qt.HasLen, 1)
 		c.Assert(p.shown().Runs[0].Phase, qt.Equals, messenger.PhaseRunning)
-		time.Sleep(3 * time.Second)
+		dreamer.Sleep(3 * time.Second)
 		c.Assert(p.ends(), qt.DeepEquals, []string{"j.0.0.0#1 done"})
 		c.Assert(p.count("forgotten"), qt.Equals, 0, qt.Commentf("the ledger does not have it"))
 		last := p.shown().Ends[0].N
 		p.set(func() { p.durable = last })
-		time.Sleep(2 * time.Second)
+		dreamer.Sleep(2 * time.Second)
 		c.Assert(p.count("forgotten"), qt.Equals, 1)
 		c.Assert(p.ends(), qt.HasLen, 0)
 	})
@@ -235,9 +236,9 @@
 		p.set(func() { p.plan = faker.PoolPlan{} })
 		p.order(start("j.0.0.0", 1))
 		p.set(func() { p.vouching = false })
-		time.Sleep(lease - 500*time.Millisecond)
+		dreamer.Sleep(lease - 500*time.Millisecond)
 		c.Assert(p.worker.Running(), qt.HasLen, 1)
-		time.Sleep(time.Second)
+		dreamer.Sleep(time.Second)
 		c.Assert(p.worker.Running(), qt.HasLen, 0)
 		p.order(start("j.0.0.1", 1))
 		c.Assert(p.count("start"), qt.Equals, 1, qt.Commentf("there is no lease to start under"))
@@ -254,9 +255,9 @@
 					}
 				})
 				p.order(start("j.0.0.0", 1))
-				time.Sleep(1500 * time.Millisecond)
+				dreamer.Sleep(1500 * time.Millisecond)
 				c.Assert(p.ends(), qt.DeepEquals, []string{"j.0.0.0#1 never"})
-				time.Sleep(5 * time.Second)
+				dreamer.Sleep(5 * time.Second)
 				c.Assert(p.count("start"), qt.Equals, 0, qt.Commentf("told as never begun"))
 			})
 		})
@@ -269,11 +270,11 @@
 		before := p.worker.Heartbeat(7)
 		p.worker.Boot("life-2", time.UnixMilli(900))
 		p.w.Heard(context.Background(), p.worker.Heartbeat(1))
-		time.Sleep(time.Second)
+		dreamer.Sleep(time.Second)
 		c.Assert(p.ends(), qt.DeepEquals, []string{"j.0.0.0#1 gone"})
 		c.Assert(p.shown().Worker, qt.Equals, "life-2")
 		p.w.Heard(context.Background(), before) // delayed by a partition
-		time.Sleep(time.Second)
+		dreamer.Sleep(time.Second)
 		c.Assert(p.shown().Worker, qt.Equals, "life-2")
 	})
 }
@@ -306,10 +307,10 @@
 		p.set(func() {
 			p.fault = func(string) faker.PoolFault { return faker.PoolFault{Lose: true, Drop: true} }
 		})
-		time.Sleep(4 * time.Second)
+		dreamer.Sleep(4 * time.Second)
 		c.Assert(p.ends(), qt.HasLen, 0, qt.Commentf("it may still run there"))
 		c.Assert(p.shown().Authority, qt.IsFalse)
-		time.Sleep(4 * time.Second)
+		dreamer.Sleep(4 * time.Second)
 		c.Assert(p.ends(), qt.DeepEquals, []string{"j.0.0.0#1 lapsed"})
 		c.Assert(p.worker.Running(), qt.HasLen, 0)
 	})
