--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -23,7 +23,6 @@
 	"github.com/endivefall/endivefall/messenger"
 	"github.com/endivefall/endivefall/overseer"
 	"github.com/endivefall/endivefall/relayer"
-	"github.com/endivefall/endivefall/sleeper"
 )
 
 // Times of an entry.
@@ -92,6 +91,9 @@
 	mu sync.Mutex
 	// overseer is set while this process owns the pools.
 	overseer *overseer.Overseer
+	// owned is closed when the overseer has ended and ownership is given up; nil
+	// while this process does not own the pools.
+	owned chan struct{}
 	// links has the agents' connections, for the overseer.
 	links map[*connector.Link]*overseer.Link
 	// leaving is set once the process is to end.
@@ -180,192 +182,14 @@
 	defer cancel()
 	c.mu.Lock()
 	c.leaving = true
+	owned := c.owned
 	c.mu.Unlock()
 	c.touch()
-	for {
-		c.mu.Lock()
-		owning := c.overseer != nil
-		c.mu.Unlock()
-		if !owning || ctx.Err() != nil {
-			break
-		}
-		time.Sleep(10 * time.Millisecond)
-	}
-	c.elector.Leave(ctx)
-}
-
-// ownLoop serves ownership for as long as this process has it.
-func (c *Conductor) ownLoop(ctx context.Context) {
-	for {
+	if owned != nil {
 		select {
+		case <-owned:
 		case <-ctx.Done():
-			return
-		case <-c.wake:
-		}
-		record, epoch := c.elector.Owner()
-		c.asker.Aim(record.Owner)
-		for c.elector.Mine() && ctx.Err() == nil {
-			record, epoch = c.elector.Owner()
-			c.own(ctx, record, epoch)
-			c.mu.Lock()
-			leaving := c.leaving
-			c.mu.Unlock()
-			if leaving {
-				break
-			}
 		}
 	}
-}
-
-// own schedules the pools until ownership is lost or given up.
-func (c *Conductor) own(parent context.Context, record elector.Record, epoch uint64) {
-	ctx, cancel := context.WithCancel(parent)
-	defer cancel()
-	foreign := proof
-	if record.Clean {
-		foreign = 0
-	}
-	o := overseer.New(overseer.Config{
-		Term: record.Term, Epoch: epoch, OwnerKey: elector.OwnerKey, Store: c.relayer.Store(), Now: c.cfg.Now, Wall: c.cfg.Wall,
-		Lease: Lease(c.cfg.Hold), Proof: proof, Foreign: foreign, Keep: c.cfg.Keep,
-		Advise: c.cfg.Advise, Proven: c.elector.Proven, Prove: c.elector.Prove,
-		Others: func() bool { return len(c.elector.Members()) > 0 },
-		Log:    c.cfg.Log, Count: c.cfg.Count, Time: c.cfg.Time,
-	})
-	c.mu.Lock()
-	if c.leaving {
-		c.mu.Unlock()
-		c.release(parent, epoch, "process ends")
-		return
-	}
-	c.overseer = o
-	c.mu.Unlock()
-	ended := make(chan error, 1)
-	go func() { ended <- o.Serve(ctx) }()
-	why := ""
-	for why == "" {
-		select {
-		case err := <-ended:
-			ended <- err
-			why = fmt.Sprint(err)
-		case <-c.wake:
-			c.mu.Lock()
-			leaving := c.leaving
-			c.mu.Unlock()
-			now, at := c.elector.Owner()
-			switch {
-			case leaving:
-				why = "process ends"
-			case !c.elector.Mine() || at != epoch || now.Term != record.Term:
-				why = "another owner"
-			}
-		}
-	}
-	cancel()
-	<-ended
-	c.mu.Lock()
-	links := c.links
-	c.links = map[*connector.Link]*overseer.Link{}
-	c.mu.Unlock()
-	for l := range links {
-		l.Close("not the owner any more")
-	}
-	c.mu.Lock()
-	c.overseer = nil
-	c.mu.Unlock()
-	c.release(parent, epoch, why)
-}
-
-// release gives ownership up, again until the store has it or ctx ends. An epoch
-// is never owned twice: what it started is not known any more, and jobs newer
-// than the epoch would count as never started.
-func (c *Conductor) release(ctx context.Context, epoch uint64, why string) {
-	for {
-		bound, done := context.WithTimeout(context.WithoutCancel(ctx), handover)
-		c.elector.Release(bound, why)
-		done()
-		if _, now := c.elector.Owner(); ctx.Err() != nil || !c.elector.Mine() || now != epoch {
-			return
-		}
-		sleeper.Sleep(ctx, releasePause)
-	}
-}
-
-func (c *Conductor) owner() *overseer.Overseer {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.overseer
-}
-
-// join takes a peer's connection; agents are turned away unless this process is
-// the owner.
-func (c *Conductor) join(l *connector.Link) {
-	if l.Hello.Role != messenger.RoleAgent {
-		return
-	}
-	c.mu.Lock()
-	o := c.overseer
-	link := &overseer.Link{ID: l.Hello.ID, Born: l.Hello.Born, Post: l.Post}
-	if o != nil {
-		c.links[l] = link
-	}
-	c.mu.Unlock()
-	if o == nil {
-		l.Close("not the owner")
-		return
-	}
-	o.Join(link)
-}
-
-func (c *Conductor) link(l *connector.Link) (*overseer.Overseer, *overseer.Link) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.overseer, c.links[l]
-}
-
-func (c *Conductor) part(l *connector.Link) {
-	o, link := c.link(l)
-	c.mu.Lock()
-	delete(c.links, l)
-	c.mu.Unlock()
-	if o != nil && link != nil {
-		o.Part(link)
-	}
-}
-
-func (c *Conductor) handle(l *connector.Link, f messenger.Frame) {
-	switch f.Kind {
-	case messenger.KindTable:
-		if o, link := c.link(l); o != nil && link != nil {
-			o.Heard(link, f)
-		}
-	case messenger.KindAsk:
-		c.answer(l, f)
-	}
-}
-
-// answer answers another entry's question; one without a subject asks whether
-// this process is there.
-func (c *Conductor) answer(l *connector.Link, f messenger.Frame) {
-	o := c.owner()
-	tell := messenger.Tell{}
-	if o != nil && (f.Ask.Job != "" || f.Ask.Queue != "") {
-		ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
-		defer cancel()
-		var err error
-		if tell, err = o.Answer(ctx, *f.Ask); err != nil {
-			c.cfg.Log.Debug("question not answered", zap.String("job", f.Ask.Job), zap.Error(err))
-		}
-	}
-	if err := l.Post(messenger.Frame{Kind: messenger.KindTell, ID: f.ID, Tell: &tell}); err != nil {
-		c.cfg.Log.Debug("answer not sent", zap.Error(err))
-	}
-}
-
-// ask asks the owner, which may be this process.
-func (c *Conductor) ask(ctx context.Context, ask messenger.Ask) (messenger.Tell, error) {
-	if o := c.owner(); o != nil {
-		return o.Answer(ctx, ask)
-	}
-	return c.asker.Ask(ctx, ask)
+	c.elector.Leave(ctx)
 }
--- a/overseer/overseer.go
+++ b/overseer/overseer.go
@@ -239,6 +239,9 @@
 	}
 }
 
+// Done is closed when Serve has returned.
+func (o *Overseer) Done() <-chan struct{} { return o.done }
+
 // hand gives the owner's goroutine something to do; it waits while the queue is
 // full and drops it when the owner has ended.
 func (o *Overseer) hand(f func()) {
