--- a/overseer/answer.go
+++ b/overseer/answer.go
@@ -26,7 +26,7 @@
 		return t, nil
 	case <-ctx.Done():
 		return messenger.Tell{}, ctx.Err()
-	case <-o.done:
+	case <-o.stopped:
 		return messenger.Tell{}, ErrDeposed
 	}
 }
--- a/overseer/follow.go
+++ b/overseer/follow.go
@@ -62,7 +62,7 @@
 		}
 	case <-ctx.Done():
 		return 0, ctx.Err()
-	case <-o.done:
+	case <-o.stopped:
 		return 0, ErrDeposed
 	}
 	out, err := o.cfg.Store.List(ctx, outPrefix)
--- a/overseer/overseer.go
+++ b/overseer/overseer.go
@@ -104,8 +104,9 @@
 type Overseer struct {
 	cfg Config
 	do  chan func()
-	// done is closed when Serve has returned.
-	done chan struct{}
+	// stopped is closed when the loop takes nothing more from do, done when Serve
+	// has returned.
+	stopped, done chan struct{}
 	// claimed is the local time at which ownership was known.
 	claimed time.Time
 	loaded  bool
@@ -190,7 +191,7 @@
 // New returns an Overseer; Serve runs it.
 func New(cfg Config) *Overseer {
 	return &Overseer{
-		cfg: cfg, do: make(chan func(), queue), done: make(chan struct{}),
+		cfg: cfg, do: make(chan func(), queue), stopped: make(chan struct{}), done: make(chan struct{}),
 		jobs: map[string]*job{}, open: map[string]*job{}, runs: map[runKey]*run{}, agents: map[string]*agent{},
 		press: profiler.New(), advice: map[string]*advice{},
 	}
@@ -200,7 +201,8 @@
 func (o *Overseer) Serve(ctx context.Context) error {
 	defer close(o.done)
 	ctx, cancel := context.WithCancel(ctx)
-	defer o.works.Wait()
+	defer o.works.Wait() // after the loop has stopped, or they would wait for it
+	defer close(o.stopped)
 	defer cancel()
 	o.claimed = o.cfg.Now()
 	o.works.Go(func() { o.follow(ctx) })
@@ -247,7 +249,7 @@
 func (o *Overseer) hand(f func()) {
 	select {
 	case o.do <- f:
-	case <-o.done:
+	case <-o.stopped:
 	}
 }
 
--- a/overseer/overseer_test.go
+++ b/overseer/overseer_test.go
@@ -5,11 +5,13 @@
 	"errors"
 	"fmt"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 	"go.uber.org/zap"
 
+	"github.com/endivefall/endivefall/dreamer"
 	"github.com/endivefall/endivefall/faker"
 	"github.com/endivefall/endivefall/keeper"
 	"github.com/endivefall/endivefall/messenger"
@@ -368,3 +370,36 @@
 	d.o.place()
 	c.Assert(old.Task(0, 0, 0).Live, qt.Equals, 1)
 }
+
+// What works for an owner that ends must not wait for its queue: links fill it
+// while the last write is on its way.
+func TestAnOwnerEndsWhileItsQueueIsFull(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		d := newDesk(c, 1)
+		d.o.cfg.Now, d.o.cfg.Proven = time.Now, time.Now
+		written := make(chan struct{})
+		d.o.cfg.Store.Commit = func(context.Context, keeper.Change) (uint64, error) {
+			<-written
+			return 0, keeper.ErrDown
+		}
+		d.o.changed(d.submit(sequencer.Spec{Steps: []sequencer.Step{step(1, 1)}}))
+		ctx, cancel := context.WithCancel(context.Background())
+		ended := make(chan error, 1)
+		go func() { ended <- d.o.Serve(ctx) }()
+		dreamer.Sleep(100 * time.Millisecond)
+		cancel()
+		synctest.Wait()
+		for range 2 * queue {
+			go d.o.hand(func() {})
+		}
+		synctest.Wait()
+		close(written)
+		select {
+		case err := <-ended:
+			c.Assert(err, qt.IsNil)
+		case <-time.After(time.Minute):
+			c.Fatal("the owner does not end")
+		}
+	})
+}
