overseer, platform: Split long test files by what they test

Cause: overseer_test.go (403 lines) and platform_test.go (363) held stand-ins and tests of five parts each. Change: moved as they were into desk, place, ends and overseer, and store, worker, ingress, operator and platform.

--- /dev/null
+++ b/overseer/desk_test.go
@@ -0,0 +1,108 @@
+package overseer
+
+import (
+	"fmt"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"go.uber.org/zap"
+
+	"github.com/endivefall/endivefall/faker"
+	"github.com/endivefall/endivefall/keeper"
+	"github.com/endivefall/endivefall/messenger"
+	"github.com/endivefall/endivefall/sequencer"
+)
+
+// desk is an owner with agents that are stand-ins, driven by hand.
+type desk struct {
+	c     *qt.C
+	o     *Overseer
+	now   time.Time
+	sent  map[string][]messenger.Frame
+	fails map[string]error
+	store *faker.Store
+	jobs  int
+}
+
+func newDesk(c *qt.C, agents int) *desk {
+	d := &desk{c: c, now: time.Unix(5000, 0), sent: map[string][]messenger.Frame{}, fails: map[string]error{}, store: faker.NewStore()}
+	d.o = New(Config{
+		Term: 1, Epoch: 10, OwnerKey: "owner", Store: d.store.Keeper(),
+		Now: func() time.Time { return d.now }, Wall: func() time.Time { return d.now },
+		Lease: 5800 * time.Millisecond, Proof: 10 * time.Second, Keep: time.Hour,
+		Proven: func() time.Time { return d.now }, Prove: func(time.Time) {}, Others: func() bool { return true },
+		Log: zap.NewNop(), Count: func(string) {}, Time: func(string, time.Duration) {},
+	})
+	d.o.claimed = d.now
+	d.o.begin(nil, nil, nil)
+	for n := range agents {
+		d.join(fmt.Sprint("a", n))
+	}
+	return d
+}
+
+// join links an agent that has an empty table.
+func (d *desk) join(id string) *agent {
+	a := d.o.agent(id)
+	a.link = &Link{ID: id, Born: "b", Post: func(f messenger.Frame) error {
+		if err := d.fails[id]; err != nil {
+			return err
+		}
+		d.sent[id] = append(d.sent[id], f)
+		return nil
+	}}
+	a.born, a.kept = "b", 1
+	d.table(id, &messenger.Table{})
+	return a
+}
+
+// table has an agent tell its table.
+func (d *desk) table(id string, t *messenger.Table) {
+	t.Term, t.Worker, t.CPU, t.Memory, t.Pool, t.Surveyed, t.Authority = 1, "life-"+id, 8000, 16000, "pool", true, true
+	t.Seq = d.o.agents[id].seq
+	d.o.hear(d.o.agents[id], t)
+}
+
+// submit has a job come in.
+func (d *desk) submit(spec sequencer.Spec) *job {
+	d.jobs++
+	spec.ID = fmt.Sprintf("%016x", d.jobs)
+	spec.Pool, spec.Queue, spec.Attempts, spec.Accepted = "pool", "queue", 2, d.now
+	raw, err := spec.Encode()
+	d.c.Assert(err, qt.IsNil)
+	d.o.take([]keeper.Item{{Key: JobKey(spec.ID), Value: raw, Version: uint64(20 + d.jobs)}})
+	return d.o.jobs[spec.ID]
+}
+
+// orders returns the tasks that an agent was told to start or stop, in order.
+func (d *desk) orders(id string) []string {
+	var list []string
+	for _, f := range d.sent[id] {
+		switch {
+		case f.Kind != messenger.KindOrder:
+		case f.Order.Stop != nil:
+			list = append(list, "stop "+f.Order.Stop.Task)
+		case !f.Order.Start.Known:
+			list = append(list, "start "+f.Order.Start.Task)
+		}
+	}
+	return list
+}
+
+func step(count int, cpu int64) sequencer.Step {
+	return sequencer.Step{Count: count, CPU: cpu, Memory: 10, Estimate: time.Second}
+}
+
+// run has an agent list all its runs as running.
+func (d *desk) run(id string, percent int) {
+	t := &messenger.Table{}
+	for _, r := range d.o.runsOf(d.o.agents[id]) {
+		t.Runs = append(t.Runs, messenger.RunRow{Task: r.key.task, Attempt: r.key.attempt, Phase: messenger.PhaseRunning, Percent: percent, Pace: 100})
+	}
+	d.table(id, t)
+}
+
+// end has an agent list an end.
+func (d *desk) end(id string, n uint64, task string, attempt uint64, how messenger.How) {
+	d.table(id, &messenger.Table{Ends: []messenger.EndRow{{N: n, Task: task, Attempt: attempt, How: how}}})
+}
--- /dev/null
+++ b/overseer/ends_test.go
@@ -0,0 +1,59 @@
+package overseer
+
+import (
+	"fmt"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/endivefall/endivefall/keeper"
+	"github.com/endivefall/endivefall/messenger"
+	"github.com/endivefall/endivefall/sequencer"
+)
+
+func TestAnEndIsForgottenOnlyWhenTheLedgerHasIt(t *testing.T) {
+	c := qt.New(t)
+	d := newDesk(c, 1)
+	j := d.submit(sequencer.Spec{Steps: []sequencer.Step{step(1, 10)}})
+	d.o.place()
+	d.end("a0", 1, j.Task(0, 0, 0).Name(), 1, messenger.EndDone)
+	c.Assert(d.o.agents["a0"].durable, qt.Equals, uint64(0))
+	c.Assert(shown(j.Job), qt.Equals, sequencer.Running, qt.Commentf("complete is not durable yet"))
+	b := d.o.gather()
+	d.o.committed(b, 40, d.now, nil)
+	c.Assert(d.o.agents["a0"].durable, qt.Equals, uint64(1))
+	c.Assert(shown(j.Job), qt.Equals, sequencer.Complete)
+}
+
+func TestAJobFailsAfterItsAttemptsEachCountedOnce(t *testing.T) {
+	c := qt.New(t)
+	d := newDesk(c, 1)
+	j := d.submit(sequencer.Spec{Steps: []sequencer.Step{step(1, 10)}})
+	name := j.Task(0, 0, 0).Name()
+	d.o.place()
+	d.end("a0", 1, name, 1, messenger.EndFailed)
+	// Another process of the agent lists the same end under another number.
+	d.o.agents["a0"].born, d.o.agents["a0"].taken = "c", 0
+	d.end("a0", 1, name, 1, messenger.EndFailed)
+	c.Assert(j.Failed, qt.IsFalse)
+	d.o.place()
+	d.end("a0", 2, name, 2, messenger.EndFailed)
+	c.Assert(j.Failed, qt.IsTrue)
+}
+
+func TestATransactionNeverHoldsMoreThanTheStoreTakes(t *testing.T) {
+	c := qt.New(t)
+	d := newDesk(c, 30)
+	for n := range 30 {
+		a := d.o.agents[fmt.Sprint("a", n)]
+		a.striking = n%2 == 0
+		a.enrolling = n%2 == 1
+		d.o.changed(d.submit(sequencer.Spec{Steps: []sequencer.Step{step(1, 1)}}))
+	}
+	for range 20 {
+		b := d.o.gather()
+		n := len(b.change.Checks) + len(b.change.Writes) + len(b.change.Removes)
+		c.Assert(n <= keeper.MaxEntries, qt.IsTrue, qt.Commentf("%d entries", n))
+	}
+	c.Assert(d.o.dirty, qt.HasLen, 0)
+}
