all: Mend what a second reading found

Submit takes the context's deadline. - whether a worker was unhealthy was read out of a log text; it is a field. - one send for batches, one order of strings, one name of a step, one wait.

--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -16,6 +17,7 @@
 	"github.com/endivefall/endivefall/messenger"
 	"github.com/endivefall/endivefall/overseer"
 	"github.com/endivefall/endivefall/sequencer"
+	"github.com/endivefall/endivefall/sleeper"
 )
 
 // Errors of a call.
@@ -60,6 +62,8 @@
 	retryPause = 40 * time.Millisecond
 	// askTimeout bounds a question to the owner before the store is read.
 	askTimeout = 400 * time.Millisecond
+	// defaultWait is how long a caller waits that names no deadline.
+	defaultWait = 3 * time.Second
 	// replyMargin is left of a caller's time for the answer to reach it.
 	replyMargin = 150 * time.Millisecond
 )
@@ -184,8 +188,9 @@
 	a.doubts[id] = now.Add(doubtFor)
 }
 
-// Submit stores a job. A job of the same ID that is stored is the same job.
-func (a *Acceptor) Submit(ctx context.Context, spec *sequencer.Spec, until time.Time) error {
+// Submit stores a job, while ctx lasts. A job of the same ID that is stored is
+// the same job.
+func (a *Acceptor) Submit(ctx context.Context, spec *sequencer.Spec) error {
 	spec.Accepted = a.cfg.Wall()
 	if err := spec.Check(); err != nil {
 		return err
@@ -194,7 +199,11 @@
 	if err != nil {
 		return err
 	}
-	s := &submission{spec: spec, value: value, until: until, begun: a.cfg.Now(), done: make(chan error, 1)}
+	s := &submission{spec: spec, value: value, begun: a.cfg.Now(), done: make(chan error, 1)}
+	s.until = s.begun.Add(defaultWait)
+	if deadline, ok := ctx.Deadline(); ok {
+		s.until = s.begun.Add(time.Until(deadline)) // the time of day may jump meanwhile
+	}
 	if since, ok := a.Reaching(); !ok && a.cfg.Now().Sub(since) > breakAfter {
 		return a.refuse(spec.ID, fmt.Sprintf("the store has not answered for %s", a.cfg.Now().Sub(since).Round(time.Millisecond)))
 	}
@@ -271,7 +280,7 @@
 	case err == nil:
 		a.down.Store(0)
 		for _, s := range batch {
-			if !contains(later, s) {
+			if !slices.Contains(later, s) {
 				s.done <- nil
 			}
 		}
@@ -306,25 +315,11 @@
 		s.done <- a.outcome(s)
 	}
 	if len(rest) > 0 {
-		t := time.NewTimer(retryPause)
-		defer t.Stop()
-		select {
-		case <-ctx.Done():
-		case <-t.C:
-		}
+		sleeper.Sleep(ctx, retryPause)
 	}
 	return rest
 }
 
-func contains(list []*submission, s *submission) bool {
-	for _, other := range list {
-		if other == s {
-			return true
-		}
-	}
-	return false
-}
-
 // Reaching says since when the store has answered no write; ok is true while it
 // answers or nothing was asked.
 func (a *Acceptor) Reaching() (since time.Time, ok bool) {
--- a/acceptor/acceptor_test.go
+++ b/acceptor/acceptor_test.go
@@ -76,7 +76,7 @@
 	spec := &sequencer.Spec{ID: id(n), Queue: "q", Pool: "p", Steps: []sequencer.Step{{Count: 1}}}
 	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
 	defer cancel()
-	err := d.a.Submit(ctx, spec, began.Add(3*time.Second))
+	err := d.a.Submit(ctx, spec)
 	return time.Since(began), err
 }
 
--- a/acceptor/state.go
+++ b/acceptor/state.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"time"
 
 	"go.uber.org/zap"
 
@@ -11,6 +10,7 @@
 	"github.com/endivefall/endivefall/messenger"
 	"github.com/endivefall/endivefall/overseer"
 	"github.com/endivefall/endivefall/sequencer"
+	"github.com/endivefall/endivefall/sleeper"
 )
 
 // State returns a job's state: the owner's word, or else the store's.
@@ -75,12 +75,8 @@
 		if errors.Is(err, keeper.ErrMissing) {
 			return item, ErrGone
 		}
-		t := time.NewTimer(retryPause)
-		select {
-		case <-ctx.Done():
-			t.Stop()
+		if sleeper.Sleep(ctx, retryPause); ctx.Err() != nil {
 			return item, errors.Join(ErrUnread, err)
-		case <-t.C:
 		}
 	}
 }
@@ -113,12 +109,8 @@
 			}
 			return ErrGone // the job was forgotten meanwhile
 		}
-		t := time.NewTimer(retryPause)
-		select {
-		case <-ctx.Done():
-			t.Stop()
+		if sleeper.Sleep(ctx, retryPause); ctx.Err() != nil {
 			return errors.Join(ErrUnknown, err)
-		case <-t.C:
 		}
 	}
 }
--- a/conductor/history_test.go
+++ b/conductor/history_test.go
@@ -104,7 +104,7 @@
 	f.book.Add(spec)
 	ctx, cancel := context.WithTimeout(f.ctx, 3*time.Second)
 	defer cancel()
-	err := e.c.Acceptor.Submit(ctx, spec, time.Now().Add(3*time.Second))
+	err := e.c.Acceptor.Submit(ctx, spec)
 	if errors.Is(err, acceptor.ErrTurnedAway) {
 		f.book.Refuse(id)
 	}
--- a/messenger/pool.go
+++ b/messenger/pool.go
@@ -114,6 +114,7 @@
 	How     How    `cbor:"4,keyasint"`
 	Saved   string `cbor:"5,keyasint,omitempty"`
 	Reason  string `cbor:"6,keyasint,omitempty"` // why it never began
+	Busy    bool   `cbor:"7,keyasint,omitempty"` // the worker was unhealthy and did nothing
 }
 
 // Vouch is an owner's answer to a Table.
--- a/overseer/advice.go
+++ b/overseer/advice.go
@@ -62,7 +62,11 @@
 	var granted []*seater.Seat
 	var unknown []string
 	for _, s := range seats {
-		life := agents[s.ID].table.Worker
+		a := agents[s.ID]
+		if a.table == nil {
+			continue // its connection has ended in this round
+		}
+		life := a.table.Worker
 		if t, ok := v.tickets[life]; ok && now.Before(t.until.Add(-adviceMargin)) {
 			granted = append(granted, s)
 		} else if !v.asked[life] || ok {
@@ -121,7 +125,7 @@
 	}
 	for k := range j.Occurrences() {
 		for n := range j.Spec.Steps {
-			delete(o.advice, stepName(j.Task(k, n, 0)))
+			delete(o.advice, j.Task(k, n, 0).StepName())
 		}
 	}
 }
--- a/overseer/agent.go
+++ b/overseer/agent.go
@@ -30,8 +30,9 @@
 	// kept is the version of its key in the ledger; 0 while it has none. No
 	// order and no lease goes to an agent without one.
 	kept uint64
-	// enrolling and striking are set while its key is to be written or removed.
-	enrolling, striking bool
+	// enrolling and striking are set while its key is to be written or removed,
+	// writing while the store was asked to and has not answered.
+	enrolling, striking, writing bool
 	// vouched is the local time up to which its runs may go on without a word
 	// of the owner.
 	vouched time.Time
@@ -113,7 +114,7 @@
 	}
 	now := o.cfg.Now()
 	a.table, a.heard = t, now
-	if o.loaded && a.kept == 0 && !a.striking {
+	if o.loaded && a.kept == 0 && !a.writing {
 		a.enrolling = true
 	}
 	if o.loaded {
@@ -122,7 +123,7 @@
 	v := &messenger.Vouch{Term: o.cfg.Term, Durable: a.durable}
 	if a.kept != 0 && o.current() && t.Surveyed {
 		v.Asked, v.Worker = t.Asked, t.Worker
-		a.vouched = o.later(a.vouched, now.Add(o.leaseBound()))
+		a.vouched = later(a.vouched, now.Add(o.leaseBound()))
 	}
 	a.told = a.durable
 	o.post(a, messenger.Frame{Kind: messenger.KindVouch, Vouch: v})
@@ -256,7 +257,7 @@
 		o.cfg.Log.Info("agent given up", zap.String("agent", a.id), zap.Time("vouched", a.vouched))
 	}
 	a.surveyed = false
-	if a.link == nil && a.kept != 0 && !a.striking && now.After(a.vouched.Add(strikeAfter)) {
+	if a.link == nil && a.kept != 0 && now.After(a.vouched.Add(strikeAfter)) {
 		a.striking = true
 	}
 }
--- a/overseer/ends.go
+++ b/overseer/ends.go
@@ -1,7 +1,6 @@
 package overseer
 
 import (
-	"strings"
 	"time"
 
 	"go.uber.org/zap"
@@ -125,7 +124,7 @@
 		o.changed(j)
 	case messenger.EndNever:
 		t.After = now.Add(neverPause)
-		if strings.Contains(row.Reason, "unhealthy") {
+		if row.Busy {
 			a.record.busy(now)
 		}
 	}
--- a/overseer/ends_test.go
+++ b/overseer/ends_test.go
@@ -57,3 +57,21 @@
 	}
 	c.Assert(d.o.dirty, qt.HasLen, 0)
 }
+
+// An agent tells its table several times while its key is being written; it was
+// enrolled again each time, and the second transaction failed with all in it.
+func TestAnAgentIsEnrolledOnce(t *testing.T) {
+	c := qt.New(t)
+	d := newDesk(c, 1)
+	a := d.o.agents["a0"]
+	a.kept = 0
+	d.run("a0", 1)
+	b := d.o.gather()
+	c.Assert(b.agents, qt.HasLen, 1)
+	d.run("a0", 1)
+	c.Assert(d.o.gather().agents, qt.HasLen, 0)
+	d.o.committed(b, 40, d.now, nil)
+	c.Assert(a.kept, qt.Equals, uint64(40))
+	d.run("a0", 1)
+	c.Assert(d.o.gather().agents, qt.HasLen, 0)
+}
--- a/overseer/evacuate.go
+++ b/overseer/evacuate.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/endivefall/endivefall/messenger"
@@ -19,7 +20,7 @@
 	byPool, _ := o.seats()
 	for _, a := range draining {
 		for _, r := range o.runsOf(a) {
-			step, name := r.task.Shape(), stepName(r.task)
+			step, name := r.task.Shape(), r.task.StepName()
 			if r.phase != messenger.PhaseRunning || r.evict || step.Gang || !step.Lasting && !step.Checkpoints {
 				continue
 			}
@@ -44,7 +45,7 @@
 			list = append(list, a)
 		}
 	}
-	slices.SortFunc(list, func(a, b *agent) int { return compareID(a.id, b.id) })
+	slices.SortFunc(list, func(a, b *agent) int { return strings.Compare(a.id, b.id) })
 	return list
 }
 
@@ -107,7 +108,7 @@
 		if c := a.percent - b.percent; c != 0 {
 			return c
 		}
-		return compareID(a.key.task, b.key.task)
+		return strings.Compare(a.key.task, b.key.task)
 	})
 	return list
 }
--- a/overseer/follow.go
+++ b/overseer/follow.go
@@ -17,13 +17,14 @@
 
 // follow reads the ledger, then its changes, until ctx ends.
 func (o *Overseer) follow(ctx context.Context) {
-	for ctx.Err() == nil {
-		at, err := o.load(ctx)
+	for first := true; ctx.Err() == nil; {
+		at, err := o.load(ctx, first)
 		if err != nil {
 			o.cfg.Log.Warn("ledger not read", zap.Error(err))
 			sleeper.Sleep(ctx, retryPause)
 			continue
 		}
+		first = false
 		for ctx.Err() == nil {
 			page, err := o.cfg.Store.Watch(ctx, JobPrefix, at, time.Now().Add(watchWait))
 			if errors.Is(err, keeper.ErrCompacted) {
@@ -33,7 +34,6 @@
 			if err != nil {
 				if ctx.Err() == nil {
 					o.cfg.Log.Info("watch of the ledger broke", zap.Error(err))
-					// A watch can't be relayed; reading everything can.
 					sleeper.Sleep(ctx, retryPause)
 				}
 				break
@@ -46,24 +46,16 @@
 	}
 }
 
-// load reads the whole ledger and returns the version from which to watch.
-func (o *Overseer) load(ctx context.Context) (uint64, error) {
+// load reads the ledger and returns the version from which to watch. Progress
+// and agents are read only the first time: nobody but the owner writes them.
+func (o *Overseer) load(ctx context.Context, first bool) (uint64, error) {
 	in, err := o.cfg.Store.List(ctx, JobPrefix)
 	if err != nil {
 		return 0, err
 	}
-	loaded := make(chan bool, 1)
-	o.hand(func() { loaded <- o.loaded })
-	select {
-	case again := <-loaded:
-		if again { // progress and agents are only ever written by the owner
-			o.hand(func() { o.take(in.Items) })
-			return in.Version, nil
-		}
-	case <-ctx.Done():
-		return 0, ctx.Err()
-	case <-o.stopped:
-		return 0, ErrDeposed
+	if !first {
+		o.hand(func() { o.take(in.Items) })
+		return in.Version, nil
 	}
 	out, err := o.cfg.Store.List(ctx, outPrefix)
 	if err != nil {
@@ -105,7 +97,7 @@
 		a := o.agent(id)
 		a.kept, a.missing = item.Version, !a.surveyed
 		// An earlier owner may have vouched for it until its proof ended.
-		a.vouched = o.later(a.vouched, o.claimed.Add(o.cfg.Foreign+o.leaseBound()))
+		a.vouched = later(a.vouched, o.claimed.Add(o.cfg.Foreign+o.leaseBound()))
 	}
 	o.take(in) // cancels
 	o.loaded, o.plan = true, true
@@ -117,7 +109,8 @@
 	}
 }
 
-func (o *Overseer) later(a, b time.Time) time.Time {
+// later returns the later of two times.
+func later(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
 	}
--- a/overseer/gang.go
+++ b/overseer/gang.go
@@ -11,7 +11,7 @@
 // placeGang starts all members of a gang together, or none: they work only when
 // all are there, and all resume from the same checkpoint.
 func (o *Overseer) placeGang(j *job, members []*sequencer.Task, seats []*seater.Seat, agents map[string]*agent, ordered map[*agent]int, now time.Time) {
-	step, name := members[0].Shape(), stepName(members[0])
+	step, name := members[0].Shape(), members[0].StepName()
 	if members[len(members)-1].Step != members[0].Step || members[len(members)-1].Occurrence != members[0].Occurrence {
 		return // some member is not waiting
 	}
@@ -95,7 +95,7 @@
 			return // mendGangs stops the others
 		}
 		ordered[a]++
-		chosen[n].Take(t.Shape(), stepName(t))
+		chosen[n].Take(t.Shape(), t.StepName())
 	}
 }
 
--- a/overseer/place.go
+++ b/overseer/place.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"slices"
+	"strings"
 	"time"
 
 	"go.uber.org/zap"
@@ -54,22 +55,12 @@
 		}
 	}
 	for _, seats := range byPool {
-		slices.SortFunc(seats, func(a, b *seater.Seat) int { return compareID(a.ID, b.ID) })
+		slices.SortFunc(seats, func(a, b *seater.Seat) int { return strings.Compare(a.ID, b.ID) })
 	}
 	o.fill(byPool)
 	return byPool, agents
 }
 
-func compareID(a, b string) int {
-	switch {
-	case a < b:
-		return -1
-	case a > b:
-		return 1
-	}
-	return 0
-}
-
 // ranked returns the open jobs in the order in which they are served.
 func (o *Overseer) ranked(wall time.Time) []*job {
 	type entry struct {
@@ -84,7 +75,7 @@
 		if c := a.rank.Compare(b.rank); c != 0 {
 			return c
 		}
-		return compareID(a.j.Spec.ID, b.j.Spec.ID)
+		return strings.Compare(a.j.Spec.ID, b.j.Spec.ID)
 	})
 	jobs := make([]*job, len(list))
 	for n, e := range list {
@@ -120,7 +111,7 @@
 			continue
 		}
 		step := r.task.Shape()
-		s.Take(step, stepName(r.task))
+		s.Take(step, r.task.StepName())
 		if step.Target > 0 && r.phase == messenger.PhaseRunning {
 			s.Serves = append(s.Serves, seater.Serve{
 				Image:    step.Image,
@@ -146,17 +137,6 @@
 	shownAfter = 900 * time.Millisecond
 )
 
-// stepName names a step of an occurrence.
-func stepName(t *sequencer.Task) string {
-	name := t.Name()
-	for n := len(name) - 1; n >= 0; n-- {
-		if name[n] == '.' {
-			return name[:n]
-		}
-	}
-	return name
-}
-
 // placeJob starts what of a job can be started.
 func (o *Overseer) placeJob(j *job, seats []*seater.Seat, agents map[string]*agent, ordered map[*agent]int, now, wall time.Time) {
 	waiting := j.Waiting(wall)
@@ -166,7 +146,7 @@
 			t.Since = now
 		}
 		if t.Shape().Gang {
-			seats := o.advised(j, stepName(t), seats, agents, now)
+			seats := o.advised(j, t.StepName(), seats, agents, now)
 			if t.Index == 0 && len(waiting) >= n+t.Shape().Count {
 				o.placeGang(j, waiting[n:n+t.Shape().Count], seats, agents, ordered, now)
 			}
@@ -175,7 +155,7 @@
 		if now.Before(t.After) {
 			continue
 		}
-		name := stepName(t)
+		name := t.StepName()
 		if name == full && len(t.Avoid) == 0 {
 			continue
 		}
@@ -234,7 +214,7 @@
 	step := r.task.Shape()
 	return &messenger.RunStart{
 		Task: r.key.task, Attempt: r.key.attempt, Payload: r.job.Spec.Payload, Saved: r.task.Saved, Known: known,
-		Ticket: o.ticketOf(stepName(r.task), r.agent),
+		Ticket: o.ticketOf(r.task.StepName(), r.agent),
 		Traits: messenger.Traits{
 			CPU: step.CPU, Memory: step.Memory, GPU: step.GPU, Fills: step.Fills, Image: step.Image, Target: step.Target,
 		},
--- a/overseer/place_test.go
+++ b/overseer/place_test.go
@@ -162,3 +162,16 @@
 	c.Assert(more.live, qt.HasLen, 1)
 	c.Assert(asked, qt.Equals, 3)
 }
+
+// The connection of an agent may end while a round goes on that asks for
+// advice.
+func TestAdviceIsNotAskedForWorkersOutOfReach(t *testing.T) {
+	c := qt.New(t)
+	d := newDesk(c, 1)
+	d.o.cfg.Advise = func(context.Context, string, []string) ([]Grant, time.Duration, error) { return nil, 0, nil }
+	d.fails["a0"] = errors.New("closed")
+	d.submit(sequencer.Spec{Steps: []sequencer.Step{step(1, 10)}})
+	d.submit(sequencer.Spec{Steps: []sequencer.Step{step(1, 10)}, Advised: true})
+	d.o.place() // panicked: the first job's order takes the agent out of reach
+	c.Assert(d.o.asking, qt.Equals, 0)
+}
--- a/overseer/relieve.go
+++ b/overseer/relieve.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/endivefall/endivefall/messenger"
@@ -70,12 +71,12 @@
 		if c := a.pace - b.pace; c != 0 {
 			return c
 		}
-		return compareID(a.key.task, b.key.task)
+		return strings.Compare(a.key.task, b.key.task)
 	})
 	byPool, _ := o.seats()
 	moves := 0
 	for _, r := range slowed {
-		step, name := r.task.Shape(), stepName(r.task)
+		step, name := r.task.Shape(), r.task.StepName()
 		for _, s := range byPool[r.job.Spec.Pool] {
 			if s.ID == r.agent.id || !seater.Fits(r.task, name, s) || s.Filling+step.CPU > s.Unused() ||
 				seater.Share(step, s, o.press.Press) < betterShare {
--- a/overseer/write.go
+++ b/overseer/write.go
@@ -46,6 +46,11 @@
 	if len(b.change.Writes)+len(b.change.Removes) == 0 {
 		return
 	}
+	o.send(ctx, b)
+}
+
+// send commits a batch, of which only one is on its way.
+func (o *Overseer) send(ctx context.Context, b *batch) {
 	o.writing = true
 	o.works.Go(func() {
 		at, sent, err := o.commit(ctx, &b.change)
@@ -65,13 +70,14 @@
 	}
 	for _, a := range o.agents {
 		if a.enrolling && b.keys() < maxKeys {
-			a.enrolling = false
+			a.enrolling, a.writing = false, true
 			b.agents = append(b.agents, a)
 			add(agentPrefix+a.id, 0, []byte(a.id))
 		}
 	}
 	for _, a := range o.agents {
-		if a.striking && a.kept != 0 && b.keys() < maxKeys {
+		if a.striking && b.keys() < maxKeys {
+			a.striking, a.writing = false, true
 			b.struck = append(b.struck, a)
 			b.change.Checks = append(b.change.Checks, keeper.Check{Key: agentPrefix + a.id, Version: a.kept})
 			b.change.Removes = append(b.change.Removes, agentPrefix+a.id)
@@ -142,12 +148,12 @@
 	}
 	o.cfg.Prove(sent)
 	for _, a := range b.agents {
-		a.kept = at
+		a.kept, a.writing = at, false
 		o.plan = true
 		o.cfg.Log.Info("agent enrolled", zap.String("agent", a.id))
 	}
 	for _, a := range b.struck {
-		a.striking = false
+		a.writing = false
 		o.cfg.Log.Info("agent struck", zap.String("agent", a.id))
 		if a.link == nil {
 			delete(o.agents, a.id)
@@ -175,15 +181,8 @@
 // what was expected, and writes again. Only this owner writes them, so a
 // difference is an answer that was lost.
 func (o *Overseer) reconcile(b *batch, clash *keeper.Clash) {
-	for _, a := range b.agents {
-		if item := clash.Item(agentPrefix + a.id); item.Version != 0 {
-			a.kept = item.Version
-		} else {
-			a.enrolling = true
-		}
-	}
-	for _, a := range b.struck {
-		a.striking, a.kept = false, clash.Item(agentPrefix+a.id).Version
+	for _, a := range append(b.agents, b.struck...) {
+		a.writing, a.kept = false, clash.Item(agentPrefix+a.id).Version
 	}
 	for _, w := range b.jobs {
 		w.job.Kept = clash.Item(OutKey(w.job.Spec.ID)).Version
@@ -214,12 +213,5 @@
 	if len(b.forgotten) == 0 {
 		return
 	}
-	o.writing = true
-	o.works.Go(func() {
-		at, sent, err := o.commit(ctx, &b.change)
-		o.hand(func() {
-			o.writing = false
-			o.committed(b, at, sent, err)
-		})
-	})
+	o.send(ctx, b)
 }
--- a/sequencer/task.go
+++ b/sequencer/task.go
@@ -37,7 +37,12 @@
 
 // Name returns the task's name for workers: JOB.OCCURRENCE.STEP.INDEX.
 func (t *Task) Name() string {
-	return t.Job.Spec.ID + "." + strconv.Itoa(t.Occurrence) + "." + strconv.Itoa(t.Step) + "." + strconv.Itoa(t.Index)
+	return t.StepName() + "." + strconv.Itoa(t.Index)
+}
+
+// StepName returns the name of the step of one occurrence: JOB.OCCURRENCE.STEP.
+func (t *Task) StepName() string {
+	return t.Job.Spec.ID + "." + strconv.Itoa(t.Occurrence) + "." + strconv.Itoa(t.Step)
 }
 
 // Shape returns the step that the task is of.
--- a/warden/look.go
+++ b/warden/look.go
@@ -105,7 +105,7 @@
 		return
 	}
 	for _, r := range w.sortedRuns() {
-		w.finish(r, messenger.EndLapsed, "", "lease ended while the worker was silent", 0)
+		w.finish(r, messenger.EndRow{How: messenger.EndLapsed, Reason: "lease ended while the worker was silent"}, 0)
 	}
 }
 
@@ -139,7 +139,7 @@
 		}
 		w.seen = e.N
 		if r := w.runs[k]; r != nil {
-			w.finish(r, e.How, e.Saved, "", e.N)
+			w.finish(r, messenger.EndRow{How: e.How, Saved: e.Saved}, e.N)
 			continue
 		}
 		w.list(messenger.EndRow{Task: e.Task, Attempt: e.Attempt, How: e.How, Saved: e.Saved}, e.N)
@@ -149,10 +149,10 @@
 		case listed[key{r.task, r.attempt}] || !l.Whole:
 		case r.phase == messenger.PhaseStarting:
 			if r.doubt != 0 && fence > r.doubt {
-				w.finish(r, messenger.EndNever, "", "the start got no answer and was fenced off", 0)
+				w.finish(r, messenger.EndRow{How: messenger.EndNever, Reason: "the start got no answer and was fenced off"}, 0)
 			}
 		case r.since.Before(l.Clock):
-			w.finish(r, messenger.EndGone, "", "the worker no longer lists it", 0)
+			w.finish(r, messenger.EndRow{How: messenger.EndGone, Reason: "the worker no longer lists it"}, 0)
 		}
 	}
 	if !w.surveyed {
--- a/warden/orders.go
+++ b/warden/orders.go
@@ -46,7 +46,7 @@
 	}
 	w.runs[k] = r
 	if why := w.unfit(s); why != "" {
-		w.finish(r, messenger.EndNever, "", why, 0)
+		w.finish(r, messenger.EndRow{How: messenger.EndNever, Reason: why}, 0)
 		return
 	}
 	w.cfg.Log.Info("run ordered", zap.String("task", s.Task), zap.Uint64("attempt", s.Attempt), zap.Uint64("term", w.term),
@@ -132,7 +132,7 @@
 		w.cfg.Log.Warn("start without an answer; fence raised", zap.String("task", r.task), zap.Uint64("attempt", r.attempt), zap.Uint64("fence", w.fence), zap.Error(err))
 		w.hurry()
 	default:
-		w.finish(r, messenger.EndNever, "", err.Error(), 0)
+		w.finish(r, messenger.EndRow{How: messenger.EndNever, Reason: err.Error(), Busy: errors.Is(err, ErrBusy)}, 0)
 	}
 	w.touch()
 	return false
--- a/warden/warden.go
+++ b/warden/warden.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/netip"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -151,7 +152,7 @@
 	return w.workerNow().After(w.sent.Add(lapseMargin))
 }
 
-// Table returns what the owner is told.
+// table returns what the owner is told.
 func (w *Warden) table() *messenger.Table {
 	t := &messenger.Table{
 		Term: w.term, Seq: w.seq, Worker: w.beat.Life, CPU: w.beat.CPU, Memory: w.beat.Memory, GPU: w.beat.GPU,
@@ -165,8 +166,8 @@
 	if w.beat.Draining && !w.beat.Leaves.IsZero() {
 		t.Leaves = max(w.beat.Leaves.Sub(w.workerNow()).Milliseconds(), 0)
 	}
-	for _, k := range slices.SortedFunc(maps.Keys(w.runs), func(a, b key) int { return compare(a.task, b.task) }) {
-		t.Runs = append(t.Runs, w.runs[k].row())
+	for _, r := range w.sortedRuns() {
+		t.Runs = append(t.Runs, r.row())
 	}
 	for _, e := range w.ends[:min(len(w.ends), maxEnds)] {
 		t.Ends = append(t.Ends, e.EndRow)
@@ -177,16 +178,6 @@
 // maxEnds bounds the ends in one table: 500 rows are about 30 KB.
 const maxEnds = 500
 
-func compare(a, b string) int {
-	switch {
-	case a < b:
-		return -1
-	case a > b:
-		return 1
-	}
-	return 0
-}
-
 // startable says why no run may be started now; empty where one may.
 func (w *Warden) startable() string {
 	switch {
@@ -204,19 +195,22 @@
 	return ""
 }
 
-// finish moves a run from the table to the ends.
-func (w *Warden) finish(r *run, how messenger.How, saved, reason string, number uint64) {
+// finish moves a run from the table to the ends. The row says how it ended,
+// number is the worker's own for the end.
+func (w *Warden) finish(r *run, row messenger.EndRow, number uint64) {
 	if r.over {
 		return
 	}
 	r.over = true
 	delete(w.runs, key{r.task, r.attempt})
-	if saved == "" {
-		saved = r.saved
+	row.Task, row.Attempt = r.task, r.attempt
+	if row.Saved == "" {
+		row.Saved = r.saved
 	}
-	w.list(messenger.EndRow{Task: r.task, Attempt: r.attempt, How: how, Saved: saved, Reason: reason}, number)
+	w.list(row, number)
 }
 
+// list adds an end to those that the owner is told of.
 func (w *Warden) list(row messenger.EndRow, number uint64) {
 	w.number++
 	row.N = w.number
@@ -246,7 +240,7 @@
 	}
 	w.cfg.Log.Warn("worker's life ended", zap.String("worker", w.beat.Life), zap.String("why", why), zap.Int("runs", len(w.runs)))
 	for _, r := range w.sortedRuns() {
-		w.finish(r, messenger.EndGone, "", why, 0)
+		w.finish(r, messenger.EndRow{How: messenger.EndGone, Reason: why}, 0)
 	}
 	for i := range w.ends {
 		w.ends[i].number = 0 // the numbers were of that life
@@ -259,7 +253,7 @@
 
 func (w *Warden) sortedRuns() []*run {
 	list := slices.Collect(maps.Values(w.runs))
-	slices.SortFunc(list, func(a, b *run) int { return compare(a.task, b.task) })
+	slices.SortFunc(list, func(a, b *run) int { return strings.Compare(a.task, b.task) })
 	return list
 }
 
@@ -297,10 +291,10 @@
 func (w *Warden) adopt(ctx context.Context, b Heartbeat) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	asked := w.cfg.Now()
 	// A fence of 0 is refused by a life that has seen one, and changes nothing
 	// at one that has not; both show the clock.
 	listing, err := w.cfg.Worker.Look(ctx, Look{Life: b.Life})
+	got := w.cfg.Now()
 	if listing == nil || listing.Clock.IsZero() {
 		w.cfg.Log.Info("heartbeat of a life that does not answer", zap.String("worker", b.Life), zap.Error(err))
 		return
@@ -312,7 +306,7 @@
 	}
 	w.endLife("replaced by " + b.Life)
 	w.beat = b
-	w.clock, w.at = listing.Clock, asked
+	w.clock, w.at = listing.Clock, got
 	// The worker's steady clock grows faster than this agent or an earlier
 	// process of it raises the fence.
 	w.fence = uint64(listing.Clock.UnixMilli())
--- a/warden/warden_test.go
+++ b/warden/warden_test.go
@@ -315,3 +315,19 @@
 		c.Assert(p.worker.Running(), qt.HasLen, 0)
 	})
 }
+
+// A clock that was read during a slow call is not taken for later than it was:
+// leases would seem to have ended before they have.
+func TestASlowAnswerDoesNotMakeTheWorkersClockFast(t *testing.T) {
+	inBubble(t, func(c *qt.C, p *post) {
+		p.worker.Boot("life-2", time.UnixMilli(900_000))
+		p.set(func() {
+			p.fault = func(call string) faker.PoolFault { return faker.PoolFault{Delay: 600 * time.Millisecond} }
+		})
+		p.w.Heard(context.Background(), p.worker.Heartbeat(1))
+		dreamer.Sleep(10 * time.Millisecond)
+		shown := p.shown()
+		c.Assert(shown.Worker, qt.Equals, "life-2")
+		c.Assert(shown.Asked.After(p.worker.Heartbeat(2).Clock), qt.IsFalse)
+	})
+}
