commander: Come back when an entry says so

Cause of TestWholePath's failure beside load: an entry that does not know a shard's owner yet answers a status with 503, not run, come back in 1 s, and the command ended with that as an error.

--- a/commander/client.go
+++ b/commander/client.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
@@ -15,6 +16,7 @@
 
 	"github.com/endivefall/endivefall/decoder"
 	"github.com/endivefall/endivefall/responder"
+	"github.com/endivefall/endivefall/sleeper"
 )
 
 // clientTimeout bounds one call of a command to an entry.
@@ -49,7 +51,8 @@
 
 func (c *client) base() *sling.Sling { return sling.New().Base("http://" + c.entry) }
 
-// do sends a call; a refusal is an error.
+// do sends a call; a refusal is an error. A call that was not carried out is
+// sent again when the entry says to come back, while there is time.
 func (c *client) do(ctx context.Context, call *sling.Sling) (answer, error) {
 	ctx, cancel := context.WithTimeout(ctx, clientTimeout)
 	defer cancel()
@@ -57,7 +60,34 @@
 	if err != nil {
 		return answer{}, err
 	}
-	resp, err := http.DefaultClient.Do(req.WithContext(ctx))
+	for {
+		a, err := c.send(req.WithContext(ctx))
+		wait, again := comeBack(a)
+		if deadline, _ := ctx.Deadline(); err == nil || !again || time.Until(deadline) < wait {
+			return a, err
+		}
+		sleeper.Sleep(ctx, wait)
+		if req.GetBody != nil {
+			if req.Body, err = req.GetBody(); err != nil {
+				return a, err
+			}
+		}
+	}
+}
+
+// comeBack says how long an entry that has not carried out a call wants it to
+// wait.
+func comeBack(a answer) (time.Duration, bool) {
+	if a.status != http.StatusServiceUnavailable || a.header.Get(responder.OutcomeHeader) != string(responder.NotRun) {
+		return 0, false
+	}
+	seconds, err := strconv.Atoi(a.header.Get("Retry-After"))
+	return time.Duration(seconds) * time.Second, err == nil
+}
+
+// send sends a call once.
+func (c *client) send(req *http.Request) (answer, error) {
+	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
 		return answer{}, fmt.Errorf("calling the entry at %s: %w; name another with -entry", c.entry, err)
 	}
--- /dev/null
+++ b/commander/client_test.go
@@ -0,0 +1,53 @@
+package commander
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/endivefall/endivefall/responder"
+)
+
+// refuser is a stand-in of an entry that refuses the first calls.
+func refuser(c *qt.C, refusals int, p responder.Problem) (*client, *int) {
+	calls := 0
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		calls++
+		body, err := io.ReadAll(r.Body)
+		c.Check(err, qt.IsNil)
+		c.Check(string(body), qt.Equals, "document")
+		if calls <= refusals {
+			p.Again = time.Now().Add(time.Second)
+			responder.Write(w, p, time.Now())
+			return
+		}
+		_, _ = io.WriteString(w, "{}")
+	}))
+	c.Cleanup(server.Close)
+	return &client{entry: strings.TrimPrefix(server.URL, "http://")}, &calls
+}
+
+// An entry that does not know the owner of a shard yet says when to come back;
+// status ended with that as an error (e2e, TestWholePath beside load).
+func TestACallThatWasNotCarriedOutComesBackWhenTold(t *testing.T) {
+	c := qt.New(t)
+	cl, calls := refuser(c, 1, responder.Problem{Status: 503, Code: "no-owner", Outcome: responder.NotRun})
+	_, err := cl.do(context.Background(), cl.base().Put("/x").Body(bytes.NewReader([]byte("document"))))
+	c.Assert(err, qt.IsNil)
+	c.Assert(*calls, qt.Equals, 2)
+}
+
+func TestACallThatMayHaveBeenCarriedOutIsNotSentAgain(t *testing.T) {
+	c := qt.New(t)
+	cl, calls := refuser(c, 1, responder.Problem{Status: 504, Code: "not-known-yet", Outcome: responder.Unknown})
+	_, err := cl.do(context.Background(), cl.base().Put("/x").Body(bytes.NewReader([]byte("document"))))
+	c.Assert(err, qt.ErrorIs, errUnknownOutcome)
+	c.Assert(*calls, qt.Equals, 1)
+}
