matcher: One place that matches answers with questions

One generic Matcher; a ping is a question like the others, which takes a second lock and a field away.

--- a/conductor/asker.go
+++ b/conductor/asker.go
@@ -11,7 +11,9 @@
 	"go.uber.org/zap"
 
 	"github.com/endivefall/endivefall/elector"
+	"github.com/endivefall/endivefall/matcher"
 	"github.com/endivefall/endivefall/messenger"
+	"github.com/endivefall/endivefall/sleeper"
 )
 
 // Times of an asker.
@@ -39,8 +41,8 @@
 
 // asker keeps a connection to the owner and asks it.
 type asker struct {
-	cfg  askerConfig
-	next atomic.Uint64
+	cfg       askerConfig
+	questions matcher.Matcher[messenger.Tell]
 	// reached is the local time, in ns, of the owner's last answer.
 	reached atomic.Int64
 	// turned holds one token when the aim has changed.
@@ -51,12 +53,10 @@
 	aim elector.Member
 	// conn is the connection to it, or nil; closing it ends it.
 	conn *messenger.Conn
-	// open has the questions without an answer.
-	open map[uint64]chan messenger.Tell
 }
 
 func newAsker(cfg askerConfig) *asker {
-	return &asker{cfg: cfg, turned: make(chan struct{}, 1), open: map[uint64]chan messenger.Tell{}}
+	return &asker{cfg: cfg, turned: make(chan struct{}, 1)}
 }
 
 // Reached says when the owner answered last.
@@ -115,49 +115,17 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	heard := a.cfg.Now()
-	var mu sync.Mutex
 	conn := messenger.New(messenger.Config{Socket: ws, Handle: func(_ *messenger.Conn, f messenger.Frame) {
-		if f.Kind != messenger.KindTell {
-			return
-		}
-		now := a.cfg.Now()
-		a.reached.Store(now.UnixNano())
-		mu.Lock()
-		heard = now
-		mu.Unlock()
-		a.mu.Lock()
-		waiting := a.open[f.ID]
-		delete(a.open, f.ID)
-		a.mu.Unlock()
-		if waiting != nil {
-			waiting <- *f.Tell
+		if f.Kind == messenger.KindTell {
+			a.reached.Store(a.cfg.Now().UnixNano())
+			a.questions.Answer(f.ID, *f.Tell)
 		}
 	}})
 	a.mu.Lock()
 	a.conn = conn
 	a.mu.Unlock()
 	var pinging sync.WaitGroup
-	pinging.Go(func() {
-		for ctx.Err() == nil {
-			if err := conn.Post(messenger.Frame{Kind: messenger.KindAsk, ID: a.next.Add(1), Ask: &messenger.Ask{}}); err != nil {
-				return
-			}
-			t := time.NewTimer(pingEvery)
-			select {
-			case <-ctx.Done():
-			case <-t.C:
-			}
-			t.Stop()
-			mu.Lock()
-			deaf := a.cfg.Now().Sub(heard) > deafAfter
-			mu.Unlock()
-			if deaf {
-				conn.Close("silent for too long")
-				return
-			}
-		}
-	})
+	pinging.Go(func() { a.pingLoop(ctx, conn) })
 	err = conn.Run(ctx)
 	cancel()
 	pinging.Wait()
@@ -167,33 +135,34 @@
 	return err
 }
 
+// pingLoop asks the owner whether it is there, and ends a connection on which
+// it does not answer.
+func (a *asker) pingLoop(ctx context.Context, conn *messenger.Conn) {
+	for ctx.Err() == nil {
+		bound, cancel := context.WithTimeout(ctx, deafAfter)
+		_, err := a.askOn(bound, conn, messenger.Ask{})
+		cancel()
+		if err != nil {
+			conn.Close("silent for too long")
+			return
+		}
+		sleeper.Sleep(ctx, pingEvery)
+	}
+}
+
 // Ask asks the owner and waits for its answer until ctx ends.
 func (a *asker) Ask(ctx context.Context, ask messenger.Ask) (messenger.Tell, error) {
-	id := a.next.Add(1)
-	answer := make(chan messenger.Tell, 1)
 	a.mu.Lock()
 	conn := a.conn
-	if conn != nil {
-		a.open[id] = answer
-	}
 	a.mu.Unlock()
 	if conn == nil {
 		return messenger.Tell{}, errNoOwner
 	}
-	defer func() {
-		a.mu.Lock()
-		delete(a.open, id)
-		a.mu.Unlock()
-	}()
-	if err := conn.Post(messenger.Frame{Kind: messenger.KindAsk, ID: id, Ask: &ask}); err != nil {
-		return messenger.Tell{}, err
-	}
-	select {
-	case t := <-answer:
-		return t, nil
-	case <-conn.Done():
-		return messenger.Tell{}, errNoOwner
-	case <-ctx.Done():
-		return messenger.Tell{}, ctx.Err()
-	}
+	return a.askOn(ctx, conn, ask)
+}
+
+func (a *asker) askOn(ctx context.Context, conn *messenger.Conn, ask messenger.Ask) (messenger.Tell, error) {
+	return a.questions.Ask(ctx, conn.Done(), func(id uint64) error {
+		return conn.Post(messenger.Frame{Kind: messenger.KindAsk, ID: id, Ask: &ask})
+	})
 }
--- a/dispatcher/claims.go
+++ b/dispatcher/claims.go
@@ -3,9 +3,8 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
-	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -13,6 +12,7 @@
 	"github.com/google/uuid"
 
 	"github.com/endivefall/endivefall/claimer"
+	"github.com/endivefall/endivefall/matcher"
 	"github.com/endivefall/endivefall/messenger"
 	"github.com/endivefall/endivefall/responder"
 )
@@ -31,25 +31,13 @@
 
 // claims asks agents for the keys of requests that must not run twice.
 type claims struct {
-	cfg  Config
-	next atomic.Uint64
-	mu   sync.Mutex
-	// waiting has the channel of each question that is not answered.
-	waiting map[uint64]chan messenger.Claimed
+	cfg       Config
+	questions matcher.Matcher[messenger.Claimed]
 }
 
-func newClaims(cfg Config) *claims {
-	return &claims{cfg: cfg, waiting: map[uint64]chan messenger.Claimed{}}
-}
+func newClaims(cfg Config) *claims { return &claims{cfg: cfg} }
 
-func (c *claims) answer(f messenger.Frame) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if ch, ok := c.waiting[f.ID]; ok {
-		ch <- *f.Claimed
-		delete(c.waiting, f.ID)
-	}
-}
+func (c *claims) answer(f messenger.Frame) { c.questions.Answer(f.ID, *f.Claimed) }
 
 // ask sends one claim to an agent and waits for its answer.
 func (c *claims) ask(ctx context.Context, agent string, claim messenger.Claim) (messenger.Claimed, error) {
@@ -60,27 +48,15 @@
 	// The time since when the service exists, on the agent's clock.
 	now := c.cfg.Now()
 	claim.Since = link.Until(now, claim.Since)
-	id := c.next.Add(1)
-	ch := make(chan messenger.Claimed, 1)
-	c.mu.Lock()
-	c.waiting[id] = ch
-	c.mu.Unlock()
-	defer func() {
-		c.mu.Lock()
-		delete(c.waiting, id)
-		c.mu.Unlock()
-	}()
-	if err := link.Post(messenger.Frame{Kind: messenger.KindClaim, ID: id, Claim: &claim}); err != nil {
-		return messenger.Claimed{}, errNoClaim
-	}
-	select {
-	case got := <-ch:
-		return got, nil
-	case <-time.After(claimTimeout):
-	case <-link.Done():
-	case <-ctx.Done():
+	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
+	defer cancel()
+	got, err := c.questions.Ask(ctx, link.Done(), func(id uint64) error {
+		return link.Post(messenger.Frame{Kind: messenger.KindClaim, ID: id, Claim: &claim})
+	})
+	if err != nil {
+		return got, fmt.Errorf("%w: %w", errNoClaim, err)
 	}
-	return messenger.Claimed{}, errNoClaim
+	return got, nil
 }
 
 // record tells the agents of a claim how it ended.
--- /dev/null
+++ b/matcher/matcher.go
@@ -0,0 +1,62 @@
+// Package matcher matches answers with the questions of a connection.
+package matcher
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"sync/atomic"
+)
+
+// ErrLost says that no answer will come: the connection has ended.
+var ErrLost = errors.New("connection ended before the answer")
+
+// Matcher holds questions without an answer. It is safe for concurrent use; the
+// zero value is ready.
+type Matcher[T any] struct {
+	next atomic.Uint64
+	mu   sync.Mutex
+	// waiting has the channel of each question, with room for its answer.
+	waiting map[uint64]chan T
+}
+
+// Ask sends a question under a new number and waits for its answer, until the
+// connection is done or ctx ends.
+func (m *Matcher[T]) Ask(ctx context.Context, done <-chan struct{}, send func(id uint64) error) (T, error) {
+	var none T
+	id := m.next.Add(1)
+	answer := make(chan T, 1)
+	m.mu.Lock()
+	if m.waiting == nil {
+		m.waiting = map[uint64]chan T{}
+	}
+	m.waiting[id] = answer
+	m.mu.Unlock()
+	defer m.take(id)
+	if err := send(id); err != nil {
+		return none, err
+	}
+	select {
+	case got := <-answer:
+		return got, nil
+	case <-done:
+		return none, ErrLost
+	case <-ctx.Done():
+		return none, ctx.Err()
+	}
+}
+
+// Answer hands an answer to its question, if that still waits.
+func (m *Matcher[T]) Answer(id uint64, answer T) {
+	if waiting := m.take(id); waiting != nil {
+		waiting <- answer
+	}
+}
+
+func (m *Matcher[T]) take(id uint64) chan T {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	waiting := m.waiting[id]
+	delete(m.waiting, id)
+	return waiting
+}
