keeper: One way to apply a change; elector: Keep the newest record

Causes: overseer and elector each read a lost answer out of a refusal; a claim or release that the store had taken could set back a newer record that the watch had shown meanwhile. The epoch as a condition of every write, whose guard no test saw out, has a test of its own now: without the condition it fails.

--- a/elector/claim.go
+++ b/elector/claim.go
@@ -128,9 +128,10 @@
 	if err != nil {
 		return err
 	}
-	e.mu.Lock()
-	e.record, e.version, e.proven, e.vacant = next, at, sent, time.Time{}
-	e.mu.Unlock()
+	if !e.took(next, at) {
+		return fmt.Errorf("%w: another claim followed", keeper.ErrConflict)
+	}
+	e.Prove(sent)
 	e.cfg.Log.Info("ownership claimed", zap.Uint64("term", next.Term), zap.Uint64("version", at), zap.String("why", why), zap.Bool("clean", next.Clean), zap.String("before", record.Owner.ID))
 	e.cfg.Seen(next, e.Members())
 	return nil
@@ -142,18 +143,13 @@
 	if err != nil {
 		return 0, err
 	}
-	change := keeper.Change{
+	at, err := e.cfg.Store.Apply(ctx, keeper.Change{
 		Checks: []keeper.Check{{Key: OwnerKey, Version: version}},
 		Writes: []keeper.Write{{Key: OwnerKey, Value: value}},
-	}
-	at, err := e.cfg.Store.Commit(ctx, change)
+	})
 	var clash *keeper.Clash
 	if errors.As(err, &clash) {
-		item := clash.Item(OwnerKey)
-		if clash.Holds(change) {
-			return item.Version, nil // an attempt without an answer took effect
-		}
-		e.apply([]keeper.Item{item})
+		e.apply([]keeper.Item{clash.Item(OwnerKey)})
 	}
 	return at, err
 }
@@ -174,10 +170,21 @@
 	if err != nil {
 		return
 	}
+	if e.took(record, at) {
+		e.cfg.Seen(record, e.Members())
+	}
+}
+
+// took notes a record that this process has written, unless a newer one was
+// seen meanwhile.
+func (e *Elector) took(r Record, version uint64) bool {
 	e.mu.Lock()
-	e.record, e.version = record, at
-	e.mu.Unlock()
-	e.cfg.Seen(record, e.Members())
+	defer e.mu.Unlock()
+	if version < e.version {
+		return false
+	}
+	e.record, e.version, e.vacant = r, version, time.Time{}
+	return true
 }
 
 // Leave drops the live key.
--- a/keeper/store.go
+++ b/keeper/store.go
@@ -105,6 +105,20 @@
 	End   func(ctx context.Context, lease string) error
 }
 
+// Apply commits a change once. A change that took effect before, in a try whose
+// answer was lost, is a success.
+func (s *Store) Apply(ctx context.Context, change Change) (uint64, error) {
+	at, err := s.Commit(ctx, change)
+	var clash *Clash
+	if !errors.As(err, &clash) || !clash.Holds(change) {
+		return at, err
+	}
+	for _, w := range change.Writes {
+		at = max(at, clash.Item(w.Key).Version)
+	}
+	return at, nil
+}
+
 // List reads every key under a prefix. Version is that of the first page, so
 // that a watch from there misses nothing.
 func (s *Store) List(ctx context.Context, prefix string) (Page, error) {
--- a/overseer/ends_test.go
+++ b/overseer/ends_test.go
@@ -1,6 +1,7 @@
 package overseer
 
 import (
+	"context"
 	"fmt"
 	"testing"
 
@@ -75,3 +76,32 @@
 	d.run("a0", 1)
 	c.Assert(d.o.gather().agents, qt.HasLen, 0)
 }
+
+// The epoch is a condition of every write: a key that no owner has written yet
+// has no version of its own that would keep an earlier owner out.
+func TestAnEarlierOwnerWritesNothing(t *testing.T) {
+	c := qt.New(t)
+	ctx := context.Background()
+	d := newDesk(c, 1)
+	claim := func() uint64 {
+		at, err := d.store.Keeper().Commit(ctx, keeper.Change{Writes: []keeper.Write{{Key: "owner", Value: []byte("x")}}})
+		c.Assert(err, qt.IsNil)
+		return at
+	}
+	d.o.cfg.Epoch = claim()
+	write := func() error {
+		j := d.submit(sequencer.Spec{Steps: []sequencer.Step{step(1, 10)}})
+		d.o.changed(j)
+		b := d.o.gather()
+		at, sent, err := d.o.commit(ctx, &b.change)
+		d.o.committed(b, at, sent, err)
+		_, err = d.store.Keeper().Get(ctx, OutKey(j.Spec.ID))
+		return err
+	}
+	err := write()
+	c.Assert(err, qt.IsNil)
+	claim() // another owner
+	err = write()
+	c.Assert(err, qt.ErrorIs, keeper.ErrMissing)
+	c.Assert(d.o.ending, qt.ErrorIs, ErrDeposed)
+}
--- a/overseer/write.go
+++ b/overseer/write.go
@@ -105,11 +105,7 @@
 func (o *Overseer) commit(ctx context.Context, change *keeper.Change) (uint64, time.Time, error) {
 	for {
 		sent := o.cfg.Now()
-		at, err := o.cfg.Store.Commit(ctx, *change)
-		var clash *keeper.Clash
-		if errors.As(err, &clash) && clash.Holds(*change) {
-			return newest(clash, change), sent, nil
-		}
+		at, err := o.cfg.Store.Apply(ctx, *change)
 		o.cfg.Time("ledger_write", o.cfg.Now().Sub(sent))
 		if err == nil || ctx.Err() != nil || !errors.Is(err, keeper.ErrDown) && !errors.Is(err, keeper.ErrUnsettled) {
 			return at, sent, err
@@ -119,15 +115,6 @@
 	}
 }
 
-// newest is the version that a change gave to the keys that it wrote.
-func newest(clash *keeper.Clash, change *keeper.Change) uint64 {
-	at := uint64(0)
-	for _, w := range change.Writes {
-		at = max(at, clash.Item(w.Key).Version)
-	}
-	return at
-}
-
 // committed takes the outcome of a transaction.
 func (o *Overseer) committed(b *batch, at uint64, sent time.Time, err error) {
 	var clash *keeper.Clash
