sleeper: One loop for what is done every so often

Cause: six loops (scheduler, runner, entry, two of agent, acceptor) held the same ticker and select, three troubles of the histories the same lines around theirs. sleeper.Every and atAgent.

--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -144,24 +144,17 @@
 // probeLoop asks a store that answers no writes whether it is back, so that no
 // caller has to wait for that.
 func (a *Acceptor) probeLoop(ctx context.Context) {
-	t := time.NewTicker(probeEvery)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-		}
+	sleeper.Every(ctx, probeEvery, func() {
 		since, ok := a.Reaching()
 		if ok || a.cfg.Now().Sub(since) <= breakAfter {
-			continue
+			return
 		}
 		_, err := a.cfg.Store.Get(ctx, probeKey)
 		if err == nil || errors.Is(err, keeper.ErrMissing) {
 			a.down.Store(0)
 			a.cfg.Log.Info("jobs are taken again", zap.Duration("after", a.cfg.Now().Sub(since)))
 		}
-	}
+	})
 }
 
 // refuse turns a job away, unless an earlier try here may have stored it.
--- a/agent/apply.go
+++ b/agent/apply.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"github.com/endivefall/endivefall/curator"
+	"github.com/endivefall/endivefall/sleeper"
 )
 
 // fitEvery is how often a reservation that does not fit yet is tried again.
@@ -56,14 +57,5 @@
 }
 
 func (a *Agent) fitLoop(ctx context.Context) {
-	tick := time.NewTicker(fitEvery)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-			a.fit()
-		}
-	}
+	sleeper.Every(ctx, fitEvery, a.fit)
 }
--- a/agent/protect.go
+++ b/agent/protect.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"github.com/endivefall/endivefall/protector"
+	"github.com/endivefall/endivefall/sleeper"
 )
 
 // fewRequests is how many answers are needed to tell a tail latency; fewer are
@@ -51,23 +52,16 @@
 func (a *Agent) protectLoop(ctx context.Context) {
 	p := protector.New(0)
 	hurts := map[string]float64{}
-	tick := time.NewTicker(protector.Every)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-		}
+	sleeper.Every(ctx, protector.Every, func() {
 		a.gauge()
 		service, _ := a.curator.Service(a.cfg.Settings.Team, a.cfg.Settings.Service)
 		if service == nil {
-			continue
+			return
 		}
 		p.SetBound(service.Contract.Bound)
 		a.protect(ctx, p, hurts, a.window.tail(service.Contract.Percentile))
 		a.atRisk.Store(p.Risk(a.now()))
-	}
+	})
 }
 
 // gauge shows the agent's state as metrics.
--- a/entry/gauges.go
+++ b/entry/gauges.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"github.com/endivefall/endivefall/sleeper"
 )
 
 // gaugeEvery is how often an entry's gauges are set.
@@ -10,14 +12,7 @@
 
 // gaugeLoop shows the entry's state as metrics.
 func (e *Entry) gaugeLoop(ctx context.Context) {
-	tick := time.NewTicker(gaugeEvery)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-		}
+	sleeper.Every(ctx, gaugeEvery, func() {
 		e.meter.Gauge("requests_inside").Update(float64(e.dispatcher.Inside()))
 		e.meter.Gauge("links").Update(float64(len(e.connector.Links())))
 		settled := 0.0
@@ -32,5 +27,5 @@
 			e.meter.Gauge("ledger_changes").Update(float64(c.Changes))
 			e.meter.Gauge("ledger_bytes").Update(float64(c.Bytes))
 		}
-	}
+	})
 }
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -12,6 +12,7 @@
 	"github.com/endivefall/endivefall/committer"
 	"github.com/endivefall/endivefall/executor"
 	"github.com/endivefall/endivefall/messenger"
+	"github.com/endivefall/endivefall/sleeper"
 )
 
 // Times of the runner.
@@ -147,19 +148,12 @@
 
 // tickLoop moves the worker's leases up to the grants' deadlines.
 func (r *Runner) tickLoop(ctx context.Context) {
-	beat := time.NewTicker(tick)
-	defer beat.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-beat.C:
-		}
+	sleeper.Every(ctx, tick, func() {
 		r.extendWorker(ctx)
 		r.unmute()
 		r.outgrow(ctx)
 		r.repeatReports()
-	}
+	})
 }
 
 func (r *Runner) extendWorker(ctx context.Context) {
--- a/scheduler/ask.go
+++ b/scheduler/ask.go
@@ -7,22 +7,16 @@
 
 	"github.com/endivefall/endivefall/messenger"
 	"github.com/endivefall/endivefall/recorder"
+	"github.com/endivefall/endivefall/sleeper"
 )
 
 // askLoop surveys and stops agents. It never waits for the store.
 func (sh *shard) askLoop(ctx context.Context) {
-	beat := time.NewTicker(tick)
-	defer beat.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-beat.C:
-		}
+	sleeper.Every(ctx, tick, func() {
 		sh.survey()
 		sh.revoke()
 		sh.forget()
-	}
+	})
 }
 
 // forget drops what is known of grants and runs that are gone.
--- a/scheduler/trouble_test.go
+++ b/scheduler/trouble_test.go
@@ -8,6 +8,18 @@
 	"github.com/endivefall/endivefall/faker"
 )
 
+// atAgent is a trouble of one agent, of which no other befalls at the same time.
+func atAgent(do func(*fleet, context.Context, *agentNode)) func(*fleet, context.Context) {
+	return func(f *fleet, ctx context.Context) {
+		a := f.agent()
+		if !f.take(a.name) {
+			return
+		}
+		defer f.free(a.name)
+		do(f, ctx, a)
+	}
+}
+
 // trouble is what the history does to the fleet, by weight.
 var trouble = []struct {
 	name string
@@ -23,33 +35,18 @@
 		f.pause(ctx, 100*time.Millisecond, 15*time.Second)
 		f.startEntry(e.name)
 	}},
-	{"kill agent", func(f *fleet, ctx context.Context) {
-		a := f.agent()
-		if !f.take(a.name) {
-			return
-		}
-		defer f.free(a.name)
+	{"kill agent", atAgent(func(f *fleet, ctx context.Context, a *agentNode) {
 		a.kill()
 		f.pause(ctx, 10*time.Millisecond, 12*time.Second)
 		f.startAgent(a.name, a.worker)
-	}},
-	{"lose instance", func(f *fleet, ctx context.Context) {
-		a := f.agent()
-		if !f.take(a.name) {
-			return
-		}
-		defer f.free(a.name)
+	})},
+	{"lose instance", atAgent(func(f *fleet, ctx context.Context, a *agentNode) {
 		a.kill()
 		a.worker.Crash()
 		f.pause(ctx, 100*time.Millisecond, 12*time.Second)
 		f.startAgent(a.name, a.worker)
-	}},
-	{"leave", func(f *fleet, ctx context.Context) {
-		a := f.agent()
-		if !f.take(a.name) {
-			return
-		}
-		defer f.free(a.name)
+	})},
+	{"leave", atAgent(func(f *fleet, ctx context.Context, a *agentNode) {
 		a.mu.Lock()
 		a.leaving = true
 		a.mu.Unlock()
@@ -57,7 +54,7 @@
 		f.pause(ctx, 100*time.Millisecond, 8*time.Second)
 		a.kill()
 		f.startAgent(a.name, a.worker)
-	}},
+	})},
 	{"cut link", func(f *fleet, ctx context.Context) {
 		e, a := f.entry().name, f.agent().name
 		f.setCut(e, a, true)
--- a/sleeper/sleeper.go
+++ b/sleeper/sleeper.go
@@ -18,3 +18,17 @@
 	case <-t.C:
 	}
 }
+
+// Every calls do each time that d has passed, until ctx ends.
+func Every(ctx context.Context, d time.Duration, do func()) {
+	tick := time.NewTicker(d)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+			do()
+		}
+	}
+}
--- a/sleeper/sleeper_test.go
+++ b/sleeper/sleeper_test.go
@@ -22,3 +22,14 @@
 		c.Assert(time.Since(began), qt.Equals, 2*time.Second)
 	})
 }
+
+func TestEveryEndsWithItsContext(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		ctx, cancel := context.WithTimeout(context.Background(), 3500*time.Millisecond)
+		defer cancel()
+		calls := 0
+		Every(ctx, time.Second, func() { calls++ })
+		c.Assert(calls, qt.Equals, 3)
+	})
+}
