conductor: Tell other entries of jobs in doubt

Cause: an entry whose write got no answer told its caller so, and another entry, asked again while the store was away, said that the job was not accepted; the first write could still take effect. Entries tell the owner, the owner the others, also ones that join later; an entry that hears of nobody's doubts does not say 'not run'.

--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -72,7 +73,11 @@
 type Config struct {
 	Store *keeper.Store
 	// Ask asks the owner.
-	Ask   func(ctx context.Context, ask messenger.Ask) (messenger.Tell, error)
+	Ask func(ctx context.Context, ask messenger.Ask) (messenger.Tell, error)
+	// Doubt tells the other entries of jobs in doubt; Heard says whether they
+	// could have told this one of theirs.
+	Doubt func(jobs []string)
+	Heard func() bool
 	Now   func() time.Time
 	Wall  func() time.Time
 	Log   *zap.Logger
@@ -157,19 +162,23 @@
 	})
 }
 
-// refuse turns a job away, unless an earlier try here may have stored it.
+// refuse turns a job away, unless an earlier try here or at another entry may
+// have stored it.
 func (a *Acceptor) refuse(id, why string) error {
 	a.mu.Lock()
 	until, doubted := a.doubts[id]
 	a.mu.Unlock()
-	if doubted && a.cfg.Now().Before(until) {
+	switch {
+	case doubted && a.cfg.Now().Before(until):
 		return fmt.Errorf("%w: an earlier try got no answer, and %s", ErrUnknown, why)
+	case !a.cfg.Heard():
+		return fmt.Errorf("%w: other entries can't tell of earlier tries, and %s", ErrUnknown, why)
 	}
 	return fmt.Errorf("%w: %s", ErrTurnedAway, why)
 }
 
-// doubted notes a job that may have been stored.
-func (a *Acceptor) doubted(id string) {
+// Doubt notes jobs that may have been stored, here or at another entry.
+func (a *Acceptor) Doubt(jobs []string) {
 	now := a.cfg.Now()
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -178,7 +187,16 @@
 			delete(a.doubts, other)
 		}
 	}
-	a.doubts[id] = now.Add(doubtFor)
+	for _, id := range jobs {
+		a.doubts[id] = now.Add(doubtFor)
+	}
+}
+
+// Doubts returns the jobs that may have been stored.
+func (a *Acceptor) Doubts() []string {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return slices.Sorted(maps.Keys(a.doubts))
 }
 
 // Submit stores a job, while ctx lasts. A job of the same ID that is stored is
@@ -209,9 +227,7 @@
 	case err = <-s.done:
 	case <-ctx.Done():
 		err = ErrUnknown // the caller has left; the writer goes on
-	}
-	if errors.Is(err, ErrUnknown) {
-		a.doubted(spec.ID)
+		a.Doubt([]string{spec.ID})
 	}
 	a.cfg.Time("submit", a.cfg.Now().Sub(s.begun))
 	return err
@@ -249,7 +265,7 @@
 	if s.doubt {
 		return ErrUnknown
 	}
-	return ErrTurnedAway
+	return a.refuse(s.spec.ID, "the store did not take it")
 }
 
 // write sends one transaction and returns the submissions that need another.
@@ -293,9 +309,13 @@
 	a.down.CompareAndSwap(0, a.cfg.Now().UnixNano())
 	unsettled := !errors.Is(err, keeper.ErrDown)
 	now := a.cfg.Now()
-	var rest []*submission
+	var rest, given []*submission
+	var doubts []string
 	for _, s := range batch {
-		s.doubt = s.doubt || unsettled
+		if unsettled && !s.doubt {
+			s.doubt = true
+			doubts = append(doubts, s.spec.ID)
+		}
 		limit := s.begun.Add(patience)
 		if s.doubt {
 			limit = s.begun.Add(doubtPatience)
@@ -305,6 +325,13 @@
 			continue
 		}
 		a.cfg.Log.Info("job not stored", zap.String("job", s.spec.ID), zap.String("queue", s.spec.Queue), zap.Bool("doubt", s.doubt), zap.Duration("waited", now.Sub(s.begun)), zap.Error(err))
+		given = append(given, s)
+	}
+	if len(doubts) > 0 { // before any of their callers can come back
+		a.Doubt(doubts)
+		a.cfg.Doubt(doubts)
+	}
+	for _, s := range given {
 		s.done <- a.outcome(s)
 	}
 	if len(rest) > 0 {
--- a/acceptor/acceptor_test.go
+++ b/acceptor/acceptor_test.go
@@ -37,6 +37,7 @@
 		d.a = New(Config{
 			Store: d.store.Keeper(), Now: time.Now, Wall: time.Now, Log: zap.NewNop(),
 			Count: func(string) {}, Time: func(string, time.Duration) {},
+			Doubt: func([]string) {}, Heard: func() bool { return true },
 			Ask: func(_ context.Context, ask messenger.Ask) (messenger.Tell, error) {
 				if d.owner == nil {
 					return messenger.Tell{}, errors.New("no owner")
--- a/conductor/asker.go
+++ b/conductor/asker.go
@@ -37,6 +37,8 @@
 	Client   *http.Client
 	Now      func() time.Time
 	Log      *zap.Logger
+	// Doubt is told of jobs in doubt at other entries.
+	Doubt func(jobs []string)
 }
 
 // asker keeps a connection to the owner and asks it.
@@ -116,9 +118,12 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	conn := messenger.New(messenger.Config{Socket: ws, Handle: func(_ *messenger.Conn, f messenger.Frame) {
-		if f.Kind == messenger.KindTell {
+		switch f.Kind {
+		case messenger.KindTell:
 			a.reached.Store(a.cfg.Now().UnixNano())
 			a.questions.Answer(f.ID, *f.Tell)
+		case messenger.KindDoubt:
+			a.cfg.Doubt(f.Doubt.Jobs)
 		}
 	}})
 	a.mu.Lock()
@@ -161,6 +166,26 @@
 	return a.askOn(ctx, conn, ask)
 }
 
+// Tell sends the owner a frame, if it is connected.
+func (a *asker) Tell(f messenger.Frame) {
+	a.mu.Lock()
+	conn := a.conn
+	a.mu.Unlock()
+	if conn == nil {
+		return
+	}
+	if err := conn.Post(f); err != nil {
+		a.cfg.Log.Info("owner not told", zap.Error(err))
+	}
+}
+
+// Connected says whether the owner answers on a connection.
+func (a *asker) Connected() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.conn != nil && a.cfg.Now().Sub(a.Reached()) < deafAfter
+}
+
 func (a *asker) askOn(ctx context.Context, conn *messenger.Conn, ask messenger.Ask) (messenger.Tell, error) {
 	return a.questions.Ask(ctx, conn.Done(), func(id uint64) error {
 		return conn.Post(messenger.Frame{Kind: messenger.KindAsk, ID: id, Ask: &ask})
--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -119,7 +119,10 @@
 	})
 	store := c.relayer.Store()
 	self := elector.Member{ID: cfg.ID, Born: c.born, Peer: cfg.Peer}
-	c.asker = newAsker(askerConfig{ID: cfg.ID, Born: c.born, Client: client, Now: cfg.Now, Log: cfg.Log})
+	c.asker = newAsker(askerConfig{
+		ID: cfg.ID, Born: c.born, Client: client, Now: cfg.Now, Log: cfg.Log,
+		Doubt: func(jobs []string) { c.Acceptor.Doubt(jobs) },
+	})
 	c.elector = elector.New(elector.Config{
 		Self: self, Store: store, Now: cfg.Now, Log: cfg.Log, Reached: c.asker.Reached,
 		Seen: func(elector.Record, []elector.Member) { c.touch() },
@@ -129,7 +132,7 @@
 		Welcome: func(w *messenger.Welcome) { w.Peers = append(c.elector.Peers(), cfg.Peer) },
 	})
 	c.Acceptor = acceptor.New(acceptor.Config{
-		Store: store, Ask: c.ask, Now: cfg.Now, Wall: cfg.Wall, Log: cfg.Log, Count: cfg.Count, Time: cfg.Time,
+		Store: store, Ask: c.ask, Doubt: func(jobs []string) { c.spread(jobs, nil) }, Heard: c.heard, Now: cfg.Now, Wall: cfg.Wall, Log: cfg.Log, Count: cfg.Count, Time: cfg.Time,
 	})
 	return c
 }
--- a/conductor/fleet_test.go
+++ b/conductor/fleet_test.go
@@ -40,10 +40,12 @@
 	mu      sync.Mutex
 	entries map[string]*entryNode
 	agents  map[string]*agentNode
-	// down and losing are the store's troubles; away has instances that it
+	// down says that the store refuses all; away has instances that it
 	// turns away.
-	down, losing bool
-	away         map[string]bool
+	down bool
+	// loss is the share of the store's writes whose answer is lost.
+	loss float64
+	away map[string]bool
 	// lossy has the share of orders that workers leave without an answer.
 	lossy float64
 	lives int
@@ -98,6 +100,16 @@
 	return f
 }
 
+// set changes the troubles of the moment.
+func (f *fleet) set(change func()) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	change()
+}
+
+// owns says whether an entry is the owner.
+func (e *entryNode) owns() bool { return e.c.Owning() }
+
 // roll draws a number in [0, 1) that depends on the seed, on what it is for and
 // on how often that was asked, so that goroutines' order changes nothing.
 func (f *fleet) roll(use string) float64 {
@@ -163,9 +175,9 @@
 			return 0, err
 		}
 		f.mu.Lock()
-		losing := f.losing
+		loss := f.loss
 		f.mu.Unlock()
-		if !losing || f.roll(name+"lose") > 0.3 {
+		if loss == 0 || f.roll(name+"lose") >= loss {
 			return commit(ctx, change)
 		}
 		if f.roll(name+"later") < 0.5 {
--- a/conductor/history_test.go
+++ b/conductor/history_test.go
@@ -100,18 +100,26 @@
 	if r.Float64() < 0.06 {
 		spec.Steps = []sequencer.Step{{Count: 2, CPU: 500, Memory: 100, Lasting: true}}
 	}
-	e := f.some(r.IntN(16))
 	f.book.Add(spec)
+	for range 1 + r.IntN(3) { // a caller that learns nothing asks another entry
+		err := f.submitAt(f.some(r.IntN(16)), spec)
+		switch {
+		case err == nil:
+			return id
+		case errors.Is(err, acceptor.ErrTurnedAway):
+			f.book.Refuse(id)
+			return ""
+		}
+		dreamer.Sleep(time.Duration(5+r.IntN(300)) * time.Millisecond)
+	}
+	return ""
+}
+
+func (f *fleet) submitAt(e *entryNode, spec *sequencer.Spec) error {
 	ctx, cancel := context.WithTimeout(f.ctx, 3*time.Second)
 	defer cancel()
-	err := e.c.Acceptor.Submit(ctx, spec)
-	if errors.Is(err, acceptor.ErrTurnedAway) {
-		f.book.Refuse(id)
-	}
-	if err != nil {
-		return ""
-	}
-	return id
+	again := *spec
+	return e.c.Acceptor.Submit(ctx, &again)
 }
 
 func (f *fleet) cancel(id string, r *rand.Rand) {
@@ -140,13 +148,7 @@
 	later := func(least, most int, do func()) {
 		time.AfterFunc(time.Duration(least+r.IntN(most-least))*time.Millisecond, do)
 	}
-	set := func(do func()) func() {
-		return func() {
-			f.mu.Lock()
-			defer f.mu.Unlock()
-			do()
-		}
-	}
+	set := func(do func()) func() { return func() { f.set(do) } }
 	e := f.some(r.IntN(16))
 	a := f.agents[fmt.Sprintf("agent-%d", r.IntN(len(f.agents)))]
 	var n int
@@ -186,8 +188,8 @@
 		set(func() { f.away[e.name] = true })()
 		later(500, 9000, set(func() { f.away[e.name] = false }))
 	case 7: // answers of the store are lost
-		set(func() { f.losing = true })()
-		later(500, 6000, set(func() { f.losing = false }))
+		set(func() { f.loss = 0.3 })()
+		later(500, 6000, set(func() { f.loss = 0 }))
 	case 8: // workers leave orders unanswered and carry them out late
 		set(func() { f.lossy = 0.1 })()
 		later(1000, 6000, set(func() { f.lossy = 0 }))
@@ -200,7 +202,7 @@
 // calm ends all troubles.
 func (f *fleet) calm() {
 	f.mu.Lock()
-	f.down, f.losing, f.lossy = false, false, 0
+	f.down, f.loss, f.lossy = false, 0, 0
 	f.away = map[string]bool{}
 	f.mu.Unlock()
 	for name := range f.entries {
--- a/conductor/links.go
+++ b/conductor/links.go
@@ -14,6 +14,9 @@
 // the owner.
 func (c *Conductor) join(l *connector.Link) {
 	if l.Hello.Role != messenger.RoleAgent {
+		if jobs := c.Acceptor.Doubts(); len(jobs) > 0 {
+			c.post(l, messenger.Frame{Kind: messenger.KindDoubt, Doubt: &messenger.Doubt{Jobs: jobs}})
+		}
 		return
 	}
 	c.mu.Lock()
@@ -54,9 +57,40 @@
 		}
 	case messenger.KindAsk:
 		c.answer(l, f)
+	case messenger.KindDoubt:
+		c.Acceptor.Doubt(f.Doubt.Jobs)
+		c.spread(f.Doubt.Jobs, l)
+	}
+}
+
+// post sends a peer a frame without waiting.
+func (c *Conductor) post(l *connector.Link, f messenger.Frame) {
+	if err := l.Post(f); err != nil {
+		c.cfg.Log.Debug("frame not sent", zap.String("peer", l.Hello.ID), zap.Error(err))
 	}
 }
 
+// spread tells the other entries of jobs in doubt: an entry the owner, the owner
+// all others but the one that told it.
+func (c *Conductor) spread(jobs []string, but *connector.Link) {
+	f := messenger.Frame{Kind: messenger.KindDoubt, Doubt: &messenger.Doubt{Jobs: jobs}}
+	if c.owner() == nil {
+		c.asker.Tell(f)
+		return
+	}
+	for _, l := range c.connector.Links() {
+		if l != but && l.Hello.Role == messenger.RoleEntry {
+			c.post(l, f)
+		}
+	}
+}
+
+// Owning says whether this process schedules the pools.
+func (c *Conductor) Owning() bool { return c.owner() != nil }
+
+// heard says whether other entries' doubts reach this one.
+func (c *Conductor) heard() bool { return c.owner() != nil || c.asker.Connected() }
+
 // answer answers another entry's question; one without a subject asks whether
 // this process is there.
 func (c *Conductor) answer(l *connector.Link, f messenger.Frame) {
@@ -70,9 +104,7 @@
 			c.cfg.Log.Debug("question not answered", zap.String("job", f.Ask.Job), zap.Error(err))
 		}
 	}
-	if err := l.Post(messenger.Frame{Kind: messenger.KindTell, ID: f.ID, Tell: &tell}); err != nil {
-		c.cfg.Log.Debug("answer not sent", zap.Error(err))
-	}
+	c.post(l, messenger.Frame{Kind: messenger.KindTell, ID: f.ID, Tell: &tell})
 }
 
 // ask asks the owner, which may be this process.
--- a/messenger/frame.go
+++ b/messenger/frame.go
@@ -62,6 +62,7 @@
 	KindVouch Kind = 42
 	KindAsk   Kind = 43
 	KindTell  Kind = 44
+	KindDoubt Kind = 45
 )
 
 // Errors of the protocol.
@@ -97,6 +98,7 @@
 	Vouch   *Vouch   `cbor:"22,keyasint,omitempty"`
 	Ask     *Ask     `cbor:"23,keyasint,omitempty"`
 	Tell    *Tell    `cbor:"24,keyasint,omitempty"`
+	Doubt   *Doubt   `cbor:"25,keyasint,omitempty"`
 }
 
 var (
@@ -204,6 +206,8 @@
 		return f.Ask != nil && f.ID != 0
 	case KindTell:
 		return f.Tell != nil && f.ID != 0
+	case KindDoubt:
+		return f.Doubt != nil
 	}
 	return true
 }
--- a/messenger/pool.go
+++ b/messenger/pool.go
@@ -142,6 +142,12 @@
 	Pending int    `cbor:"4,keyasint,omitempty"`
 }
 
+// Doubt tells entries of jobs whose write got no answer and may yet take effect:
+// none of them may say that such a job was not accepted.
+type Doubt struct {
+	Jobs []string `cbor:"1,keyasint"`
+}
+
 // String names the end.
 func (h How) String() string {
 	if int(h) < len(hows) {
