--- a/warden/warden_test.go
+++ b/warden/warden_test.go
@@ -322,7 +322,7 @@
 	inBubble(t, func(c *qt.C, p *post) {
 		p.worker.Boot("life-2", time.UnixMilli(900_000))
 		p.set(func() {
-			p.fault = func(call string) faker.PoolFault { return faker.PoolFault{Delay: 600 * time.Millisecond} }
+			p.fault = func(_ string) faker.PoolFault { return faker.PoolFault{Delay: 600 * time.Millisecond} }
 		})
 		p.w.Heard(context.Background(), p.worker.Heartbeat(1))
 		dreamer.Sleep(10 * time.Millisecond)
