overseer: Wait one lease for an agent that was heard

Change: a survey's reply carries the owner's term, so no earlier owner can extend that agent's lease any more; its deadline becomes one lease from the reply.

--- a/overseer/agent.go
+++ b/overseer/agent.go
@@ -123,7 +123,11 @@
 	v := &messenger.Vouch{Term: o.cfg.Term, Durable: a.durable}
 	if a.kept != 0 && o.current() && t.Surveyed {
 		v.Asked, v.Worker = t.Asked, t.Worker
-		a.vouched = later(a.vouched, now.Add(o.leaseBound()))
+		if bound := now.Add(o.leaseBound()); t.Term == o.cfg.Term {
+			a.vouched = bound // no earlier owner can extend it any more
+		} else {
+			a.vouched = later(a.vouched, bound)
+		}
 	}
 	a.told = a.durable
 	o.post(a, messenger.Frame{Kind: messenger.KindVouch, Vouch: v})
--- a/overseer/overseer_test.go
+++ b/overseer/overseer_test.go
@@ -107,3 +107,24 @@
 		}
 	})
 }
+
+// An agent that has been heard obeys no earlier owner any more. Once lost, its
+// runs were waited for as long as those of one that an earlier owner may still
+// extend: 16 s (replaced-owner-beside-scale-in, LOST).
+func TestAnAgentThatWasHeardIsWaitedForItsLeaseOnly(t *testing.T) {
+	c := qt.New(t)
+	d := newDesk(c, 1)
+	a := d.o.agents["a0"]
+	a.vouched = d.now.Add(16 * time.Second) // as the ledger's agents are at first
+	j := d.submit(sequencer.Spec{Steps: []sequencer.Step{step(1, 10)}})
+	d.o.place()
+	d.run("a0", 1)
+	d.o.Part(a.link)
+	(<-d.o.do)()
+	d.now = d.now.Add(d.o.leaseBound() - time.Millisecond)
+	d.o.expire(a, d.now)
+	c.Assert(j.live, qt.HasLen, 1)
+	d.now = d.now.Add(time.Millisecond)
+	d.o.expire(a, d.now)
+	c.Assert(j.live, qt.HasLen, 0)
+}
