conductor, overseer, warden, acceptor: Test four guards that no test saw out

Cause: taken out one by one, these guards of the pools were missed by every test: no epoch is owned twice, no lease and no start without proof of ownership, no start on a draining worker, no older configuration (its test ended with the newest version again, so it could not see one that came back between). Change: a test for each; the configuration's asserts after every version.

--- a/acceptor/acceptor_test.go
+++ b/acceptor/acceptor_test.go
@@ -247,8 +247,10 @@
 func TestAnOlderConfigurationNeverComesBack(t *testing.T) {
 	c := qt.New(t)
 	a := New(Config{Log: zap.NewNop()})
+	newest := uint64(0)
 	for _, version := range []uint64{4, 9, 7, 9} {
+		newest = max(newest, version)
 		a.Configure(NewQueues(version, 0, nil))
+		c.Assert(a.Queues().Version, qt.Equals, newest)
 	}
-	c.Assert(a.Queues().Version, qt.Equals, uint64(9))
 }
--- /dev/null
+++ b/conductor/own_test.go
@@ -0,0 +1,57 @@
+package conductor
+
+import (
+	"context"
+	"net/netip"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"go.uber.org/zap"
+
+	"github.com/endivefall/endivefall/dreamer"
+	"github.com/endivefall/endivefall/elector"
+	"github.com/endivefall/endivefall/faker"
+)
+
+// While the store has not taken the release, this process still is the owner by
+// the store's word. Owning that epoch again would start what it had started
+// already: jobs newer than the epoch count as never begun.
+func TestAnEpochIsNeverOwnedTwice(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		store := faker.NewStore()
+		e := elector.New(elector.Config{
+			Self: elector.Member{ID: "entry", Born: "b", Peer: netip.MustParseAddrPort("10.0.0.1:1")}, Store: store.Keeper(),
+			Now: time.Now, Log: zap.NewNop(), Reached: func() time.Time { return time.Time{} }, Seen: func(elector.Record, []elector.Member) {},
+		})
+		ctx, cancel := context.WithCancel(context.Background())
+		served := make(chan struct{})
+		go func() {
+			defer close(served)
+			e.Serve(ctx)
+		}()
+		dreamer.Sleep(3 * time.Second)
+		c.Assert(e.Mine(), qt.IsTrue)
+		_, epoch := e.Owner()
+		store.SetFault(func(string) faker.StoreFault { return faker.StoreFault{Refuse: true} })
+		released := make(chan struct{})
+		go func() {
+			defer close(released)
+			(&Conductor{elector: e}).release(ctx, epoch, "too few agents")
+		}()
+		dreamer.Sleep(20 * time.Second)
+		select {
+		case <-released:
+			c.Error("the epoch may be owned again")
+		default:
+		}
+		store.SetFault(nil)
+		<-released
+		c.Assert(e.Mine(), qt.IsFalse)
+		cancel()
+		<-served
+		dreamer.Sleep(time.Minute)
+	})
+}
--- a/overseer/overseer_test.go
+++ b/overseer/overseer_test.go
@@ -75,6 +75,33 @@
 	c.Assert(old.Task(0, 0, 0).Live, qt.Equals, 1)
 }
 
+// A claim of another entry may stand in the store as soon as the proof is as old
+// as Proof; its owner counts on leases that end by then.
+func TestAnOwnerWithoutProofExtendsNoLeaseAndStartsNothing(t *testing.T) {
+	c := qt.New(t)
+	d := newDesk(c, 1)
+	proven := d.now
+	d.o.cfg.Proven = func() time.Time { return proven }
+	vouched := func() time.Time {
+		d.sent["a0"] = nil
+		d.table("a0", &messenger.Table{Asked: time.UnixMilli(5_000_000)})
+		c.Assert(d.sent["a0"], qt.HasLen, 1)
+		return d.sent["a0"][0].Vouch.Asked
+	}
+	d.submit(sequencer.Spec{Steps: []sequencer.Step{step(1, 10)}})
+	d.now = proven.Add(d.o.cfg.Proof - time.Millisecond)
+	c.Assert(vouched().IsZero(), qt.IsFalse)
+	d.now = proven.Add(d.o.cfg.Proof)
+	before := d.o.agents["a0"].vouched
+	c.Assert(vouched().IsZero(), qt.IsTrue)
+	c.Assert(d.o.agents["a0"].vouched, qt.Equals, before)
+	d.o.place()
+	c.Assert(d.orders("a0"), qt.HasLen, 0)
+	proven = d.now
+	d.o.place()
+	c.Assert(d.orders("a0"), qt.HasLen, 1)
+}
+
 // What works for an owner that ends must not wait for its queue: links fill it
 // while the last write is on its way.
 func TestAnOwnerEndsWhileItsQueueIsFull(t *testing.T) {
--- a/warden/warden_test.go
+++ b/warden/warden_test.go
@@ -231,6 +231,22 @@
 	})
 }
 
+func TestADrainingWorkerIsGivenNothing(t *testing.T) {
+	inBubble(t, func(c *qt.C, p *post) {
+		p.order(start("j.0.0.0", 1))
+		beat := p.worker.Heartbeat(2)
+		beat.Draining = true
+		p.w.Heard(context.Background(), beat)
+		p.order(start("j.0.0.1", 1))
+		c.Assert(p.count("start"), qt.Equals, 1)
+		c.Assert(p.ends(), qt.DeepEquals, []string{"j.0.0.1#1 never"})
+		c.Assert(p.shown().Draining, qt.IsTrue)
+		p.w.Heard(context.Background(), p.worker.Heartbeat(3))
+		p.order(start("j.0.0.2", 1))
+		c.Assert(p.count("start"), qt.Equals, 1, qt.Commentf("notice is not taken back within a life"))
+	})
+}
+
 func TestRunsEndWithTheLeaseOfASilentOwner(t *testing.T) {
 	inBubble(t, func(c *qt.C, p *post) {
 		p.set(func() { p.plan = faker.PoolPlan{} })
