acceptor: Test that an entry out of touch turns nothing away

Cause: with the condition on Heard taken out of refuse, no test of acceptor or conductor failed. Change: TestADeafEntryTurnsNothingAway.

--- a/acceptor/acceptor_test.go
+++ b/acceptor/acceptor_test.go
@@ -27,6 +27,8 @@
 	a     *Acceptor
 	// owner answers questions; nil where there is none.
 	owner func(messenger.Ask) messenger.Tell
+	// deaf says that other entries could not have told of their doubts.
+	deaf bool
 }
 
 // with runs a story in fake time.
@@ -37,7 +39,7 @@
 		d.a = New(Config{
 			Store: d.store.Keeper(), Now: time.Now, Wall: time.Now, Log: zap.NewNop(),
 			Count: func(string) {}, Time: func(string, time.Duration) {},
-			Doubt: func([]string) {}, Heard: func() bool { return true },
+			Doubt: func([]string) {}, Heard: func() bool { return !d.deaf },
 			Ask: func(_ context.Context, ask messenger.Ask) (messenger.Tell, error) {
 				if d.owner == nil {
 					return messenger.Tell{}, errors.New("no owner")
@@ -140,6 +142,25 @@
 	})
 }
 
+// An entry that other entries could not have told of their doubts can't say that
+// a job never runs.
+func TestADeafEntryTurnsNothingAway(t *testing.T) {
+	with(t, func(c *qt.C, d *desk) {
+		d.deaf = true
+		d.trouble(faker.StoreFault{Refuse: true})
+		_, err := d.submit(1)
+		c.Assert(err, qt.ErrorIs, ErrUnknown)
+		d.deaf = false
+		_, err = d.submit(1)
+		c.Assert(err, qt.ErrorIs, ErrTurnedAway)
+		d.trouble(faker.StoreFault{})
+		dreamer.Sleep(2 * probeEvery)
+		d.deaf = true
+		_, err = d.submit(1)
+		c.Assert(err, qt.IsNil, qt.Commentf("the store knows"))
+	})
+}
+
 func TestAWriteWhoseAnswerIsLostIsFound(t *testing.T) {
 	with(t, func(c *qt.C, d *desk) {
 		var commits atomic.Int64
