--- a/agent/serve_test.go
+++ b/agent/serve_test.go
@@ -1,14 +1,23 @@
 package agent
 
 import (
+	"context"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
+	"github.com/coder/websocket"
 	qt "github.com/frankban/quicktest"
+	"go.uber.org/zap"
+
+	"github.com/endivefall/endivefall/admitter"
+	"github.com/endivefall/endivefall/configurer"
+	"github.com/endivefall/endivefall/messenger"
 )
 
 // TestTransportNeverRepeatsARequest: net/http sends a request with an
@@ -54,3 +63,38 @@
 		c.Assert(bookings.Load(), qt.Equals, int64(1), qt.Commentf(name))
 	}
 }
+
+// A process that was frozen between admission and the call to the target finds
+// the deadline passed. The request never ran, and the caller is told so.
+func TestARequestPastItsDeadlineIsRefusedAfterAdmission(t *testing.T) {
+	c := qt.New(t)
+	a := New(Config{Log: zap.NewNop(), Settings: configurer.Agent{Team: "association", Service: "booking"}})
+	came := a.now()
+	looks := 0
+	a.now = func() time.Time {
+		if looks++; looks == 1 {
+			return came
+		}
+		return came.Add(time.Hour) // the process was frozen
+	}
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		ws, err := websocket.Accept(w, r, nil)
+		if err != nil {
+			return
+		}
+		conn := messenger.New(messenger.Config{Socket: ws, Accept: a.serve, Handle: func(*messenger.Conn, messenger.Frame) {}})
+		_ = conn.Run(r.Context())
+	}))
+	defer server.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+	defer cancel()
+	near, _, err := websocket.Dial(ctx, strings.Replace(server.URL, "http", "ws", 1), nil)
+	c.Assert(err, qt.IsNil)
+	defer func() { _ = near.CloseNow() }()
+	call := messenger.Call{Team: "association", Service: "booking", Method: http.MethodPost, Path: "/slots", Until: came.Add(time.Minute)}
+	c.Assert(messenger.Transmit(ctx, near, messenger.Frame{Kind: messenger.KindCall, ID: 1, Call: &call}), qt.IsNil)
+	answer, err := messenger.Receive(ctx, near)
+	c.Assert(err, qt.IsNil)
+	c.Assert(answer.Kind, qt.Equals, messenger.KindRefuse)
+	c.Assert(answer.Refuse.Reason, qt.Equals, admitter.Late)
+}
--- a/e2e/faults_test.go
+++ b/e2e/faults_test.go
@@ -208,15 +208,19 @@
 	w.eventually("the long request runs", func() bool { return starts(w.records()) == 1 })
 
 	w.entries[0].signal(syscall.SIGTERM)
+	// A balancer must be able to see it before connections are refused.
 	w.eventually("readiness has turned", func() bool {
 		resp, err := w.cheap.Get("http://" + w.entryHTTP[0] + "/readyz")
-		if err != nil {
-			return true // it no longer takes connections
-		}
+		c.Assert(err, qt.IsNil, qt.Commentf("the entry takes no connections and has not said so"))
 		_ = resp.Body.Close()
 		return resp.StatusCode == http.StatusServiceUnavailable
 	})
 	w.entries[0].signal(syscall.SIGTERM) // a second signal changes nothing
+	w.eventually("all shards are handed over while the long request runs", func() bool {
+		logs := w.entries[0].logs()
+		claimed := strings.Count(logs, `msg="shard claimed"`)
+		return claimed > 0 && strings.Count(logs, `msg="shard left"`) == claimed
+	})
 	for range 20 {
 		_, err := writer.Write(part)
 		c.Assert(err, qt.IsNil)
