e2e: Choose the entry that leaves and the agent that freezes by what they hold

Cause: TestEntryLeavesUnderLoad waited for entry 0 to hand its shards over; when entry 1 comes up first it claims all four and keeps them for a while, so entry 0 had none (seen in the logs of the failed run: 4 claims at entry 1, none at entry 0). TestAgentFrozenPastItsGrants froze agent 0 and waited for a lapsed grant; tasks are packed on two of three instances, and in both failed runs of four agent 0 had none (14 placed on agent 1, one on agent 2). TestAgentKilledAndRestarted kills agent 0 too and passed without having lost a task then. Ruled out: load (failed on an idle machine).

Change: the entry that leaves is one that owns a shard; the agents frozen and killed are those on which most tasks of the run have started. No bound or assertion changed; the cases are now always the ones they name.

--- a/e2e/faults_test.go
+++ b/e2e/faults_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -191,6 +192,13 @@
 	w := newWorld(t, 2, 2)
 	w.apply("../examples/association.yaml")
 
+	// The entry that comes first claims all shards and keeps them for a while.
+	leaver := -1
+	w.eventually("an entry owns a shard", func() bool {
+		leaver = slices.IndexFunc(w.entryHTTP, func(addr string) bool { return len(w.status(addr).Shards) > 0 })
+		return leaver >= 0
+	})
+
 	// A body of several MB that is sent slowly, across the whole of the end.
 	reader, writer := io.Pipe()
 	type result struct {
@@ -199,7 +207,7 @@
 	}
 	got := make(chan result, 1)
 	go func() {
-		_, body, err := w.call(0, http.MethodPost, "/v1/call/association/booking/long", nil, reader)
+		_, body, err := w.call(leaver, http.MethodPost, "/v1/call/association/booking/long", nil, reader)
 		got <- result{body, err}
 	}()
 	part := bytes.Repeat([]byte("slow "), 40_000)
@@ -207,17 +215,17 @@
 	c.Assert(err, qt.IsNil)
 	w.eventually("the long request runs", func() bool { return starts(w.records()) == 1 })
 
-	w.entries[0].signal(syscall.SIGTERM)
+	w.entries[leaver].signal(syscall.SIGTERM)
 	// A balancer must be able to see it before connections are refused.
 	w.eventually("readiness has turned", func() bool {
-		resp, err := w.cheap.Get("http://" + w.entryHTTP[0] + "/readyz")
+		resp, err := w.cheap.Get("http://" + w.entryHTTP[leaver] + "/readyz")
 		c.Assert(err, qt.IsNil, qt.Commentf("the entry takes no connections and has not said so"))
 		_ = resp.Body.Close()
 		return resp.StatusCode == http.StatusServiceUnavailable
 	})
-	w.entries[0].signal(syscall.SIGTERM) // a second signal changes nothing
+	w.entries[leaver].signal(syscall.SIGTERM) // a second signal changes nothing
 	w.eventually("all shards are handed over while the long request runs", func() bool {
-		logs := w.entries[0].logs()
+		logs := w.entries[leaver].logs()
 		claimed := strings.Count(logs, `msg="shard claimed"`)
 		return claimed > 0 && strings.Count(logs, `msg="shard left"`) == claimed
 	})
@@ -229,7 +237,7 @@
 	r := <-got
 	c.Assert(r.err, qt.IsNil)
 	c.Assert(len(r.body), qt.Equals, 21*len(part))
-	c.Assert(w.ended(w.entries[0]), qt.Equals, 0, qt.Commentf("%s", w.entries[0].logs()))
+	c.Assert(w.ended(w.entries[leaver]), qt.Equals, 0, qt.Commentf("%s", w.entries[leaver].logs()))
 }
 
 // TestOneKeyThroughTwoEntries: the same booking sent through both entries at
--- a/e2e/jobs_test.go
+++ b/e2e/jobs_test.go
@@ -67,6 +67,18 @@
 	return n
 }
 
+// holder returns the instance on which most tasks of the run have started: tasks
+// are packed, and one chosen beforehand may hold none.
+func (w *world) holder(run string) *instance {
+	started := map[string]int{}
+	for _, r := range w.records() {
+		if r.What == faker.TaskStart && strings.Contains(r.Task, run) {
+			started[r.Instance]++
+		}
+	}
+	return slices.MaxFunc(w.instances, func(a, b *instance) int { return started[a.name] - started[b.name] })
+}
+
 // owner returns the entry that serves the team's shard: the one that places its
 // tasks.
 func (w *world) owner(run string) int {
@@ -130,11 +142,12 @@
 	w.submit(0, "long", "r1")
 	w.submit(0, "slow", "r1")
 	w.eventually("tasks of both run", func() bool { return w.started(":slow:") == 9 && w.started(":long:") == 6 })
-	w.instances[0].agent.signal(syscall.SIGSTOP)
+	frozen := w.holder(":long:")
+	frozen.agent.signal(syscall.SIGSTOP)
 	w.eventually("its grants lapse", func() bool {
 		return strings.Contains(w.entries[0].logs()+w.entries[1].logs(), `msg="grant lapsed"`)
 	})
-	w.instances[0].agent.signal(syscall.SIGCONT)
+	frozen.agent.signal(syscall.SIGCONT)
 	w.ends(0, "slow/r1", "done")
 	w.eventually("long/r1 ends", func() bool { return w.look(0, "long/r1").State != "running" })
 
@@ -150,7 +163,7 @@
 	}
 	for _, dead := range w.look(0, "long/r1").Dead {
 		for n := dead[0]; n < dead[1]; n++ {
-			w.c.Assert(at[n], qt.Equals, w.instances[0].name, qt.Commentf("task %d", n))
+			w.c.Assert(at[n], qt.Equals, frozen.name, qt.Commentf("task %d", n))
 		}
 	}
 	rules := batchRules()
@@ -165,7 +178,7 @@
 	w.apply(w.file("batch.yaml", batchDocument))
 	w.submit(0, "long", "r1")
 	w.eventually("all tasks run", func() bool { return w.started(":long:") == 6 })
-	in := w.instances[0]
+	in := w.holder(":long:")
 	// A task that has just started has a lease of 2 s at its worker, and would
 	// rightly be evicted; the next moves of the leases are awaited.
 	w.eventually("the worker's leases are moved", func() bool {
