e2e, configurer: Put a proxy with faults on every connection of the soak

Cause: the soak killed, paused and restarted real processes and troubled the store and the workers, but cut no connections; what cuts do was only played in fake time and without HTTP.

Change: a loopback proxy stands before each entry (callers and peers), before each worker, and before the store on each process's own way to it. It delays, resets, or holds bytes one way or both; held bytes are lost by a reset or go on late, also those of a process that is dead by then. Its faults are drawn by a generator of their own, so that the other faults of a seed stay as they were. Callers hand in and ask without waiting for each other: an entry that is out of reach held the load up (20 jobs in 20 s, the check wants more). Setting `bind`: where an entry listens for peers if that isn't the address that it tells, as behind a forwarder. -soakentries and -soakagents set sizes.

--- a/configurer/pool.go
+++ b/configurer/pool.go
@@ -7,11 +7,13 @@
 
 // PoolEntry holds the settings of an entry of the pools.
 type PoolEntry struct {
-	ID      string         `yaml:"id" validate:"required,max=63"`
-	Domain  string         `yaml:"domain" validate:"required"`
-	Listen  netip.AddrPort `yaml:"listen" validate:"required"` // for callers
-	Ready   netip.AddrPort `yaml:"ready" validate:"required"`  // for the balancer's check
-	Peer    netip.AddrPort `yaml:"peer" validate:"required"`   // for entries and agents
+	ID     string         `yaml:"id" validate:"required,max=63"`
+	Domain string         `yaml:"domain" validate:"required"`
+	Listen netip.AddrPort `yaml:"listen" validate:"required"` // for callers
+	Ready  netip.AddrPort `yaml:"ready" validate:"required"`  // for the balancer's check
+	Peer   netip.AddrPort `yaml:"peer" validate:"required"`   // for entries and agents
+	// Bind is where it listens for peers if that isn't Peer, as behind a forwarder.
+	Bind    netip.AddrPort `yaml:"bind"`
 	Metrics netip.AddrPort `yaml:"metrics"`
 	Store   netip.AddrPort `yaml:"store" validate:"required"`
 	// Advice is the service of the queues' policies, where there is one.
@@ -46,6 +48,7 @@
 		return nil, err
 	}
 	fill(&e.Level, "info")
+	fill(&e.Bind, e.Peer)
 	return &e, nil
 }
 
--- a/e2e/pools_test.go
+++ b/e2e/pools_test.go
@@ -10,7 +10,9 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -28,6 +30,8 @@
 	soakSeeds = flag.Int("soaks", 1, "seeded soaks of the pools' real processes")
 	soakSeed  = flag.Uint64("soakseed", 1, "seed of the first soak")
 	soakTime  = flag.Duration("soaktime", 20*time.Second, "how long faults are brought about in a soak")
+	soakSides = flag.Int("soakagents", 3, "agents and workers of a soak")
+	soakEdges = flag.Int("soakentries", 3, "entries of a soak")
 )
 
 // pools is real entries and agents of the pools, with the platform's store and
@@ -40,6 +44,12 @@
 	procs   []*pooled
 	fronts  []string
 	workers []*standin.Worker
+	links   []*link
+	peers   int        // links to entries for peers come first
+	cuts    *rand.Rand // draws the faults of links, apart from all others
+	sending sync.WaitGroup
+	mu      sync.Mutex
+	ids     []string // accepted jobs
 	lives   int
 	stop    context.CancelFunc
 }
@@ -66,18 +76,25 @@
 	p := &pools{
 		world: &world{c: c, dir: t.TempDir(), cheap: &http.Client{Timeout: time.Second}}, // a paused entry is not to hold the load up
 		store: faker.NewStore(), book: faker.NewBook(), r: rand.New(rand.NewPCG(seed, 1)),
+		cuts: rand.New(rand.NewPCG(seed, 2)),
 	}
 	c.Cleanup(p.world.stop)
 	store := p.serveHTTP(&standin.Store{Kept: p.store})
 	config := `{"version":1,"routes":[{"name":"q","host":"h.example","prefix":"/q/","service":"pool","maxAttempts":6}]}`
 	_, err := p.store.Keeper().Commit(context.Background(), keeper.Change{Writes: []keeper.Write{{Key: "op/config", Value: []byte(config)}}})
 	c.Assert(err, qt.IsNil)
+	var binds, peers []string
+	for range entries {
+		bind := freeAddr(c)
+		binds, peers = append(binds, bind), append(peers, p.linked(bind))
+	}
+	p.peers = entries
 	for n := range entries {
 		front := freeAddr(c)
 		conf := p.file(fmt.Sprintf("entry-%d.yaml", n), fmt.Sprintf(
-			"id: entry-%d\ndomain: d\nlisten: %s\nready: %s\npeer: %s\nstore: %s\nhold: 6s\nkeep: 10m\ndrain: 4s\n",
-			n, front, freeAddr(c), freeAddr(c), store))
-		p.fronts = append(p.fronts, front)
+			"id: entry-%d\ndomain: d\nlisten: %s\nready: %s\npeer: %s\nbind: %s\nstore: %s\nhold: 6s\nkeep: 10m\ndrain: 4s\n",
+			n, front, freeAddr(c), peers[n], binds[n], p.linked(store)))
+		p.fronts = append(p.fronts, p.linked(front))
 		p.procs = append(p.procs, &pooled{process: p.start(fmt.Sprint("entry-", n), "pool-entry", conf), role: "pool-entry", conf: conf})
 	}
 	ctx, stop := context.WithCancel(context.Background())
@@ -98,13 +115,20 @@
 		p.boot(worker)
 		beats := freeAddr(c)
 		conf := p.file(fmt.Sprintf("agent-%d.yaml", n), fmt.Sprintf(
-			"id: agent-%d\ndomain: d\nlisten: %s\nworker: %s\npool: pool\nstore: %s\nhold: 6s\n", n, beats, p.serveHTTP(worker), store))
+			"id: agent-%d\ndomain: d\nlisten: %s\nworker: %s\npool: pool\nstore: %s\nhold: 6s\n", n, beats, p.linked(p.serveHTTP(worker)), p.linked(store)))
 		p.procs = append(p.procs, &pooled{process: p.start(fmt.Sprint("agent-", n), "pool-agent", conf), role: "pool-agent", conf: conf})
 		go beat(ctx, worker, netip.MustParseAddrPort(beats))
 	}
 	return p
 }
 
+// linked returns the address of a new link before addr.
+func (p *pools) linked(addr string) string {
+	l := newLink(p.c, addr)
+	p.links = append(p.links, l)
+	return l.addr
+}
+
 // beat sends a worker's heartbeats until ctx ends.
 func beat(ctx context.Context, w *standin.Worker, agent netip.AddrPort) {
 	client := &http.Client{Timeout: time.Second}
@@ -125,9 +149,11 @@
 	w.Runs.Boot(fmt.Sprint("life-", p.lives), time.UnixMilli(int64(1000000+p.lives*7919000%5000000)))
 }
 
-// call sends a caller's request to some entry; status is 0 without an answer.
-func (p *pools) call(method, id, body string) (status int, state string) {
-	front := p.fronts[p.r.IntN(len(p.fronts))]
+// front draws the entry that a caller turns to.
+func (p *pools) front() string { return p.fronts[p.r.IntN(len(p.fronts))] }
+
+// call sends a caller's request to an entry; status is 0 without an answer.
+func (p *pools) call(front, method, id, body string) (status int, state string) {
 	req, err := http.NewRequest(method, "http://"+front+"/q/"+id, strings.NewReader(body))
 	p.c.Assert(err, qt.IsNil)
 	req.Host = "h.example"
@@ -149,8 +175,9 @@
 	return resp.StatusCode, answer.State
 }
 
-// submit hands a job in, and says whether it was accepted.
-func (p *pools) submit() (string, bool) {
+// submit hands a job in, and goes on before the answer is there: an entry that
+// is out of reach is not to hold the load up.
+func (p *pools) submit() {
 	id := fmt.Sprintf("%016x", p.r.Uint64())
 	spec := &sequencer.Spec{ID: id, Attempts: 6}
 	phases := []map[string]any{}
@@ -165,11 +192,24 @@
 	raw, err := json.Marshal(map[string]any{"spec": "x", "phases": phases})
 	p.c.Assert(err, qt.IsNil)
 	p.book.Add(spec)
-	status, _ := p.call(http.MethodPost, id, string(raw))
-	if status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests {
-		p.book.Refuse(id)
-	}
-	return id, status == http.StatusOK
+	front := p.front()
+	p.sending.Go(func() {
+		switch status, _ := p.call(front, http.MethodPost, id, string(raw)); status {
+		case http.StatusServiceUnavailable, http.StatusTooManyRequests:
+			p.book.Refuse(id)
+		case http.StatusOK:
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			p.ids = append(p.ids, id)
+		}
+	})
+}
+
+// accepted returns the jobs that have been accepted.
+func (p *pools) accepted() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.Clone(p.ids)
 }
 
 // trouble brings one fault about, from outside the processes.
@@ -197,9 +237,31 @@
 	}
 }
 
+// cut brings one fault of a link about: slow, silent one way or both, or reset.
+func (p *pools) cut() {
+	l := p.links[p.cuts.IntN(len(p.links))]
+	switch p.cuts.IntN(4) {
+	case 0:
+		l.set(linkFault{delay: time.Duration(20+p.cuts.IntN(400)) * time.Millisecond})
+	case 1:
+		var f linkFault
+		f.held[p.cuts.IntN(2)] = true
+		l.set(f)
+	case 2:
+		l.set(linkFault{held: [2]bool{true, true}})
+	case 3:
+		l.reset()
+	}
+}
+
 // mend lets paused processes go on, starts ended ones again, and ends the
-// store's faults.
+// faults of the store and of links.
 func (p *pools) mend(all bool) {
+	for _, l := range p.links {
+		if all || p.cuts.IntN(3) == 0 {
+			l.mend(p.cuts.IntN(2) == 0)
+		}
+	}
 	for _, v := range p.procs {
 		if v.paused && (all || p.r.IntN(3) == 0) {
 			v.paused = false
@@ -235,34 +297,36 @@
 }
 
 func soak(t *testing.T, seed uint64) {
-	p := newPools(t, seed, 3, 3)
+	p := newPools(t, seed, *soakEdges, *soakSides)
 	p.eventually("a job is accepted", func() bool {
-		_, ok := p.submit()
-		return ok
+		p.submit()
+		return len(p.accepted()) > 0
 	})
-	var ids []string
 	tick := time.NewTicker(100 * time.Millisecond)
 	defer tick.Stop()
 	for n, end := 0, time.Now().Add(*soakTime); time.Now().Before(end); n++ {
 		<-tick.C
-		if id, ok := p.submit(); ok {
-			ids = append(ids, id)
-		}
-		if len(ids) > 0 {
-			p.look(ids[p.r.IntN(len(ids))])
-		}
+		p.submit()
+		ids := p.accepted()
+		front, id := p.front(), ids[p.r.IntN(len(ids))]
+		p.sending.Go(func() { p.look(front, id) })
 		if n%12 == 11 {
 			p.trouble()
 		}
+		if n%12 == 8 {
+			p.cut()
+		}
 		if n%12 == 5 {
 			p.mend(false)
 		}
 	}
 	p.mend(true)
+	p.sending.Wait()
+	ids := p.accepted()
 	p.eventually("every accepted job is over", func() bool {
 		p.mend(true)
 		for _, id := range ids {
-			if !p.look(id) {
+			if !p.look(p.front(), id) {
 				return false
 			}
 		}
@@ -270,11 +334,19 @@
 	})
 	p.c.Check(p.book.Faults(), qt.HasLen, 0)
 	p.c.Check(len(ids) > 20, qt.IsTrue, qt.Commentf("%d jobs were accepted", len(ids)))
+	owned := 0 // an entry that never was owner is dialled by none
+	for _, l := range p.links[:p.peers] {
+		owned += l.carried()
+	}
+	p.c.Check(owned > 0, qt.IsTrue, qt.Commentf("nothing went to an owner through its link"))
+	for _, l := range p.links[p.peers:] {
+		p.c.Check(l.carried() > 0, qt.IsTrue, qt.Commentf("nothing went to %s through its link", l.target))
+	}
 }
 
 // look asks for an accepted job, and says whether it is over.
-func (p *pools) look(id string) bool {
-	status, state := p.call(http.MethodGet, id, "")
+func (p *pools) look(front, id string) bool {
+	status, state := p.call(front, http.MethodGet, id, "")
 	if status == http.StatusGone {
 		p.book.Gone(id)
 	}
