overseer: Count a job as waiting until a task of it is known to run

A job counted as begun as soon as an order was sent. After a take-over the jobs that waited for agents are ordered at one moment, and a question answered before the workers have them, or after agents refused the orders, told of none.

Change: a job has begun when an agent lists a run of it that the worker has confirmed, or an end that needs one (done, failed).

Before, the new test: an order sent, one that starts and one that was refused tell of 0 jobs that wait. After: 1 each; running, failed and done tell of 0.

--- a/overseer/agent.go
+++ b/overseer/agent.go
@@ -214,6 +214,9 @@
 	if row.Percent > r.percent || r.moved.IsZero() {
 		r.moved = now
 	}
+	if row.Phase != messenger.PhaseStarting {
+		r.job.Began = true
+	}
 	r.phase, r.percent, r.figure, r.pace = row.Phase, row.Percent, row.Figure, row.Pace
 	r.paced = r.paced || row.Pace < 100
 	if row.Saved != "" && row.Saved != r.task.Saved {
@@ -242,7 +245,6 @@
 	}
 	t.Attempt = max(t.Attempt, row.Attempt)
 	t.Live++
-	j.Began = true
 	o.runs[r.key], j.live[r.key], a.runs[r.key] = r, r, r
 	return r
 }
--- /dev/null
+++ b/overseer/answer_test.go
@@ -0,0 +1,39 @@
+package overseer
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/endivefall/endivefall/messenger"
+	"github.com/endivefall/endivefall/sequencer"
+)
+
+// After a take-over the jobs that waited are ordered at one moment; an entry
+// said that none waits while no worker had started any
+// (agua-opendays-grown, scale-2).
+func TestAJobWaitsUntilATaskOfItIsKnownToRun(t *testing.T) {
+	task := "0000000000000001.0.0.0"
+	for name, one := range map[string]struct {
+		then    func(d *desk)
+		pending int
+	}{
+		"ordered":  {func(*desk) {}, 1},
+		"starting": {func(d *desk) { d.list("a0", messenger.PhaseStarting) }, 1},
+		"refused":  {func(d *desk) { d.end("a0", 1, task, 1, messenger.EndNever) }, 1},
+		"running":  {func(d *desk) { d.list("a0", messenger.PhaseRunning) }, 0},
+		"failed":   {func(d *desk) { d.end("a0", 1, task, 1, messenger.EndFailed) }, 0},
+		"done":     {func(d *desk) { d.end("a0", 1, task, 1, messenger.EndDone) }, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			d := newDesk(c, 1)
+			d.submit(sequencer.Spec{Steps: []sequencer.Step{step(2, 100)}})
+			d.o.place()
+			c.Assert(d.orders("a0"), qt.HasLen, 2)
+			one.then(d)
+			tell := d.o.answer(messenger.Ask{Queue: "queue"})
+			c.Assert(tell.Pending, qt.Equals, one.pending)
+		})
+	}
+}
--- a/overseer/desk_test.go
+++ b/overseer/desk_test.go
@@ -95,11 +95,20 @@
 
 // run has an agent list all its runs as running.
 func (d *desk) run(id string, percent int) {
-	t := &messenger.Table{}
+	d.table(id, &messenger.Table{Runs: d.rows(id, messenger.PhaseRunning, percent)})
+}
+
+// list has an agent list all its runs in a phase.
+func (d *desk) list(id string, phase messenger.Phase) {
+	d.table(id, &messenger.Table{Runs: d.rows(id, phase, 0)})
+}
+
+func (d *desk) rows(id string, phase messenger.Phase, percent int) []messenger.RunRow {
+	var rows []messenger.RunRow
 	for _, r := range d.o.runsOf(d.o.agents[id]) {
-		t.Runs = append(t.Runs, messenger.RunRow{Task: r.key.task, Attempt: r.key.attempt, Phase: messenger.PhaseRunning, Percent: percent, Pace: 100})
+		rows = append(rows, messenger.RunRow{Task: r.key.task, Attempt: r.key.attempt, Phase: phase, Percent: percent, Pace: 100})
 	}
-	d.table(id, t)
+	return rows
 }
 
 // end has an agent list an end.
--- a/overseer/ends.go
+++ b/overseer/ends.go
@@ -81,6 +81,9 @@
 		t.Saved, t.SavedAt = row.Saved, now
 	}
 	o.plan = true
+	if row.How == messenger.EndDone || row.How == messenger.EndFailed {
+		j.Began = true
+	}
 	step := t.Shape()
 	switch row.How {
 	case messenger.EndDone:
--- a/overseer/place.go
+++ b/overseer/place.go
@@ -201,7 +201,6 @@
 	r.seq = a.seq
 	t.Attempt = attempt
 	t.Live++
-	j.Began = true
 	o.runs[r.key], j.live[r.key], a.runs[r.key] = r, r, r
 	o.cfg.Count("start")
 	o.cfg.Log.Info("start", zap.String("task", r.key.task), zap.Uint64("attempt", attempt), zap.String("agent", a.id),
--- a/sequencer/job.go
+++ b/sequencer/job.go
@@ -18,7 +18,8 @@
 	Failed bool
 	// Durable is the state that the ledger has; what callers see as final.
 	Durable State
-	// Began is set once any task has been started.
+	// Began is set once a task is known to have run: an order to start it is
+	// not enough, as callers are told how many jobs still wait.
 	Began bool
 	// steps has the tasks of each step that has been looked at, by occurrence.
 	steps map[[2]int][]*Task
