elector: Let the most powerful entry claim ownership first

Cause: all placement is done by one entry, and the next one was drawn by a hash.

Change: the settings `cores` and `speed` say what processor an entry has; its live key tells the others, and candidates are ranked by it before the hash. An owner that lives stays. Test: after the owner's end the strong entry follows, whichever its name; with the hash alone one of four cases fails.

--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -56,6 +56,8 @@
 type Config struct {
 	ID   string
 	Peer netip.AddrPort
+	// Power is the processor that it may use, in thousandths of a core.
+	Power int64
 	// Store is the platform's, as reached from this instance.
 	Store *keeper.Store
 	// Hold is the longest lease that workers take; Keep how long the state of a
@@ -118,7 +120,7 @@
 		Now: cfg.Now, Log: cfg.Log, Count: func(name string) { cfg.Count("store_" + name) },
 	})
 	store := c.relayer.Store()
-	self := elector.Member{ID: cfg.ID, Born: c.born, Peer: cfg.Peer}
+	self := elector.Member{ID: cfg.ID, Born: c.born, Peer: cfg.Peer, Power: cfg.Power}
 	c.asker = newAsker(askerConfig{
 		ID: cfg.ID, Born: c.born, Client: client, Now: cfg.Now, Log: cfg.Log,
 		Doubt: func(jobs []string) { c.Acceptor.Doubt(jobs) },
--- a/configurer/pool.go
+++ b/configurer/pool.go
@@ -18,6 +18,10 @@
 	Store   netip.AddrPort `yaml:"store" validate:"required"`
 	// Advice is the service of the queues' policies, where there is one.
 	Advice netip.AddrPort `yaml:"advice"`
+	// Cores is the processor that it may use, Speed how fast that is against
+	// the other entries'; the most powerful one is the first to become owner.
+	Cores float64 `yaml:"cores" validate:"gte=0"`
+	Speed float64 `yaml:"speed" validate:"gte=0"`
 	// Hold is the longest lease that a worker takes.
 	Hold time.Duration `yaml:"hold" validate:"gt=0"`
 	// Keep is how long the state of a job that is over is kept at least.
@@ -49,6 +53,7 @@
 	}
 	fill(&e.Level, "info")
 	fill(&e.Bind, e.Peer)
+	fill(&e.Speed, 1)
 	return &e, nil
 }
 
--- a/elector/claim.go
+++ b/elector/claim.go
@@ -92,12 +92,16 @@
 	return why
 }
 
-// rank is the place of this entry among the candidates of the next term, from 0.
+// rank is the place of this entry among the candidates of the next term, from
+// 0: the more powerful come first, as all placement is done by one entry.
 func (e *Elector) rank() int {
 	score := func(id string) uint64 { return xxhash.Sum64String(fmt.Sprint(id, e.record.Term)) }
-	rank, mine := 0, score(e.cfg.Self.ID)
+	rank, self := 0, e.cfg.Self
 	for id, m := range e.members {
-		if id != e.cfg.Self.ID && m != e.record.Owner && score(id) > mine {
+		if id == self.ID || m == e.record.Owner {
+			continue
+		}
+		if m.Power > self.Power || m.Power == self.Power && score(id) > score(self.ID) {
 			rank++
 		}
 	}
--- a/elector/elector_test.go
+++ b/elector/elector_test.go
@@ -21,6 +21,7 @@
 	c       *qt.C
 	store   *faker.Store
 	members map[string]*tenant
+	power   map[string]int64 // of entries that come; 0 for the others
 	// reached is when the owner last answered on a link, in ns.
 	reached atomic.Int64
 }
@@ -48,7 +49,7 @@
 
 func (h *house) enter(id, born string) {
 	e := New(Config{
-		Self:  Member{ID: id, Born: born, Peer: netip.MustParseAddrPort("10.0.0.1:1")},
+		Self:  Member{ID: id, Born: born, Peer: netip.MustParseAddrPort("10.0.0.1:1"), Power: h.power[id]},
 		Store: h.store.Keeper(), Now: time.Now, Log: zap.NewNop(), Reached: func() time.Time { return time.Unix(0, h.reached.Load()) },
 		Seen: func(Record, []Member) {},
 	})
@@ -171,3 +172,22 @@
 		c.Assert(h.members["entry-0"].Proven().After(last), qt.IsTrue)
 	})
 }
+
+// All placement is done by the owner: one with a fifth of a core kept a site of
+// 74 workers waiting while others had four times as much.
+func TestTheMostPowerfulEntryComesNext(t *testing.T) {
+	for _, strong := range []string{"entry-a", "entry-b", "entry-c", "entry-d"} {
+		t.Run(strong, func(t *testing.T) {
+			inHouse(t, 3, func(c *qt.C, h *house) {
+				before := h.owner()
+				h.power = map[string]int64{strong: 800}
+				h.enter(strong, "1")
+				dreamer.Sleep(2 * time.Second)
+				c.Assert(h.owner(), qt.Equals, before, qt.Commentf("an owner that lives stays"))
+				h.kill(before)
+				dreamer.Sleep(4 * time.Second)
+				c.Assert(h.owner(), qt.Equals, strong)
+			})
+		})
+	}
+}
--- a/elector/record.go
+++ b/elector/record.go
@@ -12,6 +12,9 @@
 	ID   string         `cbor:"1,keyasint"`
 	Born string         `cbor:"2,keyasint"` // a new word for each start of the process
 	Peer netip.AddrPort `cbor:"3,keyasint"` // where it accepts links
+	// Power is the processor that it may use, in thousandths of a core; 0 where
+	// that isn't known.
+	Power int64 `cbor:"4,keyasint,omitempty"`
 }
 
 // Record is the value of the key that names the owner.
