e2e: Freeze an agent that holds tasks which lapse

A grant that may not run again is waited for by `await` beyond its end, in its agent's interest (scheduler.gone), so that no line came within the minute.

Change: the agent with most tasks of `slow` is frozen; those lapse. Bounds and assertions are the same.

--- a/e2e/jobs_test.go
+++ b/e2e/jobs_test.go
@@ -142,7 +142,8 @@
 	w.submit(0, "long", "r1")
 	w.submit(0, "slow", "r1")
 	w.eventually("tasks of both run", func() bool { return w.started(":slow:") == 9 && w.started(":long:") == 6 })
-	frozen := w.holder(":long:")
+	// Tasks without retries are waited for much longer; those of slow lapse.
+	frozen := w.holder(":slow:")
 	frozen.agent.signal(syscall.SIGSTOP)
 	w.eventually("its grants lapse", func() bool {
 		return strings.Contains(w.entries[0].logs()+w.entries[1].logs(), `msg="grant lapsed"`)
