--- a/e2e/pools_test.go
+++ b/e2e/pools_test.go
@@ -48,9 +48,9 @@
 	peers   int        // links to entries for peers come first
 	cuts    *rand.Rand // draws the faults of links, apart from all others
 	sending sync.WaitGroup
-	mu      sync.Mutex
-	ids     []string // accepted jobs
 	lives   int
+	mu      sync.Mutex // guards ids
+	ids     []string   // accepted jobs
 	stop    context.CancelFunc
 }
 
