dispatcher: Wait for a read of the body without a lock that it holds

The dump of its goroutines: the test waited for the mutex `reading`, which the first try holds while it reads a pipe into which the test writes only later. It passed only where the test got the mutex before the try did, which is not the case that it names.

Change: the caller's reader tells of each read before it begins; the test goes on when the first try is in it. Assertions are the same, and the case is now always the one meant. Only the test was wrong: no code changes.

--- a/dispatcher/body_test.go
+++ b/dispatcher/body_test.go
@@ -9,6 +9,17 @@
 	qt "github.com/frankban/quicktest"
 )
 
+// noted is a reader that tells of each read before it begins.
+type noted struct {
+	io.Reader
+	reads chan struct{}
+}
+
+func (r noted) Read(p []byte) (int, error) {
+	r.reads <- struct{}{}
+	return r.Reader.Read(p)
+}
+
 func TestBodyCanBeSentAgain(t *testing.T) {
 	c := qt.New(t)
 	read := func(r io.Reader) string {
@@ -36,15 +47,15 @@
 	})
 	c.Run("what an earlier try was reading is not lost", func(c *qt.C) {
 		from, to := io.Pipe()
-		b := newBody(from, 100)
+		reads := make(chan struct{}, 10)
+		b := newBody(noted{from, reads}, 100)
 		first, _ := b.fresh()
 		ended := make(chan error)
 		go func() {
 			_, err := first.Read(make([]byte, 100))
 			ended <- err
 		}()
-		b.reading.Lock() // waits until the first try holds the caller
-		b.reading.Unlock()
+		<-reads // the first try holds the caller
 		second, _ := b.fresh()
 		go func() {
 			_, _ = to.Write([]byte("booking"))
