--- a/e2e/link_test.go
+++ b/e2e/link_test.go
@@ -14,20 +14,16 @@
 	back
 )
 
-// linkFault is what a link does to the bytes that come to it.
-type linkFault struct {
-	delay time.Duration
-	// held bytes of a way wait for the fault's end, even if their sender has gone.
-	held [2]bool
-}
-
 // link is a loopback proxy before one address, with faults.
 type link struct {
 	addr, target string
 
-	mu     sync.Mutex
-	fault  linkFault
-	turned chan struct{} // closed when the fault changes
+	mu sync.Mutex
+	// delay is what each piece of bytes waits.
+	delay time.Duration
+	// held bytes of a way wait for the fault's end, even if their sender has gone.
+	held   [2]bool
+	turned chan struct{} // closed when held changes
 	conns  map[net.Conn]struct{}
 	opened int
 }
@@ -48,7 +44,7 @@
 	}()
 	c.Cleanup(func() {
 		_ = listener.Close()
-		l.set(linkFault{})
+		l.set(0, [2]bool{})
 		l.reset()
 	})
 	return l
@@ -97,14 +93,14 @@
 // wait returns when bytes of the way may pass.
 func (l *link) wait(way int) {
 	l.mu.Lock()
-	delay := l.fault.delay
+	delay := l.delay
 	l.mu.Unlock()
 	if delay > 0 {
 		<-time.After(delay)
 	}
 	for {
 		l.mu.Lock()
-		held, turned := l.fault.held[way], l.turned
+		held, turned := l.held[way], l.turned
 		l.mu.Unlock()
 		if !held {
 			return
@@ -121,10 +117,10 @@
 }
 
 // set changes the fault; held bytes of a way that is free again go on, late.
-func (l *link) set(f linkFault) {
+func (l *link) set(delay time.Duration, held [2]bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.fault = f
+	l.delay, l.held = delay, held
 	close(l.turned)
 	l.turned = make(chan struct{})
 }
@@ -132,13 +128,13 @@
 // mend ends the fault, if there is one; reset loses the bytes that are held.
 func (l *link) mend(reset bool) {
 	l.mu.Lock()
-	faulty := l.fault != linkFault{}
+	faulty := l.delay > 0 || l.held != [2]bool{}
 	l.mu.Unlock()
 	if faulty && reset {
 		l.reset()
 	}
 	if faulty {
-		l.set(linkFault{})
+		l.set(0, [2]bool{})
 	}
 }
 
