conductor, commander: Say the listening address and the command's body once

Cause: read as a newcomer would: platform.Entry replaced the listener of the conductor by one that ignored the address it was given, to put `bind` in; the two pool commands had the same twenty lines each; a comment named a method that does not exist.

Change: conductor.Config has Bind; serveFile is what both commands do.

Measured: go test -race ./conductor ./commander ./configurer ./platform, green (14.2, 2.1, 1.1, 2.6 s).

--- a/commander/pools.go
+++ b/commander/pools.go
@@ -23,25 +23,7 @@
 cut off.
 
   endivefall pool-entry examples/pool-entry.yaml`,
-		run: func(ctx context.Context, args []string) int {
-			if len(args) != 1 {
-				return s.misuse("pool-entry takes one settings file; see endivefall help pool-entry")
-			}
-			read := configurer.New().ReadPoolEntry
-			cfg, err := read(args[0])
-			if err != nil {
-				return s.fail(err)
-			}
-			return s.serve(ctx, args[0], cfg.Level, func(ctx context.Context, log *zap.Logger) error {
-				return platform.Entry(ctx, cfg, log)
-			}, func(file string) (string, error) {
-				next, err := read(file)
-				if err != nil {
-					return "", err
-				}
-				return next.Level, nil
-			})
-		},
+		run: serveFile(s, "pool-entry", configurer.New().ReadPoolEntry, func(e *configurer.PoolEntry) string { return e.Level }, platform.Entry),
 	}
 }
 
@@ -54,25 +36,29 @@
 as pool-entry does.
 
   endivefall pool-agent examples/pool-agent.yaml`,
-		run: func(ctx context.Context, args []string) int {
-			if len(args) != 1 {
-				return s.misuse("pool-agent takes one settings file; see endivefall help pool-agent")
-			}
-			read := configurer.New().ReadPoolAgent
-			cfg, err := read(args[0])
+		run: serveFile(s, "pool-agent", configurer.New().ReadPoolAgent, func(a *configurer.PoolAgent) string { return a.Level }, platform.Agent),
+	}
+}
+
+// serveFile returns what a command does that runs a process by a settings file.
+func serveFile[T any](s streams, name string, read func(file string) (*T, error), level func(*T) string, run func(context.Context, *T, *zap.Logger) error) func(context.Context, []string) int {
+	return func(ctx context.Context, args []string) int {
+		if len(args) != 1 {
+			return s.misuse(name + " takes one settings file; see endivefall help " + name)
+		}
+		cfg, err := read(args[0])
+		if err != nil {
+			return s.fail(err)
+		}
+		return s.serve(ctx, args[0], level(cfg), func(ctx context.Context, log *zap.Logger) error {
+			return run(ctx, cfg, log)
+		}, func(file string) (string, error) {
+			next, err := read(file)
 			if err != nil {
-				return s.fail(err)
+				return "", err
 			}
-			return s.serve(ctx, args[0], cfg.Level, func(ctx context.Context, log *zap.Logger) error {
-				return platform.Agent(ctx, cfg, log)
-			}, func(file string) (string, error) {
-				next, err := read(file)
-				if err != nil {
-					return "", err
-				}
-				return next.Level, nil
-			})
-		},
+			return level(next), nil
+		})
 	}
 }
 
--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -54,8 +54,10 @@
 
 // Config is what a Conductor needs.
 type Config struct {
-	ID   string
-	Peer netip.AddrPort
+	ID string
+	// Peer is where other processes reach this one, Bind where it listens for
+	// them.
+	Peer, Bind netip.AddrPort
 	// Power is the processor that it may use, in thousandths of a core.
 	Power int64
 	// Store is the platform's, as reached from this instance.
@@ -114,15 +116,14 @@
 		cfg.Client = dialer.New(silence).Client(peerConns)
 	}
 	c := &Conductor{cfg: cfg, born: uuid.NewString(), wake: make(chan struct{}, 1), links: map[*connector.Link]*overseer.Link{}}
-	client := cfg.Client
 	c.relayer = relayer.New(relayer.Config{
-		Store: cfg.Store, Peers: func() []netip.AddrPort { return c.elector.Peers() }, Client: client,
+		Store: cfg.Store, Peers: func() []netip.AddrPort { return c.elector.Peers() }, Client: cfg.Client,
 		Now: cfg.Now, Log: cfg.Log, Count: func(name string) { cfg.Count("store_" + name) },
 	})
 	store := c.relayer.Store()
 	self := elector.Member{ID: cfg.ID, Born: c.born, Peer: cfg.Peer, Power: cfg.Power}
 	c.asker = newAsker(askerConfig{
-		ID: cfg.ID, Born: c.born, Client: client, Now: cfg.Now, Log: cfg.Log,
+		ID: cfg.ID, Born: c.born, Client: cfg.Client, Now: cfg.Now, Log: cfg.Log,
 		Doubt: func(jobs []string) { c.Acceptor.Doubt(jobs) },
 	})
 	c.elector = elector.New(elector.Config{
@@ -134,7 +135,8 @@
 		Welcome: func(w *messenger.Welcome) { w.Peers = append(c.elector.Peers(), cfg.Peer) },
 	})
 	c.Acceptor = acceptor.New(acceptor.Config{
-		Store: store, Ask: c.ask, Doubt: func(jobs []string) { c.spread(jobs, nil) }, Heard: c.heard, Now: cfg.Now, Wall: cfg.Wall, Log: cfg.Log, Count: cfg.Count, Time: cfg.Time,
+		Store: store, Ask: c.ask, Doubt: func(jobs []string) { c.spread(jobs, nil) }, Heard: c.heard,
+		Now: cfg.Now, Wall: cfg.Wall, Log: cfg.Log, Count: cfg.Count, Time: cfg.Time,
 	})
 	return c
 }
@@ -153,10 +155,10 @@
 	}
 }
 
-// Serve runs the entry until ctx ends. Release must come first for a quick
+// Serve runs the entry until ctx ends. Leave must come first for a quick
 // handover.
 func (c *Conductor) Serve(ctx context.Context) error {
-	listener, err := c.cfg.Listen("tcp", c.cfg.Peer.String())
+	listener, err := c.cfg.Listen("tcp", c.cfg.Bind.String())
 	if err != nil {
 		return fmt.Errorf("listening for peers: %w", err)
 	}
--- a/configurer/pool.go
+++ b/configurer/pool.go
@@ -12,7 +12,8 @@
 	Listen netip.AddrPort `yaml:"listen" validate:"required"` // for callers
 	Ready  netip.AddrPort `yaml:"ready" validate:"required"`  // for the balancer's check
 	Peer   netip.AddrPort `yaml:"peer" validate:"required"`   // for entries and agents
-	// Bind is where it listens for peers if that isn't Peer, as behind a forwarder.
+	// Bind is where it listens for peers if that isn't Peer, as behind a
+	// forwarder.
 	Bind    netip.AddrPort `yaml:"bind"`
 	Metrics netip.AddrPort `yaml:"metrics"`
 	Store   netip.AddrPort `yaml:"store" validate:"required"`
