--- a/faker/pool.go
+++ b/faker/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"slices"
 	"sync"
@@ -216,7 +217,7 @@
 		w.mu.Lock()
 		defer w.mu.Unlock()
 		err := w.check(l.Life, l.Fence)
-		if err == warden.ErrUnknown || err == warden.ErrLife { //nolint:errorlint // check returns them as they are
+		if errors.Is(err, warden.ErrUnknown) || errors.Is(err, warden.ErrLife) {
 			return err
 		}
 		list = &warden.Listing{Clock: w.clock(), Whole: true}
--- a/faker/store.go
+++ b/faker/store.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"slices"
 	"strings"
@@ -25,7 +26,7 @@
 // Store is an in-memory stand-in of a platform's store with transactions,
 // leases and watches. It is safe for concurrent use.
 type Store struct {
-	// Now is its clock; time.Now when nil.
+	// Now is its clock.
 	Now func() time.Time
 	// Fault decides what befalls a call; nil for nothing.
 	Fault func(call string) StoreFault
@@ -185,7 +186,7 @@
 
 // readError turns the loss of a read's answer into what it is: nothing done.
 func readError(err error) error {
-	if err == keeper.ErrUnsettled { //nolint:errorlint // run returns it as it is
+	if errors.Is(err, keeper.ErrUnsettled) {
 		return keeper.ErrDown
 	}
 	return err
--- a/overseer/write.go
+++ b/overseer/write.go
@@ -43,7 +43,7 @@
 		return
 	}
 	b := o.gather()
-	if len(b.change.Writes)+len(b.change.Removes) == 0 {
+	if b.keys() == 0 {
 		return
 	}
 	o.send(ctx, b)
--- a/relayer/message.go
+++ b/relayer/message.go
@@ -19,6 +19,15 @@
 	opEnd
 )
 
+// String names the call.
+func (o op) String() string {
+	names := [...]string{"", "get", "page", "watch", "commit", "lease", "renew", "end"}
+	if int(o) < len(names) {
+		return names[o]
+	}
+	return "unknown"
+}
+
 // call is a call that another entry makes for this one.
 type call struct {
 	Op      op            `cbor:"1,keyasint"`
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -299,12 +299,3 @@
 		r.cfg.Log.Debug("reply to a relayed call not written", zap.Error(err))
 	}
 }
-
-// String names the call.
-func (o op) String() string {
-	names := [...]string{"", "get", "page", "watch", "commit", "lease", "renew", "end"}
-	if int(o) < len(names) {
-		return names[o]
-	}
-	return "unknown"
-}
--- a/warden/link.go
+++ b/warden/link.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"github.com/endivefall/endivefall/messenger"
+	"github.com/endivefall/endivefall/sleeper"
 )
 
 // Times of the connection to the owner.
@@ -37,10 +38,7 @@
 			w.cfg.Log.Warn("owner lost", zap.Error(err))
 		}
 		lost = err != nil
-		select {
-		case <-ctx.Done():
-		case <-time.After(findPause):
-		}
+		sleeper.Sleep(ctx, findPause)
 	}
 }
 
@@ -67,10 +65,9 @@
 	defer cancel()
 	var heard atomic.Int64
 	heard.Store(w.cfg.Now().UnixNano())
-	var conn *messenger.Conn
-	conn = messenger.New(messenger.Config{Socket: ws, Handle: func(_ *messenger.Conn, f messenger.Frame) {
+	conn := messenger.New(messenger.Config{Socket: ws, Handle: func(from *messenger.Conn, f messenger.Frame) {
 		w.mu.Lock()
-		current := w.conn == conn
+		current := w.conn == from
 		w.mu.Unlock()
 		if !current {
 			return
@@ -134,10 +131,8 @@
 		case <-beat.C:
 		case <-w.dirty:
 			beat.Stop()
-			select {
-			case <-ctx.Done():
+			if sleeper.Sleep(ctx, gather); ctx.Err() != nil {
 				return
-			case <-time.After(gather):
 			}
 		}
 		if silent := w.cfg.Now().UnixNano() - heard.Load(); silent > int64(ownerSilence) {
--- a/warden/look.go
+++ b/warden/look.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"github.com/endivefall/endivefall/messenger"
+	"github.com/endivefall/endivefall/sleeper"
 )
 
 // lookLoop keeps the lease and reads the worker's lists.
@@ -24,14 +25,7 @@
 		if !w.look(ctx, wait) {
 			pause = retryPause
 		}
-		rest := pause - w.cfg.Now().Sub(started)
-		if rest <= 0 {
-			continue
-		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(rest):
-		}
+		sleeper.Sleep(ctx, pause-w.cfg.Now().Sub(started))
 	}
 }
 
--- a/warden/orders.go
+++ b/warden/orders.go
@@ -10,6 +10,7 @@
 
 	"github.com/endivefall/endivefall/messenger"
 	"github.com/endivefall/endivefall/pacer"
+	"github.com/endivefall/endivefall/sleeper"
 )
 
 // obey carries out an order of the owner. It does not wait for the worker.
@@ -168,10 +169,7 @@
 			w.cfg.Log.Info("stop failed", zap.String("task", r.task), zap.Uint64("attempt", r.attempt), zap.Error(err))
 		}
 		w.hurry()
-		select {
-		case <-ctx.Done():
-		case <-time.After(callTimeout):
-		}
+		sleeper.Sleep(ctx, callTimeout)
 	}
 }
 
