dispatcher: Tell a call that the agent broke off at its deadline as late

The agent's timer for the deadline fired a moment before the entry's; the entry saw only a fault of the target and its own context still alive. Ruled out: load (the log shows 300.9 ms for a deadline of 300 ms). Change: the agent says that the deadline broke the call off; the entry answers 504 and tries no other target.

--- a/agent/serve.go
+++ b/agent/serve.go
@@ -98,7 +98,7 @@
 		return
 	}
 	_ = s.Send(context.Background(), messenger.Frame{Kind: messenger.KindAnswer, Answer: &messenger.Answer{
-		Fault: "target broke off: " + err.Error(), Load: a.load(),
+		Fault: "target broke off: " + err.Error(), Load: a.load(), Late: errors.Is(err, context.DeadlineExceeded),
 	}})
 }
 
--- a/agent/serve_test.go
+++ b/agent/serve_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"net/netip"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -77,24 +78,62 @@
 		}
 		return came.Add(time.Hour) // the process was frozen
 	}
+	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+	defer cancel()
+	near := served(ctx, c, a.serve)
+	call := messenger.Call{Team: "association", Service: "booking", Method: http.MethodPost, Path: "/slots", Until: came.Add(time.Minute)}
+	c.Assert(messenger.Transmit(ctx, near, messenger.Frame{Kind: messenger.KindCall, ID: 1, Call: &call}), qt.IsNil)
+	answer, err := messenger.Receive(ctx, near)
+	c.Assert(err, qt.IsNil)
+	c.Assert(answer.Kind, qt.Equals, messenger.KindRefuse)
+	c.Assert(answer.Refuse.Reason, qt.Equals, admitter.Late)
+}
+
+// The entry can't tell a deadline that passed here a moment early from a fault
+// of the target.
+func TestACallBrokenOffAtItsDeadlineSaysSo(t *testing.T) {
+	c := qt.New(t)
+	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+	defer cancel()
+	target := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/broken" {
+			panic(http.ErrAbortHandler)
+		}
+		_, _ = io.ReadAll(r.Body) // the server then notices that its caller left
+		<-r.Context().Done()
+	}))
+	defer target.Close()
+	a := New(Config{Log: zap.NewNop(), Settings: configurer.Agent{
+		Team: "association", Service: "booking", Target: netip.MustParseAddrPort(strings.TrimPrefix(target.URL, "http://")),
+	}})
+	for path, late := range map[string]bool{"/slow": true, "/broken": false} {
+		near := served(ctx, c, a.forward)
+		call := messenger.Call{Method: http.MethodPost, Path: path, Until: a.now().Add(200 * time.Millisecond)}
+		if !late {
+			call.Until = a.now().Add(time.Minute)
+		}
+		c.Assert(messenger.Transmit(ctx, near, messenger.Frame{Kind: messenger.KindCall, ID: 1, Call: &call}), qt.IsNil)
+		answer, err := messenger.Receive(ctx, near)
+		c.Assert(err, qt.IsNil)
+		c.Assert(answer.Kind, qt.Equals, messenger.KindAnswer)
+		c.Assert(answer.Answer.Fault, qt.Not(qt.Equals), "")
+		c.Assert(answer.Answer.Late, qt.Equals, late, qt.Commentf(path))
+	}
+}
+
+// served returns a socket to a connection whose calls are taken by accept.
+func served(ctx context.Context, c *qt.C, accept func(context.Context, *messenger.Stream, *messenger.Call)) *websocket.Conn {
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		ws, err := websocket.Accept(w, r, nil)
 		if err != nil {
 			return
 		}
-		conn := messenger.New(messenger.Config{Socket: ws, Accept: a.serve, Handle: func(*messenger.Conn, messenger.Frame) {}})
+		conn := messenger.New(messenger.Config{Socket: ws, Accept: accept, Handle: func(*messenger.Conn, messenger.Frame) {}})
 		_ = conn.Run(r.Context())
 	}))
-	defer server.Close()
-	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
-	defer cancel()
+	c.Cleanup(server.Close)
 	near, _, err := websocket.Dial(ctx, strings.Replace(server.URL, "http", "ws", 1), nil)
 	c.Assert(err, qt.IsNil)
-	defer func() { _ = near.CloseNow() }()
-	call := messenger.Call{Team: "association", Service: "booking", Method: http.MethodPost, Path: "/slots", Until: came.Add(time.Minute)}
-	c.Assert(messenger.Transmit(ctx, near, messenger.Frame{Kind: messenger.KindCall, ID: 1, Call: &call}), qt.IsNil)
-	answer, err := messenger.Receive(ctx, near)
-	c.Assert(err, qt.IsNil)
-	c.Assert(answer.Kind, qt.Equals, messenger.KindRefuse)
-	c.Assert(answer.Refuse.Reason, qt.Equals, admitter.Late)
+	c.Cleanup(func() { _ = near.CloseNow() })
+	return near
 }
--- /dev/null
+++ b/dispatcher/late_test.go
@@ -0,0 +1,68 @@
+package dispatcher
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"go.uber.org/zap"
+
+	"github.com/endivefall/endivefall/connector"
+	"github.com/endivefall/endivefall/messenger"
+	"github.com/endivefall/endivefall/parser"
+)
+
+// An agent's timer may fire before the entry's. What it broke off is then told
+// as late, not as a fault of the target, and is not tried again elsewhere.
+func TestACallThatTheAgentBrokeOffAtItsDeadlineIsLate(t *testing.T) {
+	for name, one := range map[string]struct {
+		answer messenger.Answer
+		status int
+	}{
+		"deadline":       {messenger.Answer{Fault: "context deadline exceeded", Late: true}, http.StatusGatewayTimeout},
+		"target's fault": {messenger.Answer{Fault: "EOF"}, http.StatusBadGateway},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+			defer cancel()
+			joined := make(chan *connector.Link, 1)
+			links := connector.New(connector.Config{
+				ID: "entry-0", Born: "b", Now: time.Now, Log: zap.NewNop(), Welcome: func(*messenger.Welcome) {},
+				Join: func(l *connector.Link) { joined <- l }, Part: func(*connector.Link) {}, Handle: func(*connector.Link, messenger.Frame) {},
+			})
+			server := httptest.NewServer(links)
+			defer server.Close()
+			hello := messenger.Hello{
+				Version: messenger.Version, Role: messenger.RoleAgent, ID: "agent-0", Born: "b",
+				Team: "association", Service: "booking", Beat: messenger.Beat{Sent: time.Now()},
+			}
+			far, _, err := messenger.Dial(ctx, netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://")), hello)
+			c.Assert(err, qt.IsNil)
+			agent := messenger.New(messenger.Config{
+				Socket: far, Handle: func(*messenger.Conn, messenger.Frame) {},
+				Accept: func(ctx context.Context, s *messenger.Stream, _ *messenger.Call) {
+					_ = s.Send(ctx, messenger.Frame{Kind: messenger.KindAnswer, Answer: &one.answer})
+				},
+			})
+			go func() { _ = agent.Run(ctx) }()
+			link := <-joined
+			d := New(Config{Now: time.Now, Log: zap.NewNop(), Link: func(string) *connector.Link { return link }})
+			d.Join(&hello)
+			q := &request{
+				id: "r", key: serviceKey{"association", "booking"}, service: &parser.Service{}, until: time.Now().Add(time.Minute),
+				r: httptest.NewRequest(http.MethodPost, "/", nil), body: newBody(http.NoBody, 0),
+			}
+			_, _, _, p := d.attempts(ctx, q)
+			q.uploads.Wait()
+			c.Assert(p, qt.IsNotNil)
+			c.Assert(p.Status, qt.Equals, one.status, qt.Commentf("%s", p.Detail))
+			c.Assert(q.tries, qt.HasLen, 1)
+		})
+	}
+}
--- a/dispatcher/run.go
+++ b/dispatcher/run.go
@@ -32,6 +32,7 @@
 	reason  string
 	again   time.Time // when a refused request should come back
 	broken  bool      // the target itself is unwell
+	late    bool      // the deadline passed at the agent, whose clock may be ahead
 }
 
 // run sends the request to targets until one answers, and answers the caller.
@@ -66,7 +67,7 @@
 		return tried{}, "", nil, d.notRun("no-target", "no target has announced the service yet", d.cfg.Now().Add(time.Second))
 	}
 	var soonest time.Time
-	mayHaveRun := false
+	mayHaveRun, late := false, false
 	seen := map[string]bool{}
 	code, detail := "no-target", "no target of the service can take the request now"
 	for len(q.tries) < maxTries {
@@ -92,7 +93,8 @@
 			}
 		}
 		mayHaveRun = mayHaveRun || t.verdict == doubtful
-		if ctx.Err() != nil || (mayHaveRun && !q.idempotent) {
+		late = t.late || errors.Is(ctx.Err(), context.DeadlineExceeded)
+		if late || ctx.Err() != nil || (mayHaveRun && !q.idempotent) {
 			break
 		}
 		if q.body.fault() != nil {
@@ -100,7 +102,7 @@
 		}
 	}
 	if mayHaveRun {
-		return tried{}, "", nil, d.unknown(ctx, q)
+		return tried{}, "", nil, d.unknown(q, late)
 	}
 	if err := q.body.fault(); err != nil {
 		return tried{}, "", nil, d.badBody(q, false)
@@ -117,8 +119,8 @@
 	return p
 }
 
-func (d *Dispatcher) unknown(ctx context.Context, q *request) *responder.Problem {
-	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+func (d *Dispatcher) unknown(q *request, late bool) *responder.Problem {
+	if late {
 		return problem(http.StatusGatewayTimeout, "deadline", responder.Unknown, "no answer came before the deadline; the request may have run")
 	}
 	detail := "the target broke off; the request may have run"
@@ -189,7 +191,7 @@
 		return tried{verdict: refused, reason: f.Refuse.Reason, again: d.cfg.Now().Add(wait), broken: f.Refuse.Broken, answer: &messenger.Answer{Load: f.Refuse.Load}}
 	case f.Answer.Fault != "":
 		s.Forget()
-		return tried{verdict: doubtful, reason: f.Answer.Fault}
+		return tried{verdict: doubtful, reason: f.Answer.Fault, late: f.Answer.Late}
 	}
 	return tried{verdict: answered, stream: s, answer: f.Answer}
 }
--- a/messenger/messages.go
+++ b/messenger/messages.go
@@ -119,6 +119,8 @@
 	// request may have run.
 	Fault string `cbor:"4,keyasint,omitempty"`
 	Load  Load   `cbor:"5,keyasint"`
+	// Late is set beside Fault when the call's deadline broke it off.
+	Late bool `cbor:"6,keyasint,omitempty"`
 }
 
 // Refuse says that a call did not run, and never will.
