overseer: Never start a job whose progress can't be read

Cause: a new owner left such a job out when it read the ledger, then took it in as new when it went through the same items for cancels: its tasks would have run a second time. Found by reading. Change: the owner remembers the jobs that it left out. Before: TestAJobWithUnreadableProgressIsNotStarted fails with one start. The other tests of the file see guards out that no test saw before.

--- a/overseer/follow.go
+++ b/overseer/follow.go
@@ -85,8 +85,8 @@
 		if kept.Version != 0 {
 			var err error
 			if p, err = sequencer.DecodeProgress(kept.Value); err != nil {
-				// Nothing of the job may run again without its ends.
 				o.cfg.Log.Error("progress can't be read; the job stays as it is", zap.String("job", id), zap.Error(err))
+				o.barred[id] = true
 				continue
 			}
 		}
@@ -128,7 +128,7 @@
 		switch {
 		case item.Gone || len(rest) < 2:
 		case rest[0] == 'j':
-			if o.jobs[rest[1:]] == nil {
+			if id := rest[1:]; o.jobs[id] == nil && !o.barred[id] {
 				o.admit(item, nil, 0)
 			}
 		case rest[0] == 'x':
--- a/overseer/overseer.go
+++ b/overseer/overseer.go
@@ -112,8 +112,11 @@
 	loaded  bool
 	jobs    map[string]*job
 	open    map[string]*job // jobs that are not over
-	runs    map[runKey]*run
-	agents  map[string]*agent
+	// barred are jobs whose progress can't be read: without their ends nothing of
+	// them may run again.
+	barred map[string]bool
+	runs   map[runKey]*run
+	agents map[string]*agent
 	// dirty has jobs whose progress is not in the ledger, in order.
 	dirty []*job
 	// writing is set while a commit is on its way.
@@ -192,7 +195,7 @@
 func New(cfg Config) *Overseer {
 	return &Overseer{
 		cfg: cfg, do: make(chan func(), queue), stopped: make(chan struct{}), done: make(chan struct{}),
-		jobs: map[string]*job{}, open: map[string]*job{}, runs: map[runKey]*run{}, agents: map[string]*agent{},
+		jobs: map[string]*job{}, open: map[string]*job{}, barred: map[string]bool{}, runs: map[runKey]*run{}, agents: map[string]*agent{},
 		press: profiler.New(), advice: map[string]*advice{},
 	}
 }
--- /dev/null
+++ b/overseer/takeover_test.go
@@ -0,0 +1,79 @@
+package overseer
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/endivefall/endivefall/keeper"
+	"github.com/endivefall/endivefall/messenger"
+	"github.com/endivefall/endivefall/sequencer"
+)
+
+// An earlier owner and this one may both have started a task; one run of it goes.
+func TestOfTwoRunsOfATaskTheSecondIsStopped(t *testing.T) {
+	c := qt.New(t)
+	d := newDesk(c, 2)
+	j := d.submit(sequencer.Spec{Steps: []sequencer.Step{step(1, 10)}})
+	d.o.place()
+	name := j.Task(0, 0, 0).Name()
+	first, second := "a0", "a1"
+	if len(d.orders("a1")) > 0 {
+		first, second = "a1", "a0"
+	}
+	d.run(first, 10)
+	d.table(second, &messenger.Table{Runs: []messenger.RunRow{{Task: name, Attempt: 77, Phase: messenger.PhaseRunning}}})
+	c.Assert(d.orders(second), qt.DeepEquals, []string{"stop " + name})
+	c.Assert(d.orders(first), qt.DeepEquals, []string{"start " + name})
+}
+
+// Nothing of a job may run again whose ends can't be read.
+func TestAJobWithUnreadableProgressIsNotStarted(t *testing.T) {
+	for name, one := range map[string]struct {
+		progress []byte
+		starts   int
+	}{
+		"readable":   {nil, 1},
+		"unreadable": {[]byte("\xff"), 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			d := newDesk(c, 1)
+			spec := sequencer.Spec{ID: "00000000000000aa", Pool: "pool", Queue: "queue", Accepted: d.now, Steps: []sequencer.Step{step(1, 10)}}
+			raw, err := spec.Encode()
+			c.Assert(err, qt.IsNil)
+			var out []keeper.Item
+			if one.progress != nil {
+				out = append(out, keeper.Item{Key: OutKey(spec.ID), Value: one.progress, Version: 3})
+			}
+			d.o.begin([]keeper.Item{{Key: JobKey(spec.ID), Value: raw, Version: 20}}, out, nil)
+			d.o.place()
+			c.Assert(d.orders("a0"), qt.HasLen, one.starts)
+		})
+	}
+}
+
+// Workers refuse an attempt that is not above an earlier one, and the agents'
+// tables tell two runs apart by it.
+func TestAttemptsAreAboveThoseOfEarlierOwners(t *testing.T) {
+	c := qt.New(t)
+	d := newDesk(c, 1)
+	d.o.cfg.Term = 3
+	j := d.submit(sequencer.Spec{Steps: []sequencer.Step{step(1, 10)}})
+	d.o.place()
+	c.Assert(j.Task(0, 0, 0).Attempt > 2*termAttempts, qt.IsTrue)
+}
+
+// A new owner waits for agents by their keys; one without a key would be
+// forgotten with what it runs.
+func TestNothingStartsAtAnAgentThatTheLedgerLacks(t *testing.T) {
+	c := qt.New(t)
+	d := newDesk(c, 1)
+	d.o.agents["a0"].kept = 0
+	d.submit(sequencer.Spec{Steps: []sequencer.Step{step(1, 10)}})
+	d.o.place()
+	c.Assert(d.orders("a0"), qt.HasLen, 0)
+	d.o.agents["a0"].kept = 1
+	d.o.place()
+	c.Assert(d.orders("a0"), qt.HasLen, 1)
+}
