profiler, pacer, seater: Foresee what serving tasks can spare and give it out

The earlier profiler learned from changes alone, took every unknown pair for a heavy one, and the pacer waited for a tail near its target. Change: figures are sharpened; a filter with full covariances learns loads with their trend and presses at once; the pacer gives the room that will be left to what presses least, at each new figure and each new run; the owner learns from all agents' tables, places by the same rooms, and tells an agent what it knows with each start. A pace without an answer is repeated above a raised fence.

--- a/messenger/pool.go
+++ b/messenger/pool.go
@@ -25,6 +25,18 @@
 	Ticket  string `cbor:"6,keyasint,omitempty"`
 	// Known says that the run goes on already; only its traits are told.
 	Known bool `cbor:"7,keyasint,omitempty"`
+	// Press is what the owner knows of the task's image beside those that serve
+	// at the agent.
+	Press []Press `cbor:"8,keyasint,omitempty"`
+}
+
+// Press is what a filling image takes from the spare rate of a serving one where
+// it uses a whole worker, in 1/s, with its standard error.
+type Press struct {
+	Fills  string  `cbor:"1,keyasint"`
+	Serves string  `cbor:"2,keyasint"`
+	Rate   float32 `cbor:"3,keyasint"`
+	Spread float32 `cbor:"4,keyasint"`
 }
 
 // Traits is what an agent must know of a task to guard its worker.
@@ -67,6 +79,8 @@
 	Surveyed  bool      `cbor:"15,keyasint,omitempty"` // Runs has been compared with the worker's list
 	Warmup    int64     `cbor:"16,keyasint,omitempty"` // ms for which the worker is still slow
 	Authority bool      `cbor:"17,keyasint,omitempty"` // the agent may start tasks
+	// Figures counts how often the figures of Runs were renewed.
+	Figures uint64 `cbor:"18,keyasint,omitempty"`
 }
 
 // RunRow is a run at an agent's worker.
@@ -76,9 +90,11 @@
 	Phase   Phase  `cbor:"3,keyasint"`
 	Saved   string `cbor:"4,keyasint,omitempty"`
 	Percent int    `cbor:"5,keyasint,omitempty"`
-	Figure  int64  `cbor:"6,keyasint,omitempty"` // tail latency in ms, or processor in use
-	Pace    int    `cbor:"7,keyasint,omitempty"` // percent at which the task may work
-	Bare    bool   `cbor:"8,keyasint,omitempty"` // the agent does not know the task's traits
+	// Figure is the present tail latency in ms, 0 while it is not known, or the
+	// processor in use.
+	Figure int64 `cbor:"6,keyasint,omitempty"`
+	Pace   int   `cbor:"7,keyasint,omitempty"` // percent at which the task may work
+	Bare   bool  `cbor:"8,keyasint,omitempty"` // the agent does not know the task's traits
 }
 
 // Phase is how far a run has come.
@@ -126,6 +142,8 @@
 	Durable uint64 `cbor:"3,keyasint"`
 	// Worker echoes the table's; Asked is on that life's clock.
 	Worker string `cbor:"4,keyasint,omitempty"`
+	// Press is what the owner has learned since it was told last.
+	Press []Press `cbor:"5,keyasint,omitempty"`
 }
 
 // Ask is an entry's question to the owner: of a job, or of a queue.
--- a/overseer/agent.go
+++ b/overseer/agent.go
@@ -48,6 +48,8 @@
 	ends []pendingEnd
 	// runs are those that may be going on there.
 	runs map[runKey]*run
+	// figures is the count of figures that was learned from last.
+	figures uint64
 	// record is how its runs have ended lately.
 	record record
 }
@@ -76,7 +78,7 @@
 		if a.born != l.Born {
 			a.born, a.taken, a.durable, a.told, a.ends = l.Born, 0, 0, 0, nil
 		}
-		a.link, a.seq, a.table, a.heard = l, 0, nil, o.cfg.Now()
+		a.link, a.seq, a.table, a.heard, a.figures = l, 0, nil, o.cfg.Now(), 0
 		o.cfg.Log.Info("agent joined", zap.String("agent", l.ID), zap.String("born", l.Born))
 	})
 }
@@ -160,7 +162,7 @@
 		listed[runKey{row.Task, row.Attempt}] = true
 		o.listed(a, row)
 	}
-	o.profile(t)
+	o.profile(a, t)
 	if !a.surveyed || a.missing {
 		a.surveyed, a.missing = true, false
 		o.plan = true
--- a/overseer/ends.go
+++ b/overseer/ends.go
@@ -60,7 +60,6 @@
 	delete(r.job.live, r.key)
 	delete(r.agent.runs, r.key)
 	r.task.Live--
-	o.press.Forget(runName(row.Task, row.Attempt))
 	now := o.cfg.Now()
 	o.cfg.Log.Info("end", zap.String("task", row.Task), zap.Uint64("attempt", row.Attempt), zap.Stringer("how", row.How),
 		zap.String("reason", row.Reason), zap.String("agent", r.agent.id), zap.Duration("ran", now.Sub(r.began)), zap.Int("percent", r.percent))
--- a/overseer/gang.go
+++ b/overseer/gang.go
@@ -24,7 +24,7 @@
 		}
 	}
 	for _, among := range gangSeats(step, seats) {
-		if chosen := seatGang(members, name, among, now, o.press.Press); chosen != nil {
+		if chosen := seatGang(members, name, among, now, o.press.Weight); chosen != nil {
 			o.startGang(j, members, chosen, agents, ordered)
 			return
 		}
--- a/overseer/place.go
+++ b/overseer/place.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"github.com/endivefall/endivefall/messenger"
+	"github.com/endivefall/endivefall/profiler"
 	"github.com/endivefall/endivefall/seater"
 	"github.com/endivefall/endivefall/sequencer"
 )
@@ -105,6 +106,7 @@
 			index[s.ID] = s
 		}
 	}
+	now := o.cfg.Now()
 	for _, r := range o.runs {
 		s := index[r.agent.id]
 		if s == nil {
@@ -112,31 +114,42 @@
 		}
 		step := r.task.Shape()
 		s.Take(step, r.task.StepName())
-		if step.Target > 0 && r.phase == messenger.PhaseRunning {
-			s.Serves = append(s.Serves, seater.Serve{
-				Image:    step.Image,
-				Pressure: o.press.Pressure(step.Image, float64(r.figure)),
-				Room:     o.press.Pressure(step.Image, bearable*float64(step.Target)),
-			})
+		if step.Target > 0 && r.phase == messenger.PhaseRunning && r.percent >= 100 {
+			room, ok := o.press.Room(r.task.StepName(), now, now.Add(ahead), step.Target)
+			if !ok {
+				room = profiler.Need(step.Target) * unseenRoom
+			}
+			s.Serves = append(s.Serves, seater.Serve{Image: step.Image, Room: room})
 		}
 	}
-	now := o.cfg.Now()
 	for _, r := range o.runs {
-		if s := index[r.agent.id]; s != nil && r.task.Shape().Fills && now.Sub(r.began) < shownAfter {
-			s.Press(r.task.Shape(), o.press.Press)
+		if s := index[r.agent.id]; s != nil && r.task.Shape().Fills {
+			s.Press(r.task.Shape().Image, r.demand(), o.press.Weight)
 		}
 	}
 }
 
 // Bounds of what filling tasks may do beside serving ones.
 const (
-	// bearable is the share of its target up to which a tail may be pressed.
-	bearable = 0.85
-	// shownAfter is when the figures of a serving task show a run that was
-	// started beside it: they cover half a second.
-	shownAfter = 900 * time.Millisecond
+	// ahead is how far the room of serving tasks is foreseen: most tasks that
+	// fill run for about two seconds.
+	ahead = 1200 * time.Millisecond
+	// unseenRoom is the room of a serving task that was not seen yet, in parts
+	// of the rate that its target asks for.
+	unseenRoom = 0.5
+	// steadyPace is the least pace, in percent, whose use tells a run's demand.
+	steadyPace = 20
 )
 
+// demand is the processor that a filling run would use at full pace.
+func (r *run) demand() int64 {
+	asks := r.task.Shape().CPU
+	if r.figure <= 0 || r.pace < steadyPace {
+		return asks
+	}
+	return min(max(r.figure*100/int64(r.pace), asks/3), asks*2)
+}
+
 // placeJob starts what of a job can be started.
 func (o *Overseer) placeJob(j *job, seats []*seater.Seat, agents map[string]*agent, ordered map[*agent]int, now, wall time.Time) {
 	waiting := j.Waiting(wall)
@@ -159,7 +172,7 @@
 		if name == full && len(t.Avoid) == 0 {
 			continue
 		}
-		s := seater.Pick(t, name, o.advised(j, name, seats, agents, now), now, o.press.Press)
+		s := seater.Pick(t, name, o.advised(j, name, seats, agents, now), now, o.press.Weight)
 		if s == nil {
 			o.preempt(t, name, seats, agents, now)
 			full = name
@@ -173,7 +186,7 @@
 			ordered[a]++
 			s.Take(t.Shape(), name)
 			if t.Shape().Fills {
-				s.Press(t.Shape(), o.press.Press)
+				s.Press(t.Shape().Image, t.Shape().CPU, o.press.Weight)
 			}
 		}
 	}
@@ -213,7 +226,7 @@
 	step := r.task.Shape()
 	return &messenger.RunStart{
 		Task: r.key.task, Attempt: r.key.attempt, Payload: r.job.Spec.Payload, Saved: r.task.Saved, Known: known,
-		Ticket: o.ticketOf(r.task.StepName(), r.agent),
+		Ticket: o.ticketOf(r.task.StepName(), r.agent), Press: o.lore(r.agent, step.Image),
 		Traits: messenger.Traits{
 			CPU: step.CPU, Memory: step.Memory, GPU: step.GPU, Fills: step.Fills, Image: step.Image, Target: step.Target,
 		},
--- a/overseer/relieve.go
+++ b/overseer/relieve.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/endivefall/endivefall/messenger"
-	"github.com/endivefall/endivefall/profiler"
 	"github.com/endivefall/endivefall/seater"
 )
 
@@ -27,27 +26,6 @@
 	betterShare = 0.9
 )
 
-// profile learns from a table what filling images do to serving ones.
-func (o *Overseer) profile(t *messenger.Table) {
-	use := profiler.Use{}
-	for _, row := range t.Runs {
-		r := o.runs[runKey{row.Task, row.Attempt}]
-		if r != nil && r.task.Shape().Fills && t.CPU > 0 {
-			use[r.task.Shape().Image] += float64(row.Figure) / float64(t.CPU)
-		}
-	}
-	for _, row := range t.Runs {
-		r := o.runs[runKey{row.Task, row.Attempt}]
-		if r == nil || r.task.Shape().Target <= 0 || row.Percent < 100 {
-			continue
-		}
-		o.press.Observe(runName(row.Task, row.Attempt), r.task.Shape().Image, float64(row.Figure), use)
-	}
-}
-
-// runName names a run for the profiler.
-func runName(task string, attempt uint64) string { return task + "/" + strconv.FormatUint(attempt, 10) }
-
 // relieve moves runs that are slowed beside serving tasks to workers where
 // they would not be. A run that saves its progress loses nothing by it.
 func (o *Overseer) relieve(now time.Time) {
@@ -79,11 +57,11 @@
 		step, name := r.task.Shape(), r.task.StepName()
 		for _, s := range byPool[r.job.Spec.Pool] {
 			if s.ID == r.agent.id || !seater.Fits(r.task, name, s) || s.Filling+step.CPU > s.Unused() ||
-				seater.Share(step, s, o.press.Press) < betterShare {
+				seater.Share(step, s, o.press.Weight) < betterShare {
 				continue
 			}
 			s.Take(step, name)
-			s.Press(step, o.press.Press)
+			s.Press(step.Image, step.CPU, o.press.Weight)
 			o.stop(r, "it is slowed to "+strconv.Itoa(r.pace)+" percent and would not be at "+s.ID)
 			o.cfg.Count("moved")
 			moves++
--- a/overseer/write.go
+++ b/overseer/write.go
@@ -160,6 +160,7 @@
 	}
 	for _, j := range b.forgotten {
 		delete(o.jobs, j.Spec.ID)
+		o.forgetLoads(j)
 	}
 	o.tell()
 }
--- a/pacer/pacer.go
+++ b/pacer/pacer.go
@@ -1,7 +1,8 @@
 // Package pacer decides how much the tasks that fill a worker may do beside
-// those that serve. It answers one load: tails near or over their target while
-// something fills. Tasks that press on a tail near its target are slowed, the
-// others are let alone.
+// those that serve. It answers one load: tails that would go over their target
+// by what fills beside them. It knows what each image presses on each other,
+// foresees the serving tasks' own load, and gives the room that is left to what
+// presses least.
 package pacer
 
 import (
@@ -12,233 +13,278 @@
 	"github.com/endivefall/endivefall/profiler"
 )
 
-// Steps of the control, in percent and shares of the target.
+// Constants of the control.
 const (
-	// every is the time between two decisions; a figure covers half a second.
-	every = 500 * time.Millisecond
-	// high is the share of the target from which what fills is slowed. Tails
-	// swing with their own load up to 0.9 without anything beside them.
-	high = 0.9
-	// aim is the share that slowing aims at, and up to which tasks are let go.
-	aim = 0.78
-	// up is how many percent points are given back at a time: full work after
-	// two seconds of calm.
-	up = 25
-	// least is the pressure of a task that is not worth slowing.
-	least = 0.01
-	// doubted is how many decisions a tail may stay over its target before all
-	// that fills is stopped, whatever is known of it: two seconds, half of what
-	// the contract allows.
-	doubted = 4
+	// every is the time between two decisions on the same figures: workers
+	// renew them four times a second.
+	every = 250 * time.Millisecond
+	// lead is how far ahead the room must last: the next decision, and the time
+	// until a pace shows.
+	lead = 450 * time.Millisecond
+	// stepUp is the least rise of a pace that is worth a call, stepDown the
+	// least fall, in percent; a pace below leastPace is none.
+	stepUp, stepDown, leastPace = 8, 3, 8
+	// negligible is the share of the rate that a target asks for below which a
+	// press is not held against a task.
+	negligible = 0.02
+	// steady is how long a run works at a pace before its use tells what it
+	// would use at full pace; steadyPace the least pace for that, in percent.
+	steady, steadyPace = 400 * time.Millisecond, 20
+	// maxOver is how long a tail may stay over its target before all that fills
+	// is stopped, whatever is known of it: half of what the contract allows.
+	maxOver = 2 * time.Second
 )
 
 // Run is a run at the worker.
 type Run struct {
 	Task    string
 	Attempt uint64
+	Group   string // the tasks of one step share a load
 	Image   string
 	CPU     int64 // what it asks for, in thousandths of a core
-	Used    int64 // what it used in the last half second, of a task that fills
+	Used    int64 // what it uses, of a task that fills
 	Fills   bool
 	Target  int64 // bound of the tail in ms; 0 where the task does not serve
-	Tail    int64 // tail latency in ms of the last half second
+	Tail    int64 // tail latency in ms as the worker lists it
 	Percent int
 	Pace    int // percent at which it may work
+	// Paced is since when it works at that pace.
+	Paced time.Time
 }
 
-// Change is a new pace for a run, with what decided it.
+// Name tells the run from others.
+func (r *Run) Name() string { return r.Task + "/" + strconv.FormatUint(r.Attempt, 10) }
+
+// Change is a new pace for a run, with what decided it: the serving task with
+// the least room, its tail and target in ms, the room in parts of the rate that
+// the target asks for, and what the run takes of that at full pace.
 type Change struct {
 	Task         string
 	Attempt      uint64
 	Pace         int
 	Because      string
 	Tail, Target int64
-	Press        float64
+	Room, Press  float64
 }
 
 // Pacer decides for one worker. It belongs to one goroutine.
 type Pacer struct {
 	// Known is what has been learned of images beside each other.
 	Known *profiler.Profiler
-	// next is when the next decision is due.
+	// Figures counts how often the worker's figures were renewed.
+	Figures uint64
+	sharp   *profiler.Sharpener
+	// next is when the next decision is due, unless figures or runs change.
 	next time.Time
-	// watched has the serving runs of the last decision.
-	watched map[string]bool
-	// excess counts the decisions in a row with a tail over its target.
-	excess int
+	// figures are the tails listed last, tails what they tell, in ms.
+	figures map[string]int64
+	tails   map[string]float64
+	// filling are the runs that filled the worker in the last decision.
+	filling map[string]bool
+	// over is since when a tail is over its target; zero while none is.
+	over time.Time
 }
 
 // New returns a Pacer.
-func New() *Pacer { return &Pacer{Known: profiler.New()} }
+func New() *Pacer {
+	return &Pacer{Known: profiler.New(), sharp: profiler.NewSharpener(), tails: map[string]float64{}}
+}
+
+// Tail returns the present tail in ms of a serving run; 0 where it is not known.
+func (p *Pacer) Tail(name string) float64 { return p.tails[name] }
 
 // serve is a serving task in a decision.
 type serve struct {
 	Run
-	// over is the pressure to be taken away, room what may be added.
-	over, room float64
+	// need is the spare rate that its target asks for, room what is left for
+	// tasks that fill, in 1/s.
+	need, room float64
 }
 
 // Decide returns the paces to change on a worker of a capacity.
 func (p *Pacer) Decide(now time.Time, capacity int64, runs []Run) []Change {
-	if now.Before(p.next) || capacity <= 0 {
+	if capacity <= 0 {
+		return nil
+	}
+	var serves []serve
+	var fills []Run
+	for _, r := range runs {
+		switch {
+		case r.Fills:
+			fills = append(fills, r)
+		case r.Target > 0 && r.Percent >= 100:
+			serves = append(serves, serve{Run: r, need: profiler.Need(r.Target)})
+		}
+	}
+	fresh := p.learn(now, capacity, serves, fills)
+	if !p.changed(fills) && !fresh && now.Before(p.next) {
 		return nil
 	}
 	p.next = now.Add(every)
-	serves, fills := p.sort(capacity, runs)
 	if len(serves) == 0 {
+		p.over = time.Time{}
 		return release(fills)
 	}
-	worst := serves[0]
-	if worst.Tail >= worst.Target {
-		p.excess++
-	} else {
-		p.excess = 0
-	}
-	if p.excess >= doubted {
+	if worst := p.watch(now, serves); now.Sub(p.over) >= maxOver && !p.over.IsZero() {
 		return stop(fills, worst)
 	}
-	paces := make([]float64, len(fills))
-	for n, f := range fills {
-		paces[n] = float64(f.Pace)
-	}
-	slowed := map[int]string{}
+	p.foresee(now, serves)
+	return p.share(now, capacity, serves, fills)
+}
+
+// learn takes the figures if they are new, and says so.
+func (p *Pacer) learn(now time.Time, capacity int64, serves []serve, fills []Run) bool {
+	figures := make(map[string]int64, len(serves))
+	fresh := len(serves) != len(p.figures)
 	for _, s := range serves {
-		p.slow(capacity, s, fills, paces, slowed)
+		name := s.Name()
+		figures[name] = s.Tail
+		fresh = fresh || p.figures[name] != s.Tail
 	}
-	if len(slowed) == 0 {
-		p.raise(capacity, serves, fills, paces)
+	if !fresh {
+		return false
 	}
-	var changes []Change
-	for n, f := range fills {
-		pace := int(paces[n])
-		if pace == f.Pace {
-			continue
-		}
-		because := "tails below their target"
-		if slowed[n] != "" {
-			because = slowed[n]
+	p.figures = figures
+	p.Figures++
+	use := profiler.Use{}
+	for _, f := range fills {
+		use[f.Image] += float64(f.Used) / float64(capacity)
+	}
+	kept, groups := make(map[string]bool, len(serves)), make(map[string]bool, len(serves))
+	tails := make(map[string]float64, len(serves))
+	for _, s := range serves {
+		name := s.Name()
+		kept[name], groups[s.Group] = true, true
+		if tail, spread, ok := p.sharp.Sharpen(name, now, float64(s.Tail)); ok {
+			tails[name] = tail
+			p.Known.Learn(now, profiler.Sample{Group: s.Group, Image: s.Image, Rate: 1000 / tail, Spread: 1000 * spread / (tail * tail)}, use)
 		}
-		changes = append(changes, Change{
-			Task: f.Task, Attempt: f.Attempt, Pace: pace, Because: because, Tail: worst.Tail, Target: worst.Target,
-			Press: p.Known.Press(f.Image, worst.Image),
-		})
 	}
-	return changes
+	p.sharp.Keep(kept)
+	p.Known.Keep(groups)
+	p.tails = tails
+	return true
 }
 
-// sort learns from the runs and parts them: serving ones, the worst first, and
-// filling ones.
-func (p *Pacer) sort(capacity int64, runs []Run) ([]serve, []Run) {
-	use := profiler.Use{}
-	for _, r := range runs {
-		if r.Fills {
-			use[r.Image] += float64(r.Used) / float64(capacity)
-		}
+// changed says whether other runs fill the worker than in the last decision.
+func (p *Pacer) changed(fills []Run) bool {
+	now := make(map[string]bool, len(fills))
+	changed := len(fills) != len(p.filling)
+	for _, f := range fills {
+		name := f.Name()
+		now[name] = true
+		changed = changed || !p.filling[name]
 	}
-	var serves []serve
-	var fills []Run
-	watched := map[string]bool{}
-	for _, r := range runs {
-		if r.Fills {
-			fills = append(fills, r)
-		}
-		if r.Target <= 0 || r.Percent < 100 {
-			continue
-		}
-		name := r.Task + "/" + strconv.FormatUint(r.Attempt, 10)
-		watched[name] = true
-		p.Known.Observe(name, r.Image, float64(r.Tail), use)
-		now := p.Known.Pressure(r.Image, float64(r.Tail))
-		good := p.Known.Pressure(r.Image, aim*float64(r.Target))
-		s := serve{Run: r, room: max(good-now, 0)}
-		if float64(r.Tail) >= high*float64(r.Target) {
-			s.over = now - good
+	p.filling = now
+	return changed
+}
+
+// watch notes since when a tail is over its target, and returns the worst one.
+func (p *Pacer) watch(now time.Time, serves []serve) serve {
+	worst := serves[0]
+	for _, s := range serves {
+		if s.Tail*worst.Target > worst.Tail*s.Target {
+			worst = s
 		}
-		serves = append(serves, s)
 	}
-	for name := range p.watched {
-		if !watched[name] {
-			p.Known.Forget(name)
-		}
+	switch {
+	case worst.Tail < worst.Target:
+		p.over = time.Time{}
+	case p.over.IsZero():
+		p.over = now
 	}
-	p.watched = watched
-	slices.SortStableFunc(serves, func(a, b serve) int { return int(b.Tail*a.Target - a.Tail*b.Target) })
-	return serves, fills
+	return worst
 }
 
-// weight is what a filling run at full pace adds to a serving one's pressure.
-func (p *Pacer) weight(capacity int64, f Run, serves string) float64 {
-	return p.Known.Press(f.Image, serves) * float64(f.CPU) / float64(capacity)
+// foresee fills in the room of each serving task until paces can change again.
+func (p *Pacer) foresee(now time.Time, serves []serve) {
+	for n := range serves {
+		s := &serves[n]
+		room, ok := p.Known.Room(s.Group, now, now.Add(lead), s.Target)
+		if !ok { // it has just begun
+			room = max(1000/float64(max(s.Tail, 1))-s.need, 0)
+		}
+		s.room = room
+	}
 }
 
-// slow takes a serving task's excess from the filling runs that press most.
-func (p *Pacer) slow(capacity int64, s serve, fills []Run, paces []float64, slowed map[int]string) {
-	if s.over <= 0 {
-		return
-	}
-	order := make([]int, len(fills))
-	for n := range order {
-		order[n] = n
-	}
-	slices.SortStableFunc(order, func(a, b int) int {
-		wa, wb := p.weight(capacity, fills[a], s.Image), p.weight(capacity, fills[b], s.Image)
-		switch {
-		case wa > wb:
-			return -1
-		case wa < wb:
-			return 1
-		}
-		return 0
-	})
-	left := s.over
-	for _, n := range order {
-		w := p.weight(capacity, fills[n], s.Image)
-		if left <= 0 || w < least || paces[n] == 0 {
-			continue
-		}
-		cut := min(paces[n], 100*left/w)
-		paces[n] -= cut
-		left -= w * cut / 100
-		slowed[n] = "it presses on a tail near its target"
+// weight is what a filling run at full pace takes from a serving one's rate.
+func (p *Pacer) weight(now time.Time, capacity int64, f *Run, serves string) float64 {
+	full := float64(f.CPU)
+	if f.Used > 0 && f.Pace >= steadyPace && now.Sub(f.Paced) >= steady {
+		full = min(max(float64(f.Used)*100/float64(f.Pace), full/3), full*2)
 	}
+	return p.Known.Weight(f.Image, serves) * full / float64(capacity)
+}
+
+// demand is what a filling run would take.
+type demand struct {
+	run     int       // its index
+	weights []float64 // from each serving task
+	cost    float64   // the largest part of a room
 }
 
-// raise gives the filling runs back what every serving one has room for, those
-// that press least first.
-func (p *Pacer) raise(capacity int64, serves []serve, fills []Run, paces []float64) {
-	order := make([]int, len(fills))
-	press := make([]float64, len(fills))
-	for n, f := range fills {
-		order[n] = n
-		for _, s := range serves {
-			press[n] = max(press[n], p.weight(capacity, f, s.Image))
+// share gives the room to the filling runs, to those that press least first.
+func (p *Pacer) share(now time.Time, capacity int64, serves []serve, fills []Run) []Change {
+	demands := make([]demand, len(fills))
+	for n := range fills {
+		d := demand{run: n, weights: make([]float64, len(serves))}
+		for m, s := range serves {
+			d.weights[m] = p.weight(now, capacity, &fills[n], s.Image)
+			d.cost = max(d.cost, d.weights[m]/max(s.room, negligible*s.need))
 		}
+		demands[n] = d
 	}
-	slices.SortStableFunc(order, func(a, b int) int {
+	slices.SortStableFunc(demands, func(a, b demand) int {
 		switch {
-		case press[a] < press[b]:
+		case a.cost < b.cost:
 			return -1
-		case press[a] > press[b]:
+		case a.cost > b.cost:
 			return 1
 		}
 		return 0
 	})
-	for _, n := range order {
-		add := min(up, 100-paces[n])
-		for _, s := range serves {
-			if w := p.weight(capacity, fills[n], s.Image); w >= least {
-				add = min(add, 100*s.room/w)
+	var changes []Change
+	for _, d := range demands {
+		share, tightest := 1.0, 0
+		for m, s := range serves {
+			if w := d.weights[m]; w > negligible*s.need && s.room < w*share {
+				share, tightest = s.room/w, m
 			}
 		}
-		if add <= 0 {
-			continue
+		f, s := fills[d.run], serves[tightest]
+		if pace, ok := worthwhile(f.Pace, int(100*share)); ok {
+			changes = append(changes, Change{
+				Task: f.Task, Attempt: f.Attempt, Pace: pace, Because: reason(f.Pace, pace), Tail: s.Tail, Target: s.Target,
+				Room: s.room / s.need, Press: d.weights[tightest] / s.need,
+			})
 		}
-		paces[n] += add
 		for m := range serves {
-			serves[m].room -= p.weight(capacity, fills[n], serves[m].Image) * add / 100
-			serves[m].room = max(serves[m].room, 0)
+			serves[m].room = max(serves[m].room-d.weights[m]*share, 0)
 		}
 	}
+	return changes
+}
+
+// worthwhile returns the pace to set, and whether it is worth a call.
+func worthwhile(from, to int) (int, bool) {
+	if to < leastPace {
+		to = 0
+	}
+	switch {
+	case to == from:
+		return to, false
+	case to < from:
+		return to, to == 0 || from-to >= stepDown
+	}
+	return to, to == 100 || to-from >= stepUp
+}
+
+func reason(from, to int) string {
+	if to < from {
+		return "a tail would go over its target"
+	}
+	return "tails leave room"
 }
 
 // release lets all that fills work again where nothing serves.
--- a/profiler/profiler.go
+++ b/profiler/profiler.go
@@ -1,119 +1,257 @@
-// Package profiler learns how much tasks that fill a worker press on the tails
-// of those that serve beside them, by pairs of images. It does no input or
-// output.
+// Package profiler learns how much tasks that fill a worker press on those that
+// serve beside them. It does no input or output.
+//
+// A task that serves is taken as a queue: the inverse of its tail latency is its
+// spare rate. Its own load takes from that rate, in a way that tasks of one step
+// share, and so does what fills the worker, in proportion to the processor that
+// it uses, each pair of images at a press of its own.
 package profiler
 
-// Constants of the learning.
-const (
-	// prior is the press of a pair that is not known: the tail of a task that
-	// serves leaves room for a filling task on two fifths of the worker.
-	prior = 1.5
-	// step is how far one observation moves an estimate towards itself.
-	step = 0.35
-	// leastChange is the least change of use, as a share of the worker, that
-	// tells anything.
-	leastChange = 0.02
-	// maxPress bounds an estimate; half a core of such a task fills the room.
-	maxPress = 12
+import (
+	"math"
+	"time"
 )
 
-// pair is a filling image and a serving one.
-type pair struct{ fills, serves string }
+// Constants of the learning. Rates are in 1/s, use is a share of a worker, and
+// what is given in parts is in parts of the best rate seen of the serving image.
+const (
+	// priorPress and priorSpread are what is assumed of a pair that was never
+	// seen together, in parts: half of the images press hard, the others hardly
+	// at all.
+	priorPress, priorSpread = 0.9, 0.7
+	// pressLasts is how many seconds it takes until what is known of a press is
+	// worth a third.
+	pressLasts = 1000.0
+	// priorSpare and priorSpareSpread are what is assumed of a load, in parts.
+	priorSpare, priorSpareSpread = 0.6, 0.3
+	// loadDrift is how much faster a load may change after a second, in parts:
+	// loads swing by a half within ten seconds.
+	loadDrift = 0.04
+	// trendLasts is after how many seconds a trend is a third of what it was.
+	trendLasts = 4.0
+	// gap is how many seconds without readings end what is known of a load.
+	gap = 8.0
+	// floorSpread bounds how much a single reading is trusted, in parts.
+	floorSpread = 0.03
+	// margin is kept below a target, as a share of the rate that it asks for.
+	margin = 0.1
+	// caution is how many standard errors of a load and of a press are kept.
+	caution = 0.5
+	// censored is the rate, in parts, below which a reading only says that the
+	// task is overloaded, not by how much.
+	censored = 0.04
+)
 
 // Use is what filling images use of a worker, as shares of it.
 type Use map[string]float64
 
-// seen is the last observation of a serving task.
-type seen struct {
-	pressure float64
-	use      Use
+// Sample is the spare rate of a serving task at one moment.
+type Sample struct {
+	// Group names the tasks that share a load; Image is what they run.
+	Group, Image string
+	// Rate is in 1/s, with its standard error.
+	Rate, Spread float64
 }
 
 // Profiler holds what is known. It belongs to one goroutine.
 type Profiler struct {
-	press map[pair]float64
-	// base is the least tail in ms seen of a serving image.
-	base map[string]float64
-	last map[string]seen
+	// images has what is known of each serving image, groups the image of each
+	// group.
+	images map[string]*image
+	groups map[string]string
+}
+
+// image is what is known of a serving image and of the loads of the steps that
+// run it.
+type image struct {
+	filter
+	// best is the highest rate seen.
+	best float64
+	at   time.Time
+	// press has the values of the filter by filling image, loads by group: the
+	// spare rate without anything beside it, and after it its trend.
+	press map[string]int
+	loads map[string]int
+	seen  map[string]time.Time // when a group was read last
 }
 
 // New returns a Profiler that knows nothing.
 func New() *Profiler {
-	return &Profiler{press: map[pair]float64{}, base: map[string]float64{}, last: map[string]seen{}}
+	return &Profiler{images: map[string]*image{}, groups: map[string]string{}}
 }
 
-// Pressure turns a tail into a figure that grows by like amounts with what
-// presses on the task: the load of a queue whose waits make such a tail. It is
-// 0 for an undisturbed tail, and towards 1 without bound.
-func (p *Profiler) Pressure(image string, tail float64) float64 {
-	base := p.base[image]
-	if base <= 0 || tail <= base {
-		return 0
+// Learn takes a sample beside what fills the worker.
+func (p *Profiler) Learn(at time.Time, s Sample, use Use) {
+	if s.Rate <= 0 {
+		return
+	}
+	m := p.images[s.Image]
+	if m == nil {
+		m = &image{press: map[string]int{}, loads: map[string]int{}, seen: map[string]time.Time{}, at: at}
+		p.images[s.Image] = m
 	}
-	return 1 - base/tail
+	p.groups[s.Group] = s.Image
+	m.best = max(m.best, s.Rate)
+	m.advance(at)
+	terms := []term{{m.load(s.Group, at), 1}}
+	for fills, u := range use {
+		if u > 0 {
+			terms = append(terms, term{m.pressOf(fills), -u})
+		}
+	}
+	if expected, _ := m.expect(terms); s.Rate < censored*m.best && s.Rate > expected {
+		return
+	}
+	spread := max(s.Spread, floorSpread*m.best)
+	m.take(terms, s.Rate, spread*spread)
 }
 
-// Press returns what a whole worker's use by a filling image adds to the
-// pressure of a serving one.
-func (p *Profiler) Press(fills, serves string) float64 {
-	if w, ok := p.press[pair{fills, serves}]; ok {
-		return w
+// advance carries all loads and presses on to a time.
+func (m *image) advance(at time.Time) {
+	passed := at.Sub(m.at).Seconds()
+	if passed <= 0 {
+		return
+	}
+	m.at = at
+	for _, n := range m.press {
+		m.fade(n, math.Exp(-passed/pressLasts), priorPress*m.best, square(priorSpread*m.best))
+	}
+	for _, n := range m.loads {
+		m.move(n, n+1, passed, math.Exp(-passed/trendLasts), square(loadDrift*m.best))
 	}
-	return prior
 }
 
-// Known says whether the pair was ever seen to change together.
-func (p *Profiler) Known(fills, serves string) bool {
-	_, ok := p.press[pair{fills, serves}]
-	return ok
+// load returns the value of a group's spare rate.
+func (m *image) load(group string, at time.Time) int {
+	n, ok := m.loads[group]
+	if !ok {
+		n = m.add(priorSpare*m.best, square(priorSpareSpread*m.best))
+		m.add(0, square(loadDrift*m.best))
+		m.loads[group] = n
+	} else if at.Sub(m.seen[group]).Seconds() > gap {
+		m.reset(n, priorSpare*m.best, square(priorSpareSpread*m.best))
+		m.reset(n+1, 0, square(loadDrift*m.best))
+	}
+	m.seen[group] = at
+	return n
 }
 
-// Observe takes a serving task's tail in ms beside what fills the worker. The
-// name tells the task's run, so that one observation is compared with the one
-// before: its own load changes over many seconds, what fills from one moment
-// to the next.
-func (p *Profiler) Observe(name, image string, tail float64, use Use) {
-	if tail <= 0 {
-		return
+// pressOf returns the value of a filling image's press.
+func (m *image) pressOf(fills string) int {
+	n, ok := m.press[fills]
+	if !ok {
+		n = m.add(priorPress*m.best, square(priorSpread*m.best))
+		m.press[fills] = n
 	}
-	if base := p.base[image]; base == 0 || tail < base {
-		p.base[image] = tail
+	return n
+}
+
+// Spare returns the spare rate that a step's tasks will have with nothing beside
+// them, with its standard error; false where nothing is known of them.
+func (p *Profiler) Spare(group string, at time.Time) (rate, spread float64, ok bool) {
+	m := p.images[p.groups[group]]
+	if m == nil {
+		return 0, 0, false
 	}
-	pressure := p.Pressure(image, tail)
-	before, ok := p.last[name]
-	p.last[name] = seen{pressure, use}
+	n := m.loads[group]
+	ahead := max(at.Sub(m.at).Seconds(), 0)
+	rate, variance := m.expect([]term{{n, 1}, {n + 1, ahead}})
+	variance += square(loadDrift*m.best) * ahead * ahead * ahead / 3
+	return rate, math.Sqrt(max(variance, 0)), true
+}
+
+// Need returns the spare rate in 1/s that a target in ms asks for.
+func Need(target int64) float64 { return 1000 / float64(target) }
+
+// Room returns the rate in 1/s that a step's tasks can surely spare between two
+// times and stay below a target in ms; false where nothing is known of them.
+func (p *Profiler) Room(group string, from, until time.Time, target int64) (float64, bool) {
+	spare, spread, ok := p.Spare(group, from)
 	if !ok {
-		return
+		return 0, false
+	}
+	if later, wider, _ := p.Spare(group, until); later-caution*wider < spare-caution*spread {
+		spare, spread = later, wider
 	}
-	p.learn(image, pressure-before.pressure, before.use, use)
+	return max(spare-caution*spread-Need(target)*(1+margin), 0), true
+}
+
+// Weight returns what a whole worker's use by a filling image may take from the
+// spare rate of a serving one, in 1/s.
+func (p *Profiler) Weight(fills, serves string) float64 {
+	press, spread := p.Press(fills, serves)
+	return press + caution*spread
 }
 
-// learn spreads the error of a predicted change over the images that changed.
-func (p *Profiler) learn(image string, change float64, before, after Use) {
-	delta := Use{}
-	for f, u := range after {
-		delta[f] = u - before[f]
+// Press returns what a whole worker's use by a filling image takes from the
+// spare rate of a serving one, with its standard error.
+func (p *Profiler) Press(fills, serves string) (press, spread float64) {
+	m := p.images[serves]
+	if m == nil {
+		return 0, 0
 	}
-	for f, u := range before {
-		if _, ok := after[f]; !ok {
-			delta[f] = -u
-		}
+	n, ok := m.press[fills]
+	if !ok {
+		return priorPress * m.best, priorSpread * m.best
+	}
+	return max(m.mean[n], 0), math.Sqrt(max(m.cov[n][n], 0))
+}
+
+// Known says whether the pair was ever seen together.
+func (p *Profiler) Known(fills, serves string) bool {
+	m := p.images[serves]
+	if m == nil {
+		return false
+	}
+	_, ok := m.press[fills]
+	return ok
+}
+
+// Told takes what another process knows of a pair, where that is more.
+func (p *Profiler) Told(at time.Time, fills, serves string, press, spread float64) {
+	m := p.images[serves]
+	if m == nil {
+		m = &image{press: map[string]int{}, loads: map[string]int{}, seen: map[string]time.Time{}, at: at}
+		p.images[serves] = m
+	}
+	n, ok := m.press[fills]
+	if !ok {
+		m.press[fills] = m.add(press, square(spread))
+		return
 	}
-	predicted, square, largest := 0.0, 0.0, 0.0
-	for f, d := range delta {
-		predicted += p.Press(f, image) * d
-		square += d * d
-		largest = max(largest, d, -d)
+	if square(spread) < m.cov[n][n] {
+		m.reset(n, press, square(spread))
 	}
-	if largest < leastChange {
+}
+
+// Forget drops the load of a step that has ended.
+func (p *Profiler) Forget(group string) {
+	m := p.images[p.groups[group]]
+	delete(p.groups, group)
+	if m == nil {
 		return
 	}
-	miss := change - predicted
-	for f, d := range delta {
-		w := p.Press(f, image) + step*miss*d/square
-		p.press[pair{f, image}] = min(max(w, 0), maxPress)
+	n := m.loads[group]
+	delete(m.loads, group)
+	delete(m.seen, group)
+	m.drop(n + 1)
+	m.drop(n)
+	for _, index := range []map[string]int{m.press, m.loads} {
+		for name, at := range index {
+			if at > n {
+				index[name] = at - 2
+			}
+		}
+	}
+}
+
+// Keep drops the loads of all steps but those named.
+func (p *Profiler) Keep(groups map[string]bool) {
+	for group := range p.groups {
+		if !groups[group] {
+			p.Forget(group)
+		}
 	}
 }
 
-// Forget drops a run that has ended.
-func (p *Profiler) Forget(name string) { delete(p.last, name) }
+func square(x float64) float64 { return x * x }
--- a/seater/seater.go
+++ b/seater/seater.go
@@ -47,15 +47,35 @@
 	c := *s
 	c.Steps = maps.Clone(s.Steps)
 	c.Serves = slices.Clone(s.Serves)
+	for n := range c.Serves {
+		c.Serves[n].Taken = slices.Clip(c.Serves[n].Taken)
+	}
 	return &c
 }
 
 // Serve is a serving task as filling ones meet it.
 type Serve struct {
 	Image string
-	// Pressure is what its tail shows, with what was placed since; Room is what
-	// it bears.
-	Pressure, Room float64
+	// Room is the rate, in 1/s, that it can spare for all that fills the worker.
+	Room float64
+	// Taken is what fills the worker already.
+	Taken []Taken
+}
+
+// Taken is what an image takes from a serving task's rate at full pace, in 1/s,
+// and what it would take if it used the whole worker.
+type Taken struct{ Rate, Press float64 }
+
+// left returns the room for an image of a press: what presses harder is slowed
+// first.
+func (s *Serve) left(press float64) float64 {
+	room := s.Room
+	for _, t := range s.Taken {
+		if t.Press <= press {
+			room -= t.Rate
+		}
+	}
+	return max(room, 0)
 }
 
 // Free returns the processor that no reservation holds.
@@ -125,7 +145,7 @@
 
 // Pick returns the best seat for a task, or nil. A worker on which the task
 // has failed is taken only where no other one is known. Press tells what a
-// whole worker's use by one image adds to the pressure on another.
+// whole worker's use by one image takes from the spare rate of another.
 func Pick(t *sequencer.Task, name string, seats []*Seat, now time.Time, press func(fills, serves string) float64) *Seat {
 	var best *Seat
 	bestCost := 0.0
@@ -154,19 +174,23 @@
 // seat without pressing a serving one over its room.
 func Share(step *sequencer.Step, s *Seat, press func(fills, serves string) float64) float64 {
 	share := 1.0
-	for _, serve := range s.Serves {
-		adds := press(step.Image, serve.Image) * float64(step.CPU) / float64(max(s.CPU, 1))
-		if room := serve.Room - serve.Pressure; adds > room {
-			share = min(share, max(room, 0)/adds)
+	for n := range s.Serves {
+		serve := &s.Serves[n]
+		harm := press(step.Image, serve.Image)
+		if takes, room := harm*float64(step.CPU)/float64(max(s.CPU, 1)), serve.left(harm); takes > room {
+			share = min(share, room/takes)
 		}
 	}
 	return share
 }
 
-// Press books what a filling task placed at the seat adds to its serving ones.
-func (s *Seat) Press(step *sequencer.Step, press func(fills, serves string) float64) {
+// Press books what an image that uses some processor at the seat takes from the
+// serving tasks.
+func (s *Seat) Press(image string, cpu int64, press func(fills, serves string) float64) {
 	for n := range s.Serves {
-		s.Serves[n].Pressure += press(step.Image, s.Serves[n].Image) * float64(step.CPU) / float64(max(s.CPU, 1))
+		serve := &s.Serves[n]
+		harm := press(image, serve.Image)
+		serve.Taken = append(serve.Taken, Taken{Rate: harm * float64(cpu) / float64(max(s.CPU, 1)), Press: harm})
 	}
 }
 
--- a/sequencer/task.go
+++ b/sequencer/task.go
@@ -57,6 +57,9 @@
 	return true
 }
 
+// StepOf returns the name of the step that a named task is of.
+func StepOf(name string) string { return name[:max(strings.LastIndexByte(name, '.'), 0)] }
+
 // SplitName takes a task's name apart.
 func SplitName(name string) (job string, occurrence, step, index int, err error) {
 	parts := strings.Split(name, ".")
--- a/warden/link.go
+++ b/warden/link.go
@@ -106,6 +106,7 @@
 	}
 	w.term = v.Term
 	w.forget(v.Durable)
+	w.learn(v.Press)
 	if v.Asked.IsZero() || w.beat.Life == "" {
 		return true
 	}
--- a/warden/look.go
+++ b/warden/look.go
@@ -37,6 +37,9 @@
 		w.mu.Unlock()
 		return false
 	}
+	if w.crowded() {
+		l.Wait = min(l.Wait, figureWait)
+	}
 	if !w.surveyed || w.left {
 		l.Wait = 0
 	}
@@ -50,9 +53,9 @@
 		w.sent = l.Until
 	}
 	w.mu.Unlock()
-	ctx, cancel := context.WithTimeout(ctx, l.Wait+callTimeout)
+	bound, cancel := context.WithTimeout(ctx, l.Wait+callTimeout)
 	defer cancel()
-	listing, err := w.cfg.Worker.Look(ctx, l)
+	listing, err := w.cfg.Worker.Look(bound, l)
 	got := w.cfg.Now()
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -72,7 +75,7 @@
 		return false
 	}
 	w.answered(listing, got)
-	w.apply(l.Fence, listing)
+	w.apply(ctx, l.Fence, listing)
 	return true
 }
 
@@ -104,7 +107,7 @@
 }
 
 // apply compares the table with what the worker lists under a fence.
-func (w *Warden) apply(fence uint64, l *Listing) {
+func (w *Warden) apply(ctx context.Context, fence uint64, l *Listing) {
 	if l.Clock.Before(w.clock) {
 		return // a newer answer has overtaken this one
 	}
@@ -154,5 +157,5 @@
 		w.cfg.Log.Info("worker surveyed", zap.String("worker", w.beat.Life), zap.Int("runs", len(w.runs)), zap.Int("ends", len(w.ends)))
 		w.touch()
 	}
-	w.repace()
+	w.repace(ctx)
 }
--- a/warden/orders.go
+++ b/warden/orders.go
@@ -3,13 +3,11 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"time"
 
 	"go.uber.org/zap"
 
 	"github.com/endivefall/endivefall/messenger"
-	"github.com/endivefall/endivefall/pacer"
 	"github.com/endivefall/endivefall/sleeper"
 )
 
@@ -43,9 +41,11 @@
 		return // it has ended since
 	}
 	r := &run{
-		task: s.Task, attempt: s.Attempt, traits: s.Traits, phase: messenger.PhaseStarting, saved: s.Saved, pace: 100,
+		task: s.Task, attempt: s.Attempt, traits: s.Traits, phase: messenger.PhaseStarting, saved: s.Saved,
+		pace: 100, paced: w.cfg.Now(),
 	}
 	w.runs[k] = r
+	w.learn(s.Press)
 	if why := w.unfit(s); why != "" {
 		w.finish(r, messenger.EndRow{How: messenger.EndNever, Reason: why}, 0)
 		return
@@ -103,7 +103,7 @@
 		clock, err := w.cfg.Worker.Start(bound, call)
 		cancel()
 		w.mu.Lock()
-		again := w.started(r, call.Fence, clock, err)
+		again := w.started(ctx, r, call.Fence, clock, err)
 		stop := r.stop && !r.over && r.phase == messenger.PhaseRunning
 		w.mu.Unlock()
 		if stop {
@@ -116,7 +116,7 @@
 }
 
 // started takes the outcome of a start and says whether it is to be sent again.
-func (w *Warden) started(r *run, fence uint64, clock time.Time, err error) bool {
+func (w *Warden) started(ctx context.Context, r *run, fence uint64, clock time.Time, err error) bool {
 	if r.over {
 		return false
 	}
@@ -124,12 +124,13 @@
 	case err == nil:
 		if r.phase == messenger.PhaseStarting {
 			r.phase, r.since = messenger.PhaseRunning, clock
+			w.repace(ctx)
 		}
 	case errors.Is(err, ErrFence) && w.fence > fence:
 		return true
 	case errors.Is(err, ErrUnknown):
 		r.doubt = fence
-		w.fence = max(w.fence, fence+1, uint64(w.workerNow().UnixMilli()))
+		w.raise(fence)
 		w.cfg.Log.Warn("start without an answer; fence raised", zap.String("task", r.task), zap.Uint64("attempt", r.attempt), zap.Uint64("fence", w.fence), zap.Error(err))
 		w.hurry()
 	default:
@@ -139,6 +140,11 @@
 	return false
 }
 
+// raise raises the fence above one under which a call got no answer.
+func (w *Warden) raise(fence uint64) {
+	w.fence = max(w.fence, fence+1, uint64(w.workerNow().UnixMilli()))
+}
+
 func (w *Warden) obeyStop(ctx context.Context, s *messenger.RunStop) {
 	r := w.runs[key{s.Task, s.Attempt}]
 	if r == nil || r.stop {
@@ -172,77 +178,3 @@
 		sleeper.Sleep(ctx, callTimeout)
 	}
 }
-
-// repace slows what fills beside tasks that serve, as the pacer decides.
-func (w *Warden) repace() {
-	if w.cfg.Pacer == nil {
-		return
-	}
-	w.describe()
-	list := make([]pacer.Run, 0, len(w.runs))
-	for _, r := range w.sortedRuns() {
-		if r.phase == messenger.PhaseRunning {
-			list = append(list, pacer.Run{
-				Task: r.task, Attempt: r.attempt, Image: r.traits.Image, Fills: r.traits.Fills,
-				CPU: r.traits.CPU, Used: r.figure, Target: r.traits.Target, Tail: r.figure, Percent: r.percent, Pace: r.pace,
-			})
-		}
-	}
-	for _, c := range w.cfg.Pacer.Decide(w.cfg.Now(), w.beat.CPU, list) {
-		r := w.runs[key{c.Task, c.Attempt}]
-		if r == nil || r.pace == c.Pace {
-			continue
-		}
-		w.cfg.Log.Info("pace changed", zap.String("task", r.task), zap.Int("from", r.pace), zap.Int("to", c.Pace), zap.String("because", c.Because), zap.Int64("tail", c.Tail), zap.Int64("target", c.Target), zap.Float64("press", c.Press))
-		before := r.pace
-		r.pace = c.Pace
-		call := Aim{Life: w.beat.Life, Fence: w.fence, Task: r.task, Attempt: r.attempt}
-		w.tasks.Go(func() {
-			bound, cancel := context.WithTimeout(context.Background(), callTimeout)
-			defer cancel()
-			if err := w.cfg.Worker.Pace(bound, call, c.Pace); err != nil {
-				w.cfg.Log.Info("pace failed", zap.String("task", call.Task), zap.Error(err))
-				w.mu.Lock()
-				if r.pace == c.Pace {
-					r.pace = before
-				}
-				w.mu.Unlock()
-			}
-		})
-	}
-}
-
-// describeEvery is how often the worker's load is told in the log.
-const describeEvery = 2 * time.Second
-
-// describe tells what the worker does: what the paces are decided from.
-func (w *Warden) describe() {
-	now := w.cfg.Now()
-	if now.Sub(w.described) < describeEvery || len(w.runs) == 0 {
-		return
-	}
-	w.described = now
-	var reserved, filling, filled, used int64
-	serving, tail := 0, 0.0
-	var serves, fills []string
-	for _, r := range w.sortedRuns() {
-		switch {
-		case r.traits.Fills:
-			filling += r.traits.CPU
-			filled += r.figure
-			fills = append(fills, fmt.Sprintf("%s:%d/%d@%d", r.traits.Image, r.figure, r.traits.CPU, r.pace))
-		default:
-			reserved += r.traits.CPU
-			if r.traits.Target > 0 {
-				serving++
-				serves = append(serves, fmt.Sprintf("%s:%d/%d", r.traits.Image, r.figure, r.traits.Target))
-				tail = max(tail, float64(r.figure)/float64(r.traits.Target))
-			} else {
-				used += r.figure
-			}
-		}
-	}
-	w.cfg.Log.Info("worker load", zap.String("worker", w.beat.Life), zap.Int64("capacity", w.beat.CPU), zap.Int64("reserved", reserved),
-		zap.Int("serving", serving), zap.Float64("tail", tail), zap.Int64("used", used),
-		zap.Int64("filling", filling), zap.Int64("filled", filled), zap.Strings("serves", serves), zap.Strings("fills", fills))
-}
--- a/warden/run.go
+++ b/warden/run.go
@@ -17,6 +17,13 @@
 	figure  int64
 	// pace is the percent at which the task may work.
 	pace int
+	// paced is the local time since when it works at that pace; pacing is set
+	// while the worker was told and has not answered.
+	paced  time.Time
+	pacing bool
+	// tail is the present tail latency in ms of a task that serves; 0 while it
+	// is not known.
+	tail int64
 	// since is the worker's clock when it confirmed the run; a later listing
 	// that lacks the run says that it is over.
 	since time.Time
@@ -33,9 +40,13 @@
 }
 
 func (r *run) row() messenger.RunRow {
+	figure := r.figure
+	if r.traits.Target > 0 {
+		figure = r.tail
+	}
 	return messenger.RunRow{
 		Task: r.task, Attempt: r.attempt, Phase: r.phase, Saved: r.saved,
-		Percent: r.percent, Figure: r.figure, Pace: r.pace, Bare: r.adopted,
+		Percent: r.percent, Figure: figure, Pace: r.pace, Bare: r.adopted,
 	}
 }
 
--- a/warden/warden.go
+++ b/warden/warden.go
@@ -27,6 +27,8 @@
 	// lookWait is how long a look may wait for an end; it bounds how late a
 	// lease is extended and an end forgotten.
 	lookWait = 500 * time.Millisecond
+	// figureWait is the same where figures are to be read as they are renewed.
+	figureWait = 100 * time.Millisecond
 	// lookPause is the least time between two looks.
 	lookPause = 15 * time.Millisecond
 	// retryPause is the wait after a call that failed.
@@ -160,6 +162,9 @@
 		Silent: !w.failing.IsZero() && w.cfg.Now().Sub(w.failing) > time.Second, Surveyed: w.surveyed,
 		Warmup: w.beat.Warmup.Milliseconds(), Authority: w.startable() == "",
 	}
+	if w.cfg.Pacer != nil {
+		t.Figures = w.cfg.Pacer.Figures
+	}
 	if w.beat.Life != "" {
 		t.Asked = w.workerNow()
 	}
