--- a/agent/serve_test.go
+++ b/agent/serve_test.go
@@ -95,7 +95,7 @@
 	c := qt.New(t)
 	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
 	defer cancel()
-	target := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	target := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/broken" {
 			panic(http.ErrAbortHandler)
 		}
--- a/pacer/load_test.go
+++ b/pacer/load_test.go
@@ -110,7 +110,7 @@
 	const step = 50 * time.Millisecond
 	var p played
 	total := 0.0
-	real := make([]int, fillRuns)            // the paces that the worker knows
+	known := make([]int, fillRuns)            // the paces that the worker knows
 	since := make([]time.Duration, fillRuns) // when it was told a newer one
 	over := make([]time.Duration, len(s.crowd.Servers))
 	for at := time.Duration(0); at < until; at += step {
@@ -119,16 +119,16 @@
 		for n := range fillRuns {
 			r := &s.runs[4+n]
 			if at-since[n] >= paceTakes || r.Paced.Equal(now) {
-				real[n] = r.Pace
+				known[n] = r.Pace
 			}
-			done := float64(r.CPU) * float64(real[n]) / 100
+			done := float64(r.CPU) * float64(known[n]) / 100
 			use[r.Image] += done / cores
 			if at >= from {
 				p.work += done / 1000 * step.Seconds()
 			}
 			if s.left[n] -= done * step.Seconds(); s.left[n] <= 0 || r.CPU == 0 {
 				s.begin(n, now)
-				real[n] = 100
+				known[n] = 100
 			}
 		}
 		for n, tail := range s.crowd.Tails(at, use) {
@@ -147,7 +147,7 @@
 			}
 			for n := range fillRuns {
 				r := &s.runs[4+n]
-				r.Used = r.CPU * int64(real[n]) / 100
+				r.Used = r.CPU * int64(known[n]) / 100
 			}
 		}
 		for _, c := range decide(now, s.runs) {
