--- a/pacer/load_test.go
+++ b/pacer/load_test.go
@@ -110,7 +110,7 @@
 	const step = 50 * time.Millisecond
 	var p played
 	total := 0.0
-	known := make([]int, fillRuns)            // the paces that the worker knows
+	known := make([]int, fillRuns)           // the paces that the worker knows
 	since := make([]time.Duration, fillRuns) // when it was told a newer one
 	over := make([]time.Duration, len(s.crowd.Servers))
 	for at := time.Duration(0); at < until; at += step {
