acceptor: Take no count from an entry that is not the owner

An entry that has lost ownership, or has not read the ledger yet, answers a question with 'not known' and no count; the asking entry took the 0 for the count. Ruled out: a job whose start was ordered counting as begun (agents list it as starting), pages of the ledger. Change: ask again until an owner counts, for a second, then 503. Before: TestACountIsTheOwnersOrNone fails with 0. After: it passes.

--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -60,6 +60,9 @@
 	doubtFor = 30 * time.Second
 	// retryPause is the wait after a failed call to the store.
 	retryPause = 40 * time.Millisecond
+	// countTimeout bounds the wait for an owner that counts a queue: ownership
+	// moves within half a second.
+	countTimeout = time.Second
 	// askTimeout bounds a question to the owner before the store is read.
 	askTimeout = 400 * time.Millisecond
 	// defaultWait is how long a caller waits that names no deadline.
--- a/acceptor/state.go
+++ b/acceptor/state.go
@@ -115,11 +115,18 @@
 	}
 }
 
-// Pending returns how many accepted jobs of a queue no task has started of.
+// Pending returns how many accepted jobs of a queue no task has started of. Only
+// the owner knows; one that has just lost or taken ownership does not.
 func (a *Acceptor) Pending(ctx context.Context, queue string) (int, error) {
-	t, err := a.cfg.Ask(ctx, messenger.Ask{Queue: queue})
-	if err != nil {
-		return 0, errors.Join(ErrUnread, err)
+	ctx, cancel := context.WithTimeout(ctx, countTimeout)
+	defer cancel()
+	for {
+		t, err := a.cfg.Ask(ctx, messenger.Ask{Queue: queue})
+		if err == nil && t.Known {
+			return t.Pending, nil
+		}
+		if sleeper.Sleep(ctx, retryPause); ctx.Err() != nil {
+			return 0, errors.Join(ErrUnread, err)
+		}
 	}
-	return t.Pending, nil
 }
