profiler: Scale by the target, bound loads, take surprises as noise; seater: Serving tasks of one image together

Cause: at a start the best rate seen of an image was that of an overloaded task, so that all presses counted as negligible; a trend ran on while a tail told only that there was too much; samples of a slow worker moved the load that all tasks of a step share; a worker with several serving images has room for nothing that presses on any of them. Change: as the title says, with a cost of 0.6 for a worker full of other images.

--- a/overseer/lore.go
+++ b/overseer/lore.go
@@ -28,7 +28,9 @@
 			continue
 		}
 		rate := 1000 / float64(row.Figure)
-		o.press.Learn(now, profiler.Sample{Group: r.task.StepName(), Image: r.task.Shape().Image, Rate: rate, Spread: figureSpread * rate}, use)
+		o.press.Learn(now, profiler.Sample{
+			Group: r.task.StepName(), Image: r.task.Shape().Image, Rate: rate, Spread: figureSpread * rate, Need: profiler.Need(r.task.Shape().Target),
+		}, use)
 	}
 }
 
--- a/pacer/pacer.go
+++ b/pacer/pacer.go
@@ -157,7 +157,7 @@
 		kept[name], groups[s.Group] = true, true
 		if tail, spread, ok := p.sharp.Sharpen(name, now, float64(s.Tail)); ok {
 			tails[name] = tail
-			p.Known.Learn(now, profiler.Sample{Group: s.Group, Image: s.Image, Rate: 1000 / tail, Spread: 1000 * spread / (tail * tail)}, use)
+			p.Known.Learn(now, profiler.Sample{Group: s.Group, Image: s.Image, Rate: 1000 / tail, Spread: 1000 * spread / (tail * tail), Need: s.need}, use)
 		}
 	}
 	p.sharp.Keep(kept)
--- a/profiler/filter.go
+++ b/profiler/filter.go
@@ -85,11 +85,16 @@
 	return mean, variance
 }
 
+// surprise is how many standard errors a reading may miss by; what misses by more
+// counts as if it were as noisy as that.
+const surprise = 3.0
+
 // take corrects all values by a reading with a variance of its own.
 func (f *filter) take(terms []term, reading, noise float64) {
 	mean, variance := f.expect(terms)
 	variance += noise
 	miss := reading - mean
+	variance = max(variance, square(miss/surprise))
 	along := make([]float64, len(f.mean))
 	for i := range along {
 		for _, t := range terms {
--- a/profiler/profiler.go
+++ b/profiler/profiler.go
@@ -13,8 +13,11 @@
 )
 
 // Constants of the learning. Rates are in 1/s, use is a share of a worker, and
-// what is given in parts is in parts of the best rate seen of the serving image.
+// what is given in parts is in parts of the best rate of the serving image.
 const (
+	// idle is the best rate of an image of which little was seen, in parts of
+	// what its target asks for.
+	idle = 3.0
 	// priorPress and priorSpread are what is assumed of a pair that was never
 	// seen together, in parts: half of the images press hard, the others hardly
 	// at all.
@@ -51,6 +54,8 @@
 	Group, Image string
 	// Rate is in 1/s, with its standard error.
 	Rate, Spread float64
+	// Need is the rate that the task's target asks for.
+	Need float64
 }
 
 // Profiler holds what is known. It belongs to one goroutine.
@@ -91,7 +96,7 @@
 		p.images[s.Image] = m
 	}
 	p.groups[s.Group] = s.Image
-	m.best = max(m.best, s.Rate)
+	m.best = max(m.best, s.Rate, idle*s.Need)
 	m.advance(at)
 	terms := []term{{m.load(s.Group, at), 1}}
 	for fills, u := range use {
@@ -100,10 +105,19 @@
 		}
 	}
 	if expected, _ := m.expect(terms); s.Rate < censored*m.best && s.Rate > expected {
+		m.bound(s.Group)
 		return
 	}
 	spread := max(s.Spread, floorSpread*m.best)
 	m.take(terms, s.Rate, spread*spread)
+	m.bound(s.Group)
+}
+
+// bound keeps a spare rate from falling below none: its trend ends there.
+func (m *image) bound(group string) {
+	if n := m.loads[group]; m.mean[n] < 0 {
+		m.mean[n], m.mean[n+1] = 0, max(m.mean[n+1], 0)
+	}
 }
 
 // advance carries all loads and presses on to a time.
--- a/seater/seater.go
+++ b/seater/seater.go
@@ -23,6 +23,8 @@
 	// reserve.
 	Serving    int
 	ServingCPU int64
+	// Images counts the serving tasks by image.
+	Images map[string]int
 	// Serves has the tasks with a target, where it is known what presses on them.
 	Serves []Serve
 	// Speed is how fast tasks get on there, 1 being as declared.
@@ -45,7 +47,7 @@
 // Clone returns a copy that can be booked without a trace.
 func (s *Seat) Clone() *Seat {
 	c := *s
-	c.Steps = maps.Clone(s.Steps)
+	c.Steps, c.Images = maps.Clone(s.Steps), maps.Clone(s.Images)
 	c.Serves = slices.Clone(s.Serves)
 	for n := range c.Serves {
 		c.Serves[n].Taken = slices.Clip(c.Serves[n].Taken)
@@ -98,6 +100,10 @@
 	if step.Target > 0 {
 		s.Serving++
 		s.ServingCPU += step.CPU
+		if s.Images == nil {
+			s.Images = map[string]int{}
+		}
+		s.Images[step.Image]++
 	}
 	if s.Steps == nil {
 		s.Steps = map[string]int{}
@@ -121,6 +127,9 @@
 	// aloneCost is what a worker without tasks that serve costs one that needs
 	// a reservation: such workers are kept for tasks that fill.
 	aloneCost = 1.0
+	// mixCost is what a worker costs a serving task where all others that serve
+	// run another image: what fills must then press on neither.
+	mixCost = 0.6
 	// avoidCost is what a worker on which the task has failed costs.
 	avoidCost = 10.0
 	// servingLoad is the part of its reservation that a serving task uses.
@@ -210,6 +219,8 @@
 		cost += float64(s.Free()-step.CPU) / capacity / max(s.Speed, 0.05)
 		if s.Serving == 0 {
 			cost += aloneCost
+		} else if step.Target > 0 {
+			cost += mixCost * (1 - float64(s.Images[step.Image])/float64(s.Serving))
 		}
 	}
 	cost += slowCost * (1/max(s.Speed, 0.05) - 1)
