seater: Filling tasks wait longer for a place that leaves them their pace

Cause: three quarters of the time over a target fell to runs that had just been started where there was no room: a start works at full pace for a tenth of a second at least, and stands then, which holds its memory and earns nothing. Change: a filling task takes a place that leaves it 0.8 of its pace, or waits for up to 12 s (before 0.3 and 1.5 s).

--- a/seater/seater.go
+++ b/seater/seater.go
@@ -122,8 +122,8 @@
 	slowCost = 0.5
 	// leastShare is the share of its pace below which a filling task waits for
 	// another worker, for as long as patience.
-	leastShare = 0.3
-	patience   = 1500 * time.Millisecond
+	leastShare = 0.8
+	patience   = 12000 * time.Millisecond
 	// aloneCost is what a worker without tasks that serve costs one that needs
 	// a reservation: such workers are kept for tasks that fill.
 	aloneCost = 1.0
