overseer: Count the processor that a filling run takes at its pace; profiler: Keep a smaller margin

Cause: runs that are slowed held the processor that they ask for, so that what presses on nothing found no place beside them. Change: a filling run counts for what it uses at its pace; the margin below a target is 0.05 of the rate that it asks for (before 0.1).

--- a/overseer/place.go
+++ b/overseer/place.go
@@ -114,6 +114,9 @@
 		}
 		step := r.task.Shape()
 		s.Take(step, r.task.StepName())
+		if step.Fills {
+			s.Filling += r.use() - step.CPU
+		}
 		if step.Target > 0 && r.phase == messenger.PhaseRunning && r.percent >= 100 {
 			room, ok := o.press.Room(r.task.StepName(), now, now.Add(ahead), step.Target)
 			if !ok {
@@ -150,6 +153,9 @@
 	return min(max(r.figure*100/int64(r.pace), asks/3), asks*2)
 }
 
+// use is the processor that a filling run may take at its pace.
+func (r *run) use() int64 { return r.demand() * int64(r.pace) / 100 }
+
 // placeJob starts what of a job can be started.
 func (o *Overseer) placeJob(j *job, seats []*seater.Seat, agents map[string]*agent, ordered map[*agent]int, now, wall time.Time) {
 	waiting := j.Waiting(wall)
--- a/profiler/profiler.go
+++ b/profiler/profiler.go
@@ -37,7 +37,7 @@
 	// floorSpread bounds how much a single reading is trusted, in parts.
 	floorSpread = 0.03
 	// margin is kept below a target, as a share of the rate that it asks for.
-	margin = 0.1
+	margin = 0.05
 	// caution is how many standard errors of a load and of a press are kept.
 	caution = 0.5
 	// censored is the rate, in parts, below which a reading only says that the
