profiler: Tell bursts of single tasks from the load of their step

The filter took it for a change of the whole step's load or of a press, and slowed too little beside the task and too much elsewhere. Change: agents keep a difference from the step's load for each run, which fades within a second; the owner, which places for the seconds after, does not.

--- a/imitator/crowd.go
+++ b/imitator/crowd.go
@@ -26,10 +26,26 @@
 	// and Phase when.
 	Load, Swing   float64
 	Period, Phase time.Duration
+	// Bursts are when requests come in a burst: its load grows by Burst and falls
+	// again within BurstLasts.
+	Bursts     []time.Duration
+	Burst      float64
+	BurstLasts time.Duration
 	// Listed is the newest figure in ms.
 	Listed float64
 }
 
+// own is the task's own load at a time.
+func (s *Server) own(at time.Duration) float64 {
+	load := s.Load * (1 + s.Swing*math.Sin(2*math.Pi*float64(at+s.Phase)/float64(s.Period)))
+	for _, begin := range s.Bursts {
+		if since := at - begin; since > 0 && since < s.BurstLasts {
+			load += s.Burst * math.Sin(math.Pi*float64(since)/float64(s.BurstLasts))
+		}
+	}
+	return load
+}
+
 // Crowd is a model of tasks that serve on one worker beside others that fill it:
 // each serving task is a queue, and what fills takes from its rate. Figures are
 // smoothed and noisy, as workers list them.
@@ -46,7 +62,7 @@
 func (c *Crowd) Tails(at time.Duration, use map[string]float64) []float64 {
 	tails := make([]float64, len(c.Servers))
 	for n, s := range c.Servers {
-		load := s.Load * (1 + s.Swing*math.Sin(2*math.Pi*float64(at+s.Phase)/float64(s.Period)))
+		load := s.own(at)
 		for image, u := range use {
 			load += c.Press(image, s.Image) * u
 		}
--- a/overseer/place.go
+++ b/overseer/place.go
@@ -118,7 +118,7 @@
 			s.Filling += r.use() - step.CPU
 		}
 		if step.Target > 0 && r.phase == messenger.PhaseRunning && r.percent >= 100 {
-			room, ok := o.press.Room(r.task.StepName(), now, now.Add(ahead), step.Target)
+			room, ok := o.press.Room(r.task.StepName(), "", now, now.Add(ahead), step.Target)
 			if !ok {
 				room = profiler.Need(step.Target) * unseenRoom
 			}
--- a/pacer/pacer.go
+++ b/pacer/pacer.go
@@ -157,11 +157,11 @@
 		kept[name], groups[s.Group] = true, true
 		if tail, spread, ok := p.sharp.Sharpen(name, now, float64(s.Tail)); ok {
 			tails[name] = tail
-			p.Known.Learn(now, profiler.Sample{Group: s.Group, Image: s.Image, Rate: 1000 / tail, Spread: 1000 * spread / (tail * tail), Need: s.need}, use)
+			p.Known.Learn(now, profiler.Sample{Group: s.Group, Image: s.Image, Run: name, Rate: 1000 / tail, Spread: 1000 * spread / (tail * tail), Need: s.need}, use)
 		}
 	}
 	p.sharp.Keep(kept)
-	p.Known.Keep(groups)
+	p.Known.Keep(groups, kept)
 	p.tails = tails
 	return true
 }
@@ -200,7 +200,7 @@
 func (p *Pacer) foresee(now time.Time, serves []serve) {
 	for n := range serves {
 		s := &serves[n]
-		room, ok := p.Known.Room(s.Group, now, now.Add(lead), s.Target)
+		room, ok := p.Known.Room(s.Group, s.Name(), now, now.Add(lead), s.Target)
 		if !ok { // it has just begun
 			room = max(1000/float64(max(s.Tail, 1))-s.need, 0)
 		}
