--- a/overseer/relieve.go
+++ b/overseer/relieve.go
@@ -20,8 +20,9 @@
 	settleTime = 1200 * time.Millisecond
 	// nearEnd is the percent from which a run is left to end.
 	nearEnd = 85
-	// maxMoves bounds the moves of one look, so that what they free shows.
-	maxMoves = 4
+	// leastMoves and movesPart bound the moves of one look, as a number and as a
+	// part of the agents, so that what they free shows.
+	leastMoves, movesPart = 4, 3
 	// betterShare is the share of its pace that a run must find elsewhere.
 	betterShare = 0.9
 )
@@ -67,7 +68,7 @@
 			moves++
 			break
 		}
-		if moves >= maxMoves {
+		if moves >= max(leastMoves, len(o.agents)/movesPart) {
 			return
 		}
 	}
