overseer: Strike an agent from the ledger once its worker has drained

Change: a draining agent without runs, and without ends that the ledger lacks, is struck at once; it takes no starts, so no later owner need wait for it. Before: TestADrainedAgentIsStruckAtOnce fails.

--- a/overseer/agent.go
+++ b/overseer/agent.go
@@ -116,11 +116,9 @@
 	}
 	now := o.cfg.Now()
 	a.table, a.heard = t, now
-	if o.loaded && a.kept == 0 && !a.writing {
-		a.enrolling = true
-	}
 	if o.loaded {
 		o.compare(a, t)
+		o.register(a, t)
 	}
 	v := &messenger.Vouch{Term: o.cfg.Term, Durable: a.durable}
 	if a.kept != 0 && o.current() && t.Surveyed {
@@ -135,6 +133,19 @@
 	o.post(a, messenger.Frame{Kind: messenger.KindVouch, Vouch: v})
 }
 
+// register has the ledger name an agent while it may hold work. One that drains
+// takes no starts; once it has nothing left, no later owner need wait for it.
+func (o *Overseer) register(a *agent, t *messenger.Table) {
+	empty := t.Draining && t.Surveyed && len(t.Runs) == 0 && len(a.runs) == 0 && len(t.Ends) == 0 && len(a.ends) == 0
+	switch {
+	case a.writing:
+	case a.kept == 0:
+		a.enrolling = !empty
+	case empty:
+		a.striking = true
+	}
+}
+
 func (o *Overseer) post(a *agent, f messenger.Frame) {
 	if a.link == nil {
 		return
--- a/overseer/takeover_test.go
+++ b/overseer/takeover_test.go
@@ -77,3 +77,32 @@
 	d.o.place()
 	c.Assert(d.orders("a0"), qt.HasLen, 1)
 }
+
+// A new owner waits a lease for agents that the ledger names; a worker that has
+// drained and taken its last run with it is none of them.
+func TestADrainedAgentIsStruckAtOnce(t *testing.T) {
+	c := qt.New(t)
+	d := newDesk(c, 2)
+	j := d.submit(sequencer.Spec{Steps: []sequencer.Step{step(1, 10)}})
+	d.o.place()
+	name := j.Task(0, 0, 0).Name()
+	at := "a0"
+	if len(d.orders("a1")) > 0 {
+		at = "a1"
+	}
+	a := d.o.agents[at]
+	d.table(at, &messenger.Table{Draining: true, Runs: d.rows(at, messenger.PhaseRunning, 10)})
+	c.Assert(a.striking, qt.IsFalse, qt.Commentf("something runs there"))
+	d.table(at, &messenger.Table{Draining: true, Ends: []messenger.EndRow{{N: 1, Task: name, Attempt: j.Task(0, 0, 0).Attempt, How: messenger.EndDone}}})
+	c.Assert(a.striking, qt.IsFalse, qt.Commentf("its end is not in the ledger"))
+	j.written = j.changes
+	d.table(at, &messenger.Table{Draining: true})
+	c.Assert(a.striking, qt.IsTrue)
+	b := d.o.gather()
+	c.Assert(b.struck, qt.HasLen, 1)
+	a.writing = false
+	d.table(at, &messenger.Table{Draining: true})
+	c.Assert(a.enrolling, qt.IsFalse, qt.Commentf("it would be struck again"))
+	d.table(at, &messenger.Table{})
+	c.Assert(a.enrolling, qt.IsTrue, qt.Commentf("another life of its worker begins"))
+}
