--- a/overseer/agent.go
+++ b/overseer/agent.go
@@ -28,11 +28,17 @@
 	heard time.Time
 	table *messenger.Table
 	// kept is the version of its key in the ledger; 0 while it has none. No
-	// order and no lease goes to an agent without one.
+	// lease goes to an agent without one.
 	kept uint64
-	// enrolling and striking are set while its key is to be written or removed,
-	// writing while the store was asked to and has not answered.
-	enrolling, striking, writing bool
+	// open is set while the ledger says that it may run anything; only then are
+	// runs started there.
+	open bool
+	// held are the tasks that the ledger says it may run where it is not open.
+	held []string
+	// enrolling, sealing and striking are set while its key is to be written as
+	// open, as closed, or removed, writing while the store was asked to and has
+	// not answered.
+	enrolling, sealing, striking, writing bool
 	// vouched is the local time up to which its runs may go on without a word
 	// of the owner.
 	vouched time.Time
@@ -56,7 +62,8 @@
 
 // pendingEnd is an end that the agent must keep until the ledger has it.
 type pendingEnd struct {
-	n uint64
+	n    uint64
+	task string
 	// job is nil where the ledger needs nothing of the end.
 	job    *job
 	change uint64
@@ -133,19 +140,6 @@
 	o.post(a, messenger.Frame{Kind: messenger.KindVouch, Vouch: v})
 }
 
-// register has the ledger name an agent while it may hold work. One that drains
-// takes no starts; once it has nothing left, no later owner need wait for it.
-func (o *Overseer) register(a *agent, t *messenger.Table) {
-	empty := t.Draining && t.Surveyed && len(t.Runs) == 0 && len(a.runs) == 0 && len(t.Ends) == 0 && len(a.ends) == 0
-	switch {
-	case a.writing:
-	case a.kept == 0:
-		a.enrolling = !empty
-	case empty:
-		a.striking = true
-	}
-}
-
 func (o *Overseer) post(a *agent, f messenger.Frame) {
 	if a.link == nil {
 		return
@@ -175,7 +169,7 @@
 	}
 	o.profile(a, t)
 	if !a.surveyed || a.missing {
-		a.surveyed, a.missing = true, false
+		a.surveyed, a.missing, a.held = true, false, nil
 		o.plan = true
 		o.cfg.Log.Info("agent surveyed", zap.String("agent", a.id), zap.Int("runs", len(t.Runs)), zap.Int("ends", len(t.Ends)), zap.Int("missing", o.missing()))
 	}
@@ -272,7 +266,7 @@
 		o.over(r, messenger.EndRow{Task: r.key.task, Attempt: r.key.attempt, How: messenger.EndLapsed, Reason: "the agent is out of reach and its lease has ended"})
 	}
 	if a.missing {
-		a.missing, o.plan = false, true
+		a.missing, a.held, o.plan = false, nil, true
 		o.cfg.Log.Info("agent given up", zap.String("agent", a.id), zap.Time("vouched", a.vouched))
 	}
 	a.surveyed = false
--- a/overseer/desk_test.go
+++ b/overseer/desk_test.go
@@ -51,7 +51,7 @@
 		d.sent[id] = append(d.sent[id], f)
 		return nil
 	}}
-	a.born, a.kept = "b", 1
+	a.born, a.kept, a.open = "b", 1, true
 	d.table(id, &messenger.Table{})
 	return a
 }
--- a/overseer/ends.go
+++ b/overseer/ends.go
@@ -14,7 +14,7 @@
 
 // ended takes an end that an agent lists.
 func (o *Overseer) ended(a *agent, row messenger.EndRow) {
-	p := pendingEnd{n: row.N}
+	p := pendingEnd{n: row.N, task: row.Task}
 	key := runKey{row.Task, row.Attempt}
 	if r := o.runs[key]; r != nil && r.agent == a {
 		o.over(r, row)
--- a/overseer/ends_test.go
+++ b/overseer/ends_test.go
@@ -65,16 +65,16 @@
 	c := qt.New(t)
 	d := newDesk(c, 1)
 	a := d.o.agents["a0"]
-	a.kept = 0
+	a.kept, a.open = 0, false
 	d.run("a0", 1)
 	b := d.o.gather()
-	c.Assert(b.agents, qt.HasLen, 1)
+	c.Assert(b.opened, qt.HasLen, 1)
 	d.run("a0", 1)
-	c.Assert(d.o.gather().agents, qt.HasLen, 0)
+	c.Assert(d.o.gather().opened, qt.HasLen, 0)
 	d.o.committed(b, 40, d.now, nil)
 	c.Assert(a.kept, qt.Equals, uint64(40))
 	d.run("a0", 1)
-	c.Assert(d.o.gather().agents, qt.HasLen, 0)
+	c.Assert(d.o.gather().opened, qt.HasLen, 0)
 }
 
 // The epoch is a condition of every write: a key that no owner has written yet
--- a/overseer/follow.go
+++ b/overseer/follow.go
@@ -95,7 +95,8 @@
 	for _, item := range agents {
 		id := strings.TrimPrefix(item.Key, agentPrefix)
 		a := o.agent(id)
-		a.kept, a.missing = item.Version, !a.surveyed
+		o.enrolled(a, item.Version, item.Value)
+		a.missing = !a.surveyed
 		// An earlier owner may have vouched for it until its proof ended.
 		a.vouched = later(a.vouched, o.claimed.Add(o.cfg.Foreign+o.leaseBound()))
 	}
--- a/overseer/overseer.go
+++ b/overseer/overseer.go
@@ -268,6 +268,7 @@
 		if a.link != nil && now.Sub(a.heard) < isolated {
 			heard++
 		}
+		o.seal(a, now)
 		o.expire(a, now)
 	}
 	if o.loaded && len(o.agents) >= 3 && heard*2 < len(o.agents) && o.cfg.Others() {
--- a/overseer/overseer_test.go
+++ b/overseer/overseer_test.go
@@ -20,7 +20,7 @@
 	c := qt.New(t)
 	d := newDesk(c, 1)
 	gone := d.o.agent("gone")
-	gone.kept, gone.missing, gone.vouched = 1, true, d.now.Add(16*time.Second)
+	gone.kept, gone.open, gone.missing, gone.vouched = 1, true, true, d.now.Add(16*time.Second)
 	old := d.submit(sequencer.Spec{Steps: []sequencer.Step{step(1, 10)}})
 	old.Version = 5 // before the epoch
 	newer := d.submit(sequencer.Spec{Steps: []sequencer.Step{step(1, 10)}})
--- a/overseer/place.go
+++ b/overseer/place.go
@@ -33,14 +33,18 @@
 	if len(agents) == 0 {
 		return
 	}
-	unknown := o.missing() > 0
+	all, held := o.waits()
 	now, wall := o.cfg.Now(), o.cfg.Wall()
 	ordered := map[*agent]int{}
 	for _, j := range o.ranked(wall) {
-		if unknown && j.Version < o.cfg.Epoch {
-			continue // an agent that was not heard yet may run its tasks
+		waiting := j.Waiting(wall)
+		if j.Version < o.cfg.Epoch { // an agent that was not heard yet may run its tasks
+			if all {
+				continue
+			}
+			waiting = slices.DeleteFunc(waiting, func(t *sequencer.Task) bool { return held[t.Name()] })
 		}
-		o.placeJob(j, byPool[j.Spec.Pool], agents, ordered, now, wall)
+		o.placeJob(j, waiting, byPool[j.Spec.Pool], agents, ordered, now)
 	}
 }
 
@@ -89,7 +93,7 @@
 func (o *Overseer) seat(a *agent) *seater.Seat {
 	t := a.table
 	now := o.cfg.Now()
-	if a.link == nil || t == nil || a.kept == 0 || !a.surveyed || t.Draining || t.Silent || !t.Authority ||
+	if a.link == nil || t == nil || !a.open || !a.surveyed || t.Draining || t.Silent || !t.Authority ||
 		now.Before(a.record.aside) || now.Sub(a.heard) > isolated/2 {
 		return nil
 	}
@@ -156,9 +160,8 @@
 // use is the processor that a filling run may take at its pace.
 func (r *run) use() int64 { return r.demand() * int64(r.pace) / 100 }
 
-// placeJob starts what of a job can be started.
-func (o *Overseer) placeJob(j *job, seats []*seater.Seat, agents map[string]*agent, ordered map[*agent]int, now, wall time.Time) {
-	waiting := j.Waiting(wall)
+// placeJob starts what of a job's waiting tasks can be started.
+func (o *Overseer) placeJob(j *job, waiting []*sequencer.Task, seats []*seater.Seat, agents map[string]*agent, ordered map[*agent]int, now time.Time) {
 	full := "" // the step that found no seat in this round
 	for n, t := range waiting {
 		if t.Since.IsZero() {
--- /dev/null
+++ b/overseer/register_test.go
@@ -0,0 +1,149 @@
+package overseer
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/endivefall/endivefall/keeper"
+	"github.com/endivefall/endivefall/messenger"
+	"github.com/endivefall/endivefall/sequencer"
+)
+
+// busy is a desk with a job of three tasks that run at one agent.
+func busy(c *qt.C) (*desk, *job, *agent) {
+	d := newDesk(c, 1)
+	j := d.submit(sequencer.Spec{Steps: []sequencer.Step{step(3, 10)}})
+	d.o.place()
+	d.run("a0", 10)
+	return d, j, d.o.agents["a0"]
+}
+
+// lose has an agent's link end, and some time pass.
+func (d *desk) lose(a *agent, passed time.Duration) {
+	a.link, a.table = nil, nil
+	d.now = d.now.Add(passed)
+	d.o.seal(a, d.now)
+}
+
+// flush writes what is to be written and returns what the ledger then says.
+func (d *desk) flush(at uint64) *batch {
+	b := d.o.gather()
+	d.o.committed(b, at, d.now, nil)
+	return b
+}
+
+func TestTheLedgerSaysWhatALostAgentHolds(t *testing.T) {
+	c := qt.New(t)
+	d, j, a := busy(c)
+	d.lose(a, sealAfter/2)
+	c.Assert(a.sealing, qt.IsFalse, qt.Commentf("it may return"))
+	d.lose(a, sealAfter)
+	b := d.flush(50)
+	c.Assert(b.sealed, qt.HasLen, 1)
+	c.Assert(a.open, qt.IsFalse)
+	later := &agent{id: "a0"}
+	d.o.enrolled(later, 50, b.change.Writes[0].Value)
+	c.Assert(later.open, qt.IsFalse)
+	c.Assert(later.held, qt.HasLen, 3)
+	c.Assert(later.held, qt.Contains, j.Task(0, 0, 1).Name())
+}
+
+// The task of an end that the ledger lacks may not be started again either.
+func TestAnEndOnItsWayIsHeldToo(t *testing.T) {
+	c := qt.New(t)
+	d, j, a := busy(c)
+	d.end("a0", 1, j.Task(0, 0, 0).Name(), j.Task(0, 0, 0).Attempt, messenger.EndDone)
+	c.Assert(a.holds(), qt.Contains, j.Task(0, 0, 0).Name())
+}
+
+func TestALostAgentWithoutRunsIsStruck(t *testing.T) {
+	c := qt.New(t)
+	d := newDesk(c, 1)
+	a := d.o.agents["a0"]
+	d.lose(a, 2*sealAfter)
+	c.Assert(a.striking, qt.IsTrue)
+}
+
+// What an agent is given must not be more than what the ledger says that it holds.
+func TestASealedAgentGetsNothingUntilTheLedgerSaysThatItMay(t *testing.T) {
+	c := qt.New(t)
+	d, _, a := busy(c)
+	d.lose(a, 2*sealAfter)
+	d.flush(50)
+	other := d.submit(sequencer.Spec{Steps: []sequencer.Step{step(1, 10)}})
+	link := func() {
+		a.link = &Link{ID: "a0", Born: "b", Post: func(f messenger.Frame) error {
+			d.sent["a0"] = append(d.sent["a0"], f)
+			return nil
+		}}
+		d.run("a0", 10)
+	}
+	link()
+	d.o.place()
+	name := other.Task(0, 0, 0).Name()
+	c.Assert(d.orders("a0"), qt.Not(qt.Contains), "start "+name)
+	d.flush(60)
+	c.Assert(a.open, qt.IsTrue)
+	d.o.place()
+	c.Assert(d.orders("a0"), qt.Contains, "start "+name)
+}
+
+// One that returns before the ledger was told is as before.
+func TestAnAgentThatReturnsInTimeStaysOpen(t *testing.T) {
+	c := qt.New(t)
+	d, _, a := busy(c)
+	link := a.link
+	d.lose(a, 2*sealAfter)
+	a.link = link
+	d.run("a0", 10)
+	c.Assert(a.open, qt.IsTrue)
+	c.Assert(d.flush(50).sealed, qt.HasLen, 0)
+}
+
+// The process of a lost agent may be back without its worker: what the worker
+// runs is still only what the ledger says.
+func TestASealedAgentWithoutItsWorkerStaysSealed(t *testing.T) {
+	c := qt.New(t)
+	d := newDesk(c, 1)
+	d.o.begin(nil, nil, []keeper.Item{{Key: agentPrefix + "lost", Value: registration{Held: []string{"x.0.0.0"}}.encode(), Version: 30}})
+	lost := d.o.agents["lost"]
+	lost.link = &Link{ID: "lost", Born: "b2", Post: func(messenger.Frame) error { return nil }}
+	d.o.hear(lost, &messenger.Table{Term: 1})
+	c.Assert(lost.enrolling, qt.IsFalse)
+	all, tasks := d.o.waits()
+	c.Assert(all, qt.IsFalse)
+	c.Assert(tasks["x.0.0.0"], qt.IsTrue)
+}
+
+// After a take-over only the tasks that the lost agent may run wait for its lease.
+func TestOnlyTasksOfTheLostAgentWait(t *testing.T) {
+	for name, one := range map[string]struct {
+		value  []byte
+		starts int
+	}{
+		"sealed":          {registration{Held: []string{"00000000000000aa.0.0.1"}}.encode(), 2},
+		"open":            {registration{Open: true}.encode(), 0},
+		"not understood":  {[]byte("a1"), 0},
+		"held by nothing": {registration{}.encode(), 3},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			d := newDesk(c, 1)
+			d.o.cfg.Epoch = 100
+			spec := sequencer.Spec{ID: "00000000000000aa", Pool: "pool", Queue: "queue", Accepted: d.now, Steps: []sequencer.Step{step(3, 10)}}
+			raw, err := spec.Encode()
+			c.Assert(err, qt.IsNil)
+			d.o.begin([]keeper.Item{{Key: JobKey(spec.ID), Value: raw, Version: 20}}, nil, []keeper.Item{{Key: agentPrefix + "lost", Value: one.value, Version: 30}})
+			d.o.place()
+			c.Assert(d.orders("a0"), qt.HasLen, one.starts)
+			lost := d.o.agents["lost"]
+			d.now = lost.vouched.Add(time.Second)
+			d.run("a0", 10)
+			d.o.expire(lost, d.now)
+			d.o.place()
+			c.Assert(d.orders("a0"), qt.HasLen, 3, qt.Commentf("its lease has ended"))
+		})
+	}
+}
--- a/overseer/takeover_test.go
+++ b/overseer/takeover_test.go
@@ -69,11 +69,11 @@
 func TestNothingStartsAtAnAgentThatTheLedgerLacks(t *testing.T) {
 	c := qt.New(t)
 	d := newDesk(c, 1)
-	d.o.agents["a0"].kept = 0
+	d.o.agents["a0"].open = false
 	d.submit(sequencer.Spec{Steps: []sequencer.Step{step(1, 10)}})
 	d.o.place()
 	c.Assert(d.orders("a0"), qt.HasLen, 0)
-	d.o.agents["a0"].kept = 1
+	d.o.agents["a0"].open = true
 	d.o.place()
 	c.Assert(d.orders("a0"), qt.HasLen, 1)
 }
@@ -93,6 +93,7 @@
 	a := d.o.agents[at]
 	d.table(at, &messenger.Table{Draining: true, Runs: d.rows(at, messenger.PhaseRunning, 10)})
 	c.Assert(a.striking, qt.IsFalse, qt.Commentf("something runs there"))
+	c.Assert(a.sealing, qt.IsTrue, qt.Commentf("and nothing else will"))
 	d.table(at, &messenger.Table{Draining: true, Ends: []messenger.EndRow{{N: 1, Task: name, Attempt: j.Task(0, 0, 0).Attempt, How: messenger.EndDone}}})
 	c.Assert(a.striking, qt.IsFalse, qt.Commentf("its end is not in the ledger"))
 	j.written = j.changes
@@ -100,6 +101,7 @@
 	c.Assert(a.striking, qt.IsTrue)
 	b := d.o.gather()
 	c.Assert(b.struck, qt.HasLen, 1)
+	c.Assert(b.sealed, qt.HasLen, 0)
 	a.writing = false
 	d.table(at, &messenger.Table{Draining: true})
 	c.Assert(a.enrolling, qt.IsFalse, qt.Commentf("it would be struck again"))
--- a/overseer/write.go
+++ b/overseer/write.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -20,7 +21,8 @@
 type batch struct {
 	change keeper.Change
 	jobs   []written
-	agents []*agent
+	// opened and sealed are agents whose keys are written.
+	opened, sealed []*agent
 	// struck are agents whose keys are removed.
 	struck []*agent
 	// forgotten are jobs whose keys are removed.
@@ -71,8 +73,13 @@
 	for _, a := range o.agents {
 		if a.enrolling && b.keys() < maxKeys {
 			a.enrolling, a.writing = false, true
-			b.agents = append(b.agents, a)
-			add(agentPrefix+a.id, 0, []byte(a.id))
+			b.opened = append(b.opened, a)
+			add(agentPrefix+a.id, a.kept, registration{Open: true}.encode())
+		}
+		if a.sealing && b.keys() < maxKeys {
+			a.sealing, a.writing = false, true
+			b.sealed = append(b.sealed, a)
+			add(agentPrefix+a.id, a.kept, registration{Held: a.holds()}.encode())
 		}
 	}
 	for _, a := range o.agents {
@@ -81,7 +88,7 @@
 			b.struck = append(b.struck, a)
 			b.change.Checks = append(b.change.Checks, keeper.Check{Key: agentPrefix + a.id, Version: a.kept})
 			b.change.Removes = append(b.change.Removes, agentPrefix+a.id)
-			a.kept = 0 // no order and no lease goes there from now on
+			a.kept, a.open = 0, false // no order and no lease goes there from now on
 		}
 	}
 	for len(o.dirty) > 0 && b.keys() < maxKeys {
@@ -134,11 +141,15 @@
 		return
 	}
 	o.cfg.Prove(sent)
-	for _, a := range b.agents {
-		a.kept, a.writing = at, false
+	for _, a := range b.opened {
+		a.kept, a.writing, a.open = at, false, true
 		o.plan = true
 		o.cfg.Log.Info("agent enrolled", zap.String("agent", a.id))
 	}
+	for _, a := range b.sealed {
+		a.kept, a.writing = at, false
+		o.cfg.Log.Info("what a lost agent holds is in the ledger", zap.String("agent", a.id), zap.Int("runs", len(a.runs)), zap.Int("ends", len(a.ends)))
+	}
 	for _, a := range b.struck {
 		a.writing = false
 		o.cfg.Log.Info("agent struck", zap.String("agent", a.id))
@@ -169,14 +180,14 @@
 // what was expected, and writes again. Only this owner writes them, so a
 // difference is an answer that was lost.
 func (o *Overseer) reconcile(b *batch, clash *keeper.Clash) {
-	for _, a := range append(b.agents, b.struck...) {
-		a.writing, a.kept = false, clash.Item(agentPrefix+a.id).Version
+	for _, a := range slices.Concat(b.opened, b.sealed, b.struck) {
+		a.writing, a.open, a.kept = false, false, clash.Item(agentPrefix+a.id).Version
 	}
 	for _, w := range b.jobs {
 		w.job.Kept = clash.Item(OutKey(w.job.Spec.ID)).Version
 		o.changed(w.job)
 	}
-	o.cfg.Log.Info("ledger differs; writing again", zap.Int("jobs", len(b.jobs)), zap.Int("agents", len(b.agents)))
+	o.cfg.Log.Info("ledger differs; writing again", zap.Int("jobs", len(b.jobs)), zap.Int("agents", len(b.opened)+len(b.sealed)+len(b.struck)))
 }
 
 // sweep removes jobs whose state was kept long enough.
