coordinator, orchestrator: Log when an owner begins and which tasks wait

The logs of the incident could not tell a late take-over from a long wait for a lost agent: no line said when a new owner begins to schedule, nor which tasks it holds back, for which agent and until when. Adds a line at the start of scheduling with the time since the claim, and a line, at most one a second, each time the number of agents that block tasks changes. No logic changes.

--- a/coordinator/ownership.go
+++ b/coordinator/ownership.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 
+	"go.uber.org/zap"
+
 	"github.com/endivefall/endivefall/connector"
 	"github.com/endivefall/endivefall/elector"
 	"github.com/endivefall/endivefall/orchestrator"
@@ -56,6 +58,7 @@
 	ownershipEnded := make(chan struct{})
 	c.orchestrator, c.ownershipEnded = o, ownershipEnded
 	c.mu.Unlock()
+	c.cfg.Log.Info("orchestrator started", zap.Uint64("term", record.Term), zap.Uint64("epoch", epoch), zap.Duration("since_claim", c.cfg.Now().Sub(c.elector.ClaimedAt())), zap.Duration("previous_owner_ttl", previousOwnerTTL))
 	serveErr := make(chan error, 1)
 	go func() { serveErr <- o.Serve(ctx) }()
 	reason := c.waitForOwnershipEnd(serveErr, record, epoch)
--- a/elector/claim.go
+++ b/elector/claim.go
@@ -139,6 +139,9 @@
 	if !e.adoptRecord(next, newVersion) {
 		return fmt.Errorf("%w: a newer claim exists", storer.ErrConflict)
 	}
+	e.mu.Lock()
+	e.claimedAt = sent
+	e.mu.Unlock()
 	e.ConfirmOwnership(sent)
 	e.cfg.Log.Info("ownership claimed", zap.Uint64("term", next.Term), zap.Uint64("version", newVersion), zap.String("why", reason), zap.Bool("clean", next.PredecessorsStopped), zap.String("before", record.Owner.ID))
 	e.cfg.OnChange(next, e.Members())
--- a/elector/elector.go
+++ b/elector/elector.go
@@ -76,6 +76,8 @@
 	// confirmedAt is the send time of the newest call to the store that confirmed
 	// this entry as the owner.
 	confirmedAt time.Time
+	// claimedAt is the local time at which the newest claim of this entry was sent.
+	claimedAt time.Time
 	// cooldownUntil is the time before which this entry does not claim ownership
 	// while another entry is alive.
 	cooldownUntil time.Time
@@ -112,6 +114,13 @@
 	return e.confirmedAt
 }
 
+// ClaimedAt returns the local time at which the newest claim of this entry was sent.
+func (e *Elector) ClaimedAt() time.Time {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.claimedAt
+}
+
 // ConfirmOwnership records that a call to the store sent at the given time confirmed
 // this process as the owner.
 func (e *Elector) ConfirmOwnership(sent time.Time) {
--- a/orchestrator/orchestrator.go
+++ b/orchestrator/orchestrator.go
@@ -147,6 +147,10 @@
 	// isolatedSince is the time since which too few agents are reachable; zero
 	// while enough are.
 	isolatedSince time.Time
+	// blockingAgents is the number of agents that block tasks as last logged, at
+	// blockingLoggedAt.
+	blockingAgents   int
+	blockingLoggedAt time.Time
 	// stopReason is the error that Serve is to return.
 	stopReason error
 	background sync.WaitGroup
@@ -295,6 +299,7 @@
 		o.isolatedSince = time.Time{}
 	}
 	if o.loaded {
+		o.logBlockingAgents(now)
 		o.evacuate()
 		o.relocateSlowedRuns(now)
 		o.stopIncompleteGangs()
--- a/orchestrator/registration.go
+++ b/orchestrator/registration.go
@@ -113,3 +113,31 @@
 	}
 	return false, blocked
 }
+
+// blockingLogInterval is the shortest time between two log lines about the agents
+// that block tasks.
+const blockingLogInterval = time.Second
+
+// logBlockingAgents logs which tasks of older jobs wait, for which agent the
+// longest, and until when, each time the number of these agents changes.
+func (o *Orchestrator) logBlockingAgents(now time.Time) {
+	blocking := o.agentsWithUnknownRuns()
+	if blocking == o.blockingAgents || now.Sub(o.blockingLoggedAt) < blockingLogInterval {
+		return
+	}
+	o.blockingAgents, o.blockingLoggedAt = blocking, now
+	if blocking == 0 {
+		o.cfg.Log.Info("no task waits for an agent any more", zap.Uint64("term", o.cfg.Term))
+		return
+	}
+	var last *agent
+	for _, a := range o.agents {
+		if a.hasUnknownRuns && (last == nil || a.leaseExpiresAt.After(last.leaseExpiresAt)) {
+			last = a
+		}
+	}
+	all, tasks := o.blockedTasks()
+	o.cfg.Log.Info("tasks of older jobs wait for agents that are not reconciled", zap.Uint64("term", o.cfg.Term), zap.Int("agents", blocking),
+		zap.Bool("all", all), zap.Int("tasks", len(tasks)), zap.String("last", last.id), zap.Bool("connected", last.link != nil),
+		zap.Bool("open", last.mayRunAny), zap.Duration("lease", last.leaseExpiresAt.Sub(now)))
+}
