--- /dev/null
+++ b/coordinator/takeover_test.go
@@ -0,0 +1,74 @@
+package coordinator_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/endivefall/endivefall/advancer"
+	"github.com/endivefall/endivefall/sequencer"
+)
+
+// takeoverTimeout is how long after the loss of the owner another entry schedules,
+// if the store and the agents answer.
+const takeoverTimeout = 3 * time.Second
+
+// setFrozen starts or ends a freeze of an entry, which then neither sends nor
+// receives.
+func (f *fleet) setFrozen(e *entryNode, frozen bool) {
+	f.setFaults(func() { f.rejected[e.name] = frozen })
+	f.network.SetFrozen(e.name, frozen)
+}
+
+// owners returns the entries that schedule, without those in except.
+func (f *fleet) owners(except ...*entryNode) []*entryNode {
+	var list []*entryNode
+	for n := range len(f.entries) {
+		e := f.entry(n)
+		excluded := false
+		for _, other := range except {
+			excluded = excluded || other == e
+		}
+		if !excluded && e.isOwner() {
+			list = append(list, e)
+		}
+	}
+	return list
+}
+
+// A frozen owner accepts connections and answers nothing. Neither its successor nor
+// an agent may wait for it.
+func TestATakeoverDoesNotWaitForAFrozenOwner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		ctx, cancel := context.WithCancel(context.Background())
+		f := newFleet(ctx, t, 1, 3, 4)
+		advancer.Sleep(3 * time.Second)
+		owners := f.owners()
+		c.Assert(owners, qt.HasLen, 1)
+		frozen := owners[0]
+		f.setFrozen(frozen, true)
+		advancer.Sleep(takeoverTimeout)
+		owners = f.owners(frozen)
+		c.Check(owners, qt.HasLen, 1, qt.Commentf("no other entry schedules"))
+		if len(owners) > 0 {
+			spec := &sequencer.Spec{
+				ID: "00000000000000aa", Queue: "queue", Pool: "pool", MaxAttempts: 4, StretchFactor: 2, LatencyAllowance: time.Second,
+				Steps: []sequencer.Step{{Count: 2, CPU: 500, Memory: 100, LongRunning: true}},
+			}
+			f.auditor.AddJob(spec)
+			c.Check(f.submitAt(owners[0], spec), qt.IsNil)
+			advancer.Sleep(time.Second)
+			c.Check(f.auditor.StartCount(), qt.Equals, 2, qt.Commentf("the agents have not changed to the new owner"))
+		}
+		f.setFrozen(frozen, false)
+		advancer.Sleep(10 * time.Second)
+		cancel()
+		f.close()
+		c.Check(f.auditor.Violations(), qt.HasLen, 0)
+		advancer.Sleep(time.Minute)
+	})
+}
--- a/faker/network.go
+++ b/faker/network.go
@@ -19,12 +19,14 @@
 	listeners map[string]*memoryListener
 	// partitions holds the separated pairs of process names.
 	partitions map[[2]string]bool
-	conns      map[*memoryConn]bool
+	// frozen holds the processes that neither send nor receive.
+	frozen map[string]bool
+	conns  map[*memoryConn]bool
 }
 
 // NewNetwork returns a network without partitions.
 func NewNetwork() *Network {
-	return &Network{listeners: map[string]*memoryListener{}, partitions: map[[2]string]bool{}, conns: map[*memoryConn]bool{}}
+	return &Network{listeners: map[string]*memoryListener{}, partitions: map[[2]string]bool{}, frozen: map[string]bool{}, conns: map[*memoryConn]bool{}}
 }
 
 func pairOf(a, b string) [2]string {
@@ -57,6 +59,22 @@
 	}
 }
 
+// SetFrozen starts or ends a freeze of a process. Its connections stay open but drop
+// all data. Its kernel still accepts connections, on which it sends nothing.
+func (n *Network) SetFrozen(name string, frozen bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.frozen[name] = frozen
+	if !frozen {
+		return
+	}
+	for c := range n.conns {
+		if c.pair[0] == name || c.pair[1] == name {
+			c.mute()
+		}
+	}
+}
+
 // Listen opens a process's listener at an address.
 func (n *Network) Listen(name string, addr netip.AddrPort) net.Listener {
 	n.mu.Lock()
@@ -84,6 +102,11 @@
 	pair := pairOf(name, listener.name)
 	clientConn, serverConn := newMemoryConn(local, pair), newMemoryConn(remote, pair)
 	n.conns[clientConn], n.conns[serverConn] = true, true
+	if n.frozen[name] || n.frozen[listener.name] {
+		clientConn.mute()
+		n.mu.Unlock()
+		return clientConn, nil
+	}
 	n.mu.Unlock()
 	select {
 	case listener.incoming <- serverConn:
--- a/orchestrator/registration_test.go
+++ b/orchestrator/registration_test.go
@@ -148,3 +148,43 @@
 		})
 	}
 }
+
+// maxRestartDelay is how long after its last run a long-running task may be without
+// one if a worker has room.
+const maxRestartDelay = 9 * time.Second
+
+// An agent left, then its owner was lost. The next owner can't reach the agent, but no
+// earlier owner can have renewed its lease since.
+func TestTasksOfAnAgentThatLeftAreNotHeldForConfirmationsOfItsOwner(t *testing.T) {
+	for name, tt := range map[string]struct {
+		leave func(h *harness, a *agent)
+	}{
+		"disconnected": {func(h *harness, a *agent) { h.disconnect(a, 2*registrationCloseDelay) }},
+		"draining": {func(h *harness, a *agent) {
+			h.sendSnapshot(a.id, &messenger.WorkerSnapshot{Draining: true, Runs: h.runStatuses(a.id, messenger.PhaseRunning, 10)})
+		}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			earlier, _, a := newBusyHarness(c)
+			tt.leave(earlier, a)
+			b := earlier.commitBatch(50)
+			c.Assert(b.closedAgents, qt.HasLen, 1)
+
+			h := newHarness(c, 1)
+			h.o.cfg.Epoch, h.o.cfg.PreviousOwnerTTL = 100, h.o.cfg.ConfirmationTTL
+			spec := sequencer.Spec{ID: "0000000000000001", Pool: "pool", Queue: "queue", AcceptedAt: h.now, Steps: []sequencer.Step{step(3, 10)}}
+			raw, err := spec.Encode()
+			c.Assert(err, qt.IsNil)
+			h.o.takeOver([]storer.Item{{Key: JobKey(spec.ID), Value: raw, Version: 20}}, nil,
+				[]storer.Item{{Key: agentPrefix + "lost", Value: b.transaction.Writes[0].Value, Version: 50}})
+			h.o.place()
+			c.Assert(h.commands("a0"), qt.HasLen, 0, qt.Commentf("its lease may not have expired"))
+			h.now = h.now.Add(maxRestartDelay)
+			h.reportRunning("a0", 10)
+			h.o.expireLease(h.o.agents["lost"], h.now)
+			h.o.place()
+			c.Assert(h.commands("a0"), qt.HasLen, 3)
+		})
+	}
+}
