messenger: Close connections without waiting for the peer

Callers saw state requests fail for 4 s and work stand still after a change of owner. Cause: Conn.Close performs the WebSocket close handshake, which waits up to 5 s for the peer, and Run could not return before it. The entry that had claimed ownership closed its connection to the frozen owner in the goroutine that schedules; the other entries and the agents waited in the same way before they connected to the new owner. An owner that most agents could not reach closed all their connections one after the other, 5 s each, before it released ownership.

The reason is still sent.

TestCloseDoesNotWaitForASilentPeer failed before (Close waits for the peer, 1 s).

--- a/messenger/conn.go
+++ b/messenger/conn.go
@@ -71,6 +71,7 @@
 	defer cancel()
 	var writer sync.WaitGroup
 	writer.Go(func() { c.writeLoop(ctx) })
+	writer.Go(func() { c.endReads(ctx, cancel) })
 	err := c.readLoop(ctx)
 	c.fail(err)
 	cancel()
@@ -79,12 +80,6 @@
 	return c.err
 }
 
-// Close ends the connection and sends the reason to the peer.
-func (c *Conn) Close(reason string) {
-	c.fail(fmt.Errorf("%w: %s", ErrClosed, reason))
-	_ = c.cfg.Socket.Close(websocket.StatusNormalClosure, reason)
-}
-
 // Done returns a channel that is closed when the connection ends.
 func (c *Conn) Done() <-chan struct{} { return c.done }
 
@@ -264,21 +259,12 @@
 			}
 		}
 		if err != nil {
-			_ = c.cfg.Socket.Close(websocket.StatusProtocolError, closeReason(err))
+			go c.closeSocket(websocket.StatusProtocolError, closeReason(err))
 			return err
 		}
 	}
 }
 
-// maxCloseReasonBytes keeps the reason within the 123 bytes that a WebSocket
-// close frame may carry.
-const maxCloseReasonBytes = 120
-
-func closeReason(err error) string {
-	text := err.Error()
-	return text[:min(len(text), maxCloseReasonBytes)]
-}
-
 // dispatch passes a frame to its stream or to Config.Handle.
 func (c *Conn) dispatch(ctx context.Context, f Frame) error {
 	switch f.Kind {
--- a/messenger/conn_test.go
+++ b/messenger/conn_test.go
@@ -8,6 +8,7 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/coder/websocket"
 	qt "github.com/frankban/quicktest"
@@ -194,3 +195,22 @@
 	cancel()
 	c.Assert(<-ended, qt.ErrorIs, ErrClosed)
 }
+
+// The close handshake waits for the peer, which may be frozen.
+func TestCloseDoesNotWaitForASilentPeer(t *testing.T) {
+	c := qt.New(t)
+	closed := make(chan error, 1)
+	peer, ended := pair(t, Config{Handle: func(conn *Conn, _ Frame) {
+		conn.Close("test")
+		closed <- nil
+	}})
+	c.Assert(WriteFrame(context.Background(), peer, Frame{Kind: KindHeartbeat, Heartbeat: &Heartbeat{}}), qt.IsNil)
+	timeout := time.After(10 * closeTimeout)
+	for name, returned := range map[string]chan error{"Close": closed, "Run": ended} {
+		select {
+		case <-returned:
+		case <-timeout:
+			c.Fatalf("%s waits for the peer", name)
+		}
+	}
+}
