--- a/coordinator/owner_client.go
+++ b/coordinator/owner_client.go
@@ -22,8 +22,8 @@
 	queryTimeout = 400 * time.Millisecond
 	// pingInterval is the delay between two pings of the owner.
 	pingInterval = 300 * time.Millisecond
-	// maxReplyAge is how long the owner may send no reply before the connection is
-	// replaced.
+	// maxReplyAge is how long the owner may send no reply, or not answer a new
+	// connection, before the connection is replaced.
 	maxReplyAge = 1200 * time.Millisecond
 	// redialDelay is the delay before the owner is dialed again.
 	redialDelay = 200 * time.Millisecond
@@ -106,9 +106,11 @@
 }
 
 func (c *ownerClient) connect(ctx context.Context, owner elector.Member) error {
-	ws, welcome, err := messenger.DialWith(ctx, c.cfg.Client, owner.PeerAddr, messenger.Hello{
+	dialCtx, cancelDial := context.WithTimeout(ctx, maxReplyAge)
+	ws, welcome, err := messenger.DialWith(dialCtx, c.cfg.Client, owner.PeerAddr, messenger.Hello{
 		Version: messenger.Version, Role: messenger.RoleEntry, ID: c.cfg.ID, Incarnation: c.cfg.Incarnation, Started: c.cfg.Now(),
 	})
+	cancelDial()
 	if err != nil {
 		return err
 	}
