orchestrator: Bound the renewal of leases under closed registrations

Callers saw two long-running tasks without a run for 20 s, with room for both. Cause: their worker drained, no other worker had room, the worker and its agent left, and then the owner froze. The next owner could not reach the agent and held the tasks of its closed registration for the confirmation TTL and the lease, 16.07 s from its claim, as the earlier owner might have renewed that lease all the while.

Under a closed registration an owner now renews the lease only on a confirmation of ownership younger than 2 s, and the record says so once every earlier owner has certainly stopped. The next owner waits 2 s and the lease, 8.07 s. An old owner's confirmations are older than the next claim, so nothing it renews outlives that. What it costs: in an outage of the store of more than 2 s, runs on workers that drain lapse after their lease.

With either guard taken out, TestALeaseUnderAClosedRegistrationNeedsARecentConfirmation or TestAClosedRegistrationIsNotBoundedWhileAnEarlierOwnerMayAct fails.

--- a/orchestrator/agent.go
+++ b/orchestrator/agent.go
@@ -34,6 +34,9 @@
 	// mayRunAny is set while the agent's registration is open, so that it may run
 	// any task. Runs are started only on such agents.
 	mayRunAny bool
+	// renewalBounded is set while a closed registration of an earlier owner states
+	// that every owner renews the lease only within closedConfirmationTTL.
+	renewalBounded bool
 	// recordedTasks are the tasks that a closed registration of an earlier owner
 	// lists as possibly running.
 	recordedTasks []string
@@ -122,7 +125,7 @@
 
 // handleSnapshot processes the snapshot of an agent's worker and acknowledges it.
 // The acknowledgement renews the lease if the agent has a key in the ledger,
-// ownership is confirmed and the snapshot is reconciled.
+// ownership is confirmed recently enough and the snapshot is reconciled.
 func (o *Orchestrator) handleSnapshot(a *agent, snapshot *messenger.WorkerSnapshot) {
 	if snapshot.Term > o.cfg.Term {
 		o.stopReason = ErrOwnershipLost
@@ -135,7 +138,7 @@
 		o.updateRegistration(a, snapshot)
 	}
 	ack := &messenger.SnapshotAck{Term: o.cfg.Term, AckedEnd: a.durableEnd}
-	if a.keyVersion != 0 && o.ownershipCurrent() && snapshot.Reconciled {
+	if o.mayRenew(a) && snapshot.Reconciled {
 		ack.EchoSentAt, ack.WorkerIncarnation = snapshot.SentAt, snapshot.WorkerIncarnation
 		if expiresAt := now.Add(o.maxLeaseElapsed()); snapshot.Term == o.cfg.Term {
 			a.leaseExpiresAt = expiresAt // no earlier owner can renew it any more
--- a/orchestrator/orchestrator.go
+++ b/orchestrator/orchestrator.go
@@ -52,6 +52,9 @@
 	// messages of the agents.
 	minPlanInterval    = 8 * time.Millisecond
 	planIntervalFactor = 6
+	// closedConfirmationTTL replaces ConfirmationTTL for the renewal of leases under a
+	// closed registration: four intervals between confirmations.
+	closedConfirmationTTL = 2 * time.Second
 	// leaseMargin covers the delivery of a message and the handling of an expired
 	// lease at a worker.
 	leaseMargin = 150 * time.Millisecond
@@ -277,6 +280,15 @@
 	return o.cfg.Now().Sub(o.cfg.OwnershipConfirmedAt()) < o.cfg.ConfirmationTTL
 }
 
+// mayRenew reports whether the lease of an agent may be renewed.
+func (o *Orchestrator) mayRenew(a *agent) bool {
+	ttl := o.cfg.ConfirmationTTL
+	if !a.mayRunAny {
+		ttl = min(ttl, closedConfirmationTTL)
+	}
+	return a.keyVersion != 0 && o.cfg.Now().Sub(o.cfg.OwnershipConfirmedAt()) < ttl
+}
+
 // tick checks deadlines.
 func (o *Orchestrator) tick(ctx context.Context) {
 	now := o.cfg.Now()
--- a/orchestrator/registration.go
+++ b/orchestrator/registration.go
@@ -22,6 +22,9 @@
 	// HeldTasks are the tasks that the agent may run if the registration is not
 	// open.
 	HeldTasks []string `cbor:"2,keyasint,omitempty"`
+	// Bounded means that, while the registration is closed, every owner renews the
+	// agent's lease only on a confirmation younger than closedConfirmationTTL.
+	Bounded bool `cbor:"3,keyasint,omitempty"`
 }
 
 func (r registration) encode() []byte {
@@ -40,7 +43,23 @@
 		o.cfg.Log.Warn("registration can't be decoded; treating it as open", zap.String("agent", a.id), zap.Error(err))
 		r = registration{Open: true}
 	}
-	a.keyVersion, a.mayRunAny, a.recordedTasks = version, r.Open, r.HeldTasks
+	a.keyVersion, a.mayRunAny, a.recordedTasks, a.renewalBounded = version, r.Open, r.HeldTasks, r.Bounded && !r.Open
+}
+
+// closedRegistration returns the record of an agent whose registration is closed. The
+// renewals of an earlier owner are bounded only once its confirmations have expired,
+// as it may still take the registration for open.
+func (o *Orchestrator) closedRegistration(a *agent) registration {
+	return registration{HeldTasks: a.heldTasks(), Bounded: !o.cfg.Now().Before(o.claimedAt.Add(o.cfg.PreviousOwnerTTL))}
+}
+
+// previousOwnerTTL returns how long after the claim an earlier owner may have renewed
+// the lease of an agent.
+func (o *Orchestrator) previousOwnerTTL(a *agent) time.Duration {
+	if a.renewalBounded {
+		return min(o.cfg.PreviousOwnerTTL, closedConfirmationTTL)
+	}
+	return o.cfg.PreviousOwnerTTL
 }
 
 // updateRegistration opens the registration of a connected agent. A draining worker
--- a/orchestrator/registration_test.go
+++ b/orchestrator/registration_test.go
@@ -188,3 +188,61 @@
 		})
 	}
 }
+
+// A later owner counts on it that no lease under a closed registration is renewed on
+// an old confirmation.
+func TestALeaseUnderAClosedRegistrationNeedsARecentConfirmation(t *testing.T) {
+	for name, tt := range map[string]struct {
+		draining bool
+		age      time.Duration
+		renewed  bool
+	}{
+		"open, old":      {false, closedConfirmationTTL, true},
+		"open, expired":  {false, 10 * time.Second, false},
+		"closed, recent": {true, closedConfirmationTTL - time.Millisecond, true},
+		"closed, old":    {true, closedConfirmationTTL, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			h, _, a := newBusyHarness(c)
+			confirmed := h.now
+			h.o.cfg.OwnershipConfirmedAt = func() time.Time { return confirmed }
+			snapshot := func() *messenger.WorkerSnapshot {
+				return &messenger.WorkerSnapshot{Draining: tt.draining, SentAt: h.now, Runs: h.runStatuses("a0", messenger.PhaseRunning, 10)}
+			}
+			h.sendSnapshot("a0", snapshot())
+			h.now = confirmed.Add(tt.age)
+			before := a.leaseExpiresAt
+			h.sendSnapshot("a0", snapshot())
+			frames := h.sent["a0"]
+			c.Assert(a.leaseExpiresAt.After(before), qt.Equals, tt.renewed)
+			c.Assert(frames[len(frames)-1].SnapshotAck.EchoSentAt.IsZero(), qt.Equals, !tt.renewed)
+		})
+	}
+}
+
+// An earlier owner that took the registration for open may still renew the lease on an
+// old confirmation.
+func TestAClosedRegistrationIsNotBoundedWhileAnEarlierOwnerMayAct(t *testing.T) {
+	for name, tt := range map[string]struct {
+		elapsed time.Duration
+		held    time.Duration
+	}{
+		"within its confirmation TTL": {5 * time.Second, 10 * time.Second},
+		"after it":                    {10 * time.Second, closedConfirmationTTL},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			h, _, a := newBusyHarness(c)
+			h.o.cfg.PreviousOwnerTTL = 10 * time.Second
+			h.now = h.now.Add(tt.elapsed)
+			h.reportRunning("a0", 10)
+			h.disconnect(a, 2*registrationCloseDelay)
+			record := h.commitBatch(50).transaction.Writes[0].Value
+			next := newHarness(c, 0)
+			next.o.cfg.PreviousOwnerTTL = 10 * time.Second
+			next.o.takeOver(nil, nil, []storer.Item{{Key: agentPrefix + "lost", Value: record, Version: 50}})
+			c.Assert(next.o.agents["lost"].leaseExpiresAt, qt.Equals, next.o.claimedAt.Add(tt.held+next.o.maxLeaseElapsed()))
+		})
+	}
+}
--- a/orchestrator/watch.go
+++ b/orchestrator/watch.go
@@ -99,7 +99,7 @@
 		a.hasUnknownRuns = !a.reconciled
 		// An earlier owner may have renewed its lease until the confirmation of its
 		// own ownership expired.
-		a.leaseExpiresAt = later(a.leaseExpiresAt, o.claimedAt.Add(o.cfg.PreviousOwnerTTL+o.maxLeaseElapsed()))
+		a.leaseExpiresAt = later(a.leaseExpiresAt, o.claimedAt.Add(o.previousOwnerTTL(a)+o.maxLeaseElapsed()))
 	}
 	o.handleInputs(inputs) // for the cancellations
 	o.loaded, o.planDue = true, true
--- a/orchestrator/write.go
+++ b/orchestrator/write.go
@@ -80,7 +80,7 @@
 		if a.closePending && b.keyCount() < maxBatchKeys {
 			a.closePending, a.writing = false, true
 			b.closedAgents = append(b.closedAgents, a)
-			add(agentPrefix+a.id, a.keyVersion, registration{HeldTasks: a.heldTasks()}.encode())
+			add(agentPrefix+a.id, a.keyVersion, o.closedRegistration(a).encode())
 		}
 	}
 	for _, a := range o.agents {
