orchestrator: Keep the registration of an idle agent that returns in time

Found by reading: an idle agent that is unreachable for 0.25 s gets its removal from the ledger queued. If it returned before the write, as in an outage of the store, the next transaction both opened and deleted its key. Afterwards the owner could take the agent for registered while the ledger has no record of it, and a later owner would not have waited for its runs.

The queued removal is now dropped. TestAnIdleAgentThatReturnsInTimeKeepsItsRegistration failed before (one agent removed in the same batch).

--- a/orchestrator/registration.go
+++ b/orchestrator/registration.go
@@ -77,7 +77,7 @@
 	case a.closePending: // the closed registration is not written yet
 		a.closePending, a.mayRunAny = false, true
 	default:
-		a.openPending = !a.mayRunAny
+		a.removalPending, a.openPending = false, !a.mayRunAny
 	}
 }
 
--- a/orchestrator/registration_test.go
+++ b/orchestrator/registration_test.go
@@ -246,3 +246,19 @@
 		})
 	}
 }
+
+// One transaction would write and delete the same key.
+func TestAnIdleAgentThatReturnsInTimeKeepsItsRegistration(t *testing.T) {
+	c := qt.New(t)
+	h := newHarness(c, 1)
+	a := h.o.agents["a0"]
+	link := a.link
+	h.disconnect(a, 2*registrationCloseDelay)
+	c.Assert(a.removalPending, qt.IsTrue)
+	a.link = link
+	h.sendSnapshot("a0", &messenger.WorkerSnapshot{})
+	b := h.commitBatch(50)
+	c.Assert(b.removedAgents, qt.HasLen, 0)
+	c.Assert(b.transaction.Deletes, qt.HasLen, 0)
+	c.Assert(a.mayRunAny, qt.IsTrue)
+}
