coordinator: Play histories with frozen entries and agents that leave

Why the histories missed the incident: entries were killed and partitioned from the store and from agents, but never frozen, and every agent came back. A second series freezes entries, mostly the owner, for up to 7.5 s and removes agents with their workers.

--- a/coordinator/history_test.go
+++ b/coordinator/history_test.go
@@ -38,6 +38,18 @@
 // partitions, store outages and lost replies, and checks the invariants on what
 // workers and callers observed.
 func TestHistories(t *testing.T) {
+	runHistories(t, regressionSeeds, (*fleet).injectFault)
+}
+
+// TestHistoriesWithFrozenEntries adds entries that freeze for some seconds and agents
+// that leave for good.
+func TestHistoriesWithFrozenEntries(t *testing.T) {
+	runHistories(t, nil, (*fleet).injectFreezeOrFault)
+}
+
+// runHistories runs histories of the regression seeds and of the seeds that the flags
+// select.
+func runHistories(t *testing.T, regressionSeeds []uint64, inject func(*fleet, *rand.Rand)) {
 	seeds := slices.Clone(regressionSeeds)
 	for n := range *histories {
 		seeds = append(seeds, *firstSeed+uint64(n))
@@ -45,12 +57,12 @@
 	for _, seed := range seeds {
 		t.Run(fmt.Sprint("seed-", seed), func(t *testing.T) {
 			t.Parallel()
-			synctest.Test(t, func(t *testing.T) { runHistory(t, seed) })
+			synctest.Test(t, func(t *testing.T) { runHistory(t, seed, inject) })
 		})
 	}
 }
 
-func runHistory(t *testing.T, seed uint64) {
+func runHistory(t *testing.T, seed uint64, inject func(*fleet, *rand.Rand)) {
 	c := qt.New(t)
 	r := rand.New(rand.NewPCG(seed, 0))
 	ctx, cancel := context.WithCancel(context.Background())
@@ -71,7 +83,7 @@
 			f.checkState(ids[r.IntN(len(ids))], r)
 		}
 		if time.Now().After(nextFault) {
-			f.injectFault(r)
+			inject(f, r)
 			nextFault = time.Now().Add(time.Duration(500+r.IntN(5000)) * time.Millisecond)
 		}
 	}
@@ -201,6 +213,26 @@
 	}
 }
 
+// injectFreezeOrFault freezes an entry, mostly the owner, removes an agent with its
+// worker, or injects one of the other faults.
+func (f *fleet) injectFreezeOrFault(r *rand.Rand) {
+	switch n := r.IntN(8); {
+	case n < 3:
+		e := f.entry(r.IntN(16))
+		if owners := f.owners(); len(owners) > 0 && n < 2 {
+			e = owners[0]
+		}
+		f.setFrozen(e, true)
+		time.AfterFunc(time.Duration(500+r.IntN(7000))*time.Millisecond, func() { f.setFrozen(e, false) })
+	case n == 3:
+		a := f.agents[fmt.Sprintf("agent-%d", r.IntN(2))] // the others have room for all tasks
+		f.restartWorker(a)
+		f.stopAgent(a)
+	default:
+		f.injectFault(r)
+	}
+}
+
 // clearFaults ends all injected faults.
 func (f *fleet) clearFaults() {
 	f.mu.Lock()
@@ -208,6 +240,7 @@
 	f.rejected = map[string]bool{}
 	f.mu.Unlock()
 	for name := range f.entries {
+		f.network.SetFrozen(name, false)
 		for _, a := range f.agents {
 			f.network.SetPartition(a.name, name, false, false)
 		}
--- a/faker/network.go
+++ b/faker/network.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/netip"
 	"sync"
+	"time"
 )
 
 // ErrPartitioned is returned for a connection between processes that can't reach
@@ -60,17 +61,20 @@
 }
 
 // SetFrozen starts or ends a freeze of a process. Its connections stay open but drop
-// all data. Its kernel still accepts connections, on which it sends nothing.
+// all data, until they are closed at the end. Its kernel still accepts connections, on
+// which it sends nothing.
 func (n *Network) SetFrozen(name string, frozen bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.frozen[name] = frozen
-	if !frozen {
-		return
-	}
 	for c := range n.conns {
-		if c.pair[0] == name || c.pair[1] == name {
+		switch {
+		case c.pair[0] != name && c.pair[1] != name:
+		case frozen:
 			c.mute()
+		default:
+			_ = c.Close()
+			delete(n.conns, c)
 		}
 	}
 }
@@ -84,9 +88,12 @@
 	return l
 }
 
+// idleTimeout is how long an unused HTTP connection is kept.
+const idleTimeout = 20 * time.Second
+
 // Client returns an HTTP client that dials as the named process.
 func (n *Network) Client(name string) *http.Client {
-	return &http.Client{Transport: &http.Transport{DialContext: func(ctx context.Context, _, addr string) (net.Conn, error) {
+	return &http.Client{Transport: &http.Transport{IdleConnTimeout: idleTimeout, DialContext: func(ctx context.Context, _, addr string) (net.Conn, error) {
 		return n.dial(ctx, name, addr)
 	}}}
 }
