--- a/messenger/conn_test.go
+++ b/messenger/conn_test.go
@@ -214,3 +214,32 @@
 		}
 	}
 }
+
+// A call that was read after the connection had ended got a stream that never failed:
+// its handler waited for the body, and Run for the handler.
+func TestCallReadAfterTheEndBlocksRun(t *testing.T) {
+	c := qt.New(t)
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	peer, ended := pair(t, Config{
+		Handle: func(conn *Conn, _ Frame) { conn.fail(ErrClosed) },
+		Accept: func(_ context.Context, s *Stream, _ *Call) { _, _ = io.ReadAll(s) },
+	})
+	var batch []byte
+	for _, f := range []Frame{
+		{Kind: KindHeartbeat, Heartbeat: &Heartbeat{}},
+		{Kind: KindCall, ID: 1, Call: &Call{Length: -1}},
+	} {
+		var err error
+		batch, err = Append(batch, &f)
+		c.Assert(err, qt.IsNil)
+	}
+	c.Assert(peer.Write(ctx, websocket.MessageBinary, batch), qt.IsNil)
+	c.Assert(peer.CloseNow(), qt.IsNil)
+	select {
+	case err := <-ended:
+		c.Assert(err, qt.ErrorIs, ErrClosed)
+	case <-ctx.Done():
+		c.Fatal("Run still waits for the handler of the call")
+	}
+}
