messenger: Drop calls that are read after the connection has ended

Callers had fewer targets than there were: an agent that an entry had dropped once, for example while it was frozen, could stay away from that entry for good.

Cause: accept added the stream of a call that was read after fail had taken the open streams. Nothing failed it, so its handler, and with it Run, waited without end.

The check stands under mu: fail closes done before it locks mu, so accept either sees the end, or fail sees the stream. At the entry the call fails with its connection, as before: a dropped call is still one of unknown outcome there.

--- a/messenger/conn.go
+++ b/messenger/conn.go
@@ -83,6 +83,15 @@
 // Done returns a channel that is closed when the connection ends.
 func (c *Conn) Done() <-chan struct{} { return c.done }
 
+func (c *Conn) ended() bool {
+	select {
+	case <-c.done:
+		return true
+	default:
+		return false
+	}
+}
+
 // fail ends the connection and its streams with err. Only the first call has an
 // effect.
 func (c *Conn) fail(err error) {
@@ -109,10 +118,8 @@
 	if f.Kind == KindData || f.Kind == KindEnd {
 		queue = c.data
 	}
-	select {
-	case <-c.done:
+	if c.ended() {
 		return c.err
-	default:
 	}
 	select {
 	case queue <- &f:
@@ -127,10 +134,8 @@
 // TrySend queues a control frame without blocking. If the control queue is full, the
 // peer reads too slowly and the connection ends.
 func (c *Conn) TrySend(f Frame) error {
-	select {
-	case <-c.done:
+	if c.ended() {
 		return c.err
-	default:
 	}
 	select {
 	case c.control <- &f:
@@ -289,12 +294,18 @@
 	}
 	s := newStream(c, f.ID)
 	c.mu.Lock()
+	// fail closes done before it takes the open streams, with mu held: a stream added
+	// later would never fail.
+	ended := c.ended()
 	_, duplicate := c.streams[f.ID]
 	full := len(c.streams) >= MaxStreams
-	if !duplicate && !full {
+	if !ended && !duplicate && !full {
 		c.streams[f.ID] = s
 	}
 	c.mu.Unlock()
+	if ended {
+		return nil
+	}
 	if duplicate {
 		return fmt.Errorf("%w: request number %d is already in use", ErrFrame, f.ID)
 	}
