orchestrator: Forget agents that left without a registration

Cause: an agent whose registration was removed while it was connected, which is how every drain ends, was never removed from Orchestrator.agents, and the isolation check counts all agents there.

Fix: an agent that is disconnected, whose lease has expired and that has no registration is forgotten. It has no runs then, and if it comes back it lists its ends again, as after the removal of a registration.

TestDrainedAgentsThatLeftAreNotCountedAsUnreachable failed before with "most agents are unreachable"; it and the package pass now, with the race detector.

--- a/orchestrator/agent.go
+++ b/orchestrator/agent.go
@@ -279,7 +279,11 @@
 		o.cfg.Log.Info("lease of an unreachable agent expired", zap.String("agent", a.id), zap.Time("vouched", a.leaseExpiresAt))
 	}
 	a.reconciled = false
-	if a.link == nil && a.keyVersion != 0 && now.After(a.leaseExpiresAt.Add(registrationRemovalDelay)) {
+	switch {
+	case a.link != nil || a.writing || a.openPending:
+	case a.keyVersion == 0: // nothing is left of it
+		delete(o.agents, a.id)
+	case now.After(a.leaseExpiresAt.Add(registrationRemovalDelay)):
 		a.removalPending = true
 	}
 }
