--- a/orchestrator/agent_test.go
+++ b/orchestrator/agent_test.go
@@ -37,3 +37,19 @@
 	c.Assert(h.o.stopReason, qt.IsNil)
 	c.Assert(h.o.agents, qt.HasLen, 2)
 }
+
+// The runs of an agent that was replaced by a process without a worker were never
+// ended, as each of its snapshots counted as contact to the runs.
+func TestRunsOfAnAgentThatReturnsWithoutItsWorkerEndWithTheLease(t *testing.T) {
+	c := qt.New(t)
+	h, j, a := newBusyHarness(c)
+	h.o.Disconnect(a.link)
+	(<-h.o.actions)()
+	h.o.Connect(&AgentLink{ID: "a0", Incarnation: "b2", TrySend: func(messenger.Frame) error { return nil }})
+	(<-h.o.actions)()
+	withoutWorker := map[string]*messenger.WorkerSnapshot{"a0": {Term: 1}}
+	h.tickFor(h.o.cfg.LeaseDuration-time.Second, withoutWorker)
+	c.Assert(j.Task(0, 0, 0).LiveRuns, qt.Equals, 1, qt.Commentf("its worker may still run it"))
+	h.tickFor(2*time.Second, withoutWorker)
+	c.Assert(j.Task(0, 0, 0).LiveRuns, qt.Equals, 0)
+}
