orchestrator: End the runs of an agent that returns without its worker

Callers would see a long-running task that does not run for the rest of the term, with room for it: the owner still counts its run as live.

Cause: expireLease skipped each connected agent that was reconciled once in the term, also by an earlier process.

TestRunsOfAnAgentThatReturnsWithoutItsWorkerEndWithTheLease failed before with a live run 6.8 s after the last renewal; it, the package and coordinator pass now, with the race detector.

--- a/orchestrator/agent.go
+++ b/orchestrator/agent.go
@@ -264,10 +264,11 @@
 	return r
 }
 
-// expireLease ends the runs of an unreachable agent once its lease has certainly
-// expired.
+// expireLease ends the runs of an agent once its lease has certainly expired, unless
+// the agent reports their ends itself.
 func (o *Orchestrator) expireLease(a *agent, now time.Time) {
-	if a.link != nil && a.reconciled && now.Sub(a.lastSnapshotAt) < isolationTimeout || now.Before(a.leaseExpiresAt) || !o.loaded {
+	reporting := a.link != nil && a.snapshot != nil && a.snapshot.Reconciled && now.Sub(a.lastSnapshotAt) < isolationTimeout
+	if reporting || now.Before(a.leaseExpiresAt) || !o.loaded {
 		return
 	}
 	for _, r := range o.runsOf(a) {
