supervisor: Show that an agent waits for a suspended owner

An agent that dials the owner while it is suspended waits for the handshake for 5 s: the kernel of the suspended instance accepts the connection, and nothing answers.

--- a/supervisor/harness_test.go
+++ b/supervisor/harness_test.go
@@ -41,10 +41,12 @@
 	acking   bool
 	ackedEnd uint64
 	conn     *messenger.Conn
-	term     uint64
-	seq      uint64
-	fault    func(call string) faker.PoolFault
-	plan     faker.PoolRunPlan
+	// owner and term are what the agent finds as the owner's address and term.
+	owner netip.AddrPort
+	term  uint64
+	seq   uint64
+	fault func(call string) faker.PoolFault
+	plan  faker.PoolRunPlan
 	// listDelay is the transit time of a list reply to the agent.
 	listDelay time.Duration
 }
@@ -74,7 +76,7 @@
 }
 
 func newHarness(c *qt.C) *harness {
-	h := &harness{c: c, worker: faker.NewPoolWorker(), acking: true, term: 1}
+	h := &harness{c: c, worker: faker.NewPoolWorker(), acking: true, owner: ownerAddr, term: 1}
 	h.worker.CPU, h.worker.Memory = 4000, 8000
 	h.plan = faker.PoolRunPlan{Duration: time.Second}
 	h.worker.Plan = func(string, uint64) faker.PoolRunPlan {
@@ -126,7 +128,7 @@
 		FindOwner: func(context.Context) (netip.AddrPort, uint64, error) {
 			h.mu.Lock()
 			defer h.mu.Unlock()
-			return ownerAddr, h.term, nil
+			return h.owner, h.term, nil
 		},
 		Client: h.network.Client("agent"),
 	})
--- /dev/null
+++ b/supervisor/owner_test.go
@@ -0,0 +1,35 @@
+package supervisor_test
+
+import (
+	"net/http"
+	"net/netip"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/endivefall/endivefall/advancer"
+	"github.com/endivefall/endivefall/faker"
+)
+
+// An owner that is suspended accepts connections but answers nothing. The agent must
+// find the next owner before the lease of its runs expires.
+func TestRunsOutliveASuspendedOwner(t *testing.T) {
+	inBubble(t, func(c *qt.C, h *harness) {
+		h.set(func() { h.plan = faker.PoolRunPlan{} })
+		h.send(startCommand("j.0.0.0", 1))
+		suspended := netip.MustParseAddrPort("10.0.0.2:7000")
+		server := &http.Server{Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() })}
+		listener := h.network.Listen("suspended", suspended)
+		go func() { _ = server.Serve(listener) }()
+		defer func() { _ = server.Close() }()
+		h.set(func() { h.owner = suspended })
+		h.network.CloseConnections("owner")
+		advancer.Sleep(2 * time.Second)
+		h.set(func() { h.owner, h.term = ownerAddr, 2 })
+		advancer.Sleep(2 * time.Second)
+		c.Assert(h.latestSnapshot().Term, qt.Equals, uint64(2))
+		advancer.Sleep(leaseDuration)
+		c.Assert(h.worker.Running(), qt.HasLen, 1)
+	})
+}
