supervisor: Bound the dial of an owner that does not answer

Callers would see all tasks of an agent lapse, and wait for a place again, when an owner is suspended for some seconds: the lease of 5.8 s ends while the agent waits 5 s for the handshake with the old owner.

Cause: the dial had only the bound of messenger.DialWith, which is longer than a take-over.

Fix: the dial is bounded by ownerTimeout, like the wait for acknowledgements, and the owner is looked up again after it.

--- a/supervisor/owner.go
+++ b/supervisor/owner.go
@@ -19,8 +19,9 @@
 	snapshotInterval = 500 * time.Millisecond
 	// snapshotDelay is how long changes are collected before a snapshot is sent.
 	snapshotDelay = 5 * time.Millisecond
-	// ownerTimeout is how long the owner may acknowledge nothing before the
-	// owner is looked up again: two snapshot intervals and a slow reply.
+	// ownerTimeout is how long the owner may acknowledge nothing, neither a
+	// connection nor a snapshot, before the owner is looked up again: two snapshot
+	// intervals and a slow reply.
 	ownerTimeout = 1200 * time.Millisecond
 	// findOwnerDelay is the delay before the owner is looked up again.
 	findOwnerDelay = 150 * time.Millisecond
@@ -51,9 +52,11 @@
 	s.mu.Lock()
 	s.term = max(s.term, term)
 	s.mu.Unlock()
-	ws, welcome, err := messenger.DialWith(ctx, s.cfg.Client, addr, messenger.Hello{
+	dialCtx, cancelDial := context.WithTimeout(ctx, ownerTimeout)
+	ws, welcome, err := messenger.DialWith(dialCtx, s.cfg.Client, addr, messenger.Hello{
 		Version: messenger.Version, Role: messenger.RoleAgent, ID: s.cfg.ID, Incarnation: s.cfg.Incarnation, Started: s.cfg.Now(),
 	})
+	cancelDial()
 	if err != nil {
 		return err
 	}
