supervisor: Show that the stop of an unsettled start is lost

A stop that arrives while a start call is pending is left to startRun. If that call ends without a reply and the next list reply shows the run, reconcile makes it a running one and sends no stop. The owner sends a stop once on a connection, and handleStop ignores a repeat, so the run of a canceled job works on.

The test fails: the run is active 5 s after the stop.

--- a/supervisor/harness_test.go
+++ b/supervisor/harness_test.go
@@ -47,8 +47,10 @@
 	seq   uint64
 	fault func(call string) faker.PoolFault
 	plan  faker.PoolRunPlan
-	// listDelay is the transit time of a list reply to the agent.
+	// listDelay is the transit time of a list reply to the agent; startLost is set
+	// while the replies to starts are lost.
 	listDelay time.Duration
+	startLost bool
 }
 
 // ownerAddr is the address at which the fake owner listens.
@@ -123,6 +125,18 @@
 		advancer.Sleep(delay)
 		return reply, err
 	}
+	startAtWorker := client.Start
+	client.Start = func(ctx context.Context, req supervisor.StartRequest) (time.Time, error) {
+		clock, err := startAtWorker(ctx, req)
+		h.mu.Lock()
+		lost := h.startLost
+		h.mu.Unlock()
+		if lost {
+			<-ctx.Done()
+			return time.Time{}, supervisor.ErrUnknownOutcome
+		}
+		return clock, err
+	}
 	h.sup = supervisor.New(supervisor.Config{
 		ID: "agent", Incarnation: incarnation, Worker: client, LeaseDuration: leaseDuration, Now: time.Now, Log: zap.NewNop(),
 		FindOwner: func(context.Context) (netip.AddrPort, uint64, error) {
--- a/supervisor/reconcile_test.go
+++ b/supervisor/reconcile_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/endivefall/endivefall/advancer"
 	"github.com/endivefall/endivefall/faker"
+	"github.com/endivefall/endivefall/messenger"
 )
 
 // An owner that no longer knows of a run may start the task again. Without the
@@ -74,3 +75,18 @@
 		c.Assert(h.latestSnapshot().CPU, qt.Equals, int64(3000))
 	})
 }
+
+// The owner sends a stop once, so the agent must not lose one that it received
+// before the start was settled.
+func TestAStopOfAStartOfUnknownOutcomeIsCarriedOut(t *testing.T) {
+	inBubble(t, func(c *qt.C, h *harness) {
+		h.set(func() {
+			h.plan, h.startLost, h.listDelay = faker.PoolRunPlan{}, true, 900*time.Millisecond // longer than the call of the start
+		})
+		h.send(startCommand("j.0.0.0", 1))
+		h.send(messenger.Command{Stop: &messenger.RunStop{Task: "j.0.0.0", Attempt: 1}})
+		advancer.Sleep(5 * time.Second)
+		c.Assert(h.worker.Running(), qt.HasLen, 0)
+		c.Assert(h.ends(), qt.DeepEquals, []string{"j.0.0.0#1 stopped"})
+	})
+}
