supervisor: Carry out the stop of a start that was settled late

Callers would see a task of a canceled job, or one that is to leave a draining worker, run on until its worker leaves or the connection to the owner changes.

Cause: the stop of a run with a pending start is sent by startRun once the start has succeeded. A start without a reply is settled by a list reply instead, and reconcile did not look at stopRequested.

Fix: reconcile sends the stop of a run whose start has ended without a reply. While the start is pending, startRun still does.

TestAStopOfAStartOfUnknownOutcomeIsCarriedOut failed before with the run active after 5 s; it and the package pass now, 20 times with the race detector.

--- a/supervisor/list.go
+++ b/supervisor/list.go
@@ -128,6 +128,9 @@
 			s.markDirty()
 		}
 		if r.phase == messenger.PhaseStarting {
+			if r.stopRequested && r.unansweredFence != 0 { // startRun has returned
+				s.calls.Go(func() { s.stopRun(ctx, r) })
+			}
 			r.phase, r.confirmedAt, r.unansweredFence = messenger.PhaseRunning, reply.Clock, 0
 			s.markDirty()
 		}
