--- a/supervisor/owner.go
+++ b/supervisor/owner.go
@@ -19,9 +19,9 @@
 	snapshotInterval = 500 * time.Millisecond
 	// snapshotDelay is how long changes are collected before a snapshot is sent.
 	snapshotDelay = 5 * time.Millisecond
-	// ownerTimeout is how long the owner may acknowledge nothing, neither a
-	// connection nor a snapshot, before the owner is looked up again: two snapshot
-	// intervals and a slow reply.
+	// ownerTimeout is how long the owner may acknowledge nothing, or not answer a
+	// new connection, before the owner is looked up again: two snapshot intervals and
+	// a slow reply.
 	ownerTimeout = 1200 * time.Millisecond
 	// findOwnerDelay is the delay before the owner is looked up again.
 	findOwnerDelay = 150 * time.Millisecond
