coordinator: Show that an entry stays connected to an earlier owner

SetOwner closes the connection to the earlier owner, but there is none while the entry still dials it. If that owner is suspended and resumes, the dial succeeds after the takeover, and the entry serves the connection until the owner changes again, as the earlier owner still answers its pings.

Callers of that entry get no count of pending jobs (the earlier owner answers that it knows nothing), each state is read from the store, jobs in doubt are not reported to the other entries, and the entry does not claim ownership when the new owner is lost, as it takes the replies for those of the owner.

--- /dev/null
+++ b/coordinator/owner_client_test.go
@@ -0,0 +1,71 @@
+package coordinator
+
+import (
+	"context"
+	"net/http"
+	"net/netip"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"go.uber.org/zap"
+
+	"github.com/endivefall/endivefall/advancer"
+	"github.com/endivefall/endivefall/connector"
+	"github.com/endivefall/endivefall/elector"
+	"github.com/endivefall/endivefall/faker"
+	"github.com/endivefall/endivefall/messenger"
+)
+
+// startOwner starts an entry that answers queries once resumed is closed.
+func startOwner(network *faker.Network, owner elector.Member, resumed <-chan struct{}) *http.Server {
+	links := connector.New(connector.Config{
+		ID: owner.ID, Incarnation: owner.Incarnation, Now: time.Now, Log: zap.NewNop(), FillWelcome: func(*messenger.Welcome) {},
+		OnConnect: func(*connector.Link) {}, OnDisconnect: func(*connector.Link) {},
+		Handle: func(l *connector.Link, f messenger.Frame) {
+			if f.Kind == messenger.KindStateQuery {
+				_ = l.TrySend(messenger.Frame{Kind: messenger.KindStateReply, ID: f.ID, StateReply: &messenger.StateReply{State: owner.ID}})
+			}
+		},
+	})
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		<-resumed
+		links.ServeHTTP(w, r)
+	})}
+	listener := network.Listen(owner.ID, owner.PeerAddr)
+	go func() { _ = server.Serve(listener) }()
+	return server
+}
+
+// An owner may be suspended while an entry dials it, and answer only after another
+// entry has claimed ownership.
+func TestADialThatOutlastsATakeoverIsGivenUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		network := faker.NewNetwork()
+		suspended := elector.Member{ID: "suspended", Incarnation: "1", PeerAddr: netip.MustParseAddrPort("10.0.0.1:1")}
+		next := elector.Member{ID: "next", Incarnation: "1", PeerAddr: netip.MustParseAddrPort("10.0.0.2:1")}
+		resumed, ready := make(chan struct{}), make(chan struct{})
+		close(ready)
+		servers := []*http.Server{startOwner(network, suspended, resumed), startOwner(network, next, ready)}
+		client := newOwnerClient(ownerClientConfig{ID: "entry", Incarnation: "1", Client: network.Client("entry"), Now: time.Now, Log: zap.NewNop()})
+		ctx, cancel := context.WithCancel(context.Background())
+		client.SetOwner(suspended)
+		go client.Serve(ctx)
+		advancer.Sleep(500 * time.Millisecond)
+		client.SetOwner(next)
+		advancer.Sleep(100 * time.Millisecond)
+		close(resumed)
+		advancer.Sleep(3 * time.Second)
+		reply, err := client.Query(ctx, messenger.StateQuery{Job: "j"})
+		c.Check(err, qt.IsNil)
+		c.Check(reply.State, qt.Equals, next.ID)
+		cancel()
+		network.CloseConnections("entry")
+		for _, server := range servers {
+			_ = server.Close()
+		}
+		advancer.Sleep(time.Minute)
+	})
+}
