orchestrator: Show that the end of ownership waits for a policy query

Serve returns when its background work has ended, and a policy query has a context of its own that only its timeout of 10 s ends. The coordinator waits for Serve before it closes the connections of the agents and releases ownership. A slow or silent policy service thus delays each handover: at a shutdown beyond the 1.5 s of HandOver, so that ownership is not released at all and the next owner has to take it for lost.

The test fails: the owner has not ended 1 s after it was to stop.

--- a/orchestrator/orchestrator_test.go
+++ b/orchestrator/orchestrator_test.go
@@ -156,3 +156,33 @@
 	h.o.expireLease(a, h.now)
 	c.Assert(j.liveRuns, qt.HasLen, 0)
 }
+
+// Ownership is released once the owner has stopped, and no other entry schedules
+// before that.
+func TestAnOwnerEndsWhileAPolicyQueryIsUnanswered(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		h := newHarness(c, 1)
+		h.o.cfg.Now, h.o.cfg.OwnershipConfirmedAt = time.Now, time.Now
+		h.now = time.Now()
+		h.sendSnapshot("a0", &messenger.WorkerSnapshot{})
+		asked := make(chan struct{})
+		h.o.cfg.QueryPolicy = func(ctx context.Context, _ string, _ []string) ([]PolicyGrant, time.Duration, error) {
+			close(asked)
+			<-ctx.Done()
+			return nil, 0, ctx.Err()
+		}
+		h.submit(sequencer.Spec{Steps: []sequencer.Step{step(1, 1)}, PolicyRestricted: true})
+		ctx, cancel := context.WithCancel(context.Background())
+		go func() { _ = h.o.Serve(ctx) }()
+		<-asked
+		cancel()
+		advancer.Sleep(time.Second)
+		select {
+		case <-h.o.Done():
+		default:
+			c.Error("the owner waits for the policy service")
+		}
+		<-h.o.Done()
+	})
+}
