orchestrator: Show that agents without a worker are registered

The next owner can't reconcile such an agent and starts no task of an older job until its claim is 16 s old (6 s after a clean one), as the open registration may stand for any task.

The test fails: after 10 s without a worker the agent has a registration, whether it never had a worker or lost it.

--- a/orchestrator/agent_test.go
+++ b/orchestrator/agent_test.go
@@ -53,3 +53,18 @@
 	h.tickFor(2*time.Second, withoutWorker)
 	c.Assert(j.Task(0, 0, 0).LiveRuns, qt.Equals, 0)
 }
+
+// A later owner waits for each registered agent that is not reconciled, so an agent
+// without a worker held up all older jobs for 16 s after each takeover.
+func TestAnAgentWithoutAWorkerHasNoRegistration(t *testing.T) {
+	for name, id := range map[string]string{"never had one": "new", "lost it": "a0"} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			h := newHarness(c, 1)
+			h.o.Connect(&AgentLink{ID: id, Incarnation: "b2", TrySend: func(messenger.Frame) error { return nil }})
+			(<-h.o.actions)()
+			h.tickFor(10*time.Second, map[string]*messenger.WorkerSnapshot{id: {Term: 1}})
+			c.Assert(h.o.agents[id].keyVersion, qt.Equals, uint64(0))
+		})
+	}
+}
