orchestrator: Adopt the registration in the ledger after a conflict

After a takeover callers would see all older jobs wait for a lost agent whose registration should have been closed.

Cause: resolveConflict adopted the version of the key, but took the registration for closed without a write to come.

Fix: it adopts the state of the record as well.

--- a/orchestrator/write.go
+++ b/orchestrator/write.go
@@ -177,13 +177,16 @@
 	o.ackDurableEnds()
 }
 
-// resolveConflict adopts the versions in the ledger of the keys that were in
-// conflict, and queues the progress of the jobs again; the next snapshot of an agent
-// updates its registration. Only this owner writes these keys, so a conflict means
+// resolveConflict adopts the state in the ledger of the keys that were in conflict,
+// and queues the progress of the jobs again; the next snapshot or tick updates the
+// registration of an agent. Only this owner writes these keys, so a conflict means
 // that the reply to an earlier write was lost.
 func (o *Orchestrator) resolveConflict(b *batch, conflict *storer.ConflictError) {
 	for _, a := range slices.Concat(b.openedAgents, b.closedAgents, b.removedAgents) {
-		a.writing, a.mayRunAny, a.keyVersion = false, false, conflict.Item(agentPrefix+a.id).Version
+		a.writing, a.mayRunAny, a.keyVersion = false, false, 0
+		if item := conflict.Item(agentPrefix + a.id); item.Version != 0 {
+			o.loadRegistration(a, item.Version, item.Value)
+		}
 	}
 	for _, write := range b.jobs {
 		write.job.ProgressVersion = conflict.Item(ProgressKey(write.job.Spec.ID)).Version
