supervisor: Show that an adopted run keeps an unknown pace

The worker keeps the pace of a run when the process of its agent is replaced. The next process assumes 100%, so with no serving task beside the run the pacer sees nothing to change, and a run that was slowed stays slow to its end. At pace 0 the owner restarts it after 2.5 s without progress, but not the members of a gang.

The test fails: the worker still has the pace of 20% when the agent reports 100%.

--- a/supervisor/harness_test.go
+++ b/supervisor/harness_test.go
@@ -17,6 +17,7 @@
 	"github.com/endivefall/endivefall/advancer"
 	"github.com/endivefall/endivefall/faker"
 	"github.com/endivefall/endivefall/messenger"
+	"github.com/endivefall/endivefall/pacer"
 	"github.com/endivefall/endivefall/supervisor"
 )
 
@@ -51,6 +52,8 @@
 	// while the replies to starts are lost.
 	listDelay time.Duration
 	startLost bool
+	// paces has the paces that the agent has set, by task.
+	paces map[string]int
 }
 
 // ownerAddr is the address at which the fake owner listens.
@@ -78,7 +81,7 @@
 }
 
 func newHarness(c *qt.C) *harness {
-	h := &harness{c: c, worker: faker.NewPoolWorker(), acking: true, owner: ownerAddr, term: 1}
+	h := &harness{c: c, worker: faker.NewPoolWorker(), acking: true, owner: ownerAddr, term: 1, paces: map[string]int{}}
 	h.worker.CPU, h.worker.Memory = 4000, 8000
 	h.plan = faker.PoolRunPlan{Duration: time.Second}
 	h.worker.Plan = func(string, uint64) faker.PoolRunPlan {
@@ -137,6 +140,10 @@
 		}
 		return clock, err
 	}
+	client.SetPace = func(_ context.Context, ref supervisor.RunRef, percent int) error {
+		h.set(func() { h.paces[ref.Task] = percent })
+		return nil
+	}
 	h.sup = supervisor.New(supervisor.Config{
 		ID: "agent", Incarnation: incarnation, Worker: client, LeaseDuration: leaseDuration, Now: time.Now, Log: zap.NewNop(),
 		FindOwner: func(context.Context) (netip.AddrPort, uint64, error) {
@@ -144,7 +151,7 @@
 			defer h.mu.Unlock()
 			return h.owner, h.term, nil
 		},
-		Client: h.network.Client("agent"),
+		Client: h.network.Client("agent"), Pacer: pacer.New(),
 	})
 	ctx, stop := context.WithCancel(context.Background())
 	done := make(chan struct{})
--- a/supervisor/reconcile_test.go
+++ b/supervisor/reconcile_test.go
@@ -90,3 +90,23 @@
 		c.Assert(h.ends(), qt.DeepEquals, []string{"j.0.0.0#1 stopped"})
 	})
 }
+
+// The worker keeps the pace that an earlier process of the agent has set, which the
+// next one does not know.
+func TestABestEffortRunOfAnEarlierAgentProcessIsNotLeftSlow(t *testing.T) {
+	inBubble(t, func(c *qt.C, h *harness) {
+		h.set(func() { h.plan = faker.PoolRunPlan{} })
+		h.send(startCommand("j.0.0.0", 1))
+		h.stop()
+		<-h.done
+		h.set(func() { h.paces["j.0.0.0"] = 20 })
+		h.startAgent("b2")
+		c.Assert(h.latestSnapshot().Runs[0].SpecUnknown, qt.IsTrue)
+		known := startCommand("j.0.0.0", 1)
+		known.Start.AlreadyRunning, known.Start.Spec.BestEffort = true, true
+		h.send(known)
+		advancer.Sleep(time.Second)
+		c.Assert(h.latestSnapshot().Runs[0].PacePercent, qt.Equals, 100)
+		h.set(func() { c.Assert(h.paces["j.0.0.0"], qt.Equals, 100) })
+	})
+}
