supervisor: Reset the pace of an adopted best-effort run

Callers would see a best-effort task run at a fraction of its pace to its end, with nothing beside it, after the process of its agent was replaced.

Cause: the worker keeps the pace, which its list does not show, and the next process of the agent assumes 100%.

Fix: once the owner has sent the spec of such a run, its pace is set to what the agent assumes. The pacer then decides from a known pace. A run without a spec is left as it is, as it may be slowed for a serving task.

TestABestEffortRunOfAnEarlierAgentProcessIsNotLeftSlow failed before with a pace of 20%; it and the package pass now, 10 times with the race detector.

--- a/supervisor/commands.go
+++ b/supervisor/commands.go
@@ -34,6 +34,10 @@
 	if r := s.runs[key]; r != nil {
 		if r.specUnknown {
 			r.spec, r.specUnknown = cmd.Spec, false
+			if s.cfg.Pacer != nil && r.spec.BestEffort && !r.pacePending {
+				r.pacedSince, r.pacePending = s.cfg.Now(), true // an earlier process may have set another pace
+				s.calls.Go(func() { s.sendPace(ctx, r) })
+			}
 			s.markDirty()
 		}
 		return
