elector: Show that claims stay unclean after a lost owner

A claim is clean while every earlier owner had surely stopped. A lost owner may act until its confirmations expire, 10 s after the claim that replaces it, but each later claim is recorded as unclean for good, also one after a release. Its owner waits 16 s, not 6 s, for agents that it can't reach, and all older jobs with it where their registrations are open.

The test fails: the claim after a release, a minute after the loss, does not say that the predecessors have stopped.

--- a/elector/claim_test.go
+++ b/elector/claim_test.go
@@ -79,3 +79,21 @@
 	c.Assert(record.Owner, qt.Equals, otherMember)
 	c.Assert(version, qt.Equals, uint64(9))
 }
+
+// Each takeover waited for confirmations of an owner that was lost long ago.
+func TestALostOwnerCountsAsStoppedOnceItsConfirmationsHaveExpired(t *testing.T) {
+	withCluster(t, 2, func(c *qt.C, cl *cluster) {
+		cl.kill(cl.owner())
+		advancer.Sleep(10 * time.Second)
+		second := cl.owner()
+		record, _ := cl.nodes[second].Owner()
+		c.Assert(record.PredecessorsStopped, qt.IsFalse)
+		cl.start("entry-2", "1")
+		advancer.Sleep(time.Minute)
+		cl.nodes[second].Release(context.Background(), "test")
+		advancer.Sleep(3 * time.Second)
+		c.Assert(cl.owner(), qt.Equals, "entry-2")
+		record, _ = cl.nodes["entry-2"].Owner()
+		c.Check(record.PredecessorsStopped, qt.IsTrue)
+	})
+}
