--- a/orchestrator/agent.go
+++ b/orchestrator/agent.go
@@ -267,10 +267,11 @@
 	return r
 }
 
-// expireLease ends the runs of an unreachable agent once its lease has certainly
-// expired.
+// expireLease ends the runs of an agent once its lease has certainly expired, unless
+// the agent reports their ends itself.
 func (o *Orchestrator) expireLease(a *agent, now time.Time) {
-	if a.link != nil && a.reconciled && now.Sub(a.lastSnapshotAt) < isolationTimeout || now.Before(a.leaseExpiresAt) || !o.loaded {
+	reporting := a.link != nil && a.snapshot != nil && a.snapshot.Reconciled && now.Sub(a.lastSnapshotAt) < isolationTimeout
+	if reporting || now.Before(a.leaseExpiresAt) || !o.loaded {
 		return
 	}
 	for _, r := range o.runsOf(a) {
@@ -282,7 +283,11 @@
 		o.cfg.Log.Info("lease of an unreachable agent expired", zap.String("agent", a.id), zap.Time("vouched", a.leaseExpiresAt))
 	}
 	a.reconciled = false
-	if a.link == nil && a.keyVersion != 0 && now.After(a.leaseExpiresAt.Add(registrationRemovalDelay)) {
+	switch {
+	case a.link != nil || a.writing || a.openPending:
+	case a.keyVersion == 0: // nothing is left of it
+		delete(o.agents, a.id)
+	case now.After(a.leaseExpiresAt.Add(registrationRemovalDelay)):
 		a.removalPending = true
 	}
 }
--- a/supervisor/harness_test.go
+++ b/supervisor/harness_test.go
@@ -17,6 +17,7 @@
 	"github.com/endivefall/endivefall/advancer"
 	"github.com/endivefall/endivefall/faker"
 	"github.com/endivefall/endivefall/messenger"
+	"github.com/endivefall/endivefall/pacer"
 	"github.com/endivefall/endivefall/supervisor"
 )
 
@@ -41,12 +42,18 @@
 	acking   bool
 	ackedEnd uint64
 	conn     *messenger.Conn
-	term     uint64
-	seq      uint64
-	fault    func(call string) faker.PoolFault
-	plan     faker.PoolRunPlan
-	// listDelay is the transit time of a list reply to the agent.
+	// owner and term are what the agent finds as the owner's address and term.
+	owner netip.AddrPort
+	term  uint64
+	seq   uint64
+	fault func(call string) faker.PoolFault
+	plan  faker.PoolRunPlan
+	// listDelay is the transit time of a list reply to the agent; startLost is set
+	// while the replies to starts are lost.
 	listDelay time.Duration
+	startLost bool
+	// paces has the paces that the agent has set, by task.
+	paces map[string]int
 }
 
 // ownerAddr is the address at which the fake owner listens.
@@ -74,7 +81,7 @@
 }
 
 func newHarness(c *qt.C) *harness {
-	h := &harness{c: c, worker: faker.NewPoolWorker(), acking: true, term: 1}
+	h := &harness{c: c, worker: faker.NewPoolWorker(), acking: true, owner: ownerAddr, term: 1, paces: map[string]int{}}
 	h.worker.CPU, h.worker.Memory = 4000, 8000
 	h.plan = faker.PoolRunPlan{Duration: time.Second}
 	h.worker.Plan = func(string, uint64) faker.PoolRunPlan {
@@ -121,14 +128,30 @@
 		advancer.Sleep(delay)
 		return reply, err
 	}
+	startAtWorker := client.Start
+	client.Start = func(ctx context.Context, req supervisor.StartRequest) (time.Time, error) {
+		clock, err := startAtWorker(ctx, req)
+		h.mu.Lock()
+		lost := h.startLost
+		h.mu.Unlock()
+		if lost {
+			<-ctx.Done()
+			return time.Time{}, supervisor.ErrUnknownOutcome
+		}
+		return clock, err
+	}
+	client.SetPace = func(_ context.Context, ref supervisor.RunRef, percent int) error {
+		h.set(func() { h.paces[ref.Task] = percent })
+		return nil
+	}
 	h.sup = supervisor.New(supervisor.Config{
 		ID: "agent", Incarnation: incarnation, Worker: client, LeaseDuration: leaseDuration, Now: time.Now, Log: zap.NewNop(),
 		FindOwner: func(context.Context) (netip.AddrPort, uint64, error) {
 			h.mu.Lock()
 			defer h.mu.Unlock()
-			return ownerAddr, h.term, nil
+			return h.owner, h.term, nil
 		},
-		Client: h.network.Client("agent"),
+		Client: h.network.Client("agent"), Pacer: pacer.New(),
 	})
 	ctx, stop := context.WithCancel(context.Background())
 	done := make(chan struct{})
--- a/supervisor/reconcile_test.go
+++ b/supervisor/reconcile_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/endivefall/endivefall/advancer"
 	"github.com/endivefall/endivefall/faker"
+	"github.com/endivefall/endivefall/messenger"
 )
 
 // An owner that no longer knows of a run may start the task again. Without the
@@ -74,3 +75,38 @@
 		c.Assert(h.latestSnapshot().CPU, qt.Equals, int64(3000))
 	})
 }
+
+// The owner sends a stop once, so the agent must not lose one that it received
+// before the start was settled.
+func TestAStopOfAStartOfUnknownOutcomeIsCarriedOut(t *testing.T) {
+	inBubble(t, func(c *qt.C, h *harness) {
+		h.set(func() {
+			h.plan, h.startLost, h.listDelay = faker.PoolRunPlan{}, true, 900*time.Millisecond // longer than the call of the start
+		})
+		h.send(startCommand("j.0.0.0", 1))
+		h.send(messenger.Command{Stop: &messenger.RunStop{Task: "j.0.0.0", Attempt: 1}})
+		advancer.Sleep(5 * time.Second)
+		c.Assert(h.worker.Running(), qt.HasLen, 0)
+		c.Assert(h.ends(), qt.DeepEquals, []string{"j.0.0.0#1 stopped"})
+	})
+}
+
+// The worker keeps the pace that an earlier process of the agent has set, which the
+// next one does not know.
+func TestABestEffortRunOfAnEarlierAgentProcessIsNotLeftSlow(t *testing.T) {
+	inBubble(t, func(c *qt.C, h *harness) {
+		h.set(func() { h.plan = faker.PoolRunPlan{} })
+		h.send(startCommand("j.0.0.0", 1))
+		h.stop()
+		<-h.done
+		h.set(func() { h.paces["j.0.0.0"] = 20 })
+		h.startAgent("b2")
+		c.Assert(h.latestSnapshot().Runs[0].SpecUnknown, qt.IsTrue)
+		known := startCommand("j.0.0.0", 1)
+		known.Start.AlreadyRunning, known.Start.Spec.BestEffort = true, true
+		h.send(known)
+		advancer.Sleep(time.Second)
+		c.Assert(h.latestSnapshot().Runs[0].PacePercent, qt.Equals, 100)
+		h.set(func() { c.Assert(h.paces["j.0.0.0"], qt.Equals, 100) })
+	})
+}
