coordinator: Connect an earlier owner to the next one

Callers of an entry that has lost ownership would get no state of jobs that only the owner knows until the membership changes again. Cause: waitForOwnershipEnd takes the notice of the new record, and ownershipLoop then waits for another one before it sets the owner to connect to. The loop is now woken when an ownership has ended.

--- a/coordinator/ownership.go
+++ b/coordinator/ownership.go
@@ -24,6 +24,7 @@
 		for c.elector.IsOwner() && ctx.Err() == nil {
 			record, epoch = c.elector.Owner()
 			c.serveOwnership(ctx, record, epoch)
+			c.wakeOwnershipLoop() // it has consumed the notices of newer records
 			c.mu.Lock()
 			shuttingDown := c.shuttingDown
 			c.mu.Unlock()
