coordinator: Drop a connection to an owner that changed during the dial

Callers of such an entry would get no count of pending jobs, and jobs in doubt would not be reported to the other entries. Cause: SetOwner closes an established connection only. If the earlier owner was frozen while the entry dialed it and resumed after another one had claimed, the entry stayed connected to it, as it still answers pings. The entry now compares the owner before it uses the connection.

--- a/coordinator/owner_client.go
+++ b/coordinator/owner_client.go
@@ -130,8 +130,15 @@
 		}
 	}})
 	c.mu.Lock()
-	c.conn = conn
+	current := c.owner == owner
+	if current {
+		c.conn = conn
+	}
 	c.mu.Unlock()
+	if !current {
+		_ = ws.CloseNow()
+		return errNotConnected // the owner has changed during the dial
+	}
 	var wg sync.WaitGroup
 	wg.Go(func() { c.pingLoop(ctx, conn) })
 	err = conn.Run(ctx)
