--- a/orchestrator/policy.go
+++ b/orchestrator/policy.go
@@ -90,6 +90,13 @@
 	o.background.Go(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), policyQueryTimeout)
 		defer cancel()
+		go func() {
+			select {
+			case <-o.stopped:
+				cancel() // Serve waits for this query
+			case <-ctx.Done():
+			}
+		}()
 		grants, validity, err := o.cfg.QueryPolicy(ctx, name, incarnations)
 		o.enqueue(func() {
 			policy.querying = false
