orchestrator: Register only agents that have a worker

Callers would see all older jobs wait for 16 s after a take-over. The next owner can't reconcile such an agent and holds every older task for its open registration.

An agent is now registered once its worker is reconciled, and unregistered 2 s after its lease has expired, connected or not.

--- a/orchestrator/agent.go
+++ b/orchestrator/agent.go
@@ -137,10 +137,17 @@
 		o.applySnapshot(a, snapshot)
 		o.updateRegistration(a, snapshot)
 	}
+	o.ackSnapshot(a)
+}
+
+// ackSnapshot acknowledges the last snapshot of an agent and renews its lease if it
+// may.
+func (o *Orchestrator) ackSnapshot(a *agent) {
+	snapshot := a.snapshot
 	ack := &messenger.SnapshotAck{Term: o.cfg.Term, AckedEnd: a.durableEnd}
 	if o.mayRenew(a) && snapshot.Reconciled {
 		ack.EchoSentAt, ack.WorkerIncarnation = snapshot.SentAt, snapshot.WorkerIncarnation
-		if expiresAt := now.Add(o.maxLeaseElapsed()); snapshot.Term == o.cfg.Term {
+		if expiresAt := o.cfg.Now().Add(o.maxLeaseElapsed()); snapshot.Term == o.cfg.Term {
 			a.leaseExpiresAt = expiresAt // no earlier owner can renew it any more
 		} else {
 			a.leaseExpiresAt = later(a.leaseExpiresAt, expiresAt)
@@ -284,9 +291,11 @@
 	}
 	a.reconciled = false
 	switch {
-	case a.link != nil || a.writing || a.openPending:
-	case a.keyVersion == 0: // nothing is left of it
-		delete(o.agents, a.id)
+	case a.writing || a.openPending:
+	case a.keyVersion == 0:
+		if a.link == nil { // nothing is left of it
+			delete(o.agents, a.id)
+		}
 	case now.After(a.leaseExpiresAt.Add(registrationRemovalDelay)):
 		a.removalPending = true
 	}
--- a/orchestrator/registration.go
+++ b/orchestrator/registration.go
@@ -62,7 +62,7 @@
 	return o.cfg.PreviousOwnerTTL
 }
 
-// updateRegistration opens the registration of a connected agent. A draining worker
+// updateRegistration opens the registration of a connected agent with a worker. A draining worker
 // accepts no starts, so its registration lists its tasks; it is removed once
 // nothing is left there, so that no later owner waits for it.
 func (o *Orchestrator) updateRegistration(a *agent, snapshot *messenger.WorkerSnapshot) {
@@ -74,6 +74,7 @@
 	case draining:
 		a.closePending = a.closePending || a.mayRunAny
 		a.mayRunAny = false
+	case !snapshot.Reconciled: // it may run nothing; expireLease removes its registration
 	case a.closePending: // the closed registration is not written yet
 		a.closePending, a.mayRunAny = false, true
 	default:
--- a/orchestrator/write.go
+++ b/orchestrator/write.go
@@ -146,6 +146,9 @@
 		a.keyVersion, a.writing, a.mayRunAny = version, false, true
 		o.planDue = true
 		o.cfg.Log.Info("agent registered", zap.String("agent", a.id))
+		if a.snapshot != nil {
+			o.ackSnapshot(a) // it starts nothing without a lease
+		}
 	}
 	for _, a := range b.closedAgents {
 		a.keyVersion, a.writing = version, false
