elector: Count a lost owner as stopped once its confirmations have expired

Cause: whether every earlier owner has stopped was decided at the claim and inherited by all later ones.

An owner that releases ownership later than the confirmation TTL after its claim now records that its predecessors have stopped. The time of the claim is when the entry learned of it, also if the reply was lost. ConfirmationTTL moves to elector.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -28,10 +28,6 @@
 
 // Timeouts and limits of an entry.
 const (
-	// confirmationTTL is how long a confirmation of ownership is valid. It outlasts
-	// the store outage of nine seconds that most fault scenarios contain, so that
-	// such an outage does not stop the work.
-	confirmationTTL = 10 * time.Second
 	// MaxRunLease bounds how long runs continue without the owner. It outlasts a
 	// network partition of 5.5 s and is short enough that lost tasks are restarted
 	// in time.
--- a/coordinator/ownership.go
+++ b/coordinator/ownership.go
@@ -39,13 +39,13 @@
 func (c *Coordinator) serveOwnership(parent context.Context, record elector.OwnerRecord, epoch uint64) {
 	ctx, cancel := context.WithCancel(parent)
 	defer cancel()
-	previousOwnerTTL := confirmationTTL
+	previousOwnerTTL := elector.ConfirmationTTL
 	if record.PredecessorsStopped {
 		previousOwnerTTL = 0
 	}
 	o := orchestrator.New(orchestrator.Config{
 		Term: record.Term, Epoch: epoch, OwnerKey: elector.OwnerKey, Store: c.relayer.Store(), Now: c.cfg.Now, WallClock: c.cfg.WallClock,
-		LeaseDuration: RunLease(c.cfg.MaxWorkerLease), ConfirmationTTL: confirmationTTL, PreviousOwnerTTL: previousOwnerTTL, JobRetention: c.cfg.JobRetention,
+		LeaseDuration: RunLease(c.cfg.MaxWorkerLease), ConfirmationTTL: elector.ConfirmationTTL, PreviousOwnerTTL: previousOwnerTTL, JobRetention: c.cfg.JobRetention,
 		QueryPolicy: c.cfg.QueryPolicy, OwnershipConfirmedAt: c.elector.OwnershipConfirmedAt, ConfirmOwnership: c.elector.ConfirmOwnership,
 		HasStandby: func() bool { return len(c.elector.Members()) > 0 },
 		Log:        c.cfg.Log, Count: c.cfg.Count, ObserveDuration: c.cfg.ObserveDuration,
--- a/elector/claim.go
+++ b/elector/claim.go
@@ -139,9 +139,6 @@
 	if !e.adoptRecord(next, newVersion) {
 		return fmt.Errorf("%w: a newer claim exists", storer.ErrConflict)
 	}
-	e.mu.Lock()
-	e.claimedAt = sent
-	e.mu.Unlock()
 	e.ConfirmOwnership(sent)
 	e.cfg.Log.Info("ownership claimed", zap.Uint64("term", next.Term), zap.Uint64("version", newVersion), zap.String("why", reason), zap.Bool("clean", next.PredecessorsStopped), zap.String("before", record.Owner.ID))
 	e.cfg.OnChange(next, e.Members())
@@ -170,7 +167,10 @@
 func (e *Elector) Release(ctx context.Context, reason string) {
 	e.mu.Lock()
 	record, version, isOwner := e.record, e.version, e.isOwnerLocked()
-	e.cooldownUntil = e.cfg.Now().Add(releaseCooldown)
+	now := e.cfg.Now()
+	e.cooldownUntil = now.Add(releaseCooldown)
+	// Earlier owners have no confirmation that is younger than this claim.
+	record.PredecessorsStopped = record.PredecessorsStopped || !now.Before(e.claimedAt.Add(ConfirmationTTL))
 	e.mu.Unlock()
 	if !isOwner {
 		return
@@ -194,7 +194,7 @@
 	if version < e.version {
 		return false
 	}
-	e.record, e.version, e.claimableSince = r, version, time.Time{}
+	e.setRecordLocked(r, version)
 	return true
 }
 
--- a/elector/elector.go
+++ b/elector/elector.go
@@ -45,6 +45,10 @@
 	releaseCooldown = 6 * time.Second
 	// retryDelay is the delay after a failed call to the store.
 	retryDelay = 200 * time.Millisecond
+	// ConfirmationTTL is how long a confirmation of ownership is valid. It outlasts
+	// the store outage of nine seconds that most fault scenarios contain, so that
+	// such an outage does not stop the work.
+	ConfirmationTTL = 10 * time.Second
 	// confirmInterval is how often the owner confirms its ownership in the store.
 	confirmInterval = 500 * time.Millisecond
 )
@@ -76,7 +80,8 @@
 	// confirmedAt is the send time of the newest call to the store that confirmed
 	// this entry as the owner.
 	confirmedAt time.Time
-	// claimedAt is the local time at which the newest claim of this entry was sent.
+	// claimedAt is the local time at which this entry learned that its newest claim
+	// took effect.
 	claimedAt time.Time
 	// cooldownUntil is the time before which this entry does not claim ownership
 	// while another entry is alive.
@@ -114,7 +119,8 @@
 	return e.confirmedAt
 }
 
-// ClaimedAt returns the local time at which the newest claim of this entry was sent.
+// ClaimedAt returns the local time at which this entry learned that its newest claim
+// took effect.
 func (e *Elector) ClaimedAt() time.Time {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -285,5 +291,14 @@
 	if r.Owner != e.record.Owner || r.Released != e.record.Released {
 		e.cfg.Log.Info("owner changed", zap.String("owner", r.Owner.ID), zap.Uint64("term", r.Term), zap.Bool("released", r.Released), zap.Uint64("version", item.Version))
 	}
-	e.record, e.version, e.claimableSince = r, item.Version, time.Time{}
+	e.setRecordLocked(r, item.Version)
+}
+
+// setRecordLocked stores a record of the owner key, which this process has read or
+// written; mu is held.
+func (e *Elector) setRecordLocked(r OwnerRecord, version uint64) {
+	if r.Owner == e.cfg.Self && r.Term != e.record.Term {
+		e.claimedAt = e.cfg.Now()
+	}
+	e.record, e.version, e.claimableSince = r, version, time.Time{}
 }
--- a/elector/record.go
+++ b/elector/record.go
@@ -26,7 +26,8 @@
 	// ownership.
 	Released bool `cbor:"3,keyasint,omitempty"`
 	// PredecessorsStopped is set if every earlier owner is known to have stopped before
-	// the next one claimed: it had released ownership, or its process had ended.
+	// the next one claimed: it had released ownership, its process had ended, or its
+	// confirmations had expired when a later owner released.
 	// Otherwise an earlier owner may still send commands until its confirmation of
 	// ownership expires.
 	PredecessorsStopped bool `cbor:"4,keyasint,omitempty"`
