--- a/orchestrator/registration_test.go
+++ b/orchestrator/registration_test.go
@@ -262,3 +262,17 @@
 	c.Assert(b.transaction.Deletes, qt.HasLen, 0)
 	c.Assert(a.mayRunAny, qt.IsTrue)
 }
+
+// The store is away for nine seconds. The runs of a draining agent that is connected
+// to the owner all the while lapsed.
+func TestRunsOfADrainingAgentOutliveAStoreOutage(t *testing.T) {
+	c := qt.New(t)
+	h, j, a := newBusyHarness(c)
+	confirmed := h.now
+	h.o.cfg.OwnershipConfirmedAt = func() time.Time { return confirmed }
+	for end := h.now.Add(9 * time.Second); h.now.Before(end); h.now = h.now.Add(500 * time.Millisecond) {
+		h.sendSnapshot("a0", &messenger.WorkerSnapshot{Draining: true, SentAt: h.now, Runs: h.runStatuses("a0", messenger.PhaseRunning, 10)})
+		h.commitBatch(50)
+	}
+	c.Assert(a.leaseExpiresAt.After(h.now), qt.IsTrue, qt.Commentf("lease ended %v before the end of the outage; live runs %d", h.now.Sub(a.leaseExpiresAt), j.Task(0, 0, 0).LiveRuns))
+}
