--- a/orchestrator/write_test.go
+++ b/orchestrator/write_test.go
@@ -63,3 +63,19 @@
 	c.Assert(confirmedAt.After(claimedAt), qt.IsFalse)
 	c.Assert(h.o.stopReason, qt.ErrorIs, ErrOwnershipLost)
 }
+
+// An agent returned after its lease, before its registration was closed: tasks were
+// started there, and then its registration was removed.
+func TestAnAgentThatReturnsAfterItsLeaseKeepsItsRegistration(t *testing.T) {
+	c := qt.New(t)
+	h, j, a := newBusyHarness(c)
+	link := a.link
+	h.disconnect(a, 2*registrationCloseDelay)
+	h.now = a.leaseExpiresAt.Add(registrationRemovalDelay + tickInterval)
+	h.o.expireLease(a, h.now)
+	a.link = link
+	h.reportRunning("a0", 0)
+	h.o.place()
+	c.Assert(j.Task(0, 0, 0).LiveRuns, qt.Equals, 1)
+	c.Assert(h.o.nextBatch().removedAgents, qt.HasLen, 0)
+}
