--- a/coordinator/owner_client_test.go
+++ b/coordinator/owner_client_test.go
@@ -69,3 +69,34 @@
 		advancer.Sleep(time.Minute)
 	})
 }
+
+// An owner that stays suspended never answers the dial. The entry reaches the next
+// owner once 1.2 s have passed.
+func TestAnUnansweredDialDelaysTheNextOwner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		network := faker.NewNetwork()
+		suspended := elector.Member{ID: "suspended", Incarnation: "1", PeerAddr: netip.MustParseAddrPort("10.0.0.1:1")}
+		next := elector.Member{ID: "next", Incarnation: "1", PeerAddr: netip.MustParseAddrPort("10.0.0.2:1")}
+		resumed, ready := make(chan struct{}), make(chan struct{})
+		close(ready)
+		servers := []*http.Server{startOwner(network, suspended, resumed), startOwner(network, next, ready)}
+		client := newOwnerClient(ownerClientConfig{ID: "entry", Incarnation: "1", Client: network.Client("entry"), Now: time.Now, Log: zap.NewNop()})
+		ctx, cancel := context.WithCancel(context.Background())
+		client.SetOwner(suspended)
+		go client.Serve(ctx)
+		advancer.Sleep(100 * time.Millisecond)
+		client.SetOwner(next)
+		advancer.Sleep(1500 * time.Millisecond)
+		reply, err := client.Query(ctx, messenger.StateQuery{Job: "j"})
+		c.Check(err, qt.IsNil)
+		c.Check(reply.State, qt.Equals, next.ID)
+		cancel()
+		close(resumed)
+		network.CloseConnections("entry")
+		for _, server := range servers {
+			_ = server.Close()
+		}
+		advancer.Sleep(time.Minute)
+	})
+}
