supervisor, platform: End an agent only once an owner knows its runs

Callers would see all older tasks wait for 16 s after a take-over. Cause: an agent that got SIGTERM while the owner was frozen ended at once. Its registration was open, no later owner could reach it, and each held every older task until the confirmation TTL and the lease were over.

TestAnAgentDoesNotLeaveAnOwnerThatDoesNotAnswer covers the new wait, which did not exist before.

--- a/supervisor/owner.go
+++ b/supervisor/owner.go
@@ -117,6 +117,10 @@
 	blockedBy := s.blockedReason()
 	if expiresAt := ack.EchoSentAt.Add(s.cfg.LeaseDuration); ack.WorkerIncarnation == s.heartbeat.Incarnation && expiresAt.After(s.leaseExpiresAt) {
 		s.leaseExpiresAt = expiresAt
+		select {
+		case s.renewed <- struct{}{}:
+		default:
+		}
 	}
 	if blockedBy == "no lease" && s.blockedReason() == "" {
 		s.markDirty()
--- a/supervisor/owner_test.go
+++ b/supervisor/owner_test.go
@@ -1,6 +1,7 @@
 package supervisor_test
 
 import (
+	"context"
 	"net/http"
 	"net/netip"
 	"testing"
@@ -10,6 +11,7 @@
 
 	"github.com/endivefall/endivefall/advancer"
 	"github.com/endivefall/endivefall/faker"
+	"github.com/endivefall/endivefall/supervisor"
 )
 
 // An owner that is suspended accepts connections but answers nothing. The agent must
@@ -33,3 +35,37 @@
 		c.Assert(h.worker.Running(), qt.HasLen, 1)
 	})
 }
+
+// Only an owner that knows the runs of an agent that leaves can start their tasks
+// again without waiting for all agents that it can't reach.
+func TestAnAgentDoesNotLeaveAnOwnerThatDoesNotAnswer(t *testing.T) {
+	for name, acking := range map[string]bool{"answers": true, "does not answer": false} {
+		t.Run(name, func(t *testing.T) {
+			inBubble(t, func(c *qt.C, h *harness) {
+				h.set(func() { h.plan = faker.PoolRunPlan{} })
+				h.send(startCommand("j.0.0.0", 1))
+				h.set(func() { h.acking = acking })
+				left := make(chan struct{})
+				go func() {
+					defer close(left)
+					h.sup.AwaitOwner(context.Background())
+				}()
+				advancer.Sleep(supervisor.LeaveTimeout / 2)
+				c.Check(isClosed(left), qt.Equals, acking)
+				h.set(func() { h.acking, h.term = true, 2 })
+				advancer.Sleep(supervisor.LeaveTimeout / 2)
+				c.Check(isClosed(left), qt.IsTrue)
+				c.Check(h.latestSnapshot().Runs, qt.HasLen, 1)
+			})
+		})
+	}
+}
+
+func isClosed(ch <-chan struct{}) bool {
+	select {
+	case <-ch:
+		return true
+	default:
+		return false
+	}
+}
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -68,6 +68,8 @@
 	cfg Config
 	// dirty holds a token while there are changes that no snapshot has carried.
 	dirty chan struct{}
+	// renewed holds a token while AwaitOwner has not seen the latest lease renewal.
+	renewed chan struct{}
 	// listNow holds a token while the next list request must not wait for an end.
 	listNow chan struct{}
 
@@ -120,7 +122,7 @@
 		cfg.OnPeers = func([]netip.AddrPort) {}
 	}
 	return &Supervisor{
-		cfg: cfg, dirty: make(chan struct{}, 1), listNow: make(chan struct{}, 1), runs: map[runKey]*run{},
+		cfg: cfg, dirty: make(chan struct{}, 1), renewed: make(chan struct{}, 1), listNow: make(chan struct{}, 1), runs: map[runKey]*run{},
 	}
 }
 
