orchestrator: Close no registration in an outage of the store

An agent that was disconnected for 0.25 s in the outage had its registration closed in memory, with a write that could not end before the store was back. It got no lease meanwhile, as a lease under a closed registration needs a recent confirmation.

A registration is now closed only while ownership is confirmed.

TestAnAgentThatReturnsInAnOutageKeepsItsLease failed before (a write in flight).

--- a/orchestrator/orchestrator.go
+++ b/orchestrator/orchestrator.go
@@ -276,8 +276,11 @@
 
 // ownershipCurrent reports whether the last confirmation of ownership is recent
 // enough for this process to send commands.
-func (o *Orchestrator) ownershipCurrent() bool {
-	return o.cfg.Now().Sub(o.cfg.OwnershipConfirmedAt()) < o.cfg.ConfirmationTTL
+func (o *Orchestrator) ownershipCurrent() bool { return o.confirmedWithin(o.cfg.ConfirmationTTL) }
+
+// confirmedWithin reports whether ownership was confirmed less than ttl ago.
+func (o *Orchestrator) confirmedWithin(ttl time.Duration) bool {
+	return o.cfg.Now().Sub(o.cfg.OwnershipConfirmedAt()) < ttl
 }
 
 // mayRenew reports whether the lease of an agent may be renewed.
@@ -286,7 +289,7 @@
 	if !a.mayRunAny {
 		ttl = min(ttl, closedConfirmationTTL)
 	}
-	return a.keyVersion != 0 && o.cfg.Now().Sub(o.cfg.OwnershipConfirmedAt()) < ttl
+	return a.keyVersion != 0 && o.confirmedWithin(ttl)
 }
 
 // tick checks deadlines.
--- a/orchestrator/registration.go
+++ b/orchestrator/registration.go
@@ -87,11 +87,12 @@
 func (a *agent) idle() bool { return len(a.runs) == 0 && len(a.pendingEnds) == 0 }
 
 // closeRegistration closes the registration of an unreachable agent, or removes it
-// if the agent is idle.
+// if the agent is idle. It waits for the end of an outage of the store: the write would
+// fail, and an agent that returns meanwhile gets no lease under a closed registration.
 func (o *Orchestrator) closeRegistration(a *agent, now time.Time) {
 	silence := now.Sub(a.lastSnapshotAt)
 	unreachable := a.link == nil && silence > registrationCloseDelay || silence > isolationTimeout/2
-	if !unreachable || !a.mayRunAny || a.writing || a.openPending || !a.reconciled || a.hasUnknownRuns || !o.loaded {
+	if !unreachable || !o.confirmedWithin(closedConfirmationTTL) || !a.mayRunAny || a.writing || a.openPending || !a.reconciled || a.hasUnknownRuns || !o.loaded {
 		return
 	}
 	a.mayRunAny = false // no start is sent there until its registration is open again
--- a/orchestrator/registration_test.go
+++ b/orchestrator/registration_test.go
@@ -262,3 +262,21 @@
 	c.Assert(b.transaction.Deletes, qt.HasLen, 0)
 	c.Assert(a.mayRunAny, qt.IsTrue)
 }
+
+// In an outage of the store a registration can't be written, and its runs would lapse
+// if it were closed in memory.
+func TestAnAgentThatReturnsInAnOutageKeepsItsLease(t *testing.T) {
+	c := qt.New(t)
+	h, _, a := newBusyHarness(c)
+	confirmed := h.now
+	h.o.cfg.OwnershipConfirmedAt = func() time.Time { return confirmed }
+	link := a.link
+	h.now = h.now.Add(closedConfirmationTTL)
+	h.disconnect(a, 2*registrationCloseDelay)
+	b := h.o.nextBatch() // in flight during the outage
+	c.Assert(b.keyCount(), qt.Equals, 0)
+	a.link = link
+	before := a.leaseExpiresAt
+	h.reportRunning("a0", 10)
+	c.Assert(a.leaseExpiresAt.After(before), qt.IsTrue)
+}
