orchestrator: Confirm ownership by a repeated write only while it holds

Found by the review; callers would see a task run twice if an agent stayed connected to an owner that had been replaced. Cause: a write whose reply was lost is repeated, and a conflict that shows its own values counts as success, and so as a confirmation of ownership, also if another owner had claimed in between. The time until which an earlier owner may act, on which every take-over relies, rests on confirmations being older than the next claim. Such a repeat is now a success only if the conflict shows the epoch of this owner, and otherwise ends the ownership.

TestARepeatedWriteAfterAnotherClaimConfirmsNothing failed before (confirmed after the other claim).

--- a/orchestrator/write.go
+++ b/orchestrator/write.go
@@ -113,7 +113,7 @@
 func (o *Orchestrator) commit(ctx context.Context, transaction *storer.Transaction) (uint64, time.Time, error) {
 	for {
 		sent := o.cfg.Now()
-		version, err := o.cfg.Store.CommitIdempotent(ctx, *transaction)
+		version, err := o.commitOnce(ctx, transaction)
 		o.cfg.ObserveDuration("ledger_write", o.cfg.Now().Sub(sent))
 		if err == nil || ctx.Err() != nil || !errors.Is(err, storer.ErrUnavailable) && !errors.Is(err, storer.ErrUnknownOutcome) {
 			return version, sent, err
@@ -123,6 +123,17 @@
 	}
 }
 
+// commitOnce tries a transaction. One that took effect in an earlier attempt is a
+// success only while this process is the owner, as a success confirms ownership.
+func (o *Orchestrator) commitOnce(ctx context.Context, transaction *storer.Transaction) (uint64, error) {
+	version, err := o.cfg.Store.Commit(ctx, *transaction)
+	var conflict *storer.ConflictError
+	if errors.As(err, &conflict) && conflict.Item(o.cfg.OwnerKey).Version == o.cfg.Epoch && conflict.AlreadyApplied(*transaction) {
+		return conflict.AppliedVersion(*transaction), nil
+	}
+	return version, err
+}
+
 // handleCommit processes the outcome of a transaction.
 func (o *Orchestrator) handleCommit(b *batch, version uint64, sent time.Time, err error) {
 	var conflict *storer.ConflictError
--- a/storer/store.go
+++ b/storer/store.go
@@ -86,6 +86,15 @@
 	return len(change.Writes)+len(change.Deletes) > 0
 }
 
+// AppliedVersion returns the version that a change which has already been applied got.
+func (c *ConflictError) AppliedVersion(change Transaction) uint64 {
+	version := uint64(0)
+	for _, w := range change.Writes {
+		version = max(version, c.Item(w.Key).Version)
+	}
+	return version
+}
+
 // Page is a part of a listing, ordered by key.
 type Page struct {
 	Items   []Item `cbor:"1,keyasint,omitempty"`
@@ -119,10 +128,7 @@
 	if !errors.As(err, &conflict) || !conflict.AlreadyApplied(change) {
 		return version, err
 	}
-	for _, w := range change.Writes {
-		version = max(version, conflict.Item(w.Key).Version)
-	}
-	return version, nil
+	return conflict.AppliedVersion(change), nil
 }
 
 // List reads all keys under a prefix. Version is that of the first page, so that a
