orchestrator: Derive pending writes of a registration from its record

Two faults of one kind, a state of a registration that the owner remembers wrongly or not at all:

- An agent was lost as the store went down.
After 8 s both the closing and the removal of its registration were pending, and one transaction wrote and deleted its key.
If the agent returned just then, tasks were started there and its registration was removed after it, so that a later owner would not have waited for them.
- A registration that was closed within 10 s of a claim did not bound the renewals of its lease, and was not written again.
The next owner waited 16 s for it, not 8 s.

The owner now remembers what the ledger's record says. Only one write can be pending; an agent that returns is open if its record is, else it is opened; a closed record is written again once every earlier owner has stopped.

TestARegistrationThatExpiresBeforeItIsClosedIsOnlyRemoved, TestAnAgentThatReturnsAfterItsLeaseKeepsItsRegistration and TestTheLongWaitForAClosedRegistrationEndsWithTheEarlierOwner failed before. The harness and TestAnAgentIsRegisteredOnce set the new field beside the one that they set before.

--- a/orchestrator/agent.go
+++ b/orchestrator/agent.go
@@ -31,12 +31,13 @@
 	// keyVersion is the version of its key in the ledger, or 0 if it has none. The
 	// lease of an agent without a key is not renewed.
 	keyVersion uint64
-	// mayRunAny is set while the agent's registration is open, so that it may run
-	// any task. Runs are started only on such agents.
+	// mayRunAny is set while the agent's registration is open, and is to stay so, so
+	// that it may run any task. Runs are started only on such agents.
 	mayRunAny bool
-	// renewalBounded is set while a closed registration of an earlier owner states
-	// that every owner renews the lease only within closedConfirmationTTL.
-	renewalBounded bool
+	// recordOpen is set while its registration in the ledger is open, renewalBounded
+	// while it is closed and states that every owner renews the lease only within
+	// closedConfirmationTTL.
+	recordOpen, renewalBounded bool
 	// recordedTasks are the tasks that a closed registration of an earlier owner
 	// lists as possibly running.
 	recordedTasks []string
@@ -297,7 +298,7 @@
 			delete(o.agents, a.id)
 		}
 	case now.After(a.leaseExpiresAt.Add(registrationRemovalDelay)):
-		a.removalPending = true
+		a.closePending, a.removalPending = false, true
 	}
 }
 
--- a/orchestrator/ends_test.go
+++ b/orchestrator/ends_test.go
@@ -65,7 +65,7 @@
 	c := qt.New(t)
 	h := newHarness(c, 1)
 	a := h.o.agents["a0"]
-	a.keyVersion, a.mayRunAny = 0, false
+	a.keyVersion, a.mayRunAny, a.recordOpen = 0, false, false
 	h.reportRunning("a0", 1)
 	b := h.o.nextBatch()
 	c.Assert(b.openedAgents, qt.HasLen, 1)
--- a/orchestrator/orchestrator.go
+++ b/orchestrator/orchestrator.go
@@ -301,6 +301,7 @@
 			reachable++
 		}
 		o.closeRegistration(a, now)
+		o.boundRegistration(a)
 		o.expireLease(a, now)
 	}
 	if o.loaded && len(o.agents) >= 3 && reachable*2 < len(o.agents) && o.cfg.HasStandby() {
--- a/orchestrator/registration.go
+++ b/orchestrator/registration.go
@@ -43,14 +43,30 @@
 		o.cfg.Log.Warn("registration can't be decoded; treating it as open", zap.String("agent", a.id), zap.Error(err))
 		r = registration{Open: true}
 	}
-	a.keyVersion, a.mayRunAny, a.recordedTasks, a.renewalBounded = version, r.Open, r.HeldTasks, r.Bounded && !r.Open
+	a.keyVersion, a.mayRunAny, a.recordedTasks = version, r.Open, r.HeldTasks
+	a.recordOpen, a.renewalBounded = r.Open, r.Bounded && !r.Open
+}
+
+// earlierOwnersStopped reports whether the confirmations of every earlier owner have
+// expired.
+func (o *Orchestrator) earlierOwnersStopped() bool {
+	return !o.cfg.Now().Before(o.claimedAt.Add(o.cfg.PreviousOwnerTTL))
 }
 
 // closedRegistration returns the record of an agent whose registration is closed. The
 // renewals of an earlier owner are bounded only once its confirmations have expired,
 // as it may still take the registration for open.
 func (o *Orchestrator) closedRegistration(a *agent) registration {
-	return registration{HeldTasks: a.heldTasks(), Bounded: !o.cfg.Now().Before(o.claimedAt.Add(o.cfg.PreviousOwnerTTL))}
+	return registration{HeldTasks: a.heldTasks(), Bounded: o.earlierOwnersStopped()}
+}
+
+// boundRegistration writes a closed registration again that was written while an
+// earlier owner might still act.
+func (o *Orchestrator) boundRegistration(a *agent) {
+	if a.keyVersion == 0 || a.recordOpen || a.renewalBounded || a.writing || a.openPending || a.removalPending || !a.reconciled || a.hasUnknownRuns {
+		return
+	}
+	a.closePending = o.earlierOwnersStopped()
 }
 
 // previousOwnerTTL returns how long after the claim an earlier owner may have renewed
@@ -62,23 +78,22 @@
 	return o.cfg.PreviousOwnerTTL
 }
 
-// updateRegistration opens the registration of a connected agent with a worker. A draining worker
-// accepts no starts, so its registration lists its tasks; it is removed once
-// nothing is left there, so that no later owner waits for it.
+// updateRegistration opens the registration of a connected agent with a worker. A
+// draining worker accepts no starts, so its registration lists its tasks; it is removed
+// once nothing is left there, so that no later owner waits for it.
 func (o *Orchestrator) updateRegistration(a *agent, snapshot *messenger.WorkerSnapshot) {
 	draining := snapshot.Draining && snapshot.Reconciled
 	switch {
 	case a.writing || a.hasUnknownRuns: // its registration stands until it is reconciled
 	case draining && len(snapshot.Runs) == 0 && len(snapshot.RunEnds) == 0 && a.idle():
-		a.closePending, a.removalPending = false, a.keyVersion != 0
+		a.openPending, a.closePending, a.removalPending = false, false, a.keyVersion != 0
 	case draining:
 		a.closePending = a.closePending || a.mayRunAny
 		a.mayRunAny = false
 	case !snapshot.Reconciled: // it may run nothing; expireLease removes its registration
-	case a.closePending: // the closed registration is not written yet
-		a.closePending, a.mayRunAny = false, true
 	default:
-		a.removalPending, a.openPending = false, !a.mayRunAny
+		a.closePending, a.removalPending = false, false // they are not written yet
+		a.mayRunAny, a.openPending = a.recordOpen, !a.recordOpen
 	}
 }
 
--- a/orchestrator/registration_test.go
+++ b/orchestrator/registration_test.go
@@ -280,3 +280,24 @@
 	h.reportRunning("a0", 10)
 	c.Assert(a.leaseExpiresAt.After(before), qt.IsTrue)
 }
+
+// A registration was closed soon after a takeover, while the earlier owner might still
+// act. The next owner, much later, waited for confirmations of that earlier owner.
+func TestTheLongWaitForAClosedRegistrationEndsWithTheEarlierOwner(t *testing.T) {
+	c := qt.New(t)
+	h, _, a := newBusyHarness(c)
+	h.o.cfg.PreviousOwnerTTL = h.o.cfg.ConfirmationTTL
+	var record []byte
+	for end := h.now.Add(2 * h.o.cfg.ConfirmationTTL); h.now.Before(end); h.now = h.now.Add(500 * time.Millisecond) {
+		h.sendSnapshot("a0", &messenger.WorkerSnapshot{Draining: true, Runs: h.runStatuses("a0", messenger.PhaseRunning, 10)})
+		h.o.tick(t.Context())
+		if b := h.commitBatch(50); len(b.closedAgents) > 0 {
+			record = b.transaction.Writes[0].Value
+		}
+	}
+	c.Assert(a.keyVersion, qt.Equals, uint64(50))
+	next := newHarness(c, 0)
+	next.o.cfg.PreviousOwnerTTL = next.o.cfg.ConfirmationTTL
+	next.o.takeOver(nil, nil, []storer.Item{{Key: agentPrefix + "lost", Value: record, Version: 50}})
+	c.Assert(next.o.agents["lost"].leaseExpiresAt.Sub(next.o.claimedAt) <= maxRestartDelay, qt.IsTrue)
+}
--- a/orchestrator/write.go
+++ b/orchestrator/write.go
@@ -79,8 +79,10 @@
 		}
 		if a.closePending && b.keyCount() < maxBatchKeys {
 			a.closePending, a.writing = false, true
+			r := o.closedRegistration(a)
+			a.renewalBounded = r.Bounded
 			b.closedAgents = append(b.closedAgents, a)
-			add(agentPrefix+a.id, a.keyVersion, o.closedRegistration(a).encode())
+			add(agentPrefix+a.id, a.keyVersion, r.encode())
 		}
 	}
 	for _, a := range o.agents {
@@ -89,7 +91,7 @@
 			b.removedAgents = append(b.removedAgents, a)
 			b.transaction.Checks = append(b.transaction.Checks, storer.Check{Key: agentPrefix + a.id, Version: a.keyVersion})
 			b.transaction.Deletes = append(b.transaction.Deletes, agentPrefix+a.id)
-			a.keyVersion, a.mayRunAny = 0, false // from now on no command and no lease renewal is sent there
+			a.keyVersion, a.mayRunAny, a.recordOpen = 0, false, false // from now on no command and no lease renewal is sent there
 		}
 	}
 	for len(o.dirtyJobs) > 0 && b.keyCount() < maxBatchKeys {
@@ -154,7 +156,7 @@
 	}
 	o.cfg.ConfirmOwnership(sent)
 	for _, a := range b.openedAgents {
-		a.keyVersion, a.writing, a.mayRunAny = version, false, true
+		a.keyVersion, a.writing, a.mayRunAny, a.recordOpen = version, false, true, true
 		o.planDue = true
 		o.cfg.Log.Info("agent registered", zap.String("agent", a.id))
 		if a.snapshot != nil {
@@ -162,7 +164,7 @@
 		}
 	}
 	for _, a := range b.closedAgents {
-		a.keyVersion, a.writing = version, false
+		a.keyVersion, a.writing, a.recordOpen = version, false, false
 		o.cfg.Log.Info("agent registration closed", zap.String("agent", a.id), zap.Int("runs", len(a.runs)), zap.Int("ends", len(a.pendingEnds)))
 	}
 	for _, a := range b.removedAgents {
@@ -197,7 +199,7 @@
 // that the reply to an earlier write was lost.
 func (o *Orchestrator) resolveConflict(b *batch, conflict *storer.ConflictError) {
 	for _, a := range slices.Concat(b.openedAgents, b.closedAgents, b.removedAgents) {
-		a.writing, a.mayRunAny, a.keyVersion = false, false, 0
+		a.writing, a.mayRunAny, a.recordOpen, a.keyVersion = false, false, false, 0
 		if item := conflict.Item(agentPrefix + a.id); item.Version != 0 {
 			o.loadRegistration(a, item.Version, item.Value)
 		}
--- a/orchestrator/write_test.go
+++ b/orchestrator/write_test.go
@@ -11,6 +11,19 @@
 	"github.com/endivefall/endivefall/storer"
 )
 
+// An agent was lost as the store went down; its lease expired before its registration
+// could be closed, and one transaction wrote and deleted the same key.
+func TestARegistrationThatExpiresBeforeItIsClosedIsOnlyRemoved(t *testing.T) {
+	c := qt.New(t)
+	h, _, a := newBusyHarness(c)
+	h.disconnect(a, 2*registrationCloseDelay)
+	h.now = a.leaseExpiresAt.Add(registrationRemovalDelay + tickInterval)
+	h.o.expireLease(a, h.now)
+	b := h.o.nextBatch()
+	c.Assert(b.removedAgents, qt.HasLen, 1)
+	c.Assert(b.transaction.Writes, qt.HasLen, 0)
+}
+
 // A write took effect, its reply was lost and another entry claimed. The owner repeated
 // the write, found it in the store, and took that as a new confirmation of ownership.
 func TestARepeatedWriteAfterAnotherClaimConfirmsNothing(t *testing.T) {
@@ -50,3 +63,19 @@
 	c.Assert(confirmedAt.After(claimedAt), qt.IsFalse)
 	c.Assert(h.o.stopReason, qt.ErrorIs, ErrOwnershipLost)
 }
+
+// An agent returned after its lease, before its registration was closed: tasks were
+// started there, and then its registration was removed.
+func TestAnAgentThatReturnsAfterItsLeaseKeepsItsRegistration(t *testing.T) {
+	c := qt.New(t)
+	h, j, a := newBusyHarness(c)
+	link := a.link
+	h.disconnect(a, 2*registrationCloseDelay)
+	h.now = a.leaseExpiresAt.Add(registrationRemovalDelay + tickInterval)
+	h.o.expireLease(a, h.now)
+	a.link = link
+	h.reportRunning("a0", 0)
+	h.o.place()
+	c.Assert(j.Task(0, 0, 0).LiveRuns, qt.Equals, 1)
+	c.Assert(h.o.nextBatch().removedAgents, qt.HasLen, 0)
+}
