--- a/elector/claim_test.go
+++ b/elector/claim_test.go
@@ -97,3 +97,26 @@
 		c.Check(record.PredecessorsStopped, qt.IsTrue)
 	})
 }
+
+// Two owners end within seconds: the first one, which was lost, may still send
+// commands when the third claims.
+func TestALostOwnerDoesNotCountAsStoppedAfterAnEarlyRelease(t *testing.T) {
+	withCluster(t, 2, func(c *qt.C, cl *cluster) {
+		first := cl.owner()
+		cl.kill(first)
+		killed := time.Now()
+		cl.start("entry-2", "1")
+		second := first
+		for second == first || second == "" {
+			advancer.Sleep(100 * time.Millisecond)
+			second = cl.owner()
+		}
+		advancer.Sleep(ConfirmationTTL/2 - time.Since(killed))
+		cl.nodes[second].Release(context.Background(), "test")
+		advancer.Sleep(3 * time.Second)
+		third := cl.owner()
+		c.Assert(third, qt.Not(qt.Equals), second)
+		record, _ := cl.nodes[third].Owner()
+		c.Check(record.PredecessorsStopped, qt.IsFalse)
+	})
+}
