orchestrator: Count the hold of unreachable agents from the claim

The hold began when the orchestrator was created, not when the claim took effect, although only the claim matters for what an earlier owner may still do.

No test of its own: the two starts differ only by a delay before Serve, and the tests of the hold set ClaimedAt as the coordinator does.

--- a/coordinator/ownership.go
+++ b/coordinator/ownership.go
@@ -43,8 +43,9 @@
 	if record.PredecessorsStopped {
 		previousOwnerTTL = 0
 	}
+	claimedAt := c.elector.ClaimedAt()
 	o := orchestrator.New(orchestrator.Config{
-		Term: record.Term, Epoch: epoch, OwnerKey: elector.OwnerKey, Store: c.relayer.Store(), Now: c.cfg.Now, WallClock: c.cfg.WallClock,
+		Term: record.Term, Epoch: epoch, OwnerKey: elector.OwnerKey, ClaimedAt: claimedAt, Store: c.relayer.Store(), Now: c.cfg.Now, WallClock: c.cfg.WallClock,
 		LeaseDuration: RunLease(c.cfg.MaxWorkerLease), ConfirmationTTL: elector.ConfirmationTTL, PreviousOwnerTTL: previousOwnerTTL, JobRetention: c.cfg.JobRetention,
 		QueryPolicy: c.cfg.QueryPolicy, OwnershipConfirmedAt: c.elector.OwnershipConfirmedAt, ConfirmOwnership: c.elector.ConfirmOwnership,
 		HasStandby: func() bool { return len(c.elector.Members()) > 0 },
@@ -59,7 +60,7 @@
 	ownershipEnded := make(chan struct{})
 	c.orchestrator, c.ownershipEnded = o, ownershipEnded
 	c.mu.Unlock()
-	c.cfg.Log.Info("orchestrator started", zap.Uint64("term", record.Term), zap.Uint64("epoch", epoch), zap.Duration("since_claim", c.cfg.Now().Sub(c.elector.ClaimedAt())), zap.Duration("previous_owner_ttl", previousOwnerTTL))
+	c.cfg.Log.Info("orchestrator started", zap.Uint64("term", record.Term), zap.Uint64("epoch", epoch), zap.Duration("since_claim", c.cfg.Now().Sub(claimedAt)), zap.Duration("previous_owner_ttl", previousOwnerTTL))
 	serveErr := make(chan error, 1)
 	go func() { serveErr <- o.Serve(ctx) }()
 	reason := c.waitForOwnershipEnd(serveErr, record, epoch)
--- a/orchestrator/harness_test.go
+++ b/orchestrator/harness_test.go
@@ -33,7 +33,7 @@
 		OwnershipConfirmedAt: func() time.Time { return h.now }, ConfirmOwnership: func(time.Time) {}, HasStandby: func() bool { return true },
 		Log: zap.NewNop(), Count: func(string) {}, ObserveDuration: func(string, time.Duration) {},
 	})
-	h.o.claimedAt = h.now
+	h.o.cfg.ClaimedAt = h.now
 	h.o.takeOver(nil, nil, nil)
 	for n := range agents {
 		h.connectAgent(fmt.Sprint("a", n))
--- a/orchestrator/orchestrator.go
+++ b/orchestrator/orchestrator.go
@@ -79,7 +79,10 @@
 	// the key OwnerKey still has the version Epoch.
 	Term, Epoch uint64
 	OwnerKey    string
-	Store       *storer.Store
+	// ClaimedAt is when this process learned that its claim had taken effect. No earlier
+	// owner has a confirmation of its ownership that is younger.
+	ClaimedAt time.Time
+	Store     *storer.Store
 	// Now is a clock that includes the time during which the instance was
 	// suspended; WallClock is the time of day.
 	Now, WallClock func() time.Time
@@ -115,11 +118,9 @@
 	// stopped is closed when the loop no longer reads actions, done when Serve has
 	// returned.
 	stopped, done chan struct{}
-	// claimedAt is the local time at which Serve began to own the pools.
-	claimedAt time.Time
-	loaded    bool
-	jobs      map[string]*job
-	openJobs  map[string]*job // jobs that have not ended
+	loaded        bool
+	jobs          map[string]*job
+	openJobs      map[string]*job // jobs that have not ended
 	// unreadableJobs are jobs whose progress can't be decoded. They are not
 	// scheduled, since it is unknown which of their tasks have ended.
 	unreadableJobs map[string]bool
@@ -225,7 +226,6 @@
 	defer o.background.Wait() // after stopped is closed: enqueue blocks until then
 	defer close(o.stopped)
 	defer cancel()
-	o.claimedAt = o.cfg.Now()
 	o.background.Go(func() { o.watchLedger(ctx) })
 	tick := time.NewTicker(tickInterval)
 	defer tick.Stop()
--- a/orchestrator/registration.go
+++ b/orchestrator/registration.go
@@ -50,7 +50,7 @@
 // earlierOwnersStopped reports whether the confirmations of every earlier owner have
 // expired.
 func (o *Orchestrator) earlierOwnersStopped() bool {
-	return !o.cfg.Now().Before(o.claimedAt.Add(o.cfg.PreviousOwnerTTL))
+	return !o.cfg.Now().Before(o.cfg.ClaimedAt.Add(o.cfg.PreviousOwnerTTL))
 }
 
 // closedRegistration returns the record of an agent whose registration is closed. The
--- a/orchestrator/registration_test.go
+++ b/orchestrator/registration_test.go
@@ -242,7 +242,7 @@
 			next := newHarness(c, 0)
 			next.o.cfg.PreviousOwnerTTL = 10 * time.Second
 			next.o.takeOver(nil, nil, []storer.Item{{Key: agentPrefix + "lost", Value: record, Version: 50}})
-			c.Assert(next.o.agents["lost"].leaseExpiresAt, qt.Equals, next.o.claimedAt.Add(tt.held+next.o.maxLeaseElapsed()))
+			c.Assert(next.o.agents["lost"].leaseExpiresAt, qt.Equals, next.o.cfg.ClaimedAt.Add(tt.held+next.o.maxLeaseElapsed()))
 		})
 	}
 }
@@ -299,5 +299,5 @@
 	next := newHarness(c, 0)
 	next.o.cfg.PreviousOwnerTTL = next.o.cfg.ConfirmationTTL
 	next.o.takeOver(nil, nil, []storer.Item{{Key: agentPrefix + "lost", Value: record, Version: 50}})
-	c.Assert(next.o.agents["lost"].leaseExpiresAt.Sub(next.o.claimedAt) <= maxRestartDelay, qt.IsTrue)
+	c.Assert(next.o.agents["lost"].leaseExpiresAt.Sub(next.o.cfg.ClaimedAt) <= maxRestartDelay, qt.IsTrue)
 }
--- a/orchestrator/watch.go
+++ b/orchestrator/watch.go
@@ -99,11 +99,11 @@
 		a.hasUnknownRuns = !a.reconciled
 		// An earlier owner may have renewed its lease until the confirmation of its
 		// own ownership expired.
-		a.leaseExpiresAt = later(a.leaseExpiresAt, o.claimedAt.Add(o.previousOwnerTTL(a)+o.maxLeaseElapsed()))
+		a.leaseExpiresAt = later(a.leaseExpiresAt, o.cfg.ClaimedAt.Add(o.previousOwnerTTL(a)+o.maxLeaseElapsed()))
 	}
 	o.handleInputs(inputs) // for the cancellations
 	o.loaded, o.planDue = true, true
-	o.cfg.Log.Info("ledger loaded", zap.Uint64("term", o.cfg.Term), zap.Int("jobs", len(o.jobs)), zap.Int("open", len(o.openJobs)), zap.Int("agents", len(agents)), zap.Duration("after", o.cfg.Now().Sub(o.claimedAt)))
+	o.cfg.Log.Info("ledger loaded", zap.Uint64("term", o.cfg.Term), zap.Int("jobs", len(o.jobs)), zap.Int("open", len(o.openJobs)), zap.Int("agents", len(agents)), zap.Duration("after", o.cfg.Now().Sub(o.cfg.ClaimedAt)))
 	for _, a := range o.agents {
 		if a.snapshot != nil {
 			o.applySnapshot(a, a.snapshot)
