--- a/orchestrator/orchestrator.go
+++ b/orchestrator/orchestrator.go
@@ -79,7 +79,10 @@
 	// the key OwnerKey still has the version Epoch.
 	Term, Epoch uint64
 	OwnerKey    string
-	Store       *storer.Store
+	// ClaimedAt is when this process learned that its claim had taken effect. No earlier
+	// owner has a confirmation of its ownership that is younger.
+	ClaimedAt time.Time
+	Store     *storer.Store
 	// Now is a clock that includes the time during which the instance was
 	// suspended; WallClock is the time of day.
 	Now, WallClock func() time.Time
@@ -115,11 +118,9 @@
 	// stopped is closed when the loop no longer reads actions, done when Serve has
 	// returned.
 	stopped, done chan struct{}
-	// claimedAt is the local time at which Serve began to own the pools.
-	claimedAt time.Time
-	loaded    bool
-	jobs      map[string]*job
-	openJobs  map[string]*job // jobs that have not ended
+	loaded        bool
+	jobs          map[string]*job
+	openJobs      map[string]*job // jobs that have not ended
 	// unreadableJobs are jobs whose progress can't be decoded. They are not
 	// scheduled, since it is unknown which of their tasks have ended.
 	unreadableJobs map[string]bool
@@ -225,7 +226,6 @@
 	defer o.background.Wait() // after stopped is closed: enqueue blocks until then
 	defer close(o.stopped)
 	defer cancel()
-	o.claimedAt = o.cfg.Now()
 	o.background.Go(func() { o.watchLedger(ctx) })
 	tick := time.NewTicker(tickInterval)
 	defer tick.Stop()
@@ -276,8 +276,11 @@
 
 // ownershipCurrent reports whether the last confirmation of ownership is recent
 // enough for this process to send commands.
-func (o *Orchestrator) ownershipCurrent() bool {
-	return o.cfg.Now().Sub(o.cfg.OwnershipConfirmedAt()) < o.cfg.ConfirmationTTL
+func (o *Orchestrator) ownershipCurrent() bool { return o.confirmedWithin(o.cfg.ConfirmationTTL) }
+
+// confirmedWithin reports whether ownership was confirmed less than ttl ago.
+func (o *Orchestrator) confirmedWithin(ttl time.Duration) bool {
+	return o.cfg.Now().Sub(o.cfg.OwnershipConfirmedAt()) < ttl
 }
 
 // mayRenew reports whether the lease of an agent may be renewed.
@@ -286,7 +289,7 @@
 	if !a.mayRunAny {
 		ttl = min(ttl, closedConfirmationTTL)
 	}
-	return a.keyVersion != 0 && o.cfg.Now().Sub(o.cfg.OwnershipConfirmedAt()) < ttl
+	return a.keyVersion != 0 && o.confirmedWithin(ttl)
 }
 
 // tick checks deadlines.
@@ -298,6 +301,7 @@
 			reachable++
 		}
 		o.closeRegistration(a, now)
+		o.boundRegistration(a)
 		o.expireLease(a, now)
 	}
 	if o.loaded && len(o.agents) >= 3 && reachable*2 < len(o.agents) && o.cfg.HasStandby() {
--- a/orchestrator/registration_test.go
+++ b/orchestrator/registration_test.go
@@ -242,7 +242,7 @@
 			next := newHarness(c, 0)
 			next.o.cfg.PreviousOwnerTTL = 10 * time.Second
 			next.o.takeOver(nil, nil, []storer.Item{{Key: agentPrefix + "lost", Value: record, Version: 50}})
-			c.Assert(next.o.agents["lost"].leaseExpiresAt, qt.Equals, next.o.claimedAt.Add(tt.held+next.o.maxLeaseElapsed()))
+			c.Assert(next.o.agents["lost"].leaseExpiresAt, qt.Equals, next.o.cfg.ClaimedAt.Add(tt.held+next.o.maxLeaseElapsed()))
 		})
 	}
 }
@@ -263,18 +263,22 @@
 	c.Assert(a.mayRunAny, qt.IsTrue)
 }
 
-// The store is away for nine seconds. The runs of a draining agent that is connected
-// to the owner all the while lapsed.
-func TestRunsOfADrainingAgentOutliveAStoreOutage(t *testing.T) {
+// In an outage of the store a registration can't be written, and its runs would lapse
+// if it were closed in memory.
+func TestAnAgentThatReturnsInAnOutageKeepsItsLease(t *testing.T) {
 	c := qt.New(t)
-	h, j, a := newBusyHarness(c)
+	h, _, a := newBusyHarness(c)
 	confirmed := h.now
 	h.o.cfg.OwnershipConfirmedAt = func() time.Time { return confirmed }
-	for end := h.now.Add(9 * time.Second); h.now.Before(end); h.now = h.now.Add(500 * time.Millisecond) {
-		h.sendSnapshot("a0", &messenger.WorkerSnapshot{Draining: true, SentAt: h.now, Runs: h.runStatuses("a0", messenger.PhaseRunning, 10)})
-		h.commitBatch(50)
-	}
-	c.Assert(a.leaseExpiresAt.After(h.now), qt.IsTrue, qt.Commentf("lease ended %v before the end of the outage; live runs %d", h.now.Sub(a.leaseExpiresAt), j.Task(0, 0, 0).LiveRuns))
+	link := a.link
+	h.now = h.now.Add(closedConfirmationTTL)
+	h.disconnect(a, 2*registrationCloseDelay)
+	b := h.o.nextBatch() // in flight during the outage
+	c.Assert(b.keyCount(), qt.Equals, 0)
+	a.link = link
+	before := a.leaseExpiresAt
+	h.reportRunning("a0", 10)
+	c.Assert(a.leaseExpiresAt.After(before), qt.IsTrue)
 }
 
 // A registration was closed soon after a takeover, while the earlier owner might still
@@ -295,5 +299,19 @@
 	next := newHarness(c, 0)
 	next.o.cfg.PreviousOwnerTTL = next.o.cfg.ConfirmationTTL
 	next.o.takeOver(nil, nil, []storer.Item{{Key: agentPrefix + "lost", Value: record, Version: 50}})
-	c.Assert(next.o.agents["lost"].leaseExpiresAt.Sub(next.o.claimedAt) <= maxRestartDelay, qt.IsTrue)
+	c.Assert(next.o.agents["lost"].leaseExpiresAt.Sub(next.o.cfg.ClaimedAt) <= maxRestartDelay, qt.IsTrue)
+}
+
+// The store is away for nine seconds. The runs of a draining agent that is connected
+// to the owner all the while lapsed.
+func TestRunsOfADrainingAgentOutliveAStoreOutage(t *testing.T) {
+	c := qt.New(t)
+	h, j, a := newBusyHarness(c)
+	confirmed := h.now
+	h.o.cfg.OwnershipConfirmedAt = func() time.Time { return confirmed }
+	for end := h.now.Add(9 * time.Second); h.now.Before(end); h.now = h.now.Add(500 * time.Millisecond) {
+		h.sendSnapshot("a0", &messenger.WorkerSnapshot{Draining: true, SentAt: h.now, Runs: h.runStatuses("a0", messenger.PhaseRunning, 10)})
+		h.commitBatch(50)
+	}
+	c.Assert(a.leaseExpiresAt.After(h.now), qt.IsTrue, qt.Commentf("lease ended %v before the end of the outage; live runs %d", h.now.Sub(a.leaseExpiresAt), j.Task(0, 0, 0).LiveRuns))
 }
