orchestrator, supervisor: Show runs stopped while blocked and an agent that offers its worker as it ends

TestAnAgentThatIsToEndOffersNoWorker, TestADrainedAgentEndsWithoutALease: the wait of an agent for an owner before its end.

--- a/orchestrator/takeover_test.go
+++ b/orchestrator/takeover_test.go
@@ -110,3 +110,26 @@
 	h.sendSnapshot(id, &messenger.WorkerSnapshot{})
 	c.Assert(a.openPending, qt.IsTrue, qt.Commentf("a new incarnation of its worker starts"))
 }
+
+// An owner that waited for a lost agent stopped runs on draining workers, although it
+// could not start their tasks elsewhere before the wait was over.
+func TestABlockedTaskIsNotEvacuated(t *testing.T) {
+	c := qt.New(t)
+	h := newHarness(c, 2)
+	h.o.cfg.Epoch = 100
+	spec := sequencer.Spec{ID: "00000000000000aa", Pool: "pool", Queue: "queue", AcceptedAt: h.now, Steps: []sequencer.Step{{Count: 1, CPU: 10, Memory: 10, LongRunning: true}}}
+	raw, err := spec.Encode()
+	c.Assert(err, qt.IsNil)
+	h.o.takeOver([]storer.Item{{Key: JobKey(spec.ID), Value: raw, Version: 20}}, nil,
+		[]storer.Item{{Key: agentPrefix + "lost", Value: registration{Open: true}.encode(), Version: 30}})
+	run := messenger.RunStatus{Task: "00000000000000aa.0.0.0", Attempt: 1, Phase: messenger.PhaseRunning, PacePercent: 100}
+	h.sendSnapshot("a1", &messenger.WorkerSnapshot{})
+	h.sendSnapshot("a0", &messenger.WorkerSnapshot{Draining: true, DrainRemainingMs: 20000, Runs: []messenger.RunStatus{run}})
+	allBlocked, _ := h.o.blockedTasks()
+	c.Assert(allBlocked, qt.IsTrue)
+	h.o.evacuate()
+	c.Check(h.commands("a0"), qt.HasLen, 0)
+	h.o.agents["lost"].hasUnknownRuns = false
+	h.o.evacuate()
+	c.Check(h.commands("a0"), qt.DeepEquals, []string{"stop " + run.Task})
+}
--- a/supervisor/harness_test.go
+++ b/supervisor/harness_test.go
@@ -41,7 +41,9 @@
 	snapshot *messenger.WorkerSnapshot
 	acking   bool
 	ackedEnd uint64
-	conn     *messenger.Conn
+	// unregistered is set while its acknowledgements renew no lease.
+	unregistered bool
+	conn         *messenger.Conn
 	// owner and term are what the agent finds as the owner's address and term.
 	owner netip.AddrPort
 	term  uint64
@@ -186,9 +188,11 @@
 		defer h.mu.Unlock()
 		h.snapshot = f.WorkerSnapshot
 		if h.acking {
-			_ = conn.TrySend(messenger.Frame{Kind: messenger.KindSnapshotAck, SnapshotAck: &messenger.SnapshotAck{
-				Term: h.term, EchoSentAt: f.WorkerSnapshot.SentAt, WorkerIncarnation: f.WorkerSnapshot.WorkerIncarnation, AckedEnd: h.ackedEnd,
-			}})
+			ack := &messenger.SnapshotAck{Term: h.term, AckedEnd: h.ackedEnd}
+			if !h.unregistered {
+				ack.EchoSentAt, ack.WorkerIncarnation = f.WorkerSnapshot.SentAt, f.WorkerSnapshot.WorkerIncarnation
+			}
+			_ = conn.TrySend(messenger.Frame{Kind: messenger.KindSnapshotAck, SnapshotAck: ack})
 		}
 	}})
 	h.set(func() { h.conn, h.seq = conn, 0 })
--- a/supervisor/owner_test.go
+++ b/supervisor/owner_test.go
@@ -69,3 +69,39 @@
 		return false
 	}
 }
+
+// An agent that waited for an owner before its end offered its worker for starts, which
+// nobody would look after.
+func TestAnAgentThatIsToEndOffersNoWorker(t *testing.T) {
+	inBubble(t, func(c *qt.C, h *harness) {
+		c.Assert(h.latestSnapshot().MayStart, qt.IsTrue)
+		h.set(func() { h.acking = false })
+		ctx, cancel := context.WithTimeout(context.Background(), supervisor.LeaveTimeout)
+		defer cancel()
+		go h.sup.AwaitOwner(ctx)
+		advancer.Sleep(200 * time.Millisecond)
+		c.Check(h.latestSnapshot().MayStart, qt.IsFalse)
+		h.send(startCommand("j.0.0.0", 1))
+		c.Check(h.worker.Running(), qt.HasLen, 0)
+	})
+}
+
+// The owner removes the registration of a drained agent, and then renews no lease. The
+// agent waited for a renewal before each orderly end.
+func TestADrainedAgentEndsWithoutALease(t *testing.T) {
+	inBubble(t, func(c *qt.C, h *harness) {
+		heartbeat := h.worker.Heartbeat(2)
+		heartbeat.Draining = true
+		h.sup.HandleHeartbeat(context.Background(), heartbeat)
+		h.set(func() { h.unregistered = true })
+		left := make(chan struct{})
+		ctx, cancel := context.WithTimeout(context.Background(), supervisor.LeaveTimeout)
+		defer cancel()
+		go func() {
+			defer close(left)
+			h.sup.AwaitOwner(ctx)
+		}()
+		advancer.Sleep(supervisor.LeaveTimeout / 2)
+		c.Check(isClosed(left), qt.IsTrue)
+	})
+}
