--- a/orchestrator/takeover_test.go
+++ b/orchestrator/takeover_test.go
@@ -133,3 +133,24 @@
 	h.o.evacuate()
 	c.Check(h.commands("a0"), qt.DeepEquals, []string{"stop " + run.Task})
 }
+
+// A run was stopped because another worker had room for it, and by the time that it had
+// ended a younger task had been started there.
+func TestTheRoomOfAnEvacuatedTaskIsNotGivenAway(t *testing.T) {
+	c := qt.New(t)
+	h := newHarness(c, 1)
+	j := h.submit(sequencer.Spec{Steps: []sequencer.Step{{Count: 1, CPU: 8000, Memory: 10, LongRunning: true}}})
+	h.o.place()
+	name := j.Task(0, 0, 0).Name()
+	c.Assert(h.commands("a0"), qt.DeepEquals, []string{"start " + name})
+	h.reportRunning("a0", 10)
+	h.connectAgent("a1")
+	h.sendSnapshot("a0", &messenger.WorkerSnapshot{Draining: true, DrainRemainingMs: 20000, Runs: h.runStatuses("a0", messenger.PhaseRunning, 10)})
+	h.o.evacuate()
+	c.Assert(h.commands("a0"), qt.HasLen, 2)
+	h.submit(sequencer.Spec{Steps: []sequencer.Step{step(1, 8000)}})
+	h.o.place()
+	h.sendSnapshot("a0", &messenger.WorkerSnapshot{Draining: true, RunEnds: []messenger.RunEnd{{Seq: 1, Task: name, Attempt: j.Task(0, 0, 0).Attempt, Status: messenger.EndStopped}}})
+	h.o.place()
+	c.Assert(h.commands("a1"), qt.DeepEquals, []string{"start " + name})
+}
