coordinator: Guard the wait for a closed registration with a cut fleet

An owner and an agent with a closed registration are cut off together. Green on the code as it is; with the renewal bound of mayRenew taken out, two tasks run on two workers at once.

--- a/coordinator/takeover_test.go
+++ b/coordinator/takeover_test.go
@@ -72,3 +72,59 @@
 		advancer.Sleep(time.Minute)
 	})
 }
+
+// An owner and an agent whose registration is closed are cut off from the rest. The
+// owner renewed the lease for longer than the next one waited, and tasks ran twice.
+func TestATaskUnderAClosedRegistrationRunsTwiceAcrossACut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		ctx, cancel := context.WithCancel(context.Background())
+		f := newFleet(ctx, t, 1, 3, 4)
+		advancer.Sleep(3 * time.Second)
+		owners := f.owners()
+		c.Assert(owners, qt.HasLen, 1)
+		earlier := owners[0]
+		spec := &sequencer.Spec{
+			ID: "00000000000000aa", Queue: "queue", Pool: "pool", MaxAttempts: 4, StretchFactor: 2, LatencyAllowance: time.Second,
+			Steps: []sequencer.Step{{Count: 2, CPU: 500, Memory: 100, LongRunning: true}},
+		}
+		f.auditor.AddJob(spec)
+		c.Assert(f.submitAt(earlier, spec), qt.IsNil)
+		advancer.Sleep(2 * time.Second)
+		starts := f.auditor.StartCount()
+		c.Assert(starts, qt.Equals, 2)
+		var cut *agentNode
+		for _, a := range f.agents {
+			if len(a.worker.Running()) > 0 {
+				cut = a
+			}
+		}
+		f.network.SetPartition(cut.name, earlier.name, true, false)
+		advancer.Sleep(400 * time.Millisecond) // the owner closes the registration
+		setCut := func(isCut bool) {
+			f.setFaults(func() { f.rejected[earlier.name] = isCut })
+			for name := range f.entries {
+				if name != earlier.name {
+					f.network.SetPartition(earlier.name, name, isCut, true)
+					f.network.SetPartition(cut.name, name, isCut, true)
+				}
+			}
+			for name := range f.agents {
+				if name != cut.name {
+					f.network.SetPartition(earlier.name, name, isCut, true)
+				}
+			}
+		}
+		setCut(true)
+		f.network.SetPartition(cut.name, earlier.name, false, false)
+		advancer.Sleep(14 * time.Second)
+		c.Check(f.owners(earlier), qt.HasLen, 1)
+		c.Check(f.auditor.StartCount() > starts, qt.IsTrue, qt.Commentf("the next owner has started nothing again"))
+		setCut(false)
+		advancer.Sleep(10 * time.Second)
+		cancel()
+		f.close()
+		c.Check(f.auditor.Violations(), qt.HasLen, 0)
+		advancer.Sleep(time.Minute)
+	})
+}
