--- a/orchestrator/registration_test.go
+++ b/orchestrator/registration_test.go
@@ -242,7 +242,7 @@
 			next := newHarness(c, 0)
 			next.o.cfg.PreviousOwnerTTL = 10 * time.Second
 			next.o.takeOver(nil, nil, []storer.Item{{Key: agentPrefix + "lost", Value: record, Version: 50}})
-			c.Assert(next.o.agents["lost"].leaseExpiresAt, qt.Equals, next.o.claimedAt.Add(tt.held+next.o.maxLeaseElapsed()))
+			c.Assert(next.o.agents["lost"].leaseExpiresAt, qt.Equals, next.o.cfg.ClaimedAt.Add(tt.held+next.o.maxLeaseElapsed()))
 		})
 	}
 }
@@ -262,3 +262,42 @@
 	c.Assert(b.transaction.Deletes, qt.HasLen, 0)
 	c.Assert(a.mayRunAny, qt.IsTrue)
 }
+
+// In an outage of the store a registration can't be written, and its runs would lapse
+// if it were closed in memory.
+func TestAnAgentThatReturnsInAnOutageKeepsItsLease(t *testing.T) {
+	c := qt.New(t)
+	h, _, a := newBusyHarness(c)
+	confirmed := h.now
+	h.o.cfg.OwnershipConfirmedAt = func() time.Time { return confirmed }
+	link := a.link
+	h.now = h.now.Add(closedConfirmationTTL)
+	h.disconnect(a, 2*registrationCloseDelay)
+	b := h.o.nextBatch() // in flight during the outage
+	c.Assert(b.keyCount(), qt.Equals, 0)
+	a.link = link
+	before := a.leaseExpiresAt
+	h.reportRunning("a0", 10)
+	c.Assert(a.leaseExpiresAt.After(before), qt.IsTrue)
+}
+
+// A registration was closed soon after a takeover, while the earlier owner might still
+// act. The next owner, much later, waited for confirmations of that earlier owner.
+func TestTheLongWaitForAClosedRegistrationEndsWithTheEarlierOwner(t *testing.T) {
+	c := qt.New(t)
+	h, _, a := newBusyHarness(c)
+	h.o.cfg.PreviousOwnerTTL = h.o.cfg.ConfirmationTTL
+	var record []byte
+	for end := h.now.Add(2 * h.o.cfg.ConfirmationTTL); h.now.Before(end); h.now = h.now.Add(500 * time.Millisecond) {
+		h.sendSnapshot("a0", &messenger.WorkerSnapshot{Draining: true, Runs: h.runStatuses("a0", messenger.PhaseRunning, 10)})
+		h.o.tick(t.Context())
+		if b := h.commitBatch(50); len(b.closedAgents) > 0 {
+			record = b.transaction.Writes[0].Value
+		}
+	}
+	c.Assert(a.keyVersion, qt.Equals, uint64(50))
+	next := newHarness(c, 0)
+	next.o.cfg.PreviousOwnerTTL = next.o.cfg.ConfirmationTTL
+	next.o.takeOver(nil, nil, []storer.Item{{Key: agentPrefix + "lost", Value: record, Version: 50}})
+	c.Assert(next.o.agents["lost"].leaseExpiresAt.Sub(next.o.cfg.ClaimedAt) <= maxRestartDelay, qt.IsTrue)
+}
