--- a/messenger/pool_messages.go
+++ b/messenger/pool_messages.go
@@ -144,12 +144,15 @@
 	// AckedEnd is the highest Seq of the ends that the agent may forget, together
 	// with all lower ones.
 	AckedEnd uint64 `cbor:"3,keyasint"`
-	// WorkerIncarnation echoes the snapshot's. EchoSentAt is on that incarnation's
-	// clock.
+	// WorkerIncarnation echoes the snapshot's. EchoSentAt and AppliedSentAt are on that
+	// incarnation's clock.
 	WorkerIncarnation string `cbor:"4,keyasint,omitempty"`
 	// Interference holds the coefficients that changed since the last
 	// acknowledgement.
 	Interference []Interference `cbor:"5,keyasint,omitempty"`
+	// AppliedSentAt echoes the SentAt of a snapshot from which the owner has updated its
+	// state. The zero time means that it has not read the ledger yet.
+	AppliedSentAt time.Time `cbor:"6,keyasint"`
 }
 
 // StateQuery asks the owner for the state of a job or of a queue.
--- a/orchestrator/agent.go
+++ b/orchestrator/agent.go
@@ -145,9 +145,12 @@
 // may.
 func (o *Orchestrator) ackSnapshot(a *agent) {
 	snapshot := a.snapshot
-	ack := &messenger.SnapshotAck{Term: o.cfg.Term, AckedEnd: a.durableEnd}
+	ack := &messenger.SnapshotAck{Term: o.cfg.Term, AckedEnd: a.durableEnd, WorkerIncarnation: snapshot.WorkerIncarnation}
+	if o.loaded {
+		ack.AppliedSentAt = snapshot.SentAt
+	}
 	if o.mayRenew(a) && snapshot.Reconciled {
-		ack.EchoSentAt, ack.WorkerIncarnation = snapshot.SentAt, snapshot.WorkerIncarnation
+		ack.EchoSentAt = snapshot.SentAt
 		if expiresAt := o.cfg.Now().Add(o.maxLeaseElapsed()); snapshot.Term == o.cfg.Term {
 			a.leaseExpiresAt = expiresAt // no earlier owner can renew it any more
 		} else {
--- a/orchestrator/agent_test.go
+++ b/orchestrator/agent_test.go
@@ -93,3 +93,19 @@
 		})
 	}
 }
+
+// An agent that had drained waited in vain for a lease before it left.
+func TestASnapshotOfAnUnregisteredAgentIsAcknowledgedAsApplied(t *testing.T) {
+	for name, loaded := range map[string]bool{"ledger loaded": true, "ledger not loaded": false} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			h := newHarness(c, 1)
+			h.o.loaded, h.o.agents["a0"].keyVersion = loaded, 0
+			h.sendSnapshot("a0", &messenger.WorkerSnapshot{Draining: true, SentAt: h.now})
+			frames := h.sent["a0"]
+			ack := frames[len(frames)-1].SnapshotAck
+			c.Assert(ack.EchoSentAt.IsZero(), qt.IsTrue)
+			c.Assert(ack.AppliedSentAt.Equal(h.now), qt.Equals, loaded)
+		})
+	}
+}
--- a/supervisor/harness_test.go
+++ b/supervisor/harness_test.go
@@ -187,7 +187,7 @@
 		h.snapshot = f.WorkerSnapshot
 		if h.acking {
 			_ = conn.TrySend(messenger.Frame{Kind: messenger.KindSnapshotAck, SnapshotAck: &messenger.SnapshotAck{
-				Term: h.term, EchoSentAt: f.WorkerSnapshot.SentAt, WorkerIncarnation: f.WorkerSnapshot.WorkerIncarnation, AckedEnd: h.ackedEnd,
+				Term: h.term, EchoSentAt: f.WorkerSnapshot.SentAt, WorkerIncarnation: f.WorkerSnapshot.WorkerIncarnation, AckedEnd: h.ackedEnd, AppliedSentAt: f.WorkerSnapshot.SentAt,
 			}})
 		}
 	}})
--- a/supervisor/leave.go
+++ b/supervisor/leave.go
@@ -11,8 +11,8 @@
 // another entry has taken over from an owner that does not answer.
 const LeaveTimeout = 3 * time.Second
 
-// AwaitOwner waits until an owner has received a snapshot that was sent after the call
-// and has renewed the lease, or until ctx ends. If the agent ends then, that owner knows
+// AwaitOwner waits until an owner has applied a snapshot that was sent after the call,
+// or until ctx ends. If the agent ends then, that owner knows
 // which runs it leaves; otherwise the next owner could only wait for their leases. It
 // returns at once if there is no worker.
 func (s *Supervisor) AwaitOwner(ctx context.Context) {
@@ -22,7 +22,7 @@
 	s.markDirty()
 	for {
 		s.mu.Lock()
-		known := s.heartbeat.Incarnation == "" || s.heartbeat.Incarnation != incarnation || !s.leaseExpiresAt.Before(since.Add(s.cfg.LeaseDuration))
+		known := s.heartbeat.Incarnation == "" || s.heartbeat.Incarnation != incarnation || !s.appliedSentAt.Before(since)
 		runs := len(s.runs)
 		s.mu.Unlock()
 		if known || ctx.Err() != nil {
@@ -30,7 +30,7 @@
 			return
 		}
 		select {
-		case <-s.renewed:
+		case <-s.applied:
 		case <-ctx.Done():
 		}
 	}
--- a/supervisor/owner.go
+++ b/supervisor/owner.go
@@ -111,16 +111,19 @@
 	s.term = ack.Term
 	s.dropAckedEnds(ack.AckedEnd)
 	s.mergeInterference(ack.Interference)
+	if ack.WorkerIncarnation == s.heartbeat.Incarnation && ack.AppliedSentAt.After(s.appliedSentAt) {
+		s.appliedSentAt = ack.AppliedSentAt
+		select {
+		case s.applied <- struct{}{}:
+		default:
+		}
+	}
 	if ack.EchoSentAt.IsZero() || s.heartbeat.Incarnation == "" {
 		return true
 	}
 	blockedBy := s.blockedReason()
 	if expiresAt := ack.EchoSentAt.Add(s.cfg.LeaseDuration); ack.WorkerIncarnation == s.heartbeat.Incarnation && expiresAt.After(s.leaseExpiresAt) {
 		s.leaseExpiresAt = expiresAt
-		select {
-		case s.renewed <- struct{}{}:
-		default:
-		}
 	}
 	if blockedBy == "no lease" && s.blockedReason() == "" {
 		s.markDirty()
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -68,8 +68,8 @@
 	cfg Config
 	// dirty holds a token while there are changes that no snapshot has carried.
 	dirty chan struct{}
-	// renewed holds a token while AwaitOwner has not seen the latest lease renewal.
-	renewed chan struct{}
+	// applied holds a token while AwaitOwner has not seen the latest appliedSentAt.
+	applied chan struct{}
 	// listNow holds a token while the next list request must not wait for an end.
 	listNow chan struct{}
 
@@ -92,6 +92,9 @@
 	// sentLease is the latest lease expiry that a call to this incarnation may
 	// have carried.
 	sentLease time.Time
+	// appliedSentAt is the SentAt of the newest snapshot of this incarnation that an
+	// owner has applied.
+	appliedSentAt time.Time
 	// workerClock is the latest time read from the worker's clock, clockReadAt the
 	// local time at which the reply arrived.
 	workerClock, clockReadAt time.Time
@@ -122,7 +125,7 @@
 		cfg.OnPeers = func([]netip.AddrPort) {}
 	}
 	return &Supervisor{
-		cfg: cfg, dirty: make(chan struct{}, 1), renewed: make(chan struct{}, 1), listNow: make(chan struct{}, 1), runs: map[runKey]*run{},
+		cfg: cfg, dirty: make(chan struct{}, 1), applied: make(chan struct{}, 1), listNow: make(chan struct{}, 1), runs: map[runKey]*run{},
 	}
 }
 
@@ -263,7 +266,7 @@
 		s.ends[i].workerSeq = 0 // the numbers belong to that incarnation
 	}
 	s.heartbeat, s.reconciled, s.draining = Heartbeat{}, false, false
-	s.fence, s.seenEnd, s.ackedEnd = 0, 0, 0
+	s.fence, s.seenEnd, s.ackedEnd, s.appliedSentAt = 0, 0, 0, time.Time{}
 	s.leaseExpiresAt, s.sentLease, s.workerClock, s.unreachableSince = time.Time{}, time.Time{}, time.Time{}, time.Time{}
 	s.markDirty()
 }
