--- a/orchestrator/takeover_test.go
+++ b/orchestrator/takeover_test.go
@@ -110,3 +110,47 @@
 	h.sendSnapshot(id, &messenger.WorkerSnapshot{})
 	c.Assert(a.openPending, qt.IsTrue, qt.Commentf("a new incarnation of its worker starts"))
 }
+
+// An owner that waited for a lost agent stopped runs on draining workers, although it
+// could not start their tasks elsewhere before the wait was over.
+func TestABlockedTaskIsNotEvacuated(t *testing.T) {
+	c := qt.New(t)
+	h := newHarness(c, 2)
+	h.o.cfg.Epoch = 100
+	spec := sequencer.Spec{ID: "00000000000000aa", Pool: "pool", Queue: "queue", AcceptedAt: h.now, Steps: []sequencer.Step{{Count: 1, CPU: 10, Memory: 10, LongRunning: true}}}
+	raw, err := spec.Encode()
+	c.Assert(err, qt.IsNil)
+	h.o.takeOver([]storer.Item{{Key: JobKey(spec.ID), Value: raw, Version: 20}}, nil,
+		[]storer.Item{{Key: agentPrefix + "lost", Value: registration{Open: true}.encode(), Version: 30}})
+	run := messenger.RunStatus{Task: "00000000000000aa.0.0.0", Attempt: 1, Phase: messenger.PhaseRunning, PacePercent: 100}
+	h.sendSnapshot("a1", &messenger.WorkerSnapshot{})
+	h.sendSnapshot("a0", &messenger.WorkerSnapshot{Draining: true, DrainRemainingMs: 20000, Runs: []messenger.RunStatus{run}})
+	allBlocked, _ := h.o.blockedTasks()
+	c.Assert(allBlocked, qt.IsTrue)
+	h.o.evacuate()
+	c.Check(h.commands("a0"), qt.HasLen, 0)
+	h.o.agents["lost"].hasUnknownRuns = false
+	h.o.evacuate()
+	c.Check(h.commands("a0"), qt.DeepEquals, []string{"stop " + run.Task})
+}
+
+// A run was stopped because another worker had room for it, and by the time that it had
+// ended a younger task had been started there.
+func TestTheRoomOfAnEvacuatedTaskIsNotGivenAway(t *testing.T) {
+	c := qt.New(t)
+	h := newHarness(c, 1)
+	j := h.submit(sequencer.Spec{Steps: []sequencer.Step{{Count: 1, CPU: 8000, Memory: 10, LongRunning: true}}})
+	h.o.place()
+	name := j.Task(0, 0, 0).Name()
+	c.Assert(h.commands("a0"), qt.DeepEquals, []string{"start " + name})
+	h.reportRunning("a0", 10)
+	h.connectAgent("a1")
+	h.sendSnapshot("a0", &messenger.WorkerSnapshot{Draining: true, DrainRemainingMs: 20000, Runs: h.runStatuses("a0", messenger.PhaseRunning, 10)})
+	h.o.evacuate()
+	c.Assert(h.commands("a0"), qt.HasLen, 2)
+	h.submit(sequencer.Spec{Steps: []sequencer.Step{step(1, 8000)}})
+	h.o.place()
+	h.sendSnapshot("a0", &messenger.WorkerSnapshot{Draining: true, RunEnds: []messenger.RunEnd{{Seq: 1, Task: name, Attempt: j.Task(0, 0, 0).Attempt, Status: messenger.EndStopped}}})
+	h.o.place()
+	c.Assert(h.commands("a1"), qt.DeepEquals, []string{"start " + name})
+}
