--- a/orchestrator/evict.go
+++ b/orchestrator/evict.go
@@ -19,10 +19,11 @@
 		return
 	}
 	byPool, _ := o.candidates()
+	blocked := o.startBlocked()
 	for _, a := range draining {
 		for _, r := range o.runsOf(a) {
 			step, name := r.task.StepSpec(), r.task.StepName()
-			if r.phase != messenger.PhaseRunning || r.evict || step.Gang || !step.LongRunning && !step.Checkpointable {
+			if r.phase != messenger.PhaseRunning || r.evict || step.Gang || !step.LongRunning && !step.Checkpointable || blocked(r) {
 				continue
 			}
 			for _, candidate := range byPool[r.job.Spec.Pool] {
@@ -66,6 +67,7 @@
 		return
 	}
 	o.lastPreemption = now // a search without a result costs as much
+	blocked := o.startBlocked()
 	var victims []*run
 	for _, candidate := range candidates {
 		trial := candidate.Clone()
@@ -75,6 +77,9 @@
 				break
 			}
 			step := r.task.StepSpec()
+			if blocked(r) {
+				continue
+			}
 			if !step.BestEffort {
 				trial.UsedCPU -= step.CPU
 			}
--- a/orchestrator/registration.go
+++ b/orchestrator/registration.go
@@ -150,6 +150,13 @@
 	return false, blocked
 }
 
+// startBlocked returns a function that reports whether the task of a run may not be
+// started again yet. Such a run should be stopped only if it must.
+func (o *Orchestrator) startBlocked() func(*run) bool {
+	all, tasks := o.blockedTasks()
+	return func(r *run) bool { return r.job.Version < o.cfg.Epoch && (all || tasks[r.key.task]) }
+}
+
 // blockingLogInterval is the shortest time between two log lines about the agents
 // that block tasks.
 const blockingLogInterval = time.Second
--- a/orchestrator/relocate.go
+++ b/orchestrator/relocate.go
@@ -39,9 +39,10 @@
 	o.lastRelocation = now
 	o.stopStuckRuns(now)
 	var slowed []*run
+	blocked := o.startBlocked()
 	for _, r := range o.runs {
 		step := r.task.StepSpec()
-		if step.BestEffort && step.Checkpointable && !step.Gang && r.phase == messenger.PhaseRunning && !r.evict &&
+		if !blocked(r) && step.BestEffort && step.Checkpointable && !step.Gang && r.phase == messenger.PhaseRunning && !r.evict &&
 			r.pacePercent < slowedPacePercent && r.progressPercent < nearEndPercent && now.Sub(r.startedAt) > minRelocationAge {
 			slowed = append(slowed, r)
 		}
@@ -84,9 +85,10 @@
 // stopStuckRuns stops runs that make no progress although they are not throttled,
 // because their worker stalls them.
 func (o *Orchestrator) stopStuckRuns(now time.Time) {
+	blocked := o.startBlocked()
 	for _, r := range o.runs {
 		step := r.task.StepSpec()
-		if r.phase != messenger.PhaseRunning || r.evict || step.Gang || r.agent.link == nil || r.agent.snapshot == nil || r.agent.snapshot.Unreachable ||
+		if blocked(r) || r.phase != messenger.PhaseRunning || r.evict || step.Gang || r.agent.link == nil || r.agent.snapshot == nil || r.agent.snapshot.Unreachable ||
 			step.LongRunning && r.progressPercent >= 100 {
 			continue
 		}
