--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -81,6 +81,8 @@
 	reconciled bool
 	// draining is set when the worker has announced that it is shutting down.
 	draining bool
+	// leaving is set once this process of the agent is to end; it starts nothing more.
+	leaving bool
 	// fence is the fencing number of calls, above every number used before in this
 	// incarnation.
 	fence uint64
@@ -202,6 +204,8 @@
 	switch {
 	case s.heartbeat.Incarnation == "":
 		return "no worker"
+	case s.leaving:
+		return "agent is ending"
 	case !s.reconciled:
 		return "not surveyed"
 	case s.heartbeat.Draining || s.draining:
