--- a/orchestrator/write_test.go
+++ b/orchestrator/write_test.go
@@ -37,7 +37,7 @@
 	}
 	h.o.cfg.Epoch = claim()
 	attempts := 0
-	h.store.SetFault(func(call string) faker.StoreFault {
+	h.store.SetFault(func(string) faker.StoreFault {
 		attempts++
 		return faker.StoreFault{LoseReply: attempts == 1}
 	})
