--- a/supervisor/harness_test.go
+++ b/supervisor/harness_test.go
@@ -188,9 +188,9 @@
 		defer h.mu.Unlock()
 		h.snapshot = f.WorkerSnapshot
 		if h.acking {
-			ack := &messenger.SnapshotAck{Term: h.term, AckedEnd: h.ackedEnd}
+			ack := &messenger.SnapshotAck{Term: h.term, AckedEnd: h.ackedEnd, AppliedSentAt: f.WorkerSnapshot.SentAt, WorkerIncarnation: f.WorkerSnapshot.WorkerIncarnation}
 			if !h.unregistered {
-				ack.EchoSentAt, ack.WorkerIncarnation = f.WorkerSnapshot.SentAt, f.WorkerSnapshot.WorkerIncarnation
+				ack.EchoSentAt = f.WorkerSnapshot.SentAt
 			}
 			_ = conn.TrySend(messenger.Frame{Kind: messenger.KindSnapshotAck, SnapshotAck: ack})
 		}
