elector: Record at a release how long earlier owners may act

The second owner claimed at 11.9 s after the first was lost, and released at 21.7 s, 0.2 s before the first one's confirmations had expired. The third owner waited for them from the beginning, 16.07 s.

A release now records what is left of that wait, 0.2 s here, and the next owner adds the lease only to that. Whether earlier owners have stopped is the case of nothing left.

TestAReleaseSaysHowLongEarlierOwnersMayAct covers it; it can't be built on the code before, where the record had no such time.

--- a/coordinator/ownership.go
+++ b/coordinator/ownership.go
@@ -39,10 +39,7 @@
 func (c *Coordinator) serveOwnership(parent context.Context, record elector.OwnerRecord, epoch uint64) {
 	ctx, cancel := context.WithCancel(parent)
 	defer cancel()
-	previousOwnerTTL := elector.ConfirmationTTL
-	if record.PredecessorsStopped {
-		previousOwnerTTL = 0
-	}
+	previousOwnerTTL := record.EarlierOwnersTTL()
 	claimedAt := c.elector.ClaimedAt()
 	o := orchestrator.New(orchestrator.Config{
 		Term: record.Term, Epoch: epoch, OwnerKey: elector.OwnerKey, ClaimedAt: claimedAt, Store: c.relayer.Store(), Now: c.cfg.Now, WallClock: c.cfg.WallClock,
--- a/elector/claim.go
+++ b/elector/claim.go
@@ -131,6 +131,9 @@
 		}
 	}
 	next := OwnerRecord{Owner: e.cfg.Self, Term: record.Term + 1, PredecessorsStopped: reason == reasonNoOwner || record.PredecessorsStopped && reason != reasonOwnerLost}
+	if record.Released {
+		next.RemainingTTL = record.RemainingTTL
+	}
 	sent := e.cfg.Now()
 	newVersion, err := e.writeRecord(ctx, next, version)
 	if err != nil {
@@ -170,7 +173,8 @@
 	now := e.cfg.Now()
 	e.cooldownUntil = now.Add(releaseCooldown)
 	// Earlier owners have no confirmation that is younger than this claim.
-	record.PredecessorsStopped = record.PredecessorsStopped || !now.Before(e.claimedAt.Add(ConfirmationTTL))
+	record.RemainingTTL = max(e.claimedAt.Add(record.EarlierOwnersTTL()).Sub(now), 0)
+	record.PredecessorsStopped = record.RemainingTTL == 0
 	e.mu.Unlock()
 	if !isOwner {
 		return
--- a/elector/claim_test.go
+++ b/elector/claim_test.go
@@ -120,3 +120,24 @@
 		c.Check(record.PredecessorsStopped, qt.IsFalse)
 	})
 }
+
+// A release that came shortly before the confirmations of an earlier owner expired made
+// the next owner wait for them from the beginning.
+func TestAReleaseSaysHowLongEarlierOwnersMayAct(t *testing.T) {
+	withCluster(t, 2, func(c *qt.C, cl *cluster) {
+		cl.kill(cl.owner())
+		for cl.owner() == "" {
+			advancer.Sleep(100 * time.Millisecond)
+		}
+		second := cl.owner()
+		cl.start("entry-2", "1")
+		advancer.Sleep(ConfirmationTTL - 2*time.Second)
+		cl.nodes[second].Release(context.Background(), "test")
+		advancer.Sleep(3 * time.Second)
+		c.Assert(cl.owner(), qt.Equals, "entry-2")
+		record, _ := cl.nodes["entry-2"].Owner()
+		c.Check(record.PredecessorsStopped, qt.IsFalse)
+		c.Check(record.EarlierOwnersTTL() > 0, qt.IsTrue)
+		c.Check(record.EarlierOwnersTTL() <= 2*time.Second, qt.IsTrue, qt.Commentf("%v", record.EarlierOwnersTTL()))
+	})
+}
--- a/elector/record.go
+++ b/elector/record.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/netip"
+	"time"
 
 	"github.com/fxamacker/cbor/v2"
 )
@@ -31,6 +32,23 @@
 	// Otherwise an earlier owner may still send commands until its confirmation of
 	// ownership expires.
 	PredecessorsStopped bool `cbor:"4,keyasint,omitempty"`
+	// RemainingTTL is how long after the newest release earlier owners may still send
+	// commands; zero if nothing was released since an owner was lost. The clocks of
+	// entries differ, so it can't be a deadline.
+	RemainingTTL time.Duration `cbor:"5,keyasint,omitempty"`
+}
+
+// EarlierOwnersTTL returns how long after the claim of the record's owner earlier
+// owners may still send commands.
+func (r OwnerRecord) EarlierOwnersTTL() time.Duration {
+	switch {
+	case r.PredecessorsStopped:
+		return 0
+	case r.RemainingTTL > 0:
+		return min(r.RemainingTTL, ConfirmationTTL)
+	default:
+		return ConfirmationTTL
+	}
 }
 
 func decode[T any](raw []byte) (T, error) {
