--- a/supervisor/leave.go
+++ b/supervisor/leave.go
@@ -11,18 +11,19 @@
 // another entry has taken over from an owner that does not answer.
 const LeaveTimeout = 3 * time.Second
 
-// AwaitOwner waits until an owner has received a snapshot that was sent after the call
-// and has renewed the lease, or until ctx ends. If the agent ends then, that owner knows
+// AwaitOwner waits until an owner has applied a snapshot that was sent after the call,
+// or until ctx ends. If the agent ends then, that owner knows
 // which runs it leaves; otherwise the next owner could only wait for their leases. It
-// returns at once if there is no worker.
+// returns at once if there is no worker. From the call on the agent starts nothing.
 func (s *Supervisor) AwaitOwner(ctx context.Context) {
 	s.mu.Lock()
+	s.leaving = true
 	incarnation, called, since := s.heartbeat.Incarnation, s.cfg.Now(), s.workerNow()
 	s.mu.Unlock()
 	s.markDirty()
 	for {
 		s.mu.Lock()
-		known := s.heartbeat.Incarnation == "" || s.heartbeat.Incarnation != incarnation || !s.leaseExpiresAt.Before(since.Add(s.cfg.LeaseDuration))
+		known := s.heartbeat.Incarnation == "" || s.heartbeat.Incarnation != incarnation || !s.appliedSentAt.Before(since)
 		runs := len(s.runs)
 		s.mu.Unlock()
 		if known || ctx.Err() != nil {
@@ -30,7 +31,7 @@
 			return
 		}
 		select {
-		case <-s.renewed:
+		case <-s.applied:
 		case <-ctx.Done():
 		}
 	}
