--- a/orchestrator/evict.go
+++ b/orchestrator/evict.go
@@ -10,9 +10,9 @@
 	"github.com/endivefall/endivefall/sequencer"
 )
 
-// evacuate moves tasks off draining workers if another worker has room:
-// long-running tasks, and tasks that resume from a checkpoint. Other tasks stay and
-// finish there if time allows.
+// evacuate moves tasks off draining workers if another worker has room and they may be
+// started again: long-running tasks, and tasks that resume from a checkpoint. Other
+// tasks stay and finish there if time allows.
 func (o *Orchestrator) evacuate() {
 	draining := o.drainingAgents()
 	if len(draining) == 0 || !o.ownershipCurrent() {
--- a/orchestrator/registration.go
+++ b/orchestrator/registration.go
@@ -53,9 +53,9 @@
 	return !o.cfg.Now().Before(o.cfg.ClaimedAt.Add(o.cfg.PreviousOwnerTTL))
 }
 
-// closedRegistration returns the record of an agent whose registration is closed. The
-// renewals of an earlier owner are bounded only once its confirmations have expired,
-// as it may still take the registration for open.
+// closedRegistration returns the record of an agent whose registration is closed. It is
+// bounded only once the confirmations of every earlier owner have expired: one of them
+// may have loaded the registration while it was open, and renew the lease for longer.
 func (o *Orchestrator) closedRegistration(a *agent) registration {
 	return registration{HeldTasks: a.heldTasks(), Bounded: o.earlierOwnersStopped()}
 }
--- a/supervisor/leave.go
+++ b/supervisor/leave.go
@@ -12,9 +12,9 @@
 const LeaveTimeout = 3 * time.Second
 
 // AwaitOwner waits until an owner has applied a snapshot that was sent after the call,
-// or until ctx ends. If the agent ends then, that owner knows
-// which runs it leaves; otherwise the next owner could only wait for their leases. It
-// returns at once if there is no worker. From the call on the agent starts nothing.
+// or until ctx ends. That owner then knows which runs the agent leaves; without one, the
+// next owner can only wait for their leases. It returns at once if there is no worker.
+// From the call on the agent starts nothing.
 func (s *Supervisor) AwaitOwner(ctx context.Context) {
 	s.mu.Lock()
 	s.leaving = true
