platform, relayer, faker: Reproduce configurations that are late on slow links

Callers get 404 for a route that was acknowledged more than 3 s before, from entries with links of 10 Mbit/s, once the configuration is large.

faker.Network limits the rate of a process's link, which all its connections share.

--- a/faker/network.go
+++ b/faker/network.go
@@ -22,12 +22,14 @@
 	partitions map[[2]string]bool
 	// frozen holds the processes that neither send nor receive.
 	frozen map[string]bool
-	conns  map[*memoryConn]bool
+	// links holds the links of processes whose rate is limited.
+	links map[string]*link
+	conns map[*memoryConn]bool
 }
 
 // NewNetwork returns a network without partitions.
 func NewNetwork() *Network {
-	return &Network{listeners: map[string]*memoryListener{}, partitions: map[[2]string]bool{}, frozen: map[string]bool{}, conns: map[*memoryConn]bool{}}
+	return &Network{listeners: map[string]*memoryListener{}, partitions: map[[2]string]bool{}, frozen: map[string]bool{}, links: map[string]*link{}, conns: map[*memoryConn]bool{}}
 }
 
 func pairOf(a, b string) [2]string {
@@ -79,6 +81,25 @@
 	}
 }
 
+// SetRate limits what all connections of a process carry together, in bytes per second.
+func (n *Network) SetRate(name string, bytesPerSecond float64) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.links[name] = &link{bytesPerSecond: bytesPerSecond}
+}
+
+// transmit waits until the links of both processes have carried size bytes.
+func (n *Network) transmit(pair [2]string, size int) {
+	n.mu.Lock()
+	links := []*link{n.links[pair[0]], n.links[pair[1]]}
+	n.mu.Unlock()
+	for _, l := range links {
+		if l != nil {
+			l.transmit(size)
+		}
+	}
+}
+
 // Listen opens a process's listener at an address.
 func (n *Network) Listen(name string, addr netip.AddrPort) net.Listener {
 	n.mu.Lock()
@@ -107,7 +128,7 @@
 	}
 	local, remote := net.Pipe()
 	pair := pairOf(name, listener.name)
-	clientConn, serverConn := newMemoryConn(local, pair), newMemoryConn(remote, pair)
+	clientConn, serverConn := newMemoryConn(n, local, pair), newMemoryConn(n, remote, pair)
 	n.conns[clientConn], n.conns[serverConn] = true, true
 	if n.frozen[name] || n.frozen[listener.name] {
 		clientConn.mute()
@@ -140,6 +161,7 @@
 // memoryConn is one end of a connection.
 type memoryConn struct {
 	net.Conn
+	network  *Network
 	pair     [2]string
 	muteOnce sync.Once
 	// muted is closed once the connection drops all data.
@@ -149,8 +171,8 @@
 	closeOnce sync.Once
 }
 
-func newMemoryConn(c net.Conn, pair [2]string) *memoryConn {
-	return &memoryConn{Conn: c, pair: pair, muted: make(chan struct{}), closed: make(chan struct{})}
+func newMemoryConn(n *Network, c net.Conn, pair [2]string) *memoryConn {
+	return &memoryConn{Conn: c, network: n, pair: pair, muted: make(chan struct{}), closed: make(chan struct{})}
 }
 
 func (c *memoryConn) mute() { c.muteOnce.Do(func() { close(c.muted) }) }
@@ -163,11 +185,20 @@
 
 // Write writes to the peer; on a muted connection it drops the bytes.
 func (c *memoryConn) Write(p []byte) (int, error) {
-	select {
-	case <-c.muted:
-		return len(p), nil
-	default:
-		return c.Conn.Write(p)
+	written := 0
+	for {
+		select {
+		case <-c.muted:
+			return len(p), nil
+		default:
+		}
+		chunk := p[written:min(written+maxPacketBytes, len(p))]
+		c.network.transmit(c.pair, len(chunk))
+		n, err := c.Conn.Write(chunk)
+		written += n
+		if err != nil || written == len(p) {
+			return written, err
+		}
 	}
 }
 
