platform, relayer: Bound the silence of a store's reply, not its duration

Callers got 404 for routes that had been acknowledged more than 3 s before, from entries with slow links.

Cause: a call to the store had to be complete 0.9 s after it was sent, a watch 0.7 s after its wait, a relayed call after 1.1 s. The configuration is one value; at 4,200 routes a reply holds 1,051 KB, 0.84 s on a free link of 10 Mbit/s. A watch failed if the change came late in its wait, a list always, and each retry, directly or through an entry with such a link, began with the first byte again and shared the link with the others.

fetcher bounds the time to the head of a reply, then each silence. A transfer that goes on is never given up, so each configuration is transferred once.

--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -17,6 +17,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"go.uber.org/zap"
 
+	"github.com/endivefall/endivefall/fetcher"
 	"github.com/endivefall/endivefall/storer"
 )
 
@@ -32,8 +33,8 @@
 	// relayCooldown is how long calls are not relayed after no other entry could make
 	// one: the store is then likely down for all entries, and each call has a cost.
 	relayCooldown = 700 * time.Millisecond
-	// relayTimeout bounds a relayed call, without the wait of a watch: it covers a call
-	// to the store and a round trip to the other entry.
+	// relayTimeout is how long the other entry may send nothing, without the wait of a
+	// watch: it covers a call to the store and a round trip to the other entry.
 	relayTimeout = 1100 * time.Millisecond
 	// maxPeersPerCall is the number of other entries through which a call is tried.
 	maxPeersPerCall = 2
@@ -245,8 +246,6 @@
 	if c.Op == opWatch {
 		timeout += time.Duration(c.Wait) * time.Millisecond
 	}
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
 	raw, err := cbor.Marshal(c)
 	if err != nil {
 		return &reply{}, err
@@ -259,17 +258,13 @@
 	if c.Op != opCommit && c.Op != opCreateLease {
 		failure = storer.ErrUnavailable // safe to retry
 	}
-	resp, err := r.cfg.Client.Do(req.WithContext(ctx))
+	resp, err := fetcher.Do(r.cfg.Client, req.WithContext(ctx), fetcher.Limits{HeadBy: time.Now().Add(timeout), Silence: relayTimeout, MaxBytes: maxBodyBytes})
 	if err != nil {
 		return &reply{}, fmt.Errorf("%w: %w", failure, err)
 	}
-	defer func() { _ = resp.Body.Close() }()
-	raw, err = io.ReadAll(io.LimitReader(resp.Body, maxBodyBytes))
 	var p reply
-	if err == nil {
-		err = cbor.Unmarshal(raw, &p)
-	}
-	if err != nil || resp.StatusCode != http.StatusOK {
+	err = cbor.Unmarshal(resp.Body, &p)
+	if err != nil || resp.Code != http.StatusOK {
 		return &reply{}, fmt.Errorf("%w: entry answered %s: %w", failure, resp.Status, err)
 	}
 	return &p, p.err()
