--- a/fetcher/fetcher.go
+++ b/fetcher/fetcher.go
@@ -39,17 +39,19 @@
 type Reply struct {
 	Code   int    // HTTP status code
 	Status string // HTTP status line, such as "200 OK"
+	Header http.Header
 	Body   []byte
 }
 
-// Do sends a request and reads its reply within limits and within the deadline of the
-// request's context. Its errors are those of client, ErrSilent and ErrTooLarge.
-func Do(client *http.Client, req *http.Request, limits Limits) (*Reply, error) {
+// Do sends a request through send, such as the Do of an http.Client, and reads its reply
+// within limits and within the deadline of the request's context. Its errors are those of
+// send, ErrSilent and ErrTooLarge.
+func Do(send func(*http.Request) (*http.Response, error), req *http.Request, limits Limits) (*Reply, error) {
 	ctx, cancel := context.WithCancelCause(req.Context())
 	defer cancel(nil)
 	timer := time.AfterFunc(time.Until(limits.HeadBy), func() { cancel(ErrSilent) })
 	defer timer.Stop()
-	resp, err := client.Do(req.WithContext(ctx))
+	resp, err := send(req.WithContext(ctx))
 	if err != nil {
 		return nil, withCause(ctx, err)
 	}
@@ -64,7 +66,7 @@
 		case body.Len() > limits.MaxBytes:
 			return nil, fmt.Errorf("%w: over %d bytes", ErrTooLarge, limits.MaxBytes)
 		case errors.Is(err, io.EOF):
-			return &Reply{Code: resp.StatusCode, Status: resp.Status, Body: body.Bytes()}, nil
+			return &Reply{Code: resp.StatusCode, Status: resp.Status, Header: resp.Header, Body: body.Bytes()}, nil
 		case err != nil:
 			return nil, fmt.Errorf("after %d bytes of the reply: %w", body.Len(), withCause(ctx, err))
 		}
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -258,7 +258,7 @@
 	if c.Op != opCommit && c.Op != opCreateLease {
 		failure = storer.ErrUnavailable // safe to retry
 	}
-	resp, err := fetcher.Do(r.cfg.Client, req.WithContext(ctx), fetcher.Limits{HeadBy: time.Now().Add(timeout), Silence: relayTimeout, MaxBytes: maxBodyBytes})
+	resp, err := fetcher.Do(r.cfg.Client.Do, req.WithContext(ctx), fetcher.Limits{HeadBy: time.Now().Add(timeout), Silence: relayTimeout, MaxBytes: maxBodyBytes})
 	if err != nil {
 		return &reply{}, fmt.Errorf("%w: %w", failure, err)
 	}
