relayer: Give a silent peer up before its call would have been made

A configuration could be in force 3.2 s late at an entry whose watch was lost in a short cut of its path to the store, while one other entry stood still: the watch was given up after 1.5 s, and the relayed one waited as long for the silent entry as for a slow store, 1.9 s, before the next was tried. Found beside the cause of the late configurations; not known to have been seen on a deployment.

An entry now begins its reply to a relayed call before it makes the call. The caller gives the entry up if that does not come within 0.5 s.

--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -33,8 +33,11 @@
 	// relayCooldown is how long calls are not relayed after no other entry could make
 	// one: the store is then likely down for all entries, and each call has a cost.
 	relayCooldown = 700 * time.Millisecond
-	// relayTimeout is how long the other entry may send nothing, without the wait of a
-	// watch: it covers a call to the store and a round trip to the other entry.
+	// peerTimeout is how long another entry may take to begin its reply, which it does
+	// before it makes the call. It covers a new connection and a round trip.
+	peerTimeout = 500 * time.Millisecond
+	// relayTimeout is how long the other entry may send nothing after that, without the
+	// wait of a watch: it covers a call to the store and a round trip to the other entry.
 	relayTimeout = 1100 * time.Millisecond
 	// maxPeersPerCall is the number of other entries through which a call is tried.
 	maxPeersPerCall = 2
@@ -258,7 +261,7 @@
 	if c.Op != opCommit && c.Op != opCreateLease {
 		failure = storer.ErrUnavailable // safe to retry
 	}
-	resp, err := fetcher.Do(r.cfg.Client.Do, req.WithContext(ctx), fetcher.Limits{HeadBy: time.Now().Add(timeout), Silence: relayTimeout, MaxBytes: maxBodyBytes})
+	resp, err := fetcher.Do(r.cfg.Client.Do, req.WithContext(ctx), fetcher.Limits{HeadBy: time.Now().Add(peerTimeout), Silence: timeout, MaxBytes: maxBodyBytes})
 	if err != nil {
 		return &reply{}, fmt.Errorf("%w: %w", failure, err)
 	}
@@ -281,6 +284,12 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
+	// The head tells the other entry that this one is alive.
+	w.WriteHeader(http.StatusOK)
+	if err := http.NewResponseController(w).Flush(); err != nil {
+		r.cfg.Log.Debug("could not begin reply to a relayed call", zap.Error(err))
+		return
+	}
 	p, err := r.direct(req.Context(), &c)
 	r.updateReachability(err)
 	if err != nil {
@@ -292,8 +301,8 @@
 	}
 	raw, err = cbor.Marshal(p)
 	if err != nil {
-		http.Error(w, err.Error(), http.StatusInternalServerError)
-		return
+		r.cfg.Log.Error("could not encode reply to a relayed call", zap.Error(err))
+		return // the other entry finds no reply
 	}
 	if _, err := w.Write(raw); err != nil {
 		r.cfg.Log.Debug("could not write reply to a relayed call", zap.Error(err))
