supervisor: Log ends and lists that an agent ignores

The logs show that their agent found them in no list, and not that it had skipped their ends, which numbers it had acknowledged, nor what the worker's clock said when it answered again.

Three lines hold these inputs; an ignored end is logged once a run. No logic changes.

--- a/supervisor/list.go
+++ b/supervisor/list.go
@@ -86,7 +86,8 @@
 // its clock.
 func (s *Supervisor) recordReply(reply *ListReply, receivedAt time.Time) {
 	if !s.unreachableSince.IsZero() {
-		s.cfg.Log.Info("worker answers again", zap.String("worker", s.heartbeat.Incarnation), zap.Duration("silent", receivedAt.Sub(s.unreachableSince)))
+		s.cfg.Log.Info("worker answers again", zap.String("worker", s.heartbeat.Incarnation), zap.Duration("silent", receivedAt.Sub(s.unreachableSince)),
+			zap.Duration("clock", reply.Clock.Sub(s.workerClock)), zap.Uint64("acked", s.ackedEnd))
 		s.unreachableSince = time.Time{}
 		s.markDirty()
 	}
@@ -113,8 +114,9 @@
 // reconcile updates runs and ends from a list reply that was requested under a
 // fence.
 func (s *Supervisor) reconcile(ctx context.Context, fence uint64, reply *ListReply) {
-	if reply.Clock.Before(s.workerClock) {
-		return // a newer reply has arrived before this one
+	if reply.Clock.Before(s.workerClock) { // a newer reply has arrived before this one
+		s.cfg.Log.Info("list reply ignored; the worker's clock was ahead of it", zap.String("worker", s.heartbeat.Incarnation), zap.Duration("behind", s.workerClock.Sub(reply.Clock)))
+		return
 	}
 	listed := make(map[runKey]bool, len(reply.Runs)+len(reply.Ends))
 	for _, active := range reply.Runs {
@@ -140,6 +142,11 @@
 		k := runKey{ended.Task, ended.Attempt}
 		listed[k] = true
 		if ended.Seq <= s.seenEnd {
+			if r := s.runs[k]; r != nil && !r.endIgnored {
+				r.endIgnored = true
+				s.cfg.Log.Warn("end of a run ignored; its number was handled before", zap.String("task", ended.Task), zap.Uint64("attempt", ended.Attempt),
+					zap.Stringer("how", ended.Status), zap.Uint64("listed", ended.Seq), zap.Uint64("seen", s.seenEnd), zap.String("worker", s.heartbeat.Incarnation))
+			}
 			continue
 		}
 		s.seenEnd = ended.Seq
--- a/supervisor/run.go
+++ b/supervisor/run.go
@@ -36,6 +36,8 @@
 	specUnknown bool
 	// stopRequested is set once the owner has sent a stop.
 	stopRequested bool
+	// endIgnored is set once an ignored end of the run has been logged.
+	endIgnored bool
 	// ended is set when the run has been removed from Supervisor.runs.
 	ended bool
 }
