supervisor: Tell a worker's ID from its incarnation

The platform's new term lets a worker start again under its ID. Calls name that ID; state belongs to one start. Both were one field. Names only, no logic changes.

--- a/faker/pool.go
+++ b/faker/pool.go
@@ -91,13 +91,13 @@
 	w.notifyWaiters()
 }
 
-// Heartbeat returns the worker's heartbeat; its Incarnation is empty before the
+// Heartbeat returns the worker's heartbeat; its WorkerID is empty before the
 // first Restart.
 func (w *PoolWorker) Heartbeat(seq uint64) supervisor.Heartbeat {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	return supervisor.Heartbeat{
-		Incarnation: w.incarnation, Seq: seq, Pool: "pool", Clock: w.clock(), CPU: w.CPU, Memory: w.Memory, Labels: []string{"a", "rack"},
+		WorkerID: w.incarnation, Seq: seq, Pool: "pool", Clock: w.clock(), CPU: w.CPU, Memory: w.Memory, Labels: []string{"a", "rack"},
 	}
 }
 
@@ -220,7 +220,7 @@
 	listOnce := func() error {
 		w.mu.Lock()
 		defer w.mu.Unlock()
-		err := w.checkCall(req.Incarnation, req.Fence)
+		err := w.checkCall(req.WorkerID, req.Fence)
 		if errors.Is(err, supervisor.ErrUnknownOutcome) || errors.Is(err, supervisor.ErrWrongIncarnation) {
 			return err
 		}
@@ -263,7 +263,7 @@
 	err := w.withFault(ctx, "start", func() error {
 		w.mu.Lock()
 		defer w.mu.Unlock()
-		if err := w.checkCall(req.Incarnation, req.Fence); err != nil {
+		if err := w.checkCall(req.WorkerID, req.Fence); err != nil {
 			return err
 		}
 		clock = w.clock()
@@ -306,7 +306,7 @@
 	return w.withFault(ctx, "stop", func() error {
 		w.mu.Lock()
 		defer w.mu.Unlock()
-		if err := w.checkCall(ref.Incarnation, ref.Fence); err != nil {
+		if err := w.checkCall(ref.WorkerID, ref.Fence); err != nil {
 			return err
 		}
 		w.endedAttempts[ref.Task] = max(w.endedAttempts[ref.Task], ref.Attempt)
--- a/supervisor/commands.go
+++ b/supervisor/commands.go
@@ -56,7 +56,7 @@
 		return
 	}
 	s.cfg.Log.Info("start command accepted", zap.String("task", cmd.Task), zap.Uint64("attempt", cmd.Attempt), zap.Uint64("term", s.term),
-		zap.String("worker", s.heartbeat.Incarnation), zap.Duration("lease", s.leaseExpiresAt.Sub(s.workerNow())))
+		zap.String("worker", s.heartbeat.Incarnation()), zap.Duration("lease", s.leaseExpiresAt.Sub(s.workerNow())))
 	s.calls.Go(func() { s.startRun(ctx, r, cmd) })
 }
 
@@ -98,7 +98,7 @@
 			return
 		}
 		req := StartRequest{
-			RunRef:  RunRef{Incarnation: s.heartbeat.Incarnation, Fence: s.fence, Task: r.task, Attempt: r.attempt},
+			RunRef:  RunRef{WorkerID: s.heartbeat.WorkerID, Fence: s.fence, Task: r.task, Attempt: r.attempt},
 			Payload: cmd.Payload, Checkpoint: cmd.Checkpoint, Ticket: cmd.Ticket, LeaseExpiresAt: s.leaseExpiresAt,
 		}
 		if s.leaseExpiresAt.After(s.sentLease) {
@@ -174,7 +174,7 @@
 			return
 		}
 		r.phase = messenger.PhaseStopping
-		ref := RunRef{Incarnation: s.heartbeat.Incarnation, Fence: s.fence, Task: r.task, Attempt: r.attempt}
+		ref := RunRef{WorkerID: s.heartbeat.WorkerID, Fence: s.fence, Task: r.task, Attempt: r.attempt}
 		s.mu.Unlock()
 		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 		err := s.cfg.Worker.Stop(callCtx, ref)
--- a/supervisor/leave.go
+++ b/supervisor/leave.go
@@ -18,12 +18,12 @@
 func (s *Supervisor) AwaitOwner(ctx context.Context) {
 	s.mu.Lock()
 	s.leaving = true
-	incarnation, called, since := s.heartbeat.Incarnation, s.cfg.Now(), s.workerNow()
+	incarnation, called, since := s.heartbeat.Incarnation(), s.cfg.Now(), s.workerNow()
 	s.mu.Unlock()
 	s.markDirty()
 	for {
 		s.mu.Lock()
-		known := s.heartbeat.Incarnation == "" || s.heartbeat.Incarnation != incarnation || !s.appliedSentAt.Before(since)
+		known := s.heartbeat.Incarnation() == "" || s.heartbeat.Incarnation() != incarnation || !s.appliedSentAt.Before(since)
 		runs := len(s.runs)
 		s.mu.Unlock()
 		if known || ctx.Err() != nil {
--- a/supervisor/list.go
+++ b/supervisor/list.go
@@ -33,8 +33,9 @@
 // sendList sends one list request and reports whether the worker answered it.
 func (s *Supervisor) sendList(ctx context.Context, wait time.Duration) bool {
 	s.mu.Lock()
-	req := ListRequest{Incarnation: s.heartbeat.Incarnation, Fence: s.fence, LeaseExpiresAt: s.leaseExpiresAt, AckedEnd: s.ackedEnd, Wait: wait}
-	if req.Incarnation == "" {
+	incarnation := s.heartbeat.Incarnation()
+	req := ListRequest{WorkerID: s.heartbeat.WorkerID, Fence: s.fence, LeaseExpiresAt: s.leaseExpiresAt, AckedEnd: s.ackedEnd, Wait: wait}
+	if req.WorkerID == "" {
 		s.mu.Unlock()
 		return false
 	}
@@ -62,7 +63,7 @@
 	receivedAt := s.cfg.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.heartbeat.Incarnation != req.Incarnation {
+	if s.heartbeat.Incarnation() != incarnation {
 		return true
 	}
 	switch {
@@ -86,7 +87,7 @@
 // its clock.
 func (s *Supervisor) recordReply(reply *ListReply, receivedAt time.Time) {
 	if !s.unreachableSince.IsZero() {
-		s.cfg.Log.Info("worker answers again", zap.String("worker", s.heartbeat.Incarnation), zap.Duration("silent", receivedAt.Sub(s.unreachableSince)),
+		s.cfg.Log.Info("worker answers again", zap.String("worker", s.heartbeat.Incarnation()), zap.Duration("silent", receivedAt.Sub(s.unreachableSince)),
 			zap.Duration("clock", reply.Clock.Sub(s.workerClock)), zap.Uint64("acked", s.ackedEnd))
 		s.unreachableSince = time.Time{}
 		s.markDirty()
@@ -101,7 +102,7 @@
 func (s *Supervisor) recordFailure(now time.Time, err error) {
 	if s.unreachableSince.IsZero() {
 		s.unreachableSince = now
-		s.cfg.Log.Warn("worker does not answer", zap.String("worker", s.heartbeat.Incarnation), zap.Error(err))
+		s.cfg.Log.Warn("worker does not answer", zap.String("worker", s.heartbeat.Incarnation()), zap.Error(err))
 	}
 	if !s.leasesExpired() {
 		return
@@ -115,7 +116,7 @@
 // fence.
 func (s *Supervisor) reconcile(ctx context.Context, fence uint64, reply *ListReply) {
 	if reply.Clock.Before(s.workerClock) { // a newer reply has arrived before this one
-		s.cfg.Log.Info("list reply ignored; the worker's clock was ahead of it", zap.String("worker", s.heartbeat.Incarnation), zap.Duration("behind", s.workerClock.Sub(reply.Clock)))
+		s.cfg.Log.Info("list reply ignored; the worker's clock was ahead of it", zap.String("worker", s.heartbeat.Incarnation()), zap.Duration("behind", s.workerClock.Sub(reply.Clock)))
 		return
 	}
 	listed := make(map[runKey]bool, len(reply.Runs)+len(reply.Ends))
@@ -126,7 +127,7 @@
 		if r == nil {
 			r = &run{task: active.Task, attempt: active.Attempt, specUnknown: true, phase: messenger.PhaseRunning, pacePercent: 100, confirmedAt: reply.Clock}
 			s.runs[k] = r
-			s.cfg.Log.Info("run adopted", zap.String("task", active.Task), zap.Uint64("attempt", active.Attempt), zap.String("worker", s.heartbeat.Incarnation))
+			s.cfg.Log.Info("run adopted", zap.String("task", active.Task), zap.Uint64("attempt", active.Attempt), zap.String("worker", s.heartbeat.Incarnation()))
 			s.markDirty()
 		}
 		if r.phase == messenger.PhaseStarting {
@@ -145,7 +146,7 @@
 			if r := s.runs[k]; r != nil && !r.endIgnored {
 				r.endIgnored = true
 				s.cfg.Log.Warn("end of a run ignored; its number was handled before", zap.String("task", ended.Task), zap.Uint64("attempt", ended.Attempt),
-					zap.Stringer("how", ended.Status), zap.Uint64("listed", ended.Seq), zap.Uint64("seen", s.seenEnd), zap.String("worker", s.heartbeat.Incarnation))
+					zap.Stringer("how", ended.Status), zap.Uint64("listed", ended.Seq), zap.Uint64("seen", s.seenEnd), zap.String("worker", s.heartbeat.Incarnation()))
 			}
 			continue
 		}
@@ -169,7 +170,7 @@
 	}
 	if !s.reconciled {
 		s.reconciled = true
-		s.cfg.Log.Info("worker reconciled", zap.String("worker", s.heartbeat.Incarnation), zap.Int("runs", len(s.runs)), zap.Int("ends", len(s.ends)))
+		s.cfg.Log.Info("worker reconciled", zap.String("worker", s.heartbeat.Incarnation()), zap.Int("runs", len(s.runs)), zap.Int("ends", len(s.ends)))
 		s.markDirty()
 	}
 	s.adjustPaces(ctx)
--- a/supervisor/owner.go
+++ b/supervisor/owner.go
@@ -111,18 +111,18 @@
 	s.term = ack.Term
 	s.dropAckedEnds(ack.AckedEnd)
 	s.mergeInterference(ack.Interference)
-	if ack.WorkerIncarnation == s.heartbeat.Incarnation && ack.AppliedSentAt.After(s.appliedSentAt) {
+	if ack.WorkerIncarnation == s.heartbeat.Incarnation() && ack.AppliedSentAt.After(s.appliedSentAt) {
 		s.appliedSentAt = ack.AppliedSentAt
 		select {
 		case s.applied <- struct{}{}:
 		default:
 		}
 	}
-	if ack.EchoSentAt.IsZero() || s.heartbeat.Incarnation == "" {
+	if ack.EchoSentAt.IsZero() || s.heartbeat.Incarnation() == "" {
 		return true
 	}
 	blockedBy := s.blockedReason()
-	if expiresAt := ack.EchoSentAt.Add(s.cfg.LeaseDuration); ack.WorkerIncarnation == s.heartbeat.Incarnation && expiresAt.After(s.leaseExpiresAt) {
+	if expiresAt := ack.EchoSentAt.Add(s.cfg.LeaseDuration); ack.WorkerIncarnation == s.heartbeat.Incarnation() && expiresAt.After(s.leaseExpiresAt) {
 		s.leaseExpiresAt = expiresAt
 	}
 	if blockedBy == "no lease" && s.blockedReason() == "" {
--- a/supervisor/pace.go
+++ b/supervisor/pace.go
@@ -56,7 +56,7 @@
 			s.mu.Unlock()
 			return
 		}
-		ref, percent := RunRef{Incarnation: s.heartbeat.Incarnation, Fence: s.fence, Task: r.task, Attempt: r.attempt}, r.pacePercent
+		ref, percent := RunRef{WorkerID: s.heartbeat.WorkerID, Fence: s.fence, Task: r.task, Attempt: r.attempt}, r.pacePercent
 		s.mu.Unlock()
 		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 		err := s.cfg.Worker.SetPace(callCtx, ref, percent)
@@ -129,7 +129,7 @@
 			}
 		}
 	}
-	s.cfg.Log.Info("worker load", zap.String("worker", s.heartbeat.Incarnation), zap.Int64("capacity", s.heartbeat.CPU), zap.Int64("reserved", reserved),
+	s.cfg.Log.Info("worker load", zap.String("worker", s.heartbeat.Incarnation()), zap.Int64("capacity", s.heartbeat.CPU), zap.Int64("reserved", reserved),
 		zap.Int("serving", servingCount), zap.Float64("tail", maxTailRatio), zap.Int64("used", used),
 		zap.Int64("filling", bestEffortCPU), zap.Int64("filled", bestEffortUsed), zap.Strings("serves", servingTasks), zap.Strings("fills", bestEffort))
 }
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -74,8 +74,8 @@
 	listNow chan struct{}
 
 	mu sync.Mutex
-	// heartbeat is the newest heartbeat of the worker's current incarnation. Its
-	// Incarnation is empty while none is confirmed.
+	// heartbeat is the newest heartbeat of the worker's current incarnation, empty
+	// while none is confirmed.
 	heartbeat Heartbeat
 	// reconciled is set once runs has been compared with the incarnation's lists.
 	reconciled bool
@@ -173,7 +173,7 @@
 // snapshot returns the state that is reported to the owner.
 func (s *Supervisor) snapshot() *messenger.WorkerSnapshot {
 	snap := &messenger.WorkerSnapshot{
-		Term: s.term, Seq: s.commandSeq, WorkerIncarnation: s.heartbeat.Incarnation, CPU: s.heartbeat.CPU, Memory: s.heartbeat.Memory, GPU: s.heartbeat.GPU,
+		Term: s.term, Seq: s.commandSeq, WorkerIncarnation: s.heartbeat.Incarnation(), CPU: s.heartbeat.CPU, Memory: s.heartbeat.Memory, GPU: s.heartbeat.GPU,
 		Labels: s.heartbeat.Labels, Pool: s.heartbeat.Pool, Draining: s.heartbeat.Draining || s.draining,
 		Unreachable: !s.unreachableSince.IsZero() && s.cfg.Now().Sub(s.unreachableSince) > time.Second, Reconciled: s.reconciled,
 		WarmupMs: s.heartbeat.Warmup.Milliseconds(), MayStart: s.blockedReason() == "",
@@ -181,7 +181,7 @@
 	if s.cfg.Pacer != nil {
 		snap.MeasurementUpdates = s.cfg.Pacer.MeasurementUpdates
 	}
-	if s.heartbeat.Incarnation != "" {
+	if s.heartbeat.Incarnation() != "" {
 		snap.SentAt = s.workerNow()
 	}
 	if s.heartbeat.Draining && !s.heartbeat.EarliestExit.IsZero() {
@@ -202,7 +202,7 @@
 // blockedReason returns why no run may be started now, or an empty string.
 func (s *Supervisor) blockedReason() string {
 	switch {
-	case s.heartbeat.Incarnation == "":
+	case s.heartbeat.Incarnation() == "":
 		return "no worker"
 	case s.leaving:
 		return "agent is ending"
@@ -239,7 +239,7 @@
 	runEnd.Seq = s.lastEnd
 	s.ends = append(s.ends, pendingEnd{RunEnd: runEnd, workerSeq: workerSeq})
 	s.cfg.Log.Info("run ended", zap.String("task", runEnd.Task), zap.Uint64("attempt", runEnd.Attempt),
-		zap.Stringer("how", runEnd.Status), zap.String("reason", runEnd.Reason), zap.Uint64("listed", workerSeq), zap.String("worker", s.heartbeat.Incarnation))
+		zap.Stringer("how", runEnd.Status), zap.String("reason", runEnd.Reason), zap.Uint64("listed", workerSeq), zap.String("worker", s.heartbeat.Incarnation()))
 	s.markDirty()
 }
 
@@ -259,10 +259,10 @@
 // endIncarnation ends every run of the worker's incarnation and clears its state
 // until another one is confirmed.
 func (s *Supervisor) endIncarnation(reason string) {
-	if s.heartbeat.Incarnation == "" {
+	if s.heartbeat.Incarnation() == "" {
 		return
 	}
-	s.cfg.Log.Warn("worker incarnation ended", zap.String("worker", s.heartbeat.Incarnation), zap.String("why", reason), zap.Int("runs", len(s.runs)))
+	s.cfg.Log.Warn("worker incarnation ended", zap.String("worker", s.heartbeat.Incarnation()), zap.String("why", reason), zap.Int("runs", len(s.runs)))
 	for _, r := range s.sortedRuns() {
 		s.endRun(r, messenger.RunEnd{Status: messenger.EndWorkerLost, Reason: reason}, 0)
 	}
@@ -286,10 +286,10 @@
 // an incarnation older than the current one.
 func (s *Supervisor) HandleHeartbeat(ctx context.Context, heartbeat Heartbeat) {
 	s.mu.Lock()
-	known := s.heartbeat.Incarnation == heartbeat.Incarnation
+	known := s.heartbeat.Incarnation() == heartbeat.Incarnation()
 	if known && heartbeat.Seq > s.heartbeat.Seq {
 		if heartbeat.Draining && !s.heartbeat.Draining {
-			s.cfg.Log.Info("worker is draining", zap.String("worker", heartbeat.Incarnation), zap.Time("leaves", heartbeat.EarliestExit), zap.Int("runs", len(s.runs)))
+			s.cfg.Log.Info("worker is draining", zap.String("worker", heartbeat.Incarnation()), zap.Time("leaves", heartbeat.EarliestExit), zap.Int("runs", len(s.runs)))
 			s.markDirty()
 		}
 		heartbeat.Draining = heartbeat.Draining || s.heartbeat.Draining
@@ -301,13 +301,13 @@
 	}
 }
 
-// HandleDeregister records that an incarnation of the worker is shutting down.
-func (s *Supervisor) HandleDeregister(incarnation string) {
+// HandleDeregister records that the worker is shutting down.
+func (s *Supervisor) HandleDeregister(workerID string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.heartbeat.Incarnation == incarnation {
+	if s.heartbeat.WorkerID == workerID {
 		s.draining = true
-		s.cfg.Log.Info("worker is shutting down", zap.String("worker", incarnation), zap.Int("runs", len(s.runs)))
+		s.cfg.Log.Info("worker is shutting down", zap.String("worker", s.heartbeat.Incarnation()), zap.Int("runs", len(s.runs)))
 		s.markDirty()
 	}
 }
@@ -319,18 +319,18 @@
 	defer cancel()
 	// An incarnation that has seen a higher fence refuses fence 0; for any other
 	// the request changes nothing. Both replies hold the clock.
-	reply, err := s.cfg.Worker.List(ctx, ListRequest{Incarnation: heartbeat.Incarnation})
+	reply, err := s.cfg.Worker.List(ctx, ListRequest{WorkerID: heartbeat.WorkerID})
 	receivedAt := s.cfg.Now()
 	if reply == nil || reply.Clock.IsZero() {
-		s.cfg.Log.Info("ignoring heartbeat; the worker incarnation does not answer", zap.String("worker", heartbeat.Incarnation), zap.Error(err))
+		s.cfg.Log.Info("ignoring heartbeat; the worker incarnation does not answer", zap.String("worker", heartbeat.Incarnation()), zap.Error(err))
 		return
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.heartbeat.Incarnation == heartbeat.Incarnation {
+	if s.heartbeat.Incarnation() == heartbeat.Incarnation() {
 		return
 	}
-	s.endIncarnation("replaced by " + heartbeat.Incarnation)
+	s.endIncarnation("replaced by " + heartbeat.Incarnation())
 	s.heartbeat = heartbeat
 	s.workerClock, s.clockReadAt = reply.Clock, receivedAt
 	// The worker's monotonic clock advances faster than this process of the agent
@@ -338,7 +338,7 @@
 	s.fence = uint64(reply.Clock.UnixMilli())
 	// An earlier process of the agent may have sent leases up to this time.
 	s.sentLease = reply.Clock.Add(s.cfg.LeaseDuration)
-	s.cfg.Log.Info("worker incarnation confirmed", zap.String("worker", heartbeat.Incarnation), zap.Uint64("fence", s.fence), zap.Int64("cpu", heartbeat.CPU), zap.Int64("memory", heartbeat.Memory), zap.Strings("labels", heartbeat.Labels))
+	s.cfg.Log.Info("worker incarnation confirmed", zap.String("worker", heartbeat.Incarnation()), zap.Uint64("fence", s.fence), zap.Int64("cpu", heartbeat.CPU), zap.Int64("memory", heartbeat.Memory), zap.Strings("labels", heartbeat.Labels))
 	s.requestList()
 	s.markDirty()
 }
--- a/supervisor/worker.go
+++ b/supervisor/worker.go
@@ -47,8 +47,8 @@
 // ListRequest asks for a worker's active and ended runs, renews its lease and
 // acknowledges ends.
 type ListRequest struct {
-	Incarnation string // worker incarnation that the call is meant for
-	Fence       uint64
+	WorkerID string // of the worker that the call is meant for
+	Fence    uint64
 	// LeaseExpiresAt is the new lease expiry of all runs at the worker; the zero
 	// time leaves the lease unchanged.
 	LeaseExpiresAt time.Time
@@ -91,10 +91,10 @@
 
 // RunRef identifies the run that a call is about.
 type RunRef struct {
-	Incarnation string
-	Fence       uint64
-	Task        string
-	Attempt     uint64
+	WorkerID string
+	Fence    uint64
+	Task     string
+	Attempt  uint64
 }
 
 // StartRequest asks a worker to start a run.
@@ -108,17 +108,20 @@
 
 // Heartbeat is a worker's report of its capacity and state.
 type Heartbeat struct {
-	Incarnation string
-	Seq         uint64
-	Pool        string
-	Clock       time.Time
-	CPU         int64 // thousandths of a core
-	Memory      int64 // MB
-	GPU         int64
-	Labels      []string
-	Draining    bool
+	WorkerID string
+	Seq      uint64
+	Pool     string
+	Clock    time.Time
+	CPU      int64 // thousandths of a core
+	Memory   int64 // MB
+	GPU      int64
+	Labels   []string
+	Draining bool
 	// EarliestExit is when a draining worker may exit at the earliest, on its
 	// clock.
 	EarliestExit time.Time
 	Warmup       time.Duration
 }
+
+// Incarnation names one start of the worker; it is empty without a worker.
+func (h Heartbeat) Incarnation() string { return h.WorkerID }
