supervisor, faker: Reproduce ended tasks that run again after a restart

faker.PoolWorker crashes, stays down, and starts again under its ID, with StartedAt; a list request that waits ends with its incarnation.

--- a/coordinator/fleet_test.go
+++ b/coordinator/fleet_test.go
@@ -242,10 +242,7 @@
 func (f *fleet) startAgent(a *agentNode) {
 	ctx, stop := context.WithCancel(f.ctx)
 	a.stop, a.done = stop, make(chan struct{})
-	f.mu.Lock()
-	f.incarnations++
-	incarnation := fmt.Sprint("born-", f.incarnations)
-	f.mu.Unlock()
+	incarnation := fmt.Sprint("born-", f.nextIncarnation())
 	store := f.storeFor(a.name)
 	a.supervisor = supervisor.New(supervisor.Config{
 		ID: a.name, Incarnation: incarnation, Worker: a.worker.Client(), LeaseDuration: coordinator.RunLease(maxWorkerLease), Now: time.Now, Log: f.log.With(zap.String("at", a.name)),
@@ -274,15 +271,28 @@
 	<-a.done
 }
 
-// restartWorker restarts a worker under a new incarnation.
+// restartWorker restarts a worker under a new ID.
 func (f *fleet) restartWorker(a *agentNode) {
+	n := f.nextIncarnation()
+	a.worker.Restart(fmt.Sprint(a.name, "-life-", n), workerClock(n))
+}
+
+// restartWorkerUnderItsID restarts a worker under an ID that it keeps from the first such
+// restart on.
+func (f *fleet) restartWorkerUnderItsID(a *agentNode) {
+	a.worker.Restart(a.name+"-worker", workerClock(f.nextIncarnation()))
+}
+
+func (f *fleet) nextIncarnation() int {
 	f.mu.Lock()
+	defer f.mu.Unlock()
 	f.incarnations++
-	n := f.incarnations
-	f.mu.Unlock()
-	a.worker.Restart(fmt.Sprint(a.name, "-life-", n), time.UnixMilli(int64(1000000+n*7919000%5000000)))
+	return f.incarnations
 }
 
+// workerClock returns the time at which the clock of incarnation n starts.
+func workerClock(n int) time.Time { return time.UnixMilli(int64(1000000 + n*7919000%5000000)) }
+
 // close stops all entries and agents and waits until they have ended.
 func (f *fleet) close() {
 	f.mu.Lock()
--- a/coordinator/history_test.go
+++ b/coordinator/history_test.go
@@ -47,6 +47,12 @@
 	runHistories(t, nil, (*fleet).injectFreezeOrFault)
 }
 
+// TestHistoriesWithWorkersThatKeepTheirID adds workers that start again under their ID,
+// some twice at once, beside late calls and agents that restart.
+func TestHistoriesWithWorkersThatKeepTheirID(t *testing.T) {
+	runHistories(t, nil, (*fleet).injectRestartOrFault)
+}
+
 // runHistories runs histories of the regression seeds and of the seeds that the flags
 // select.
 func runHistories(t *testing.T, regressionSeeds []uint64, inject func(*fleet, *rand.Rand)) {
@@ -242,6 +248,33 @@
 	}
 }
 
+// injectRestartOrFault restarts a worker under its ID, beside lost replies or a restart of
+// its agent, or injects one of the other faults.
+func (f *fleet) injectRestartOrFault(r *rand.Rand) {
+	n := r.IntN(6)
+	if n > 3 {
+		f.injectFault(r)
+		return
+	}
+	a := f.agents[fmt.Sprintf("agent-%d", r.IntN(len(f.agents)))]
+	if n > 0 {
+		f.setFaults(func() { f.workerReplyLoss = 0.3 })
+		time.AfterFunc(time.Duration(1000+r.IntN(4000))*time.Millisecond, func() { f.setFaults(func() { f.workerReplyLoss = 0 }) })
+	}
+	for range 1 + r.IntN(2) {
+		advancer.Sleep(time.Duration(r.IntN(1500)) * time.Millisecond)
+		a.worker.Crash()
+		if n == 3 {
+			f.stopAgent(a)
+		}
+		advancer.Sleep(time.Duration(20+r.IntN(1200)) * time.Millisecond)
+		f.restartWorkerUnderItsID(a)
+		if n == 3 {
+			f.startAgent(a)
+		}
+	}
+}
+
 // clearFaults ends all injected faults.
 func (f *fleet) clearFaults() {
 	f.mu.Lock()
--- a/faker/pool.go
+++ b/faker/pool.go
@@ -39,8 +39,12 @@
 	// CPU and Memory are the worker's capacity.
 	CPU, Memory int64
 
-	mu             sync.Mutex
-	incarnation    string
+	mu sync.Mutex
+	// id is the worker's ID, empty while it is down. startedAt is when it was started,
+	// starts how often; mu guards them.
+	id             string
+	startedAt      time.Time
+	starts         int
 	clockStartedAt time.Time // local time at which the worker's clock showed clockBase
 	clockBase      time.Time
 	fence          uint64
@@ -64,7 +68,7 @@
 // PoolEvent is an event at a PoolWorker.
 type PoolEvent struct {
 	At          time.Time
-	Incarnation string
+	Incarnation string // differs for each start of the worker
 	Kind        string // start, end, forgotten (the end was acknowledged) or gone (the incarnation ended)
 	Task        string
 	Attempt     uint64
@@ -74,30 +78,44 @@
 // NewPoolWorker returns a worker that is down until Restart is called.
 func NewPoolWorker() *PoolWorker { return &PoolWorker{changed: make(chan struct{})} }
 
-// Restart ends the current incarnation with all its runs and begins a new one, whose
-// clock starts at the given time.
-func (w *PoolWorker) Restart(incarnation string, clock time.Time) {
+// Crash ends the current incarnation with all its runs.
+func (w *PoolWorker) Crash() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.crash()
+}
+
+// crash ends the current incarnation; the caller holds mu.
+func (w *PoolWorker) crash() {
 	for _, r := range w.runs {
 		r.timer.Stop()
 	}
-	if w.incarnation != "" {
+	if w.id != "" {
 		w.emit("gone", "", 0, 0)
 	}
-	w.incarnation, w.clockStartedAt, w.clockBase = incarnation, time.Now(), clock
-	w.fence, w.leaseExpiresAt, w.lastEndSeq, w.endedRuns = 0, time.Time{}, 0, nil
-	w.runs, w.endedAttempts = map[string]*poolRun{}, map[string]uint64{}
+	w.id, w.runs = "", map[string]*poolRun{}
 	w.notifyWaiters()
 }
 
-// Heartbeat returns the worker's heartbeat; its WorkerID is empty before the
-// first Restart.
+// Restart ends the current incarnation and begins a new one, whose clock starts at the
+// given time. The ID may be that of an earlier incarnation.
+func (w *PoolWorker) Restart(id string, clock time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.crash()
+	w.id, w.startedAt, w.clockStartedAt, w.clockBase = id, time.Now().Truncate(time.Millisecond), time.Now(), clock
+	w.starts++
+	w.fence, w.leaseExpiresAt, w.lastEndSeq, w.endedRuns = 0, time.Time{}, 0, nil
+	w.endedAttempts = map[string]uint64{}
+}
+
+// Heartbeat returns the worker's heartbeat; its WorkerID is empty while it
+// is down.
 func (w *PoolWorker) Heartbeat(seq uint64) supervisor.Heartbeat {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	return supervisor.Heartbeat{
-		WorkerID: w.incarnation, Seq: seq, Pool: "pool", Clock: w.clock(), CPU: w.CPU, Memory: w.Memory, Labels: []string{"a", "rack"},
+		WorkerID: w.id, StartedAt: w.startedAt, Seq: seq, Pool: "pool", Clock: w.clock(), CPU: w.CPU, Memory: w.Memory, Labels: []string{"a", "rack"},
 	}
 }
 
@@ -128,7 +146,7 @@
 
 func (w *PoolWorker) emit(kind, task string, attempt uint64, status messenger.EndStatus) {
 	if w.OnEvent != nil {
-		w.OnEvent(PoolEvent{At: time.Now(), Incarnation: w.incarnation, Kind: kind, Task: task, Attempt: attempt, Status: status})
+		w.OnEvent(PoolEvent{At: time.Now(), Incarnation: fmt.Sprint(w.id, "#", w.starts), Kind: kind, Task: task, Attempt: attempt, Status: status})
 	}
 }
 
@@ -184,13 +202,13 @@
 	return apply()
 }
 
-// checkCall checks a call's incarnation and fencing number. If they are valid, it
+// checkCall checks a call's worker ID and fencing number. If they are valid, it
 // ends expired runs and stores the fencing number. The caller holds mu.
-func (w *PoolWorker) checkCall(incarnation string, fence uint64) error {
+func (w *PoolWorker) checkCall(id string, fence uint64) error {
 	switch {
-	case w.incarnation == "":
+	case w.id == "":
 		return supervisor.ErrUnknownOutcome
-	case incarnation != w.incarnation:
+	case id != w.id:
 		return supervisor.ErrWrongIncarnation
 	case fence < w.fence:
 		return supervisor.ErrStaleFence
@@ -217,15 +235,20 @@
 func (w *PoolWorker) listRuns(ctx context.Context, req supervisor.ListRequest) (*supervisor.ListReply, error) {
 	var reply *supervisor.ListReply
 	var changed chan struct{}
+	starts := 0
 	listOnce := func() error {
 		w.mu.Lock()
 		defer w.mu.Unlock()
+		if starts != 0 && w.starts != starts {
+			return supervisor.ErrUnknownOutcome // the connection ended with its incarnation
+		}
+		starts = w.starts
 		err := w.checkCall(req.WorkerID, req.Fence)
 		if errors.Is(err, supervisor.ErrUnknownOutcome) || errors.Is(err, supervisor.ErrWrongIncarnation) {
 			return err
 		}
 		// A call with a stale fencing number is refused, but still gets the clock.
-		reply = &supervisor.ListReply{Clock: w.clock(), Complete: true}
+		reply = &supervisor.ListReply{StartedAt: w.startedAt, Clock: w.clock(), Complete: true}
 		if err != nil {
 			return err
 		}
@@ -255,7 +278,12 @@
 	case <-ctx.Done():
 		return nil, supervisor.ErrUnknownOutcome
 	}
-	return reply, listOnce()
+	if err := listOnce(); errors.Is(err, supervisor.ErrUnknownOutcome) {
+		return nil, err
+	} else if err != nil {
+		return reply, err
+	}
+	return reply, nil
 }
 
 func (w *PoolWorker) startRun(ctx context.Context, req supervisor.StartRequest) (time.Time, error) {
@@ -286,11 +314,11 @@
 		if duration == 0 {
 			duration = time.Hour
 		}
-		incarnation := w.incarnation
+		starts := w.starts
 		r.timer = time.AfterFunc(duration, func() {
 			w.mu.Lock()
 			defer w.mu.Unlock()
-			if w.incarnation == incarnation && w.runs[req.Task] == r {
+			if w.starts == starts && w.runs[req.Task] == r {
 				w.expireRuns()
 				w.endRun(req.Task, status)
 			}
--- a/supervisor/worker.go
+++ b/supervisor/worker.go
@@ -35,7 +35,8 @@
 )
 
 // WorkerClient makes the calls to one worker. Times sent to or received from a
-// worker are on its own monotonic clock.
+// worker are on its own monotonic clock. A call names the worker's ID, so another
+// incarnation may carry it out; only the reply to List tells which one did.
 type WorkerClient struct {
 	List func(ctx context.Context, req ListRequest) (*ListReply, error)
 	// Start returns the worker's clock.
@@ -62,9 +63,11 @@
 // ListReply is a worker's reply to a ListRequest. With ErrStaleFence only Clock is
 // set.
 type ListReply struct {
-	Clock time.Time
-	Runs  []ActiveRun
-	Ends  []EndedRun
+	// StartedAt is the Heartbeat.StartedAt of the incarnation that answered.
+	StartedAt time.Time
+	Clock     time.Time
+	Runs      []ActiveRun
+	Ends      []EndedRun
 	// Complete is false if the worker may have more ends than it listed.
 	Complete bool
 }
@@ -109,14 +112,18 @@
 // Heartbeat is a worker's report of its capacity and state.
 type Heartbeat struct {
 	WorkerID string
-	Seq      uint64
-	Pool     string
-	Clock    time.Time
-	CPU      int64 // thousandths of a core
-	Memory   int64 // MB
-	GPU      int64
-	Labels   []string
-	Draining bool
+	// StartedAt tells the incarnations of a worker apart that starts again under its
+	// ID: the time of day at the worker, in whole ms. It is zero where each start has an
+	// ID of its own.
+	StartedAt time.Time
+	Seq       uint64
+	Pool      string
+	Clock     time.Time
+	CPU       int64 // thousandths of a core
+	Memory    int64 // MB
+	GPU       int64
+	Labels    []string
+	Draining  bool
 	// EarliestExit is when a draining worker may exit at the earliest, on its
 	// clock.
 	EarliestExit time.Time
