supervisor, platform: Tell the starts of a worker with one ID apart

Cause: an agent took the ID for the incarnation, so it went on with the state of the earlier one. It skipped ends up to the last number that it had handled, and acknowledged up to that number with each list request, which made the worker forget ends that nobody had read. Runs in neither list counted as gone. Where the worker's clock started lower, all its lists were ignored as old.

A list with another start ends the incarnation with all its state; a heartbeat makes one current only if a list shows that it answers, so that a late one of an earlier start, or one without a start, has no effect. Platforms that send no start work as before.

TestEndsOfAWorkerThatStartedAgainUnderItsIDAreReported got "gone", or nothing, and passes.

--- a/supervisor/list.go
+++ b/supervisor/list.go
@@ -33,7 +33,7 @@
 // sendList sends one list request and reports whether the worker answered it.
 func (s *Supervisor) sendList(ctx context.Context, wait time.Duration) bool {
 	s.mu.Lock()
-	incarnation := s.heartbeat.Incarnation()
+	incarnation, startedAt := s.heartbeat.Incarnation(), s.heartbeat.StartedAt
 	req := ListRequest{WorkerID: s.heartbeat.WorkerID, Fence: s.fence, LeaseExpiresAt: s.leaseExpiresAt, AckedEnd: s.ackedEnd, Wait: wait}
 	if req.WorkerID == "" {
 		s.mu.Unlock()
@@ -77,6 +77,9 @@
 	case err != nil:
 		s.recordFailure(receivedAt, err)
 		return false
+	case !reply.StartedAt.Equal(startedAt):
+		s.endIncarnation("the worker has started again")
+		return false
 	}
 	s.recordReply(reply, receivedAt)
 	s.reconcile(ctx, req.Fence, reply)
--- a/supervisor/restart_test.go
+++ b/supervisor/restart_test.go
@@ -8,6 +8,8 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/endivefall/endivefall/advancer"
+	"github.com/endivefall/endivefall/faker"
+	"github.com/endivefall/endivefall/supervisor"
 )
 
 // TestEndsOfAWorkerThatStartedAgainUnderItsIDAreReported guards against the numbers of an
@@ -36,3 +38,33 @@
 		})
 	}
 }
+
+// TestAHeartbeatOfAnotherIncarnationIsIgnored sends heartbeats that name the worker's ID
+// while another incarnation of it runs: one that was delayed, and one without a start.
+func TestAHeartbeatOfAnotherIncarnationIsIgnored(t *testing.T) {
+	for name, stale := range map[string]func(supervisor.Heartbeat) supervisor.Heartbeat{
+		"earlier": func(earlier supervisor.Heartbeat) supervisor.Heartbeat { return earlier },
+		"without start": func(earlier supervisor.Heartbeat) supervisor.Heartbeat {
+			earlier.StartedAt = time.Time{}
+			return earlier
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			inBubble(t, func(c *qt.C, h *harness) {
+				earlier := h.worker.Heartbeat(9)
+				h.worker.Crash()
+				advancer.Sleep(700 * time.Millisecond)
+				h.worker.Restart("life-1", time.UnixMilli(900))
+				h.sup.HandleHeartbeat(context.Background(), h.worker.Heartbeat(1))
+				advancer.Sleep(2 * time.Second)
+				h.set(func() { h.plan = faker.PoolRunPlan{} })
+				h.send(startCommand("j.0.0.0", 1))
+				h.sup.HandleHeartbeat(context.Background(), stale(earlier))
+				advancer.Sleep(2 * time.Second)
+				c.Assert(h.latestSnapshot().WorkerIncarnation, qt.Equals, h.worker.Heartbeat(2).Incarnation())
+				c.Assert(h.ends(), qt.HasLen, 0)
+				c.Assert(h.latestSnapshot().Runs, qt.HasLen, 1)
+			})
+		})
+	}
+}
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"errors"
 	"maps"
 	"net/http"
 	"net/netip"
@@ -312,16 +313,19 @@
 	}
 }
 
-// confirmIncarnation makes an incarnation of the worker the current one if it
-// answers.
+// confirmIncarnation makes an incarnation of the worker the current one if it is the
+// one that answers.
 func (s *Supervisor) confirmIncarnation(ctx context.Context, heartbeat Heartbeat) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	// An incarnation that has seen a higher fence refuses fence 0; for any other
-	// the request changes nothing. Both replies hold the clock.
+	// The request changes nothing. An incarnation that has seen a higher fence refuses it,
+	// without saying which incarnation it is.
 	reply, err := s.cfg.Worker.List(ctx, ListRequest{WorkerID: heartbeat.WorkerID})
+	if errors.Is(err, ErrStaleFence) {
+		reply, err = s.cfg.Worker.List(ctx, ListRequest{WorkerID: heartbeat.WorkerID, Fence: s.confirmFence(heartbeat, reply.Clock)})
+	}
 	receivedAt := s.cfg.Now()
-	if reply == nil || reply.Clock.IsZero() {
+	if err != nil || !reply.StartedAt.Equal(heartbeat.StartedAt) {
 		s.cfg.Log.Info("ignoring heartbeat; the worker incarnation does not answer", zap.String("worker", heartbeat.Incarnation()), zap.Error(err))
 		return
 	}
@@ -342,3 +346,14 @@
 	s.requestList()
 	s.markDirty()
 }
+
+// confirmFence returns the fence with which to list a worker that has seen a fence.
+func (s *Supervisor) confirmFence(heartbeat Heartbeat, clock time.Time) uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	fence := uint64(clock.UnixMilli())
+	if s.heartbeat.WorkerID == heartbeat.WorkerID {
+		fence = max(fence, s.fence)
+	}
+	return fence
+}
--- a/supervisor/supervisor_test.go
+++ b/supervisor/supervisor_test.go
@@ -107,10 +107,10 @@
 		h.sup.HandleHeartbeat(context.Background(), h.worker.Heartbeat(1))
 		advancer.Sleep(time.Second)
 		c.Assert(h.ends(), qt.DeepEquals, []string{"j.0.0.0#1 gone"})
-		c.Assert(h.latestSnapshot().WorkerIncarnation, qt.Equals, "life-2")
+		c.Assert(h.latestSnapshot().WorkerIncarnation, qt.Equals, h.worker.Heartbeat(2).Incarnation())
 		h.sup.HandleHeartbeat(context.Background(), before) // delayed by a partition
 		advancer.Sleep(time.Second)
-		c.Assert(h.latestSnapshot().WorkerIncarnation, qt.Equals, "life-2")
+		c.Assert(h.latestSnapshot().WorkerIncarnation, qt.Equals, h.worker.Heartbeat(2).Incarnation())
 	})
 }
 
@@ -163,7 +163,7 @@
 		h.sup.HandleHeartbeat(context.Background(), h.worker.Heartbeat(1))
 		advancer.Sleep(10 * time.Millisecond)
 		snap := h.latestSnapshot()
-		c.Assert(snap.WorkerIncarnation, qt.Equals, "life-2")
+		c.Assert(snap.WorkerIncarnation, qt.Equals, h.worker.Heartbeat(2).Incarnation())
 		c.Assert(snap.SentAt.After(h.worker.Heartbeat(2).Clock), qt.IsFalse)
 	})
 }
--- a/supervisor/worker.go
+++ b/supervisor/worker.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"strconv"
+	"strings"
 	"time"
 
 	"github.com/endivefall/endivefall/messenger"
@@ -130,5 +132,19 @@
 	Warmup       time.Duration
 }
 
+// startSeparator stands between a worker's ID and its start in the name of an incarnation.
+const startSeparator = "#"
+
 // Incarnation names one start of the worker; it is empty without a worker.
-func (h Heartbeat) Incarnation() string { return h.WorkerID }
+func (h Heartbeat) Incarnation() string {
+	if h.StartedAt.IsZero() {
+		return h.WorkerID
+	}
+	return h.WorkerID + startSeparator + strconv.FormatInt(h.StartedAt.UnixMilli(), 10)
+}
+
+// WorkerID returns the ID of the worker that an incarnation is one of.
+func WorkerID(incarnation string) string {
+	id, _, _ := strings.Cut(incarnation, startSeparator)
+	return id
+}
