supervisor: Fence off late calls across restarts of a worker

A start that got no reply could be carried out by the next incarnation of its worker, after its task had been started elsewhere or had ended there.

Cause: a fence was the time of the worker's clock, which orders the processes of an agent within one incarnation. Under a kept ID the clock starts anew, mostly below the fences of before, so the next incarnation accepted what came late, and refused the agent's own calls if it had seen a higher one.

For workers that may keep their ID a fence starts from the time of day, above the start of the incarnation and above the last fence that this process used for the ID. A worker that has seen a higher one, after a step of the time of day, is followed in steps that double.

TestALateStartOfAnEarlierIncarnationIsRefused failed before in both cases, with one start, and passes.

--- a/supervisor/commands.go
+++ b/supervisor/commands.go
@@ -150,7 +150,7 @@
 // raiseFence raises the fence above that of a call with an unknown outcome, so that
 // the worker refuses the call if it arrives late.
 func (s *Supervisor) raiseFence(fence uint64) {
-	s.fence = max(s.fence, fence+1, uint64(s.workerNow().UnixMilli()))
+	s.fence = max(s.fence, fence+1, s.fenceFloor(s.heartbeat, s.workerNow()))
 }
 
 func (s *Supervisor) handleStop(ctx context.Context, cmd *messenger.RunStop) {
--- a/supervisor/list.go
+++ b/supervisor/list.go
@@ -68,7 +68,8 @@
 	}
 	switch {
 	case errors.Is(err, ErrStaleFence):
-		s.fence = max(s.fence+1, uint64(reply.Clock.UnixMilli()))
+		s.fenceStep = max(2*s.fenceStep, 1)
+		s.fence = max(s.fence+s.fenceStep, s.fenceFloor(s.heartbeat, reply.Clock))
 		s.cfg.Log.Info("fence raised", zap.Uint64("fence", s.fence), zap.String("why", "the worker has seen a higher one"))
 		return true
 	case errors.Is(err, ErrWrongIncarnation):
@@ -81,6 +82,7 @@
 		s.endIncarnation("the worker has started again")
 		return false
 	}
+	s.fenceStep = 0
 	s.recordReply(reply, receivedAt)
 	s.reconcile(ctx, req.Fence, reply)
 	return true
--- a/supervisor/restart_test.go
+++ b/supervisor/restart_test.go
@@ -68,3 +68,38 @@
 		})
 	}
 }
+
+// TestALateStartOfAnEarlierIncarnationIsRefused restarts a worker under its ID, with a clock
+// below its earlier time, while a start without a reply is still on its way.
+func TestALateStartOfAnEarlierIncarnationIsRefused(t *testing.T) {
+	for name, restartAgent := range map[string]bool{"same agent": false, "agent restarted": true} {
+		t.Run(name, func(t *testing.T) {
+			inBubble(t, func(c *qt.C, h *harness) {
+				h.set(func() {
+					h.fault = func(call string) faker.PoolFault {
+						return faker.PoolFault{LoseReply: call == "start", ApplyDelay: 4 * time.Second}
+					}
+				})
+				h.send(startCommand("j.0.0.0", 1))
+				h.worker.Crash()
+				if restartAgent {
+					h.stop()
+					<-h.done
+				}
+				advancer.Sleep(700 * time.Millisecond)
+				h.worker.Restart("life-1", time.UnixMilli(900))
+				h.set(func() { h.fault = nil })
+				if restartAgent {
+					h.startAgent("c")
+				} else {
+					h.sup.HandleHeartbeat(context.Background(), h.worker.Heartbeat(1))
+				}
+				advancer.Sleep(6 * time.Second)
+				c.Assert(h.count("start"), qt.Equals, 0)
+				c.Assert(h.latestSnapshot().MayStart, qt.IsTrue)
+				h.send(startCommand("j.0.0.0", 2))
+				c.Assert(h.count("start"), qt.Equals, 1)
+			})
+		})
+	}
+}
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -49,9 +49,10 @@
 	Worker          WorkerClient
 	// LeaseDuration is how long runs continue without contact to the owner.
 	LeaseDuration time.Duration
-	// Now reads a clock that also advances while the instance is suspended.
-	Now func() time.Time
-	Log *zap.Logger
+	// Now reads a clock that also advances while the instance is suspended; WallClock is
+	// the time of day, time.Now when nil.
+	Now, WallClock func() time.Time
+	Log            *zap.Logger
 	// FindOwner returns the owner's address and term.
 	FindOwner func(ctx context.Context) (netip.AddrPort, uint64, error)
 	// Client opens connections to owners.
@@ -84,9 +85,14 @@
 	draining bool
 	// leaving is set once this process of the agent is to end; it starts nothing more.
 	leaving bool
-	// fence is the fencing number of calls, above every number used before in this
-	// incarnation.
-	fence uint64
+	// fence is the fencing number of calls, above every number used before for this
+	// worker ID. earlierFence is the last one used for earlierWorkerID, the ID of the
+	// incarnation that ended last.
+	fence, earlierFence uint64
+	earlierWorkerID     string
+	// fenceStep is by how much the fence was last raised because the worker had seen a
+	// higher one; it doubles until a list request succeeds.
+	fenceStep uint64
 	// term is the highest term received of any owner.
 	term uint64
 	// leaseExpiresAt is when the runs' lease expires, on the worker's clock. It
@@ -124,6 +130,9 @@
 	if cfg.Count == nil {
 		cfg.Count = func(string) {}
 	}
+	if cfg.WallClock == nil {
+		cfg.WallClock = time.Now
+	}
 	if cfg.OnPeers == nil {
 		cfg.OnPeers = func([]netip.AddrPort) {}
 	}
@@ -270,6 +279,7 @@
 	for i := range s.ends {
 		s.ends[i].workerSeq = 0 // the numbers belong to that incarnation
 	}
+	s.earlierWorkerID, s.earlierFence = s.heartbeat.WorkerID, s.fence
 	s.heartbeat, s.reconciled, s.draining = Heartbeat{}, false, false
 	s.fence, s.seenEnd, s.ackedEnd, s.appliedSentAt = 0, 0, 0, time.Time{}
 	s.leaseExpiresAt, s.sentLease, s.workerClock, s.unreachableSince = time.Time{}, time.Time{}, time.Time{}, time.Time{}
@@ -321,8 +331,10 @@
 	// The request changes nothing. An incarnation that has seen a higher fence refuses it,
 	// without saying which incarnation it is.
 	reply, err := s.cfg.Worker.List(ctx, ListRequest{WorkerID: heartbeat.WorkerID})
-	if errors.Is(err, ErrStaleFence) {
-		reply, err = s.cfg.Worker.List(ctx, ListRequest{WorkerID: heartbeat.WorkerID, Fence: s.confirmFence(heartbeat, reply.Clock)})
+	fence := uint64(0)
+	for step := uint64(1); errors.Is(err, ErrStaleFence); step *= 2 {
+		fence = max(fence+step, s.confirmFence(heartbeat, reply.Clock))
+		reply, err = s.cfg.Worker.List(ctx, ListRequest{WorkerID: heartbeat.WorkerID, Fence: fence})
 	}
 	receivedAt := s.cfg.Now()
 	if err != nil || !reply.StartedAt.Equal(heartbeat.StartedAt) {
@@ -337,9 +349,7 @@
 	s.endIncarnation("replaced by " + heartbeat.Incarnation())
 	s.heartbeat = heartbeat
 	s.workerClock, s.clockReadAt = reply.Clock, receivedAt
-	// The worker's monotonic clock advances faster than this process of the agent
-	// or an earlier one raises the fence, so its time is above every fence used.
-	s.fence = uint64(reply.Clock.UnixMilli())
+	s.fence = max(fence, s.fenceFloor(heartbeat, reply.Clock))
 	// An earlier process of the agent may have sent leases up to this time.
 	s.sentLease = reply.Clock.Add(s.cfg.LeaseDuration)
 	s.cfg.Log.Info("worker incarnation confirmed", zap.String("worker", heartbeat.Incarnation()), zap.Uint64("fence", s.fence), zap.Int64("cpu", heartbeat.CPU), zap.Int64("memory", heartbeat.Memory), zap.Strings("labels", heartbeat.Labels))
@@ -351,9 +361,24 @@
 func (s *Supervisor) confirmFence(heartbeat Heartbeat, clock time.Time) uint64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	fence := uint64(clock.UnixMilli())
 	if s.heartbeat.WorkerID == heartbeat.WorkerID {
-		fence = max(fence, s.fence)
+		return s.fence
+	}
+	return s.fenceFloor(heartbeat, clock)
+}
+
+// fenceFloor returns a fence above those that this process of the agent and earlier ones
+// have used for a worker whose clock shows the given time. Where each start has an ID of
+// its own, that clock is one: it advances faster than fences are raised. Otherwise it may
+// start anew below them, and the time of day is one unless it has stepped back; a worker
+// that has seen a higher fence says so.
+func (s *Supervisor) fenceFloor(heartbeat Heartbeat, clock time.Time) uint64 {
+	if heartbeat.StartedAt.IsZero() {
+		return uint64(clock.UnixMilli())
+	}
+	floor := uint64(max(heartbeat.StartedAt.UnixMilli(), s.cfg.WallClock().UnixMilli()))
+	if s.earlierWorkerID == heartbeat.WorkerID {
+		floor = max(floor, s.earlierFence+1)
 	}
-	return fence
+	return floor
 }
