supervisor: Send a worker that may have restarted neither lease nor acknowledgement

A list request after unanswered ones repeated the last lease and the last acknowledged end. If the worker had started again under its ID, the lease was meant for another clock: it could hold the next incarnation's runs beyond what agent and owner count with, so that they ran twice at the same time; and the acknowledgement could make it forget ends.

Until a list shows which incarnation answers, the request changes nothing.

TestALeaseOfAnEarlierIncarnationIsNotSentToTheNextOne failed before and passes.

--- a/faker/pool.go
+++ b/faker/pool.go
@@ -38,6 +38,8 @@
 	OnEvent func(e PoolEvent)
 	// CPU and Memory are the worker's capacity.
 	CPU, Memory int64
+	// MaxLease shortens longer leases; 0 shortens none.
+	MaxLease time.Duration
 
 	mu sync.Mutex
 	// id is the worker's ID, empty while it is down. startedAt is when it was started,
@@ -222,6 +224,9 @@
 	if until.IsZero() {
 		return
 	}
+	if latest := w.clock().Add(w.MaxLease); w.MaxLease > 0 && until.After(latest) {
+		until = latest
+	}
 	if local := w.toLocalTime(until); local.After(w.leaseExpiresAt) {
 		w.leaseExpiresAt = local
 		time.AfterFunc(time.Until(local)+time.Millisecond, func() {
--- a/supervisor/harness_test.go
+++ b/supervisor/harness_test.go
@@ -54,10 +54,18 @@
 	// while the replies to starts are lost.
 	listDelay time.Duration
 	startLost bool
+	// lists has the answered list requests.
+	lists []answeredList
 	// paces has the paces that the agent has set, by task.
 	paces map[string]int
 }
 
+// answeredList is a list request with the start of the incarnation that answered it.
+type answeredList struct {
+	supervisor.ListRequest
+	startedAt time.Time
+}
+
 // ownerAddr is the address at which the fake owner listens.
 var ownerAddr = netip.MustParseAddrPort("10.0.0.1:7000")
 
@@ -126,6 +134,9 @@
 		reply, err := listWorker(ctx, req)
 		h.mu.Lock()
 		delay := h.listDelay
+		if err == nil {
+			h.lists = append(h.lists, answeredList{req, reply.StartedAt})
+		}
 		h.mu.Unlock()
 		advancer.Sleep(delay)
 		return reply, err
--- a/supervisor/list.go
+++ b/supervisor/list.go
@@ -51,7 +51,8 @@
 	if !s.unreachableSince.IsZero() {
 		// The worker may be lost. If the lease were renewed with each unanswered
 		// call, its runs would never be given up; they end with the last lease sent.
-		req.LeaseExpiresAt = s.sentLease
+		// Another incarnation may answer, for which neither lease nor ends are meant.
+		req.LeaseExpiresAt, req.AckedEnd = time.Time{}, 0
 	}
 	if req.LeaseExpiresAt.After(s.sentLease) {
 		s.sentLease = req.LeaseExpiresAt
--- a/supervisor/restart_test.go
+++ b/supervisor/restart_test.go
@@ -103,3 +103,34 @@
 		})
 	}
 }
+
+// TestALeaseOfAnEarlierIncarnationIsNotSentToTheNextOne guards against a lease on the clock of
+// one incarnation, or an acknowledgement of its ends, that reaches the next one.
+func TestALeaseOfAnEarlierIncarnationIsNotSentToTheNextOne(t *testing.T) {
+	inBubble(t, func(c *qt.C, h *harness) {
+		h.send(startCommand("j.0.0.0", 1))
+		advancer.Sleep(2 * time.Second)
+		h.set(func() { h.ackedEnd = 1 })
+		advancer.Sleep(2 * time.Second)
+		h.worker.Crash()
+		advancer.Sleep(700 * time.Millisecond)
+		h.worker.Restart("life-1", time.UnixMilli(900))
+		restarted := h.worker.Heartbeat(1)
+		advancer.Sleep(300 * time.Millisecond) // the agent calls the worker before its heartbeat arrives
+		h.sup.HandleHeartbeat(context.Background(), restarted)
+		advancer.Sleep(2 * time.Second)
+		latest := h.worker.Heartbeat(2).Clock.Add(leaseDuration)
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		n := 0
+		for _, list := range h.lists {
+			if !list.startedAt.Equal(restarted.StartedAt) {
+				continue
+			}
+			n++
+			c.Assert(list.LeaseExpiresAt.After(latest), qt.IsFalse, qt.Commentf("lease until %v, at most %v", list.LeaseExpiresAt, latest))
+			c.Assert(list.AckedEnd, qt.Equals, uint64(0))
+		}
+		c.Assert(n > 1, qt.IsTrue)
+	})
+}
