supervisor: Settle starts that outlast an incarnation by the next one's lists

A start that was sent after a worker had started again under its ID, and before the agent had noticed, was carried out by the next incarnation. The agent then reported the run as lost, its owner started the task elsewhere, and it ran twice at the same time.

Cause: the reply to a start does not tell which incarnation carried it out, and the agent took it for the one that it knew.

A run that no list of the incarnation has shown stays when the next one has the same worker ID. A list under a higher fence settles it: it runs, or it has never started there.

TestARunThatTheNextIncarnationStartedIsNotReportedAsLost failed before in its six cases, each with the run reported as gone, and passes.

--- a/supervisor/commands.go
+++ b/supervisor/commands.go
@@ -93,10 +93,11 @@
 func (s *Supervisor) startRun(ctx context.Context, r *run, cmd *messenger.RunStart) {
 	for {
 		s.mu.Lock()
-		if r.ended || r.phase != messenger.PhaseStarting {
+		if r.ended || r.phase != messenger.PhaseStarting || r.unansweredFence != 0 {
 			s.mu.Unlock()
 			return
 		}
+		r.startFence = s.fence
 		req := StartRequest{
 			RunRef:  RunRef{WorkerID: s.heartbeat.WorkerID, Fence: s.fence, Task: r.task, Attempt: r.attempt},
 			Payload: cmd.Payload, Checkpoint: cmd.Checkpoint, Ticket: cmd.Ticket, LeaseExpiresAt: s.leaseExpiresAt,
@@ -124,8 +125,8 @@
 // handleStartResult processes the result of a start and reports whether the start
 // is to be sent again.
 func (s *Supervisor) handleStartResult(ctx context.Context, r *run, fence uint64, clock time.Time, err error) bool {
-	if r.ended {
-		return false
+	if r.ended || r.unansweredFence != 0 {
+		return false // a list reply settles a start that outlasted its incarnation
 	}
 	switch {
 	case err == nil:
@@ -169,7 +170,7 @@
 func (s *Supervisor) stopRun(ctx context.Context, r *run) {
 	for ctx.Err() == nil {
 		s.mu.Lock()
-		if r.ended {
+		if r.ended || r.unansweredFence != 0 {
 			s.mu.Unlock()
 			return
 		}
--- a/supervisor/list.go
+++ b/supervisor/list.go
@@ -74,13 +74,13 @@
 		s.cfg.Log.Info("fence raised", zap.Uint64("fence", s.fence), zap.String("why", "the worker has seen a higher one"))
 		return true
 	case errors.Is(err, ErrWrongIncarnation):
-		s.endIncarnation("another life answers")
+		s.endIncarnation("another worker answers", "")
 		return false
 	case err != nil:
 		s.recordFailure(receivedAt, err)
 		return false
 	case !reply.StartedAt.Equal(startedAt):
-		s.endIncarnation("the worker has started again")
+		s.endIncarnation("the worker has started again", req.WorkerID)
 		return false
 	}
 	s.fenceStep = 0
@@ -143,6 +143,7 @@
 			r.phase, r.confirmedAt, r.unansweredFence = messenger.PhaseRunning, reply.Clock, 0
 			s.markDirty()
 		}
+		r.listed = true
 		r.checkpoint, r.progressPercent, r.measurement = active.Checkpoint, active.ProgressPercent, active.Measurement
 	}
 	for _, ended := range reply.Ends {
@@ -167,7 +168,11 @@
 		switch {
 		case listed[runKey{r.task, r.attempt}] || !reply.Complete:
 		case r.phase == messenger.PhaseStarting:
-			if r.unansweredFence != 0 && fence > r.unansweredFence {
+			switch {
+			case r.unansweredFence == 0 || fence <= r.unansweredFence:
+			case r.startReplied:
+				s.endRun(r, messenger.RunEnd{Status: messenger.EndWorkerLost, Reason: "the worker started again after it"}, 0)
+			default:
 				s.endRun(r, messenger.RunEnd{Status: messenger.EndNotStarted, Reason: "the start got no answer and was fenced off"}, 0)
 			}
 		case r.confirmedAt.Before(reply.Clock):
--- a/supervisor/pace.go
+++ b/supervisor/pace.go
@@ -52,7 +52,8 @@
 func (s *Supervisor) sendPace(ctx context.Context, r *run) {
 	for ctx.Err() == nil {
 		s.mu.Lock()
-		if r.ended {
+		if r.ended || r.unansweredFence != 0 {
+			r.pacePending = false
 			s.mu.Unlock()
 			return
 		}
--- a/supervisor/restart_test.go
+++ b/supervisor/restart_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/endivefall/endivefall/advancer"
 	"github.com/endivefall/endivefall/faker"
+	"github.com/endivefall/endivefall/messenger"
 	"github.com/endivefall/endivefall/supervisor"
 )
 
@@ -134,3 +135,69 @@
 		c.Assert(n > 1, qt.IsTrue)
 	})
 }
+
+// TestARunThatTheNextIncarnationStartedIsNotReportedAsLost sends a start between a restart of
+// the worker and its discovery. The owner would start the task of a lost run elsewhere.
+func TestARunThatTheNextIncarnationStartedIsNotReportedAsLost(t *testing.T) {
+	for name, tc := range map[string]struct {
+		fault faker.PoolFault
+		stop  bool
+		ends  []string
+		runs  int
+	}{
+		"answered":           {faker.PoolFault{}, false, nil, 1},
+		"answer on its way":  {faker.PoolFault{LoseReply: true}, false, nil, 1},
+		"answered, stopped":  {faker.PoolFault{}, true, []string{"j.0.0.0#1 stopped"}, 0},
+		"never carried out":  {faker.PoolFault{LoseReply: true, Drop: true}, false, []string{"j.0.0.0#1 never"}, 0},
+		"carried out late":   {faker.PoolFault{LoseReply: true, ApplyDelay: 3 * time.Second}, false, []string{"j.0.0.0#1 never"}, 0},
+		"carried out sooner": {faker.PoolFault{LoseReply: true, ApplyDelay: 250 * time.Millisecond}, false, nil, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			inBubble(t, func(c *qt.C, h *harness) {
+				h.set(func() {
+					h.plan = faker.PoolRunPlan{}
+					h.fault = func(call string) faker.PoolFault {
+						if call == "start" {
+							return tc.fault
+						}
+						return faker.PoolFault{LoseReply: true, Drop: true}
+					}
+				})
+				advancer.Sleep(600 * time.Millisecond) // a list request waits for its reply
+				h.worker.Restart("life-1", time.UnixMilli(900))
+				h.send(startCommand("j.0.0.0", 1))
+				advancer.Sleep(100 * time.Millisecond)
+				h.set(func() { h.fault = nil })
+				if tc.stop {
+					h.send(messenger.Command{Stop: &messenger.RunStop{Task: "j.0.0.0", Attempt: 1}})
+				}
+				h.sup.HandleHeartbeat(context.Background(), h.worker.Heartbeat(1))
+				advancer.Sleep(4 * time.Second)
+				c.Assert(h.worker.Running(), qt.HasLen, tc.runs)
+				c.Assert(h.latestSnapshot().Runs, qt.HasLen, tc.runs)
+				c.Assert(h.ends(), qt.DeepEquals, tc.ends)
+			})
+		})
+	}
+}
+
+// TestARunOfTheEarlierIncarnationIsLostOnce sends a start whose reply is the last that the
+// earlier incarnation sends.
+func TestARunOfTheEarlierIncarnationIsLostOnce(t *testing.T) {
+	inBubble(t, func(c *qt.C, h *harness) {
+		h.set(func() {
+			h.plan = faker.PoolRunPlan{}
+			h.fault = func(call string) faker.PoolFault {
+				return faker.PoolFault{LoseReply: call == "look", Drop: true}
+			}
+		})
+		advancer.Sleep(600 * time.Millisecond) // a list request waits for its reply
+		h.send(startCommand("j.0.0.0", 1))
+		h.worker.Restart("life-1", time.UnixMilli(900))
+		h.set(func() { h.fault = nil })
+		h.sup.HandleHeartbeat(context.Background(), h.worker.Heartbeat(1))
+		advancer.Sleep(4 * time.Second)
+		c.Assert(h.latestSnapshot().Runs, qt.HasLen, 0)
+		c.Assert(h.ends(), qt.DeepEquals, []string{"j.0.0.0#1 gone"})
+	})
+}
--- a/supervisor/run.go
+++ b/supervisor/run.go
@@ -28,9 +28,17 @@
 	// confirmedAt is when the worker confirmed the run, on its clock. If a later
 	// list reply lacks the run, the run has ended.
 	confirmedAt time.Time
+	// startFence is the fence of the last start call; 0 before it.
+	startFence uint64
 	// unansweredFence is the fence of a start with an unknown outcome, which a list
 	// reply under a higher fence settles; 0 while there is none.
 	unansweredFence uint64
+	// listed is set once a list reply of the current incarnation has shown the run. The
+	// reply to a start does not tell which incarnation carried it out.
+	listed bool
+	// startReplied is set for a run with an unknown outcome whose start was answered, by
+	// an incarnation that is not known.
+	startReplied bool
 	// specUnknown is set for a run that an earlier process of the agent started,
 	// until the owner sends its spec.
 	specUnknown bool
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -266,14 +266,21 @@
 	}
 }
 
-// endIncarnation ends every run of the worker's incarnation and clears its state
-// until another one is confirmed.
-func (s *Supervisor) endIncarnation(reason string) {
+// endIncarnation clears the state of the worker's incarnation until another one is
+// confirmed, and ends its runs. If the next one has the same worker ID, it may have
+// carried out a start that no list has shown yet, so that such runs stay until its lists
+// settle them.
+func (s *Supervisor) endIncarnation(reason, nextWorkerID string) {
 	if s.heartbeat.Incarnation() == "" {
 		return
 	}
 	s.cfg.Log.Warn("worker incarnation ended", zap.String("worker", s.heartbeat.Incarnation()), zap.String("why", reason), zap.Int("runs", len(s.runs)))
 	for _, r := range s.sortedRuns() {
+		if s.heartbeat.WorkerID == nextWorkerID && !r.listed && r.startFence != 0 {
+			r.startReplied = r.startReplied || r.phase != messenger.PhaseStarting
+			r.phase, r.unansweredFence, r.pacePercent = messenger.PhaseStarting, r.startFence, 100
+			continue
+		}
 		s.endRun(r, messenger.RunEnd{Status: messenger.EndWorkerLost, Reason: reason}, 0)
 	}
 	for i := range s.ends {
@@ -346,7 +353,12 @@
 	if s.heartbeat.Incarnation() == heartbeat.Incarnation() {
 		return
 	}
-	s.endIncarnation("replaced by " + heartbeat.Incarnation())
+	s.endIncarnation("replaced by "+heartbeat.Incarnation(), heartbeat.WorkerID)
+	if s.earlierWorkerID != heartbeat.WorkerID {
+		for _, r := range s.sortedRuns() { // of an incarnation that ended before
+			s.endRun(r, messenger.RunEnd{Status: messenger.EndWorkerLost, Reason: "replaced by " + heartbeat.Incarnation()}, 0)
+		}
+	}
 	s.heartbeat = heartbeat
 	s.workerClock, s.clockReadAt = reply.Clock, receivedAt
 	s.fence = max(fence, s.fenceFloor(heartbeat, reply.Clock))
