supervisor: Fence a restarted worker before anything else reaches it

A start without a reply that a fence had settled could still be carried out by the worker's next incarnation, which has seen no fence, until the agent's first list request under its new state.

The agent now raises the fence in the call that confirms an incarnation, and while it waits for a heartbeat of the next one. List requests to a worker that did not answer neither wait for an end nor longer than 0.2 s for a reply. What is left is the time until the first of these calls arrives.

TestAnIncarnationIsFencedBeforeItsHeartbeatArrives failed before with one start, and passes.

--- a/coordinator/fleet_test.go
+++ b/coordinator/fleet_test.go
@@ -278,9 +278,10 @@
 }
 
 // restartWorkerUnderItsID restarts a worker under an ID that it keeps from the first such
-// restart on.
+// restart on. The worker sends a heartbeat as it starts.
 func (f *fleet) restartWorkerUnderItsID(a *agentNode) {
 	a.worker.Restart(a.name+"-worker", workerClock(f.nextIncarnation()))
+	go a.supervisor.HandleHeartbeat(f.ctx, a.worker.Heartbeat(uint64(time.Now().UnixNano())))
 }
 
 func (f *fleet) nextIncarnation() int {
--- a/supervisor/list.go
+++ b/supervisor/list.go
@@ -33,10 +33,12 @@
 // sendList sends one list request and reports whether the worker answered it.
 func (s *Supervisor) sendList(ctx context.Context, wait time.Duration) bool {
 	s.mu.Lock()
+	timeout := callTimeout
 	incarnation, startedAt := s.heartbeat.Incarnation(), s.heartbeat.StartedAt
 	req := ListRequest{WorkerID: s.heartbeat.WorkerID, Fence: s.fence, LeaseExpiresAt: s.leaseExpiresAt, AckedEnd: s.ackedEnd, Wait: wait}
 	if req.WorkerID == "" {
 		s.mu.Unlock()
+		s.fenceNextIncarnation(ctx)
 		return false
 	}
 	if s.hasColocatedRuns() {
@@ -53,12 +55,13 @@
 		// call, its runs would never be given up; they end with the last lease sent.
 		// Another incarnation may answer, for which neither lease nor ends are meant.
 		req.LeaseExpiresAt, req.AckedEnd = time.Time{}, 0
+		req.Wait, timeout = 0, probeTimeout
 	}
 	if req.LeaseExpiresAt.After(s.sentLease) {
 		s.sentLease = req.LeaseExpiresAt
 	}
 	s.mu.Unlock()
-	callCtx, cancel := context.WithTimeout(ctx, req.Wait+callTimeout)
+	callCtx, cancel := context.WithTimeout(ctx, req.Wait+timeout)
 	defer cancel()
 	reply, err := s.cfg.Worker.List(callCtx, req)
 	receivedAt := s.cfg.Now()
@@ -89,6 +92,23 @@
 	return true
 }
 
+// fenceNextIncarnation raises the fence of a worker that has started again under its ID,
+// before its heartbeat arrives: calls to the earlier incarnation may still be on their way.
+func (s *Supervisor) fenceNextIncarnation(ctx context.Context) {
+	s.mu.Lock()
+	earlier := Heartbeat{WorkerID: s.earlierWorkerID, StartedAt: s.earlierStartedAt}
+	fence := s.fenceFloor(earlier, time.Time{})
+	s.mu.Unlock()
+	if earlier.StartedAt.IsZero() {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	if _, err := s.cfg.Worker.List(ctx, ListRequest{WorkerID: earlier.WorkerID, Fence: fence}); err != nil {
+		s.cfg.Log.Debug("next incarnation of the worker not fenced", zap.String("worker", earlier.WorkerID), zap.Uint64("fence", fence), zap.Error(err))
+	}
+}
+
 // recordReply records that the worker is reachable and updates the estimate of
 // its clock.
 func (s *Supervisor) recordReply(reply *ListReply, receivedAt time.Time) {
--- a/supervisor/restart_test.go
+++ b/supervisor/restart_test.go
@@ -201,3 +201,30 @@
 		c.Assert(h.ends(), qt.DeepEquals, []string{"j.0.0.0#1 gone"})
 	})
 }
+
+// TestAnIncarnationIsFencedBeforeItsHeartbeatArrives lets a late start reach an incarnation
+// that the agent knows of, but whose heartbeat it has not got yet.
+func TestAnIncarnationIsFencedBeforeItsHeartbeatArrives(t *testing.T) {
+	inBubble(t, func(c *qt.C, h *harness) {
+		h.set(func() {
+			h.fault = func(call string) faker.PoolFault {
+				return faker.PoolFault{LoseReply: call == "start", ApplyDelay: 3300 * time.Millisecond}
+			}
+		})
+		h.send(startCommand("j.0.0.0", 1))
+		h.set(func() { h.fault = nil })
+		advancer.Sleep(time.Second)
+		for range 2 {
+			h.worker.Crash()
+			advancer.Sleep(500 * time.Millisecond)
+			h.worker.Restart("life-1", time.UnixMilli(900))
+			advancer.Sleep(700 * time.Millisecond)
+		}
+		advancer.Sleep(2 * time.Second) // the start is carried out
+		c.Assert(h.count("start"), qt.Equals, 0)
+		h.sup.HandleHeartbeat(context.Background(), h.worker.Heartbeat(1))
+		advancer.Sleep(time.Second)
+		c.Assert(h.ends(), qt.DeepEquals, []string{"j.0.0.0#1 never"})
+		c.Assert(h.latestSnapshot().MayStart, qt.IsTrue)
+	})
+}
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -25,6 +25,8 @@
 const (
 	// callTimeout bounds a start, stop or set pace call; replies take 1 to 2 ms.
 	callTimeout = 700 * time.Millisecond
+	// probeTimeout bounds a list request to a worker that did not answer the last one.
+	probeTimeout = 200 * time.Millisecond
 	// listWait is how long the worker may hold a list request until a run
 	// ends. It bounds the delay of lease renewals and of acknowledged ends.
 	listWait = 500 * time.Millisecond
@@ -86,10 +88,11 @@
 	// leaving is set once this process of the agent is to end; it starts nothing more.
 	leaving bool
 	// fence is the fencing number of calls, above every number used before for this
-	// worker ID. earlierFence is the last one used for earlierWorkerID, the ID of the
-	// incarnation that ended last.
+	// worker ID. earlierFence is the last one used for the incarnation that ended last,
+	// which had earlierWorkerID and earlierStartedAt.
 	fence, earlierFence uint64
 	earlierWorkerID     string
+	earlierStartedAt    time.Time
 	// fenceStep is by how much the fence was last raised because the worker had seen a
 	// higher one; it doubles until a list request succeeds.
 	fenceStep uint64
@@ -286,7 +289,7 @@
 	for i := range s.ends {
 		s.ends[i].workerSeq = 0 // the numbers belong to that incarnation
 	}
-	s.earlierWorkerID, s.earlierFence = s.heartbeat.WorkerID, s.fence
+	s.earlierWorkerID, s.earlierStartedAt, s.earlierFence = s.heartbeat.WorkerID, s.heartbeat.StartedAt, s.fence
 	s.heartbeat, s.reconciled, s.draining = Heartbeat{}, false, false
 	s.fence, s.seenEnd, s.ackedEnd, s.appliedSentAt = 0, 0, 0, time.Time{}
 	s.leaseExpiresAt, s.sentLease, s.workerClock, s.unreachableSince = time.Time{}, time.Time{}, time.Time{}, time.Time{}
@@ -333,16 +336,7 @@
 // confirmIncarnation makes an incarnation of the worker the current one if it is the
 // one that answers.
 func (s *Supervisor) confirmIncarnation(ctx context.Context, heartbeat Heartbeat) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	// The request changes nothing. An incarnation that has seen a higher fence refuses it,
-	// without saying which incarnation it is.
-	reply, err := s.cfg.Worker.List(ctx, ListRequest{WorkerID: heartbeat.WorkerID})
-	fence := uint64(0)
-	for step := uint64(1); errors.Is(err, ErrStaleFence); step *= 2 {
-		fence = max(fence+step, s.confirmFence(heartbeat, reply.Clock))
-		reply, err = s.cfg.Worker.List(ctx, ListRequest{WorkerID: heartbeat.WorkerID, Fence: fence})
-	}
+	reply, fence, err := s.probeIncarnation(ctx, heartbeat)
 	receivedAt := s.cfg.Now()
 	if err != nil || !reply.StartedAt.Equal(heartbeat.StartedAt) {
 		s.cfg.Log.Info("ignoring heartbeat; the worker incarnation does not answer", zap.String("worker", heartbeat.Incarnation()), zap.Error(err))
@@ -369,8 +363,34 @@
 	s.markDirty()
 }
 
-// confirmFence returns the fence with which to list a worker that has seen a fence.
-func (s *Supervisor) confirmFence(heartbeat Heartbeat, clock time.Time) uint64 {
+// maxFenceStep bounds by how much a fence is raised at once.
+const maxFenceStep = 1 << 40
+
+// probeIncarnation lists the worker that a heartbeat names, to find out which incarnation
+// answers, and returns the fence that the worker has seen from it.
+func (s *Supervisor) probeIncarnation(ctx context.Context, heartbeat Heartbeat) (reply *ListReply, fence uint64, err error) {
+	list := func(fence uint64) (*ListReply, error) {
+		ctx, cancel := context.WithTimeout(ctx, callTimeout)
+		defer cancel()
+		return s.cfg.Worker.List(ctx, ListRequest{WorkerID: heartbeat.WorkerID, Fence: fence})
+	}
+	// This request changes nothing. A worker that has seen a higher fence refuses it,
+	// without saying which incarnation it is.
+	reply, err = list(fence)
+	if err == nil && (heartbeat.StartedAt.IsZero() || !reply.StartedAt.Equal(heartbeat.StartedAt)) {
+		return reply, fence, nil
+	}
+	// A worker that has seen none may still get calls that were meant for an earlier
+	// incarnation.
+	for step := uint64(1); step <= maxFenceStep && (errors.Is(err, ErrStaleFence) || err == nil && fence == 0); step *= 2 {
+		fence = max(fence+step, s.probeFence(heartbeat, reply.Clock))
+		reply, err = list(fence)
+	}
+	return reply, fence, err
+}
+
+// probeFence returns the fence with which to list the worker that a heartbeat names.
+func (s *Supervisor) probeFence(heartbeat Heartbeat, clock time.Time) uint64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.heartbeat.WorkerID == heartbeat.WorkerID {
