supervisor: Ignore a late deregistration of an earlier incarnation

A deregistration that arrives after its worker has started again under its ID marked the next incarnation as draining, which got no work for the rest of its life. Found by looking for the cause of the second starts elsewhere; not seen on a deployment.

It names no incarnation, so where workers may keep their ID it counts only for one that drains, as a worker says before it deregisters.

TestALateDeregistrationDoesNotDrainTheNextIncarnation failed before and passes.

--- a/supervisor/restart_test.go
+++ b/supervisor/restart_test.go
@@ -228,3 +228,23 @@
 		c.Assert(h.latestSnapshot().MayStart, qt.IsTrue)
 	})
 }
+
+// TestALateDeregistrationDoesNotDrainTheNextIncarnation delivers the deregistration of an
+// incarnation, which names only the worker's ID, after the next one has started.
+func TestALateDeregistrationDoesNotDrainTheNextIncarnation(t *testing.T) {
+	inBubble(t, func(c *qt.C, h *harness) {
+		h.worker.Restart("life-1", time.UnixMilli(900))
+		h.sup.HandleHeartbeat(context.Background(), h.worker.Heartbeat(1))
+		advancer.Sleep(time.Second)
+		h.sup.HandleDeregister("life-1")
+		advancer.Sleep(time.Second)
+		c.Assert(h.latestSnapshot().Draining, qt.IsFalse)
+		c.Assert(h.latestSnapshot().MayStart, qt.IsTrue)
+		leaving := h.worker.Heartbeat(2)
+		leaving.Draining = true
+		h.sup.HandleHeartbeat(context.Background(), leaving)
+		h.sup.HandleDeregister("life-1")
+		advancer.Sleep(time.Second)
+		c.Assert(h.latestSnapshot().Draining, qt.IsTrue)
+	})
+}
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -322,15 +322,22 @@
 	}
 }
 
-// HandleDeregister records that the worker is shutting down.
+// HandleDeregister records that the worker is shutting down. A deregistration names no
+// incarnation: where several have one ID, it counts only for one that drains, as a worker
+// does before it deregisters.
 func (s *Supervisor) HandleDeregister(workerID string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.heartbeat.WorkerID == workerID {
-		s.draining = true
-		s.cfg.Log.Info("worker is shutting down", zap.String("worker", s.heartbeat.Incarnation()), zap.Int("runs", len(s.runs)))
-		s.markDirty()
+	if s.heartbeat.WorkerID != workerID {
+		return
+	}
+	if !s.heartbeat.StartedAt.IsZero() && !s.heartbeat.Draining {
+		s.cfg.Log.Info("ignoring deregistration; the worker is not draining", zap.String("worker", s.heartbeat.Incarnation()))
+		return
 	}
+	s.draining = true
+	s.cfg.Log.Info("worker is shutting down", zap.String("worker", s.heartbeat.Incarnation()), zap.Int("runs", len(s.runs)))
+	s.markDirty()
 }
 
 // confirmIncarnation makes an incarnation of the worker the current one if it is the
