supervisor: Probe a slow worker with the usual timeout after a while

List requests to a worker that had not answered one waited 0.2 s for a reply, so a worker whose replies take longer would never have been reached again. After 1.5 s they wait as long as others. TestASlowWorkerIsReachedAgain fails without it.

--- a/supervisor/list.go
+++ b/supervisor/list.go
@@ -55,7 +55,10 @@
 		// call, its runs would never be given up; they end with the last lease sent.
 		// Another incarnation may answer, for which neither lease nor ends are meant.
 		req.LeaseExpiresAt, req.AckedEnd = time.Time{}, 0
-		req.Wait, timeout = 0, probeTimeout
+		req.Wait = 0
+		if s.cfg.Now().Sub(s.unreachableSince) < probeDuration {
+			timeout = probeTimeout
+		}
 	}
 	if req.LeaseExpiresAt.After(s.sentLease) {
 		s.sentLease = req.LeaseExpiresAt
--- a/supervisor/restart_test.go
+++ b/supervisor/restart_test.go
@@ -248,3 +248,20 @@
 		c.Assert(h.latestSnapshot().Draining, qt.IsTrue)
 	})
 }
+
+// TestASlowWorkerIsReachedAgain plays replies that take longer than a probe waits, after a
+// request that got none.
+func TestASlowWorkerIsReachedAgain(t *testing.T) {
+	inBubble(t, func(c *qt.C, h *harness) {
+		h.set(func() {
+			h.fault = func(string) faker.PoolFault { return faker.PoolFault{LoseReply: true, Drop: true} }
+		})
+		advancer.Sleep(1500 * time.Millisecond)
+		h.set(func() {
+			h.fault = func(string) faker.PoolFault { return faker.PoolFault{Delay: 400 * time.Millisecond} }
+		})
+		advancer.Sleep(4 * time.Second)
+		c.Assert(h.latestSnapshot().Unreachable, qt.IsFalse)
+		c.Assert(h.latestSnapshot().MayStart, qt.IsTrue)
+	})
+}
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -25,8 +25,10 @@
 const (
 	// callTimeout bounds a start, stop or set pace call; replies take 1 to 2 ms.
 	callTimeout = 700 * time.Millisecond
-	// probeTimeout bounds a list request to a worker that did not answer the last one.
-	probeTimeout = 200 * time.Millisecond
+	// probeTimeout bounds a list request to a worker that did not answer the last one,
+	// for probeDuration; a worker that is slow for longer gets the usual time.
+	probeTimeout  = 200 * time.Millisecond
+	probeDuration = 1500 * time.Millisecond
 	// listWait is how long the worker may hold a list request until a run
 	// ends. It bounds the delay of lease renewals and of acknowledged ends.
 	listWait = 500 * time.Millisecond
