--- a/e2e/pools_test.go
+++ b/e2e/pools_test.go
@@ -128,10 +128,14 @@
 	}
 }
 
-// restartWorker restarts a worker under a new incarnation, with another clock.
+// restartWorker restarts a worker with another clock, every other time under a new ID.
 func (p *poolWorld) restartWorker(w *standin.Worker) {
 	p.restarts++
-	w.Backend.Restart(fmt.Sprint("life-", p.restarts), time.UnixMilli(int64(1000000+p.restarts*7919000%5000000)))
+	id := w.Backend.Heartbeat(0).WorkerID
+	if id == "" || p.restarts%2 == 0 {
+		id = fmt.Sprint("life-", p.restarts)
+	}
+	w.Backend.Restart(id, time.UnixMilli(int64(1000000+p.restarts*7919000%5000000)))
 }
 
 // randomEntry returns the address of a random entry.
