--- a/faker/pool.go
+++ b/faker/pool.go
@@ -111,8 +111,7 @@
 	w.endedAttempts = map[string]uint64{}
 }
 
-// Heartbeat returns the worker's heartbeat; its WorkerID is empty while it
-// is down.
+// Heartbeat returns the worker's heartbeat; its WorkerID is empty while it is down.
 func (w *PoolWorker) Heartbeat(seq uint64) supervisor.Heartbeat {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -283,12 +282,11 @@
 	case <-ctx.Done():
 		return nil, supervisor.ErrUnknownOutcome
 	}
-	if err := listOnce(); errors.Is(err, supervisor.ErrUnknownOutcome) {
+	err = listOnce()
+	if errors.Is(err, supervisor.ErrUnknownOutcome) {
 		return nil, err
-	} else if err != nil {
-		return reply, err
 	}
-	return reply, nil
+	return reply, err
 }
 
 func (w *PoolWorker) startRun(ctx context.Context, req supervisor.StartRequest) (time.Time, error) {
--- a/supervisor/list.go
+++ b/supervisor/list.go
@@ -95,23 +95,6 @@
 	return true
 }
 
-// fenceNextIncarnation raises the fence of a worker that has started again under its ID,
-// before its heartbeat arrives: calls to the earlier incarnation may still be on their way.
-func (s *Supervisor) fenceNextIncarnation(ctx context.Context) {
-	s.mu.Lock()
-	earlier := Heartbeat{WorkerID: s.earlierWorkerID, StartedAt: s.earlierStartedAt}
-	fence := s.fenceFloor(earlier, time.Time{})
-	s.mu.Unlock()
-	if earlier.StartedAt.IsZero() {
-		return
-	}
-	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
-	defer cancel()
-	if _, err := s.cfg.Worker.List(ctx, ListRequest{WorkerID: earlier.WorkerID, Fence: fence}); err != nil {
-		s.cfg.Log.Debug("next incarnation of the worker not fenced", zap.String("worker", earlier.WorkerID), zap.Uint64("fence", fence), zap.Error(err))
-	}
-}
-
 // recordReply records that the worker is reachable and updates the estimate of
 // its clock.
 func (s *Supervisor) recordReply(reply *ListReply, receivedAt time.Time) {
