relayer: Refuse calls of others at once while the store is not reached

The store was silent to a third of the entries, the owner among them, which reads accepted jobs with a watch.

Cause: a watch waited 2.7 s for the silent store, then as long at each entry that does not reach the store either, as these tried it for the caller. Once such a watch succeeded, the next but one began with the silent store again.

An entry whose own calls fail refuses calls of others at once, and refusals do not count as tries. While the store is not reached, watches go through other entries first; shorter calls find out when it answers again.

--- a/relayer/message.go
+++ b/relayer/message.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 
 	"github.com/endivefall/endivefall/storer"
 )
@@ -58,8 +59,13 @@
 	codeUnavailable
 	codeUnknownOutcome
 	codeOther
+	codeRefused
 )
 
+// errRefused reports that an entry did not make a call, as it does not reach the store
+// itself.
+var errRefused = fmt.Errorf("%w: the entry does not reach it either", storer.ErrUnavailable)
+
 func codeOf(err error) code {
 	switch {
 	case err == nil:
@@ -70,6 +76,8 @@
 		return codeConflict
 	case errors.Is(err, storer.ErrCompacted):
 		return codeCompacted
+	case errors.Is(err, errRefused):
+		return codeRefused
 	case errors.Is(err, storer.ErrUnavailable):
 		return codeUnavailable
 	case errors.Is(err, storer.ErrUnknownOutcome):
@@ -90,6 +98,8 @@
 		return storer.ErrCompacted
 	case codeUnavailable:
 		return storer.ErrUnavailable
+	case codeRefused:
+		return errRefused
 	case codeUnknownOutcome:
 		return storer.ErrUnknownOutcome
 	}
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -39,7 +39,11 @@
 	// relayTimeout is how long the other entry may send nothing after that, without the
 	// wait of a watch: it covers a call to the store and a round trip to the other entry.
 	relayTimeout = 1100 * time.Millisecond
-	// maxPeersPerCall is the number of other entries through which a call is tried.
+	// refusalTTL is how long after a failed call an entry refuses calls of others at once.
+	// While it does not reach the store, its own calls fail more often than that.
+	refusalTTL = 3 * time.Second
+	// maxPeersPerCall is the number of other entries through which a call is tried,
+	// without those that refuse it at once.
 	maxPeersPerCall = 2
 	// maxBodyBytes bounds a relayed call or its reply, which may hold a page of 1 MB.
 	maxBodyBytes = 4 << 20
@@ -66,8 +70,8 @@
 	// noRelayUntil is until when they are not relayed.
 	relayFirstUntil, noRelayUntil time.Time
 	// unreachableSince is since when the store cannot be reached directly; zero while
-	// it can.
-	unreachableSince time.Time
+	// it can. failedAt is when a direct call last failed.
+	unreachableSince, failedAt time.Time
 	// nextPeer selects the first peer of the next relayed call, round robin.
 	nextPeer int
 }
@@ -138,6 +142,9 @@
 	r.mu.Lock()
 	now := r.cfg.Now()
 	relayFirst, relayPaused := now.Before(r.relayFirstUntil), now.Before(r.noRelayUntil)
+	if c.Op == opWatch && !r.unreachableSince.IsZero() {
+		relayFirst = true // shorter calls find out sooner whether the store is reached again
+	}
 	r.mu.Unlock()
 	var unknownErr error
 	if relayFirst && !relayPaused {
@@ -173,6 +180,9 @@
 func (r *Relayer) updateReachability(err error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if !outcomeKnown(err) {
+		r.failedAt = r.cfg.Now()
+	}
 	switch {
 	case outcomeKnown(err) && !r.unreachableSince.IsZero():
 		r.cfg.Log.Info("store reached again", zap.Duration("after", r.cfg.Now().Sub(r.unreachableSince)))
@@ -226,13 +236,16 @@
 	r.nextPeer++
 	first := r.nextPeer
 	r.mu.Unlock()
-	for n := range min(len(peers), maxPeersPerCall) {
+	for n, tried := 0, 0; n < len(peers) && tried < maxPeersPerCall; n++ {
 		var p *reply
 		p, err = r.callPeer(ctx, peers[(first+n)%len(peers)], c)
 		if outcomeKnown(err) {
 			return p, err
 		}
 		unknownOutcome = unknownOutcome || errors.Is(err, storer.ErrUnknownOutcome)
+		if !errors.Is(err, errRefused) {
+			tried++
+		}
 	}
 	r.mu.Lock()
 	r.noRelayUntil = r.cfg.Now().Add(relayCooldown)
@@ -273,6 +286,14 @@
 	return &p, p.err()
 }
 
+// refusesCalls reports whether calls for other entries would most likely fail. The calls
+// of this entry find out when it reaches the store again.
+func (r *Relayer) refusesCalls() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return !r.unreachableSince.IsZero() && r.cfg.Now().Sub(r.failedAt) < refusalTTL
+}
+
 // ServeHTTP makes a call for another entry. It does not relay the call any further.
 func (r *Relayer) ServeHTTP(w http.ResponseWriter, req *http.Request) {
 	raw, err := io.ReadAll(io.LimitReader(req.Body, maxBodyBytes))
@@ -290,8 +311,13 @@
 		r.cfg.Log.Debug("could not begin reply to a relayed call", zap.Error(err))
 		return
 	}
-	p, err := r.direct(req.Context(), &c)
-	r.updateReachability(err)
+	p := &reply{}
+	if r.refusesCalls() {
+		err = errRefused
+	} else {
+		p, err = r.direct(req.Context(), &c)
+		r.updateReachability(err)
+	}
 	if err != nil {
 		p.Code, p.Text = codeOf(err), err.Error()
 		var conflict *storer.ConflictError
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -20,8 +20,8 @@
 
 // pair is an entry and a peer of it, over one store whose calls may fail at either.
 type pair struct {
-	store *faker.Store
-	r     *Relayer
+	store   *faker.Store
+	r, peer *Relayer
 	// directErr and peerErr are the errors of calls made by the entry and by its peer.
 	directErr, peerErr error
 	now                time.Time
@@ -51,7 +51,8 @@
 	}
 	peerCfg := cfg
 	peerCfg.Store = failing(&p.peerErr)
-	server := httptest.NewServer(New(peerCfg))
+	p.peer = New(peerCfg)
+	server := httptest.NewServer(p.peer)
 	c.Cleanup(server.Close)
 	cfg.Store = failing(&p.directErr)
 	cfg.Peers = func() []netip.AddrPort {
@@ -117,6 +118,8 @@
 	p.directErr, p.peerErr = storer.ErrUnavailable, storer.ErrUnavailable
 	c.Assert(p.write("a"), qt.ErrorIs, storer.ErrUnavailable)
 	p.peerErr = nil
+	_, err := p.peer.Store().Get(context.Background(), "a")
+	c.Assert(err, qt.ErrorIs, storer.ErrNotFound, qt.Commentf("the peer reaches the store again"))
 	c.Assert(p.write("a"), qt.ErrorIs, storer.ErrUnavailable, qt.Commentf("no peer could make the call a moment ago"))
 	p.now = p.now.Add(relayCooldown)
 	c.Assert(p.write("a"), qt.IsNil)
