relayer: Relay watches first only after a second without the store

A configuration with 5,000 routes came into force 3.7 s after the first entry at one whose connections had been reset 0.5 s before: its watch went through an entry with a slow link, which read the value from the store beside its own watch.

TestAWatchIsNotRelayedForAMomentOfFailure failed before and passes.

--- a/relayer/refusal_test.go
+++ b/relayer/refusal_test.go
@@ -111,3 +111,30 @@
 	p.now = p.now.Add(refusalTTL)
 	c.Assert(p.write("a"), qt.IsNil)
 }
+
+// TestAWatchIsNotRelayedForAMomentOfFailure guards against a large change that is read through
+// a slow peer as connections were reset just before.
+func TestAWatchIsNotRelayedForAMomentOfFailure(t *testing.T) {
+	c := qt.New(t)
+	p := newPair(c)
+	p.directErr, p.peerErr = storer.ErrUnavailable, storer.ErrUnavailable
+	c.Assert(p.write("a"), qt.ErrorIs, storer.ErrUnavailable)
+	p.directErr, p.peerErr = nil, nil
+	p.now = p.now.Add(relayCooldown)
+	version, err := p.store.Client().Commit(context.Background(), storer.Transaction{Writes: []storer.Write{{Key: "in/a", Value: []byte("v")}}})
+	c.Assert(err, qt.IsNil)
+	relayed := 0
+	peers := p.r.cfg.Peers
+	p.r.cfg.Peers = func() []netip.AddrPort { relayed++; return peers() }
+	for _, tc := range []struct {
+		after time.Duration
+		want  int
+	}{{0, 0}, {watchRelayDelay + time.Millisecond, 1}} {
+		p.now = p.now.Add(tc.after)
+		page, err := p.r.Store().Watch(context.Background(), "in/", version-1, time.Now().Add(time.Second))
+		c.Assert(err, qt.IsNil)
+		c.Assert(page.Items, qt.HasLen, 1)
+		c.Assert(relayed, qt.Equals, tc.want)
+		p.r.updateReachability(storer.ErrUnavailable)
+	}
+}
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -30,6 +30,9 @@
 	// relayed call has succeeded where the direct one failed. The store is then tried
 	// directly again.
 	relayFirstDuration = 1500 * time.Millisecond
+	// watchRelayDelay is how long the store is unreachable before watches go through other
+	// entries first. Relaying a large reply takes longer than a reconnection.
+	watchRelayDelay = time.Second
 	// relayCooldown is how long calls are not relayed after no other entry could make
 	// one: the store is then likely down for all entries, and each call has a cost.
 	relayCooldown = 700 * time.Millisecond
@@ -142,7 +145,7 @@
 	r.mu.Lock()
 	now := r.cfg.Now()
 	relayFirst, relayPaused := now.Before(r.relayFirstUntil), now.Before(r.noRelayUntil)
-	if c.Op == opWatch && !r.unreachableSince.IsZero() {
+	if c.Op == opWatch && !r.unreachableSince.IsZero() && now.Sub(r.unreachableSince) > watchRelayDelay {
 		relayFirst = true // shorter calls find out sooner whether the store is reached again
 	}
 	r.mu.Unlock()
