orchestrator, elector: Start no job that is newer than a later claim

An owner that was suspended resumes within its confirmation TTL as another entry claims. A job that is accepted just after the claim counts as never started for the new owner, which starts it at once; the earlier one read the job from its watch and started it as well, until the agents had seen the new term.

Each claim now also writes a key among the inputs. The watch of inputs shows it before every job that is newer, and a list reads it after the jobs, so an owner that gets such a job has seen the claim and stops. No further calls to the store.

--- a/coordinator/history_test.go
+++ b/coordinator/history_test.go
@@ -34,6 +34,10 @@
 	138,  // a run's end as done was dropped after the task had been restarted
 }
 
+// frozenRegressionSeeds are seeds of histories with frozen entries in which two owners
+// started a job that was accepted just after the claim of the second.
+var frozenRegressionSeeds = []uint64{388, 626}
+
 // TestHistories runs fleets of entries, agents and workers under kills, network
 // partitions, store outages and lost replies, and checks the invariants on what
 // workers and callers observed.
@@ -44,7 +48,7 @@
 // TestHistoriesWithFrozenEntries adds entries that freeze for some seconds and agents
 // that leave for good.
 func TestHistoriesWithFrozenEntries(t *testing.T) {
-	runHistories(t, nil, (*fleet).injectFreezeOrFault)
+	runHistories(t, frozenRegressionSeeds, (*fleet).injectFreezeOrFault)
 }
 
 // TestHistoriesWithWorkersThatKeepTheirID adds workers that start again under their ID,
--- a/elector/claim.go
+++ b/elector/claim.go
@@ -135,7 +135,7 @@
 		next.RemainingTTL = record.RemainingTTL
 	}
 	sent := e.cfg.Now()
-	newVersion, err := e.writeRecord(ctx, next, version)
+	newVersion, err := e.writeRecord(ctx, next, version, e.cfg.ClaimKey)
 	if err != nil {
 		return err
 	}
@@ -148,16 +148,21 @@
 	return nil
 }
 
-// writeRecord sets the owner key if it still has the given version.
-func (e *Elector) writeRecord(ctx context.Context, r OwnerRecord, version uint64) (uint64, error) {
+// writeRecord sets the owner key, and the claim key unless it is empty, if the owner key
+// still has the given version.
+func (e *Elector) writeRecord(ctx context.Context, r OwnerRecord, version uint64, claimKey string) (uint64, error) {
 	value, err := cbor.Marshal(r)
 	if err != nil {
 		return 0, err
 	}
+	var alongside []storer.Write
+	if claimKey != "" {
+		alongside = append(alongside, storer.Write{Key: claimKey, Value: value})
+	}
 	newVersion, err := e.cfg.Store.CommitIdempotent(ctx, storer.Transaction{
 		Checks: []storer.Check{{Key: OwnerKey, Version: version}},
 		Writes: []storer.Write{{Key: OwnerKey, Value: value}},
-	})
+	}, alongside...)
 	var conflict *storer.ConflictError
 	if errors.As(err, &conflict) {
 		e.apply([]storer.Item{conflict.Item(OwnerKey)})
@@ -180,7 +185,7 @@
 		return
 	}
 	record.Released = true
-	newVersion, err := e.writeRecord(ctx, record, version)
+	newVersion, err := e.writeRecord(ctx, record, version, "")
 	e.cfg.Log.Info("ownership released", zap.Uint64("term", record.Term), zap.String("why", reason), zap.Error(err))
 	if err != nil {
 		return
--- a/elector/elector.go
+++ b/elector/elector.go
@@ -57,6 +57,9 @@
 type Config struct {
 	Self  Member
 	Store *storer.Store
+	// ClaimKey is a key that each claim writes together with OwnerKey. Whoever watches
+	// it among other keys sees a claim before later changes of these. Empty for none.
+	ClaimKey string
 	// Now is a clock that includes time during which the instance was suspended.
 	Now func() time.Time
 	Log *zap.Logger
--- a/orchestrator/orchestrator.go
+++ b/orchestrator/orchestrator.go
@@ -27,6 +27,10 @@
 const (
 	// InputPrefix is the key prefix of accepted jobs and of cancellations.
 	InputPrefix = "ef/in/"
+	// ClaimKey is the key that each claim of ownership writes. It has InputPrefix, so
+	// that the watch of inputs shows a claim before the jobs that are accepted after it,
+	// and follows the keys of jobs, so that a list of them shows one, too.
+	ClaimKey = InputPrefix + "owner"
 	// progressPrefix is the key prefix of job progress.
 	progressPrefix = "ef/out/"
 	// agentPrefix is the key prefix of agents that may hold work.
--- a/orchestrator/watch.go
+++ b/orchestrator/watch.go
@@ -125,8 +125,15 @@
 	return estimator.MaxLocalElapsed(o.cfg.LeaseDuration) + leaseMargin
 }
 
-// handleInputs processes accepted jobs and cancellations from the ledger.
+// handleInputs processes accepted jobs and cancellations from the ledger. A later owner
+// starts jobs that are newer than its claim at once, so they are none of this one's.
 func (o *Orchestrator) handleInputs(items []storer.Item) {
+	for _, item := range items {
+		if item.Key == ClaimKey && item.Version > o.cfg.Epoch {
+			o.stopReason = ErrOwnershipLost
+			return
+		}
+	}
 	for _, item := range items {
 		rest := strings.TrimPrefix(item.Key, InputPrefix)
 		switch {
--- a/storer/store.go
+++ b/storer/store.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 )
 
@@ -120,10 +121,13 @@
 	RevokeLease func(ctx context.Context, lease string) error
 }
 
-// CommitIdempotent commits a change once. It succeeds if the change has already taken
-// effect in an earlier attempt whose reply was lost.
-func (s *Store) CommitIdempotent(ctx context.Context, change Transaction) (uint64, error) {
-	version, err := s.Commit(ctx, change)
+// CommitIdempotent commits a change once, together with writes that need no check of
+// their own. It succeeds if the change has already taken effect in an earlier attempt
+// whose reply was lost.
+func (s *Store) CommitIdempotent(ctx context.Context, change Transaction, alongside ...Write) (uint64, error) {
+	all := change
+	all.Writes = slices.Concat(change.Writes, alongside)
+	version, err := s.Commit(ctx, all)
 	var conflict *ConflictError
 	if !errors.As(err, &conflict) || !conflict.AlreadyApplied(change) {
 		return version, err
