orchestrator: Reserve capacity for runs that are stopped to move

A run was stopped on a draining worker, or where it was throttled, because another worker had room; by the time that it had ended, a younger task had been started there, and the moved one waited. The room was only set aside within one round of placement.

The run now holds capacity on the agent that it moves to until it has ended, for 3 s at most.

--- a/orchestrator/evict.go
+++ b/orchestrator/evict.go
@@ -31,7 +31,7 @@
 					continue
 				}
 				candidate.Reserve(step, name)
-				o.stopRun(r, "worker is draining")
+				o.moveRun(r, candidate.ID, "worker is draining")
 				o.cfg.Count("evacuated")
 				break
 			}
@@ -39,6 +39,17 @@
 	}
 }
 
+// maxMoveTime is how long capacity is reserved for a run that is stopped to move: a few
+// attempts to stop it.
+const maxMoveTime = 3 * time.Second
+
+// moveRun stops a run to start its task on another agent, and reserves capacity there so
+// that no other task is started on it before the run has ended.
+func (o *Orchestrator) moveRun(r *run, agentID, reason string) {
+	r.moveTo, r.moveBy = o.agents[agentID], o.cfg.Now().Add(maxMoveTime)
+	o.stopRun(r, reason)
+}
+
 // drainingAgents returns the agents with a draining worker, ordered by ID.
 func (o *Orchestrator) drainingAgents() []*agent {
 	var list []*agent
--- a/orchestrator/orchestrator.go
+++ b/orchestrator/orchestrator.go
@@ -211,6 +211,10 @@
 	throttled, resumed bool
 	// evict is set once the run is to be stopped.
 	evict bool
+	// moveTo is the agent on which capacity is reserved for the task of a run that is
+	// stopped to move, until moveBy; nil for none.
+	moveTo *agent
+	moveBy time.Time
 }
 
 // New returns an Orchestrator; Serve runs it.
--- a/orchestrator/place.go
+++ b/orchestrator/place.go
@@ -114,6 +114,9 @@
 	}
 	now := o.cfg.Now()
 	for _, r := range o.runs {
+		if r.moveTo != nil && now.Before(r.moveBy) && index[r.moveTo.id] != nil {
+			index[r.moveTo.id].Reserve(r.task.StepSpec(), r.task.StepName())
+		}
 		candidate := index[r.agent.id]
 		if candidate == nil {
 			continue
@@ -132,7 +135,13 @@
 		}
 	}
 	for _, r := range o.runs {
-		if candidate := index[r.agent.id]; candidate != nil && r.task.StepSpec().BestEffort {
+		if !r.task.StepSpec().BestEffort {
+			continue
+		}
+		if r.moveTo != nil && now.Before(r.moveBy) && index[r.moveTo.id] != nil {
+			index[r.moveTo.id].AddInterference(r.task.StepSpec().Image, r.cpuDemand(), o.predictor.UpperInterference)
+		}
+		if candidate := index[r.agent.id]; candidate != nil {
 			candidate.AddInterference(r.task.StepSpec().Image, r.cpuDemand(), o.predictor.UpperInterference)
 		}
 	}
--- a/orchestrator/relocate.go
+++ b/orchestrator/relocate.go
@@ -67,7 +67,7 @@
 			}
 			candidate.Reserve(step, name)
 			candidate.AddInterference(step.Image, step.CPU, o.predictor.UpperInterference)
-			o.stopRun(r, "throttled to "+strconv.Itoa(r.pacePercent)+" percent; would run faster on "+candidate.ID)
+			o.moveRun(r, candidate.ID, "throttled to "+strconv.Itoa(r.pacePercent)+" percent; would run faster on "+candidate.ID)
 			o.cfg.Count("moved")
 			moves++
 			break
