--- a/connector/connector.go
+++ b/connector/connector.go
@@ -37,6 +37,8 @@
 	Handle func(*Link, messenger.Frame)
 	// FillWelcome completes the welcome that is sent to a new peer.
 	FillWelcome func(*messenger.Welcome)
+	// Traffic counts the frames of all links; nil if they are not counted.
+	Traffic *messenger.Traffic
 }
 
 // Connector accepts and dials links. It is safe for concurrent use.
--- a/connector/link.go
+++ b/connector/link.go
@@ -31,7 +31,7 @@
 		l.Clock.Observe(h.Heartbeat.Sent, time.Time{}, c.cfg.Now())
 	}
 	l.conn = messenger.New(messenger.Config{
-		Socket: ws,
+		Socket: ws, Traffic: c.cfg.Traffic,
 		Handle: func(_ *messenger.Conn, f messenger.Frame) {
 			now := c.cfg.Now()
 			l.recordFrame(now)
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -24,6 +24,7 @@
 	"github.com/endivefall/endivefall/orchestrator"
 	"github.com/endivefall/endivefall/relayer"
 	"github.com/endivefall/endivefall/storer"
+	"github.com/endivefall/endivefall/waiter"
 )
 
 // Timeouts and limits of an entry.
@@ -74,6 +75,11 @@
 	Log             *zap.Logger
 	Count           func(name string)
 	ObserveDuration func(name string, d time.Duration)
+	// Add increases a counter; nil if traffic is not counted.
+	Add func(name string, n int64)
+	// TakeStoreBytes returns the bytes sent to and received from the store since the
+	// last call; nil if they are not counted.
+	TakeStoreBytes func() (sent, received int64)
 	// QueryPolicy asks the policy service of the queues which workers may run a step.
 	QueryPolicy func(ctx context.Context, step string, workers []string) ([]orchestrator.PolicyGrant, time.Duration, error)
 	// Listen opens the listener for peers; net.Listen when nil. Client sends
@@ -92,6 +98,7 @@
 	ownerClient *ownerClient
 	// Acceptor serves the requests of callers.
 	Acceptor *acceptor.Acceptor
+	traffic  messenger.Traffic
 	// wake holds one token when the owner record may have changed or HandOver was
 	// called.
 	wake chan struct{}
@@ -128,7 +135,7 @@
 	store := c.relayer.Store()
 	self := elector.Member{ID: cfg.ID, Incarnation: c.incarnation, PeerAddr: cfg.PeerAddr, CPUCapacity: cfg.CPUCapacity}
 	c.ownerClient = newOwnerClient(ownerClientConfig{
-		ID: cfg.ID, Incarnation: c.incarnation, Client: cfg.Client, Now: cfg.Now, Log: cfg.Log,
+		ID: cfg.ID, Incarnation: c.incarnation, Client: cfg.Client, Now: cfg.Now, Log: cfg.Log, Traffic: &c.traffic,
 		OnInDoubt: func(jobs []string) { c.Acceptor.MarkInDoubt(jobs) },
 	})
 	c.elector = elector.New(elector.Config{
@@ -136,7 +143,7 @@
 		OnChange: func(elector.OwnerRecord, []elector.Member) { c.wakeOwnershipLoop() },
 	})
 	c.connector = connector.New(connector.Config{
-		ID: cfg.ID, Incarnation: c.incarnation, Now: cfg.Now, Log: cfg.Log, OnConnect: c.onConnect, OnDisconnect: c.onDisconnect, Handle: c.handleFrame,
+		ID: cfg.ID, Incarnation: c.incarnation, Now: cfg.Now, Log: cfg.Log, Traffic: &c.traffic, OnConnect: c.onConnect, OnDisconnect: c.onDisconnect, Handle: c.handleFrame,
 		FillWelcome: func(w *messenger.Welcome) { w.Peers = append(c.elector.Peers(), cfg.PeerAddr) },
 	})
 	c.Acceptor = acceptor.New(acceptor.Config{
@@ -181,6 +188,9 @@
 	wg.Go(func() { c.Acceptor.Serve(ctx) })
 	wg.Go(func() { c.ownerClient.Serve(ctx) })
 	wg.Go(func() { c.ownershipLoop(ctx) })
+	if c.cfg.Add != nil {
+		wg.Go(func() { waiter.Every(ctx, trafficInterval, c.reportTraffic) })
+	}
 	<-ctx.Done()
 	c.connector.Close()
 	_ = server.Close()
--- a/coordinator/owner_client.go
+++ b/coordinator/owner_client.go
@@ -39,6 +39,8 @@
 	Log             *zap.Logger
 	// OnInDoubt is called with jobs that are in doubt at other entries.
 	OnInDoubt func(jobs []string)
+	// Traffic counts the frames.
+	Traffic *messenger.Traffic
 }
 
 // ownerClient maintains a connection to the owner and sends queries on it.
@@ -120,7 +122,7 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	conn := messenger.New(messenger.Config{Socket: ws, Handle: func(_ *messenger.Conn, f messenger.Frame) {
+	conn := messenger.New(messenger.Config{Socket: ws, Traffic: c.cfg.Traffic, Handle: func(_ *messenger.Conn, f messenger.Frame) {
 		switch f.Kind {
 		case messenger.KindStateReply:
 			c.lastReply.Store(c.cfg.Now().UnixNano())
--- a/dialer/dialer.go
+++ b/dialer/dialer.go
@@ -5,6 +5,7 @@
 	"context"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -22,6 +23,8 @@
 // Dialer opens connections that end when sent bytes stay unacknowledged.
 type Dialer struct {
 	netDialer net.Dialer
+	// sent and received count the bytes of all connections.
+	sent, received atomic.Int64
 }
 
 // New returns a Dialer. The kernel ends a connection whose bytes stay
@@ -46,7 +49,34 @@
 
 // Dial connects to addr.
 func (d *Dialer) Dial(ctx context.Context, network, addr string) (net.Conn, error) {
-	return d.netDialer.DialContext(ctx, network, addr)
+	conn, err := d.netDialer.DialContext(ctx, network, addr)
+	if err != nil {
+		return nil, err
+	}
+	return &countedConn{conn, d}, nil
+}
+
+// TakeBytes returns the bytes sent and received since the last call.
+func (d *Dialer) TakeBytes() (sent, received int64) {
+	return d.sent.Swap(0), d.received.Swap(0)
+}
+
+// countedConn counts the bytes of a connection.
+type countedConn struct {
+	net.Conn
+	dialer *Dialer
+}
+
+func (c *countedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.dialer.received.Add(int64(n))
+	return n, err
+}
+
+func (c *countedConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.dialer.sent.Add(int64(n))
+	return n, err
 }
 
 // Client returns an HTTP client with at most conns connections per host. Each
--- a/messenger/conn.go
+++ b/messenger/conn.go
@@ -32,13 +32,15 @@
 	// Accept serves a stream that the peer opened, on its own goroutine. It is
 	// nil if the peer may not open streams.
 	Accept func(context.Context, *Stream, *Call)
+	// Traffic counts the frames; nil if they are not counted.
+	Traffic *Traffic
 }
 
 // Conn is a connection to a peer that multiplexes streams.
 type Conn struct {
 	cfg     Config
-	control chan *Frame
-	data    chan *Frame
+	control chan queuedFrame
+	data    chan queuedFrame
 	// done is closed when the connection ends; err is set before that.
 	done         chan struct{}
 	failOnce     sync.Once
@@ -51,14 +53,20 @@
 	handlers sync.WaitGroup
 }
 
+// queuedFrame is a frame that waits to be written.
+type queuedFrame struct {
+	frame    *Frame
+	queuedAt time.Time
+}
+
 // New returns a connection over cfg.Socket. No frame is read or written before
 // Run.
 func New(cfg Config) *Conn {
 	cfg.Socket.SetReadLimit(MaxFrameBytes + maxBatchBytes)
 	return &Conn{
 		cfg:     cfg,
-		control: make(chan *Frame, controlQueueFrames),
-		data:    make(chan *Frame, dataQueueFrames),
+		control: make(chan queuedFrame, controlQueueFrames),
+		data:    make(chan queuedFrame, dataQueueFrames),
 		done:    make(chan struct{}),
 		streams: map[uint64]*Stream{},
 	}
@@ -122,7 +130,7 @@
 		return c.err
 	}
 	select {
-	case queue <- &f:
+	case queue <- queuedFrame{&f, time.Now()}:
 		return nil
 	case <-c.done:
 		return c.err
@@ -138,7 +146,7 @@
 		return c.err
 	}
 	select {
-	case c.control <- &f:
+	case c.control <- queuedFrame{&f, time.Now()}:
 		return nil
 	default:
 		c.fail(fmt.Errorf("%w: peer reads too slowly", ErrClosed))
@@ -188,15 +196,19 @@
 		}
 		var err error
 		raw = raw[:0]
-		for f != nil && err == nil {
-			raw, err = Append(raw, f)
-			f = nil
+		firstQueuedAt := f.queuedAt
+		for f.frame != nil && err == nil {
+			kind, size := f.frame.Kind, len(raw)
+			raw, err = Append(raw, f.frame)
+			c.cfg.Traffic.addSent(kind, len(raw)-size)
+			f = queuedFrame{}
 			if len(raw) < maxBatchBytes {
 				f = c.tryNextFrame()
 			}
 		}
 		if err == nil {
 			err = c.write(ctx, raw)
+			c.cfg.Traffic.recordWait(time.Since(firstQueuedAt))
 		}
 		if err != nil {
 			c.fail(fmt.Errorf("%w: %w", ErrClosed, err))
@@ -206,9 +218,9 @@
 	}
 }
 
-// tryNextFrame returns the next queued frame, control frames first, or nil if
+// tryNextFrame returns the next queued frame, control frames first, or none if
 // both queues are empty.
-func (c *Conn) tryNextFrame() *Frame {
+func (c *Conn) tryNextFrame() queuedFrame {
 	select {
 	case f := <-c.control:
 		return f
@@ -218,14 +230,14 @@
 	case f := <-c.data:
 		return f
 	default:
-		return nil
+		return queuedFrame{}
 	}
 }
 
 // nextFrame waits for the next frame, control frames first. It returns false when
 // the connection or ctx ends.
-func (c *Conn) nextFrame(ctx context.Context) (*Frame, bool) {
-	if f := c.tryNextFrame(); f != nil {
+func (c *Conn) nextFrame(ctx context.Context) (queuedFrame, bool) {
+	if f := c.tryNextFrame(); f.frame != nil {
 		return f, true
 	}
 	select {
@@ -234,9 +246,9 @@
 	case f := <-c.data:
 		return f, true
 	case <-c.done:
-		return nil, false
+		return queuedFrame{}, false
 	case <-ctx.Done():
-		return nil, false
+		return queuedFrame{}, false
 	}
 }
 
@@ -258,8 +270,10 @@
 		}
 		for err == nil && len(raw) > 0 {
 			var f Frame
+			size := len(raw)
 			f, raw, err = DecodeFirst(raw)
 			if err == nil {
+				c.cfg.Traffic.addReceived(f.Kind, size-len(raw))
 				err = c.dispatch(ctx, f)
 			}
 		}
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -60,6 +60,9 @@
 // Count increments a counter.
 func (m *Meter) Count(name string) { m.Counter(name).Inc(1) }
 
+// Add increases a counter by n.
+func (m *Meter) Add(name string, n int64) { m.Counter(name).Inc(n) }
+
 // ObserveDuration adds a duration to a latency histogram.
 func (m *Meter) ObserveDuration(name string, d time.Duration) {
 	m.Histogram(name, latencyBuckets).RecordDuration(d)
