--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -144,7 +144,9 @@
 	})
 	c.connector = connector.New(connector.Config{
 		ID: cfg.ID, Incarnation: c.incarnation, Now: cfg.Now, Log: cfg.Log, Traffic: &c.traffic, OnConnect: c.onConnect, OnDisconnect: c.onDisconnect, Handle: c.handleFrame,
-		FillWelcome: func(w *messenger.Welcome) { w.Peers = append(c.elector.Peers(), cfg.PeerAddr) },
+		FillWelcome: func(w *messenger.Welcome) {
+			w.Peers, w.TakesDeltas = append(c.elector.Peers(), cfg.PeerAddr), true
+		},
 	})
 	c.Acceptor = acceptor.New(acceptor.Config{
 		Store: store, AskOwner: c.queryOwner, BroadcastInDoubt: func(jobs []string) { c.broadcastInDoubt(jobs, nil) }, PeersConnected: c.peersConnected,
--- a/coordinator/links.go
+++ b/coordinator/links.go
@@ -21,7 +21,7 @@
 	}
 	c.mu.Lock()
 	o := c.orchestrator
-	link := &orchestrator.AgentLink{ID: l.Hello.ID, Incarnation: l.Hello.Incarnation, TrySend: l.TrySend}
+	link := &orchestrator.AgentLink{ID: l.Hello.ID, Incarnation: l.Hello.Incarnation, KeepsPayloads: l.Hello.KeepsPayloads, TrySend: l.TrySend, Close: l.Close}
 	if o != nil {
 		c.links[l] = link
 	}
--- a/messenger/messages.go
+++ b/messenger/messages.go
@@ -30,6 +30,9 @@
 	Service     string    `cbor:"10,keyasint,omitempty"`
 	Started     time.Time `cbor:"11,keyasint"`
 	Heartbeat   Heartbeat `cbor:"12,keyasint"`
+	// KeepsPayloads is set by an agent that keeps the payloads of jobs, so that the
+	// owner sends each once.
+	KeepsPayloads bool `cbor:"13,keyasint,omitempty"`
 }
 
 // Welcome answers a Hello.
@@ -40,6 +43,7 @@
 	RefusalReason  string           `cbor:"4,keyasint,omitempty"`
 	Peers          []netip.AddrPort `cbor:"5,keyasint,omitempty"`
 	NeedsDocuments bool             `cbor:"6,keyasint,omitempty"` // the entry has not read the documents from the store yet and asks for the peer's copies
+	TakesDeltas    bool             `cbor:"7,keyasint,omitempty"` // the entry restores snapshots that have only changes
 }
 
 // Heartbeat is sent periodically to a peer. An agent's heartbeat also carries its
--- a/messenger/pool_messages.go
+++ b/messenger/pool_messages.go
@@ -27,6 +27,9 @@
 	// Interference holds the coefficients of the task's image with the images of
 	// the latency-critical tasks at the agent.
 	Interference []Interference `cbor:"8,keyasint,omitempty"`
+	// PayloadKept is set if an earlier start of the job on the connection had the
+	// payload, which the agent keeps.
+	PayloadKept bool `cbor:"9,keyasint,omitempty"`
 }
 
 // Interference is how much a best-effort image reduces the spare rate of a serving
@@ -57,22 +60,22 @@
 	Attempt uint64 `cbor:"2,keyasint"`
 }
 
-// WorkerSnapshot is the complete state of an agent's worker. Each snapshot replaces
-// the previous one.
+// WorkerSnapshot is the state of an agent's worker: complete, or with Delta set what
+// has changed since the previous snapshot of the connection.
 type WorkerSnapshot struct {
 	// Term is the highest term that the agent has seen.
 	Term uint64 `cbor:"1,keyasint"`
 	// Seq is the last command that Runs and RunEnds reflect.
 	Seq               uint64 `cbor:"2,keyasint"`
-	WorkerIncarnation string `cbor:"3,keyasint"` // empty while no worker is known
+	WorkerIncarnation string `cbor:"3,keyasint,omitempty"` // empty while no worker is known
 	// SentAt is the worker's clock when the snapshot was sent. The owner's
 	// acknowledgement renews the lease from that time.
 	SentAt           time.Time   `cbor:"4,keyasint"`
-	CPU              int64       `cbor:"5,keyasint"` // capacity, thousandths of a core
-	Memory           int64       `cbor:"6,keyasint"` // MB
+	CPU              int64       `cbor:"5,keyasint,omitempty"` // capacity, thousandths of a core
+	Memory           int64       `cbor:"6,keyasint,omitempty"` // MB
 	GPU              int64       `cbor:"7,keyasint,omitempty"`
 	Labels           []string    `cbor:"8,keyasint,omitempty"`
-	Pool             string      `cbor:"9,keyasint"`
+	Pool             string      `cbor:"9,keyasint,omitempty"`
 	Draining         bool        `cbor:"10,keyasint,omitempty"`
 	DrainRemainingMs int64       `cbor:"11,keyasint,omitempty"` // minimum time until a draining worker exits
 	Unreachable      bool        `cbor:"12,keyasint,omitempty"` // the worker does not answer
@@ -83,12 +86,20 @@
 	MayStart         bool        `cbor:"17,keyasint,omitempty"` // the agent may start tasks
 	// MeasurementUpdates counts the updates of the measurements in Runs.
 	MeasurementUpdates uint64 `cbor:"18,keyasint,omitempty"`
+	// Delta is set if the snapshot has only new and changed Runs, new RunEnds, and no
+	// property of the worker. MeasurementUpdates is then 0 if it has not changed.
+	Delta bool `cbor:"19,keyasint,omitempty"`
+	// FirstEnd is the oldest end that the agent still keeps; 0 if it keeps none.
+	FirstEnd uint64 `cbor:"20,keyasint,omitempty"`
+	// Gone has the Ref of each run that is no longer in Runs.
+	Gone []uint64 `cbor:"21,keyasint,omitempty"`
 }
 
-// RunStatus is the state of a run at an agent's worker.
+// RunStatus is the state of a run at an agent's worker. In a Delta, a run that was in
+// an earlier snapshot has only its Ref in place of Task and Attempt.
 type RunStatus struct {
-	Task            string `cbor:"1,keyasint"`
-	Attempt         uint64 `cbor:"2,keyasint"`
+	Task            string `cbor:"1,keyasint,omitempty"`
+	Attempt         uint64 `cbor:"2,keyasint,omitempty"`
 	Phase           Phase  `cbor:"3,keyasint"`
 	Checkpoint      string `cbor:"4,keyasint,omitempty"`
 	ProgressPercent int    `cbor:"5,keyasint,omitempty"`
@@ -97,6 +108,8 @@
 	Measurement int64 `cbor:"6,keyasint,omitempty"`
 	PacePercent int   `cbor:"7,keyasint,omitempty"` // pace limit of the task, in percent
 	SpecUnknown bool  `cbor:"8,keyasint,omitempty"` // the agent does not know the task's spec
+	// Ref identifies the run on the connection.
+	Ref uint64 `cbor:"9,keyasint,omitempty"`
 }
 
 // Phase is the phase of a run that has not ended.
--- a/orchestrator/agent.go
+++ b/orchestrator/agent.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/endivefall/endivefall/differ"
 	"github.com/endivefall/endivefall/messenger"
 	"github.com/endivefall/endivefall/sequencer"
 )
@@ -16,6 +17,10 @@
 	ID, Incarnation string
 	// TrySend queues a frame without blocking.
 	TrySend func(messenger.Frame) error
+	// Close ends the connection; the agent then connects again.
+	Close func(reason string)
+	// KeepsPayloads is set if the agent keeps the payloads of jobs.
+	KeepsPayloads bool
 }
 
 // agent is the state of an agent that may hold work.
@@ -27,7 +32,12 @@
 	incarnation string
 	// lastSnapshotAt is the local time of its last snapshot.
 	lastSnapshotAt time.Time
-	snapshot       *messenger.WorkerSnapshot
+	// snapshot is the last one, complete; snapshots restores it from the changes that
+	// link carries.
+	snapshot  *messenger.WorkerSnapshot
+	snapshots differ.Decoder
+	// payloads has the payloads that the agent keeps, if it does.
+	payloads differ.PayloadEncoder
 	// keyVersion is the version of its key in the ledger, or 0 if it has none. The
 	// lease of an agent without a key is not renewed.
 	keyVersion uint64
@@ -95,6 +105,7 @@
 			a.incarnation, a.lastEnd, a.durableEnd, a.ackedEnd, a.pendingEnds = l.Incarnation, 0, 0, 0, nil
 		}
 		a.link, a.seq, a.snapshot, a.lastSnapshotAt, a.measurementUpdates = l, 0, nil, o.cfg.Now(), 0
+		a.snapshots, a.payloads = differ.Decoder{}, differ.PayloadEncoder{}
 		o.cfg.Log.Info("agent connected", zap.String("agent", l.ID), zap.String("born", l.Incarnation))
 	})
 }
@@ -127,11 +138,17 @@
 // handleSnapshot processes the snapshot of an agent's worker and acknowledges it.
 // The acknowledgement renews the lease if the agent has a key in the ledger,
 // ownership is confirmed recently enough and the snapshot is reconciled.
-func (o *Orchestrator) handleSnapshot(a *agent, snapshot *messenger.WorkerSnapshot) {
-	if snapshot.Term > o.cfg.Term {
+func (o *Orchestrator) handleSnapshot(a *agent, received *messenger.WorkerSnapshot) {
+	if received.Term > o.cfg.Term {
 		o.stopReason = ErrOwnershipLost
 		return
 	}
+	snapshot, err := a.snapshots.Restore(received)
+	if err != nil {
+		o.cfg.Log.Error("snapshot ignored; closing the connection", zap.String("agent", a.id), zap.Error(err))
+		a.link.Close("snapshot out of step")
+		return
+	}
 	now := o.cfg.Now()
 	a.snapshot, a.lastSnapshotAt = snapshot, now
 	if o.loaded {
--- a/orchestrator/place.go
+++ b/orchestrator/place.go
@@ -232,7 +232,7 @@
 		key: runKey{t.Name(), attempt}, task: t, job: j, agent: a, link: a.link,
 		phase: messenger.PhaseStarting, pacePercent: 100, startedAt: o.cfg.Now(), resumed: t.Checkpoint != "",
 	}
-	if !o.sendCommand(a, &messenger.Command{Start: o.runStart(r, false)}) {
+	if a.link == nil || !o.sendCommand(a, &messenger.Command{Start: o.runStart(r, false)}) {
 		return false
 	}
 	r.seq = a.seq
@@ -249,13 +249,20 @@
 // already runs.
 func (o *Orchestrator) runStart(r *run, alreadyRunning bool) *messenger.RunStart {
 	step := r.task.StepSpec()
-	return &messenger.RunStart{
-		Task: r.key.task, Attempt: r.key.attempt, Payload: r.job.Spec.Payload, Checkpoint: r.task.Checkpoint, AlreadyRunning: alreadyRunning,
-		Ticket: o.ticketFor(r.task.StepName(), r.agent), Interference: o.knownInterference(r.agent, step.Image),
+	start := &messenger.RunStart{
+		Task: r.key.task, Attempt: r.key.attempt, AlreadyRunning: alreadyRunning,
 		Spec: messenger.TaskSpec{
 			CPU: step.CPU, Memory: step.Memory, GPU: step.GPU, BestEffort: step.BestEffort, Image: step.Image, LatencyTargetMs: step.LatencyTargetMs,
 		},
 	}
+	if alreadyRunning {
+		return start
+	}
+	start.Checkpoint, start.Ticket, start.Interference = r.task.Checkpoint, o.ticketFor(r.task.StepName(), r.agent), o.knownInterference(r.agent, step.Image)
+	if start.PayloadKept = r.agent.link.KeepsPayloads && r.agent.payloads.Keeps(r.job.Spec.ID); !start.PayloadKept {
+		start.Payload = r.job.Spec.Payload
+	}
+	return start
 }
 
 // learnSpeed updates the speed of a worker from a finished run that was not
--- a/orchestrator/place_test.go
+++ b/orchestrator/place_test.go
@@ -175,3 +175,20 @@
 	h.o.place() // panicked when the start of the first job's task failed and closed the connection
 	c.Assert(h.o.policyQueries, qt.Equals, 0)
 }
+
+// A payload of 2 kB went with each of a job's 160 tasks, which filled the owner's link.
+func TestAnAgentGetsThePayloadOfAJobOnce(t *testing.T) {
+	c := qt.New(t)
+	h := newHarness(c, 1)
+	h.o.agents["a0"].link.KeepsPayloads = true
+	h.submit(sequencer.Spec{Payload: "payload", Steps: []sequencer.Step{step(3, 100)}})
+	h.o.place()
+	var payloads []string
+	for _, f := range h.sent["a0"] {
+		if f.Kind == messenger.KindCommand {
+			payloads = append(payloads, f.Command.Start.Payload)
+			c.Check(f.Command.Start.PayloadKept, qt.Equals, len(payloads) > 1)
+		}
+	}
+	c.Assert(payloads, qt.DeepEquals, []string{"payload", "", ""})
+}
--- a/sequencer/task.go
+++ b/sequencer/task.go
@@ -60,6 +60,12 @@
 // StepNameOf returns the Task.StepName of the task with the given name.
 func StepNameOf(name string) string { return name[:max(strings.LastIndexByte(name, '.'), 0)] }
 
+// JobOf returns the ID of the job of the task with the given name.
+func JobOf(name string) string {
+	job, _, _ := strings.Cut(name, ".")
+	return job
+}
+
 // ParseTaskName splits a task's name into its parts.
 func ParseTaskName(name string) (job string, occurrence, step, index int, err error) {
 	parts := strings.Split(name, ".")
--- a/supervisor/commands.go
+++ b/supervisor/commands.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"github.com/endivefall/endivefall/messenger"
+	"github.com/endivefall/endivefall/sequencer"
 	"github.com/endivefall/endivefall/waiter"
 )
 
@@ -17,6 +18,15 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.commandSeq = cmd.Seq
+	if cmd.Start != nil && !cmd.Start.AlreadyRunning {
+		payload, err := s.payloads.Restore(sequencer.JobOf(cmd.Start.Task), cmd.Start.Payload, cmd.Start.PayloadKept)
+		if err != nil {
+			s.cfg.Log.Error("payload is not known; closing the connection", zap.String("task", cmd.Start.Task), zap.Error(err))
+			s.conn.Close("payload out of step")
+			return
+		}
+		cmd.Start.Payload = payload
+	}
 	if cmd.Term < s.term {
 		s.cfg.Log.Warn("command of an earlier owner refused", zap.Uint64("term", cmd.Term), zap.Uint64("heard", s.term))
 		return
--- a/supervisor/harness_test.go
+++ b/supervisor/harness_test.go
@@ -56,6 +56,8 @@
 	startLost bool
 	// lists has the answered list requests.
 	lists []answeredList
+	// payloads has the payloads of the starts at the worker, by task.
+	payloads map[string]string
 	// paces has the paces that the agent has set, by task.
 	paces map[string]int
 }
@@ -91,7 +93,7 @@
 }
 
 func newHarness(c *qt.C) *harness {
-	h := &harness{c: c, worker: faker.NewPoolWorker(), acking: true, owner: ownerAddr, term: 1, paces: map[string]int{}}
+	h := &harness{c: c, worker: faker.NewPoolWorker(), acking: true, owner: ownerAddr, term: 1, paces: map[string]int{}, payloads: map[string]string{}}
 	h.worker.CPU, h.worker.Memory = 4000, 8000
 	h.plan = faker.PoolRunPlan{Duration: time.Second}
 	h.worker.Plan = func(string, uint64) faker.PoolRunPlan {
@@ -145,6 +147,7 @@
 	client.Start = func(ctx context.Context, req supervisor.StartRequest) (time.Time, error) {
 		clock, err := startAtWorker(ctx, req)
 		h.mu.Lock()
+		h.payloads[req.Task] = req.Payload
 		lost := h.startLost
 		h.mu.Unlock()
 		if lost {
--- a/supervisor/owner.go
+++ b/supervisor/owner.go
@@ -8,6 +8,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/endivefall/endivefall/differ"
 	"github.com/endivefall/endivefall/messenger"
 	"github.com/endivefall/endivefall/waiter"
 )
@@ -54,7 +55,7 @@
 	s.mu.Unlock()
 	dialCtx, cancelDial := context.WithTimeout(ctx, ownerTimeout)
 	ws, welcome, err := messenger.DialWith(dialCtx, s.cfg.Client, addr, messenger.Hello{
-		Version: messenger.Version, Role: messenger.RoleAgent, ID: s.cfg.ID, Incarnation: s.cfg.Incarnation, Started: s.cfg.Now(),
+		Version: messenger.Version, Role: messenger.RoleAgent, ID: s.cfg.ID, Incarnation: s.cfg.Incarnation, Started: s.cfg.Now(), KeepsPayloads: true,
 	})
 	cancelDial()
 	if err != nil {
@@ -85,15 +86,15 @@
 		}
 	}})
 	s.mu.Lock()
-	s.conn, s.commandSeq = conn, 0
+	s.conn, s.commandSeq, s.payloads = conn, 0, differ.PayloadDecoder{}
 	s.mu.Unlock()
 	s.cfg.Log.Info("connected to the owner", zap.Stringer("addr", addr), zap.Uint64("term", term), zap.String("owner", welcome.ID))
 	s.markDirty()
-	var sending sync.WaitGroup
-	sending.Go(func() { s.sendLoop(ctx, conn, &lastAck) })
+	var loops sync.WaitGroup
+	loops.Go(func() { s.sendLoop(ctx, conn, &lastAck, welcome.TakesDeltas) })
 	err = conn.Run(ctx)
 	cancel()
-	sending.Wait()
+	loops.Wait()
 	s.mu.Lock()
 	s.conn = nil
 	s.mu.Unlock()
@@ -132,8 +133,10 @@
 	return true
 }
 
-// sendLoop sends a snapshot on each change, and as a heartbeat.
-func (s *Supervisor) sendLoop(ctx context.Context, conn *messenger.Conn, lastAck *atomic.Int64) {
+// sendLoop sends a snapshot on each change, and as a heartbeat. To an owner that takes
+// deltas, it sends what has changed.
+func (s *Supervisor) sendLoop(ctx context.Context, conn *messenger.Conn, lastAck *atomic.Int64, deltas bool) {
+	var changes differ.Encoder
 	for {
 		timer := time.NewTimer(snapshotInterval)
 		select {
@@ -159,6 +162,9 @@
 		s.mu.Lock()
 		snap := s.snapshot()
 		s.mu.Unlock()
+		if deltas {
+			snap = changes.Next(s.cfg.Now(), snap)
+		}
 		if err := conn.TrySend(messenger.Frame{Kind: messenger.KindWorkerSnapshot, WorkerSnapshot: snap}); err != nil {
 			return
 		}
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -15,6 +15,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/endivefall/endivefall/differ"
 	"github.com/endivefall/endivefall/estimator"
 	"github.com/endivefall/endivefall/messenger"
 	"github.com/endivefall/endivefall/pacer"
@@ -122,6 +123,11 @@
 	lastEnd, seenEnd, ackedEnd uint64
 	// commandSeq is the number of the last command on the current connection.
 	commandSeq uint64
+	// payloads are those that the owner has sent on the current connection.
+	payloads differ.PayloadDecoder
+	// ownerConfirmedAt is when the owner last confirmed its ownership on the current
+	// connection, or when that was opened.
+	ownerConfirmedAt time.Time
 	// loadLoggedAt is when the worker's load was last logged.
 	loadLoggedAt time.Time
 	// conn is the connection to the owner, or nil.
--- a/supervisor/supervisor_test.go
+++ b/supervisor/supervisor_test.go
@@ -167,3 +167,17 @@
 		c.Assert(snap.SentAt.After(h.worker.Heartbeat(2).Clock), qt.IsFalse)
 	})
 }
+
+func TestAStartWithAKeptPayloadRunsWithIt(t *testing.T) {
+	inBubble(t, func(c *qt.C, h *harness) {
+		first, second, unknown := startCommand("j.0.0.0", 1), startCommand("j.0.0.1", 1), startCommand("k.0.0.0", 1)
+		first.Start.Payload, second.Start.PayloadKept, unknown.Start.PayloadKept = "payload", true, true
+		h.send(first)
+		h.send(second)
+		earlier := h.ownerConn()
+		h.send(unknown)
+		advancer.Sleep(time.Second)
+		c.Check(h.payloads, qt.DeepEquals, map[string]string{"j.0.0.0": "payload", "j.0.0.1": "payload"})
+		c.Check(h.ownerConn(), qt.Not(qt.Equals), earlier, qt.Commentf("the owner must send the payload again"))
+	})
+}
