orchestrator: Collect the progress of a job until it ends

An owner wrote the progress of a job again after each end of a task as soon as the write before was done; a job with 160 tasks and its checkpoints takes some 5 kB.

Progress of a job that has not ended is collected for 150 ms; agents keep the ends until it is written. States that callers wait for are written at once, with all that is collected.

TestProgressIsCollectedUntilAJobEnds failed before.

--- a/orchestrator/ends.go
+++ b/orchestrator/ends.go
@@ -133,9 +133,17 @@
 	}
 }
 
-// markDirty queues a job's progress for writing.
+// markDirty queues a job's progress for writing: at once if the job has ended, otherwise
+// soon, together with further changes. Until then the agents keep the ends.
 func (o *Orchestrator) markDirty(j *job) {
 	j.revision++
+	due := o.cfg.Now()
+	if !j.State().Final() {
+		due = due.Add(progressWriteDelay)
+	}
+	if len(o.dirtyJobs) == 0 || due.Before(o.progressDue) {
+		o.progressDue = due
+	}
 	if !j.dirty {
 		j.dirty = true
 		o.dirtyJobs = append(o.dirtyJobs, j)
--- a/orchestrator/orchestrator.go
+++ b/orchestrator/orchestrator.go
@@ -71,6 +71,9 @@
 	// is released. It is shorter than a brief network partition and longer than two
 	// lost heartbeats.
 	isolationTimeout = 2200 * time.Millisecond
+	// progressWriteDelay is how long changes of jobs that have not ended are collected
+	// before they are written.
+	progressWriteDelay = 150 * time.Millisecond
 )
 
 // queueCapacity bounds the actions that wait for the goroutine of Serve. When the
@@ -133,6 +136,8 @@
 	// dirtyJobs are jobs whose progress is yet to be written to the ledger, in
 	// order.
 	dirtyJobs []*job
+	// progressDue is when dirtyJobs are written at the latest.
+	progressDue time.Time
 	// writing is set while a commit is in flight.
 	writing bool
 	// planDue is set when a placement round is due; nextPlan is the earliest time
--- a/orchestrator/write.go
+++ b/orchestrator/write.go
@@ -41,7 +41,7 @@
 
 // flush commits pending changes, one transaction at a time.
 func (o *Orchestrator) flush(ctx context.Context) {
-	if o.writing || !o.loaded {
+	if o.writing || !o.loaded || !o.writeDue() {
 		return
 	}
 	b := o.nextBatch()
@@ -51,6 +51,19 @@
 	o.commitAsync(ctx, b)
 }
 
+// writeDue reports whether there are changes that are to be written now.
+func (o *Orchestrator) writeDue() bool {
+	if len(o.dirtyJobs) > 0 && !o.cfg.Now().Before(o.progressDue) {
+		return true
+	}
+	for _, a := range o.agents {
+		if a.openPending || a.closePending || a.removalPending {
+			return true
+		}
+	}
+	return false
+}
+
 // commitAsync commits a batch in the background. Only one commit is in flight.
 func (o *Orchestrator) commitAsync(ctx context.Context, b *batch) {
 	o.writing = true
--- a/orchestrator/write_test.go
+++ b/orchestrator/write_test.go
@@ -8,6 +8,8 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/endivefall/endivefall/faker"
+	"github.com/endivefall/endivefall/messenger"
+	"github.com/endivefall/endivefall/sequencer"
 	"github.com/endivefall/endivefall/storer"
 )
 
@@ -79,3 +81,20 @@
 	c.Assert(j.Task(0, 0, 0).LiveRuns, qt.Equals, 1)
 	c.Assert(h.o.nextBatch().removedAgents, qt.HasLen, 0)
 }
+
+// Each end of a task wrote its job's progress again: a job of 160 tasks up to 160 times,
+// which took a quarter of a thin link.
+func TestProgressIsCollectedUntilAJobEnds(t *testing.T) {
+	c := qt.New(t)
+	h := newHarness(c, 1)
+	j := h.submit(sequencer.Spec{Steps: []sequencer.Step{step(2, 100)}})
+	h.o.place()
+	h.reportEnd("a0", 1, j.Task(0, 0, 0).Name(), j.Task(0, 0, 0).Attempt, messenger.EndDone)
+	c.Check(h.o.writeDue(), qt.IsFalse)
+	h.now = h.now.Add(progressWriteDelay)
+	c.Check(h.o.writeDue(), qt.IsTrue)
+	h.commitBatch(50)
+	c.Check(h.o.writeDue(), qt.IsFalse)
+	h.reportEnd("a0", 2, j.Task(0, 0, 1).Name(), j.Task(0, 0, 1).Attempt, messenger.EndDone)
+	c.Check(h.o.writeDue(), qt.IsTrue, qt.Commentf("the job has ended"))
+}
