orchestrator: Keep ownership while agents still find the way to a new owner

Each gave up 3.3 s after its claim as "most agents are unreachable", before the agents had left the one before; each loaded the ledger anew, and nothing was started.

An owner that has not been reached by most agents yet gives up only after the time that agents need to leave an earlier one (6 s) and the usual timeout, and not while more of them arrive. The decision is a type of its own, without input and output.

TestAnOwnerThatAgentsAreStillFindingDoesNotGiveUp failed with the rule as it was.

--- a/orchestrator/orchestrator.go
+++ b/orchestrator/orchestrator.go
@@ -157,9 +157,8 @@
 	lastPreemption time.Time
 	// lastRelocation is when slowed runs were last checked for relocation.
 	lastRelocation time.Time
-	// isolatedSince is the time since which too few agents are reachable; zero
-	// while enough are.
-	isolatedSince time.Time
+	// isolation decides whether to give ownership up because agents are unreachable.
+	isolation isolation
 	// blockingAgents is the number of agents that block tasks as last logged, at
 	// blockingLoggedAt.
 	blockingAgents   int
@@ -227,7 +226,7 @@
 	return &Orchestrator{
 		cfg: cfg, actions: make(chan func(), queueCapacity), stopped: make(chan struct{}), done: make(chan struct{}),
 		jobs: map[string]*job{}, openJobs: map[string]*job{}, unreadableJobs: map[string]bool{}, runs: map[runKey]*run{}, agents: map[string]*agent{},
-		predictor: predictor.New(), policies: map[string]*stepPolicy{},
+		predictor: predictor.New(), policies: map[string]*stepPolicy{}, isolation: isolation{firstContactBy: cfg.ClaimedAt.Add(firstContactTimeout)},
 	}
 }
 
@@ -317,15 +316,8 @@
 		o.boundRegistration(a)
 		o.expireLease(a, now)
 	}
-	if o.loaded && len(o.agents) >= 3 && reachable*2 < len(o.agents) && o.cfg.HasStandby() {
-		if o.isolatedSince.IsZero() {
-			o.isolatedSince = now
-		}
-		if now.Sub(o.isolatedSince) > isolationTimeout {
-			o.stopReason = ErrAgentsUnreachable
-		}
-	} else {
-		o.isolatedSince = time.Time{}
+	if o.loaded && o.isolation.giveUp(now, reachable, len(o.agents)) && o.cfg.HasStandby() {
+		o.stopReason = ErrAgentsUnreachable
 	}
 	if o.loaded {
 		o.logBlockingAgents(now)
