supervisor: Leave an owner that was replaced

Agents looked the owner up only when it fell silent.

An agent whose owner has not confirmed its ownership for 0.6 s (an owner stops to do so after 2 s without the store) looks the owner up each second, and leaves for a later one. While the store is away the look-up fails, and it stays.

TestAnAgentLeavesAnOwnerThatWasReplaced failed before.

--- a/supervisor/harness_test.go
+++ b/supervisor/harness_test.go
@@ -41,15 +41,18 @@
 	snapshot *messenger.WorkerSnapshot
 	acking   bool
 	ackedEnd uint64
-	// unregistered is set while its acknowledgements renew no lease.
-	unregistered bool
-	conn         *messenger.Conn
+	// unregistered is set while its acknowledgements renew no lease, unconfirmed while
+	// they show no confirmation of ownership.
+	unregistered, unconfirmed bool
+	conn                      *messenger.Conn
 	// owner and term are what the agent finds as the owner's address and term.
 	owner netip.AddrPort
 	term  uint64
-	seq   uint64
-	fault func(call string) faker.PoolFault
-	plan  faker.PoolRunPlan
+	// nextTerm is the term that the agent finds if it is above term.
+	nextTerm uint64
+	seq      uint64
+	fault    func(call string) faker.PoolFault
+	plan     faker.PoolRunPlan
 	// listDelay is the transit time of a list reply to the agent; startLost is set
 	// while the replies to starts are lost.
 	listDelay time.Duration
@@ -165,7 +168,7 @@
 		FindOwner: func(context.Context) (netip.AddrPort, uint64, error) {
 			h.mu.Lock()
 			defer h.mu.Unlock()
-			return h.owner, h.term, nil
+			return h.owner, max(h.term, h.nextTerm), nil
 		},
 		Client: h.network.Client("agent"), Pacer: pacer.New(),
 	})
@@ -203,6 +206,9 @@
 		h.snapshot = f.WorkerSnapshot
 		if h.acking {
 			ack := &messenger.SnapshotAck{Term: h.term, AckedEnd: h.ackedEnd, AppliedSentAt: f.WorkerSnapshot.SentAt, WorkerIncarnation: f.WorkerSnapshot.WorkerIncarnation}
+			if h.unconfirmed {
+				ack.AppliedSentAt = time.Time{}
+			}
 			if !h.unregistered {
 				ack.EchoSentAt = f.WorkerSnapshot.SentAt
 			}
--- a/supervisor/owner.go
+++ b/supervisor/owner.go
@@ -24,6 +24,12 @@
 	// new connection, before the owner is looked up again: two snapshot intervals and
 	// a slow reply.
 	ownerTimeout = 1200 * time.Millisecond
+	// unconfirmedTimeout is how long the owner may confirm nothing before the agent looks
+	// up whether there is a later one, and ownerLookupInterval how often it does so. An
+	// owner that does not reach the store still answers, while another one may have
+	// claimed ownership.
+	unconfirmedTimeout  = 600 * time.Millisecond
+	ownerLookupInterval = time.Second
 	// findOwnerDelay is the delay before the owner is looked up again.
 	findOwnerDelay = 150 * time.Millisecond
 )
@@ -86,12 +92,13 @@
 		}
 	}})
 	s.mu.Lock()
-	s.conn, s.commandSeq, s.payloads = conn, 0, differ.PayloadDecoder{}
+	s.conn, s.commandSeq, s.payloads, s.ownerConfirmedAt = conn, 0, differ.PayloadDecoder{}, s.cfg.Now()
 	s.mu.Unlock()
 	s.cfg.Log.Info("connected to the owner", zap.Stringer("addr", addr), zap.Uint64("term", term), zap.String("owner", welcome.ID))
 	s.markDirty()
 	var loops sync.WaitGroup
 	loops.Go(func() { s.sendLoop(ctx, conn, &lastAck, welcome.TakesDeltas) })
+	loops.Go(func() { s.lookupLoop(ctx, conn) })
 	err = conn.Run(ctx)
 	cancel()
 	loops.Wait()
@@ -101,6 +108,27 @@
 	return err
 }
 
+// lookupLoop looks the owner up while the connected one confirms nothing, and closes the
+// connection once there is a later one.
+func (s *Supervisor) lookupLoop(ctx context.Context, conn *messenger.Conn) {
+	waiter.Every(ctx, ownerLookupInterval, func() {
+		s.mu.Lock()
+		unconfirmed := s.cfg.Now().Sub(s.ownerConfirmedAt)
+		term := s.term
+		s.mu.Unlock()
+		if unconfirmed < unconfirmedTimeout {
+			return
+		}
+		_, newest, err := s.cfg.FindOwner(ctx)
+		if err != nil || newest <= term {
+			s.cfg.Log.Debug("no later owner found", zap.Duration("unconfirmed", unconfirmed), zap.Uint64("term", term), zap.Error(err))
+			return
+		}
+		s.cfg.Log.Info("leaving an owner that was replaced", zap.Uint64("term", term), zap.Uint64("newest", newest), zap.Duration("unconfirmed", unconfirmed))
+		conn.Close("another owner")
+	})
+}
+
 // handleAck processes the owner's acknowledgement of a snapshot. It returns false
 // if the sender's term is outdated.
 func (s *Supervisor) handleAck(ack *messenger.SnapshotAck) bool {
@@ -112,6 +140,9 @@
 	s.term = ack.Term
 	s.dropAckedEnds(ack.AckedEnd)
 	s.mergeInterference(ack.Interference)
+	if !ack.AppliedSentAt.IsZero() {
+		s.ownerConfirmedAt = s.cfg.Now()
+	}
 	if ack.WorkerIncarnation == s.heartbeat.Incarnation() && ack.AppliedSentAt.After(s.appliedSentAt) {
 		s.appliedSentAt = ack.AppliedSentAt
 		select {
--- a/supervisor/owner_test.go
+++ b/supervisor/owner_test.go
@@ -36,6 +36,21 @@
 	})
 }
 
+// An owner that did not reach the store any more kept all of its agents for ten seconds,
+// while the next one had claimed ownership and got none.
+func TestAnAgentLeavesAnOwnerThatWasReplaced(t *testing.T) {
+	inBubble(t, func(c *qt.C, h *harness) {
+		h.set(func() { h.unconfirmed = true })
+		advancer.Sleep(2 * time.Second)
+		earlier := h.ownerConn()
+		advancer.Sleep(2 * time.Second)
+		c.Check(h.ownerConn(), qt.Equals, earlier, qt.Commentf("there is no later owner"))
+		h.set(func() { h.nextTerm = 2 })
+		advancer.Sleep(2 * time.Second)
+		c.Check(h.ownerConn(), qt.Not(qt.Equals), earlier)
+	})
+}
+
 // Only an owner that knows the runs of an agent that leaves can start their tasks
 // again without waiting for all agents that it can't reach.
 func TestAnAgentDoesNotLeaveAnOwnerThatDoesNotAnswer(t *testing.T) {
