orchestrator: Watch inputs for half a second at a time

A store that drops its history stops to answer the watches that wait then, and the owner's watch of accepted jobs and cancellations noticed it only after 2.7 s.

The watch waits for 0.5 s at a time, so that one that hears nothing is given up after 1.2 s. Under load each watch ends with an event sooner; an idle owner makes two calls a second.

--- a/orchestrator/orchestrator.go
+++ b/orchestrator/orchestrator.go
@@ -62,8 +62,9 @@
 	// leaseMargin covers the delivery of a message and the handling of an expired
 	// lease at a worker.
 	leaseMargin = 150 * time.Millisecond
-	// watchTimeout bounds a watch request, so that a dead connection is noticed.
-	watchTimeout = 2 * time.Second
+	// watchTimeout bounds a watch request, so that one that hears nothing is noticed:
+	// accepted jobs and cancellations wait for it.
+	watchTimeout = 500 * time.Millisecond
 	// storeRetryDelay is the delay after a failed store call.
 	storeRetryDelay = 100 * time.Millisecond
 	// isolationTimeout is how long an agent may be silent before it counts as
