regulator: Hold starts back while earlier ones are on their way

An owner sends starts up to a window of bytes that agents have not confirmed. What is not sent stays in the queue, so that the most urgent tasks go first.

--- a/orchestrator/agent.go
+++ b/orchestrator/agent.go
@@ -106,6 +106,7 @@
 		}
 		a.link, a.seq, a.snapshot, a.lastSnapshotAt, a.measurementUpdates = l, 0, nil, o.cfg.Now(), 0
 		a.snapshots, a.payloads = differ.Decoder{}, differ.PayloadEncoder{}
+		o.starts.Drop(a.id)
 		o.cfg.Log.Info("agent connected", zap.String("agent", l.ID), zap.String("born", l.Incarnation))
 	})
 }
@@ -118,6 +119,7 @@
 				a.leaseExpiresAt = o.cfg.Now() // it accepted no more starts and had no runs
 			}
 			a.link, a.snapshot = nil, nil
+			o.starts.Drop(a.id)
 			o.cfg.Log.Info("agent disconnected", zap.String("agent", l.ID), zap.Duration("lease", a.leaseExpiresAt.Sub(o.cfg.Now())))
 		}
 	})
@@ -150,6 +152,8 @@
 		return
 	}
 	now := o.cfg.Now()
+	o.starts.Confirmed(a.id, snapshot.Seq, now)
+	o.planDue, o.startsHeld = o.planDue || o.startsHeld, false
 	a.snapshot, a.lastSnapshotAt = snapshot, now
 	if o.loaded {
 		o.applySnapshot(a, snapshot)
--- a/orchestrator/gang.go
+++ b/orchestrator/gang.go
@@ -88,6 +88,9 @@
 			return
 		}
 	}
+	if !o.mayStart(len(members)) {
+		return
+	}
 	checkpoint := newest.Checkpoint
 	for n, t := range members {
 		t.Checkpoint = checkpoint
--- a/orchestrator/orchestrator.go
+++ b/orchestrator/orchestrator.go
@@ -13,6 +13,7 @@
 
 	"github.com/endivefall/endivefall/messenger"
 	"github.com/endivefall/endivefall/predictor"
+	"github.com/endivefall/endivefall/regulator"
 	"github.com/endivefall/endivefall/sequencer"
 	"github.com/endivefall/endivefall/storer"
 )
@@ -141,6 +142,10 @@
 	progressDue time.Time
 	// writing is set while a commit is in flight.
 	writing bool
+	// starts limits how many bytes of starts are on their way to the agents.
+	starts *regulator.Regulator
+	// startsHeld is set if starts have been held back since the last confirmation.
+	startsHeld bool
 	// planDue is set when a placement round is due; nextPlan is the earliest time
 	// at which it may start.
 	planDue  bool
@@ -227,7 +232,7 @@
 	return &Orchestrator{
 		cfg: cfg, actions: make(chan func(), queueCapacity), stopped: make(chan struct{}), done: make(chan struct{}),
 		jobs: map[string]*job{}, openJobs: map[string]*job{}, unreadableJobs: map[string]bool{}, runs: map[runKey]*run{}, agents: map[string]*agent{},
-		predictor: predictor.New(), policies: map[string]*stepPolicy{}, isolation: isolation{firstContactBy: cfg.ClaimedAt.Add(firstContactTimeout)},
+		predictor: predictor.New(), policies: map[string]*stepPolicy{}, starts: regulator.New(), isolation: isolation{firstContactBy: cfg.ClaimedAt.Add(firstContactTimeout)},
 	}
 }
 
@@ -308,6 +313,7 @@
 // tick checks deadlines.
 func (o *Orchestrator) tick(ctx context.Context) {
 	now := o.cfg.Now()
+	o.starts.Expire(now)
 	reachable := 0
 	for _, a := range o.agents {
 		if a.link != nil && now.Sub(a.lastSnapshotAt) < isolationTimeout {
--- a/orchestrator/place.go
+++ b/orchestrator/place.go
@@ -11,6 +11,7 @@
 	"github.com/endivefall/endivefall/allocator"
 	"github.com/endivefall/endivefall/messenger"
 	"github.com/endivefall/endivefall/predictor"
+	"github.com/endivefall/endivefall/regulator"
 	"github.com/endivefall/endivefall/sequencer"
 )
 
@@ -181,6 +182,9 @@
 		if t.WaitingSince.IsZero() {
 			t.WaitingSince = now
 		}
+		if !o.mayStart(1) {
+			continue
+		}
 		if t.StepSpec().Gang {
 			granted := o.grantedCandidates(j, t.StepName(), candidates, agents, now)
 			if t.Index == 0 && len(waiting) >= n+t.StepSpec().Count {
@@ -215,6 +219,14 @@
 	}
 }
 
+// mayStart reports whether so many starts may be sent now. If not, placement is due once
+// an agent has confirmed earlier ones.
+func (o *Orchestrator) mayStart(starts int) bool {
+	allowed := o.starts.Allows(starts * maxStartBytes)
+	o.startsHeld = o.startsHeld || !allowed
+	return allowed
+}
+
 // startTask starts the next attempt of a task.
 func (o *Orchestrator) startTask(t *sequencer.Task, j *job, a *agent) bool {
 	return o.startRun(t, j, a, o.nextAttempt(t))
@@ -232,9 +244,14 @@
 		key: runKey{t.Name(), attempt}, task: t, job: j, agent: a, link: a.link,
 		phase: messenger.PhaseStarting, pacePercent: 100, startedAt: o.cfg.Now(), resumed: t.Checkpoint != "",
 	}
-	if a.link == nil || !o.sendCommand(a, &messenger.Command{Start: o.runStart(r, false)}) {
+	if a.link == nil {
+		return false
+	}
+	start := o.runStart(r, false)
+	if !o.sendCommand(a, &messenger.Command{Start: start}) {
 		return false
 	}
+	o.starts.Sent(a.id, regulator.Command{Seq: a.seq, Bytes: startBytes(start), SentAt: r.startedAt})
 	r.seq = a.seq
 	t.Attempt = attempt
 	t.LiveRuns++
@@ -245,6 +262,19 @@
 	return true
 }
 
+// Approximate sizes of a start, in bytes.
+const (
+	startBaseBytes    = 120
+	interferenceBytes = 35
+	// maxStartBytes is the size of most starts with the payload of their job.
+	maxStartBytes = 1024
+)
+
+// startBytes returns the approximate size of a start.
+func startBytes(start *messenger.RunStart) int {
+	return startBaseBytes + len(start.Payload) + len(start.Checkpoint) + len(start.Ticket) + len(start.Interference)*interferenceBytes
+}
+
 // runStart returns what an agent needs to start a run, or to manage one that
 // already runs.
 func (o *Orchestrator) runStart(r *run, alreadyRunning bool) *messenger.RunStart {
--- a/orchestrator/place_test.go
+++ b/orchestrator/place_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"strings"
 	"testing"
 	"time"
 
@@ -192,3 +193,20 @@
 	}
 	c.Assert(payloads, qt.DeepEquals, []string{"payload", "", ""})
 }
+
+// After power had returned, a new owner sent a thousand starts at once.
+func TestStartsAreHeldBackUntilAgentsConfirmEarlierOnes(t *testing.T) {
+	c := qt.New(t)
+	h := newHarness(c, 1)
+	h.submit(sequencer.Spec{Payload: strings.Repeat("x", 16<<10), Steps: []sequencer.Step{step(10, 100)}})
+	h.o.place()
+	first := len(h.commands("a0"))
+	c.Check(first > 0 && first < 10, qt.IsTrue, qt.Commentf("%d starts of 16 kB at once", first))
+	h.o.place()
+	c.Check(h.commands("a0"), qt.HasLen, first)
+	h.o.planDue = false
+	h.reportPhase("a0", messenger.PhaseStarting)
+	c.Check(h.o.planDue, qt.IsTrue)
+	h.o.place()
+	c.Check(len(h.commands("a0")) > first, qt.IsTrue)
+}
--- a/supervisor/commands.go
+++ b/supervisor/commands.go
@@ -67,6 +67,7 @@
 	}
 	s.cfg.Log.Info("start command accepted", zap.String("task", cmd.Task), zap.Uint64("attempt", cmd.Attempt), zap.Uint64("term", s.term),
 		zap.String("worker", s.heartbeat.Incarnation()), zap.Duration("lease", s.leaseExpiresAt.Sub(s.workerNow())))
+	s.markDirty() // the owner regulates its starts by how soon they are confirmed
 	s.calls.Go(func() { s.startRun(ctx, r, cmd) })
 }
 
