rehearser, relocator: Replay load patterns against the decisions

`endivefall rehearse` replays a load pattern, a YAML file of workers, serving tasks, classes of jobs, bursts and losses, against placement, order, pace and relocation in simulated time. It compares policies on the same jobs, as a table and as CSV. Which runs move is now a package without input and output, relocator; its choices are the same.

No plot: a plotting library parses its fonts at the start of each process.

--- a/commander/commander.go
+++ b/commander/commander.go
@@ -79,7 +79,7 @@
 	s := streams{stdout, stderr}
 	cdr.Register(cdr.HelpCommand(), "")
 	cdr.Register(cdr.FlagsCommand(), "")
-	for _, c := range []*command{newEntry(s), newAgent(s), newCheck(s), newPoolEntry(s), newPoolAgent(s), newFake(s), newDemo(s)} {
+	for _, c := range []*command{newEntry(s), newAgent(s), newCheck(s), newPoolEntry(s), newPoolAgent(s), newFake(s), newDemo(s), newRehearse(s)} {
 		cdr.Register(c, "processes")
 	}
 	for _, c := range []*command{newApply(s), newGet(s), newSubmit(s), newCancel(s), newStatus(s), newExplain(s)} {
--- a/orchestrator/relocate.go
+++ b/orchestrator/relocate.go
@@ -3,31 +3,14 @@
 import (
 	"slices"
 	"strconv"
-	"strings"
 	"time"
 
-	"github.com/endivefall/endivefall/allocator"
 	"github.com/endivefall/endivefall/messenger"
+	"github.com/endivefall/endivefall/relocator"
 )
 
-// Limits of the relocation of throttled runs.
-const (
-	// relocationInterval is how often throttled runs are checked.
-	relocationInterval = 250 * time.Millisecond
-	// slowedPacePercent is the pace below which a run is worth relocating.
-	slowedPacePercent = 50
-	// minRelocationAge is how long a run stays where it was started.
-	minRelocationAge = 1200 * time.Millisecond
-	// nearEndPercent is the progress from which a run is left to finish.
-	nearEndPercent = 85
-	// minMovesPerRound and agentsPerMove limit the relocations of one round: to a
-	// number, or to one for each agentsPerMove agents if that is more. The effect
-	// on the freed workers is then visible before the next round.
-	minMovesPerRound, agentsPerMove = 4, 3
-	// minTargetPace is the share of full pace that a run must be expected to reach
-	// on its new worker.
-	minTargetPace = 0.9
-)
+// relocationInterval is how often throttled runs are checked.
+const relocationInterval = 250 * time.Millisecond
 
 // relocateSlowedRuns moves best-effort runs that are throttled beside serving tasks
 // to workers where they would not be. A run with checkpoints loses no progress by
@@ -38,46 +21,32 @@
 	}
 	o.lastRelocation = now
 	o.stopStuckRuns(now)
-	var slowed []*run
 	blocked := o.startBlocked()
+	var movable []*run
+	var runs []relocator.Run
 	for _, r := range o.runs {
 		step := r.task.StepSpec()
-		if !blocked(r) && step.BestEffort && step.Checkpointable && !step.Gang && r.phase == messenger.PhaseRunning && !r.evict &&
-			r.pacePercent < slowedPacePercent && r.progressPercent < nearEndPercent && now.Sub(r.startedAt) > minRelocationAge {
-			slowed = append(slowed, r)
+		if step.BestEffort && step.Checkpointable && !step.Gang && r.phase == messenger.PhaseRunning && !r.evict && !blocked(r) {
+			movable = append(movable, r)
+			runs = append(runs, relocator.Run{
+				Task: r.task, Worker: r.agent.id, Pool: r.job.Spec.Pool, PacePercent: r.pacePercent, ProgressPercent: r.progressPercent, StartedAt: r.startedAt,
+			})
 		}
 	}
-	if len(slowed) == 0 {
+	if !slices.ContainsFunc(movable, func(r *run) bool { return r.pacePercent < slowedPacePercent }) {
 		return
 	}
-	slices.SortFunc(slowed, func(a, b *run) int {
-		if c := a.pacePercent - b.pacePercent; c != 0 {
-			return c
-		}
-		return strings.Compare(a.key.task, b.key.task)
-	})
 	byPool, _ := o.candidates()
-	moves := 0
-	for _, r := range slowed {
-		step, name := r.task.StepSpec(), r.task.StepName()
-		for _, candidate := range byPool[r.job.Spec.Pool] {
-			if candidate.ID == r.agent.id || !allocator.Fits(r.task, name, candidate) || candidate.BestEffortCPU+step.CPU > candidate.ReclaimableCPU() ||
-				allocator.ExpectedPace(step, candidate, o.predictor.UpperInterference) < minTargetPace {
-				continue
-			}
-			candidate.Reserve(step, name)
-			candidate.AddInterference(step.Image, step.CPU, o.predictor.UpperInterference)
-			o.moveRun(r, candidate.ID, "throttled to "+strconv.Itoa(r.pacePercent)+" percent; would run faster on "+candidate.ID)
-			o.cfg.Count("moved")
-			moves++
-			break
-		}
-		if moves >= max(minMovesPerRound, len(o.agents)/agentsPerMove) {
-			return
-		}
+	for _, move := range relocator.Choose(now, runs, byPool, len(o.agents), o.predictor.UpperInterference) {
+		r := movable[move.Run]
+		o.moveRun(r, move.To, "throttled to "+strconv.Itoa(r.pacePercent)+" percent; would run faster on "+move.To)
+		o.cfg.Count("moved")
 	}
 }
 
+// slowedPacePercent is the pace below which a run makes no progress that counts.
+const slowedPacePercent = 50
+
 // stuckTimeout is how long a run may make no progress before it is restarted on
 // another worker. A task of two minutes progresses by one percent in 1.2 s.
 const stuckTimeout = 2500 * time.Millisecond
--- a/simulator/simulator.go
+++ b/simulator/simulator.go
@@ -73,6 +73,15 @@
 	return tails
 }
 
+// Loads returns the own load of each task at a time since the start.
+func (w *SimulatedWorker) Loads(at time.Duration) map[*ServingTask]float64 {
+	loads := make(map[*ServingTask]float64, len(w.Tasks))
+	for _, s := range w.Tasks {
+		loads[s] = min(s.ownLoad(at), maxLoad)
+	}
+	return loads
+}
+
 // UpdateMeasurements measures the tail latencies at a time since the start.
 func (w *SimulatedWorker) UpdateMeasurements(at time.Duration, usage map[string]float64) {
 	for n, tail := range w.TailLatencies(at, usage) {
