allocator: Place best-effort tasks where they interfere least

Workers had serving tasks of three images on average, so that an image that interferes with half of the others was light for one worker in eight.

The share of the headroom that a task would take counts as a cost, for moves too; tasks wait for 0.95 of their pace, not 0.8; and serving tasks rather open an empty worker than mix with other images.

--- a/allocator/allocator.go
+++ b/allocator/allocator.go
@@ -130,17 +130,23 @@
 	remoteDataCost = 0.6
 	// slowdownCost is the cost of running at half the pace or speed.
 	slowdownCost = 0.5
+	// headroomCost is the cost to a best-effort task of taking all that a serving task
+	// has left of its headroom: what interferes little leaves room for others, and is
+	// not throttled when the load rises. maxHeadroomShare bounds the share that counts.
+	headroomCost     = 2.0
+	maxHeadroomShare = 3.0
 	// minPace is the fraction of full pace below which a best-effort task waits
 	// for another worker, for at most maxPaceWait.
-	minPace     = 0.8
+	minPace     = 0.95
 	maxPaceWait = 12000 * time.Millisecond
 	// emptyWorkerCost is the cost to a task with a reservation of a worker without
 	// serving tasks: such workers are kept for best-effort tasks.
 	emptyWorkerCost = 1.0
 	// mixedImagesCost is the cost to a serving task of a worker where all other
 	// serving tasks run another image: best-effort tasks there must then interfere
-	// with neither image.
-	mixedImagesCost = 0.6
+	// with neither image. It is above emptyWorkerCost, as a worker with many images is
+	// of little use to best-effort tasks.
+	mixedImagesCost = 2.0
 	// failedWorkerCost is the cost of a worker on which the task has failed.
 	failedWorkerCost = 10.0
 	// servingUtilization is the fraction of its reserved CPU that a serving task
@@ -176,16 +182,16 @@
 		if !Fits(t, stepName, c) {
 			continue
 		}
-		pace := 1.0
+		pressure := Pressure{Pace: 1}
 		if t.StepSpec().BestEffort {
 			if c.BestEffortCPU > 0 && c.BestEffortCPU+t.StepSpec().CPU > c.ReclaimableCPU() {
 				continue // would only share the CPU of the best-effort tasks there
 			}
-			if pace = ExpectedPace(t.StepSpec(), c, interference); pace < minPace && now.Sub(t.WaitingSince) < maxPaceWait {
+			if pressure = ExpectedPressure(t.StepSpec(), c, interference); pressure.Pace < minPace && now.Sub(t.WaitingSince) < maxPaceWait {
 				continue
 			}
 		}
-		cost := Cost(t, c, pace)
+		cost := Cost(t, c, pressure)
 		if best == nil || cost < bestCost {
 			best, bestCost = c, cost
 		}
@@ -193,18 +199,33 @@
 	return best
 }
 
-// ExpectedPace returns the fraction of full pace at which a best-effort task can run
-// on a candidate without exceeding the headroom of a serving task.
-func ExpectedPace(step *sequencer.Step, c *Candidate, interference func(bestEffortImage, servingImage string) float64) float64 {
-	pace := 1.0
+// Pressure is what a best-effort task would do to the serving tasks of a worker.
+type Pressure struct {
+	// Pace is the fraction of full pace at which it can run without exceeding the
+	// headroom of one.
+	Pace float64
+	// HeadroomShare is the largest part of what one has left of its headroom that it
+	// would take at full pace; above 1 if it must be throttled.
+	HeadroomShare float64
+}
+
+// minHeadroom is the lowest headroom, in 1/s, of which shares are computed.
+const minHeadroom = 1.0
+
+// ExpectedPressure returns the pressure of a best-effort task on the serving tasks of a
+// candidate.
+func ExpectedPressure(step *sequencer.Step, c *Candidate, interference func(bestEffortImage, servingImage string) float64) Pressure {
+	p := Pressure{Pace: 1}
 	for n := range c.ServingTasks {
 		serving := &c.ServingTasks[n]
 		coefficient := interference(step.Image, serving.Image)
-		if rate, headroom := coefficient*float64(step.CPU)/float64(max(c.CPU, 1)), serving.headroomFor(coefficient); rate > headroom {
-			pace = min(pace, headroom/rate)
+		rate, headroom := coefficient*float64(step.CPU)/float64(max(c.CPU, 1)), serving.headroomFor(coefficient)
+		if rate > headroom {
+			p.Pace = min(p.Pace, headroom/rate)
 		}
+		p.HeadroomShare = max(p.HeadroomShare, rate/max(headroom, minHeadroom))
 	}
-	return pace
+	return p
 }
 
 // AddInterference reserves the rate that the serving tasks lose to an image that uses
@@ -217,18 +238,19 @@
 	}
 }
 
-// Cost returns the cost of placing a task on a candidate, where it would run at a
-// fraction of its full pace; lower is better. Serving tasks are packed onto few
+// Cost returns the cost of placing a task on a candidate, where it would have the given
+// pressure; lower is better. Serving tasks are packed onto few
 // workers, so that best-effort tasks, which are slowed beside serving ones, get
 // workers of their own.
-func Cost(t *sequencer.Task, c *Candidate, pace float64) float64 {
+func Cost(t *sequencer.Task, c *Candidate, pressure Pressure) float64 {
 	step := t.StepSpec()
 	capacity := float64(max(c.CPU, 1))
 	cost := failureCost * c.FailureRate
 	switch {
 	case step.BestEffort:
 		cost += float64(c.CPU-c.ReclaimableCPU()+c.BestEffortCPU+step.CPU) / capacity / max(c.Speed, 0.05)
-		cost += slowdownCost * (1/max(pace, 0.05) - 1)
+		cost += slowdownCost * (1/max(pressure.Pace, 0.05) - 1)
+		cost += headroomCost * min(pressure.HeadroomShare, maxHeadroomShare)
 	default:
 		cost += float64(c.FreeCPU()-step.CPU) / capacity / max(c.Speed, 0.05)
 		if c.ServingCount == 0 {
--- a/relocator/relocator.go
+++ b/relocator/relocator.go
@@ -81,14 +81,20 @@
 	return moves
 }
 
-// target returns a worker on which a run would not be throttled, or nil.
+// target returns the worker on which a run would not be throttled and takes the smallest
+// part of the serving tasks' headroom, or nil.
 func target(r Run, candidates []*allocator.Candidate, interference func(bestEffortImage, servingImage string) float64) *allocator.Candidate {
 	step, name := r.Task.StepSpec(), r.Task.StepName()
+	var best *allocator.Candidate
+	lowest := 0.0
 	for _, c := range candidates {
-		if c.ID != r.Worker && allocator.Fits(r.Task, name, c) && c.BestEffortCPU+step.CPU <= c.ReclaimableCPU() &&
-			allocator.ExpectedPace(step, c, interference) >= minTargetPace {
-			return c
+		if c.ID == r.Worker || !allocator.Fits(r.Task, name, c) || c.BestEffortCPU+step.CPU > c.ReclaimableCPU() {
+			continue
+		}
+		pressure := allocator.ExpectedPressure(step, c, interference)
+		if pressure.Pace >= minTargetPace && (best == nil || pressure.HeadroomShare < lowest) {
+			best, lowest = c, pressure.HeadroomShare
 		}
 	}
-	return nil
+	return best
 }
