allocator: Rank short reserved jobs before long-running ones

Short jobs with a reservation that can still be in time go first, then long-running ones, then best-effort jobs. Classes of ranks have names.

TestRankOrderUnderOverload asserts the new order, with one more class than before, and failed before.

--- a/allocator/allocator.go
+++ b/allocator/allocator.go
@@ -271,14 +271,30 @@
 
 // Rank is a job's position in the queue; lower ranks go first.
 type Rank struct {
-	// Class is 0 for long-running jobs, 1 for jobs that can still meet their
-	// objective, 2 for jobs that will miss it, and 3 for jobs that are too late to
-	// be worth anything.
-	Class    int
+	Class    Class
 	Priority int
 	Due      time.Time
 }
 
+// Class orders jobs by what they need and by what callers still get of them.
+type Class int
+
+// Classes in the order of the queue.
+const (
+	// Short jobs with a reservation can still meet their objective. They hold CPU for
+	// moments only, so that long-running ones, which take all that is left, would delay
+	// them by more than they delay those.
+	Short Class = iota
+	// LongRunning jobs have no objective.
+	LongRunning
+	// Filling jobs are best-effort jobs that can still meet their objective.
+	Filling
+	// Late jobs will miss it.
+	Late
+	// Worthless jobs are so late that they are of no use to callers.
+	Worthless
+)
+
 // maxLatenessFactor is the multiple of its objective after which a completed job is
 // worth nothing.
 const maxLatenessFactor = 3
@@ -297,7 +313,7 @@
 		begin = j.Due(occurrence)
 	}
 	if spec.Steps[0].LongRunning {
-		return Rank{Class: 0, Priority: spec.Priority, Due: begin}
+		return Rank{Class: LongRunning, Priority: spec.Priority, Due: begin}
 	}
 	total, remaining := time.Duration(0), time.Duration(0)
 	for n, step := range spec.Steps {
@@ -308,12 +324,14 @@
 	}
 	objective := time.Duration(float64(total)*spec.StretchFactor) + spec.LatencyAllowance
 	due := begin.Add(objective)
-	class := 1
+	class := Short
 	switch {
 	case now.After(begin.Add(maxLatenessFactor * objective)):
-		class = 3
+		class = Worthless
 	case now.Add(time.Duration(optimisticEstimateFactor * float64(remaining))).After(due):
-		class = 2
+		class = Late
+	case spec.Steps[0].BestEffort:
+		class = Filling
 	}
 	return Rank{Class: class, Priority: spec.Priority, Due: due}
 }
@@ -322,7 +340,7 @@
 // goes after it.
 func (r Rank) Compare(other Rank) int {
 	if r.Class != other.Class {
-		return r.Class - other.Class
+		return int(r.Class - other.Class)
 	}
 	if r.Priority != other.Priority {
 		return r.Priority - other.Priority
--- a/allocator/allocator_test.go
+++ b/allocator/allocator_test.go
@@ -127,25 +127,29 @@
 	c.Assert(ExpectedPressure(&step, w, constantInterference(0.9)).Pace, qt.Equals, 1.0, qt.Commentf("tasks with a higher coefficient are slowed first"))
 }
 
-func rankOf(acceptedIn time.Duration, estimate time.Duration, priority int, isLongRunning bool) Rank {
+func rankOf(acceptedIn time.Duration, estimate time.Duration, priority int, step sequencer.Step) Rank {
+	step.Count, step.Estimate = 1, estimate
 	j := sequencer.NewJob(&sequencer.Spec{
-		ID: "j", Steps: []sequencer.Step{{Count: 1, Estimate: estimate, LongRunning: isLongRunning}}, StretchFactor: 2, LatencyAllowance: time.Second,
+		ID: "j", Steps: []sequencer.Step{step}, StretchFactor: 2, LatencyAllowance: time.Second,
 		AcceptedAt: now.Add(acceptedIn), Priority: priority,
 	}, 1, nil)
 	return RankJob(j, now)
 }
 
 // Under overload, jobs that can still meet their objective go before those that
-// can't.
+// can't. Short jobs with a reservation waited for ten seconds behind long-running ones,
+// which hold what they get for the rest of the day.
 func TestRankOrderUnderOverload(t *testing.T) {
 	c := qt.New(t)
+	reserved, longRunning, filling := sequencer.Step{}, sequencer.Step{LongRunning: true}, sequencer.Step{BestEffort: true}
 	order := []Rank{
-		rankOf(-time.Minute, time.Second, 0, true),              // long-running
-		rankOf(0, time.Second, 0, false),                        // urgent
-		rankOf(-time.Second, 2*time.Second, 2, false),           // due earlier
-		rankOf(0, 2*time.Second, 2, false),                      // due later
-		rankOf(-4500*time.Millisecond, 2*time.Second, 2, false), // will miss its objective
-		rankOf(-time.Minute, 2*time.Second, 0, false),           // over three times its objective
+		rankOf(0, time.Second, 0, reserved),                       // urgent
+		rankOf(-time.Second, 2*time.Second, 2, reserved),          // due earlier
+		rankOf(0, 2*time.Second, 2, reserved),                     // due later
+		rankOf(-time.Minute, time.Second, 0, longRunning),         // has no objective
+		rankOf(0, 2*time.Second, 0, filling),                      // best effort
+		rankOf(-4500*time.Millisecond, 2*time.Second, 2, filling), // will miss its objective
+		rankOf(-time.Minute, 2*time.Second, 0, reserved),          // over three times its objective
 	}
 	for n := range order[1:] {
 		c.Assert(order[n].Compare(order[n+1]) < 0, qt.IsTrue, qt.Commentf("%d before %d", n, n+1))
