relocator: Move throttled runs after 0.6 s

A run that is throttled stayed for 1.2 s where it was started, and from 85% of its progress to its end, which a paused run does not reach.

Runs move after 0.6 s and up to 95%.

--- a/relocator/relocator.go
+++ b/relocator/relocator.go
@@ -19,9 +19,9 @@
 	// slowedPacePercent is the pace below which a run is worth relocating.
 	slowedPacePercent = 50
 	// minRelocationAge is how long a run stays where it was started.
-	minRelocationAge = 1200 * time.Millisecond
+	minRelocationAge = 600 * time.Millisecond
 	// nearEndPercent is the progress from which a run is left to finish.
-	nearEndPercent = 85
+	nearEndPercent = 95
 	// minMovesPerRound and workersPerMove limit the relocations of one round: to a
 	// number, or to one for each workersPerMove workers if that is more. The effect
 	// on the freed workers is then visible before the next round.
