--- a/faker/link.go
+++ b/faker/link.go
@@ -18,8 +18,9 @@
 	freeAt time.Time
 }
 
-// transmit waits until the link has carried size more bytes.
-func (l *link) transmit(size int) {
+// transmit waits until the link has carried size more bytes, or until the connection is
+// closed, as a blocked write ends then.
+func (l *link) transmit(size int, closed <-chan struct{}) {
 	l.mu.Lock()
 	now := time.Now()
 	if l.freeAt.Before(now) {
@@ -28,5 +29,10 @@
 	l.freeAt = l.freeAt.Add(time.Duration(float64(size) / l.bytesPerSecond * float64(time.Second)))
 	wait := l.freeAt.Sub(now)
 	l.mu.Unlock()
-	time.Sleep(wait)
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-closed:
+	}
 }
--- a/faker/network.go
+++ b/faker/network.go
@@ -88,14 +88,15 @@
 	n.links[name] = &link{bytesPerSecond: bytesPerSecond}
 }
 
-// transmit waits until the links of both processes have carried size bytes.
-func (n *Network) transmit(pair [2]string, size int) {
+// transmit waits until the links of both processes have carried size bytes, or closed is
+// closed.
+func (n *Network) transmit(pair [2]string, size int, closed <-chan struct{}) {
 	n.mu.Lock()
 	links := []*link{n.links[pair[0]], n.links[pair[1]]}
 	n.mu.Unlock()
 	for _, l := range links {
 		if l != nil {
-			l.transmit(size)
+			l.transmit(size, closed)
 		}
 	}
 }
@@ -193,7 +194,7 @@
 		default:
 		}
 		chunk := p[written:min(written+maxPacketBytes, len(p))]
-		c.network.transmit(c.pair, len(chunk))
+		c.network.transmit(c.pair, len(chunk), c.closed)
 		n, err := c.Conn.Write(chunk)
 		written += n
 		if err != nil || written == len(p) {
