--- /dev/null
+++ b/orchestrator/place_bench_test.go
@@ -0,0 +1,33 @@
+package orchestrator
+
+import (
+	"fmt"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/endivefall/endivefall/sequencer"
+)
+
+// BenchmarkPlace measures a round of placement on full workers, by the number of waiting
+// jobs, of the agents, and of the runs that they have.
+func BenchmarkPlace(b *testing.B) {
+	for _, size := range []struct{ jobs, agents int }{{100, 30}, {1000, 30}, {10000, 30}, {100, 300}, {1000, 300}, {10000, 300}, {100, 3000}, {1000, 3000}} {
+		b.Run(fmt.Sprintf("jobs=%d/agents=%d", size.jobs, size.agents), func(b *testing.B) {
+			h := newHarness(qt.New(b), size.agents)
+			for n := range size.agents {
+				j := h.submit(sequencer.Spec{Steps: []sequencer.Step{{Count: 1, CPU: 8000, Memory: 10, LongRunning: true, LatencyTargetMs: 50, Image: fmt.Sprint("s", n%16)}}})
+				h.o.place()
+				h.reportRunning(h.o.agents[fmt.Sprint("a", n)].id, 100)
+				_ = j
+			}
+			for range size.jobs {
+				h.submit(sequencer.Spec{Steps: []sequencer.Step{step(4, 1000)}})
+			}
+			b.ResetTimer()
+			for b.Loop() {
+				h.o.place()
+			}
+		})
+	}
+}
