--- a/allocator/allocator_test.go
+++ b/allocator/allocator_test.go
@@ -141,12 +141,12 @@
 // which hold what they get for the rest of the day.
 func TestRankOrderUnderOverload(t *testing.T) {
 	c := qt.New(t)
-	reserved, longRunning, filling := sequencer.Step{}, sequencer.Step{LongRunning: true}, sequencer.Step{BestEffort: true}
+	reserved, lasting, filling := sequencer.Step{}, sequencer.Step{LongRunning: true}, sequencer.Step{BestEffort: true}
 	order := []Rank{
 		rankOf(0, time.Second, 0, reserved),                       // urgent
 		rankOf(-time.Second, 2*time.Second, 2, reserved),          // due earlier
 		rankOf(0, 2*time.Second, 2, reserved),                     // due later
-		rankOf(-time.Minute, time.Second, 0, longRunning),         // has no objective
+		rankOf(-time.Minute, time.Second, 0, lasting),             // has no objective
 		rankOf(0, 2*time.Second, 0, filling),                      // best effort
 		rankOf(-4500*time.Millisecond, 2*time.Second, 2, filling), // will miss its objective
 		rankOf(-time.Minute, 2*time.Second, 0, reserved),          // over three times its objective
