allocator, rehearser: Keep the rank of late reserved jobs tested; name a test by what it checks

With the new classes of ranks no row had a reserved job that will miss its objective, as the table had before; it has one again. No bound changed; both packages pass.

--- a/allocator/allocator_test.go
+++ b/allocator/allocator_test.go
@@ -143,13 +143,14 @@
 	c := qt.New(t)
 	reserved, lasting, filling := sequencer.Step{}, sequencer.Step{LongRunning: true}, sequencer.Step{BestEffort: true}
 	order := []Rank{
-		rankOf(0, time.Second, 0, reserved),                       // urgent
-		rankOf(-time.Second, 2*time.Second, 2, reserved),          // due earlier
-		rankOf(0, 2*time.Second, 2, reserved),                     // due later
-		rankOf(-time.Minute, time.Second, 0, lasting),             // has no objective
-		rankOf(0, 2*time.Second, 0, filling),                      // best effort
-		rankOf(-4500*time.Millisecond, 2*time.Second, 2, filling), // will miss its objective
-		rankOf(-time.Minute, 2*time.Second, 0, reserved),          // over three times its objective
+		rankOf(0, time.Second, 0, reserved),                        // urgent
+		rankOf(-time.Second, 2*time.Second, 2, reserved),           // due earlier
+		rankOf(0, 2*time.Second, 2, reserved),                      // due later
+		rankOf(-time.Minute, time.Second, 0, lasting),              // has no objective
+		rankOf(0, 2*time.Second, 0, filling),                       // best effort
+		rankOf(-4500*time.Millisecond, 2*time.Second, 2, filling),  // will miss its objective
+		rankOf(-4400*time.Millisecond, 2*time.Second, 2, reserved), // will miss it too, due later
+		rankOf(-time.Minute, 2*time.Second, 0, reserved),           // over three times its objective
 	}
 	for n := range order[1:] {
 		c.Assert(order[n].Compare(order[n+1]) < 0, qt.IsTrue, qt.Commentf("%d before %d", n, n+1))
--- a/rehearser/rehearser_test.go
+++ b/rehearser/rehearser_test.go
@@ -31,9 +31,10 @@
 	return total / owed, over / serving
 }
 
-// The mean worth that callers ask for under load is 0.69, and 99% of the time within the
-// tail latency targets is the aim of the pacer beside what swings cost.
-func TestCallersAreServedUnderAFullFleet(t *testing.T) {
+// A quarter of the workers is lost under a burst. Bookings must reach the users' aim of
+// 0.69; for best-effort jobs, which ask for more than the rest of the workers can do, the
+// policies are only compared. decisions has their aim, on a fleet that can do the work.
+func TestBookingsAreServedAsWorkersAreLost(t *testing.T) {
 	c := qt.New(t)
 	earned, over := rehearse(c, "small.yaml", "rolls", "built", 6)
 	simplest, _ := rehearse(c, "small.yaml", "rolls", "simplest", 6)
