supervisor, orchestrator: Report stops that are outstanding

A stop was logged as sent by the owner and as accepted by the agent; nothing said whether it reached the worker or for how long it had not. The age of the oldest outstanding stop is a gauge of both, with a line that says what is known of its run, and a stop that is dropped or not sent is logged and counted. No decision changes.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -75,6 +75,8 @@
 	Log             *zap.Logger
 	Count           func(name string)
 	ObserveDuration func(name string, d time.Duration)
+	// Gauge sets a gauge; it may be nil.
+	Gauge func(name string, value float64)
 	// Add increases a counter; nil if traffic is not counted.
 	Add func(name string, n int64)
 	// TakeStoreBytes returns the bytes sent to and received from the store since the
--- a/coordinator/ownership.go
+++ b/coordinator/ownership.go
@@ -46,7 +46,7 @@
 		LeaseDuration: RunLease(c.cfg.MaxWorkerLease), ConfirmationTTL: elector.ConfirmationTTL, PreviousOwnerTTL: previousOwnerTTL, JobRetention: c.cfg.JobRetention,
 		QueryPolicy: c.cfg.QueryPolicy, OwnershipConfirmedAt: c.elector.OwnershipConfirmedAt, ConfirmOwnership: c.elector.ConfirmOwnership,
 		HasStandby: func() bool { return len(c.elector.Members()) > 0 },
-		Log:        c.cfg.Log, Count: c.cfg.Count, ObserveDuration: c.cfg.ObserveDuration,
+		Log:        c.cfg.Log, Count: c.cfg.Count, Gauge: c.cfg.Gauge, ObserveDuration: c.cfg.ObserveDuration,
 	})
 	c.mu.Lock()
 	if c.shuttingDown {
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -63,6 +63,9 @@
 // Add increases a counter by n.
 func (m *Meter) Add(name string, n int64) { m.Counter(name).Inc(n) }
 
+// Set sets a gauge.
+func (m *Meter) Set(name string, value float64) { m.Gauge(name).Update(value) }
+
 // ObserveDuration adds a duration to a latency histogram.
 func (m *Meter) ObserveDuration(name string, d time.Duration) {
 	m.Histogram(name, latencyBuckets).RecordDuration(d)
--- a/orchestrator/command.go
+++ b/orchestrator/command.go
@@ -22,16 +22,3 @@
 	}
 	return true
 }
-
-// stopRun marks a run for eviction and sends its agent a stop command, once on each
-// connection.
-func (o *Orchestrator) stopRun(r *run, reason string) {
-	r.evict = true
-	if r.agent.link == nil || r.stopSentOn == r.agent.link {
-		return
-	}
-	if o.sendCommand(r.agent, &messenger.Command{Stop: &messenger.RunStop{Task: r.key.task, Attempt: r.key.attempt}}) {
-		r.stopSentOn = r.agent.link
-		o.cfg.Log.Info("stopping run", zap.String("task", r.key.task), zap.Uint64("attempt", r.key.attempt), zap.String("agent", r.agent.id), zap.String("why", reason))
-	}
-}
--- a/orchestrator/orchestrator.go
+++ b/orchestrator/orchestrator.go
@@ -114,8 +114,9 @@
 	// HasStandby reports whether another live entry could own the pools.
 	HasStandby func() bool
 	Log        *zap.Logger
-	// Count and ObserveDuration record metrics.
+	// Count, Gauge and ObserveDuration record metrics; Gauge may be nil.
 	Count           func(name string)
+	Gauge           func(name string, value float64)
 	ObserveDuration func(name string, d time.Duration)
 }
 
@@ -169,6 +170,8 @@
 	// blockingLoggedAt.
 	blockingAgents   int
 	blockingLoggedAt time.Time
+	// reportStopsAt is when outstanding stops are reported next.
+	reportStopsAt time.Time
 	// stopReason is the error that Serve is to return.
 	stopReason error
 	background sync.WaitGroup
@@ -210,7 +213,9 @@
 	seq   uint64
 	phase messenger.Phase
 	// stopSentOn is the connection on which a stop command was last sent.
-	stopSentOn      *AgentLink
+	stopSentOn *AgentLink
+	// stopWantedAt is when the run was to be stopped first; zero while it is not.
+	stopWantedAt    time.Time
 	progressPercent int
 	measurement     int64
 	pacePercent     int
@@ -236,6 +241,9 @@
 
 // New returns an Orchestrator; Serve runs it.
 func New(cfg Config) *Orchestrator {
+	if cfg.Gauge == nil {
+		cfg.Gauge = func(string, float64) {}
+	}
 	return &Orchestrator{
 		cfg: cfg, actions: make(chan func(), queueCapacity), stopped: make(chan struct{}), done: make(chan struct{}),
 		jobs: map[string]*job{}, openJobs: map[string]*job{}, unreadableJobs: map[string]bool{}, runs: map[runKey]*run{}, agents: map[string]*agent{},
@@ -247,6 +255,7 @@
 // reason.
 func (o *Orchestrator) Serve(ctx context.Context) error {
 	defer close(o.done)
+	defer o.cfg.Gauge(oldestStopGauge, 0) // the next owner reports its own
 	ctx, cancel := context.WithCancel(ctx)
 	defer o.background.Wait() // after stopped is closed: enqueue blocks until then
 	defer close(o.stopped)
@@ -335,6 +344,7 @@
 	}
 	if o.loaded {
 		o.logBlockingAgents(now)
+		o.reportStops(now)
 		o.evacuate()
 		o.relocateSlowedRuns(now)
 		o.stopIncompleteGangs()
--- /dev/null
+++ b/orchestrator/stop.go
@@ -0,0 +1,64 @@
+package orchestrator
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/endivefall/endivefall/messenger"
+)
+
+// stopRun marks a run for eviction and sends its agent a stop command, once on each
+// connection.
+func (o *Orchestrator) stopRun(r *run, reason string) {
+	r.evict = true
+	if r.stopWantedAt.IsZero() {
+		r.stopWantedAt = o.cfg.Now()
+	}
+	if r.agent.link == nil || r.stopSentOn == r.agent.link {
+		return
+	}
+	if o.sendCommand(r.agent, &messenger.Command{Stop: &messenger.RunStop{Task: r.key.task, Attempt: r.key.attempt}}) {
+		r.stopSentOn = r.agent.link
+		o.cfg.Log.Info("stopping run", zap.String("task", r.key.task), zap.Uint64("attempt", r.key.attempt), zap.String("agent", r.agent.id), zap.String("why", reason))
+	}
+}
+
+const (
+	// oldestStopGauge is the age in seconds of the oldest stop whose run has not ended.
+	oldestStopGauge = "oldest_stop_seconds"
+	// stopReportInterval is the time between two reports of outstanding stops.
+	stopReportInterval = time.Second
+	// maxStopAge is the age from which an outstanding stop is logged.
+	maxStopAge = 3 * time.Second
+)
+
+// reportStops reports the age of the oldest stop whose run has not ended.
+func (o *Orchestrator) reportStops(now time.Time) {
+	if now.Before(o.reportStopsAt) {
+		return
+	}
+	o.reportStopsAt = now.Add(stopReportInterval)
+	var oldest *run
+	outstanding := 0
+	for _, r := range o.runs {
+		if r.stopWantedAt.IsZero() {
+			continue
+		}
+		outstanding++
+		if oldest == nil || r.stopWantedAt.Before(oldest.stopWantedAt) {
+			oldest = r
+		}
+	}
+	age := time.Duration(0)
+	if oldest != nil {
+		age = now.Sub(oldest.stopWantedAt)
+	}
+	o.cfg.Gauge(oldestStopGauge, age.Seconds())
+	if age < maxStopAge {
+		return
+	}
+	o.cfg.Log.Warn("stop is outstanding", zap.String("task", oldest.key.task), zap.Uint64("attempt", oldest.key.attempt), zap.Duration("age", age), zap.Int("outstanding", outstanding),
+		zap.String("agent", oldest.agent.id), zap.Bool("connected", oldest.agent.link != nil), zap.Bool("sent", oldest.stopSentOn != nil && oldest.stopSentOn == oldest.agent.link),
+		zap.Uint8("phase", uint8(oldest.phase)), zap.Bool("job_ended", oldest.job.Ended()))
+}
--- /dev/null
+++ b/orchestrator/stop_test.go
@@ -0,0 +1,33 @@
+package orchestrator
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/endivefall/endivefall/messenger"
+	"github.com/endivefall/endivefall/sequencer"
+	"github.com/endivefall/endivefall/storer"
+)
+
+// cancel adds the cancellation of a job to the ledger.
+func (h *harness) cancel(j *job) {
+	h.o.handleInputs([]storer.Item{{Key: CancelKey(j.Spec.ID), Version: 1000}})
+}
+
+func TestTheAgeOfTheOldestStopIsReported(t *testing.T) {
+	c := qt.New(t)
+	h := newHarness(c, 1)
+	j := h.submit(sequencer.Spec{Steps: []sequencer.Step{step(1, 10)}})
+	h.o.place()
+	h.reportRunning("a0", 10)
+	h.cancel(j)
+	h.now = h.now.Add(2 * time.Second)
+	h.o.tick(t.Context())
+	c.Assert(h.gauges["oldest_stop_seconds"], qt.Equals, 2.0)
+	h.reportEnd("a0", 1, j.Task(0, 0, 0).Name(), j.Task(0, 0, 0).Attempt, messenger.EndStopped)
+	h.now = h.now.Add(2 * time.Second)
+	h.o.tick(t.Context())
+	c.Assert(h.gauges["oldest_stop_seconds"], qt.Equals, 0.0)
+}
--- a/supervisor/commands.go
+++ b/supervisor/commands.go
@@ -9,7 +9,6 @@
 
 	"github.com/endivefall/endivefall/messenger"
 	"github.com/endivefall/endivefall/sequencer"
-	"github.com/endivefall/endivefall/waiter"
 )
 
 // handleCommand carries out a command of the owner. It does not wait for the
@@ -164,37 +163,3 @@
 func (s *Supervisor) raiseFence(fence uint64) {
 	s.fence = max(s.fence, fence+1, s.fenceFloor(s.heartbeat, s.workerNow()))
 }
-
-func (s *Supervisor) handleStop(ctx context.Context, cmd *messenger.RunStop) {
-	r := s.runs[runKey{cmd.Task, cmd.Attempt}]
-	if r == nil || r.stopRequested {
-		return
-	}
-	r.stopRequested = true
-	s.cfg.Log.Info("stop command accepted", zap.String("task", cmd.Task), zap.Uint64("attempt", cmd.Attempt), zap.Uint64("term", s.term))
-	if r.phase == messenger.PhaseRunning {
-		s.calls.Go(func() { s.stopRun(ctx, r) })
-	}
-}
-
-// stopRun sends stops to the worker until the run or ctx ends.
-func (s *Supervisor) stopRun(ctx context.Context, r *run) {
-	for ctx.Err() == nil {
-		s.mu.Lock()
-		if r.ended || r.unansweredFence != 0 {
-			s.mu.Unlock()
-			return
-		}
-		r.phase = messenger.PhaseStopping
-		ref := RunRef{WorkerID: s.heartbeat.WorkerID, Fence: s.fence, Task: r.task, Attempt: r.attempt}
-		s.mu.Unlock()
-		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
-		err := s.cfg.Worker.Stop(callCtx, ref)
-		cancel()
-		if err != nil {
-			s.cfg.Log.Info("stop call failed", zap.String("task", r.task), zap.Uint64("attempt", r.attempt), zap.Error(err))
-		}
-		s.requestList()
-		waiter.Sleep(ctx, callTimeout)
-	}
-}
--- a/supervisor/harness_test.go
+++ b/supervisor/harness_test.go
@@ -63,6 +63,8 @@
 	payloads map[string]string
 	// paces has the paces that the agent has set, by task.
 	paces map[string]int
+	// gauges has the last values of the agent's gauges.
+	gauges map[string]float64
 }
 
 // answeredList is a list request with the start of the incarnation that answered it.
@@ -96,7 +98,7 @@
 }
 
 func newHarness(c *qt.C) *harness {
-	h := &harness{c: c, worker: faker.NewPoolWorker(), acking: true, owner: ownerAddr, term: 1, paces: map[string]int{}, payloads: map[string]string{}}
+	h := &harness{c: c, worker: faker.NewPoolWorker(), acking: true, owner: ownerAddr, term: 1, paces: map[string]int{}, payloads: map[string]string{}, gauges: map[string]float64{}}
 	h.worker.CPU, h.worker.Memory = 4000, 8000
 	h.plan = faker.PoolRunPlan{Duration: time.Second}
 	h.worker.Plan = func(string, uint64) faker.PoolRunPlan {
@@ -171,6 +173,7 @@
 			return h.owner, max(h.term, h.nextTerm), nil
 		},
 		Client: h.network.Client("agent"), Pacer: pacer.New(),
+		Gauge: func(name string, value float64) { h.set(func() { h.gauges[name] = value }) },
 	})
 	ctx, stop := context.WithCancel(context.Background())
 	done := make(chan struct{})
--- a/supervisor/list.go
+++ b/supervisor/list.go
@@ -33,6 +33,7 @@
 // sendList sends one list request and reports whether the worker answered it.
 func (s *Supervisor) sendList(ctx context.Context, wait time.Duration) bool {
 	s.mu.Lock()
+	s.reportStops()
 	timeout := callTimeout
 	incarnation, startedAt := s.heartbeat.Incarnation(), s.heartbeat.StartedAt
 	req := ListRequest{WorkerID: s.heartbeat.WorkerID, Fence: s.fence, LeaseExpiresAt: s.leaseExpiresAt, AckedEnd: s.ackedEnd, Wait: wait}
--- a/supervisor/run.go
+++ b/supervisor/run.go
@@ -48,8 +48,10 @@
 	// specUnknown is set for a run that an earlier process of the agent started,
 	// until the owner sends its spec.
 	specUnknown bool
-	// stopRequested is set once the owner has sent a stop.
-	stopRequested bool
+	// stopRequested is set once the owner has sent a stop, which arrived at the local time
+	// stopRequestedAt.
+	stopRequested   bool
+	stopRequestedAt time.Time
 	// endIgnored is set once an ignored end of the run has been logged.
 	endIgnored bool
 	// ended is set when the run has been removed from Supervisor.runs.
--- /dev/null
+++ b/supervisor/stop.go
@@ -0,0 +1,95 @@
+package supervisor
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/endivefall/endivefall/messenger"
+	"github.com/endivefall/endivefall/waiter"
+)
+
+func (s *Supervisor) handleStop(ctx context.Context, cmd *messenger.RunStop) {
+	r := s.runs[runKey{cmd.Task, cmd.Attempt}]
+	if r == nil {
+		s.cfg.Log.Info("stop command dropped; the run is not known", zap.String("task", cmd.Task), zap.Uint64("attempt", cmd.Attempt), zap.Uint64("term", s.term),
+			zap.Bool("reconciled", s.reconciled))
+		s.cfg.Count("stop_dropped")
+		return
+	}
+	if r.stopRequested {
+		return
+	}
+	r.stopRequested, r.stopRequestedAt = true, s.cfg.Now()
+	s.cfg.Log.Info("stop command accepted", zap.String("task", cmd.Task), zap.Uint64("attempt", cmd.Attempt), zap.Uint64("term", s.term), zap.Uint8("phase", uint8(r.phase)))
+	if r.phase == messenger.PhaseRunning {
+		s.calls.Go(func() { s.stopRun(ctx, r) })
+	}
+}
+
+// stopRun sends stops to the worker until the run or ctx ends.
+func (s *Supervisor) stopRun(ctx context.Context, r *run) {
+	for ctx.Err() == nil {
+		s.mu.Lock()
+		if r.ended || r.unansweredFence != 0 {
+			if !r.ended {
+				s.cfg.Log.Warn("stop not sent; the outcome of the start is unknown", zap.String("task", r.task), zap.Uint64("attempt", r.attempt), zap.Bool("listed", r.listed))
+			}
+			s.mu.Unlock()
+			return
+		}
+		r.phase = messenger.PhaseStopping
+		ref := RunRef{WorkerID: s.heartbeat.WorkerID, Fence: s.fence, Task: r.task, Attempt: r.attempt}
+		s.mu.Unlock()
+		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+		err := s.cfg.Worker.Stop(callCtx, ref)
+		cancel()
+		if err != nil {
+			s.cfg.Log.Info("stop call failed", zap.String("task", r.task), zap.Uint64("attempt", r.attempt), zap.Error(err))
+		}
+		s.requestList()
+		waiter.Sleep(ctx, callTimeout)
+	}
+}
+
+const (
+	// oldestStopGauge is the age in seconds of the oldest stop whose run has not ended.
+	oldestStopGauge = "oldest_stop_seconds"
+	// stopReportInterval is the time between two reports of outstanding stops.
+	stopReportInterval = time.Second
+	// maxStopAge is the age from which an outstanding stop is logged: a few calls to a
+	// worker that does not answer.
+	maxStopAge = 4 * callTimeout
+)
+
+// reportStops reports the age of the oldest stop whose run has not ended.
+func (s *Supervisor) reportStops() {
+	now := s.cfg.Now()
+	if now.Before(s.reportStopsAt) {
+		return
+	}
+	s.reportStopsAt = now.Add(stopReportInterval)
+	var oldest *run
+	outstanding := 0
+	for _, r := range s.runs {
+		if !r.stopRequested {
+			continue
+		}
+		outstanding++
+		if oldest == nil || r.stopRequestedAt.Before(oldest.stopRequestedAt) {
+			oldest = r
+		}
+	}
+	age := time.Duration(0)
+	if oldest != nil {
+		age = now.Sub(oldest.stopRequestedAt)
+	}
+	s.cfg.Gauge(oldestStopGauge, age.Seconds())
+	if age < maxStopAge {
+		return
+	}
+	s.cfg.Log.Warn("stop is outstanding", zap.String("task", oldest.task), zap.Uint64("attempt", oldest.attempt), zap.Duration("age", age), zap.Int("outstanding", outstanding),
+		zap.Uint8("phase", uint8(oldest.phase)), zap.Bool("listed", oldest.listed), zap.Bool("start_unknown", oldest.unansweredFence != 0), zap.Bool("reachable", s.unreachableSince.IsZero()),
+		zap.String("worker", s.heartbeat.Incarnation()))
+}
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -63,8 +63,9 @@
 	Client *http.Client
 	// OnPeers is called with the addresses of the entries that the owner knows.
 	OnPeers func([]netip.AddrPort)
-	// Count increments the metric of a name.
+	// Count increments the counter of a name, Gauge sets the gauge of a name.
 	Count func(name string)
+	Gauge func(name string, value float64)
 	// Pacer decides the paces of best-effort tasks; nil if none is ever slowed.
 	Pacer *pacer.Pacer
 }
@@ -133,6 +134,8 @@
 	ownerConfirmedAt time.Time
 	// loadLoggedAt is when the worker's load was last logged.
 	loadLoggedAt time.Time
+	// reportStopsAt is when outstanding stops are reported next.
+	reportStopsAt time.Time
 	// conn is the connection to the owner, or nil.
 	conn  *messenger.Conn
 	calls sync.WaitGroup
@@ -143,6 +146,9 @@
 	if cfg.Count == nil {
 		cfg.Count = func(string) {}
 	}
+	if cfg.Gauge == nil {
+		cfg.Gauge = func(string, float64) {}
+	}
 	if cfg.WallClock == nil {
 		cfg.WallClock = time.Now
 	}
