--- a/orchestrator/stop_test.go
+++ b/orchestrator/stop_test.go
@@ -31,3 +31,34 @@
 	h.o.tick(t.Context())
 	c.Assert(h.gauges["oldest_stop_seconds"], qt.Equals, 0.0)
 }
+
+// stopCount returns the number of stop commands sent to an agent.
+func (h *harness) stopCount(id string) int {
+	n := 0
+	for _, f := range h.sent[id] {
+		if f.Kind == messenger.KindCommand && f.Command.Stop != nil {
+			n++
+		}
+	}
+	return n
+}
+
+// An agent may lose a stop command. The owner sent it once on each connection, and a
+// long-running task of a canceled job ran on.
+func TestAStopIsSentAgainWhileTheRunIsListed(t *testing.T) {
+	c := qt.New(t)
+	h := newHarness(c, 1)
+	j := h.submit(sequencer.Spec{Steps: []sequencer.Step{step(1, 10)}})
+	h.o.place()
+	h.reportRunning("a0", 10)
+	h.cancel(j)
+	c.Assert(h.stopCount("a0"), qt.Equals, 1)
+	h.now = h.now.Add(2 * time.Second)
+	h.reportRunning("a0", 10)
+	c.Assert(h.stopCount("a0"), qt.Equals, 2)
+	h.reportRunning("a0", 10)
+	c.Assert(h.stopCount("a0"), qt.Equals, 2, qt.Commentf("the agent needs some time"))
+	h.now = h.now.Add(2 * time.Second)
+	h.reportPhase("a0", messenger.PhaseStopping)
+	c.Assert(h.stopCount("a0"), qt.Equals, 2, qt.Commentf("the agent stops it"))
+}
--- a/supervisor/stop_test.go
+++ b/supervisor/stop_test.go
@@ -32,3 +32,65 @@
 		c.Assert(age(), qt.Equals, 0.0)
 	})
 }
+
+// stopTimeout is how long the tests wait for a run to be stopped.
+const stopTimeout = 20 * time.Second
+
+// assertStopped waits until the run of stopCommand is stopped and its end reported.
+func (h *harness) assertStopped() {
+	for deadline := time.Now().Add(stopTimeout); len(h.ends()) == 0 && time.Now().Before(deadline); {
+		advancer.Sleep(100 * time.Millisecond)
+	}
+	h.c.Assert(h.worker.Running(), qt.HasLen, 0)
+	h.c.Assert(h.ends(), qt.DeepEquals, []string{"j.0.0.0#1 stopped"})
+}
+
+// A list reply may settle a start before its call has timed out. The run went on because
+// the late timeout made its outcome unknown again.
+func TestAStopOfARunThatWasListedBeforeItsStartTimedOutIsSent(t *testing.T) {
+	inBubble(t, func(c *qt.C, h *harness) {
+		h.set(func() { h.plan, h.startLost = faker.PoolRunPlan{}, true })
+		h.send(startCommand("j.0.0.0", 1))
+		advancer.Sleep(3 * time.Second)
+		c.Assert(h.latestSnapshot().Runs[0].Phase, qt.Equals, messenger.PhaseRunning)
+		h.send(stopCommand)
+		h.assertStopped()
+	})
+}
+
+// The same with the stop under way when the call of the start times out.
+func TestAStopUnderWayOutlivesALostReplyOfTheStart(t *testing.T) {
+	inBubble(t, func(c *qt.C, h *harness) {
+		lostStops := 1
+		h.set(func() {
+			h.plan, h.startLost = faker.PoolRunPlan{}, true
+			h.fault = func(call string) faker.PoolFault {
+				if call != "stop" || lostStops == 0 {
+					return faker.PoolFault{}
+				}
+				lostStops--
+				return faker.PoolFault{LoseReply: true, Drop: true}
+			}
+		})
+		h.send(startCommand("j.0.0.0", 1))
+		c.Assert(h.latestSnapshot().Runs[0].Phase, qt.Equals, messenger.PhaseRunning)
+		h.send(stopCommand)
+		h.assertStopped()
+	})
+}
+
+// An agent that has just started does not know the runs of its worker. It dropped the stop
+// of one, and adopted the run a moment later.
+func TestAStopThatArrivesBeforeTheFirstListIsCarriedOut(t *testing.T) {
+	inBubble(t, func(c *qt.C, h *harness) {
+		h.set(func() { h.plan = faker.PoolRunPlan{} })
+		h.send(startCommand("j.0.0.0", 1))
+		h.stop()
+		<-h.done
+		h.set(func() { h.listDelay = 1500 * time.Millisecond })
+		h.startAgent("b2")
+		c.Assert(h.latestSnapshot().Reconciled, qt.IsFalse)
+		h.send(stopCommand)
+		h.assertStopped()
+	})
+}
