supervisor: Stop runs until they have ended, whatever is learned of their start

Callers saw a run go on after the cancel of its job was acknowledged. A start whose reply was lost can be settled by a list before its call times out. The timeout then made its outcome unknown a second time.

A result of a start now counts only while nothing else has settled it. That a run is to be stopped is kept apart from what is known of it: one loop sends what a run still lacks until it has ended, also while the outcome of its start is unknown, since a worker refuses a start that arrives after its stop.

--- a/supervisor/commands.go
+++ b/supervisor/commands.go
@@ -32,7 +32,7 @@
 	}
 	s.term = cmd.Term
 	if cmd.Stop != nil {
-		s.handleStop(ctx, cmd.Stop)
+		s.handleStop(cmd.Stop)
 		return
 	}
 	s.handleStart(ctx, cmd.Start)
@@ -99,7 +99,7 @@
 }
 
 // startRun sends a start to the worker, and again only if the fence was stale and
-// has been raised since. If a stop has arrived meanwhile, it sends that next.
+// has been raised since.
 func (s *Supervisor) startRun(ctx context.Context, r *run, cmd *messenger.RunStart) {
 	for {
 		s.mu.Lock()
@@ -121,11 +121,7 @@
 		cancel()
 		s.mu.Lock()
 		retry := s.handleStartResult(ctx, r, req.Fence, clock, err)
-		stop := r.stopRequested && !r.ended && r.phase == messenger.PhaseRunning
 		s.mu.Unlock()
-		if stop {
-			s.stopRun(ctx, r)
-		}
 		if !retry {
 			return
 		}
@@ -133,17 +129,16 @@
 }
 
 // handleStartResult processes the result of a start and reports whether the start
-// is to be sent again.
+// is to be sent again. A list reply may have settled it before: the result then says
+// nothing new. A start that outlasted its incarnation is left to the lists of the next one.
 func (s *Supervisor) handleStartResult(ctx context.Context, r *run, fence uint64, clock time.Time, err error) bool {
-	if r.ended || r.unansweredFence != 0 {
-		return false // a list reply settles a start that outlasted its incarnation
+	if r.ended || r.phase != messenger.PhaseStarting || r.unansweredFence != 0 {
+		return false
 	}
 	switch {
 	case err == nil:
-		if r.phase == messenger.PhaseStarting {
-			r.phase, r.confirmedAt, s.aliveAt = messenger.PhaseRunning, clock, s.cfg.Now()
-			s.adjustPaces(ctx)
-		}
+		r.phase, r.confirmedAt, s.aliveAt = messenger.PhaseRunning, clock, s.cfg.Now()
+		s.adjustPaces(ctx)
 	case errors.Is(err, ErrStaleFence) && s.fence > fence:
 		return true
 	case errors.Is(err, ErrUnknownOutcome):
--- a/supervisor/list.go
+++ b/supervisor/list.go
@@ -33,7 +33,6 @@
 // sendList sends one list request and reports whether the worker answered it.
 func (s *Supervisor) sendList(ctx context.Context, wait time.Duration) bool {
 	s.mu.Lock()
-	s.reportStops()
 	timeout := callTimeout
 	incarnation, startedAt := s.heartbeat.Incarnation(), s.heartbeat.StartedAt
 	req := ListRequest{WorkerID: s.heartbeat.WorkerID, Fence: s.fence, LeaseExpiresAt: s.leaseExpiresAt, AckedEnd: s.ackedEnd, Wait: wait}
@@ -149,9 +148,6 @@
 			s.markDirty()
 		}
 		if r.phase == messenger.PhaseStarting {
-			if r.stopRequested && r.unansweredFence != 0 { // startRun has returned
-				s.calls.Go(func() { s.stopRun(ctx, r) })
-			}
 			r.phase, r.confirmedAt, r.unansweredFence = messenger.PhaseRunning, reply.Clock, 0
 			s.markDirty()
 		}
--- a/supervisor/pace.go
+++ b/supervisor/pace.go
@@ -23,7 +23,7 @@
 	s.logLoad()
 	pacerRuns := make([]pacer.Run, 0, len(s.runs))
 	for _, r := range s.sortedRuns() {
-		if r.phase == messenger.PhaseRunning {
+		if r.phase == messenger.PhaseRunning && !r.stopRequested {
 			pacerRuns = append(pacerRuns, pacer.Run{
 				Task: r.task, Attempt: r.attempt, Group: sequencer.StepNameOf(r.task), Image: r.spec.Image, BestEffort: r.spec.BestEffort,
 				CPU: r.spec.CPU, UsedCPU: r.measurement, LatencyTargetMs: r.spec.LatencyTargetMs, TailLatencyMs: r.measurement, ProgressPercent: r.progressPercent, PacePercent: r.pacePercent, PacedSince: r.pacedSince,
--- a/supervisor/run.go
+++ b/supervisor/run.go
@@ -8,9 +8,11 @@
 
 // run is a run at the worker. Supervisor.mu guards all its fields.
 type run struct {
-	task            string
-	attempt         uint64
-	spec            messenger.TaskSpec
+	task    string
+	attempt uint64
+	spec    messenger.TaskSpec
+	// phase is messenger.PhaseRunning once the worker has shown or confirmed the run, and
+	// messenger.PhaseStarting before.
 	phase           messenger.Phase
 	checkpoint      string
 	progressPercent int
@@ -37,7 +39,8 @@
 	// startFence is the fence of the last start call; 0 before it.
 	startFence uint64
 	// unansweredFence is the fence of a start with an unknown outcome, which a list
-	// reply under a higher fence settles; 0 while there is none.
+	// reply under a higher fence settles; 0 while there is none. It is set only in
+	// messenger.PhaseStarting.
 	unansweredFence uint64
 	// listed is set once a list reply of the current incarnation has shown the run. The
 	// reply to a start does not tell which incarnation carried it out.
@@ -52,6 +55,10 @@
 	// stopRequestedAt.
 	stopRequested   bool
 	stopRequestedAt time.Time
+	// stopCalling is set while a stop call is in flight; the next one is sent no earlier
+	// than at nextStopAt.
+	stopCalling bool
+	nextStopAt  time.Time
 	// endIgnored is set once an ignored end of the run has been logged.
 	endIgnored bool
 	// ended is set when the run has been removed from Supervisor.runs.
@@ -59,12 +66,16 @@
 }
 
 func (r *run) status() messenger.RunStatus {
+	phase := r.phase
+	if phase == messenger.PhaseRunning && r.stopRequested {
+		phase = messenger.PhaseStopping
+	}
 	measurement := r.measurement
 	if r.spec.LatencyTargetMs > 0 {
 		measurement = r.tailLatencyMs
 	}
 	return messenger.RunStatus{
-		Task: r.task, Attempt: r.attempt, Phase: r.phase, Checkpoint: r.checkpoint,
+		Task: r.task, Attempt: r.attempt, Phase: phase, Checkpoint: r.checkpoint,
 		ProgressPercent: r.progressPercent, Measurement: measurement, PacePercent: r.pacePercent, SpecUnknown: r.specUnknown,
 	}
 }
--- a/supervisor/stop.go
+++ b/supervisor/stop.go
@@ -2,15 +2,16 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"go.uber.org/zap"
 
 	"github.com/endivefall/endivefall/messenger"
-	"github.com/endivefall/endivefall/waiter"
 )
 
-func (s *Supervisor) handleStop(ctx context.Context, cmd *messenger.RunStop) {
+// handleStop records that a run is to be stopped.
+func (s *Supervisor) handleStop(cmd *messenger.RunStop) {
 	r := s.runs[runKey{cmd.Task, cmd.Attempt}]
 	if r == nil {
 		s.cfg.Log.Info("stop command dropped; the run is not known", zap.String("task", cmd.Task), zap.Uint64("attempt", cmd.Attempt), zap.Uint64("term", s.term),
@@ -21,36 +22,33 @@
 	if r.stopRequested {
 		return
 	}
-	r.stopRequested, r.stopRequestedAt = true, s.cfg.Now()
 	s.cfg.Log.Info("stop command accepted", zap.String("task", cmd.Task), zap.Uint64("attempt", cmd.Attempt), zap.Uint64("term", s.term), zap.Uint8("phase", uint8(r.phase)))
-	if r.phase == messenger.PhaseRunning {
-		s.calls.Go(func() { s.stopRun(ctx, r) })
-	}
+	r.stopRequested, r.stopRequestedAt = true, s.cfg.Now()
+	s.markDirty()
+	s.requestEnforce()
 }
 
-// stopRun sends stops to the worker until the run or ctx ends.
-func (s *Supervisor) stopRun(ctx context.Context, r *run) {
-	for ctx.Err() == nil {
-		s.mu.Lock()
-		if r.ended || r.unansweredFence != 0 {
-			if !r.ended {
-				s.cfg.Log.Warn("stop not sent; the outcome of the start is unknown", zap.String("task", r.task), zap.Uint64("attempt", r.attempt), zap.Bool("listed", r.listed))
-			}
-			s.mu.Unlock()
-			return
-		}
-		r.phase = messenger.PhaseStopping
-		ref := RunRef{WorkerID: s.heartbeat.WorkerID, Fence: s.fence, Task: r.task, Attempt: r.attempt}
-		s.mu.Unlock()
-		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
-		err := s.cfg.Worker.Stop(callCtx, ref)
-		cancel()
-		if err != nil {
-			s.cfg.Log.Info("stop call failed", zap.String("task", r.task), zap.Uint64("attempt", r.attempt), zap.Error(err))
-		}
-		s.requestList()
-		waiter.Sleep(ctx, callTimeout)
+// callStop sends one stop to the worker.
+func (s *Supervisor) callStop(ctx context.Context, r *run) {
+	s.mu.Lock()
+	ref, ended := s.ref(r), r.ended
+	s.mu.Unlock()
+	if ended {
+		return
+	}
+	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+	err := s.cfg.Worker.Stop(callCtx, ref)
+	cancel()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r.stopCalling, r.nextStopAt = false, s.cfg.Now().Add(callTimeout)
+	if errors.Is(err, ErrStaleFence) && s.fence > ref.Fence {
+		r.nextStopAt = s.cfg.Now()
+	}
+	if err != nil {
+		s.cfg.Log.Info("stop call failed", zap.String("task", r.task), zap.Uint64("attempt", r.attempt), zap.Error(err))
 	}
+	s.requestList()
 }
 
 const (
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -79,6 +79,8 @@
 	applied chan struct{}
 	// listNow holds a token while the next list request must not wait for an end.
 	listNow chan struct{}
+	// changed holds a token while a run may need a call that enforceLoop has not seen.
+	changed chan struct{}
 
 	mu sync.Mutex
 	// heartbeat is the newest heartbeat of the worker's current incarnation, empty
@@ -156,7 +158,8 @@
 		cfg.OnPeers = func([]netip.AddrPort) {}
 	}
 	return &Supervisor{
-		cfg: cfg, dirty: make(chan struct{}, 1), applied: make(chan struct{}, 1), listNow: make(chan struct{}, 1), runs: map[runKey]*run{},
+		cfg: cfg, dirty: make(chan struct{}, 1), applied: make(chan struct{}, 1), listNow: make(chan struct{}, 1), changed: make(chan struct{}, 1),
+		runs: map[runKey]*run{},
 	}
 }
 
@@ -165,6 +168,7 @@
 	var loops sync.WaitGroup
 	loops.Go(func() { s.listLoop(ctx) })
 	loops.Go(func() { s.ownerLoop(ctx) })
+	loops.Go(func() { s.enforceLoop(ctx) })
 	loops.Wait()
 	s.calls.Wait()
 }
