supervisor: Keep the stop of a run that no list has shown yet

Callers saw a long-running task go on after the cancel of its job was acknowledged. An agent that starts anew learns of its worker's runs from the first list.

Such a stop is now kept until a list that was requested after its arrival shows the run or lacks it.

TestAStopThatArrivesBeforeTheFirstListIsCarriedOut failed before.

--- a/supervisor/list.go
+++ b/supervisor/list.go
@@ -63,6 +63,7 @@
 	if req.LeaseExpiresAt.After(s.sentLease) {
 		s.sentLease = req.LeaseExpiresAt
 	}
+	requestedAt := s.cfg.Now()
 	s.mu.Unlock()
 	callCtx, cancel := context.WithTimeout(ctx, req.Wait+timeout)
 	defer cancel()
@@ -91,7 +92,7 @@
 	}
 	s.fenceStep = 0
 	s.recordReply(reply, receivedAt)
-	s.reconcile(ctx, req.Fence, reply)
+	s.reconcile(ctx, req.Fence, requestedAt, reply)
 	return true
 }
 
@@ -129,9 +130,9 @@
 	}
 }
 
-// reconcile updates runs and ends from a list reply that was requested under a
-// fence.
-func (s *Supervisor) reconcile(ctx context.Context, fence uint64, reply *ListReply) {
+// reconcile updates runs and ends from a list reply that was requested under a fence at a
+// local time.
+func (s *Supervisor) reconcile(ctx context.Context, fence uint64, requestedAt time.Time, reply *ListReply) {
 	if reply.Clock.Before(s.workerClock) { // a newer reply has arrived before this one
 		s.cfg.Log.Info("list reply ignored; the worker's clock was ahead of it", zap.String("worker", s.heartbeat.Incarnation()), zap.Duration("behind", s.workerClock.Sub(reply.Clock)))
 		return
@@ -192,5 +193,6 @@
 		s.cfg.Log.Info("worker reconciled", zap.String("worker", s.heartbeat.Incarnation()), zap.Int("runs", len(s.runs)), zap.Int("ends", len(s.ends)))
 		s.markDirty()
 	}
+	s.settleUnknownStops(requestedAt, reply.Complete)
 	s.adjustPaces(ctx)
 }
--- a/supervisor/stop.go
+++ b/supervisor/stop.go
@@ -10,13 +10,18 @@
 	"github.com/endivefall/endivefall/messenger"
 )
 
-// handleStop records that a run is to be stopped.
+// handleStop records that a run is to be stopped. A run that is not known may still be at
+// the worker, as no list of it may have been seen yet.
 func (s *Supervisor) handleStop(cmd *messenger.RunStop) {
-	r := s.runs[runKey{cmd.Task, cmd.Attempt}]
+	key := runKey{cmd.Task, cmd.Attempt}
+	r := s.runs[key]
 	if r == nil {
-		s.cfg.Log.Info("stop command dropped; the run is not known", zap.String("task", cmd.Task), zap.Uint64("attempt", cmd.Attempt), zap.Uint64("term", s.term),
-			zap.Bool("reconciled", s.reconciled))
-		s.cfg.Count("stop_dropped")
+		if _, known := s.unknownStops[key]; !known {
+			s.unknownStops[key] = s.cfg.Now()
+			s.cfg.Log.Info("stop command for a run that is not known", zap.String("task", cmd.Task), zap.Uint64("attempt", cmd.Attempt), zap.Uint64("term", s.term),
+				zap.Bool("reconciled", s.reconciled))
+			s.requestList()
+		}
 		return
 	}
 	if r.stopRequested {
@@ -28,6 +33,25 @@
 	s.requestEnforce()
 }
 
+// settleUnknownStops applies the stops of runs that were not known to those that a list
+// reply has shown, and drops the others that are older than its request.
+func (s *Supervisor) settleUnknownStops(requestedAt time.Time, complete bool) {
+	for key, receivedAt := range s.unknownStops {
+		switch r := s.runs[key]; {
+		case r != nil:
+			r.stopRequested, r.stopRequestedAt = true, receivedAt
+			s.cfg.Log.Info("stop command accepted", zap.String("task", key.task), zap.Uint64("attempt", key.attempt), zap.Duration("waited", s.cfg.Now().Sub(receivedAt)))
+			s.requestEnforce()
+		case !complete || requestedAt.Before(receivedAt):
+			continue
+		default:
+			s.cfg.Log.Info("stop command dropped; the worker does not list the run", zap.String("task", key.task), zap.Uint64("attempt", key.attempt))
+			s.cfg.Count("stop_dropped")
+		}
+		delete(s.unknownStops, key)
+	}
+}
+
 // callStop sends one stop to the worker.
 func (s *Supervisor) callStop(ctx context.Context, r *run) {
 	s.mu.Lock()
@@ -69,7 +93,7 @@
 	}
 	s.reportStopsAt = now.Add(stopReportInterval)
 	var oldest *run
-	outstanding := 0
+	outstanding := len(s.unknownStops)
 	for _, r := range s.runs {
 		if !r.stopRequested {
 			continue
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -122,7 +122,10 @@
 	// connection broke, zero while it answers or if it fell silent instead.
 	aliveAt, brokenAt time.Time
 	runs              map[runKey]*run
-	ends              []pendingEnd
+	// unknownStops are the stops of runs that are not in runs, with the local time of their
+	// arrival. The next list that is requested settles them.
+	unknownStops map[runKey]time.Time
+	ends         []pendingEnd
 	// lastEnd is the newest sequence number that this process has given to an
 	// end. seenEnd is the newest of the worker's own numbers that was processed,
 	// ackedEnd the newest that the worker may discard.
@@ -159,7 +162,7 @@
 	}
 	return &Supervisor{
 		cfg: cfg, dirty: make(chan struct{}, 1), applied: make(chan struct{}, 1), listNow: make(chan struct{}, 1), changed: make(chan struct{}, 1),
-		runs: map[runKey]*run{},
+		runs: map[runKey]*run{}, unknownStops: map[runKey]time.Time{},
 	}
 }
 
