supervisor: Set the pace of a run until the worker has confirmed it

A pace counted as set once its call had ended, unless its outcome was unknown: a refused one, or one that was not sent since the outcome of the start was unknown, left the worker at another pace than the agent took it to be.

The pace that the worker has confirmed is kept apart from the one that is wanted, and the loop that sends stops sends it until both agree.

TestAPaceThatTheWorkerRefusedIsSetLater failed before: the run was left at 20 percent.

--- a/supervisor/commands.go
+++ b/supervisor/commands.go
@@ -42,11 +42,8 @@
 	key := runKey{cmd.Task, cmd.Attempt}
 	if r := s.runs[key]; r != nil {
 		if r.specUnknown {
-			r.spec, r.specUnknown = cmd.Spec, false
-			if s.cfg.Pacer != nil && r.spec.BestEffort && !r.pacePending {
-				r.pacedSince, r.pacePending = s.cfg.Now(), true // an earlier process may have set another pace
-				s.calls.Go(func() { s.sendPace(ctx, r) })
-			}
+			r.spec, r.specUnknown, r.pacedSince = cmd.Spec, false, s.cfg.Now()
+			s.requestEnforce()
 			s.markDirty()
 		}
 		return
@@ -56,7 +53,7 @@
 	}
 	r := &run{
 		task: cmd.Task, attempt: cmd.Attempt, spec: cmd.Spec, phase: messenger.PhaseStarting, checkpoint: cmd.Checkpoint,
-		pacePercent: 100, pacedSince: s.cfg.Now(),
+		pacePercent: 100, workerPace: 100, pacedSince: s.cfg.Now(),
 	}
 	s.runs[key] = r
 	s.mergeInterference(cmd.Interference)
@@ -120,7 +117,7 @@
 		clock, err := s.cfg.Worker.Start(callCtx, req)
 		cancel()
 		s.mu.Lock()
-		retry := s.handleStartResult(ctx, r, req.Fence, clock, err)
+		retry := s.handleStartResult(r, req.Fence, clock, err)
 		s.mu.Unlock()
 		if !retry {
 			return
@@ -131,14 +128,14 @@
 // handleStartResult processes the result of a start and reports whether the start
 // is to be sent again. A list reply may have settled it before: the result then says
 // nothing new. A start that outlasted its incarnation is left to the lists of the next one.
-func (s *Supervisor) handleStartResult(ctx context.Context, r *run, fence uint64, clock time.Time, err error) bool {
+func (s *Supervisor) handleStartResult(r *run, fence uint64, clock time.Time, err error) bool {
 	if r.ended || r.phase != messenger.PhaseStarting || r.unansweredFence != 0 {
 		return false
 	}
 	switch {
 	case err == nil:
 		r.phase, r.confirmedAt, s.aliveAt = messenger.PhaseRunning, clock, s.cfg.Now()
-		s.adjustPaces(ctx)
+		s.adjustPaces()
 	case errors.Is(err, ErrStaleFence) && s.fence > fence:
 		return true
 	case errors.Is(err, ErrUnknownOutcome):
--- a/supervisor/enforce.go
+++ b/supervisor/enforce.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"github.com/endivefall/endivefall/messenger"
 )
 
 // enforceInterval is the longest time between two comparisons of what the runs are to do
@@ -10,7 +12,7 @@
 const enforceInterval = 200 * time.Millisecond
 
 // enforceLoop makes the calls that runs still need, until ctx ends. Whatever changes the
-// knowledge of a run, in whatever order, a stop that it lacks is sent again.
+// knowledge of a run, in whatever order, a stop or a pace that it lacks is sent again.
 func (s *Supervisor) enforceLoop(ctx context.Context) {
 	ticker := time.NewTicker(enforceInterval)
 	defer ticker.Stop()
@@ -33,7 +35,8 @@
 	}
 }
 
-// enforce begins the calls that are due. A run has at most one stop call in flight.
+// enforce begins the calls that are due. A run has at most one stop and one set pace call
+// in flight, as concurrent calls may arrive in any order.
 func (s *Supervisor) enforce(ctx context.Context) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -43,11 +46,19 @@
 	}
 	now := s.cfg.Now()
 	for _, r := range s.runs {
-		// Also while the outcome of the start is unknown: the worker refuses a start that
-		// arrives after the stop.
-		if r.stopRequested && !r.stopCalling && !now.Before(r.nextStopAt) {
-			r.stopCalling = true
-			s.calls.Go(func() { s.callStop(ctx, r) })
+		switch {
+		case r.stopRequested:
+			// Also while the outcome of the start is unknown: the worker refuses a start
+			// that arrives after the stop.
+			if !r.stopCalling && !now.Before(r.nextStopAt) {
+				r.stopCalling = true
+				s.calls.Go(func() { s.callStop(ctx, r) })
+			}
+		case r.phase == messenger.PhaseRunning && r.pacePending() && s.cfg.Pacer != nil && r.spec.BestEffort:
+			if !r.paceCalling && !now.Before(r.nextPaceAt) {
+				r.paceCalling = true
+				s.calls.Go(func() { s.callSetPace(ctx, r) })
+			}
 		}
 	}
 }
--- a/supervisor/harness_test.go
+++ b/supervisor/harness_test.go
@@ -63,6 +63,8 @@
 	payloads map[string]string
 	// paces has the paces that the agent has set, by task.
 	paces map[string]int
+	// paceError is the reply to calls that set a pace.
+	paceError error
 	// gauges has the last values of the agent's gauges.
 	gauges map[string]float64
 }
@@ -162,8 +164,12 @@
 		return clock, err
 	}
 	client.SetPace = func(_ context.Context, ref supervisor.RunRef, percent int) error {
-		h.set(func() { h.paces[ref.Task] = percent })
-		return nil
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		if h.paceError == nil {
+			h.paces[ref.Task] = percent
+		}
+		return h.paceError
 	}
 	h.sup = supervisor.New(supervisor.Config{
 		ID: "agent", Incarnation: incarnation, Worker: client, LeaseDuration: leaseDuration, Now: time.Now, Log: zap.NewNop(),
--- a/supervisor/incarnation.go
+++ b/supervisor/incarnation.go
@@ -149,7 +149,8 @@
 		r.crash = s.crashOf(r)
 		if s.heartbeat.WorkerID == nextWorkerID && !r.listed && r.startFence != 0 {
 			r.startReplied = r.startReplied || r.phase != messenger.PhaseStarting
-			r.phase, r.unansweredFence, r.pacePercent, r.nextStopAt = messenger.PhaseStarting, r.startFence, 100, time.Time{}
+			r.phase, r.unansweredFence = messenger.PhaseStarting, r.startFence
+			r.pacePercent, r.workerPace, r.nextStopAt = 100, unknownPace, time.Time{}
 			continue
 		}
 		s.endRun(r, messenger.RunEnd{Status: messenger.EndWorkerLost, Reason: reason}, 0)
--- a/supervisor/list.go
+++ b/supervisor/list.go
@@ -92,7 +92,7 @@
 	}
 	s.fenceStep = 0
 	s.recordReply(reply, receivedAt)
-	s.reconcile(ctx, req.Fence, requestedAt, reply)
+	s.reconcile(req.Fence, requestedAt, reply)
 	return true
 }
 
@@ -132,7 +132,7 @@
 
 // reconcile updates runs and ends from a list reply that was requested under a fence at a
 // local time.
-func (s *Supervisor) reconcile(ctx context.Context, fence uint64, requestedAt time.Time, reply *ListReply) {
+func (s *Supervisor) reconcile(fence uint64, requestedAt time.Time, reply *ListReply) {
 	if reply.Clock.Before(s.workerClock) { // a newer reply has arrived before this one
 		s.cfg.Log.Info("list reply ignored; the worker's clock was ahead of it", zap.String("worker", s.heartbeat.Incarnation()), zap.Duration("behind", s.workerClock.Sub(reply.Clock)))
 		return
@@ -143,7 +143,7 @@
 		listed[k] = true
 		r := s.runs[k]
 		if r == nil {
-			r = &run{task: active.Task, attempt: active.Attempt, specUnknown: true, phase: messenger.PhaseRunning, pacePercent: 100, confirmedAt: reply.Clock}
+			r = &run{task: active.Task, attempt: active.Attempt, specUnknown: true, phase: messenger.PhaseRunning, pacePercent: 100, workerPace: unknownPace, confirmedAt: reply.Clock}
 			s.runs[k] = r
 			s.cfg.Log.Info("run adopted", zap.String("task", active.Task), zap.Uint64("attempt", active.Attempt), zap.String("worker", s.heartbeat.Incarnation()))
 			s.markDirty()
@@ -194,5 +194,5 @@
 		s.markDirty()
 	}
 	s.settleUnknownStops(requestedAt, reply.Complete)
-	s.adjustPaces(ctx)
+	s.adjustPaces()
 }
--- a/supervisor/pace.go
+++ b/supervisor/pace.go
@@ -11,12 +11,11 @@
 	"github.com/endivefall/endivefall/messenger"
 	"github.com/endivefall/endivefall/pacer"
 	"github.com/endivefall/endivefall/sequencer"
-	"github.com/endivefall/endivefall/waiter"
 )
 
 // adjustPaces applies the pacer's decisions, which slow best-effort tasks down
 // beside latency-critical ones.
-func (s *Supervisor) adjustPaces(ctx context.Context) {
+func (s *Supervisor) adjustPaces() {
 	if s.cfg.Pacer == nil {
 		return
 	}
@@ -38,47 +37,50 @@
 	}
 	for _, c := range changes {
 		r := s.runs[runKey{c.Task, c.Attempt}]
-		if r.pacePending {
-			continue // concurrent calls may arrive in any order
+		if r.pacePending() {
+			continue
 		}
 		s.cfg.Log.Info("pace changed", zap.String("task", r.task), zap.Int("from", r.pacePercent), zap.Int("to", c.PacePercent), zap.String("because", c.Reason),
 			zap.Int64("tail", c.TailLatencyMs), zap.Int64("target", c.LatencyTargetMs), zap.Float64("room", c.Headroom), zap.Float64("press", c.Interference))
-		r.pacePercent, r.pacedSince, r.pacePending = c.PacePercent, s.cfg.Now(), true
-		s.calls.Go(func() { s.sendPace(ctx, r) })
+		r.pacePercent, r.pacedSince = c.PacePercent, s.cfg.Now()
+		s.requestEnforce()
 	}
 }
 
-// sendPace sends a run's pace to the worker until the outcome is known.
-func (s *Supervisor) sendPace(ctx context.Context, r *run) {
-	for ctx.Err() == nil {
-		s.mu.Lock()
-		if r.ended || r.unansweredFence != 0 {
-			r.pacePending = false
-			s.mu.Unlock()
-			return
-		}
-		ref, percent := RunRef{WorkerID: s.heartbeat.WorkerID, Fence: s.fence, Task: r.task, Attempt: r.attempt}, r.pacePercent
-		s.mu.Unlock()
-		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
-		err := s.cfg.Worker.SetPace(callCtx, ref, percent)
-		cancel()
-		s.mu.Lock()
-		if errors.Is(err, ErrUnknownOutcome) {
-			s.raiseFence(ref.Fence) // otherwise the call could take effect after a later one
-		}
-		retry := errors.Is(err, ErrUnknownOutcome) || errors.Is(err, ErrStaleFence)
-		r.pacePending = retry
-		s.mu.Unlock()
-		if err != nil {
-			s.cfg.Log.Info("set pace call failed", zap.String("task", ref.Task), zap.Int("pace", percent), zap.Error(err))
-		}
-		if !retry {
-			return
-		}
-		waiter.Sleep(ctx, retryDelay)
+// callSetPace sends a run's pace to the worker once.
+func (s *Supervisor) callSetPace(ctx context.Context, r *run) {
+	s.mu.Lock()
+	ref, percent, ended, incarnation := s.ref(r), r.pacePercent, r.ended, s.heartbeat.Incarnation()
+	s.mu.Unlock()
+	if ended {
+		return
+	}
+	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+	err := s.cfg.Worker.SetPace(callCtx, ref, percent)
+	cancel()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r.paceCalling = false
+	switch {
+	case s.heartbeat.Incarnation() != incarnation: // the outcome says nothing of the next one
+	case err == nil:
+		r.workerPace = percent
+	case errors.Is(err, ErrUnknownOutcome):
+		r.workerPace, r.nextPaceAt = unknownPace, s.cfg.Now().Add(retryDelay)
+		s.raiseFence(ref.Fence) // otherwise the call could take effect after a later one
+	case errors.Is(err, ErrStaleFence):
+		r.nextPaceAt = s.cfg.Now().Add(retryDelay)
+	default:
+		r.nextPaceAt = s.cfg.Now().Add(refusedPaceDelay)
+	}
+	if err != nil {
+		s.cfg.Log.Info("set pace call failed", zap.String("task", ref.Task), zap.Int("pace", percent), zap.Error(err))
 	}
 }
 
+// refusedPaceDelay is the delay after a set pace call that the worker refused.
+const refusedPaceDelay = time.Second
+
 // mergeInterference adds the owner's interference coefficients to the predictor.
 func (s *Supervisor) mergeInterference(rows []messenger.Interference) {
 	if s.cfg.Pacer == nil {
--- a/supervisor/reconcile_test.go
+++ b/supervisor/reconcile_test.go
@@ -10,6 +10,7 @@
 	"github.com/endivefall/endivefall/advancer"
 	"github.com/endivefall/endivefall/faker"
 	"github.com/endivefall/endivefall/messenger"
+	"github.com/endivefall/endivefall/supervisor"
 )
 
 // An owner that no longer knows of a run may start the task again. Without the
@@ -95,18 +96,36 @@
 // next one does not know.
 func TestABestEffortRunOfAnEarlierAgentProcessIsNotLeftSlow(t *testing.T) {
 	inBubble(t, func(c *qt.C, h *harness) {
-		h.set(func() { h.plan = faker.PoolRunPlan{} })
-		h.send(startCommand("j.0.0.0", 1))
-		h.stop()
-		<-h.done
-		h.set(func() { h.paces["j.0.0.0"] = 20 })
-		h.startAgent("b2")
-		c.Assert(h.latestSnapshot().Runs[0].SpecUnknown, qt.IsTrue)
-		known := startCommand("j.0.0.0", 1)
-		known.Start.AlreadyRunning, known.Start.Spec.BestEffort = true, true
-		h.send(known)
+		h.adoptSlowRun(20)
 		advancer.Sleep(time.Second)
 		c.Assert(h.latestSnapshot().Runs[0].PacePercent, qt.Equals, 100)
 		h.set(func() { c.Assert(h.paces["j.0.0.0"], qt.Equals, 100) })
 	})
 }
+
+// The agent took a pace that the worker had refused for the present one, and never set it.
+func TestAPaceThatTheWorkerRefusedIsSetLater(t *testing.T) {
+	inBubble(t, func(c *qt.C, h *harness) {
+		h.set(func() { h.paceError = supervisor.ErrUnhealthy })
+		h.adoptSlowRun(20)
+		advancer.Sleep(time.Second)
+		h.set(func() { h.paceError = nil })
+		advancer.Sleep(3 * time.Second)
+		h.set(func() { c.Assert(h.paces["j.0.0.0"], qt.Equals, 100) })
+	})
+}
+
+// adoptSlowRun lets a new process of the agent adopt a best-effort run, whose pace an
+// earlier one has set.
+func (h *harness) adoptSlowRun(percent int) {
+	h.set(func() { h.plan = faker.PoolRunPlan{} })
+	h.send(startCommand("j.0.0.0", 1))
+	h.stop()
+	<-h.done
+	h.set(func() { h.paces["j.0.0.0"] = percent })
+	h.startAgent("b2")
+	h.c.Assert(h.latestSnapshot().Runs[0].SpecUnknown, qt.IsTrue)
+	known := startCommand("j.0.0.0", 1)
+	known.Start.AlreadyRunning, known.Start.Spec.BestEffort = true, true
+	h.send(known)
+}
--- a/supervisor/run.go
+++ b/supervisor/run.go
@@ -18,12 +18,15 @@
 	progressPercent int
 	// measurement is the newest ActiveRun.Measurement of the run.
 	measurement int64
-	// pacePercent is the share of its full speed at which the task may work.
-	pacePercent int
-	// pacedSince is the local time of the last pace change. pacePending is set
-	// while the outcome of a set pace call is not known.
-	pacedSince  time.Time
-	pacePending bool
+	// pacePercent is the share of its full speed at which the task is to work, workerPace
+	// the one that the worker has confirmed, or unknownPace.
+	pacePercent, workerPace int
+	// pacedSince is the local time of the last pace change.
+	pacedSince time.Time
+	// paceCalling is set while a set pace call is in flight; the next one is sent no
+	// earlier than at nextPaceAt.
+	paceCalling bool
+	nextPaceAt  time.Time
 	// tailLatencyMs is the current tail latency of a latency-critical task; 0 while
 	// it is not known.
 	tailLatencyMs int64
@@ -65,6 +68,13 @@
 	ended bool
 }
 
+// unknownPace is the pace of a run that another process of the agent may have set, or that
+// a call without a reply may have changed.
+const unknownPace = -1
+
+// pacePending reports whether the worker has yet to confirm the pace of the run.
+func (r *run) pacePending() bool { return r.workerPace != r.pacePercent }
+
 func (r *run) status() messenger.RunStatus {
 	phase := r.phase
 	if phase == messenger.PhaseRunning && r.stopRequested {
