orchestrator: Ask again for a stop while the agent lists the run

The owner took a stop for delivered once it was queued on a connection. Whatever lost it behind that, as an agent did that had just started, left the run to work for as long as the connection lasted.

The owner now goes by what the agent reports: it asks again, each second, while the agent has seen the command, lists the run and does not say that it is stopping it.

--- a/orchestrator/agent.go
+++ b/orchestrator/agent.go
@@ -282,7 +282,7 @@
 		r.task.Checkpoint, r.task.CheckpointAt = status.Checkpoint, now
 		o.queueCheckpointSave(r.job, now)
 	}
-	if (r.evict || r.job.Ended() || r.task.Done) && r.stopSentOn != a.link {
+	if r.evict || r.job.Ended() || r.task.Done {
 		o.stopRun(r, "no longer needed")
 	}
 }
--- a/orchestrator/gang.go
+++ b/orchestrator/gang.go
@@ -125,9 +125,7 @@
 			continue
 		}
 		for _, r := range runs {
-			if r.stopSentOn != r.agent.link {
-				o.stopRun(r, "gang is incomplete")
-			}
+			o.stopRun(r, "gang is incomplete")
 		}
 	}
 }
--- a/orchestrator/orchestrator.go
+++ b/orchestrator/orchestrator.go
@@ -212,8 +212,11 @@
 	link  *AgentLink
 	seq   uint64
 	phase messenger.Phase
-	// stopSentOn is the connection on which a stop command was last sent.
-	stopSentOn *AgentLink
+	// stopSentOn is the connection on which a stop command was last sent, stopSeq the
+	// number of that command. It is not sent again on that connection before stopAgainAt.
+	stopSentOn  *AgentLink
+	stopSeq     uint64
+	stopAgainAt time.Time
 	// stopWantedAt is when the run was to be stopped first; zero while it is not.
 	stopWantedAt    time.Time
 	progressPercent int
--- a/orchestrator/stop.go
+++ b/orchestrator/stop.go
@@ -8,22 +8,37 @@
 	"github.com/endivefall/endivefall/messenger"
 )
 
-// stopRun marks a run for eviction and sends its agent a stop command, once on each
-// connection.
+// stopRun marks a run to be stopped and asks its agent to do so.
 func (o *Orchestrator) stopRun(r *run, reason string) {
 	r.evict = true
 	if r.stopWantedAt.IsZero() {
 		r.stopWantedAt = o.cfg.Now()
 	}
-	if r.agent.link == nil || r.stopSentOn == r.agent.link {
+	if !o.stopDue(r) {
 		return
 	}
+	repeated := r.stopSentOn == r.agent.link
 	if o.sendCommand(r.agent, &messenger.Command{Stop: &messenger.RunStop{Task: r.key.task, Attempt: r.key.attempt}}) {
-		r.stopSentOn = r.agent.link
-		o.cfg.Log.Info("stopping run", zap.String("task", r.key.task), zap.Uint64("attempt", r.key.attempt), zap.String("agent", r.agent.id), zap.String("why", reason))
+		r.stopSentOn, r.stopSeq, r.stopAgainAt = r.agent.link, r.agent.seq, o.cfg.Now().Add(stopRepeatDelay)
+		o.cfg.Log.Info("stopping run", zap.String("task", r.key.task), zap.Uint64("attempt", r.key.attempt), zap.String("agent", r.agent.id), zap.String("why", reason), zap.Bool("repeated", repeated))
 	}
 }
 
+// stopRepeatDelay is the delay before an agent is asked again that still lists a run without
+// stopping it.
+const stopRepeatDelay = time.Second
+
+// stopDue reports whether an agent is to be asked to stop a run: once on each connection,
+// and again while it has seen the command and still does not report that it stops the run.
+func (o *Orchestrator) stopDue(r *run) bool {
+	a := r.agent
+	if a.link == nil || r.stopSentOn != a.link {
+		return a.link != nil
+	}
+	seen := a.snapshot != nil && a.snapshot.Seq >= r.stopSeq
+	return seen && r.phase != messenger.PhaseStopping && !o.cfg.Now().Before(r.stopAgainAt)
+}
+
 const (
 	// oldestStopGauge is the age in seconds of the oldest stop whose run has not ended.
 	oldestStopGauge = "oldest_stop_seconds"
