orchestrator: Stop runs that are not among those of their agent

Both are asked once a second now, until the agent says that it is stopping the run.

TestARunOfACanceledJobThatTwoAgentsListIsStoppedAtBoth (no stop at the second agent) and TestARunOfAnUnknownJobIsStoppedOnceASecond (three stops) failed before.

--- a/orchestrator/agent.go
+++ b/orchestrator/agent.go
@@ -62,6 +62,9 @@
 	pendingEnds []pendingEnd
 	// runs are the runs that may be active there.
 	runs map[runKey]*run
+	// strays are runs that its snapshots list and that are not in runs, with the time at
+	// which it may next be asked to stop them.
+	strays map[runKey]time.Time
 	// measurementUpdates is the update count of the last measurements that were
 	// learned.
 	measurementUpdates uint64
@@ -84,7 +87,7 @@
 func (o *Orchestrator) agent(id string) *agent {
 	a := o.agents[id]
 	if a == nil {
-		a = &agent{id: id, runs: map[runKey]*run{}}
+		a = &agent{id: id, runs: map[runKey]*run{}, strays: map[runKey]time.Time{}}
 		o.agents[id] = a
 	}
 	return a
@@ -98,7 +101,7 @@
 			a.incarnation, a.lastEnd, a.durableEnd, a.ackedEnd, a.pendingEnds = l.Incarnation, 0, 0, 0, nil
 		}
 		a.link, a.seq, a.snapshot, a.lastSnapshotAt, a.measurementUpdates = l, 0, nil, o.cfg.Now(), 0
-		a.snapshots, a.payloads = differ.Decoder{}, differ.PayloadEncoder{}
+		a.snapshots, a.payloads, a.strays = differ.Decoder{}, differ.PayloadEncoder{}, map[runKey]time.Time{}
 		o.starts.Drop(a.id)
 		o.cfg.Log.Info("agent connected", zap.String("agent", l.ID), zap.String("born", l.Incarnation))
 	})
@@ -219,6 +222,7 @@
 	if len(snapshot.RunEnds) >= maxListedEnds {
 		return // unlisted runs may have ended among the omitted ends
 	}
+	maps.DeleteFunc(a.strays, func(key runKey, _ time.Time) bool { return !reported[key] })
 	for _, r := range o.runsOf(a) {
 		if reported[r.key] || r.link == a.link && r.seq > snapshot.Seq {
 			continue
@@ -254,6 +258,10 @@
 		}
 	}
 	if r.agent != a {
+		if r.evict || r.job.Ended() || r.task.Done {
+			o.stopStray(a, status, "no longer needed; "+r.agent.id+" lists it, too")
+			return
+		}
 		o.cfg.Log.Error("run is listed by two agents", zap.String("task", status.Task), zap.Uint64("attempt", status.Attempt), zap.String("agent", a.id), zap.String("other", r.agent.id))
 		return
 	}
@@ -293,8 +301,7 @@
 	id, occurrence, step, index, err := sequencer.ParseTaskName(status.Task)
 	j := o.jobs[id]
 	if err != nil || j == nil || j.Task(occurrence, step, index) == nil {
-		o.cfg.Log.Warn("stopping a run of an unknown job", zap.String("task", status.Task), zap.String("agent", a.id), zap.Error(err))
-		o.sendCommand(a, &messenger.Command{Stop: &messenger.RunStop{Task: status.Task, Attempt: status.Attempt}})
+		o.stopStray(a, status, "its job is not known")
 		return nil
 	}
 	t := j.Task(occurrence, step, index)
--- a/orchestrator/stop.go
+++ b/orchestrator/stop.go
@@ -39,6 +39,19 @@
 	return seen && r.phase != messenger.PhaseStopping && !o.cfg.Now().Before(r.stopAgainAt)
 }
 
+// stopStray asks an agent to stop a run that it lists and that is not one of its known
+// runs.
+func (o *Orchestrator) stopStray(a *agent, status messenger.RunStatus, why string) {
+	key, now := runKey{status.Task, status.Attempt}, o.cfg.Now()
+	if status.Phase == messenger.PhaseStopping || now.Before(a.strays[key]) {
+		return
+	}
+	if o.sendCommand(a, &messenger.Command{Stop: &messenger.RunStop{Task: status.Task, Attempt: status.Attempt}}) {
+		a.strays[key] = now.Add(stopRepeatDelay)
+		o.cfg.Log.Warn("stopping a stray run", zap.String("task", status.Task), zap.Uint64("attempt", status.Attempt), zap.String("agent", a.id), zap.String("why", why))
+	}
+}
+
 const (
 	// oldestStopGauge is the age in seconds of the oldest stop whose run has not ended.
 	oldestStopGauge = "oldest_stop_seconds"
--- a/orchestrator/stop_test.go
+++ b/orchestrator/stop_test.go
@@ -62,3 +62,42 @@
 	h.reportPhase("a0", messenger.PhaseStopping)
 	c.Assert(h.stopCount("a0"), qt.Equals, 2, qt.Commentf("the agent stops it"))
 }
+
+// A run that two agents list was logged and left to work at the second one, also after the
+// cancel of its job.
+func TestARunOfACanceledJobThatTwoAgentsListIsStoppedAtBoth(t *testing.T) {
+	c := qt.New(t)
+	h := newHarness(c, 2)
+	j := h.submit(sequencer.Spec{Steps: []sequencer.Step{step(1, 10)}})
+	h.o.place()
+	first, second := "a0", "a1"
+	if len(h.commands("a1")) > 0 {
+		first, second = "a1", "a0"
+	}
+	h.reportRunning(first, 10)
+	statuses := h.runStatuses(first, messenger.PhaseRunning, 10)
+	h.cancel(j)
+	for range 2 { // two snapshots in a row
+		h.sendSnapshot(second, &messenger.WorkerSnapshot{Runs: statuses})
+	}
+	c.Assert(h.stopCount(first), qt.Equals, 1)
+	c.Assert(h.stopCount(second), qt.Equals, 1)
+}
+
+// The owner sent a stop with each snapshot, up to 200 a second.
+func TestARunOfAnUnknownJobIsStoppedOnceASecond(t *testing.T) {
+	c := qt.New(t)
+	h := newHarness(c, 1)
+	stray := []messenger.RunStatus{{Task: "00000000000000ff.0.0.0", Attempt: 1, Phase: messenger.PhaseRunning}}
+	for range 3 {
+		h.sendSnapshot("a0", &messenger.WorkerSnapshot{Runs: stray})
+	}
+	c.Assert(h.stopCount("a0"), qt.Equals, 1)
+	h.now = h.now.Add(2 * time.Second)
+	h.sendSnapshot("a0", &messenger.WorkerSnapshot{Runs: stray})
+	c.Assert(h.stopCount("a0"), qt.Equals, 2)
+	h.now = h.now.Add(2 * time.Second)
+	stray[0].Phase = messenger.PhaseStopping
+	h.sendSnapshot("a0", &messenger.WorkerSnapshot{Runs: stray})
+	c.Assert(h.stopCount("a0"), qt.Equals, 2)
+}
