--- a/orchestrator/agent.go
+++ b/orchestrator/agent.go
@@ -93,6 +93,9 @@
 	return a
 }
 
+// reachable reports whether commands can be sent to the agent.
+func (a *agent) reachable() bool { return a.link != nil && !a.link.ended }
+
 // Connect registers a new connection to an agent.
 func (o *Orchestrator) Connect(l *AgentLink) {
 	o.enqueue(func() {
--- a/orchestrator/agent_link.go
+++ b/orchestrator/agent_link.go
@@ -11,4 +11,7 @@
 	Close func(reason string)
 	// KeepsPayloads is set if the agent keeps the payloads of jobs.
 	KeepsPayloads bool
+	// ended is set once a command could not be sent on the connection. Only the goroutine
+	// of Orchestrator.Serve uses it.
+	ended bool
 }
--- a/orchestrator/command.go
+++ b/orchestrator/command.go
@@ -9,15 +9,14 @@
 // sendCommand numbers a command, sends it to an agent and reports whether the
 // connection accepted it.
 func (o *Orchestrator) sendCommand(a *agent, command *messenger.Command) bool {
-	if a.link == nil {
+	if !a.reachable() {
 		return false
 	}
 	a.seq++
 	command.Seq, command.Term = a.seq, o.cfg.Term
 	if err := a.link.TrySend(messenger.Frame{Kind: messenger.KindCommand, Command: command}); err != nil {
-		// The connection has ended; send no more commands on it.
 		o.cfg.Log.Info("command not sent", zap.String("agent", a.id), zap.Error(err))
-		a.link, a.snapshot = nil, nil
+		a.link.ended = true // Disconnect follows
 		return false
 	}
 	return true
--- a/orchestrator/place.go
+++ b/orchestrator/place.go
@@ -99,7 +99,7 @@
 func (o *Orchestrator) candidate(a *agent) *allocator.Candidate {
 	snapshot := a.snapshot
 	now := o.cfg.Now()
-	if a.link == nil || snapshot == nil || !a.mayRunAny || !a.reconciled || snapshot.Draining || snapshot.Unreachable || !snapshot.MayStart ||
+	if !a.reachable() || snapshot == nil || !a.mayRunAny || !a.reconciled || snapshot.Draining || snapshot.Unreachable || !snapshot.MayStart ||
 		now.Before(a.health.excludedUntil) || now.Sub(a.lastSnapshotAt) > isolationTimeout/2 {
 		return nil
 	}
@@ -215,7 +215,7 @@
 			continue
 		}
 		a := agents[candidate.ID]
-		if starts[a] >= maxStartsPerRound || a.link == nil {
+		if starts[a] >= maxStartsPerRound || !a.reachable() {
 			continue
 		}
 		if o.startTask(t, j, a) {
--- a/orchestrator/policy.go
+++ b/orchestrator/policy.go
@@ -66,7 +66,7 @@
 	var unknown []string
 	for _, candidate := range candidates {
 		a := agents[candidate.ID]
-		if a.snapshot == nil {
+		if !a.reachable() {
 			continue // its connection ended during this round
 		}
 		incarnation := a.snapshot.WorkerIncarnation
--- a/orchestrator/stop.go
+++ b/orchestrator/stop.go
@@ -32,8 +32,8 @@
 // and again while it has seen the command and still does not report that it stops the run.
 func (o *Orchestrator) stopDue(r *run) bool {
 	a := r.agent
-	if a.link == nil || r.stopSentOn != a.link {
-		return a.link != nil
+	if !a.reachable() || r.stopSentOn != a.link {
+		return a.reachable()
 	}
 	seen := a.snapshot != nil && a.snapshot.Seq >= r.stopSeq
 	return seen && r.phase != messenger.PhaseStopping && !o.cfg.Now().Before(r.stopAgainAt)
--- a/orchestrator/stop_test.go
+++ b/orchestrator/stop_test.go
@@ -1,6 +1,7 @@
 package orchestrator
 
 import (
+	"errors"
 	"testing"
 	"time"
 
@@ -101,3 +102,27 @@
 	h.sendSnapshot("a0", &messenger.WorkerSnapshot{Runs: stray})
 	c.Assert(h.stopCount("a0"), qt.Equals, 2)
 }
+
+// A connection may end between a snapshot and the commands that answer it. The owner used
+// the snapshot that it had dropped then, which ended its process.
+func TestAConnectionThatEndsUnderASnapshotIsNoFault(t *testing.T) {
+	for name, status := range map[string]messenger.RunStatus{
+		"stop":         {Phase: messenger.PhaseRunning},
+		"spec unknown": {Phase: messenger.PhaseRunning, SpecUnknown: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			h := newHarness(c, 1)
+			j := h.submit(sequencer.Spec{Steps: []sequencer.Step{step(1, 10)}})
+			h.o.place()
+			if name == "stop" {
+				j.Canceled = true
+			}
+			status.Task, status.Attempt = j.Task(0, 0, 0).Name(), j.Task(0, 0, 0).Attempt
+			h.sendErrors["a0"] = errors.New("connection has ended")
+			h.sendSnapshot("a0", &messenger.WorkerSnapshot{Runs: []messenger.RunStatus{status}})
+			c.Assert(h.commands("a0"), qt.DeepEquals, []string{"start " + status.Task})
+			c.Assert(h.o.runsOf(h.o.agents["a0"]), qt.HasLen, 1)
+		})
+	}
+}
