supervisor: Send no start again after the stop of its run

A start that the worker refused for a stale fence is sent again. With a stop in between whose call got no answer, that started a task of a canceled job.

TestAStartIsNotSentAgainAfterItsStop failed before: one start.

--- a/supervisor/commands.go
+++ b/supervisor/commands.go
@@ -104,6 +104,11 @@
 			s.mu.Unlock()
 			return
 		}
+		if r.stopRequested { // no earlier call has started it
+			s.endRun(r, messenger.RunEnd{Status: messenger.EndNotStarted, Reason: "stopped before its start was sent"}, 0)
+			s.mu.Unlock()
+			return
+		}
 		r.startFence, r.startSentAt = s.fence, s.cfg.Now()
 		req := StartRequest{
 			RunRef:  RunRef{WorkerID: s.heartbeat.WorkerID, Fence: s.fence, Task: r.task, Attempt: r.attempt},
--- a/supervisor/stop_test.go
+++ b/supervisor/stop_test.go
@@ -94,3 +94,34 @@
 		h.assertStopped()
 	})
 }
+
+// A start that was refused for a stale fence was sent again after the stop of its run, and
+// started what nobody wanted any more.
+func TestAStartIsNotSentAgainAfterItsStop(t *testing.T) {
+	inBubble(t, func(c *qt.C, h *harness) {
+		starts := 0
+		h.set(func() {
+			h.plan = faker.PoolRunPlan{}
+			h.fault = func(call string) faker.PoolFault {
+				switch {
+				case call == "start" && starts == 0: // its timeout raises the fence
+					starts++
+					return faker.PoolFault{LoseReply: true, Drop: true}
+				case call == "start" && starts == 1:
+					starts++
+					return faker.PoolFault{Delay: 650 * time.Millisecond}
+				case call == "stop":
+					return faker.PoolFault{LoseReply: true, Drop: true}
+				}
+				return faker.PoolFault{}
+			}
+		})
+		h.send(startCommand("j.0.0.1", 1))
+		advancer.Sleep(450 * time.Millisecond)
+		h.send(startCommand("j.0.0.0", 1))
+		h.send(stopCommand)
+		advancer.Sleep(2 * time.Second)
+		c.Assert(h.count("start"), qt.Equals, 0)
+		c.Assert(h.latestSnapshot().Runs, qt.HasLen, 0)
+	})
+}
