--- a/supervisor/harness_test.go
+++ b/supervisor/harness_test.go
@@ -54,9 +54,12 @@
 	fault    func(call string) faker.PoolFault
 	plan     faker.PoolRunPlan
 	// listDelay is the transit time of a list reply to the agent; startLost is set
-	// while the replies to starts are lost.
-	listDelay time.Duration
-	startLost bool
+	// while the replies to starts are lost. Otherwise startError replaces them, with a
+	// transit time of startDelay.
+	listDelay  time.Duration
+	startLost  bool
+	startError error
+	startDelay time.Duration
 	// lists has the answered list requests.
 	lists []answeredList
 	// payloads has the payloads of the starts at the worker, by task.
@@ -155,12 +158,16 @@
 		clock, err := startAtWorker(ctx, req)
 		h.mu.Lock()
 		h.payloads[req.Task] = req.Payload
-		lost := h.startLost
+		lost, replaced, delay := h.startLost, h.startError, h.startDelay
 		h.mu.Unlock()
 		if lost {
 			<-ctx.Done()
 			return time.Time{}, supervisor.ErrUnknownOutcome
 		}
+		advancer.Sleep(delay)
+		if replaced != nil {
+			return time.Time{}, replaced
+		}
 		return clock, err
 	}
 	client.SetPace = func(_ context.Context, ref supervisor.RunRef, percent int) error {
--- a/supervisor/stop_test.go
+++ b/supervisor/stop_test.go
@@ -9,6 +9,7 @@
 	"github.com/endivefall/endivefall/advancer"
 	"github.com/endivefall/endivefall/faker"
 	"github.com/endivefall/endivefall/messenger"
+	"github.com/endivefall/endivefall/supervisor"
 )
 
 var stopCommand = messenger.Command{Stop: &messenger.RunStop{Task: "j.0.0.0", Attempt: 1}}
@@ -125,3 +126,27 @@
 		c.Assert(h.latestSnapshot().Runs, qt.HasLen, 0)
 	})
 }
+
+// A list shows what a start has led to, whatever its reply says later.
+func TestAReplyToAStartEndsNoRunThatAListHasShown(t *testing.T) {
+	inBubble(t, func(c *qt.C, h *harness) {
+		h.set(func() {
+			h.plan, h.startError, h.startDelay = faker.PoolRunPlan{}, supervisor.ErrInvalidRequest, 600*time.Millisecond
+		})
+		h.send(startCommand("j.0.0.0", 1))
+		advancer.Sleep(2 * time.Second)
+		c.Assert(h.ends(), qt.HasLen, 0)
+		c.Assert(h.latestSnapshot().Runs, qt.HasLen, 1)
+	})
+}
+
+// The stop waited for the reply of the start, and then for a list.
+func TestAStopDoesNotWaitForTheOutcomeOfItsStart(t *testing.T) {
+	inBubble(t, func(c *qt.C, h *harness) {
+		h.set(func() { h.plan, h.startLost, h.listDelay = faker.PoolRunPlan{}, true, 900*time.Millisecond })
+		h.send(startCommand("j.0.0.0", 1))
+		h.send(stopCommand)
+		c.Assert(h.count("start"), qt.Equals, 1)
+		c.Assert(h.worker.Running(), qt.HasLen, 0)
+	})
+}
