e2e: Cancel jobs in the soak, and lose replies of workers

The soak had no cancels and no long-running jobs, and workers lost whole calls only. It now cancels an eighth of the time, lets workers carry out calls of a kind and lose the reply, and checks that no run of an ended job goes on.

--- a/e2e/pools_test.go
+++ b/e2e/pools_test.go
@@ -38,11 +38,14 @@
 	links      []*link
 	peerLinks  int        // how many of the first links lead to peer addresses of entries
 	linkRand   *rand.Rand // separate, so that faults of links don't change the other draws
+	cancelRand *rand.Rand // for cancels, long-running jobs and lost replies of workers
 	requests   sync.WaitGroup
 	restarts   int
-	mu         sync.Mutex // guards jobIDs
+	mu         sync.Mutex // guards jobIDs and lostReplies
 	jobIDs     []string   // accepted jobs
-	cancel     context.CancelFunc
+	// lostReplies has the kind of call whose replies a worker loses.
+	lostReplies map[*faker.PoolWorker]string
+	cancel      context.CancelFunc
 }
 
 func (w *world) serveHTTP(h http.Handler) string {
@@ -60,7 +63,7 @@
 	p := &poolWorld{
 		world: &world{c: c, dir: t.TempDir(), client: &http.Client{Timeout: time.Second}}, // short, so that a paused entry does not stall the load
 		store: faker.NewStore(), auditor: faker.NewPoolAuditor(), rng: rand.New(rand.NewPCG(seed, 1)),
-		linkRand: rand.New(rand.NewPCG(seed, 2)),
+		linkRand: rand.New(rand.NewPCG(seed, 2)), cancelRand: rand.New(rand.NewPCG(seed, 3)), lostReplies: map[*faker.PoolWorker]string{},
 	}
 	c.Cleanup(p.world.stop)
 	store := p.serveHTTP(&standin.Store{Backend: p.store})
@@ -94,6 +97,11 @@
 			r := rand.New(rand.NewPCG(seed, xxhash.Sum64String(fmt.Sprint(task, attempt))))
 			return faker.PoolRunPlan{Duration: time.Duration(50+r.IntN(1200)) * time.Millisecond, Fails: r.Float64() < 0.04}
 		}
+		backend.Fault = func(call string) faker.PoolFault {
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			return faker.PoolFault{LoseReply: call == p.lostReplies[backend] && rand.Float64() < lostReplyShare}
+		}
 		worker := &standin.Worker{Backend: backend, Pool: "pool"}
 		p.workers = append(p.workers, worker)
 		p.restartWorker(worker)
@@ -106,6 +114,9 @@
 	return p
 }
 
+// lostReplyShare is the share of its replies to calls of one kind that a worker loses.
+const lostReplyShare = 0.4
+
 // addLink starts a link in front of addr and returns its address.
 func (p *poolWorld) addLink(addr string) string {
 	l := newLink(p.c, addr)
@@ -159,7 +170,7 @@
 	var answer struct {
 		State string `json:"state"`
 	}
-	if err := json.Unmarshal(raw, &answer); err != nil {
+	if err := json.Unmarshal(raw, &answer); len(raw) > 0 && err != nil {
 		return 0, ""
 	}
 	return resp.StatusCode, answer.State
@@ -179,6 +190,10 @@
 		}
 		spec.Steps, phases = append(spec.Steps, s), append(phases, phase)
 	}
+	if p.cancelRand.Float64() < 0.1 {
+		spec.Steps = []sequencer.Step{{Count: 1, CPU: 200, Memory: 100, LongRunning: true}}
+		phases = []map[string]any{{"count": 1, "cpu": 200, "memMb": 100, "estimateMs": 500, "longRunning": true}}
+	}
 	raw, err := json.Marshal(map[string]any{"spec": "x", "phases": phases})
 	p.c.Assert(err, qt.IsNil)
 	p.auditor.AddJob(spec)
@@ -195,6 +210,26 @@
 	})
 }
 
+// cancelJob cancels an accepted job without waiting for the response.
+func (p *poolWorld) cancelJob(id string) {
+	p.auditor.CancelJob(id, false)
+	entryAddr := p.randomEntry()
+	p.requests.Go(func() {
+		if status, _ := p.call(entryAddr, http.MethodDelete, id, ""); status == http.StatusOK {
+			p.auditor.CancelJob(id, true)
+		}
+	})
+}
+
+// running returns the tasks that run at the workers.
+func (p *poolWorld) running() []string {
+	var tasks []string
+	for _, w := range p.workers {
+		tasks = append(tasks, w.Backend.Running()...)
+	}
+	return tasks
+}
+
 // acceptedJobs returns the ids of the jobs that were accepted.
 func (p *poolWorld) acceptedJobs() []string {
 	p.mu.Lock()
--- a/e2e/soak_test.go
+++ b/e2e/soak_test.go
@@ -4,6 +4,7 @@
 	"flag"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"syscall"
 	"testing"
 	"time"
@@ -11,6 +12,8 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/endivefall/endivefall/faker"
+	"github.com/endivefall/endivefall/platform/standin"
+	"github.com/endivefall/endivefall/sequencer"
 )
 
 var (
@@ -53,6 +56,9 @@
 		ids := p.acceptedJobs()
 		entryAddr, id := p.randomEntry(), ids[p.rng.IntN(len(ids))]
 		p.requests.Go(func() { p.jobFinished(entryAddr, id) })
+		if p.cancelRand.IntN(8) == 0 {
+			p.cancelJob(ids[p.cancelRand.IntN(len(ids))])
+		}
 		if n%12 == 11 {
 			p.injectFault()
 		}
@@ -69,12 +75,22 @@
 	p.eventually("every accepted job has finished", func() bool {
 		p.clearFaults(true)
 		for _, id := range ids {
+			if p.auditor.Spec(id).Steps[0].LongRunning {
+				p.cancelJob(id)
+			}
 			if !p.jobFinished(p.randomEntry(), id) {
 				return false
 			}
 		}
 		return true
 	})
+	p.eventually("no run of a job that has ended goes on", func() bool {
+		return !slices.ContainsFunc(p.running(), func(task string) bool {
+			id, _, _, _, err := sequencer.ParseTaskName(task)
+			return err != nil || slices.Contains(ids, id)
+		})
+	})
+	p.requests.Wait()
 	p.c.Check(p.auditor.Violations(), qt.HasLen, 0)
 	p.c.Check(len(ids) > 20, qt.IsTrue, qt.Commentf("%d jobs were accepted", len(ids)))
 	ownerConns := 0 // peers dial an entry only if it became the owner
@@ -87,8 +103,10 @@
 	}
 }
 
-// injectFault signals a process, restarts a worker, or starts a fault of the store.
+// injectFault signals a process, restarts a worker, or starts a fault of the store. Some
+// workers lose their replies meanwhile.
 func (p *poolWorld) injectFault() {
+	p.loseReplies(p.workers[p.cancelRand.IntN(len(p.workers))], [...]string{"start", "stop", "look", ""}[p.cancelRand.IntN(4)])
 	victim := p.procs[p.rng.IntN(len(p.procs))]
 	switch p.rng.IntN(6) {
 	case 0:
@@ -112,6 +130,14 @@
 	}
 }
 
+// loseReplies lets a worker lose a share of its replies to calls of a kind, which it carries
+// out; none if kind is empty.
+func (p *poolWorld) loseReplies(w *standin.Worker, kind string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.lostReplies[w.Backend] = kind
+}
+
 // injectLinkFault delays a link, blocks one or both of its directions, or resets its
 // connections.
 func (p *poolWorld) injectLinkFault() {
@@ -153,4 +179,9 @@
 	if all || p.rng.IntN(3) == 0 {
 		p.store.SetFault(nil)
 	}
+	for _, w := range p.workers {
+		if all || p.cancelRand.IntN(3) == 0 {
+			p.loseReplies(w, "")
+		}
+	}
 }
