supervisor, orchestrator: Report the age of stops of runs that are not known

TestTheAgeOfAStopOfAnUnknownRunIsReported and TestTheAgeOfTheStopOfAStrayRunIsReported failed before, with 0.

--- a/orchestrator/agent.go
+++ b/orchestrator/agent.go
@@ -62,9 +62,9 @@
 	pendingEnds []pendingEnd
 	// runs are the runs that may be active there.
 	runs map[runKey]*run
-	// strays are runs that its snapshots list and that are not in runs, with the time at
-	// which it may next be asked to stop them.
-	strays map[runKey]time.Time
+	// strays are runs that its snapshots list, and that are to be stopped, though they are
+	// not in runs.
+	strays map[runKey]*stray
 	// measurementUpdates is the update count of the last measurements that were
 	// learned.
 	measurementUpdates uint64
@@ -87,7 +87,7 @@
 func (o *Orchestrator) agent(id string) *agent {
 	a := o.agents[id]
 	if a == nil {
-		a = &agent{id: id, runs: map[runKey]*run{}, strays: map[runKey]time.Time{}}
+		a = &agent{id: id, runs: map[runKey]*run{}, strays: map[runKey]*stray{}}
 		o.agents[id] = a
 	}
 	return a
@@ -104,7 +104,7 @@
 			a.incarnation, a.lastEnd, a.durableEnd, a.ackedEnd, a.pendingEnds = l.Incarnation, 0, 0, 0, nil
 		}
 		a.link, a.seq, a.snapshot, a.lastSnapshotAt, a.measurementUpdates = l, 0, nil, o.cfg.Now(), 0
-		a.snapshots, a.payloads, a.strays = differ.Decoder{}, differ.PayloadEncoder{}, map[runKey]time.Time{}
+		a.snapshots, a.payloads, a.strays = differ.Decoder{}, differ.PayloadEncoder{}, map[runKey]*stray{}
 		o.starts.Drop(a.id)
 		o.cfg.Log.Info("agent connected", zap.String("agent", l.ID), zap.String("born", l.Incarnation))
 	})
@@ -225,7 +225,7 @@
 	if len(snapshot.RunEnds) >= maxListedEnds {
 		return // unlisted runs may have ended among the omitted ends
 	}
-	maps.DeleteFunc(a.strays, func(key runKey, _ time.Time) bool { return !reported[key] })
+	maps.DeleteFunc(a.strays, func(key runKey, _ *stray) bool { return !reported[key] })
 	for _, r := range o.runsOf(a) {
 		if reported[r.key] || r.link == a.link && r.seq > snapshot.Seq {
 			continue
--- a/orchestrator/stop.go
+++ b/orchestrator/stop.go
@@ -43,11 +43,16 @@
 // runs.
 func (o *Orchestrator) stopStray(a *agent, status messenger.RunStatus, why string) {
 	key, now := runKey{status.Task, status.Attempt}, o.cfg.Now()
-	if status.Phase == messenger.PhaseStopping || now.Before(a.strays[key]) {
+	known := a.strays[key]
+	if known == nil {
+		known = &stray{firstListedAt: now}
+		a.strays[key] = known
+	}
+	if status.Phase == messenger.PhaseStopping || now.Before(known.stopAgainAt) {
 		return
 	}
 	if o.sendCommand(a, &messenger.Command{Stop: &messenger.RunStop{Task: status.Task, Attempt: status.Attempt}}) {
-		a.strays[key] = now.Add(stopRepeatDelay)
+		known.stopAgainAt = now.Add(stopRepeatDelay)
 		o.cfg.Log.Warn("stopping a stray run", zap.String("task", status.Task), zap.Uint64("attempt", status.Attempt), zap.String("agent", a.id), zap.String("why", why))
 	}
 }
@@ -67,26 +72,35 @@
 		return
 	}
 	o.reportStopsAt = now.Add(stopReportInterval)
-	var oldest *run
-	outstanding := 0
+	oldest, outstanding := now, 0
+	var oldestRun *run // the one with the oldest stop; nil for a stray
 	for _, r := range o.runs {
 		if r.stopWantedAt.IsZero() {
 			continue
 		}
 		outstanding++
-		if oldest == nil || r.stopWantedAt.Before(oldest.stopWantedAt) {
-			oldest = r
+		if r.stopWantedAt.Before(oldest) {
+			oldest, oldestRun = r.stopWantedAt, r
 		}
 	}
-	age := time.Duration(0)
-	if oldest != nil {
-		age = now.Sub(oldest.stopWantedAt)
+	for _, a := range o.agents {
+		outstanding += len(a.strays)
+		for _, stray := range a.strays {
+			if stray.firstListedAt.Before(oldest) {
+				oldest, oldestRun = stray.firstListedAt, nil
+			}
+		}
 	}
+	age := now.Sub(oldest)
 	o.cfg.Gauge(oldestStopGauge, age.Seconds())
 	if age < maxStopAge {
 		return
 	}
-	o.cfg.Log.Warn("stop is outstanding", zap.String("task", oldest.key.task), zap.Uint64("attempt", oldest.key.attempt), zap.Duration("age", age), zap.Int("outstanding", outstanding),
-		zap.String("agent", oldest.agent.id), zap.Bool("connected", oldest.agent.link != nil), zap.Bool("sent", oldest.stopSentOn != nil && oldest.stopSentOn == oldest.agent.link),
-		zap.Uint8("phase", uint8(oldest.phase)), zap.Bool("job_ended", oldest.job.Ended()))
+	if oldestRun == nil {
+		o.cfg.Log.Warn("stop of a stray run is outstanding", zap.Duration("age", age), zap.Int("outstanding", outstanding))
+		return
+	}
+	o.cfg.Log.Warn("stop is outstanding", zap.String("task", oldestRun.key.task), zap.Uint64("attempt", oldestRun.key.attempt), zap.Duration("age", age), zap.Int("outstanding", outstanding),
+		zap.String("agent", oldestRun.agent.id), zap.Bool("connected", oldestRun.agent.link != nil), zap.Bool("sent", oldestRun.stopSentOn != nil && oldestRun.stopSentOn == oldestRun.agent.link),
+		zap.Uint8("phase", uint8(oldestRun.phase)), zap.Bool("job_ended", oldestRun.job.Ended()))
 }
--- a/orchestrator/stop_test.go
+++ b/orchestrator/stop_test.go
@@ -126,3 +126,16 @@
 		})
 	}
 }
+
+// The age of a stop of a run that is not among those of its agent was not reported.
+func TestTheAgeOfTheStopOfAStrayRunIsReported(t *testing.T) {
+	c := qt.New(t)
+	h := newHarness(c, 1)
+	stray := []messenger.RunStatus{{Task: "00000000000000ff.0.0.0", Attempt: 1, Phase: messenger.PhaseRunning}}
+	for range 5 {
+		h.sendSnapshot("a0", &messenger.WorkerSnapshot{Runs: stray})
+		h.now = h.now.Add(maxStopAge)
+		h.o.tick(t.Context())
+	}
+	c.Assert(h.gauges[oldestStopGauge], qt.Equals, (5 * maxStopAge).Seconds())
+}
--- a/supervisor/stop.go
+++ b/supervisor/stop.go
@@ -92,26 +92,32 @@
 		return
 	}
 	s.reportStopsAt = now.Add(stopReportInterval)
-	var oldest *run
-	outstanding := len(s.unknownStops)
+	oldest, outstanding := now, len(s.unknownStops)
+	var oldestRun *run // the one with the oldest stop; nil for one that is not known
 	for _, r := range s.runs {
 		if !r.stopRequested {
 			continue
 		}
 		outstanding++
-		if oldest == nil || r.stopRequestedAt.Before(oldest.stopRequestedAt) {
-			oldest = r
+		if r.stopRequestedAt.Before(oldest) {
+			oldest, oldestRun = r.stopRequestedAt, r
 		}
 	}
-	age := time.Duration(0)
-	if oldest != nil {
-		age = now.Sub(oldest.stopRequestedAt)
+	for _, receivedAt := range s.unknownStops {
+		if receivedAt.Before(oldest) {
+			oldest, oldestRun = receivedAt, nil
+		}
 	}
+	age := now.Sub(oldest)
 	s.cfg.Gauge(oldestStopGauge, age.Seconds())
 	if age < maxStopAge {
 		return
 	}
-	s.cfg.Log.Warn("stop is outstanding", zap.String("task", oldest.task), zap.Uint64("attempt", oldest.attempt), zap.Duration("age", age), zap.Int("outstanding", outstanding),
-		zap.Uint8("phase", uint8(oldest.phase)), zap.Bool("listed", oldest.listed), zap.Bool("start_unknown", oldest.unansweredFence != 0), zap.Bool("reachable", s.unreachableSince.IsZero()),
-		zap.String("worker", s.heartbeat.Incarnation()))
+	reachable := zap.Bool("reachable", s.unreachableSince.IsZero())
+	if oldestRun == nil {
+		s.cfg.Log.Warn("stop of a run that is not known is outstanding", zap.Duration("age", age), zap.Int("outstanding", outstanding), zap.Bool("reconciled", s.reconciled), reachable)
+		return
+	}
+	s.cfg.Log.Warn("stop is outstanding", zap.String("task", oldestRun.task), zap.Uint64("attempt", oldestRun.attempt), zap.Duration("age", age), zap.Int("outstanding", outstanding),
+		zap.Uint8("phase", uint8(oldestRun.phase)), zap.Bool("listed", oldestRun.listed), zap.Bool("start_unknown", oldestRun.unansweredFence != 0), reachable, zap.String("worker", s.heartbeat.Incarnation()))
 }
--- a/supervisor/stop_test.go
+++ b/supervisor/stop_test.go
@@ -150,3 +150,16 @@
 		c.Assert(h.worker.Running(), qt.HasLen, 0)
 	})
 }
+
+// A stop of a run that is not known waits for a list of the worker. It was counted among
+// those outstanding, with the age 0.
+func TestTheAgeOfAStopOfAnUnknownRunIsReported(t *testing.T) {
+	inBubble(t, func(c *qt.C, h *harness) {
+		h.set(func() {
+			h.fault = func(call string) faker.PoolFault { return faker.PoolFault{LoseReply: call == "look", Drop: true} }
+		})
+		h.send(stopCommand)
+		advancer.Sleep(4 * time.Second)
+		h.set(func() { c.Check(h.gauges["oldest_stop_seconds"] > 2, qt.IsTrue) })
+	})
+}
