orchestrator: Settle a cancel beside the write of a job's end once

With a cancellation read while the write of the job's completion was in flight, the owner showed the job as canceled; the ledger, and with it the next owner, as complete. The state of a job that had been shown as ended changed at a take-over.

The outcome of the write now decides: once it is written the job has ended so, otherwise the cancellation takes effect.

TestACancelBesideTheWriteOfTheEndIsSettledOnce failed before: canceled, though complete was written.

--- a/orchestrator/ends_test.go
+++ b/orchestrator/ends_test.go
@@ -105,3 +105,33 @@
 	c.Assert(err, qt.ErrorIs, storer.ErrNotFound)
 	c.Assert(h.o.stopReason, qt.ErrorIs, ErrOwnershipLost)
 }
+
+// A cancel was stored while the write of a job's completion was in flight. The owner showed
+// the job as canceled, the ledger and the next owner as complete.
+func TestACancelBesideTheWriteOfTheEndIsSettledOnce(t *testing.T) {
+	for name, tt := range map[string]struct {
+		err   error // outcome of the write
+		state sequencer.State
+	}{
+		"written":  {nil, sequencer.Complete},
+		"conflict": {&storer.ConflictError{Items: []storer.Item{{Key: "owner", Version: 10}}}, sequencer.Canceled},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			h := newHarness(c, 1)
+			j := h.submit(sequencer.Spec{Steps: []sequencer.Step{step(1, 10)}})
+			h.o.place()
+			h.reportEnd("a0", 1, j.Task(0, 0, 0).Name(), j.Task(0, 0, 0).Attempt, messenger.EndDone)
+			b := h.o.nextBatch()
+			c.Assert(b.transaction.Writes, qt.HasLen, 1)
+			h.cancel(j)
+			h.o.handleCommit(b, 1001, h.now, tt.err)
+			c.Assert(h.o.reply(messenger.StateQuery{Job: j.Spec.ID}).State, qt.Equals, string(tt.state))
+			if tt.err == nil {
+				stored, err := sequencer.DecodeProgress(b.transaction.Writes[0].Value)
+				c.Assert(err, qt.IsNil)
+				c.Assert(stored.State, qt.Equals, tt.state)
+			}
+		})
+	}
+}
--- a/orchestrator/orchestrator.go
+++ b/orchestrator/orchestrator.go
@@ -184,6 +184,9 @@
 	// revision in the ledger.
 	revision, durableRevision uint64
 	dirty                     bool // it is in dirtyJobs
+	// endWriting is set while a write of a final state is in flight, cancelWaiting once a
+	// cancellation has been read meanwhile.
+	endWriting, cancelWaiting bool
 	liveRuns                  map[runKey]*run
 	// suspected is set once a task of it was suspected of crashing workers.
 	suspected bool
--- a/orchestrator/watch.go
+++ b/orchestrator/watch.go
@@ -180,9 +180,14 @@
 	return nil
 }
 
-// cancelJob ends a job whose cancellation is durable.
+// cancelJob ends a job whose cancellation is durable. While its end is being written, the
+// outcome of that write decides which of the two came first.
 func (o *Orchestrator) cancelJob(id string) {
 	j := o.jobs[id]
+	if j != nil && j.endWriting {
+		j.cancelWaiting = true
+		return
+	}
 	if j == nil || j.Ended() {
 		return
 	}
--- a/orchestrator/write.go
+++ b/orchestrator/write.go
@@ -117,6 +117,7 @@
 			o.cfg.Log.Error("encoding progress failed", zap.String("job", j.Spec.ID), zap.Error(err))
 			continue
 		}
+		j.endWriting = p.State.Final()
 		b.jobs = append(b.jobs, jobWrite{j, j.revision, p.State})
 		add(ProgressKey(j.Spec.ID), j.ProgressVersion, value)
 	}
@@ -189,6 +190,7 @@
 	}
 	now := o.cfg.Now()
 	for _, write := range b.jobs {
+		write.job.endWriting, write.job.cancelWaiting = false, false
 		write.job.ProgressVersion, write.job.durableRevision = version, max(write.job.durableRevision, write.revision)
 		if write.state.Final() && !write.job.DurableState.Final() {
 			write.job.DurableState, write.job.endedAt = write.state, now
@@ -218,6 +220,11 @@
 		}
 	}
 	for _, write := range b.jobs {
+		write.job.endWriting = false
+		if write.job.cancelWaiting {
+			write.job.cancelWaiting = false
+			o.cancelJob(write.job.Spec.ID)
+		}
 		write.job.ProgressVersion = conflict.Item(ProgressKey(write.job.Spec.ID)).Version
 		o.markDirty(write.job)
 	}
