--- a/orchestrator/stop_test.go
+++ b/orchestrator/stop_test.go
@@ -55,6 +55,10 @@
 	h.cancel(j)
 	c.Assert(h.stopCount("a0"), qt.Equals, 1)
 	h.now = h.now.Add(2 * time.Second)
+	a := h.o.agents["a0"]
+	earlier := *a.snapshot
+	h.o.handleSnapshot(a, &earlier)
+	c.Assert(h.stopCount("a0"), qt.Equals, 1, qt.Commentf("the agent has not seen the command"))
 	h.reportRunning("a0", 10)
 	c.Assert(h.stopCount("a0"), qt.Equals, 2)
 	h.reportRunning("a0", 10)
--- a/supervisor/harness_test.go
+++ b/supervisor/harness_test.go
@@ -66,8 +66,13 @@
 	payloads map[string]string
 	// paces has the paces that the agent has set, by task.
 	paces map[string]int
-	// paceError is the reply to calls that set a pace.
-	paceError error
+	// paceError is the reply to calls that set a pace, paceFences has their fences.
+	paceError  error
+	paceFences []uint64
+	// stopIgnored is set while the worker answers stops and carries none out; stopCount is
+	// the number of stop calls.
+	stopIgnored bool
+	stopCount   int
 	// gauges has the last values of the agent's gauges.
 	gauges map[string]float64
 }
@@ -173,11 +178,23 @@
 	client.SetPace = func(_ context.Context, ref supervisor.RunRef, percent int) error {
 		h.mu.Lock()
 		defer h.mu.Unlock()
+		h.paceFences = append(h.paceFences, ref.Fence)
 		if h.paceError == nil {
 			h.paces[ref.Task] = percent
 		}
 		return h.paceError
 	}
+	stopAtWorker := client.Stop
+	client.Stop = func(ctx context.Context, ref supervisor.RunRef) error {
+		h.mu.Lock()
+		h.stopCount++
+		ignored := h.stopIgnored
+		h.mu.Unlock()
+		if ignored {
+			return nil
+		}
+		return stopAtWorker(ctx, ref)
+	}
 	h.sup = supervisor.New(supervisor.Config{
 		ID: "agent", Incarnation: incarnation, Worker: client, LeaseDuration: leaseDuration, Now: time.Now, Log: zap.NewNop(),
 		FindOwner: func(context.Context) (netip.AddrPort, uint64, error) {
--- a/supervisor/reconcile_test.go
+++ b/supervisor/reconcile_test.go
@@ -115,6 +115,24 @@
 	})
 }
 
+// A pace without a reply may take effect later than the next one.
+func TestAPaceWithoutAReplyIsFencedOff(t *testing.T) {
+	inBubble(t, func(c *qt.C, h *harness) {
+		h.set(func() { h.paceError = supervisor.ErrUnknownOutcome })
+		h.adoptSlowRun(20)
+		advancer.Sleep(time.Second)
+		h.set(func() { h.paceError = nil })
+		advancer.Sleep(time.Second)
+		h.set(func() {
+			c.Assert(h.paces["j.0.0.0"], qt.Equals, 100)
+			c.Assert(len(h.paceFences) > 1, qt.IsTrue)
+			for n := range h.paceFences[1:] {
+				c.Assert(h.paceFences[n] < h.paceFences[n+1], qt.IsTrue)
+			}
+		})
+	})
+}
+
 // adoptSlowRun lets a new process of the agent adopt a best-effort run, whose pace an
 // earlier one has set.
 func (h *harness) adoptSlowRun(percent int) {
--- a/supervisor/stop_test.go
+++ b/supervisor/stop_test.go
@@ -163,3 +163,31 @@
 		h.set(func() { c.Check(h.gauges["oldest_stop_seconds"] > 2, qt.IsTrue) })
 	})
 }
+
+// A worker may answer a stop and lose it. It is not flooded with stops meanwhile.
+func TestAStopIsSentAgainUntilTheRunHasEnded(t *testing.T) {
+	for name, fault := range map[string]faker.PoolFault{"answered": {}, "without a reply": {LoseReply: true, Drop: true}} {
+		t.Run(name, func(t *testing.T) {
+			inBubble(t, func(c *qt.C, h *harness) {
+				h.set(func() { h.plan, h.stopIgnored = faker.PoolRunPlan{}, name == "answered" })
+				h.send(startCommand("j.0.0.0", 1))
+				h.set(func() {
+					h.fault = func(call string) faker.PoolFault {
+						if call == "stop" {
+							return fault
+						}
+						return faker.PoolFault{}
+					}
+				})
+				h.send(stopCommand)
+				advancer.Sleep(5 * time.Second)
+				h.set(func() {
+					c.Assert(h.stopCount >= 3 && h.stopCount <= 8, qt.IsTrue, qt.Commentf("%d stops", h.stopCount))
+				})
+				c.Assert(h.latestSnapshot().Runs[0].Phase, qt.Equals, messenger.PhaseStopping, qt.Commentf("the owner asks again otherwise"))
+				h.set(func() { h.fault, h.stopIgnored = nil, false })
+				h.assertStopped()
+			})
+		})
+	}
+}
