--- a/supervisor/stop_test.go
+++ b/supervisor/stop_test.go
@@ -142,13 +142,19 @@
 
 // The stop waited for the reply of the start, and then for a list.
 func TestAStopDoesNotWaitForTheOutcomeOfItsStart(t *testing.T) {
-	inBubble(t, func(c *qt.C, h *harness) {
-		h.set(func() { h.plan, h.startLost, h.listDelay = faker.PoolRunPlan{}, true, 900*time.Millisecond })
-		h.send(startCommand("j.0.0.0", 1))
-		h.send(stopCommand)
-		c.Assert(h.count("start"), qt.Equals, 1)
-		c.Assert(h.worker.Running(), qt.HasLen, 0)
-	})
+	for name, delay := range map[string]time.Duration{"call in flight": 0, "call timed out": time.Second} {
+		t.Run(name, func(t *testing.T) {
+			inBubble(t, func(c *qt.C, h *harness) {
+				h.set(func() { h.plan, h.startLost, h.listDelay = faker.PoolRunPlan{}, true, 3*time.Second })
+				h.send(startCommand("j.0.0.0", 1))
+				advancer.Sleep(delay)
+				c.Assert(h.latestSnapshot().Runs[0].Phase, qt.Equals, messenger.PhaseStarting)
+				h.send(stopCommand)
+				c.Assert(h.count("start"), qt.Equals, 1)
+				c.Assert(h.worker.Running(), qt.HasLen, 0)
+			})
+		})
+	}
 }
 
 // A stop of a run that is not known waits for a list of the worker. It was counted among
