orchestrator: Take no deleted job from a list of the inputs for a new one

The owner lists the inputs again after each failed watch. A job whose deletion was handled while the list was read counted as new: one that was complete was run again, and one that was canceled too, if its cancellation was on a page that was read after the deletion. Found by review; no run has shown it, as it takes a job older than the retention of states.

Versions tell the two apart: an input at or below the version that has been handled is not new.

TestAListFromBeforeTheDeletionOfAJobStartsNothing failed before: a start.

--- a/orchestrator/orchestrator.go
+++ b/orchestrator/orchestrator.go
@@ -129,8 +129,10 @@
 	// returned.
 	stopped, done chan struct{}
 	loaded        bool
-	jobs          map[string]*job
-	openJobs      map[string]*job // jobs that have not ended
+	// inputVersion is the version of the ledger up to which all inputs have been handled.
+	inputVersion uint64
+	jobs         map[string]*job
+	openJobs     map[string]*job // jobs that have not ended
 	// unreadableJobs are jobs whose progress can't be decoded. They are not
 	// scheduled, since it is unknown which of their tasks have ended.
 	unreadableJobs map[string]bool
--- a/orchestrator/watch.go
+++ b/orchestrator/watch.go
@@ -41,7 +41,7 @@
 			}
 			version = max(version, page.Version)
 			if len(page.Items) > 0 {
-				o.enqueue(func() { o.handleInputs(page.Items) })
+				o.enqueue(func() { o.handleInputsUntil(page) })
 			}
 		}
 	}
@@ -55,7 +55,7 @@
 		return 0, err
 	}
 	if !first {
-		o.enqueue(func() { o.handleInputs(inputs.Items) })
+		o.enqueue(func() { o.handleInputsUntil(inputs) })
 		return inputs.Version, nil
 	}
 	progress, err := o.cfg.Store.List(ctx, progressPrefix)
@@ -66,7 +66,10 @@
 	if err != nil {
 		return 0, err
 	}
-	o.enqueue(func() { o.takeOver(inputs.Items, progress.Items, agents.Items) })
+	o.enqueue(func() {
+		o.takeOver(inputs.Items, progress.Items, agents.Items)
+		o.inputVersion = inputs.Version
+	})
 	return inputs.Version, nil
 }
 
@@ -126,6 +129,18 @@
 	return estimator.MaxLocalElapsed(o.cfg.LeaseDuration) + leaseMargin
 }
 
+// handleInputsUntil processes a page of a list or of a watch, which has all inputs up to its
+// version that no earlier page had. A list that was read while jobs were deleted may still
+// show them, and lack their cancellations.
+func (o *Orchestrator) handleInputsUntil(page storer.Page) {
+	items := slices.DeleteFunc(page.Items, func(item storer.Item) bool {
+		id, isJob := strings.CutPrefix(item.Key, InputPrefix+"j")
+		return isJob && item.Version <= o.inputVersion && o.jobs[id] == nil
+	})
+	o.handleInputs(items)
+	o.inputVersion = max(o.inputVersion, page.Version)
+}
+
 // handleInputs processes accepted jobs and cancellations from the ledger. A later owner
 // starts jobs that are newer than its claim at once, so they are none of this one's.
 func (o *Orchestrator) handleInputs(items []storer.Item) {
