sequencer: Reject jobs and progress with numbers that overflow

The number of tasks of a job was checked as a sum and a product that overflow: two steps of 2^63-1 tasks passed, as did 2^62 occurrences of 4 tasks. The owner that planned such a job ended with "makeslice: len out of range", and so did each owner after it, as the job stays in the ledger. A first due time after the year 9999 was accepted, and the stored job could not be read again. Progress with an unknown state counted as progress of a queued job, so that its tasks started from the first one; the attempt after 2^64-1 is 0, which workers refuse.

Check bounds each number before it is added or multiplied, and DecodeProgress returns ErrInvalid for states and attempts that no owner writes.

--- a/sequencer/progress.go
+++ b/sequencer/progress.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 
 	"github.com/fxamacker/cbor/v2"
 )
@@ -53,5 +54,23 @@
 	if err := cbor.Unmarshal(raw, &p); err != nil {
 		return nil, fmt.Errorf("%w: progress: %w", ErrInvalid, err)
 	}
-	return &p, nil
+	return &p, p.check()
+}
+
+// maxAttempt bounds the attempts in a record; a later attempt has a higher number.
+const maxAttempt = 1 << 53
+
+func (p *Progress) check() error {
+	switch p.State {
+	case "", Queued, Running, Complete, Failed, Canceled:
+	default:
+		return fmt.Errorf("%w: progress: state %q is not known", ErrInvalid, p.State)
+	}
+	for _, record := range p.Tasks {
+		tooLarge := func(attempt uint64) bool { return attempt > maxAttempt }
+		if slices.ContainsFunc(record.FailedAttempts, tooLarge) || slices.ContainsFunc(record.Crashes, func(c Crash) bool { return tooLarge(c.Attempt) }) {
+			return fmt.Errorf("%w: progress: an attempt is out of range", ErrInvalid)
+		}
+	}
+	return nil
 }
--- a/sequencer/spec.go
+++ b/sequencer/spec.go
@@ -5,6 +5,7 @@
 import (
 	"errors"
 	"fmt"
+	"math"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -19,6 +20,14 @@
 	maxTasks = 10000
 )
 
+// Limits of numbers, so that sums over all tasks and workers don't overflow.
+const (
+	// maxAmount bounds what a task requests of a resource.
+	maxAmount = 1 << 40
+	// maxUnixSeconds bounds due times: the encoding has no years above 9999.
+	maxUnixSeconds = 253402300799
+)
+
 // Step is a set of identical tasks.
 type Step struct {
 	Count  int   `cbor:"1,keyasint"`
@@ -100,7 +109,7 @@
 	}
 	tasks := 0
 	for n, step := range s.Steps {
-		if step.Count < 1 || step.CPU < 0 || step.Memory < 0 || step.GPU < 0 || step.MaxPerWorker < 0 {
+		if step.Count < 1 || step.Count > maxTasks || min(step.CPU, step.Memory, step.GPU) < 0 || max(step.CPU, step.Memory, step.GPU) > maxAmount || step.MaxPerWorker < 0 {
 			return fmt.Errorf("%w: step %d has a count or resource request out of range", ErrInvalid, n)
 		}
 		for _, dependency := range step.DependsOn {
@@ -110,9 +119,23 @@
 		}
 		tasks += step.Count
 	}
-	if tasks*max(s.Repeat, 1) > maxTasks {
+	if s.Repeat > maxTasks || tasks*max(s.Repeat, 1) > maxTasks {
 		return fmt.Errorf("%w: more than %d tasks", ErrInvalid, maxTasks)
 	}
+	return s.checkDueTimes()
+}
+
+func (s *Spec) checkDueTimes() error {
+	switch {
+	case s.Repeat < 0:
+		return fmt.Errorf("%w: %d occurrences", ErrInvalid, s.Repeat)
+	case s.Repeat == 0:
+		return nil
+	case s.Interval < 0 || s.Interval > math.MaxInt64/time.Duration(s.Repeat):
+		return fmt.Errorf("%w: interval of %s is out of range", ErrInvalid, s.Interval)
+	case s.FirstDue.Unix() < 0 || s.FirstDue.Unix() > maxUnixSeconds:
+		return fmt.Errorf("%w: first due time is out of range", ErrInvalid)
+	}
 	return nil
 }
 
