orchestrator: Refuse a job under the key of another one

A record under the key of job A that holds job B took the place of B in memory. The runs of B were forgotten, and its tasks started a second time beside them. The ID of a record now has to be that of its key. Jobs, progress and registrations that cannot be decoded are counted.

What they replace: an accepted job is never dropped for a later record under its key. A job whose progress cannot be read is not started, as it is not known which of its tasks have ended, and a registration that cannot be read counts as open until the lease of its agent has expired.

TestARecordUnderTheKeyOfAnotherJobIsNoJob failed before (2 starts of one task).

--- a/orchestrator/harness_test.go
+++ b/orchestrator/harness_test.go
@@ -26,16 +26,18 @@
 	unconfirmed bool
 	// gauges has the last values of the owner's gauges.
 	gauges map[string]float64
+	// counts has the owner's counters.
+	counts map[string]int
 }
 
 func newHarness(c *qt.C, agents int) *harness {
-	h := &harness{c: c, now: time.Unix(5000, 0), sent: map[string][]messenger.Frame{}, sendErrors: map[string]error{}, store: faker.NewStore(), gauges: map[string]float64{}}
+	h := &harness{c: c, now: time.Unix(5000, 0), sent: map[string][]messenger.Frame{}, sendErrors: map[string]error{}, store: faker.NewStore(), gauges: map[string]float64{}, counts: map[string]int{}}
 	h.o = New(Config{
 		Term: 1, Epoch: 10, OwnerKey: "owner", Store: h.store.Client(),
 		Now: func() time.Time { return h.now }, WallClock: func() time.Time { return h.now },
 		LeaseDuration: 5800 * time.Millisecond, ConfirmationTTL: 10 * time.Second, JobRetention: time.Hour,
 		OwnershipConfirmedAt: func() time.Time { return h.now }, ConfirmOwnership: func(time.Time) {}, HasStandby: func() bool { return true },
-		Log: zap.NewNop(), Count: func(string) {}, ObserveDuration: func(string, time.Duration) {},
+		Log: zap.NewNop(), Count: func(name string) { h.counts[name]++ }, ObserveDuration: func(string, time.Duration) {},
 		Gauge: func(name string, value float64) { h.gauges[name] = value },
 	})
 	h.o.cfg.ClaimedAt = h.now
--- a/orchestrator/registration.go
+++ b/orchestrator/registration.go
@@ -41,6 +41,7 @@
 	r := registration{}
 	if err := cbor.Unmarshal(value, &r); err != nil {
 		o.cfg.Log.Warn("registration can't be decoded; treating it as open", zap.String("agent", a.id), zap.Error(err))
+		o.cfg.Count(unreadableRegistrationCount)
 		r = registration{Open: true}
 	}
 	a.keyVersion, a.mayRunAny, a.recordedTasks = version, r.Open, r.HeldTasks
--- a/orchestrator/watch.go
+++ b/orchestrator/watch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"slices"
 	"strings"
 	"time"
@@ -16,6 +17,13 @@
 	"github.com/endivefall/endivefall/waiter"
 )
 
+// Counters of ledger entries that can't be decoded.
+const (
+	unreadableJobCount          = "unreadable_job"
+	unreadableProgressCount     = "unreadable_progress"
+	unreadableRegistrationCount = "unreadable_registration"
+)
+
 // watchLedger reads the ledger and then watches it for new inputs, until ctx ends.
 func (o *Orchestrator) watchLedger(ctx context.Context) {
 	for first := true; ctx.Err() == nil; {
@@ -90,6 +98,7 @@
 			var err error
 			if p, err = sequencer.DecodeProgress(stored.Value); err != nil {
 				o.cfg.Log.Error("progress can't be decoded; the job is not scheduled", zap.String("job", id), zap.Error(err))
+				o.cfg.Count(unreadableProgressCount)
 				o.unreadableJobs[id] = true
 				continue
 			}
@@ -167,8 +176,12 @@
 // addJob adds a job from the ledger.
 func (o *Orchestrator) addJob(item storer.Item, progress *sequencer.Progress, progressVersion uint64) {
 	spec, err := sequencer.DecodeSpec(item.Value)
+	if err == nil && JobKey(spec.ID) != item.Key {
+		err = fmt.Errorf("%w: it is job %s", sequencer.ErrInvalid, spec.ID)
+	}
 	if err != nil {
 		o.cfg.Log.Error("job can't be decoded", zap.String("key", item.Key), zap.Error(err))
+		o.cfg.Count(unreadableJobCount)
 		return
 	}
 	j := &job{Job: sequencer.NewJob(spec, item.Version, progress), liveRuns: map[runKey]*run{}}
--- a/orchestrator/watch_test.go
+++ b/orchestrator/watch_test.go
@@ -1,8 +1,13 @@
 package orchestrator
 
 import (
+	"bytes"
 	"context"
+	"fmt"
+	"math"
+	"slices"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
@@ -69,3 +74,132 @@
 		})
 	}
 }
+
+// oddJobs returns records of jobs as another writer may leave them.
+func oddJobs(c *qt.C) [][]byte {
+	records := [][]byte{nil, {0xff}, bytes.Repeat([]byte{0x81}, 10000), []byte("text")}
+	valid := sequencer.Spec{ID: "00000000000000ff", Pool: "pool", Queue: "queue", Steps: []sequencer.Step{step(1, 100)}}
+	for _, change := range []func(*sequencer.Spec){
+		func(s *sequencer.Spec) { s.Steps = nil },
+		func(s *sequencer.Spec) { s.Steps = []sequencer.Step{step(math.MaxInt, 1), step(math.MaxInt, 1)} },
+		func(s *sequencer.Spec) { s.Steps, s.Repeat = []sequencer.Step{step(4, 1)}, 1<<62 },
+		func(s *sequencer.Spec) { s.Steps[0].CPU = math.MaxInt64 },
+		func(s *sequencer.Spec) { s.Steps[0].Estimate = math.MaxInt64 },
+		func(s *sequencer.Spec) { s.Steps[0].Estimate = math.MinInt64 },
+		func(s *sequencer.Spec) {
+			s.Priority, s.StretchFactor, s.LatencyAllowance = math.MinInt, math.NaN(), math.MaxInt64
+		},
+		func(s *sequencer.Spec) {
+			s.Priority, s.StretchFactor, s.LatencyAllowance = math.MaxInt, 1e300, math.MinInt64
+		},
+		func(s *sequencer.Spec) { s.Repeat, s.FirstDue, s.Interval = 3, time.Unix(0, 0), math.MaxInt64 },
+	} {
+		s := valid
+		s.Steps = slices.Clone(valid.Steps)
+		change(&s)
+		raw, err := s.Encode()
+		c.Assert(err, qt.IsNil)
+		records = append(records, raw, raw[:len(raw)/2])
+	}
+	return records
+}
+
+// An owner ended by itself with a job of more tasks than memory, as did each next owner.
+func TestAnOwnerSchedulesJobsBesideOneThatCantBeRead(t *testing.T) {
+	for n, odd := range oddJobs(qt.New(t)) {
+		for _, atTakeOver := range []bool{false, true} {
+			t.Run(fmt.Sprint(n, " at take-over ", atTakeOver), func(t *testing.T) {
+				c := qt.New(t)
+				h := newHarness(c, 1)
+				good := sequencer.Spec{ID: "0000000000000001", Pool: "pool", Queue: "queue", AcceptedAt: h.now, Steps: []sequencer.Step{step(1, 100)}}
+				raw, err := good.Encode()
+				c.Assert(err, qt.IsNil)
+				items := []storer.Item{{Key: InputPrefix, Value: odd, Version: 20}, {Key: JobKey("00000000000000ff"), Value: odd, Version: 20}, {Key: JobKey(good.ID), Value: raw, Version: 21}}
+				if atTakeOver {
+					h.o.takeOver(items, nil, nil)
+				} else {
+					h.o.handleInputs(items)
+				}
+				h.o.place()
+				c.Check(slices.Contains(h.commands("a0"), "start 0000000000000001.0.0.0"), qt.IsTrue, qt.Commentf("%v", h.commands("a0")))
+			})
+		}
+	}
+}
+
+// The record of another key took the place of the job in memory, whose task was then started
+// a second time beside the first run.
+func TestARecordUnderTheKeyOfAnotherJobIsNoJob(t *testing.T) {
+	c := qt.New(t)
+	h := newHarness(c, 2)
+	j := h.submit(sequencer.Spec{Steps: []sequencer.Step{step(1, 100)}})
+	h.o.place()
+	raw, err := j.Spec.Encode()
+	c.Assert(err, qt.IsNil)
+	unreadable := h.counts["unreadable_job"]
+	h.o.handleInputs([]storer.Item{{Key: JobKey("00000000000000ff"), Value: raw, Version: 90}})
+	h.o.place()
+	c.Check(h.o.jobs[j.Spec.ID] == j, qt.IsTrue)
+	c.Check(len(h.commands("a0"))+len(h.commands("a1")), qt.Equals, 1)
+	c.Check(h.counts["unreadable_job"], qt.Equals, unreadable+1)
+}
+
+// Which tasks of a job are done is not known where its progress can't be read.
+func TestAJobWithProgressThatCantBeReadIsNotStarted(t *testing.T) {
+	odd, err := (&sequencer.Progress{State: "lost"}).Encode()
+	qt.Assert(t, err, qt.IsNil)
+	tooLarge, err := (&sequencer.Progress{State: sequencer.Running, Tasks: []sequencer.TaskRecord{{FailedAttempts: []uint64{math.MaxUint64}}}}).Encode()
+	qt.Assert(t, err, qt.IsNil)
+	for name, value := range map[string][]byte{"state": odd, "attempt": tooLarge, "nested": bytes.Repeat([]byte{0x81}, 10000), "empty": nil} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			h := newHarness(c, 1)
+			spec := sequencer.Spec{ID: "00000000000000aa", Pool: "pool", Queue: "queue", AcceptedAt: h.now, Steps: []sequencer.Step{step(1, 100)}}
+			raw, err := spec.Encode()
+			c.Assert(err, qt.IsNil)
+			inputs := []storer.Item{{Key: JobKey(spec.ID), Value: raw, Version: 9}}
+			h.o.takeOver(inputs, []storer.Item{{Key: ProgressKey(spec.ID), Value: value, Version: 10}}, nil)
+			h.o.handleInputs(inputs)
+			h.o.place()
+			c.Check(h.commands("a0"), qt.HasLen, 0)
+			c.Check(h.counts["unreadable_progress"], qt.Equals, 1)
+		})
+	}
+}
+
+// Until the lease of the agent has expired, its tasks may go on.
+func TestARegistrationThatCantBeReadBlocksOlderJobs(t *testing.T) {
+	for name, value := range map[string][]byte{"empty": nil, "text": []byte("text"), "nested": bytes.Repeat([]byte{0x81}, 10000), "cut off": registration{HeldTasks: []string{"x.0.0.0"}}.encode()[:5]} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			h := newHarness(c, 1)
+			spec := sequencer.Spec{ID: "00000000000000aa", Pool: "pool", Queue: "queue", AcceptedAt: h.now, Steps: []sequencer.Step{step(1, 100)}}
+			raw, err := spec.Encode()
+			c.Assert(err, qt.IsNil)
+			h.o.takeOver([]storer.Item{{Key: JobKey(spec.ID), Value: raw, Version: 9}}, nil, []storer.Item{{Key: agentPrefix + "lost", Value: value, Version: 8}})
+			h.o.place()
+			c.Check(h.commands("a0"), qt.HasLen, 0)
+			c.Check(h.counts["unreadable_registration"], qt.Equals, 1)
+		})
+	}
+}
+
+// FuzzInputs checks that no entry of another writer ends an owner, or keeps it from the jobs
+// beside it.
+func FuzzInputs(f *testing.F) {
+	for _, raw := range oddJobs(qt.New(f)) {
+		f.Add("jx", raw)
+	}
+	f.Add("", []byte(nil))
+	f.Add("j", []byte("text"))
+	f.Add("x0000000000000001", []byte("text"))
+	f.Fuzz(func(t *testing.T, key string, raw []byte) {
+		h := newHarness(qt.New(t), 1)
+		items := []storer.Item{{Key: InputPrefix + key, Value: raw, Version: 8}}
+		h.o.takeOver(items, []storer.Item{{Key: progressPrefix + key, Value: raw, Version: 8}}, []storer.Item{{Key: agentPrefix + key, Value: raw, Version: 8}})
+		j := h.submit(sequencer.Spec{Steps: []sequencer.Step{step(1, 100)}})
+		h.o.handleInputs(items)
+		h.o.place()
+		qt.Assert(t, h.o.jobs[j.Spec.ID] == j, qt.IsTrue)
+	})
+}
