elector: Claim ownership in place of records that can't be read

A live key that could not be decoded left the earlier member in force, and one with port 0, an unspecified or a multicast address was dialled. An entry whose own live key was replaced never wrote it again, and so could not claim. A lost owner whose live key was replaced counted as alive for as long as the odd key stayed, and no entry claimed. An owner key that could not be decoded made each claim check a version that was never read: the owner could confirm nothing any more, and no other entry could replace it. A term of 2^64-1 was followed by 0.

A live key that names no reachable entry, or another one than its key, is now no member; its entry writes it again, and it vouches for no owner. An owner key that can't be decoded, or whose term is above its version, has no owner. The next claim has a term above that version: as each claim writes the key, no earlier term is higher. Such a claim never counts as clean, so that older jobs wait until the owner before has certainly stopped. Both are logged and counted.

--- a/elector/claim.go
+++ b/elector/claim.go
@@ -122,12 +122,17 @@
 	e.mu.Unlock()
 	if reason == reasonOwnerLost { // the watch may lag behind the store
 		item, err := e.cfg.Store.Get(ctx, entryPrefix+record.Owner.ID)
+		if err != nil && !errors.Is(err, storer.ErrNotFound) {
+			return err
+		}
 		if err == nil {
 			e.apply([]storer.Item{item})
-			return nil
-		}
-		if !errors.Is(err, storer.ErrNotFound) {
-			return err
+			e.mu.Lock()
+			_, alive := e.members[record.Owner.ID]
+			e.mu.Unlock()
+			if alive {
+				return nil
+			}
 		}
 	}
 	next := OwnerRecord{Owner: e.cfg.Self, Term: record.Term + 1, PredecessorsStopped: reason == reasonNoOwner || record.PredecessorsStopped && reason != reasonOwnerLost}
--- a/elector/elector.go
+++ b/elector/elector.go
@@ -53,6 +53,15 @@
 	confirmInterval = 500 * time.Millisecond
 )
 
+// Counters of records that can't be decoded.
+const (
+	unreadableMemberCount = "unreadable_member"
+	unreadableOwnerCount  = "unreadable_owner"
+)
+
+// errReplaced means that another writer has replaced the live key of this entry.
+var errReplaced = errors.New("live key was replaced")
+
 // Config configures an Elector.
 type Config struct {
 	Self  Member
@@ -68,6 +77,8 @@
 	// OnChange is called with the owner record and the live entries other than this
 	// one after every change.
 	OnChange func(OwnerRecord, []Member)
+	// Count increments the counter of a name; it may be nil.
+	Count func(name string)
 }
 
 // Elector tracks the membership and claims ownership. It is safe for concurrent use.
@@ -80,6 +91,8 @@
 	version uint64
 	// members has the live entries by ID, as last read from the store.
 	members map[string]Member
+	// unreadable has the IDs of live keys that can't be decoded.
+	unreadable map[string]bool
 	// confirmedAt is the send time of the newest call to the store that confirmed
 	// this entry as the owner.
 	confirmedAt time.Time
@@ -95,7 +108,12 @@
 }
 
 // New returns an Elector; Serve runs it.
-func New(cfg Config) *Elector { return &Elector{cfg: cfg, members: map[string]Member{}} }
+func New(cfg Config) *Elector {
+	if cfg.Count == nil {
+		cfg.Count = func(string) {}
+	}
+	return &Elector{cfg: cfg, members: map[string]Member{}, unreadable: map[string]bool{}}
+}
 
 // Owner returns the owner record and the version of the owner key.
 func (e *Elector) Owner() (OwnerRecord, uint64) {
@@ -212,7 +230,11 @@
 		}
 		e.mu.Lock()
 		_, listed := e.members[e.cfg.Self.ID]
+		replaced := e.unreadable[e.cfg.Self.ID]
 		e.mu.Unlock()
+		if replaced {
+			return errReplaced
+		}
 		if err == nil && !listed { // the key may have been deleted while its lease is still valid
 			if _, err := e.cfg.Store.Get(ctx, key); errors.Is(err, storer.ErrNotFound) {
 				return err
@@ -246,7 +268,7 @@
 
 func (e *Elector) reset(page storer.Page) {
 	e.mu.Lock()
-	e.members = map[string]Member{}
+	e.members, e.unreadable = map[string]Member{}, map[string]bool{}
 	e.mu.Unlock()
 	e.apply(page.Items)
 }
@@ -263,13 +285,16 @@
 		if !ok {
 			continue
 		}
+		delete(e.members, id)
+		delete(e.unreadable, id)
 		if item.Deleted {
-			delete(e.members, id)
 			continue
 		}
-		m, err := decode[Member](item.Value)
+		m, err := decodeMember(id, item.Value)
 		if err != nil {
 			e.cfg.Log.Warn("cannot decode live key", zap.String("key", item.Key), zap.Error(err))
+			e.cfg.Count(unreadableMemberCount)
+			e.unreadable[id] = true
 			continue
 		}
 		e.members[id] = m
@@ -281,15 +306,19 @@
 	}
 }
 
-// applyOwnerRecord applies a newer version of the owner key; mu is held.
+// applyOwnerRecord applies a newer version of the owner key; mu is held. One that can't be
+// decoded has no owner: the entry that it replaces stops, as it can write nothing more, and
+// another claim follows. Its term is above all earlier ones, even those that this process has
+// not read.
 func (e *Elector) applyOwnerRecord(item storer.Item) {
 	if item.Deleted || item.Version <= e.version {
 		return
 	}
-	r, err := decode[OwnerRecord](item.Value)
+	r, err := decodeOwnerRecord(item.Value, item.Version)
 	if err != nil {
-		e.cfg.Log.Warn("cannot decode owner record", zap.Error(err))
-		return
+		e.cfg.Log.Warn("cannot decode owner record", zap.Uint64("version", item.Version), zap.Error(err))
+		e.cfg.Count(unreadableOwnerCount)
+		r = OwnerRecord{Term: item.Version}
 	}
 	if r.Owner != e.record.Owner || r.Released != e.record.Released {
 		e.cfg.Log.Info("owner changed", zap.String("owner", r.Owner.ID), zap.Uint64("term", r.Term), zap.Bool("released", r.Released), zap.Uint64("version", item.Version))
--- a/elector/find_owner.go
+++ b/elector/find_owner.go
@@ -18,7 +18,7 @@
 	if err != nil {
 		return netip.AddrPort{}, 0, fmt.Errorf("finding the owner: %w", err)
 	}
-	r, err := decode[OwnerRecord](item.Value)
+	r, err := decodeOwnerRecord(item.Value, item.Version)
 	if err != nil {
 		return netip.AddrPort{}, 0, err
 	}
--- a/elector/record.go
+++ b/elector/record.go
@@ -1,6 +1,7 @@
 package elector
 
 import (
+	"errors"
 	"fmt"
 	"net/netip"
 	"time"
@@ -51,10 +52,53 @@
 	}
 }
 
+// errInvalid means that a record of the membership can't be decoded, or that no entry has
+// written it.
+var errInvalid = errors.New("invalid membership record")
+
+// maxCPUCapacity bounds what an entry may state, in thousandths of a core.
+const maxCPUCapacity = 1 << 40
+
+// check returns an error that wraps errInvalid if no entry has the ID and the address.
+func (m Member) check(id string) error {
+	addr := m.PeerAddr.Addr()
+	switch {
+	case m.ID == "" || m.ID != id:
+		return fmt.Errorf("%w: it is of entry %q", errInvalid, m.ID)
+	case !addr.IsValid() || addr.IsUnspecified() || addr.IsMulticast() || m.PeerAddr.Port() == 0:
+		return fmt.Errorf("%w: nothing listens at %s", errInvalid, m.PeerAddr)
+	case m.CPUCapacity < 0 || m.CPUCapacity > maxCPUCapacity:
+		return fmt.Errorf("%w: capacity of %d", errInvalid, m.CPUCapacity)
+	}
+	return nil
+}
+
+// decodeMember reads the live key of the entry with the ID.
+func decodeMember(id string, raw []byte) (Member, error) {
+	m, err := decode[Member](raw)
+	if err != nil {
+		return m, err
+	}
+	return m, m.check(id)
+}
+
+// decodeOwnerRecord reads the owner key at a version. Each claim writes the key, so that the
+// term is never above the version.
+func decodeOwnerRecord(raw []byte, version uint64) (OwnerRecord, error) {
+	r, err := decode[OwnerRecord](raw)
+	switch {
+	case err != nil:
+		return r, err
+	case r.Term == 0 || r.Term > version:
+		return r, fmt.Errorf("%w: term %d at version %d", errInvalid, r.Term, version)
+	}
+	return r, r.Owner.check(r.Owner.ID)
+}
+
 func decode[T any](raw []byte) (T, error) {
 	var v T
 	if err := cbor.Unmarshal(raw, &v); err != nil {
-		return v, fmt.Errorf("reading membership: %w", err)
+		return v, fmt.Errorf("%w: %w", errInvalid, err)
 	}
 	return v, nil
 }
