platform: Read a page of the store beside an entry that can't be read

A page was decoded as a whole: one revision out of range, one value that is no base64, or one field of another type failed it. The reader asked for the same page again and again, the store counted as unreachable, and the entry as not ready.

One that can't be read is passed on with its key and version 0, so that whatever it replaces no longer acts: a live key is no member, a job is not added, progress is not taken for absent (the job is not started), a registration counts as open. The relayer logs and counts it.

--- a/orchestrator/watch.go
+++ b/orchestrator/watch.go
@@ -93,8 +93,8 @@
 			continue
 		}
 		var p *sequencer.Progress
-		stored := progressByJob[id]
-		if stored.Version != 0 {
+		stored, ok := progressByJob[id]
+		if ok {
 			var err error
 			if p, err = sequencer.DecodeProgress(stored.Value); err != nil {
 				o.cfg.Log.Error("progress can't be decoded; the job is not scheduled", zap.String("job", id), zap.Error(err))
--- a/orchestrator/watch_test.go
+++ b/orchestrator/watch_test.go
@@ -158,7 +158,11 @@
 			raw, err := spec.Encode()
 			c.Assert(err, qt.IsNil)
 			inputs := []storer.Item{{Key: JobKey(spec.ID), Value: raw, Version: 9}}
-			h.o.takeOver(inputs, []storer.Item{{Key: ProgressKey(spec.ID), Value: value, Version: 10}}, nil)
+			version := uint64(10)
+			if value == nil {
+				version = 0 // the entry itself can't be read
+			}
+			h.o.takeOver(inputs, []storer.Item{{Key: ProgressKey(spec.ID), Value: value, Version: version}}, nil)
 			h.o.handleInputs(inputs)
 			h.o.place()
 			c.Check(h.commands("a0"), qt.HasLen, 0)
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -226,6 +226,12 @@
 	default:
 		err = fmt.Errorf("call of an unknown kind %d", c.Op)
 	}
+	for _, item := range p.Items {
+		if item.Version == 0 {
+			r.cfg.Log.Warn("entry of the store can't be read", zap.String("key", item.Key))
+			r.cfg.Count("unreadable")
+		}
+	}
 	return p, err
 }
 
--- a/storer/client.go
+++ b/storer/client.go
@@ -49,7 +49,8 @@
 // nowHeader is the response header with the store's clock, in Unix nanoseconds.
 const nowHeader = "Platform-Now"
 
-// Item is a key with its value. Versions increase across the whole store.
+// Item is a key with its value. Versions increase across the whole store. Version is 0 if the
+// store's entry can't be read: the key exists or has been deleted.
 type Item struct {
 	Key     string `json:"key"`
 	Value   []byte `json:"value"`
--- a/storer/store.go
+++ b/storer/store.go
@@ -13,6 +13,10 @@
 // for; the caller has to list the keys again.
 var ErrCompacted = errors.New("history is no longer available")
 
+// ErrPageOrder reports that the store returned a page again that comes before the one asked
+// for.
+var ErrPageOrder = errors.New("pages are not in order")
+
 // Check is a condition of a Transaction: the key still has the version, where 0
 // means that the key does not exist.
 type Check struct {
@@ -152,6 +156,10 @@
 		if !p.More || len(p.Items) == 0 {
 			return result, nil
 		}
-		after = p.Items[len(p.Items)-1].Key
+		next := p.Items[len(p.Items)-1].Key
+		if next <= after {
+			return Page{}, fmt.Errorf("listing %s: %w: the page after %s ends at %s", prefix, ErrPageOrder, after, next)
+		}
+		after = next
 	}
 }
