announcer: Drop registrations that can't be read

A registration that could not be decoded left the earlier entry in force. One with port 0, an unspecified or a multicast address was dialled, and a key shorter than the prefix ended the process. An entry whose own registration was replaced went on to renew its lease and was known to no other entry any more.

Such a registration is now no entry; it is logged and counted, the others are read, and its entry registers again. Keys without the prefix are skipped.

Before, TestARegistrationThatCantBeReadIsNoEntry ended with 'slice bounds out of range [6:1]', and TestAnEntryRegistersAgain failed in 14 of 22 cases.

--- a/announcer/announcer.go
+++ b/announcer/announcer.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"net/netip"
 	"sort"
+	"strings"
 	"sync"
 	"time"
 
@@ -44,6 +45,28 @@
 	Region      string         `json:"region,omitempty"`
 }
 
+// errInvalid means that a registration can't be decoded, or is not one of its key's entry.
+var errInvalid = errors.New("invalid registration")
+
+// decodeEntry reads the registration of the entry with the ID.
+func decodeEntry(id string, raw []byte) (Entry, error) {
+	var e Entry
+	if err := json.Unmarshal(raw, &e); err != nil {
+		return e, fmt.Errorf("%w: %w", errInvalid, err)
+	}
+	addr := e.Peer.Addr()
+	switch {
+	case id == "" || e.ID != id:
+		return e, fmt.Errorf("%w: it is of entry %q", errInvalid, e.ID)
+	case !addr.IsValid() || addr.IsUnspecified() || addr.IsMulticast() || e.Peer.Port() == 0:
+		return e, fmt.Errorf("%w: nothing listens at %s", errInvalid, e.Peer)
+	}
+	return e, nil
+}
+
+// unreadableCount counts registrations that can't be decoded.
+const unreadableCount = "unreadable_entry"
+
 // Config holds the settings and dependencies of an Announcer.
 type Config struct {
 	Self  Entry
@@ -53,6 +76,8 @@
 	// OnChange is called with the list of entries after each update of it; it may be
 	// nil.
 	OnChange func([]Entry)
+	// Count increments the counter of a name; it may be nil.
+	Count func(name string)
 }
 
 // Announcer registers one entry. It is safe for concurrent use.
@@ -67,10 +92,16 @@
 	lastFailure   time.Time
 	leaseID       string
 	deregistering bool
+	// replaced is set once another writer has replaced the entry's registration by one that
+	// can't be decoded.
+	replaced bool
 }
 
 // New returns an Announcer that knows only its own entry.
 func New(cfg Config) *Announcer {
+	if cfg.Count == nil {
+		cfg.Count = func(string) {}
+	}
 	return &Announcer{cfg: cfg, entries: map[string]Entry{cfg.Self.ID: cfg.Self}}
 }
 
@@ -90,11 +121,16 @@
 		for err == nil && ctx.Err() == nil {
 			sleep(ctx, renewInterval)
 			a.mu.Lock()
-			leaseID, deregistering := a.leaseID, a.deregistering
+			leaseID, deregistering, replaced := a.leaseID, a.deregistering, a.replaced
+			a.replaced = false
 			a.mu.Unlock()
 			if deregistering {
 				return
 			}
+			if replaced {
+				err = errReplaced
+				continue
+			}
 			err = a.cfg.Store.RenewLease(ctx, leaseID)
 			if err != nil && !errors.Is(err, storer.ErrNotFound) {
 				a.recordFailure()
@@ -112,6 +148,9 @@
 // the entry's previous process, whose lease has not expired yet.
 var ErrIDTaken = errors.New("another process holds this id; if it keeps running, change the id of one of the two")
 
+// errReplaced means that another writer has replaced the entry's registration.
+var errReplaced = errors.New("registration was replaced")
+
 // announce registers the entry under a new lease.
 func (a *Announcer) announce(ctx context.Context) error {
 	key := keyPrefix + a.cfg.Self.ID
@@ -148,8 +187,7 @@
 		a.recordFailure()
 		return err
 	}
-	var e Entry
-	if json.Unmarshal(item.Value, &e) == nil && e.Incarnation != a.cfg.Self.Incarnation {
+	if e, err := decodeEntry(a.cfg.Self.ID, item.Value); err == nil && e.Incarnation != a.cfg.Self.Incarnation {
 		return ErrIDTaken
 	}
 	return a.cfg.Store.Delete(ctx, key, item.Version)
@@ -199,13 +237,21 @@
 func (a *Announcer) applyChanges(items []storer.Item) {
 	a.mu.Lock()
 	for _, item := range items {
-		id := item.Key[len(keyPrefix):]
-		var e Entry
+		id, ok := strings.CutPrefix(item.Key, keyPrefix)
+		if !ok {
+			continue
+		}
+		e, err := decodeEntry(id, item.Value)
+		if err != nil && !item.Deleted {
+			a.cfg.Log.Warn("registration can't be decoded", zap.String("key", item.Key), zap.Error(err))
+			a.cfg.Count(unreadableCount)
+		}
 		switch {
 		case id == a.cfg.Self.ID:
-		case item.Deleted:
+			a.replaced = err != nil && !item.Deleted
+		case item.Deleted || err != nil:
 			delete(a.entries, id)
-		case json.Unmarshal(item.Value, &e) == nil:
+		default:
 			a.entries[id] = e
 		}
 	}
