relayer: Treat a relayed reply without a result as none

A reply of something that is no entry, such as an empty map, counted as a success: a transaction as committed, a lease as created, a key as present. The address of a peer comes from a live key, which another writer may have left.

A reply has to hold the result of its call; otherwise the outcome of a write is unknown, and a read is tried elsewhere.

TestAReplyWithoutAResultIsNoSuccess failed in all four calls before.

--- a/relayer/message.go
+++ b/relayer/message.go
@@ -49,6 +49,21 @@
 	Lease   string        `cbor:"6,keyasint,omitempty"`
 }
 
+// complete reports whether the reply has the result of a call that succeeded.
+func (r *reply) complete(o op) bool {
+	switch {
+	case r.Code != 0:
+		return true
+	case o == opGet:
+		return len(r.Items) == 1
+	case o == opListPage, o == opWatch, o == opCommit:
+		return r.Version != 0
+	case o == opCreateLease:
+		return r.Lease != ""
+	}
+	return true
+}
+
 // code is an error as sent between entries; 0 means none.
 type code uint8
 
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -292,6 +292,9 @@
 	if err != nil || resp.Code != http.StatusOK {
 		return &reply{}, fmt.Errorf("%w: entry answered %s: %w", failure, resp.Status, err)
 	}
+	if !p.complete(c.Op) {
+		return &reply{}, fmt.Errorf("%w: reply without a result", failure)
+	}
 	return &p, p.err()
 }
 
