--- a/messenger/frame_test.go
+++ b/messenger/frame_test.go
@@ -1,6 +1,8 @@
 package messenger
 
 import (
+	"bytes"
+	"math"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -67,7 +69,24 @@
 			f.Fatal(err)
 		}
 		f.Add(raw)
+		f.Add(raw[:len(raw)/2])
 	}
+	for _, v := range []any{
+		7, "text",
+		[]any{1},
+		map[int]any{1: uint64(math.MaxUint64)},
+		map[int]any{1: 1e300},
+		map[int]any{1: 41, 21: map[int]any{13: []any{7}}},
+		map[int]any{1: 41, 21: map[int]any{16: uint64(math.MaxUint64)}},
+		map[int]any{1: 2, 6: map[int]any{5: []any{"10.0.0.1:99999", []byte{10, 0, 0, 1, 0, 0}}}},
+	} {
+		raw, err := cbor.Marshal(v)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(raw)
+	}
+	f.Add(bytes.Repeat([]byte{0x81}, 10000))
 	f.Fuzz(func(t *testing.T, raw []byte) {
 		frame, err := Decode(raw)
 		if err != nil {
