coordinator, faker: Cancel jobs at any moment in seeded histories

The histories lost whole calls or whole workers, and cancelled few jobs: a start that is carried out at once and whose reply alone is lost never happened there, so that they missed the runs that went on after the cancel of their job.

A new kind cancels three of four jobs, from 2 ms to 15 s after they were accepted, a quarter of them long-running. Replies to starts, stops, lists and paces are lost or late, each by itself; agents are killed, workers start again under a new ID and under theirs, and entries are killed, cut off and replaced. Latency-critical tasks stand beside best-effort ones, so that paces are set.

The auditor checks starts and runs of canceled jobs against when their worker was disturbed: none starts or works for longer than four calls of 700 ms after the acknowledgement while nothing disturbs it. A fault of one worker disturbs for a heartbeat, a connection and a list after its end (3.4 s), one of an entry or the store for a confirmation TTL and a run lease (15.8 s). The other kinds check it, too. Only the first acknowledgement of a cancel counts now; a later one moved it.

--- a/coordinator/crash_history_test.go
+++ b/coordinator/crash_history_test.go
@@ -33,6 +33,7 @@
 func TestHistoriesWithCrashesOfWorkers(t *testing.T) {
 	sums := runHistories(t, nil, func(f *fleet, r *rand.Rand) {
 		advancer.Sleep(time.Duration(r.IntN(300)) * time.Millisecond) // apart from the submission before it
+		f.disturb("", maxFaultDuration)
 		for _, n := range r.Perm(len(f.agents))[:2] {
 			a := f.agents[fmt.Sprintf("agent-%d", n)]
 			a.worker.Crash()
--- a/coordinator/fleet_test.go
+++ b/coordinator/fleet_test.go
@@ -20,6 +20,7 @@
 	"github.com/endivefall/endivefall/elector"
 	"github.com/endivefall/endivefall/faker"
 	"github.com/endivefall/endivefall/logger"
+	"github.com/endivefall/endivefall/pacer"
 	"github.com/endivefall/endivefall/sequencer"
 	"github.com/endivefall/endivefall/storer"
 	"github.com/endivefall/endivefall/supervisor"
@@ -61,6 +62,12 @@
 	workerReplyLoss float64
 	// crashingJobs is the share of jobs with a task that crashes its workers.
 	crashingJobs float64
+	// canceledJobs is the share of jobs that are canceled at some moment after they were
+	// accepted.
+	canceledJobs float64
+	// callFaults has the share of calls to a worker, by its name and the kind of call, that
+	// are carried out in time and whose reply is lost or late.
+	callFaults   map[string]float64
 	incarnations int
 	draws        map[string]int
 }
@@ -87,7 +94,7 @@
 func newFleet(ctx context.Context, t *testing.T, seed uint64, entries, agents int) *fleet {
 	f := &fleet{
 		t: t, seed: seed, ctx: ctx, store: faker.NewStore(), network: faker.NewNetwork(), auditor: faker.NewPoolAuditor(), log: zap.NewNop(),
-		entries: map[string]*entryNode{}, agents: map[string]*agentNode{}, rejected: map[string]bool{}, frozen: map[string]bool{}, draws: map[string]int{},
+		entries: map[string]*entryNode{}, agents: map[string]*agentNode{}, rejected: map[string]bool{}, frozen: map[string]bool{}, draws: map[string]int{}, callFaults: map[string]float64{},
 	}
 	if *logged {
 		log, err := logger.New(os.Stdout, "debug")
@@ -102,7 +109,7 @@
 	for n := range agents {
 		name := fmt.Sprintf("agent-%d", n)
 		w := faker.NewPoolWorker()
-		w.CPU, w.Memory, w.MaxLease = 8000, 16000, maxWorkerLease
+		w.Name, w.CPU, w.Memory, w.MaxLease = name, 8000, 16000, maxWorkerLease
 		w.Plan = f.runPlan
 		w.Fault = func(call string) faker.PoolFault { return f.workerFault(name, call) }
 		a := &agentNode{name: name, worker: w}
@@ -144,7 +151,7 @@
 		return faker.PoolRunPlan{Duration: timeToCrash, Crashes: true}
 	}
 	if f.auditor.LongRunning(task) {
-		return faker.PoolRunPlan{}
+		return faker.PoolRunPlan{Measure: f.measurement(task)}
 	}
 	r := rand.New(rand.NewPCG(f.seed, xxhash.Sum64String(fmt.Sprint(task, attempt))))
 	return faker.PoolRunPlan{Duration: 50*time.Millisecond + time.Duration(r.Float64()*float64(1500*time.Millisecond)), Fails: r.Float64() < 0.05}
@@ -167,8 +174,11 @@
 
 func (f *fleet) workerFault(name, call string) faker.PoolFault {
 	f.mu.Lock()
-	loss := f.workerReplyLoss
+	loss, share := f.workerReplyLoss, f.callFaults[name+call]
 	f.mu.Unlock()
+	if share > 0 && f.draw(name+call+"reply") < share {
+		return f.replyFault(name + call)
+	}
 	if call == "look" || loss == 0 || f.draw(name+call) >= loss {
 		return faker.PoolFault{Delay: time.Millisecond}
 	}
@@ -281,7 +291,7 @@
 	a.supervisor = supervisor.New(supervisor.Config{
 		ID: a.name, Incarnation: incarnation, Worker: a.worker.Client(), LeaseDuration: coordinator.RunLease(maxWorkerLease), Now: time.Now, Log: f.log.With(zap.String("at", a.name)),
 		FindOwner: func(ctx context.Context) (netip.AddrPort, uint64, error) { return elector.FindOwner(ctx, store) },
-		Client:    f.network.Client(a.name),
+		Client:    f.network.Client(a.name), Pacer: pacer.New(),
 	})
 	done, sup := a.done, a.supervisor
 	go func() {
--- a/coordinator/history_test.go
+++ b/coordinator/history_test.go
@@ -104,6 +104,7 @@
 	// the run lease, 16 s; the rest is time to finish the remaining work.
 	advancer.Sleep(60 * time.Second)
 	unfinished := f.unfinished(ids)
+	f.auditor.CheckCanceledRuns()
 	cancel()
 	f.close()
 	sums.add(len(ids), f.auditor)
@@ -127,11 +128,15 @@
 	if r.Float64() < 0.06 {
 		spec.Steps = []sequencer.Step{{Count: 2, CPU: 500, Memory: 100, LongRunning: true}}
 	}
+	canceled := f.varySteps(spec)
 	f.auditor.AddJob(spec)
 	for range 1 + r.IntN(3) { // a caller without a definite outcome retries at another entry
 		err := f.submitAt(f.entry(r.IntN(16)), spec)
 		switch {
 		case err == nil:
+			if canceled {
+				f.cancelLater(id)
+			}
 			return id
 		case errors.Is(err, acceptor.ErrNotAccepted):
 			f.auditor.RejectJob(id)
@@ -157,10 +162,16 @@
 	ctx, cancel := context.WithTimeout(f.ctx, 3*time.Second)
 	defer cancel()
 	f.auditor.CancelJob(id, false)
-	e := f.entry(r.IntN(16))
-	if err := e.coordinator.Acceptor.Cancel(ctx, "queue", id); err == nil && !f.isFrozen(e) {
-		f.auditor.CancelJob(id, true)
+	f.cancelAt(ctx, id, f.entry(r.IntN(16)))
+}
+
+// cancelAt cancels a job at an entry and reports whether that was acknowledged.
+func (f *fleet) cancelAt(ctx context.Context, id string, e *entryNode) bool {
+	if err := e.coordinator.Acceptor.Cancel(ctx, "queue", id); err != nil || f.isFrozen(e) {
+		return false
 	}
+	f.auditor.CancelJob(id, true)
+	return true
 }
 
 func (f *fleet) checkState(id string, r *rand.Rand) {
@@ -179,8 +190,13 @@
 	}
 }
 
+// maxFaultDuration bounds how long a fault of injectFault, injectFreezeOrFault or
+// injectRestartOrFault acts.
+const maxFaultDuration = 12 * time.Second
+
 // injectFault injects one random fault.
 func (f *fleet) injectFault(r *rand.Rand) {
+	f.disturb("", maxFaultDuration)
 	afterRandom := func(minMs, maxMs int, do func()) {
 		time.AfterFunc(time.Duration(minMs+r.IntN(maxMs-minMs))*time.Millisecond, do)
 	}
@@ -238,6 +254,7 @@
 // injectFreezeOrFault freezes an entry, mostly the owner, removes an agent with its
 // worker, or injects one of the other faults.
 func (f *fleet) injectFreezeOrFault(r *rand.Rand) {
+	f.disturb("", maxFaultDuration)
 	switch n := r.IntN(8); {
 	case n < 3:
 		e := f.entry(r.IntN(16))
@@ -258,6 +275,7 @@
 // injectRestartOrFault restarts a worker under its ID, beside lost replies or a restart of
 // its agent, or injects one of the other faults.
 func (f *fleet) injectRestartOrFault(r *rand.Rand) {
+	f.disturb("", maxFaultDuration)
 	n := r.IntN(6)
 	if n > 3 {
 		f.injectFault(r)
@@ -286,10 +304,14 @@
 func (f *fleet) clearFaults() {
 	f.mu.Lock()
 	f.storeDown, f.storeReplyLoss, f.workerReplyLoss = false, 0, 0
+	f.callFaults = map[string]float64{}
 	f.rejected, f.frozen = map[string]bool{}, map[string]bool{}
 	f.mu.Unlock()
 	for name := range f.entries {
 		f.network.SetFrozen(name, false)
+		for other := range f.entries {
+			f.network.SetPartition(name, other, false, false)
+		}
 		for _, a := range f.agents {
 			f.network.SetPartition(a.name, name, false, false)
 		}
--- a/faker/pool.go
+++ b/faker/pool.go
@@ -1,7 +1,6 @@
 package faker
 
 import (
-	"context"
 	"fmt"
 	"slices"
 	"sync"
@@ -18,6 +17,10 @@
 	// returns ErrUnknownOutcome when the caller's context ends.
 	LoseReply, Drop bool
 	ApplyDelay      time.Duration
+	// Refusal is returned instead of executing the call.
+	Refusal error
+	// ReplyDelay is the transit time of the reply.
+	ReplyDelay time.Duration
 }
 
 // PoolRunPlan is the result of a run that is not interrupted.
@@ -26,11 +29,15 @@
 	Fails    bool
 	// Crashes makes the worker crash after Duration.
 	Crashes bool
+	// Measure returns the measurement after the given time of work; nil measures nothing.
+	Measure func(worked time.Duration) int64
 }
 
 // PoolWorker is an in-memory fake of a pool worker, with leases, fencing numbers,
 // list requests and checkpoints. It is safe for concurrent use.
 type PoolWorker struct {
+	// Name names the worker in its events, whatever its ID.
+	Name string
 	// Plan returns the planned result of a run.
 	Plan func(task string, attempt uint64) PoolRunPlan
 	// Fault returns the fault of a call; nil injects none.
@@ -66,11 +73,14 @@
 	startedAt time.Time
 	plan      PoolRunPlan
 	timer     *time.Timer
+	// pacePercent is the pace that was set last. It does not slow the run.
+	pacePercent int
 }
 
 // PoolEvent is an event at a PoolWorker.
 type PoolEvent struct {
 	At          time.Time
+	Worker      string
 	Incarnation string // differs for each start of the worker
 	// Kind is start, end, forgotten (the end was acknowledged), crash (the run crashes the
 	// worker) or gone (the incarnation ended).
@@ -123,9 +133,21 @@
 	}
 }
 
-// Client returns a client that calls the worker in memory; SetPace does nothing.
+// Client returns a client that calls the worker in memory.
 func (w *PoolWorker) Client() supervisor.WorkerClient {
-	return supervisor.WorkerClient{List: w.listRuns, Start: w.startRun, Stop: w.stopRun, SetPace: func(context.Context, supervisor.RunRef, int) error { return nil }}
+	return supervisor.WorkerClient{List: w.listRuns, Start: w.startRun, Stop: w.stopRun, SetPace: w.setPace}
+}
+
+// Paces returns the paces of the running tasks.
+func (w *PoolWorker) Paces() map[string]int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.expireRuns()
+	paces := map[string]int{}
+	for task, r := range w.runs {
+		paces[task] = r.pacePercent
+	}
+	return paces
 }
 
 // Running returns the sorted names of the running tasks.
@@ -150,7 +172,7 @@
 
 func (w *PoolWorker) emit(kind, task string, attempt uint64, status messenger.EndStatus) {
 	if w.OnEvent != nil {
-		w.OnEvent(PoolEvent{At: time.Now(), Incarnation: fmt.Sprint(w.id, "#", w.starts), Kind: kind, Task: task, Attempt: attempt, Status: status})
+		w.OnEvent(PoolEvent{At: time.Now(), Worker: w.Name, Incarnation: fmt.Sprint(w.id, "#", w.starts), Kind: kind, Task: task, Attempt: attempt, Status: status})
 	}
 }
 
--- a/faker/pool_auditor.go
+++ b/faker/pool_auditor.go
@@ -31,6 +31,9 @@
 	givenUp    map[string]bool
 	violations []string
 	starts     int
+	// runsSince has when the runs in progress started, disturbances when faults acted.
+	runsSince    map[workerTaskKey]time.Time
+	disturbances []disturbance
 }
 
 // auditedJob is a job as its caller submitted it.
@@ -53,7 +56,7 @@
 func NewPoolAuditor() *PoolAuditor {
 	return &PoolAuditor{
 		jobs: map[string]*auditedJob{}, running: map[string][]string{}, ackedDone: map[string]bool{}, completed: map[string]bool{},
-		failures: map[string]int{}, ackedFailures: map[string]int{}, crashes: map[string]int{}, crashesCaused: map[string]int{}, startsAfterCrashes: map[string]int{}, givenUp: map[string]bool{},
+		failures: map[string]int{}, ackedFailures: map[string]int{}, crashes: map[string]int{}, crashesCaused: map[string]int{}, startsAfterCrashes: map[string]int{}, givenUp: map[string]bool{}, runsSince: map[workerTaskKey]time.Time{},
 	}
 }
 
@@ -78,6 +81,7 @@
 	case "crash":
 		a.crashesCaused[e.Task]++
 	case "gone":
+		a.endRunsOf(e.Incarnation, e.At)
 		for task, incarnations := range a.running {
 			if slices.Contains(incarnations, e.Incarnation) {
 				a.crashes[task]++
@@ -88,6 +92,7 @@
 		a.starts++
 		a.recordStart(e)
 	case "end":
+		a.endRun(workerTaskKey{e.Worker, e.Incarnation, e.Task}, e.At)
 		a.running[e.Task] = slices.DeleteFunc(a.running[e.Task], func(id string) bool { return id == e.Incarnation })
 		switch e.Status {
 		case messenger.EndDone:
@@ -116,6 +121,7 @@
 		a.reportf("%s runs on %v and started on %s", e.Task, others, e.Incarnation)
 	}
 	a.running[e.Task] = append(a.running[e.Task], e.Incarnation)
+	a.runsSince[workerTaskKey{e.Worker, e.Incarnation, e.Task}] = e.At
 	if a.crashesCaused[e.Task] >= maxCrashes {
 		if a.startsAfterCrashes[e.Task]++; a.startsAfterCrashes[e.Task] == maxStartsAfterCrashes {
 			a.reportf("%s started %d times more after %d workers had crashed under it", e.Task, maxStartsAfterCrashes, maxCrashes)
@@ -130,6 +136,7 @@
 	if !j.canceled.IsZero() && e.At.Sub(j.canceled) > 20*time.Second {
 		a.reportf("%s started %s after its cancel", e.Task, e.At.Sub(j.canceled))
 	}
+	a.checkCanceledStart(j, e)
 	for _, dependency := range j.spec.Steps[step].DependsOn {
 		for n := range j.spec.Steps[dependency].Count {
 			if name := fmt.Sprintf("%s.%d.%d.%d", id, occurrence, dependency, n); !a.completed[name] {
@@ -208,7 +215,7 @@
 	defer a.mu.Unlock()
 	j := a.jobs[id]
 	switch {
-	case acknowledged:
+	case acknowledged && (j.canceled.IsZero() || j.canceled.After(time.Now())):
 		j.canceled = time.Now()
 	case j.canceled.IsZero():
 		j.canceled = time.Now().Add(time.Hour)
--- a/faker/pool_calls.go
+++ b/faker/pool_calls.go
@@ -13,10 +13,19 @@
 
 // withFault executes a call under the fault injected into it.
 func (w *PoolWorker) withFault(ctx context.Context, call string, apply func() error) error {
-	var f PoolFault
-	if w.Fault != nil {
-		f = w.Fault(call)
+	f := w.faultOf(call)
+	return f.deliver(ctx, f.execute(ctx, apply))
+}
+
+func (w *PoolWorker) faultOf(call string) PoolFault {
+	if w.Fault == nil {
+		return PoolFault{}
 	}
+	return w.Fault(call)
+}
+
+// execute executes a call under the fault.
+func (f PoolFault) execute(ctx context.Context, apply func() error) error {
 	if f.LoseReply {
 		if !f.Drop {
 			time.AfterFunc(f.ApplyDelay, func() { _ = apply() })
@@ -31,9 +40,25 @@
 			return errNoReply(ctx)
 		}
 	}
+	if f.Refusal != nil {
+		return f.Refusal
+	}
 	return apply()
 }
 
+// deliver waits for the transit of a reply and returns the error that the caller gets.
+func (f PoolFault) deliver(ctx context.Context, err error) error {
+	if f.ReplyDelay <= 0 {
+		return err
+	}
+	select {
+	case <-time.After(f.ReplyDelay):
+		return err
+	case <-ctx.Done():
+		return errNoReply(ctx)
+	}
+}
+
 // errNoReply returns the error of a call that waited for its reply in vain.
 func errNoReply(ctx context.Context) error {
 	return fmt.Errorf("%w: %w", supervisor.ErrUnknownOutcome, ctx.Err())
@@ -102,25 +127,26 @@
 			if r.plan.Duration > 0 {
 				percent = int(100 * time.Since(r.startedAt) / r.plan.Duration)
 			}
-			reply.Runs = append(reply.Runs, supervisor.ActiveRun{Task: task, Attempt: r.attempt, ProgressPercent: percent, Checkpoint: fmt.Sprint(percent)})
+			reply.Runs = append(reply.Runs, supervisor.ActiveRun{Task: task, Attempt: r.attempt, ProgressPercent: percent, Checkpoint: fmt.Sprint(percent), Measurement: r.measure()})
 		}
 		reply.Ends = slices.Clone(w.endedRuns)
 		changed = w.changed
 		return nil
 	}
-	err := w.withFault(ctx, "look", listOnce)
-	if err != nil || req.Wait <= 0 {
-		return reply, err
-	}
-	select {
-	case <-changed:
-	case <-time.After(req.Wait):
-	case <-ctx.Done():
-		return nil, errNoReply(ctx)
+	f := w.faultOf("look")
+	err := f.execute(ctx, listOnce)
+	if err == nil && req.Wait > 0 {
+		select {
+		case <-changed:
+			err = listOnce()
+		case <-time.After(req.Wait):
+			err = listOnce()
+		case <-ctx.Done():
+			err = errNoReply(ctx)
+		}
 	}
-	err = listOnce()
-	if errors.Is(err, supervisor.ErrUnknownOutcome) {
-		return nil, err
+	if err = f.deliver(ctx, err); errors.Is(err, supervisor.ErrUnknownOutcome) {
+		return nil, err // a call whose reply is lost may still be executed
 	}
 	return reply, err
 }
@@ -145,7 +171,7 @@
 		}
 		w.extendLease(req.LeaseExpiresAt)
 		plan := w.Plan(req.Task, req.Attempt)
-		r := &poolRun{attempt: req.Attempt, startedAt: time.Now(), plan: plan}
+		r := &poolRun{attempt: req.Attempt, startedAt: time.Now(), plan: plan, pacePercent: 100}
 		status, duration := messenger.EndDone, plan.Duration
 		if plan.Fails {
 			status = messenger.EndFailed
@@ -172,9 +198,35 @@
 		w.emit("start", req.Task, req.Attempt, 0)
 		return nil
 	})
+	if errors.Is(err, supervisor.ErrUnknownOutcome) {
+		return time.Time{}, err // a call whose reply is lost may still be executed
+	}
 	return clock, err
 }
 
+func (r *poolRun) measure() int64 {
+	if r.plan.Measure == nil {
+		return 0
+	}
+	return r.plan.Measure(time.Since(r.startedAt))
+}
+
+func (w *PoolWorker) setPace(ctx context.Context, ref supervisor.RunRef, percent int) error {
+	return w.withFault(ctx, "pace", func() error {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		if err := w.checkCall(ref.WorkerID, ref.Fence); err != nil {
+			return err
+		}
+		r := w.runs[ref.Task]
+		if r == nil || r.attempt != ref.Attempt {
+			return supervisor.ErrInvalidRequest
+		}
+		r.pacePercent = percent
+		return nil
+	})
+}
+
 func (w *PoolWorker) stopRun(ctx context.Context, ref supervisor.RunRef) error {
 	return w.withFault(ctx, "stop", func() error {
 		w.mu.Lock()
