--- a/e2e/pools_test.go
+++ b/e2e/pools_test.go
@@ -180,21 +180,18 @@
 // that is unreachable does not stall the load.
 func (p *poolWorld) submit() {
 	id := fmt.Sprintf("%016x", p.rng.Uint64())
-	spec := &sequencer.Spec{ID: id, MaxAttempts: 6}
-	phases := []map[string]any{}
+	spec := &sequencer.Spec{ID: id, MaxAttempts: 6, Payload: "x"}
 	for n := range 1 + p.rng.IntN(2) {
-		s := sequencer.Step{Count: 1 + p.rng.IntN(4), CPU: int64(200 + p.rng.IntN(1000)), Memory: 100}
-		phase := map[string]any{"count": s.Count, "cpu": s.CPU, "memMb": s.Memory, "estimateMs": 500}
+		s := sequencer.Step{Count: 1 + p.rng.IntN(4), CPU: int64(200 + p.rng.IntN(1000)), Memory: 100, Estimate: 500 * time.Millisecond}
 		if n > 0 {
-			s.DependsOn, phase["after"] = []int{n - 1}, []int{n - 1}
+			s.DependsOn = []int{n - 1}
 		}
-		spec.Steps, phases = append(spec.Steps, s), append(phases, phase)
+		spec.Steps = append(spec.Steps, s)
 	}
 	if p.cancelRand.Float64() < 0.1 {
-		spec.Steps = []sequencer.Step{{Count: 1, CPU: 200, Memory: 100, LongRunning: true}}
-		phases = []map[string]any{{"count": 1, "cpu": 200, "memMb": 100, "estimateMs": 500, "longRunning": true}}
+		spec.Steps = []sequencer.Step{{Count: 1, CPU: 200, Memory: 100, Estimate: 500 * time.Millisecond, LongRunning: true}}
 	}
-	raw, err := json.Marshal(map[string]any{"spec": "x", "phases": phases})
+	raw, err := standin.EncodeSubmission(spec)
 	p.c.Assert(err, qt.IsNil)
 	p.auditor.AddJob(spec)
 	entryAddr := p.randomEntry()
