--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -141,7 +141,7 @@
 		OnInDoubt: func(jobs []string) { c.Acceptor.MarkInDoubt(jobs) },
 	})
 	c.elector = elector.New(elector.Config{
-		Self: self, Store: store, ClaimKey: orchestrator.ClaimKey, Now: cfg.Now, Log: cfg.Log, OwnerLastReply: c.ownerClient.LastReply,
+		Self: self, Store: store, ClaimKey: orchestrator.ClaimKey, Now: cfg.Now, Log: cfg.Log, Count: cfg.Count, OwnerLastReply: c.ownerClient.LastReply,
 		OnChange: func(elector.OwnerRecord, []elector.Member) { c.wakeOwnershipLoop() },
 	})
 	c.connector = connector.New(connector.Config{
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -95,7 +95,7 @@
 	e.cataloger.OnChange(func(doc *cataloger.VersionedDocument) { e.broadcastDocument(doc.Doc) })
 	e.announcer = announcer.New(announcer.Config{
 		Self:  announcer.Entry{ID: s.ID, Incarnation: e.incarnation, HTTP: s.Listen, Peer: s.Peer, Domain: s.Domain, Region: s.Region},
-		Store: e.store, Now: e.now, Log: cfg.Log, OnChange: e.entriesChanged,
+		Store: e.store, Now: e.now, Log: cfg.Log, Count: e.meter.Count, OnChange: e.entriesChanged,
 	})
 	e.placer = placer.New(placer.Config{Now: e.now, Rand: newRand()})
 	activations := activator.New(activator.Config{Get: e.store.Get, CompareAndSwapRetry: e.store.CompareAndSwapRetry, Earliest: e.store.ClockEstimate.Earliest, Now: e.now})
