acceptor: Don't report a job that can't be decoded as missing

The cancel of a job whose stored record can't be decoded was answered as that of a job that does not exist. A request for its state says that it is unavailable; so does the cancel now.

TestAJobThatCannotBeDecodedIsNotReportedAsMissing failed before.

--- a/acceptor/acceptor_test.go
+++ b/acceptor/acceptor_test.go
@@ -210,6 +210,19 @@
 	})
 }
 
+// A caller was told that a job which is stored, but can't be decoded, is not there.
+func TestAJobThatCannotBeDecodedIsNotReportedAsMissing(t *testing.T) {
+	runWithHarness(t, func(c *qt.C, h *harness) {
+		key := orchestrator.JobKey("00000000000000aa")
+		_, err := h.store.Client().Commit(context.Background(), storer.Transaction{Writes: []storer.Write{{Key: key, Value: []byte("\xff")}}})
+		c.Assert(err, qt.IsNil)
+		_, err = h.a.State(context.Background(), "queue", "00000000000000aa")
+		c.Assert(err, qt.ErrorIs, ErrStateUnavailable)
+		err = h.a.Cancel(context.Background(), "queue", "00000000000000aa")
+		c.Assert(err, qt.ErrorIs, ErrStateUnavailable)
+	})
+}
+
 func TestTheOwnersStateTakesPrecedence(t *testing.T) {
 	runWithHarness(t, func(c *qt.C, h *harness) {
 		_, err := h.submit(1)
--- a/acceptor/state.go
+++ b/acceptor/state.go
@@ -88,7 +88,11 @@
 		return err
 	}
 	spec, err := sequencer.DecodeSpec(item.Value)
-	if err != nil || spec.Queue != queue {
+	if err != nil {
+		a.cfg.Log.Error("stored job can't be decoded", zap.String("job", id), zap.Error(err))
+		return ErrStateUnavailable
+	}
+	if spec.Queue != queue {
 		return ErrNotFound
 	}
 	key := orchestrator.CancelKey(id)
