runner: Send no start again after the stop of its grant

A start without an answer was sent again until the deadline of its grant, whatever the grant was to do meanwhile: the stop was looked at only once the start was confirmed. A start that the worker refused as late was repeated without a delay.

One loop for each attempt now compares what the grant is to do with what the worker is known to do, and makes the call that is due. A report that shows the task confirms its start. A stop ends a call that hangs, and is sent again until no start of unknown outcome can take effect any more; a grant none of whose starts can have taken effect is closed without an outcome. A task that was evicted while its start had no answer counts as lost, as its worker may have run and lost it.

--- /dev/null
+++ b/runner/attempt.go
@@ -0,0 +1,178 @@
+package runner
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/endivefall/endivefall/executor"
+	"github.com/endivefall/endivefall/messenger"
+)
+
+// Ends of an attempt without an outcome.
+var (
+	// errAgentEnding means that the task is bounded by its lease at the worker, and that
+	// the agent's next process adopts it.
+	errAgentEnding = errors.New("agent is ending")
+	// errNotStarted means that the task has not started and never will.
+	errNotStarted = errors.New("task was stopped before its start")
+)
+
+// attempt is one attempt at a task of a grant. Until the task has ended, its goroutine
+// compares what the grant is to do with what the worker is known to do, and makes the
+// call that is due. Only that goroutine uses its fields.
+type attempt struct {
+	r       *Runner
+	h       *heldGrant
+	task    executor.Task
+	outcome messenger.Outcome
+	// started is set once a reply or a report of the worker has shown the task;
+	// startVersion is the version of the last report at that time.
+	started      bool
+	startVersion uint64
+	// startableUntil is when no start of unknown outcome can take effect any more,
+	// because the lease in it has ended. It is zero while there is no such start.
+	startableUntil time.Time
+}
+
+// situation is what an attempt compares: what its grant is to do, and what the worker's
+// last report says of the task.
+type situation struct {
+	mode     stopMode
+	deadline time.Time
+	task     executor.Task
+	reported bool
+	// reportedSince is whether there was a report since the task was seen as started.
+	reportedSince bool
+}
+
+// run returns the outcome of the task, or errAgentEnding or errNotStarted.
+func (a *attempt) run(ctx context.Context) (messenger.Outcome, error) {
+	for {
+		ended, err := a.step(ctx)
+		if ended || err != nil {
+			return a.outcome, err
+		}
+		if ctx.Err() != nil {
+			return a.outcome, errAgentEnding
+		}
+	}
+}
+
+// step makes the call that is due, or waits for a change, and reports whether the task
+// has ended.
+func (a *attempt) step(ctx context.Context) (bool, error) {
+	callCtx, interrupt := context.WithCancel(ctx)
+	defer interrupt()
+	s := a.compare(interrupt)
+	switch {
+	case s.reported && s.task.State != executor.Running:
+		a.outcome = outcomeOf(a.outcome, s.task, a.task.Checkpoint)
+		return true, nil
+	case s.mode != stopNone || !s.deadline.After(a.r.cfg.Now().Add(stopMargin)):
+		return a.stop(ctx, s.mode)
+	case !a.started:
+		return a.start(callCtx), nil
+	case !s.reported && s.reportedSince && a.r.taskMissing(callCtx, a.task.ID):
+		a.outcome.Status, a.outcome.Reason, a.outcome.Crashed = messenger.AttemptLost, "worker has lost the task", true
+		return true, nil
+	}
+	select {
+	case <-ctx.Done():
+	case <-a.h.wake:
+	case <-time.After(min(s.deadline.Sub(a.r.cfg.Now())-stopMargin, time.Second)):
+	}
+	return false, nil
+}
+
+// compare returns the present situation. A change of what the grant is to do calls
+// interrupt from then on.
+func (a *attempt) compare(interrupt context.CancelFunc) situation {
+	a.r.mu.Lock()
+	defer a.r.mu.Unlock()
+	a.h.interrupt = interrupt
+	s := situation{mode: a.h.stopMode, deadline: a.h.deadline}
+	s.task, s.reported = a.r.tasks[a.task.ID]
+	if s.reported && !a.started {
+		a.started, a.startVersion = true, a.r.version
+	}
+	s.reportedSince = a.started && a.r.version != a.startVersion
+	return s
+}
+
+// start sends a start and reports whether the worker rejected the task.
+func (a *attempt) start(ctx context.Context) bool {
+	until := a.r.startLeaseEnd(a.h)
+	err := a.r.cfg.Worker.Start(ctx, a.task, until)
+	switch {
+	case err == nil:
+		a.started, a.startVersion = true, a.r.reportVersion()
+		return false
+	case errors.Is(err, executor.ErrRejected) && a.neverStarts(ctx):
+		a.outcome.Status, a.outcome.Reason = messenger.AttemptFailed, err.Error()
+		return true
+	case errors.Is(err, executor.ErrLeaseExpired), errors.Is(err, executor.ErrRejected):
+		// It had no effect.
+	case until.After(a.startableUntil):
+		a.startableUntil = until
+	}
+	sleep(ctx, retryDelay)
+	return false
+}
+
+// neverStarts reports whether no start sent so far has taken effect or can still do so.
+func (a *attempt) neverStarts(ctx context.Context) bool {
+	return a.startableUntil.IsZero() || a.r.cfg.Now().After(a.startableUntil) && a.r.taskMissing(ctx, a.task.ID)
+}
+
+// stop stops the task, with a checkpoint if the task supports it and is not canceled. A
+// start of unknown outcome may take effect after the stop, so the stop is sent again
+// until that is impossible. If the worker cannot be reached, the worker itself stops the
+// task at the end of the task's lease.
+func (a *attempt) stop(ctx context.Context, mode stopMode) (bool, error) {
+	if !a.started && a.startableUntil.IsZero() {
+		return false, errNotStarted
+	}
+	call := a.r.cfg.Worker.Stop
+	if a.h.grant.Checkpointable && mode != stopCancel {
+		call = a.r.cfg.Worker.Checkpoint
+	}
+	giveUpAt := a.r.deadline(a.h).Add(2 * retryDelay)
+	for {
+		sentAt := a.r.cfg.Now()
+		stopped, err := call(ctx, a.task.ID)
+		switch {
+		case err == nil:
+			a.outcome = outcomeOf(a.outcome, stopped, a.task.Checkpoint)
+			if a.outcome.Status == messenger.AttemptEvicted && stopped.State == executor.Stopped && !a.h.grant.Idempotent && mode != stopCancel {
+				a.outcome.Status, a.outcome.Reason = messenger.AttemptLost, "stopped without a checkpoint"
+			}
+			return true, nil
+		case ctx.Err() != nil:
+			return false, errAgentEnding
+		case errors.Is(err, executor.ErrTaskNotFound) && (a.started || sentAt.After(a.startableUntil)), a.r.cfg.Now().After(giveUpAt):
+			a.outcome.Status, a.outcome.Reason = messenger.AttemptLost, err.Error()
+			return true, nil
+		}
+		sleep(ctx, retryDelay)
+	}
+}
+
+// outcomeOf turns a final state at the worker into an outcome. startCheckpoint is the
+// checkpoint that the attempt resumed from.
+func outcomeOf(o messenger.Outcome, t executor.Task, startCheckpoint string) messenger.Outcome {
+	o.Peak = t.Peak
+	switch t.State {
+	case executor.Done:
+		o.Status = messenger.AttemptFinished
+	case executor.Failed:
+		o.Status, o.Reason = messenger.AttemptFailed, t.Error
+	case executor.Checkpointed:
+		o.Status, o.Checkpoint = messenger.AttemptEvicted, t.Checkpoint
+	case executor.Stopped:
+		o.Status, o.Checkpoint = messenger.AttemptEvicted, startCheckpoint
+	default:
+		o.Status, o.Reason = messenger.AttemptLost, "worker's lease lapsed"
+	}
+	return o
+}
--- /dev/null
+++ b/runner/attempt_test.go
@@ -0,0 +1,110 @@
+package runner
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/endivefall/endivefall/advancer"
+	"github.com/endivefall/endivefall/executor"
+	"github.com/endivefall/endivefall/faker"
+	"github.com/endivefall/endivefall/messenger"
+)
+
+// revocation returns the command that cancels or evicts the grant of newGrant.
+func revocation(evict bool) messenger.Grant {
+	return messenger.Grant{Shard: 1, Epoch: 1, Run: "team/job/run", Seq: 1, Evict: evict}
+}
+
+// A start that got no answer was sent again after the cancel of its grant.
+func TestAStartIsNotSentAgainAfterTheCancelOfItsGrant(t *testing.T) {
+	subtest(t, "cancel", func(c *qt.C, worker *faker.Worker) {
+		d := startReady(c, worker)
+		start, failing := d.cfg.Worker.Start, true
+		d.cfg.Worker.Start = func(ctx context.Context, t executor.Task, until time.Time) error {
+			d.mu.Lock()
+			lost := failing
+			d.mu.Unlock()
+			if lost {
+				return executor.ErrUnknownOutcome
+			}
+			return start(ctx, t, until)
+		}
+		d.Grant("e1", newGrant(1, 1, 1, time.Minute))
+		advancer.Sleep(time.Second)
+		d.Revoke(revocation(false))
+		advancer.Sleep(10 * time.Second)
+		d.mu.Lock()
+		failing = false
+		d.mu.Unlock()
+		advancer.Sleep(10 * time.Second)
+		d.kill()
+		c.Check(startCount(worker), qt.Equals, 0)
+	})
+}
+
+// A start that is on its way to the worker at the cancel may take effect after it.
+func TestAStartThatArrivesAfterTheCancelIsStopped(t *testing.T) {
+	for _, delay := range []time.Duration{500 * time.Millisecond, startLease - 100*time.Millisecond, startLease + 500*time.Millisecond} {
+		subtest(t, delay.String(), func(c *qt.C, worker *faker.Worker) {
+			d := startReady(c, worker)
+			d.startDelay.Store(int64(delay))
+			g := newGrant(1, 1, 2, time.Minute)
+			g.Payload = "10m"
+			d.Grant("e1", g)
+			advancer.Sleep(10 * time.Millisecond)
+			d.Revoke(revocation(false))
+			r := d.awaitFrame(messenger.KindReport).Report
+			for !r.Closed {
+				r = d.awaitFrame(messenger.KindReport).Report
+			}
+			advancer.Sleep(delay + 2*retryDelay)
+			rep, err := d.cfg.Worker.Poll(context.Background(), executor.AnyVersion)
+			d.kill()
+			c.Assert(err, qt.IsNil)
+			for _, task := range rep.Tasks {
+				c.Check(task.State, qt.Equals, executor.Stopped)
+			}
+		})
+	}
+}
+
+// A grant whose task was evicted while its start had no answer must not be granted again
+// as if it had never started.
+func TestAnEvictedTaskWhoseStartHasNoAnswerIsLost(t *testing.T) {
+	subtest(t, "evict", func(c *qt.C, worker *faker.Worker) {
+		d := startReady(c, worker)
+		d.startDelay.Store(int64(20 * time.Second))
+		d.Grant("e1", newGrant(1, 1, 1, time.Minute))
+		advancer.Sleep(10 * time.Millisecond)
+		d.Revoke(revocation(true))
+		o := d.awaitFrame(messenger.KindReport).Report.Outcomes
+		d.kill()
+		c.Assert(o, qt.HasLen, 1)
+		c.Check(o[0].Status, qt.Equals, messenger.AttemptLost)
+		c.Check(startCount(worker), qt.Equals, 0)
+	})
+}
+
+// Starts that the worker refused as late were repeated without a delay.
+func TestALateStartIsSentAgainAfterADelay(t *testing.T) {
+	subtest(t, "late start", func(c *qt.C, worker *faker.Worker) {
+		d := startReady(c, worker)
+		var calls int
+		d.cfg.Worker.Start = func(context.Context, executor.Task, time.Time) error {
+			advancer.Sleep(time.Millisecond)
+			calls++
+			return executor.ErrLeaseExpired
+		}
+		d.Grant("e1", newGrant(1, 1, 1, time.Minute))
+		advancer.Sleep(time.Second)
+		d.Revoke(revocation(false))
+		r := d.awaitFrame(messenger.KindReport).Report
+		d.kill()
+		c.Check(calls <= int(time.Second/retryDelay), qt.IsTrue, qt.Commentf("%d calls", calls))
+		c.Check(r.Outcomes, qt.HasLen, 0)
+		c.Check(r.Closed, qt.IsTrue)
+	})
+}
--- a/runner/held.go
+++ b/runner/held.go
@@ -1,6 +1,7 @@
 package runner
 
 import (
+	"context"
 	"fmt"
 	"time"
 
@@ -48,12 +49,15 @@
 	taskID string
 	// startedAt is when the running task started.
 	startedAt time.Time
+	// interrupt ends the call to the worker under way, which may hang, because stopMode
+	// now asks for another. It does nothing while there is no call.
+	interrupt context.CancelFunc
 	// wake gets a token when the worker's report or stopMode has changed.
 	wake chan struct{}
 }
 
 func newHeldGrant(g messenger.Grant) *heldGrant {
-	return &heldGrant{grant: g, deadline: g.ExpiresAt, index: g.From, wake: make(chan struct{}, 1)}
+	return &heldGrant{grant: g, deadline: g.ExpiresAt, index: g.From, interrupt: func() {}, wake: make(chan struct{}, 1)}
 }
 
 // grantKey identifies a grant.
--- a/runner/recover.go
+++ b/runner/recover.go
@@ -86,13 +86,14 @@
 // runAdopted is the goroutine of a grant whose task was running at the restart.
 func (r *Runner) runAdopted(ctx context.Context, h *heldGrant, t executor.Task) {
 	defer r.closeGrant(h)
-	o, ok := r.awaitEnd(ctx, h, t, messenger.Outcome{Index: h.grant.From})
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if !ok {
-		h.inDoubt = true
+	a := &attempt{r: r, h: h, outcome: messenger.Outcome{Index: h.grant.From}, task: t, started: true, startVersion: r.reportVersion()}
+	o, err := a.run(ctx)
+	if err != nil {
+		r.abandon(h, err)
 		return
 	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	h.taskID = ""
 	h.outcomes = append(h.outcomes, o)
 	r.sendReport(h)
--- a/runner/run.go
+++ b/runner/run.go
@@ -21,13 +21,9 @@
 		if !r.beginTask(h, index) {
 			return
 		}
-		o, ok := r.attempt(ctx, h, index)
-		if !ok {
-			// The agent is ending. The task is bounded by its lease at the worker,
-			// and the agent's next process adopts it.
-			r.mu.Lock()
-			h.inDoubt = true
-			r.mu.Unlock()
+		o, err := r.newAttempt(h, index).run(ctx)
+		if err != nil {
+			r.abandon(h, err)
 			return
 		}
 		r.mu.Lock()
@@ -66,32 +62,23 @@
 	r.sendReport(h)
 }
 
-// attempt runs one task and returns its outcome, or false when the agent ends first.
-func (r *Runner) attempt(ctx context.Context, h *heldGrant, index int) (messenger.Outcome, bool) {
-	o := messenger.Outcome{Index: index}
-	t := executor.Task{
+// newAttempt returns an attempt at a task that has not been started.
+func (r *Runner) newAttempt(h *heldGrant, index int) *attempt {
+	return &attempt{r: r, h: h, outcome: messenger.Outcome{Index: index}, task: executor.Task{
 		ID: taskID(h.grant, index), Need: h.grant.Need, Payload: h.grant.Payload,
 		Checkpoint: h.grant.Checkpoints[index], Metadata: encodeMetadata(h.grant, index),
+	}}
+}
+
+// abandon handles an attempt that ended without an outcome.
+func (r *Runner) abandon(h *heldGrant, err error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if errors.Is(err, errAgentEnding) {
+		h.inDoubt = true
+		return
 	}
-	for {
-		err := r.cfg.Worker.Start(ctx, t, r.startLeaseEnd(h))
-		if err == nil {
-			return r.awaitEnd(ctx, h, t, o)
-		}
-		switch {
-		case ctx.Err() != nil:
-			return o, false
-		case errors.Is(err, executor.ErrLeaseExpired) && r.deadline(h).After(r.cfg.Now()):
-			continue // the call was delayed; the next one has a new lease
-		case errors.Is(err, executor.ErrRejected):
-			o.Status, o.Reason = messenger.AttemptFailed, err.Error()
-			return o, true
-		case !r.deadline(h).After(r.cfg.Now()):
-			o.Status, o.Reason = messenger.AttemptLost, "worker could not be reached before the deadline"
-			return o, true
-		}
-		sleep(ctx, retryDelay)
-	}
+	h.taskID = ""
 }
 
 // startLeaseEnd returns when the worker's lease of a task that starts now ends.
@@ -109,34 +96,6 @@
 	return h.deadline
 }
 
-// awaitEnd waits for a task at the worker to end. It stops the task when the grant is
-// stopped or its deadline is near.
-func (r *Runner) awaitEnd(ctx context.Context, h *heldGrant, t executor.Task, o messenger.Outcome) (messenger.Outcome, bool) {
-	startVersion := r.reportVersion()
-	for {
-		r.mu.Lock()
-		reported, found := r.tasks[t.ID]
-		fresh := r.version != startVersion
-		mode, remaining := h.stopMode, h.deadline.Sub(r.cfg.Now())
-		r.mu.Unlock()
-		switch {
-		case found && reported.State != executor.Running:
-			return outcomeOf(o, reported, t.Checkpoint), true
-		case !found && fresh && r.taskMissing(ctx, t.ID):
-			o.Status, o.Reason, o.Crashed = messenger.AttemptLost, "worker has lost the task", true
-			return o, true
-		case mode != stopNone || remaining <= stopMargin:
-			return r.stopTask(ctx, h, t, o, mode)
-		}
-		select {
-		case <-ctx.Done():
-			return o, false
-		case <-h.wake:
-		case <-time.After(min(remaining-stopMargin, time.Second)):
-		}
-	}
-}
-
 func (r *Runner) reportVersion() uint64 {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -156,50 +115,3 @@
 	}
 	return true
 }
-
-// stopTask stops a running task, with a checkpoint if the task supports it and is not
-// canceled. If the worker cannot be reached, the worker itself stops the task at the end
-// of the task's lease.
-func (r *Runner) stopTask(ctx context.Context, h *heldGrant, t executor.Task, o messenger.Outcome, mode stopMode) (messenger.Outcome, bool) {
-	call := r.cfg.Worker.Stop
-	if h.grant.Checkpointable && mode != stopCancel {
-		call = r.cfg.Worker.Checkpoint
-	}
-	giveUpAt := r.deadline(h).Add(2 * retryDelay)
-	for {
-		stopped, err := call(ctx, t.ID)
-		switch {
-		case err == nil:
-			o = outcomeOf(o, stopped, t.Checkpoint)
-			if o.Status == messenger.AttemptEvicted && stopped.State == executor.Stopped && !h.grant.Idempotent && mode != stopCancel {
-				o.Status, o.Reason = messenger.AttemptLost, "stopped without a checkpoint"
-			}
-			return o, true
-		case ctx.Err() != nil:
-			return o, false
-		case errors.Is(err, executor.ErrTaskNotFound) || r.cfg.Now().After(giveUpAt):
-			o.Status, o.Reason = messenger.AttemptLost, err.Error()
-			return o, true
-		}
-		sleep(ctx, retryDelay)
-	}
-}
-
-// outcomeOf turns a final state at the worker into an outcome. startCheckpoint is the
-// checkpoint that the attempt resumed from.
-func outcomeOf(o messenger.Outcome, t executor.Task, startCheckpoint string) messenger.Outcome {
-	o.Peak = t.Peak
-	switch t.State {
-	case executor.Done:
-		o.Status = messenger.AttemptFinished
-	case executor.Failed:
-		o.Status, o.Reason = messenger.AttemptFailed, t.Error
-	case executor.Checkpointed:
-		o.Status, o.Checkpoint = messenger.AttemptEvicted, t.Checkpoint
-	case executor.Stopped:
-		o.Status, o.Checkpoint = messenger.AttemptEvicted, startCheckpoint
-	default:
-		o.Status, o.Reason = messenger.AttemptLost, "worker's lease lapsed"
-	}
-	return o
-}
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -264,8 +264,9 @@
 // stop asks for the running task to be stopped. A cancellation replaces an eviction, and
 // nothing replaces a cancellation.
 func (h *heldGrant) stop(mode stopMode) {
-	if h.stopMode == stopNone || mode == stopCancel {
+	if h.stopMode == stopNone || h.stopMode == stopEvict && mode == stopCancel {
 		h.stopMode = mode
+		h.interrupt()
 	}
 	h.notify()
 }
