runner: Move no deadline of a grant that is to stop

The time until which a stop is tried was set at its beginning, while the owner, and for an idempotent grant the agent, went on moving the deadline to which the lease of the task is renewed. A task whose stop got no answer was so reported as lost with up to a whole lease left, and could be started elsewhere while it worked on.

The deadline of a grant that is to stop is final, as one that has passed, and a deadline that is near makes the grant one that is to stop. The lease of a task to cancel is not renewed at all.

The three tests failed before: the task was running, its outcome lost; a canceled task ran on after the lease of its start.

--- a/runner/attempt.go
+++ b/runner/attempt.go
@@ -69,8 +69,8 @@
 	case s.reported && s.task.State != executor.Running:
 		a.outcome = outcomeOf(a.outcome, s.task, a.task.Checkpoint)
 		return true, nil
-	case s.mode != stopNone || !s.deadline.After(a.r.cfg.Now().Add(stopMargin)):
-		return a.stop(ctx, s.mode)
+	case s.mode != stopNone:
+		return a.stop(ctx, s)
 	case !a.started:
 		return a.start(callCtx), nil
 	case !s.reported && s.reportedSince && a.r.taskMissing(callCtx, a.task.ID):
@@ -85,11 +85,14 @@
 	return false, nil
 }
 
-// compare returns the present situation. A change of what the grant is to do calls
-// interrupt from then on.
+// compare returns the present situation; a grant whose deadline is near is to stop. A
+// change of what the grant is to do calls interrupt from then on.
 func (a *attempt) compare(interrupt context.CancelFunc) situation {
 	a.r.mu.Lock()
 	defer a.r.mu.Unlock()
+	if !a.h.deadline.After(a.r.cfg.Now().Add(stopMargin)) {
+		a.h.stop(stopEvict)
+	}
 	a.h.interrupt = interrupt
 	s := situation{mode: a.h.stopMode, deadline: a.h.deadline}
 	s.task, s.reported = a.r.tasks[a.task.ID]
@@ -129,22 +132,22 @@
 // start of unknown outcome may take effect after the stop, so the stop is sent again
 // until that is impossible. If the worker cannot be reached, the worker itself stops the
 // task at the end of the task's lease.
-func (a *attempt) stop(ctx context.Context, mode stopMode) (bool, error) {
+func (a *attempt) stop(ctx context.Context, s situation) (bool, error) {
 	if !a.started && a.startableUntil.IsZero() {
 		return false, errNotStarted
 	}
 	call := a.r.cfg.Worker.Stop
-	if a.h.grant.Checkpointable && mode != stopCancel {
+	if a.h.grant.Checkpointable && s.mode != stopCancel {
 		call = a.r.cfg.Worker.Checkpoint
 	}
-	giveUpAt := a.r.deadline(a.h).Add(2 * retryDelay)
+	giveUpAt := s.deadline.Add(2 * retryDelay)
 	for {
 		sentAt := a.r.cfg.Now()
 		stopped, err := call(ctx, a.task.ID)
 		switch {
 		case err == nil:
 			a.outcome = outcomeOf(a.outcome, stopped, a.task.Checkpoint)
-			if a.outcome.Status == messenger.AttemptEvicted && stopped.State == executor.Stopped && !a.h.grant.Idempotent && mode != stopCancel {
+			if a.outcome.Status == messenger.AttemptEvicted && stopped.State == executor.Stopped && !a.h.grant.Idempotent && s.mode != stopCancel {
 				a.outcome.Status, a.outcome.Reason = messenger.AttemptLost, "stopped without a checkpoint"
 			}
 			return true, nil
--- a/runner/attempt_test.go
+++ b/runner/attempt_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"time"
 
@@ -108,3 +109,73 @@
 		c.Check(r.Closed, qt.IsTrue)
 	})
 }
+
+// A task whose stop got no answer was reported as lost while its lease was still renewed,
+// so that it could be started elsewhere as it worked on.
+func TestATaskThatIsReportedLostHasNoLease(t *testing.T) {
+	subtest(t, "stop without an answer", func(c *qt.C, worker *faker.Worker) {
+		d := startReady(c, worker)
+		mute := func(context.Context, string) (executor.Task, error) {
+			return executor.Task{}, executor.ErrUnknownOutcome
+		}
+		d.cfg.Worker.Checkpoint, d.cfg.Worker.Stop = mute, mute
+		g := newGrant(1, 1, 1, 5*time.Second)
+		g.Payload = "10m"
+		d.Grant("e1", g)
+		advancer.Sleep(time.Second)
+		d.Revoke(revocation(true))
+		advancer.Sleep(time.Second)
+		d.Extend("e1", messenger.LeaseRenewal{Shard: 1, Epoch: 1, ExpiresAt: time.Now().Add(20 * time.Second)})
+		o := d.awaitFrame(messenger.KindReport).Report.Outcomes[0]
+		c.Check(o.Status, qt.Equals, messenger.AttemptLost)
+		rep, err := d.cfg.Worker.Poll(context.Background(), executor.AnyVersion)
+		d.kill()
+		c.Check(err, qt.IsNil)
+		c.Check(rep.Tasks[0].State, qt.Not(qt.Equals), executor.Running)
+	})
+}
+
+// The same for a task that is idempotent, whose lease the agent itself renews.
+func TestAnIdempotentTaskThatIsReportedLostHasNoLease(t *testing.T) {
+	for _, evict := range []bool{true, false} {
+		subtest(t, fmt.Sprintf("evict %v", evict), func(c *qt.C, worker *faker.Worker) {
+			d := startReady(c, worker)
+			mute := func(context.Context, string) (executor.Task, error) {
+				return executor.Task{}, executor.ErrUnknownOutcome
+			}
+			d.cfg.Worker.Checkpoint, d.cfg.Worker.Stop = mute, mute
+			g := newGrant(1, 1, 1, time.Minute)
+			g.Payload, g.Idempotent = "10m", true
+			d.Grant("e1", g)
+			advancer.Sleep(time.Second)
+			d.Revoke(revocation(evict))
+			o := d.awaitFrame(messenger.KindReport).Report.Outcomes[0]
+			c.Check(o.Status, qt.Equals, messenger.AttemptLost)
+			rep, err := d.cfg.Worker.Poll(context.Background(), executor.AnyVersion)
+			d.kill()
+			c.Assert(err, qt.IsNil)
+			c.Check(rep.Tasks[0].State, qt.Not(qt.Equals), executor.Running)
+		})
+	}
+}
+
+// A canceled task whose stop gets no answer must end with the last lease that it got.
+func TestTheLeaseOfACanceledTaskIsNotRenewed(t *testing.T) {
+	subtest(t, "cancel", func(c *qt.C, worker *faker.Worker) {
+		d := startReady(c, worker)
+		d.cfg.Worker.Stop = func(context.Context, string) (executor.Task, error) {
+			return executor.Task{}, executor.ErrUnknownOutcome
+		}
+		advancer.Sleep(10 * time.Millisecond)
+		g := newGrant(1, 1, 1, time.Minute)
+		g.Payload = "10m"
+		d.Grant("e1", g)
+		advancer.Sleep(10 * time.Millisecond)
+		d.Revoke(revocation(false))
+		advancer.Sleep(startLease)
+		rep, err := d.cfg.Worker.Poll(context.Background(), executor.AnyVersion)
+		d.kill()
+		c.Assert(err, qt.IsNil)
+		c.Check(rep.Tasks[0].State, qt.Equals, executor.LeaseExpired)
+	})
+}
--- a/runner/grants.go
+++ b/runner/grants.go
@@ -70,7 +70,8 @@
 
 // Extend moves the deadlines of a shard's grants forward. A deadline that has passed
 // is final, even if the process was frozen and has not acted on it yet: the owner
-// may have granted the task to another agent since.
+// may have granted the task to another agent since. The deadline of a grant that is to
+// stop doesn't move: after it, a task whose stop got no answer is reported as lost.
 func (r *Runner) Extend(entry string, renewal messenger.LeaseRenewal) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -80,7 +81,7 @@
 	r.owners[renewal.Shard] = owner{renewal.Epoch, entry}
 	now := r.cfg.Now()
 	for _, h := range r.held {
-		if h.grant.Shard == renewal.Shard && h.deadline.After(now) && renewal.ExpiresAt.After(h.deadline) {
+		if h.grant.Shard == renewal.Shard && h.stopMode == stopNone && h.deadline.After(now) && renewal.ExpiresAt.After(h.deadline) {
 			h.deadline = renewal.ExpiresAt
 		}
 	}
--- a/runner/held.go
+++ b/runner/held.go
@@ -23,10 +23,10 @@
 	// grant is the grant as received, except for Need, which grows with the
 	// reservation.
 	grant messenger.Grant
-	// deadline is on the agent's clock. Once it has passed, it is final. Before that,
-	// the owner with the shard's highest epoch can move it forward. For an idempotent
-	// grant the runner also sets it to idempotentLease from now at each tick, while a
-	// task runs.
+	// deadline is on the agent's clock. Once it has passed, or the grant is to stop, it is
+	// final. Before that, the owner with the shard's highest epoch can move it forward.
+	// For an idempotent grant the runner also sets it to idempotentLease from now at each
+	// tick, while a task runs. No lease of a task at the worker ends later.
 	deadline time.Time
 	// outcomes are those that the owner has not acknowledged. reportSent is set
 	// while a report of them, sent at reportSentAt, awaits its acknowledgement.
@@ -38,7 +38,8 @@
 	// inDoubt withholds closed from reports: a start that an earlier process of
 	// the agent sent may still reach the worker, or this process is ending while
 	// the worker runs the task.
-	inDoubt  bool
+	inDoubt bool
+	// stopMode is also set when the deadline is near.
 	stopMode stopMode
 	// awaitingCapacity is set until an urgent grant has got its reservation, which
 	// waits for evicted tasks to end.
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -165,10 +165,10 @@
 	r.mu.Lock()
 	idsByDeadline := map[time.Time][]string{}
 	for _, h := range r.held {
-		if h.taskID == "" {
+		if h.taskID == "" || h.stopMode == stopCancel {
 			continue
 		}
-		if h.grant.Idempotent && h.deadline.After(now) {
+		if h.grant.Idempotent && h.stopMode == stopNone && h.deadline.After(now) {
 			h.deadline = now.Add(idempotentLease)
 		}
 		if h.deadline.After(now) {
