runner: Choose the call that stops a task anew each time

Whether a task is stopped with a checkpoint was settled at the first call. A cancel that arrived while the checkpoint got no answer had to wait for it, up to the deadline of the grant.

A stop is now one step of the loop of the attempt, which looks at the mode before each call, and a cancel ends a checkpoint that hangs. A report that shows the end of the task settles a stop whose reply was lost.

--- a/runner/attempt.go
+++ b/runner/attempt.go
@@ -67,10 +67,10 @@
 	s := a.compare(interrupt)
 	switch {
 	case s.reported && s.task.State != executor.Running:
-		a.outcome = outcomeOf(a.outcome, s.task, a.task.Checkpoint)
+		a.end(s.task, s.mode)
 		return true, nil
 	case s.mode != stopNone:
-		return a.stop(ctx, s)
+		return a.stop(callCtx, s)
 	case !a.started:
 		return a.start(callCtx), nil
 	case !s.reported && s.reportedSince && a.r.taskMissing(callCtx, a.task.ID):
@@ -128,10 +128,10 @@
 	return a.startableUntil.IsZero() || a.r.cfg.Now().After(a.startableUntil) && a.r.taskMissing(ctx, a.task.ID)
 }
 
-// stop stops the task, with a checkpoint if the task supports it and is not canceled. A
-// start of unknown outcome may take effect after the stop, so the stop is sent again
-// until that is impossible. If the worker cannot be reached, the worker itself stops the
-// task at the end of the task's lease.
+// stop sends a stop, with a checkpoint if the task supports it and is not canceled, and
+// reports whether the task has ended. A start of unknown outcome may take effect after
+// the stop, so the stop is sent again until that is impossible. If the worker cannot be
+// reached, the worker itself stops the task at the end of the task's lease.
 func (a *attempt) stop(ctx context.Context, s situation) (bool, error) {
 	if !a.started && a.startableUntil.IsZero() {
 		return false, errNotStarted
@@ -140,24 +140,27 @@
 	if a.h.grant.Checkpointable && s.mode != stopCancel {
 		call = a.r.cfg.Worker.Checkpoint
 	}
-	giveUpAt := s.deadline.Add(2 * retryDelay)
-	for {
-		sentAt := a.r.cfg.Now()
-		stopped, err := call(ctx, a.task.ID)
-		switch {
-		case err == nil:
-			a.outcome = outcomeOf(a.outcome, stopped, a.task.Checkpoint)
-			if a.outcome.Status == messenger.AttemptEvicted && stopped.State == executor.Stopped && !a.h.grant.Idempotent && s.mode != stopCancel {
-				a.outcome.Status, a.outcome.Reason = messenger.AttemptLost, "stopped without a checkpoint"
-			}
-			return true, nil
-		case ctx.Err() != nil:
-			return false, errAgentEnding
-		case errors.Is(err, executor.ErrTaskNotFound) && (a.started || sentAt.After(a.startableUntil)), a.r.cfg.Now().After(giveUpAt):
-			a.outcome.Status, a.outcome.Reason = messenger.AttemptLost, err.Error()
-			return true, nil
-		}
-		sleep(ctx, retryDelay)
+	sentAt := a.r.cfg.Now()
+	stopped, err := call(ctx, a.task.ID)
+	switch {
+	case err == nil:
+		a.end(stopped, s.mode)
+		return true, nil
+	case ctx.Err() != nil:
+		return false, nil // the agent is ending, or another call is due
+	case errors.Is(err, executor.ErrTaskNotFound) && (a.started || sentAt.After(a.startableUntil)), a.r.cfg.Now().After(s.deadline.Add(2 * retryDelay)):
+		a.outcome.Status, a.outcome.Reason = messenger.AttemptLost, err.Error()
+		return true, nil
+	}
+	sleep(ctx, retryDelay)
+	return false, nil
+}
+
+// end sets the outcome of a task that has ended at the worker.
+func (a *attempt) end(ended executor.Task, mode stopMode) {
+	a.outcome = outcomeOf(a.outcome, ended, a.task.Checkpoint)
+	if ended.State == executor.Stopped && !a.h.grant.Idempotent && mode != stopCancel {
+		a.outcome.Status, a.outcome.Reason = messenger.AttemptLost, "stopped without a checkpoint"
 	}
 }
 
--- a/runner/attempt_test.go
+++ b/runner/attempt_test.go
@@ -179,3 +179,48 @@
 		c.Check(rep.Tasks[0].State, qt.Equals, executor.LeaseExpired)
 	})
 }
+
+// A cancel that arrived while a checkpoint got no answer was not carried out.
+func TestACancelReplacesAnEvictionUnderWay(t *testing.T) {
+	subtest(t, "cancel", func(c *qt.C, worker *faker.Worker) {
+		d := startReady(c, worker)
+		d.cfg.Worker.Checkpoint = func(context.Context, string) (executor.Task, error) {
+			return executor.Task{}, executor.ErrUnknownOutcome
+		}
+		g := newGrant(1, 1, 1, time.Minute)
+		g.Payload = "10m"
+		d.Grant("e1", g)
+		advancer.Sleep(time.Second)
+		d.Revoke(revocation(true))
+		advancer.Sleep(time.Second)
+		d.Revoke(revocation(false))
+		advancer.Sleep(5 * time.Second)
+		rep, err := d.cfg.Worker.Poll(context.Background(), executor.AnyVersion)
+		d.kill()
+		c.Check(err, qt.IsNil)
+		c.Check(rep.Tasks[0].State, qt.Equals, executor.Stopped)
+	})
+}
+
+// A checkpoint that hangs must not hold up the cancel either.
+func TestACancelDoesNotWaitForACheckpointThatHangs(t *testing.T) {
+	subtest(t, "cancel", func(c *qt.C, worker *faker.Worker) {
+		d := startReady(c, worker)
+		d.cfg.Worker.Checkpoint = func(ctx context.Context, _ string) (executor.Task, error) {
+			<-ctx.Done()
+			return executor.Task{}, executor.ErrUnknownOutcome
+		}
+		g := newGrant(1, 1, 1, time.Minute)
+		g.Payload = "10m"
+		d.Grant("e1", g)
+		advancer.Sleep(time.Second)
+		d.Revoke(revocation(true))
+		advancer.Sleep(time.Second)
+		d.Revoke(revocation(false))
+		advancer.Sleep(2 * retryDelay)
+		rep, err := d.cfg.Worker.Poll(context.Background(), executor.AnyVersion)
+		d.kill()
+		c.Assert(err, qt.IsNil)
+		c.Check(rep.Tasks[0].State, qt.Equals, executor.Stopped)
+	})
+}
