runner: Report a task that was stopped without a checkpoint as lost after a restart

Whether a stop without a checkpoint may be followed by another run was looked at beside the call only. The next process of an agent, which finds the stopped task at the worker, reported it as evicted, so that a task that may not run twice was granted again.

It is looked at wherever an outcome is made of what the worker says.

The test failed before: evicted instead of lost, for a task that is not idempotent.

--- a/runner/attempt.go
+++ b/runner/attempt.go
@@ -67,7 +67,7 @@
 	s := a.compare(interrupt)
 	switch {
 	case s.reported && s.task.State != executor.Running:
-		a.end(s.task, s.mode)
+		a.outcome = outcomeOf(a.outcome, s.task, a.task.Checkpoint, a.mayRunAgain(s.mode))
 		return true, nil
 	case s.mode != stopNone:
 		return a.stop(callCtx, s)
@@ -144,7 +144,7 @@
 	stopped, err := call(ctx, a.task.ID)
 	switch {
 	case err == nil:
-		a.end(stopped, s.mode)
+		a.outcome = outcomeOf(a.outcome, stopped, a.task.Checkpoint, a.mayRunAgain(s.mode))
 		return true, nil
 	case ctx.Err() != nil:
 		return false, nil // the agent is ending, or another call is due
@@ -156,26 +156,27 @@
 	return false, nil
 }
 
-// end sets the outcome of a task that has ended at the worker.
-func (a *attempt) end(ended executor.Task, mode stopMode) {
-	a.outcome = outcomeOf(a.outcome, ended, a.task.Checkpoint)
-	if ended.State == executor.Stopped && !a.h.grant.Idempotent && mode != stopCancel {
-		a.outcome.Status, a.outcome.Reason = messenger.AttemptLost, "stopped without a checkpoint"
-	}
+// mayRunAgain reports whether the owner may be told to run the task again from where the
+// attempt began. The owner ignores that for a task that it canceled.
+func (a *attempt) mayRunAgain(mode stopMode) bool {
+	return a.h.grant.Idempotent || mode == stopCancel
 }
 
 // outcomeOf turns a final state at the worker into an outcome. startCheckpoint is the
-// checkpoint that the attempt resumed from.
-func outcomeOf(o messenger.Outcome, t executor.Task, startCheckpoint string) messenger.Outcome {
+// checkpoint that the attempt resumed from. A task that was stopped without a checkpoint
+// is lost unless it may run again from there.
+func outcomeOf(o messenger.Outcome, t executor.Task, startCheckpoint string, mayRunAgain bool) messenger.Outcome {
 	o.Peak = t.Peak
-	switch t.State {
-	case executor.Done:
+	switch {
+	case t.State == executor.Done:
 		o.Status = messenger.AttemptFinished
-	case executor.Failed:
+	case t.State == executor.Failed:
 		o.Status, o.Reason = messenger.AttemptFailed, t.Error
-	case executor.Checkpointed:
+	case t.State == executor.Checkpointed:
 		o.Status, o.Checkpoint = messenger.AttemptEvicted, t.Checkpoint
-	case executor.Stopped:
+	case t.State == executor.Stopped && !mayRunAgain:
+		o.Status, o.Reason = messenger.AttemptLost, "stopped without a checkpoint"
+	case t.State == executor.Stopped:
 		o.Status, o.Checkpoint = messenger.AttemptEvicted, startCheckpoint
 	default:
 		o.Status, o.Reason = messenger.AttemptLost, "worker's lease lapsed"
--- a/runner/attempt_test.go
+++ b/runner/attempt_test.go
@@ -224,3 +224,31 @@
 		c.Check(rep.Tasks[0].State, qt.Equals, executor.Stopped)
 	})
 }
+
+// What a task was stopped for is not known to the next process of the agent. A task that
+// may not run twice was granted again after a stop without a checkpoint.
+func TestATaskThatWasStoppedWithoutACheckpointIsLostAfterARestart(t *testing.T) {
+	for _, idempotent := range []bool{false, true} {
+		subtest(t, fmt.Sprintf("idempotent %v", idempotent), func(c *qt.C, worker *faker.Worker) {
+			d := startReady(c, worker)
+			g := newGrant(1, 1, 1, 5*time.Second)
+			g.Payload, g.Checkpointable, g.Idempotent = "10m", false, idempotent
+			d.Grant("e1", g)
+			advancer.Sleep(time.Second)
+			d.Revoke(revocation(true))
+			advancer.Sleep(time.Second)
+			d.kill()
+
+			next := start(c, worker)
+			next.Reconcile("e1", messenger.GrantInventory{Shard: 1, Epoch: 1})
+			o := next.awaitFrame(messenger.KindReport).Report.Outcomes
+			next.kill()
+			c.Assert(o, qt.HasLen, 1)
+			want := messenger.AttemptLost
+			if idempotent {
+				want = messenger.AttemptEvicted
+			}
+			c.Check(o[0].Status, qt.Equals, want)
+		})
+	}
+}
--- a/runner/recover.go
+++ b/runner/recover.go
@@ -72,7 +72,7 @@
 		r.held[h.key()] = h
 	}
 	if t.State != executor.Running {
-		h.outcomes = append(h.outcomes, outcomeOf(messenger.Outcome{Index: m.Index}, t, t.Checkpoint))
+		h.outcomes = append(h.outcomes, outcomeOf(messenger.Outcome{Index: m.Index}, t, t.Checkpoint, m.Idempotent))
 		return
 	}
 	h.grant, h.deadline = g, g.ExpiresAt
