scheduler: Ask an agent for its grants while it says that it holds some

An owner asked only those agents for an inventory that the ledger had grants of. An agent that was cut off while its job was canceled and its grant lapsed came back unasked, so its idempotent task, which runs past the deadline of its grant, worked on to its end, or for ever: the revokes go to the agents of live grants only.

Agents name the shards of their grants in each heartbeat; an owner now compares the inventory of each of them, in the same intervals, and revokes what the ledger doesn't have.

--- a/entry/peers.go
+++ b/entry/peers.go
@@ -104,7 +104,7 @@
 	e.updatePlacer(l, heartbeat)
 	reply := &messenger.HeartbeatReply{Echo: heartbeat.Sent, Now: e.now()}
 	if sch := e.scheduler.Load(); sch != nil && len(heartbeat.Shards) > 0 {
-		reply.Renewals = sch.ExtendLeases(l.Hello.ID, l.RemoteDeadline)
+		reply.Renewals = sch.ExtendLeases(l.Hello.ID, heartbeat.Shards, l.RemoteDeadline)
 	}
 	_ = l.TrySend(messenger.Frame{Kind: messenger.KindHeartbeatReply, HeartbeatReply: reply})
 }
--- a/scheduler/agents.go
+++ b/scheduler/agents.go
@@ -49,12 +49,17 @@
 }
 
 // requestInventories sends an inventory request to each connected agent with
-// grants in the ledger: every inventoryRetryInterval until the agent has
-// confirmed this epoch on its current connection, then every
-// inventoryRefreshInterval.
+// grants in the ledger, or that holds grants of the shard by its own account:
+// every inventoryRetryInterval until the agent has confirmed this epoch on its
+// current connection, then every inventoryRefreshInterval.
 func (sh *shard) requestInventories() {
 	now := sh.s.cfg.Now()
-	for agent := range sh.agentsWithGrants() {
+	agents := sh.agentsWithGrants()
+	sh.mu.Lock()
+	maps.Copy(agents, sh.reportedHolders)
+	clear(sh.reportedHolders)
+	sh.mu.Unlock()
+	for agent := range agents {
 		link, ok := sh.s.cfg.AgentLink(agent)
 		if !ok {
 			continue
@@ -73,6 +78,13 @@
 	}
 }
 
+// noteHolder records that an agent holds grants of the shard by its own account.
+func (sh *shard) noteHolder(agent string) {
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	sh.reportedHolders[agent] = true
+}
+
 // revokeEnded revokes the grants of runs that have ended.
 func (sh *shard) revokeEnded() {
 	now := sh.s.cfg.Now()
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -258,10 +259,14 @@
 }
 
 // ExtendLeases extends an agent's grants in all shards and returns the new
-// deadlines, on the agent's clock.
-func (s *Scheduler) ExtendLeases(agent string, remoteDeadline func(now, deadline time.Time) time.Time) []messenger.LeaseRenewal {
+// deadlines, on the agent's clock. held lists the shards whose grants the agent
+// holds.
+func (s *Scheduler) ExtendLeases(agent string, held []uint32, remoteDeadline func(now, deadline time.Time) time.Time) []messenger.LeaseRenewal {
 	var renewals []messenger.LeaseRenewal
 	for _, sh := range s.allShards() {
+		if slices.Contains(held, sh.n) {
+			sh.noteHolder(agent)
+		}
 		if renewal, ok := sh.extendLease(agent, remoteDeadline); ok {
 			renewals = append(renewals, renewal)
 		}
--- a/scheduler/session_test.go
+++ b/scheduler/session_test.go
@@ -214,7 +214,7 @@
 		e.updatePlacer(s, *m.Heartbeat)
 		reply := &messenger.HeartbeatReply{Echo: m.Heartbeat.Sent, Now: e.now()}
 		if len(m.Heartbeat.Shards) > 0 {
-			reply.Renewals = e.sched.ExtendLeases(s.agent.name, s.clock.RemoteDeadline)
+			reply.Renewals = e.sched.ExtendLeases(s.agent.name, m.Heartbeat.Shards, s.clock.RemoteDeadline)
 		}
 		_ = s.sendToAgent(messenger.Frame{Kind: messenger.KindHeartbeatReply, HeartbeatReply: reply})
 	case messenger.KindReport:
--- a/scheduler/shard.go
+++ b/scheduler/shard.go
@@ -68,6 +68,9 @@
 	meanTaskTime map[string]time.Duration
 	// lastProgress is when a grant was sent or its last outcomes were reported.
 	lastProgress map[grantKey]time.Time
+	// reportedHolders has the agents that named the shard in a heartbeat since the
+	// last requestInventories. The ledger may have none of their grants any more.
+	reportedHolders map[string]bool
 	// inventoryRequestedAt is when an agent was last sent an inventory request.
 	inventoryRequestedAt map[string]time.Time
 	// revokeSentAt is when a revoke was last sent for a grant.
@@ -85,7 +88,7 @@
 		stop: make(chan struct{}), done: make(chan struct{}), writeSlots: make(chan struct{}, maxPendingWrites),
 		tracker:      newTracker(rec.Epoch(), inheritedDeadline),
 		meanTaskTime: map[string]time.Duration{}, lastProgress: map[grantKey]time.Time{}, inventoryRequestedAt: map[string]time.Time{},
-		revokeSentAt: map[grantKey]time.Time{}, lastPlacement: map[string]Placement{},
+		reportedHolders: map[string]bool{}, revokeSentAt: map[grantKey]time.Time{}, lastPlacement: map[string]Placement{},
 	}
 }
 
