runner: Let a canceled grant wait for no capacity

An urgent grant that waits for evicted tasks to end was looked at only after its wait, up to 2.5 s after its cancel, and held off all other grants meanwhile.

It is looked at before each try to reserve.

The test failed before: closed after 2.4 s instead of 20 ms at most.

--- a/runner/attempt_test.go
+++ b/runner/attempt_test.go
@@ -252,3 +252,31 @@
 		})
 	}
 }
+
+// A canceled urgent grant held others off while it waited for the resources of evicted
+// tasks.
+func TestACanceledGrantDoesNotWaitForCapacity(t *testing.T) {
+	subtest(t, "cancel", func(c *qt.C, worker *faker.Worker) {
+		d := startReady(c, worker)
+		d.cfg.Worker.Checkpoint = func(ctx context.Context, _ string) (executor.Task, error) {
+			<-ctx.Done()
+			return executor.Task{}, executor.ErrUnknownOutcome
+		}
+		full := newGrant(1, 2, 1, time.Minute)
+		full.Need.Processors, full.Payload = 2, "10m"
+		d.Grant("e1", full)
+		advancer.Sleep(time.Second)
+		urgent := newGrant(1, 1, 1, time.Minute)
+		urgent.Urgent = true
+		d.Grant("e1", urgent)
+		advancer.Sleep(100 * time.Millisecond)
+		canceledAt := time.Now()
+		d.Revoke(revocation(false))
+		closed := d.awaitFrame(messenger.KindReport).Report
+		elapsed := time.Since(canceledAt)
+		d.kill()
+		c.Check(elapsed <= capacityPollInterval, qt.IsTrue, qt.Commentf("closed after %v", elapsed))
+		c.Check(closed.Seq, qt.Equals, urgent.Seq)
+		c.Check(closed.Closed, qt.IsTrue)
+	})
+}
--- a/runner/preempt.go
+++ b/runner/preempt.go
@@ -63,8 +63,8 @@
 }
 
 // awaitCapacity reserves what an urgent grant needs, once the tasks evicted for it have
-// ended. It returns false if they have not ended within capacityTimeout. Any other grant
-// got its reservation when it was admitted.
+// ended. It returns false if they have not ended within capacityTimeout, or the grant is
+// to stop. Any other grant got its reservation when it was admitted.
 func (r *Runner) awaitCapacity(ctx context.Context, h *heldGrant) bool {
 	if !h.awaitingCapacity {
 		return true
@@ -75,7 +75,7 @@
 		r.urgentWaiting--
 		r.mu.Unlock()
 	}()
-	for giveUpAt := r.cfg.Now().Add(capacityTimeout); r.cfg.Now().Before(giveUpAt) && ctx.Err() == nil; {
+	for giveUpAt := r.cfg.Now().Add(capacityTimeout); r.cfg.Now().Before(giveUpAt) && ctx.Err() == nil && !r.toStop(h); {
 		if r.cfg.Reserver.Reserve(h.reservationName(), h.grant.Need) == nil {
 			return true
 		}
@@ -84,6 +84,13 @@
 	return false
 }
 
+// toStop reports whether no task of a grant is to run any more.
+func (r *Runner) toStop(h *heldGrant) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return h.stopMode != stopNone
+}
+
 // RunningTask describes a running task to the protector of the instance's target.
 type RunningTask struct {
 	ID string
