agent: Send a task's share until the worker has confirmed it

A share was sent when it changed, and only then. One that the worker didn't get, as when the task was not at the worker yet, left the task with all of its processors for as long as the share stayed the same, beside a target whose contract was broken.

The shares that tasks are to have are kept apart from those that the worker has confirmed, and compared in each step. The calls of a step end with it.

--- a/agent/protect.go
+++ b/agent/protect.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -50,11 +51,24 @@
 	return tail
 }
 
+// protection is what protectLoop knows of the running tasks. Only its goroutine uses it.
+type protection struct {
+	// interference holds the last measurement of each job.
+	interference map[string]float64
+	// shares holds, by task, the CPU shares that the tasks are to have, and confirmed
+	// those that the worker is known to have applied.
+	shares, confirmed map[string]float64
+}
+
+func newProtection() *protection {
+	return &protection{interference: map[string]float64{}, shares: map[string]float64{}, confirmed: map[string]float64{}}
+}
+
 // protectLoop throttles and evicts batch tasks to hold the tail-latency contract
 // of the target's service.
 func (a *Agent) protectLoop(ctx context.Context) {
 	p := protector.New(0)
-	interference := map[string]float64{}
+	s := newProtection()
 	waiter.Every(ctx, protector.StepInterval, func() {
 		a.updateGauges()
 		service, _ := a.cataloger.Service(a.cfg.Settings.Team, a.cfg.Settings.Service)
@@ -62,7 +76,7 @@
 			return
 		}
 		p.SetLimit(service.Contract.Limit)
-		a.protect(ctx, p, interference, a.latencies.tail(service.Contract.Percentile))
+		a.protect(ctx, p, s, a.latencies.tail(service.Contract.Percentile))
 		a.atRisk.Store(p.AtRisk(a.now()))
 	})
 }
@@ -84,14 +98,15 @@
 
 // protect executes one step of the controller: it passes on the interference
 // that the worker measured, and applies the resulting shares and evictions.
-// interference holds the last measurement of each job.
-func (a *Agent) protect(ctx context.Context, p *protector.Protector, interference map[string]float64, tail time.Duration) {
+func (a *Agent) protect(ctx context.Context, p *protector.Protector, s *protection, tail time.Duration) {
 	var tasks []protector.Task
+	isRunning := map[string]bool{}
 	for _, running := range a.runner.RunningTasks() {
+		isRunning[running.ID] = true
 		tasks = append(tasks, protector.Task{ID: running.ID, Kind: running.Job, StartedAt: running.StartedAt, Evictable: running.Evictable})
 		// The worker repeats a measurement until it has a newer one.
-		if running.Interference > 0 && interference[running.Job] != running.Interference {
-			interference[running.Job] = running.Interference
+		if running.Interference > 0 && s.interference[running.Job] != running.Interference {
+			s.interference[running.Job] = running.Interference
 			p.ObserveInterference(running.Job, running.Interference)
 		}
 	}
@@ -101,8 +116,31 @@
 			continue
 		}
 		a.cfg.Log.Info("task throttled", zap.String("task", action.ID), zap.Float64("share", action.Share), zap.Duration("tail", tail))
-		if err := a.executor.Throttle(ctx, action.ID, action.Share); err != nil {
-			a.cfg.Log.Warn("throttling a task failed", zap.String("task", action.ID), zap.Error(err))
+		s.shares[action.ID] = action.Share
+	}
+	ended := func(id string, _ float64) bool { return !isRunning[id] }
+	maps.DeleteFunc(s.shares, ended)
+	maps.DeleteFunc(s.confirmed, ended)
+	a.applyShares(ctx, s)
+}
+
+// applyShares sends each share that the worker has not confirmed, in any order, so that
+// a call that gets no answer doesn't hold up the same tasks in each step.
+func (a *Agent) applyShares(ctx context.Context, s *protection) {
+	ctx, cancel := context.WithTimeout(ctx, protector.StepInterval)
+	defer cancel()
+	for id, share := range s.shares {
+		if confirmed, ok := s.confirmed[id]; ok && confirmed == share {
+			continue
+		}
+		if ctx.Err() != nil {
+			return
+		}
+		if err := a.executor.Throttle(ctx, id, share); err != nil {
+			delete(s.confirmed, id) // it may have taken effect
+			a.cfg.Log.Warn("throttling a task failed", zap.String("task", id), zap.Error(err))
+			continue
 		}
+		s.confirmed[id] = share
 	}
 }
