recorder: Share no crash counts between a run and its copy

A change counts the crashes of a task in a copy of the run, but the copy had the same map. The count was seen before it was durable, and stayed when its write failed; a reader that encodes the run at that time ends the process.

The test, which looks at all maps of a run, failed before: Crashes is shared.

--- a/recorder/run_test.go
+++ b/recorder/run_test.go
@@ -1,6 +1,7 @@
 package recorder
 
 import (
+	"reflect"
 	"testing"
 	"time"
 
@@ -99,3 +100,22 @@
 	}
 	c.Assert(r.Failed.Has(0), qt.IsFalse)
 }
+
+// The crashes of a task were counted in the stored run while readers had it, before the
+// change was durable.
+func TestAChangeOfARunLeavesTheStoredOneAsItIs(t *testing.T) {
+	c := qt.New(t)
+	stored := &Run{
+		FailedAttempts: map[int]int{}, Checkpoints: map[int]string{}, Grants: map[uint64]*Grant{},
+		FailuresByAgent: map[string]int{}, Crashes: map[int]int{},
+	}
+	before, after := reflect.ValueOf(stored).Elem(), reflect.ValueOf(stored.clone()).Elem()
+	for i := range before.NumField() {
+		if before.Field(i).Kind() != reflect.Map {
+			continue
+		}
+		name := before.Type().Field(i).Name
+		c.Check(before.Field(i).IsNil(), qt.IsFalse, qt.Commentf("%s has no map to compare", name))
+		c.Check(before.Field(i).Pointer() != after.Field(i).Pointer(), qt.IsTrue, qt.Commentf("%s is shared", name))
+	}
+}
--- a/recorder/shard.go
+++ b/recorder/shard.go
@@ -54,6 +54,7 @@
 	clone.FailedAttempts = maps.Clone(r.FailedAttempts)
 	clone.Checkpoints = maps.Clone(r.Checkpoints)
 	clone.FailuresByAgent = maps.Clone(r.FailuresByAgent)
+	clone.Crashes = maps.Clone(r.Crashes)
 	clone.Grants = maps.Clone(r.Grants)
 	return &clone
 }
