runner: Test a rejected start after one without an answer

The loop of the attempt takes a rejection for the end of the task only if no earlier start can have taken effect.

--- a/runner/attempt_test.go
+++ b/runner/attempt_test.go
@@ -280,3 +280,36 @@
 		c.Check(closed.Closed, qt.IsTrue)
 	})
 }
+
+// A task was reported as failed while an earlier start of it, without an answer, had taken
+// effect or still could.
+func TestARejectionSaysNothingOfAnEarlierStart(t *testing.T) {
+	for _, started := range []bool{true, false} {
+		subtest(t, fmt.Sprintf("started %v", started), func(c *qt.C, worker *faker.Worker) {
+			d := startReady(c, worker)
+			start, calls := d.cfg.Worker.Start, 0
+			d.cfg.Worker.Start = func(_ context.Context, t executor.Task, until time.Time) error {
+				calls++
+				if calls > 1 {
+					return executor.ErrRejected
+				}
+				if started {
+					time.AfterFunc(time.Second, func() { _ = start(context.Background(), t, until) })
+				}
+				return executor.ErrUnknownOutcome
+			}
+			grantedAt := time.Now()
+			d.Grant("e1", newGrant(1, 1, 1, time.Minute))
+			o := d.awaitFrame(messenger.KindReport).Report.Outcomes
+			elapsed := time.Since(grantedAt)
+			d.kill()
+			c.Assert(o, qt.HasLen, 1)
+			if started {
+				c.Check(o[0].Status, qt.Equals, messenger.AttemptFinished)
+				return
+			}
+			c.Check(o[0].Status, qt.Equals, messenger.AttemptFailed)
+			c.Check(elapsed >= startLease, qt.IsTrue, qt.Commentf("failed after %v", elapsed))
+		})
+	}
+}
