e2e: Print the goroutines of all processes when a wait times out

TestRequestsDuringAgentFailures timed out twice, and the last 2,500 bytes of each log did not tell why the resumed agent logged nothing more: whether it hung, and where, or was still stopped. A wait that times out now logs the state of each process in the kernel and ends it with SIGQUIT, so that it prints its goroutines.

--- a/e2e/world_test.go
+++ b/e2e/world_test.go
@@ -12,6 +12,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -50,8 +51,10 @@
 	name string
 	done chan struct{}
 	err  error
-	mu   sync.Mutex
-	log  bytes.Buffer
+	// dumped is set once the process was told to list its goroutines.
+	dumped atomic.Bool
+	mu     sync.Mutex
+	log    bytes.Buffer
 }
 
 // Write collects the output of the process.
@@ -67,6 +70,20 @@
 	return p.log.String()
 }
 
+// state returns the state of the process as the kernel reports it.
+func (p *process) state() string {
+	raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.cmd.Process.Pid))
+	if err != nil {
+		return err.Error()
+	}
+	for line := range strings.Lines(string(raw)) {
+		if state, ok := strings.CutPrefix(line, "State:"); ok {
+			return strings.TrimSpace(state)
+		}
+	}
+	return "unknown"
+}
+
 func (p *process) signal(s syscall.Signal) { _ = p.cmd.Process.Signal(s) }
 
 // instance is an agent with its fake worker and fake target.
@@ -199,6 +216,12 @@
 	return p
 }
 
+// Limits of what is printed of each process's log, and of one with its goroutines.
+const (
+	maxLoggedBytes = 2500
+	maxDumpedBytes = 200_000
+)
+
 // stop kills every process that the world started and, if the test failed,
 // prints the end of their logs.
 func (w *world) stop() {
@@ -206,8 +229,11 @@
 		_ = p.cmd.Process.Kill()
 		<-p.done
 		if w.c.Failed() {
-			text := p.logs()
-			w.c.Logf("---- %s\n%s", p.name, text[max(0, len(text)-2500):])
+			text, limit := p.logs(), maxLoggedBytes
+			if p.dumped.Load() {
+				limit = maxDumpedBytes
+			}
+			w.c.Logf("---- %s\n%s", p.name, text[max(0, len(text)-limit):])
 		}
 	}
 }
@@ -243,9 +269,35 @@
 		}
 		<-time.After(20 * time.Millisecond)
 	}
+	w.dump()
 	w.c.Fatalf("timed out waiting until %s", condition)
 }
 
+// dumpTimeout bounds the wait for the goroutines of all processes together.
+const dumpTimeout = 5 * time.Second
+
+// dump ends all processes with a list of their goroutines, and logs in which state the
+// kernel had each: one that is stopped writes as little as one that hangs.
+func (w *world) dump() {
+	w.mu.Lock()
+	processes := slices.Clone(w.processes)
+	w.mu.Unlock()
+	for _, p := range processes {
+		w.c.Logf("%s: %s", p.name, p.state())
+		p.signal(syscall.SIGQUIT)
+		p.signal(syscall.SIGCONT)
+		p.dumped.Store(true)
+	}
+	timeout := time.After(dumpTimeout)
+	for _, p := range processes {
+		select {
+		case <-p.done:
+		case <-timeout:
+			return
+		}
+	}
+}
+
 func (w *world) waitListening(addr string) {
 	w.eventually(addr+" listens", func() bool {
 		conn, err := net.Dial("tcp", addr)
