--- a/coordinator/fleet_test.go
+++ b/coordinator/fleet_test.go
@@ -69,7 +69,9 @@
 	// are carried out in time and whose reply is lost or late.
 	callFaults   map[string]float64
 	incarnations int
-	draws        map[string]int
+	// longRunningJobs counts those that were submitted; only submit uses it.
+	longRunningJobs int
+	draws           map[string]int
 }
 
 // entryNode is an entry that can be killed and restarted.
