--- a/coordinator/crash_history_test.go
+++ b/coordinator/crash_history_test.go
@@ -28,6 +28,14 @@
 	})
 }
 
+// TestHistoriesWithAgentsThatRestartBesideCrashes restarts the agent of each worker that a
+// task has crashed, before the worker is back.
+func TestHistoriesWithAgentsThatRestartBesideCrashes(t *testing.T) {
+	runHistories(t, nil, func(f *fleet, _ *rand.Rand) {
+		f.setFaults(func() { f.crashingJobs, f.restartAgents = crashingJobs, true })
+	})
+}
+
 // TestHistoriesWithCrashesOfWorkers crashes two of five workers at once, again and again,
 // which no task causes. Less than one job in maxGivenUpShare is given up for it.
 func TestHistoriesWithCrashesOfWorkers(t *testing.T) {
--- a/coordinator/fleet_test.go
+++ b/coordinator/fleet_test.go
@@ -67,8 +67,10 @@
 	canceledJobs float64
 	// callFaults has the share of calls to a worker, by its name and the kind of call, that
 	// are carried out in time and whose reply is lost or late.
-	callFaults   map[string]float64
-	incarnations int
+	callFaults map[string]float64
+	// restartAgents restarts the agent of each worker that a task has crashed.
+	restartAgents bool
+	incarnations  int
 	// longRunningJobs counts those that were submitted; only submit uses it.
 	longRunningJobs int
 	draws           map[string]int
@@ -119,6 +121,7 @@
 			f.auditor.Observe(e)
 			if e.Kind == "crash" {
 				time.AfterFunc(workerDowntime, func() { f.restartWorker(a) })
+				time.AfterFunc(workerDowntime/10, func() { f.restartAgentIfSet(a) })
 			}
 		}
 		f.agents[name] = a
@@ -317,6 +320,19 @@
 	<-a.done
 }
 
+// restartAgentIfSet restarts an agent if restartAgents is set.
+func (f *fleet) restartAgentIfSet(a *agentNode) {
+	f.mu.Lock()
+	restart := f.restartAgents
+	f.mu.Unlock()
+	if !restart {
+		return
+	}
+	f.stopAgent(a)
+	advancer.Sleep(workerDowntime / 10)
+	f.startAgent(a)
+}
+
 // restartWorker restarts a worker under a new ID.
 func (f *fleet) restartWorker(a *agentNode) {
 	n := f.nextIncarnation()
--- a/orchestrator/crash_test.go
+++ b/orchestrator/crash_test.go
@@ -280,3 +280,41 @@
 	}
 	c.Assert(crashes, qt.Equals, 3)
 }
+
+// The agent restarts while its worker is down, so that it can't report the crash. The task
+// was started again without end.
+func TestATaskThatCrashesWorkersOfAgentsThatRestartIsGivenUp(t *testing.T) {
+	for name, tt := range map[string]struct {
+		incarnation string
+		draining    bool
+		failed      bool
+	}{
+		"another process":            {"c", false, true},
+		"another process, draining":  {"c", true, false},
+		"the same process connected": {"b", false, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			h := newHarness(c, 6)
+			j := h.submit(sequencer.Spec{Steps: []sequencer.Step{step(1, 10)}})
+			for range 10 {
+				h.o.place()
+				h.pass(10 * time.Millisecond)
+				id := h.agentOf(j.Task(0, 0, 0))
+				if id == "" {
+					break
+				}
+				a := h.o.agents[id]
+				h.sendSnapshot(id, &messenger.WorkerSnapshot{Draining: tt.draining, Runs: h.runStatuses(id, messenger.PhaseRunning, 1)})
+				h.now = h.now.Add(3 * time.Second)
+				a.incarnation = tt.incarnation
+				a.link = &AgentLink{ID: id, Incarnation: tt.incarnation, TrySend: a.link.TrySend}
+				a.worker.incarnation += "-before"
+				h.sendSnapshot(id, &messenger.WorkerSnapshot{})
+				a.incarnation, a.worker.agentIncarnation = "b", "b"
+				h.pass(100 * time.Millisecond)
+			}
+			c.Assert(j.Failed, qt.Equals, tt.failed)
+		})
+	}
+}
