--- a/orchestrator/crash.go
+++ b/orchestrator/crash.go
@@ -198,12 +198,6 @@
 	}
 }
 
-// seenWorker is a worker as a process of its agent has seen it.
-type seenWorker struct {
-	incarnation, agentIncarnation string
-	draining                      bool
-}
-
 // endRunsOfLostWorker ends the runs of a worker that crashed while its agent restarted. The
 // next process of the agent finds another incarnation of the worker and can't tell what ran
 // there before, but the owner can. reported has the runs that the last snapshot lists.
