--- a/coordinator/fleet_test.go
+++ b/coordinator/fleet_test.go
@@ -71,9 +71,9 @@
 	// restartAgents restarts the agent of each worker that a task has crashed.
 	restartAgents bool
 	incarnations  int
-	// longRunningJobs counts those that were submitted; only submit uses it.
-	longRunningJobs int
-	draws           map[string]int
+	// submittedLongRunning counts those that were submitted; only submit uses it.
+	submittedLongRunning int
+	draws                map[string]int
 }
 
 // entryNode is an entry that can be killed and restarted.
--- a/coordinator/history_test.go
+++ b/coordinator/history_test.go
@@ -130,8 +130,8 @@
 		}
 		spec.Steps = append(spec.Steps, step)
 	}
-	if r.Float64() < 0.06 && f.longRunningJobs < maxLongRunningJobs {
-		f.longRunningJobs++
+	if r.Float64() < 0.06 && f.submittedLongRunning < maxLongRunningJobs {
+		f.submittedLongRunning++
 		spec.Steps = []sequencer.Step{{Count: 2, CPU: 500, Memory: 100, LongRunning: true}}
 	}
 	canceled := f.varySteps(spec)
