--- a/orchestrator/agent.go
+++ b/orchestrator/agent.go
@@ -71,8 +71,6 @@
 	// silentSince is the local time of the last snapshot from which on its worker, which
 	// was not draining, could start nothing; it is kept once the worker can again.
 	silentSince time.Time
-	// worker is that of the last snapshot with all runs.
-	worker seenWorker
 	// health tracks the recent results of its runs.
 	health workerHealth
 }
@@ -228,7 +226,6 @@
 		return // unlisted runs may have ended among the omitted ends
 	}
 	maps.DeleteFunc(a.strays, func(key runKey, _ *stray) bool { return !reported[key] })
-	o.endRunsOfLostWorker(a, reported)
 	for _, r := range o.runsOf(a) {
 		if reported[r.key] || r.link == a.link && r.seq > snapshot.Seq {
 			continue
--- a/orchestrator/crash.go
+++ b/orchestrator/crash.go
@@ -197,29 +197,3 @@
 		t.CrashOdds, t.Crashes = 0, nil
 	}
 }
-
-// endRunsOfLostWorker ends the runs of a worker that crashed while its agent restarted. The
-// next process of the agent finds another incarnation of the worker and can't tell what ran
-// there before, but the owner can. reported has the runs that the last snapshot lists.
-func (o *Orchestrator) endRunsOfLostWorker(a *agent, reported map[runKey]bool) {
-	before := a.worker
-	a.worker = seenWorker{a.snapshot.WorkerIncarnation, a.incarnation, a.snapshot.Draining}
-	if before.incarnation == "" || before.incarnation == a.worker.incarnation || before.agentIncarnation == a.incarnation || before.draining {
-		return
-	}
-	var lost []messenger.RunEnd
-	for _, r := range o.runsOf(a) {
-		if reported[r.key] || r.link == a.link {
-			continue
-		}
-		crash := &messenger.Crash{Worker: before.incarnation, StartedAt: r.startedAt, AliveAt: later(r.startedAt, r.aliveAt), LostAt: o.cfg.Now(), Confirmed: r.phase != messenger.PhaseStarting}
-		if a.silentSince.After(crash.AliveAt) {
-			crash.LostAt = a.silentSince
-		}
-		lost = append(lost, messenger.RunEnd{Task: r.key.task, Attempt: r.key.attempt, Status: messenger.EndWorkerLost, Reason: "replaced while the agent was away", Crash: crash})
-	}
-	o.judgeCrashes(a, lost)
-	for _, end := range lost {
-		o.endRun(a.runs[runKey{end.Task, end.Attempt}], end)
-	}
-}
