--- /dev/null
+++ b/orchestrator/config.go
@@ -0,0 +1,48 @@
+package orchestrator
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/endivefall/endivefall/storer"
+)
+
+// Config holds the settings and dependencies of an Orchestrator.
+type Config struct {
+	// Term and Epoch identify the claim of this process. Every write requires that
+	// the key OwnerKey still has the version Epoch.
+	Term, Epoch uint64
+	OwnerKey    string
+	// ClaimedAt is when this process learned that its claim had taken effect. No earlier
+	// owner has a confirmation of its ownership that is younger.
+	ClaimedAt time.Time
+	Store     *storer.Store
+	// Now is a clock that includes the time during which the instance was
+	// suspended; WallClock is the time of day.
+	Now, WallClock func() time.Time
+	// LeaseDuration is how long runs continue without a lease renewal by the owner.
+	LeaseDuration time.Duration
+	// ConfirmationTTL is how long a confirmation of ownership is valid.
+	ConfirmationTTL time.Duration
+	// PreviousOwnerTTL is how long an earlier owner may have sent commands after
+	// the claim: ConfirmationTTL, or 0 if it had certainly stopped.
+	PreviousOwnerTTL time.Duration
+	// JobRetention is how long the state of an ended job is kept.
+	JobRetention time.Duration
+	// OwnershipConfirmedAt returns the time of the newest confirmation of
+	// ownership; ConfirmOwnership records one.
+	OwnershipConfirmedAt func() time.Time
+	ConfirmOwnership     func(sent time.Time)
+	// QueryPolicy asks the policy service of a queue which worker incarnations may
+	// run a step, and how long the answer is valid.
+	QueryPolicy func(ctx context.Context, step string, workers []string) ([]PolicyGrant, time.Duration, error)
+	// HasStandby reports whether another live entry could own the pools.
+	HasStandby func() bool
+	Log        *zap.Logger
+	// Count, Gauge and ObserveDuration record metrics; Gauge may be nil.
+	Count           func(name string)
+	Gauge           func(name string, value float64)
+	ObserveDuration func(name string, d time.Duration)
+}
--- /dev/null
+++ b/orchestrator/job.go
@@ -0,0 +1,28 @@
+package orchestrator
+
+import (
+	"time"
+
+	"github.com/endivefall/endivefall/sequencer"
+)
+
+// job is a job in the ledger.
+type job struct {
+	*sequencer.Job
+	// revision counts the changes of the progress; durableRevision is the newest
+	// revision in the ledger.
+	revision, durableRevision uint64
+	dirty                     bool // it is in dirtyJobs
+	// endWriting is set while a write of a final state is in flight, cancelWaiting once a
+	// cancellation has been read meanwhile.
+	endWriting, cancelWaiting bool
+	liveRuns                  map[runKey]*run
+	// suspected is set once a task of it was suspected of crashing workers.
+	suspected bool
+	// checkpointsSavedAt is the local time at which new checkpoints were last
+	// queued for writing.
+	checkpointsSavedAt time.Time
+	// endedAt is the local time at which the job's final state became durable or,
+	// for a job that was canceled or ended before, was first noticed.
+	endedAt time.Time
+}
--- a/orchestrator/orchestrator.go
+++ b/orchestrator/orchestrator.go
@@ -11,11 +11,8 @@
 
 	"go.uber.org/zap"
 
-	"github.com/endivefall/endivefall/messenger"
 	"github.com/endivefall/endivefall/predictor"
 	"github.com/endivefall/endivefall/regulator"
-	"github.com/endivefall/endivefall/sequencer"
-	"github.com/endivefall/endivefall/storer"
 )
 
 // ErrOwnershipLost reports that another process owns the pools.
@@ -82,44 +79,6 @@
 // queue is full, the reader of a connection blocks.
 const queueCapacity = 1024
 
-// Config holds the settings and dependencies of an Orchestrator.
-type Config struct {
-	// Term and Epoch identify the claim of this process. Every write requires that
-	// the key OwnerKey still has the version Epoch.
-	Term, Epoch uint64
-	OwnerKey    string
-	// ClaimedAt is when this process learned that its claim had taken effect. No earlier
-	// owner has a confirmation of its ownership that is younger.
-	ClaimedAt time.Time
-	Store     *storer.Store
-	// Now is a clock that includes the time during which the instance was
-	// suspended; WallClock is the time of day.
-	Now, WallClock func() time.Time
-	// LeaseDuration is how long runs continue without a lease renewal by the owner.
-	LeaseDuration time.Duration
-	// ConfirmationTTL is how long a confirmation of ownership is valid.
-	ConfirmationTTL time.Duration
-	// PreviousOwnerTTL is how long an earlier owner may have sent commands after
-	// the claim: ConfirmationTTL, or 0 if it had certainly stopped.
-	PreviousOwnerTTL time.Duration
-	// JobRetention is how long the state of an ended job is kept.
-	JobRetention time.Duration
-	// OwnershipConfirmedAt returns the time of the newest confirmation of
-	// ownership; ConfirmOwnership records one.
-	OwnershipConfirmedAt func() time.Time
-	ConfirmOwnership     func(sent time.Time)
-	// QueryPolicy asks the policy service of a queue which worker incarnations may
-	// run a step, and how long the answer is valid.
-	QueryPolicy func(ctx context.Context, step string, workers []string) ([]PolicyGrant, time.Duration, error)
-	// HasStandby reports whether another live entry could own the pools.
-	HasStandby func() bool
-	Log        *zap.Logger
-	// Count, Gauge and ObserveDuration record metrics; Gauge may be nil.
-	Count           func(name string)
-	Gauge           func(name string, value float64)
-	ObserveDuration func(name string, d time.Duration)
-}
-
 // Orchestrator holds the state of the owner. Only the goroutine of Serve accesses
 // it; other goroutines pass functions to that goroutine through actions.
 type Orchestrator struct {
@@ -179,74 +138,6 @@
 	background sync.WaitGroup
 }
 
-// job is a job in the ledger.
-type job struct {
-	*sequencer.Job
-	// revision counts the changes of the progress; durableRevision is the newest
-	// revision in the ledger.
-	revision, durableRevision uint64
-	dirty                     bool // it is in dirtyJobs
-	// endWriting is set while a write of a final state is in flight, cancelWaiting once a
-	// cancellation has been read meanwhile.
-	endWriting, cancelWaiting bool
-	liveRuns                  map[runKey]*run
-	// suspected is set once a task of it was suspected of crashing workers.
-	suspected bool
-	// checkpointsSavedAt is the local time at which new checkpoints were last
-	// queued for writing.
-	checkpointsSavedAt time.Time
-	// endedAt is the local time at which the job's final state became durable or,
-	// for a job that was canceled or ended before, was first noticed.
-	endedAt time.Time
-}
-
-// runKey identifies a run.
-type runKey struct {
-	task    string
-	attempt uint64
-}
-
-// run is a run that may be active.
-type run struct {
-	key   runKey
-	task  *sequencer.Task
-	job   *job
-	agent *agent
-	// link and seq identify the command that started the run; a nil link means that
-	// the run was adopted from the snapshot of the agent.
-	link  *AgentLink
-	seq   uint64
-	phase messenger.Phase
-	// stopSentOn is the connection on which a stop command was last sent, stopSeq the
-	// number of that command. It is not sent again on that connection before stopAgainAt.
-	stopSentOn  *AgentLink
-	stopSeq     uint64
-	stopAgainAt time.Time
-	// stopWantedAt is when the run was to be stopped first; zero while it is not.
-	stopWantedAt    time.Time
-	progressPercent int
-	measurement     int64
-	pacePercent     int
-	startedAt       time.Time
-	// progressedAt is the local time at which progressPercent last grew. It is also
-	// advanced while the run is throttled.
-	progressedAt time.Time
-	// throttled is set once the run was slowed; resumed is set for a run that began
-	// from a checkpoint or was adopted.
-	throttled, resumed bool
-	// aliveAt is the local time of the last snapshot that showed it at work on a worker that
-	// answers; progressed is set once it has saved a checkpoint or, if it runs long, is
-	// fully at work.
-	aliveAt    time.Time
-	progressed bool
-	// evict is set once the run is to be stopped.
-	evict bool
-	// moveTo is the agent on which capacity is reserved for the task of a run that is
-	// stopped to move, until moveBy; nil for none.
-	moveTo *agent
-	moveBy time.Time
-}
-
 // New returns an Orchestrator; Serve runs it.
 func New(cfg Config) *Orchestrator {
 	if cfg.Gauge == nil {
--- /dev/null
+++ b/orchestrator/run.go
@@ -0,0 +1,55 @@
+package orchestrator
+
+import (
+	"time"
+
+	"github.com/endivefall/endivefall/messenger"
+	"github.com/endivefall/endivefall/sequencer"
+)
+
+// runKey identifies a run.
+type runKey struct {
+	task    string
+	attempt uint64
+}
+
+// run is a run that may be active.
+type run struct {
+	key   runKey
+	task  *sequencer.Task
+	job   *job
+	agent *agent
+	// link and seq identify the command that started the run; a nil link means that
+	// the run was adopted from the snapshot of the agent.
+	link  *AgentLink
+	seq   uint64
+	phase messenger.Phase
+	// stopSentOn is the connection on which a stop command was last sent, stopSeq the
+	// number of that command. It is not sent again on that connection before stopAgainAt.
+	stopSentOn  *AgentLink
+	stopSeq     uint64
+	stopAgainAt time.Time
+	// stopWantedAt is when the run was to be stopped first; zero while it is not.
+	stopWantedAt    time.Time
+	progressPercent int
+	measurement     int64
+	pacePercent     int
+	startedAt       time.Time
+	// progressedAt is the local time at which progressPercent last grew. It is also
+	// advanced while the run is throttled.
+	progressedAt time.Time
+	// throttled is set once the run was slowed; resumed is set for a run that began
+	// from a checkpoint or was adopted.
+	throttled, resumed bool
+	// aliveAt is the local time of the last snapshot that showed it at work on a worker that
+	// answers; progressed is set once it has saved a checkpoint or, if it runs long, is
+	// fully at work.
+	aliveAt    time.Time
+	progressed bool
+	// evict is set once the run is to be stopped.
+	evict bool
+	// moveTo is the agent on which capacity is reserved for the task of a run that is
+	// stopped to move, until moveBy; nil for none.
+	moveTo *agent
+	moveBy time.Time
+}
