--- a/e2e/world_test.go
+++ b/e2e/world_test.go
@@ -45,54 +45,6 @@
 	os.Exit(code)
 }
 
-// process is a started process with its output.
-type process struct {
-	cmd  *exec.Cmd
-	name string
-	done chan struct{}
-	err  error
-	// dumped is set once the process was told to list its goroutines.
-	dumped atomic.Bool
-	mu     sync.Mutex
-	log    bytes.Buffer
-}
-
-// Write collects the output of the process.
-func (p *process) Write(b []byte) (int, error) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.log.Write(b)
-}
-
-func (p *process) logs() string {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.log.String()
-}
-
-// state returns the state of the process as the kernel reports it.
-func (p *process) state() string {
-	raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.cmd.Process.Pid))
-	if err != nil {
-		return err.Error()
-	}
-	for line := range strings.Lines(string(raw)) {
-		if state, ok := strings.CutPrefix(line, "State:"); ok {
-			return strings.TrimSpace(state)
-		}
-	}
-	return "unknown"
-}
-
-func (p *process) signal(s syscall.Signal) { _ = p.cmd.Process.Signal(s) }
-
-// instance is an agent with its fake worker and fake target.
-type instance struct {
-	agent, fakes         *process
-	name, conf           string
-	worker, target, http string // addresses; http is the agent's
-}
-
 // world is the set of processes of one test: a fake platform, entries and
 // instances.
 type world struct {
@@ -308,45 +260,6 @@
 	})
 }
 
-func (w *world) get(url string, into any) bool {
-	resp, err := w.client.Get(url)
-	if err != nil {
-		return false
-	}
-	defer func() { _ = resp.Body.Close() }()
-	return resp.StatusCode == http.StatusOK && json.NewDecoder(resp.Body).Decode(into) == nil
-}
-
-// statusView is the part of an entry's or agent's status that tests check.
-type statusView struct {
-	Agents   []struct{ ID string }
-	Services map[string][]struct {
-		ID      string
-		Leaving bool
-	}
-	Teams  map[string]uint64
-	Shards []uint32
-	Grants int
-}
-
-func (w *world) status(addr string) statusView {
-	var s statusView
-	w.get("http://"+addr+"/v1/status", &s)
-	return s
-}
-
-// waitForVersion waits until every agent uses a team's version.
-func (w *world) waitForVersion(team string, version uint64) {
-	w.eventually(fmt.Sprintf("every agent uses %s version %d", team, version), func() bool {
-		for _, in := range w.instances {
-			if w.status(in.http).Teams[team] < version {
-				return false
-			}
-		}
-		return true
-	})
-}
-
 // call sends a request to an entry and reads the whole response.
 func (w *world) call(entry int, method, path string, header map[string]string, body io.Reader) (*http.Response, []byte, error) {
 	req, err := http.NewRequest(method, "http://"+w.entryHTTP[entry]+path, body)
