--- a/coordinator/crash_history_test.go
+++ b/coordinator/crash_history_test.go
@@ -36,26 +36,35 @@
 	})
 }
 
-// TestHistoriesWithCrashesOfWorkers crashes two of five workers at once, again and again,
-// which no task causes. Less than one job in maxGivenUpShare is given up for it.
+// TestHistoriesWithCrashesOfWorkers crashes workers, which no task causes.
 func TestHistoriesWithCrashesOfWorkers(t *testing.T) {
-	sums := runHistories(t, nil, func(f *fleet, r *rand.Rand) {
-		advancer.Sleep(time.Duration(r.IntN(300)) * time.Millisecond) // apart from the submission before it
-		f.disturb("", maxFaultDuration)
-		for _, n := range r.Perm(len(f.agents))[:2] {
-			a := f.agents[fmt.Sprintf("agent-%d", n)]
-			a.worker.Crash()
-			time.AfterFunc(workerDowntime, func() { f.restartWorker(a) })
-		}
-		if r.IntN(3) == 0 {
-			f.injectFault(r)
-		}
-	})
+	runHistories(t, nil, (*fleet).injectCrashes)
+}
+
+// TestHistoriesOfCrashesGiveUpFewJobs plays the same histories. Less than one job in
+// maxGivenUpShare is given up for crashes that no task causes.
+func TestHistoriesOfCrashesGiveUpFewJobs(t *testing.T) {
+	sums := runHistories(t, nil, (*fleet).injectCrashes)
 	t.Cleanup(func() {
 		qt.Check(t, sums.givenUp*maxGivenUpShare <= sums.jobs, qt.IsTrue, qt.Commentf("%d of %d jobs were given up", sums.givenUp, sums.jobs))
 	})
 }
 
+// injectCrashes crashes two of five workers at once, mostly alone and sometimes beside one of
+// the other faults.
+func (f *fleet) injectCrashes(r *rand.Rand) {
+	advancer.Sleep(time.Duration(r.IntN(300)) * time.Millisecond) // apart from the submission before it
+	f.disturb("", maxFaultDuration)
+	for _, n := range r.Perm(len(f.agents))[:2] {
+		a := f.agents[fmt.Sprintf("agent-%d", n)]
+		a.worker.Crash()
+		time.AfterFunc(workerDowntime, func() { f.restartWorker(a) })
+	}
+	if r.IntN(3) == 0 {
+		f.injectFault(r)
+	}
+}
+
 const (
 	// maxGivenUpShare bounds how often crashes of workers that no task causes give a job up.
 	maxGivenUpShare = 5000
