orchestrator, supervisor: Test each kind of stop

Evictions, moves, copies of finished tasks, runs of a task that runs elsewhere and runs that a later owner adopts are stopped by the same path as runs of canceled jobs, and their stops were lost the same way: work was done twice.

TestAStopOfALaterOwnerIsOneMore guards against two loops for one run.

--- a/orchestrator/stop_test.go
+++ b/orchestrator/stop_test.go
@@ -143,3 +143,52 @@
 	}
 	c.Assert(h.gauges[oldestStopGauge], qt.Equals, (5 * maxStopAge).Seconds())
 }
+
+// Each kind of stop goes the same way, and was lost the same way.
+func TestEveryKindOfStopIsSentAgain(t *testing.T) {
+	listElsewhere := func(h *harness, j *job) {
+		h.sendSnapshot("a1", &messenger.WorkerSnapshot{Runs: []messenger.RunStatus{{Task: j.Task(0, 0, 0).Name(), Attempt: 77, Phase: messenger.PhaseRunning}}})
+	}
+	for name, tt := range map[string]struct {
+		speculative bool
+		stop        func(h *harness, j *job)
+		agent       string
+	}{
+		"eviction": {false, func(h *harness, j *job) {
+			for _, r := range j.liveRuns {
+				h.o.stopRun(r, "preempted")
+			}
+		}, "a0"},
+		"move": {false, func(h *harness, j *job) {
+			for _, r := range j.liveRuns {
+				h.o.moveRun(r, "a1", "worker is draining")
+			}
+		}, "a0"},
+		"run of a task that runs elsewhere": {false, listElsewhere, "a1"},
+		"copy of a finished task": {true, func(h *harness, j *job) {
+			first := j.Task(0, 0, 0).Attempt
+			listElsewhere(h, j)
+			h.reportEnd("a0", 1, j.Task(0, 0, 0).Name(), first, messenger.EndDone)
+		}, "a1"},
+		"run that a later owner adopts": {false, func(h *harness, j *job) {
+			h.cancel(j)
+			listElsewhere(h, j)
+		}, "a1"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			h := newHarness(c, 1)
+			step := step(1, 10)
+			step.Speculative = tt.speculative
+			j := h.submit(sequencer.Spec{Steps: []sequencer.Step{step}})
+			h.o.place()
+			h.reportRunning("a0", 10)
+			h.connectAgent("a1")
+			tt.stop(h, j)
+			c.Assert(h.stopCount(tt.agent), qt.Equals, 1)
+			h.now = h.now.Add(2 * time.Second)
+			h.reportRunning(tt.agent, 10)
+			c.Assert(h.stopCount(tt.agent), qt.Equals, 2)
+		})
+	}
+}
--- a/supervisor/stop_test.go
+++ b/supervisor/stop_test.go
@@ -197,3 +197,19 @@
 		})
 	}
 }
+
+// A later owner asks again for a stop that an earlier one has asked for.
+func TestAStopOfALaterOwnerIsOneMore(t *testing.T) {
+	inBubble(t, func(c *qt.C, h *harness) {
+		h.set(func() { h.plan, h.stopIgnored = faker.PoolRunPlan{}, true })
+		h.send(startCommand("j.0.0.0", 1))
+		h.send(stopCommand)
+		h.set(func() { h.term = 2 })
+		h.ownerConn().Close("another owner")
+		advancer.Sleep(time.Second)
+		h.send(stopCommand)
+		h.set(func() { h.stopIgnored = false })
+		h.assertStopped()
+		h.set(func() { c.Assert(h.stopCount <= 4, qt.IsTrue, qt.Commentf("%d stops", h.stopCount)) })
+	})
+}
