orchestrator, runner: Share what the tests of stops set up

The same lines stood two and three times in the tests: a canceled run, and a call to the worker without an answer.

--- a/orchestrator/stop_test.go
+++ b/orchestrator/stop_test.go
@@ -17,13 +17,19 @@
 	h.o.handleInputs([]storer.Item{{Key: CancelKey(j.Spec.ID), Version: 1000}})
 }
 
-func TestTheAgeOfTheOldestStopIsReported(t *testing.T) {
-	c := qt.New(t)
-	h := newHarness(c, 1)
+// cancelRunning submits a job, starts its task on the first agent and cancels it.
+func (h *harness) cancelRunning() *job {
 	j := h.submit(sequencer.Spec{Steps: []sequencer.Step{step(1, 10)}})
 	h.o.place()
 	h.reportRunning("a0", 10)
 	h.cancel(j)
+	return j
+}
+
+func TestTheAgeOfTheOldestStopIsReported(t *testing.T) {
+	c := qt.New(t)
+	h := newHarness(c, 1)
+	j := h.cancelRunning()
 	h.now = h.now.Add(2 * time.Second)
 	h.o.tick(t.Context())
 	c.Assert(h.gauges["oldest_stop_seconds"], qt.Equals, 2.0)
@@ -49,10 +55,7 @@
 func TestAStopIsSentAgainWhileTheRunIsListed(t *testing.T) {
 	c := qt.New(t)
 	h := newHarness(c, 1)
-	j := h.submit(sequencer.Spec{Steps: []sequencer.Step{step(1, 10)}})
-	h.o.place()
-	h.reportRunning("a0", 10)
-	h.cancel(j)
+	h.cancelRunning()
 	c.Assert(h.stopCount("a0"), qt.Equals, 1)
 	h.now = h.now.Add(2 * time.Second)
 	a := h.o.agents["a0"]
--- a/runner/attempt_test.go
+++ b/runner/attempt_test.go
@@ -110,15 +110,17 @@
 	})
 }
 
+// noAnswer is a call to the worker whose reply is lost, and which it does not carry out.
+func noAnswer(context.Context, string) (executor.Task, error) {
+	return executor.Task{}, executor.ErrUnknownOutcome
+}
+
 // A task whose stop got no answer was reported as lost while its lease was still renewed,
 // so that it could be started elsewhere as it worked on.
 func TestATaskThatIsReportedLostHasNoLease(t *testing.T) {
 	subtest(t, "stop without an answer", func(c *qt.C, worker *faker.Worker) {
 		d := startReady(c, worker)
-		mute := func(context.Context, string) (executor.Task, error) {
-			return executor.Task{}, executor.ErrUnknownOutcome
-		}
-		d.cfg.Worker.Checkpoint, d.cfg.Worker.Stop = mute, mute
+		d.cfg.Worker.Checkpoint, d.cfg.Worker.Stop = noAnswer, noAnswer
 		g := newGrant(1, 1, 1, 5*time.Second)
 		g.Payload = "10m"
 		d.Grant("e1", g)
@@ -140,10 +142,7 @@
 	for _, evict := range []bool{true, false} {
 		subtest(t, fmt.Sprintf("evict %v", evict), func(c *qt.C, worker *faker.Worker) {
 			d := startReady(c, worker)
-			mute := func(context.Context, string) (executor.Task, error) {
-				return executor.Task{}, executor.ErrUnknownOutcome
-			}
-			d.cfg.Worker.Checkpoint, d.cfg.Worker.Stop = mute, mute
+			d.cfg.Worker.Checkpoint, d.cfg.Worker.Stop = noAnswer, noAnswer
 			g := newGrant(1, 1, 1, time.Minute)
 			g.Payload, g.Idempotent = "10m", true
 			d.Grant("e1", g)
@@ -163,9 +162,7 @@
 func TestTheLeaseOfACanceledTaskIsNotRenewed(t *testing.T) {
 	subtest(t, "cancel", func(c *qt.C, worker *faker.Worker) {
 		d := startReady(c, worker)
-		d.cfg.Worker.Stop = func(context.Context, string) (executor.Task, error) {
-			return executor.Task{}, executor.ErrUnknownOutcome
-		}
+		d.cfg.Worker.Stop = noAnswer
 		advancer.Sleep(10 * time.Millisecond)
 		g := newGrant(1, 1, 1, time.Minute)
 		g.Payload = "10m"
