storer: Read a listing beside an entry that can't be read

A list or watch of the /v1 store was decoded as a whole: one entry that is nested deeply, or has a number too large or a value of another type, failed the listing, and the announcer and the publisher asked for it again without end.

Of such an entry no more than the key is kept, without a version, so that it can't be decoded and what it replaces no longer acts; one without a key is left out. Where the version of the store can't be read, a watch goes on after the highest of its entries. A listing that can't be followed is an error and doesn't pass for an empty one. A key read alone whose entry can't be read stays unavailable, also where only its version is missing or out of range: without a version it would pass for a key that does not exist. For a write the outcome of such a reply is unknown.

--- a/storer/client.go
+++ b/storer/client.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"net/http"
@@ -115,22 +114,29 @@
 func (c *Client) Get(ctx context.Context, key string) (Item, error) {
 	var item Item
 	err := c.call(ctx, "get", http.MethodGet, "/v1/keys/"+key, params{}, nil, &item)
+	if err == nil && !item.readable() {
+		return Item{}, fmt.Errorf("get %s: %w: %w", key, ErrUnavailable, errUnreadableReply)
+	}
 	return item, err
 }
 
 // List reads all keys under a prefix.
 func (c *Client) List(ctx context.Context, prefix string) (Listing, error) {
-	var l Listing
-	err := c.call(ctx, "list", http.MethodGet, "/v1/keys", params{Prefix: prefix}, nil, &l)
-	return l, err
+	var reply listingReply
+	if err := c.call(ctx, "list", http.MethodGet, "/v1/keys", params{Prefix: prefix}, nil, &reply); err != nil {
+		return Listing{}, err
+	}
+	return reply.toListing()
 }
 
 // Watch waits for changes under a prefix after a version. It returns no items when
 // the store ends the wait without a change.
 func (c *Client) Watch(ctx context.Context, prefix string, after uint64) (Listing, error) {
-	var l Listing
-	err := c.call(ctx, "watch", http.MethodGet, "/v1/watch", params{Prefix: prefix, After: after}, nil, &l)
-	return l, err
+	var reply listingReply
+	if err := c.call(ctx, "watch", http.MethodGet, "/v1/watch", params{Prefix: prefix, After: after}, nil, &reply); err != nil {
+		return Listing{}, err
+	}
+	return reply.toListing()
 }
 
 // CompareAndSwap writes a value if the key still has the version, where 0 means that
@@ -142,6 +148,9 @@
 	}
 	var item Item
 	err := c.call(ctx, "swap", http.MethodPut, "/v1/keys/"+key, params{Version: version, Lease: lease}, value, &item)
+	if err == nil && !item.readable() {
+		return 0, fmt.Errorf("swap %s: %w: %w", key, ErrUnknownOutcome, errUnreadableReply)
+	}
 	return item.Version, err
 }
 
@@ -246,7 +255,7 @@
 	case into == nil:
 		return nil
 	}
-	if err := json.Unmarshal(reply.Body, into); err != nil {
+	if err := decode(reply.Body, into); err != nil {
 		return classifyFailure(method, err)
 	}
 	return nil
