publisher: Skip documents under keys without a team

The name of the team was cut from the key by the length of the prefix, so that a listed entry with a shorter key ended the process.

TestDocumentsAreReadBesideAnOddOne panicked before.

--- a/publisher/publisher.go
+++ b/publisher/publisher.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -109,12 +110,19 @@
 	return d, nonce, err
 }
 
+// errInvalid means that a key is not that of a team's document.
+var errInvalid = errors.New("not the key of a document")
+
 func decodeItem(item storer.Item) (messenger.Doc, string, error) {
+	team, ok := strings.CutPrefix(item.Key, keyPrefix)
+	if !ok || team == "" {
+		return messenger.Doc{}, "", fmt.Errorf("reading %q: %w", item.Key, errInvalid)
+	}
 	var s storedDocument
 	if err := cbor.Unmarshal(item.Value, &s); err != nil {
 		return messenger.Doc{}, "", fmt.Errorf("reading %s: %w", item.Key, err)
 	}
-	return messenger.Doc{Team: item.Key[len(keyPrefix):], Version: item.Version, Source: s.Source}, s.Nonce, nil
+	return messenger.Doc{Team: team, Version: item.Version, Source: s.Source}, s.Nonce, nil
 }
 
 func (p *Publisher) apply(d messenger.Doc) {
