publisher: Apply no document of another team

A document that another writer left under the key of a team replaced that team's, although it names another one. The document before stays in force, as beside one that can't be parsed, and it is logged.

The subtest of TestDocumentsAreReadBesideAnOddOne failed before.

--- a/publisher/publisher.go
+++ b/publisher/publisher.go
@@ -110,8 +110,8 @@
 	return d, nonce, err
 }
 
-// errInvalid means that a key is not that of a team's document.
-var errInvalid = errors.New("not the key of a document")
+// errInvalid means that an entry of the store is not the document of its key's team.
+var errInvalid = errors.New("not the document of a team")
 
 func decodeItem(item storer.Item) (messenger.Doc, string, error) {
 	team, ok := strings.CutPrefix(item.Key, keyPrefix)
@@ -126,7 +126,14 @@
 }
 
 func (p *Publisher) apply(d messenger.Doc) {
-	if _, err := p.cfg.Cataloger.Put(d); err != nil {
+	doc, err := p.parser.Parse(d.Team, d.Source)
+	if err == nil && doc.Team != d.Team {
+		err = fmt.Errorf("%w: it is of team %q", errInvalid, doc.Team)
+	}
+	if err == nil {
+		_, err = p.cfg.Cataloger.Put(d)
+	}
+	if err != nil {
 		p.cfg.Log.Error("document in the store does not parse", zap.String("team", d.Team), zap.Error(err))
 	}
 }
--- a/publisher/publisher_test.go
+++ b/publisher/publisher_test.go
@@ -25,7 +25,7 @@
 	for name, odd := range map[string]storer.Item{
 		"no key": {Value: good, Version: 4}, "short key": {Key: "te", Value: good, Version: 4}, "key of another kind": {Key: "other/b", Value: good, Version: 4},
 		"key without a team": {Key: keyPrefix, Value: good, Version: 4}, "no version": {Key: keyPrefix + "a"}, "no CBOR": {Key: keyPrefix + "a", Value: []byte("\xff"), Version: 4},
-		"nested": {Key: keyPrefix + "a", Value: bytes.Repeat([]byte{0x81}, 10000), Version: 4},
+		"nested": {Key: keyPrefix + "a", Value: bytes.Repeat([]byte{0x81}, 10000), Version: 4}, "document of another team": {Key: keyPrefix + "a", Value: good, Version: 4},
 	} {
 		t.Run(name, func(t *testing.T) {
 			c := qt.New(t)
