acceptor: Let no record of another job answer for one

A record of another writer under the key of a job, of a job with another ID, answered for that job: its state was that of a queued job, and its cancel was stored and confirmed, or the job was said to be missing where the queues differ. The owner refuses such a record. The state and the cancel of the job are unavailable now, as where the record can't be decoded.

TestAJobUnderTheKeyOfAnotherAnswersForNeither failed before.

--- a/acceptor/state.go
+++ b/acceptor/state.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 
 	"go.uber.org/zap"
 
@@ -33,7 +34,7 @@
 	if err != nil {
 		return "", err
 	}
-	spec, err := sequencer.DecodeSpec(item.Value)
+	spec, err := decodeJob(id, item.Value)
 	if err != nil {
 		a.cfg.Log.Error("stored job can't be decoded", zap.String("job", id), zap.Error(err))
 		return "", ErrStateUnavailable
@@ -65,6 +66,15 @@
 	return sequencer.Queued, nil
 }
 
+// decodeJob reads the job with the ID; a record of another job says nothing about it.
+func decodeJob(id string, raw []byte) (*sequencer.Spec, error) {
+	spec, err := sequencer.DecodeSpec(raw)
+	if err == nil && spec.ID != id {
+		err = fmt.Errorf("%w: it is job %s", sequencer.ErrInvalid, spec.ID)
+	}
+	return spec, err
+}
+
 // readKey reads a key and retries until the store answers or ctx ends.
 func (a *Acceptor) readKey(ctx context.Context, key string) (storer.Item, error) {
 	for {
@@ -87,7 +97,7 @@
 	if err != nil {
 		return err
 	}
-	spec, err := sequencer.DecodeSpec(item.Value)
+	spec, err := decodeJob(id, item.Value)
 	if err != nil {
 		a.cfg.Log.Error("stored job can't be decoded", zap.String("job", id), zap.Error(err))
 		return ErrStateUnavailable
