acceptor: Leave a job in doubt whose key has an odd record

A submission whose key exists was answered as accepted, whatever the record: a job under the key of another one, or a record that can't be decoded, which no owner starts. The submission has an unknown outcome now and is reported to the other entries as such: an earlier attempt may have been stored and started before the record was replaced, so that 'not accepted' would not be safe either. The other jobs of the transaction are stored.

TestAJobWhoseKeyHasAnOddRecordIsInDoubt failed before.

--- a/acceptor/odd_record_test.go
+++ b/acceptor/odd_record_test.go
@@ -39,3 +39,25 @@
 		c.Check(err, qt.ErrorIs, ErrNotFound)
 	})
 }
+
+// Such a job was reported as accepted, though no owner will start it. It may have been stored
+// and started before the record was replaced.
+func TestAJobWhoseKeyHasAnOddRecordIsInDoubt(t *testing.T) {
+	runWithHarness(t, func(c *qt.C, h *harness) {
+		for n, odd := range [][]byte{encodedJob(c, 99), []byte("\xff"), nil} {
+			h.write(orchestrator.JobKey(jobID(n)), odd)
+			beside := make(chan error, 1)
+			go func() {
+				_, err := h.submit(10 + n)
+				beside <- err
+			}()
+			_, err := h.submit(n)
+			c.Check(err, qt.ErrorIs, ErrUnknownOutcome)
+			c.Check(<-beside, qt.IsNil)
+			c.Check(h.a.InDoubt(), qt.Contains, jobID(n))
+			item, err := h.store.Client().Get(context.Background(), orchestrator.JobKey(jobID(n)))
+			c.Assert(err, qt.IsNil)
+			c.Check(string(item.Value), qt.Equals, string(odd))
+		}
+	})
+}
--- a/acceptor/write.go
+++ b/acceptor/write.go
@@ -91,15 +91,7 @@
 		return later
 	case errors.As(err, &conflict):
 		a.downSince.Store(0)
-		var rest []*submission
-		for _, sub := range batch {
-			if conflict.Item(orchestrator.JobKey(sub.spec.ID)).Version != 0 {
-				sub.done <- nil // an earlier write has stored the job
-				continue
-			}
-			rest = append(rest, sub)
-		}
-		return rest
+		return a.answerStored(batch, conflict)
 	}
 	a.downSince.CompareAndSwap(0, a.cfg.Now().UnixNano())
 	outcomeUnknown := !errors.Is(err, storer.ErrUnavailable)
@@ -134,3 +126,32 @@
 	}
 	return rest
 }
+
+// answerStored answers the submissions whose keys exist, and returns the others. An earlier
+// write has stored the job, unless the key has a record that isn't one of the job: that
+// may have replaced one that was started.
+func (a *Acceptor) answerStored(batch []*submission, conflict *storer.ConflictError) []*submission {
+	var rest, replaced []*submission
+	var inDoubt []string
+	for _, sub := range batch {
+		item := conflict.Item(orchestrator.JobKey(sub.spec.ID))
+		if item.Version == 0 {
+			rest = append(rest, sub)
+			continue
+		}
+		if _, err := decodeJob(sub.spec.ID, item.Value); err != nil {
+			a.cfg.Log.Error("stored job can't be decoded", zap.String("job", sub.spec.ID), zap.Error(err))
+			replaced, inDoubt = append(replaced, sub), append(inDoubt, sub.spec.ID)
+			continue
+		}
+		sub.done <- nil
+	}
+	if len(replaced) > 0 { // before any of their callers can retry
+		a.MarkInDoubt(inDoubt)
+		a.cfg.BroadcastInDoubt(inDoubt)
+	}
+	for _, sub := range replaced {
+		sub.done <- ErrUnknownOutcome
+	}
+	return rest
+}
