acceptor: Check that cancels show only beside progress that can be read

The cancel of a job whose progress can't be decoded is stored, but doesn't show in the job's state. That stays: the progress may have been that of a job which ended before the cancel, which then has no effect, and a final state that was reported must not change to canceled. Nothing in the store tells the cases apart: the version of the odd record is that of its writing, and an owner may still end a job after its cancel was stored. Neither is the state in a record believed whose other fields can't be read. The state is unavailable until the progress can be read, and the cancel counts from then on.

--- a/acceptor/odd_record_test.go
+++ b/acceptor/odd_record_test.go
@@ -61,3 +61,32 @@
 		}
 	})
 }
+
+// Progress that can't be read may have been that of a job that ended: its cancel has no
+// effect, and a final state that was reported must not change.
+func TestACancelShowsOnlyBesideProgressThatCanBeRead(t *testing.T) {
+	for name, odd := range map[string][]byte{"no CBOR": []byte("\xff"), "empty": nil, "state that is not known": {0xa1, 0x01, 0x61, 'x'}, "final state beside odd tasks": {0xa2, 0x01, 0x68, 'c', 'o', 'm', 'p', 'l', 'e', 't', 'e', 0x02, 0x07}} {
+		for _, before := range []sequencer.State{sequencer.Complete, sequencer.Failed, sequencer.Running, ""} {
+			t.Run(name+" in place of "+string(before), func(t *testing.T) {
+				runWithHarness(t, func(c *qt.C, h *harness) {
+					_, err := h.submit(1)
+					c.Assert(err, qt.IsNil)
+					raw, err := (&sequencer.Progress{State: before}).Encode()
+					c.Assert(err, qt.IsNil)
+					h.write(orchestrator.ProgressKey(jobID(1)), odd)
+					c.Assert(h.a.Cancel(context.Background(), "q", jobID(1)), qt.IsNil)
+					_, err = h.state(1)
+					c.Check(err, qt.ErrorIs, ErrStateUnavailable)
+					h.write(orchestrator.ProgressKey(jobID(1)), raw)
+					want := sequencer.Canceled
+					if before.Final() {
+						want = before
+					}
+					state, err := h.state(1)
+					c.Assert(err, qt.IsNil)
+					c.Check(state, qt.Equals, want, qt.Commentf("once the progress can be read again"))
+				})
+			})
+		}
+	}
+}
--- a/acceptor/state.go
+++ b/acceptor/state.go
@@ -45,7 +45,7 @@
 	progressItem, err := a.readKey(ctx, orchestrator.ProgressKey(id))
 	if err == nil {
 		progress, err := sequencer.DecodeProgress(progressItem.Value)
-		if err != nil {
+		if err != nil { // the job may have ended before it was canceled
 			a.cfg.Log.Error("stored progress can't be decoded", zap.String("job", id), zap.Error(err))
 			return "", ErrStateUnavailable
 		}
