messenger: Drop addresses at which nothing can listen

The addresses of entries that an entry hands to agents were dialled whatever they were: port 0, an unspecified or a multicast address. One that can't be read failed the whole frame, so that the agent could not connect to that entry. Both are dropped as the frame is read, and the others hold.

--- a/messenger/messages.go
+++ b/messenger/messages.go
@@ -1,7 +1,6 @@
 package messenger
 
 import (
-	"net/netip"
 	"time"
 
 	"github.com/endivefall/endivefall/parser"
@@ -37,13 +36,13 @@
 
 // Welcome answers a Hello.
 type Welcome struct {
-	Version        int              `cbor:"1,keyasint"`
-	ID             string           `cbor:"2,keyasint"`
-	Incarnation    string           `cbor:"3,keyasint"`
-	RefusalReason  string           `cbor:"4,keyasint,omitempty"`
-	Peers          []netip.AddrPort `cbor:"5,keyasint,omitempty"`
-	NeedsDocuments bool             `cbor:"6,keyasint,omitempty"` // the entry has not read the documents from the store yet and asks for the peer's copies
-	TakesDeltas    bool             `cbor:"7,keyasint,omitempty"` // the entry restores snapshots that have only changes
+	Version        int    `cbor:"1,keyasint"`
+	ID             string `cbor:"2,keyasint"`
+	Incarnation    string `cbor:"3,keyasint"`
+	RefusalReason  string `cbor:"4,keyasint,omitempty"`
+	Peers          Addrs  `cbor:"5,keyasint,omitempty"`
+	NeedsDocuments bool   `cbor:"6,keyasint,omitempty"` // the entry has not read the documents from the store yet and asks for the peer's copies
+	TakesDeltas    bool   `cbor:"7,keyasint,omitempty"` // the entry restores snapshots that have only changes
 }
 
 // Heartbeat is sent periodically to a peer. An agent's heartbeat also carries its
@@ -100,7 +99,7 @@
 
 // Peers lists the entries' peer addresses.
 type Peers struct {
-	Addrs []netip.AddrPort `cbor:"1,keyasint"`
+	Addrs Addrs `cbor:"1,keyasint"`
 }
 
 // Call starts a request at an agent. Deadline is on the agent's clock.
