elector: Claim ownership after another writer deleted the owner key

The deletion was ignored: the owner stopped as it could confirm its ownership no longer, each claim checked the version before, and no owner followed. A process started since took the missing key for that of a new deployment: its claim had term 1 and was clean, beside an owner that may still have acted.

A deletion is a newer record without an owner now, whether it is watched or the key is missing from a later list and from a read of it alone. The claim that follows checks that the key is still missing. It is not clean, so that the new owner waits until all confirmations of the one before have expired, and its term is above the version of the deletion, which no earlier term exceeds. Where a process knows no owner, it reads the claim key, which each claim writes too: its claim is clean only if that key doesn't exist either, which the claim checks, and otherwise has a term above the version of the last claim. Where another writer deletes the claim key as well, a process that knows no owner still claims as in a new deployment.

--- a/elector/claim.go
+++ b/elector/claim.go
@@ -118,7 +118,7 @@
 // last read.
 func (e *Elector) claim(ctx context.Context, reason string) error {
 	e.mu.Lock()
-	record, version := e.record, e.version
+	record, version, keyDeleted := e.record, e.version, e.keyDeleted
 	e.mu.Unlock()
 	if reason == reasonOwnerLost { // the watch may lag behind the store
 		item, err := e.cfg.Store.Get(ctx, entryPrefix+record.Owner.ID)
@@ -139,8 +139,22 @@
 	if record.Released {
 		next.RemainingTTL = record.RemainingTTL
 	}
+	checks := []storer.Check{{Key: OwnerKey, Version: version}}
+	if version == 0 || keyDeleted {
+		checks[0].Version = 0
+		earlier, err := e.lastClaim(ctx)
+		if err != nil {
+			return err
+		}
+		if earlier.Version > 0 {
+			next.Term, next.PredecessorsStopped = max(next.Term, earlier.Version+1), false
+		}
+		if e.cfg.ClaimKey != "" {
+			checks = append(checks, storer.Check{Key: e.cfg.ClaimKey, Version: earlier.Version})
+		}
+	}
 	sent := e.cfg.Now()
-	newVersion, err := e.writeRecord(ctx, next, version, e.cfg.ClaimKey)
+	newVersion, err := e.writeRecord(ctx, next, checks, e.cfg.ClaimKey)
 	if err != nil {
 		return err
 	}
@@ -153,9 +167,28 @@
 	return nil
 }
 
-// writeRecord sets the owner key, and the claim key unless it is empty, if the owner key
-// still has the given version.
-func (e *Elector) writeRecord(ctx context.Context, r OwnerRecord, version uint64, claimKey string) (uint64, error) {
+// errUnreadableClaim means that it can't be told which claim was the last one.
+var errUnreadableClaim = errors.New("record of the last claim can't be read")
+
+// lastClaim reads the claim key, which still exists where another writer has deleted the owner
+// key. The term of each claim is at most its version. Version is 0 if there was none.
+func (e *Elector) lastClaim(ctx context.Context) (storer.Item, error) {
+	if e.cfg.ClaimKey == "" {
+		return storer.Item{}, nil
+	}
+	item, err := e.cfg.Store.Get(ctx, e.cfg.ClaimKey)
+	switch {
+	case errors.Is(err, storer.ErrNotFound):
+		return storer.Item{}, nil
+	case err == nil && item.Version == 0:
+		return item, errUnreadableClaim
+	}
+	return item, err
+}
+
+// writeRecord sets the owner key, and the claim key unless it is empty, if the checks hold;
+// one is on the owner key.
+func (e *Elector) writeRecord(ctx context.Context, r OwnerRecord, checks []storer.Check, claimKey string) (uint64, error) {
 	value, err := cbor.Marshal(r)
 	if err != nil {
 		return 0, err
@@ -165,7 +198,7 @@
 		alongside = append(alongside, storer.Write{Key: claimKey, Value: value})
 	}
 	newVersion, err := e.cfg.Store.CommitIdempotent(ctx, storer.Transaction{
-		Checks: []storer.Check{{Key: OwnerKey, Version: version}},
+		Checks: checks,
 		Writes: []storer.Write{{Key: OwnerKey, Value: value}},
 	}, alongside...)
 	var conflict *storer.ConflictError
@@ -190,7 +223,7 @@
 		return
 	}
 	record.Released = true
-	newVersion, err := e.writeRecord(ctx, record, version, "")
+	newVersion, err := e.writeRecord(ctx, record, []storer.Check{{Key: OwnerKey, Version: version}}, "")
 	e.cfg.Log.Info("ownership released", zap.Uint64("term", record.Term), zap.String("why", reason), zap.Error(err))
 	if err != nil {
 		return
--- a/elector/elector.go
+++ b/elector/elector.go
@@ -7,6 +7,7 @@
 	"context"
 	"errors"
 	"net/netip"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -89,6 +90,9 @@
 	// record and version are the newest known value and version of the owner key.
 	record  OwnerRecord
 	version uint64
+	// keyDeleted is set while the owner key does not exist, though it did; version is then one
+	// at which it was gone.
+	keyDeleted bool
 	// members has the live entries by ID, as last read from the store.
 	members map[string]Member
 	// unreadable has the IDs of live keys that can't be decoded.
@@ -247,6 +251,9 @@
 func (e *Elector) watchLoop(ctx context.Context) {
 	for ctx.Err() == nil {
 		page, err := e.cfg.Store.List(ctx, livePrefix)
+		if err == nil {
+			page.Items, err = e.withOwnerKey(ctx, page)
+		}
 		if err != nil {
 			waiter.Sleep(ctx, retryDelay)
 			continue
@@ -266,6 +273,21 @@
 	}
 }
 
+// withOwnerKey returns the items of a list. If they lack an owner key that existed, it adds
+// that it was deleted, or the key if a read of it alone finds it.
+func (e *Elector) withOwnerKey(ctx context.Context, page storer.Page) ([]storer.Item, error) {
+	_, version := e.Owner()
+	listed := slices.ContainsFunc(page.Items, func(item storer.Item) bool { return item.Key == OwnerKey })
+	if listed || version == 0 || page.Version <= version {
+		return page.Items, nil
+	}
+	item, err := e.cfg.Store.Get(ctx, OwnerKey)
+	if errors.Is(err, storer.ErrNotFound) {
+		item, err = storer.Item{Key: OwnerKey, Version: page.Version, Deleted: true}, nil
+	}
+	return append(page.Items, item), err
+}
+
 func (e *Elector) reset(page storer.Page) {
 	e.mu.Lock()
 	e.members, e.unreadable = map[string]Member{}, map[string]bool{}
@@ -307,11 +329,22 @@
 }
 
 // applyOwnerRecord applies a newer version of the owner key; mu is held. One that can't be
-// decoded has no owner: the entry that it replaces stops, as it can write nothing more, and
-// another claim follows. Its term is above all earlier ones, even those that this process has
-// not read.
+// decoded has no owner, nor has a key that another writer deleted: the entry that it replaces
+// stops, as it can write nothing more, and another claim follows. Its term is above all
+// earlier ones, even those that this process has not read.
 func (e *Elector) applyOwnerRecord(item storer.Item) {
-	if item.Deleted || item.Version <= e.version {
+	if item.Version <= e.version {
+		return
+	}
+	if item.Deleted {
+		claimableSince := time.Time{}
+		if e.keyDeleted {
+			claimableSince = e.claimableSince
+		} else {
+			e.cfg.Log.Warn("owner key was deleted", zap.Uint64("version", item.Version), zap.String("owner", e.record.Owner.ID))
+		}
+		e.setRecordLocked(OwnerRecord{Term: item.Version}, item.Version)
+		e.keyDeleted, e.claimableSince = true, claimableSince
 		return
 	}
 	r, err := decodeOwnerRecord(item.Value, item.Version)
@@ -332,5 +365,5 @@
 	if r.Owner == e.cfg.Self && r.Term != e.record.Term {
 		e.claimedAt = e.cfg.Now()
 	}
-	e.record, e.version, e.claimableSince = r, version, time.Time{}
+	e.record, e.version, e.keyDeleted, e.claimableSince = r, version, false, time.Time{}
 }
--- a/elector/elector_test.go
+++ b/elector/elector_test.go
@@ -24,8 +24,13 @@
 	cpuCapacity map[string]int64 // by entry ID, for nodes started later; 0 if missing
 	// lastReply is when the owner last replied on a link, in Unix nanoseconds.
 	lastReply atomic.Int64
+	// frozen blocks the replies of the store to an entry, by ID.
+	frozen map[string]*gate
 }
 
+// testClaimKey is the key that each claim writes too.
+const testClaimKey = "in/owner"
+
 type node struct {
 	*Elector
 	stop context.CancelFunc
@@ -48,9 +53,13 @@
 }
 
 func (cl *cluster) start(id, incarnation string) {
+	store := cl.store.Client()
+	if g := cl.frozen[id]; g != nil {
+		store = g.wrap(store)
+	}
 	e := New(Config{
 		Self:  Member{ID: id, Incarnation: incarnation, PeerAddr: netip.MustParseAddrPort("10.0.0.1:1"), CPUCapacity: cl.cpuCapacity[id]},
-		Store: cl.store.Client(), Now: time.Now, Log: zap.NewNop(), OwnerLastReply: func() time.Time { return time.Unix(0, cl.lastReply.Load()) },
+		Store: store, ClaimKey: testClaimKey, Now: time.Now, Log: zap.NewNop(), OwnerLastReply: func() time.Time { return time.Unix(0, cl.lastReply.Load()) },
 		OnChange: func(OwnerRecord, []Member) {},
 	})
 	ctx, stop := context.WithCancel(context.Background())
