elector: Claim only for the record that was judged

The reason of a claim was found under one lock, and the version that the claim checks was read under another one. A process that was suspended in between could claim in place of an owner that had claimed meanwhile, and take that claim for the first one, which is clean. The claim checks the version for which its reason was found now.

TestAClaimHoldsForTheRecordThatWasJudged failed before, with the version taken as the claim began.

--- a/elector/claim.go
+++ b/elector/claim.go
@@ -23,8 +23,8 @@
 			e.refreshConfirmation(ctx)
 			continue
 		}
-		if reason := e.claimReason(); reason != "" {
-			if err := e.claim(ctx, reason); err != nil && ctx.Err() == nil {
+		if reason, version := e.claimReason(); reason != "" {
+			if err := e.claim(ctx, reason, version); err != nil && ctx.Err() == nil {
 				e.cfg.Log.Info("claim failed", zap.String("why", reason), zap.Error(err))
 			}
 		}
@@ -58,8 +58,8 @@
 )
 
 // claimReason returns why this entry should claim ownership now, or an empty string
-// if it should not.
-func (e *Elector) claimReason() string {
+// if it should not, and the version of the owner key that it judged.
+func (e *Elector) claimReason() (string, uint64) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := e.cfg.Now()
@@ -67,7 +67,7 @@
 	owner, alive := e.members[e.record.Owner.ID]
 	switch {
 	case e.members[e.cfg.Self.ID] != e.cfg.Self:
-		return "" // this process has no live key in the store
+		return "", 0 // this process has no live key in the store
 	case e.version == 0:
 		reason = reasonNoOwner
 	case e.record.Released:
@@ -79,19 +79,19 @@
 	}
 	if reason == "" {
 		e.claimableSince = time.Time{}
-		return ""
+		return "", 0
 	}
 	if e.claimableSince.IsZero() {
 		e.claimableSince = now
 	}
 	rank := e.rank()
 	if now.Before(e.cooldownUntil) && rank > 0 {
-		return ""
+		return "", 0
 	}
 	if now.Before(e.claimableSince.Add(time.Duration(rank) * claimDelayPerRank)) {
-		return ""
+		return "", 0
 	}
-	return reason
+	return reason, e.version
 }
 
 // rank returns the position of this entry among the candidates for the next term,
@@ -114,12 +114,15 @@
 	return rank
 }
 
-// claim makes this process the owner unless the owner key has changed since it was
-// last read.
-func (e *Elector) claim(ctx context.Context, reason string) error {
+// claim makes this process the owner unless the owner key has changed since the version for
+// which the reason holds.
+func (e *Elector) claim(ctx context.Context, reason string, version uint64) error {
 	e.mu.Lock()
-	record, version, keyDeleted := e.record, e.version, e.keyDeleted
+	record, current, keyDeleted := e.record, e.version, e.keyDeleted
 	e.mu.Unlock()
+	if current != version {
+		return fmt.Errorf("%w: owner key has changed meanwhile", storer.ErrConflict)
+	}
 	if reason == reasonOwnerLost { // the watch may lag behind the store
 		item, err := e.cfg.Store.Get(ctx, entryPrefix+record.Owner.ID)
 		if err != nil && !errors.Is(err, storer.ErrNotFound) {
--- a/elector/claim_test.go
+++ b/elector/claim_test.go
@@ -64,7 +64,8 @@
 		e.record = OwnerRecord{Owner: otherMember, Term: 1}
 		delete(e.members, otherMember.ID)
 		e.mu.Unlock()
-		c.Assert(e.claim(context.Background(), reasonOwnerLost), qt.IsNil)
+		_, version := e.Owner()
+		c.Assert(e.claim(context.Background(), reasonOwnerLost, version), qt.IsNil)
 		c.Assert(e.IsOwner(), qt.IsFalse)
 	})
 }
@@ -141,3 +142,21 @@
 		c.Check(record.EarlierOwnersTTL() <= 2*time.Second, qt.IsTrue, qt.Commentf("%v", record.EarlierOwnersTTL()))
 	})
 }
+
+// A process may be suspended between its decision and its claim, while another one claims.
+func TestAClaimHoldsForTheRecordThatWasJudged(t *testing.T) {
+	for name, reason := range map[string]string{"no owner": reasonNoOwner, "lost": reasonOwnerLost, "released": "owner released"} {
+		t.Run(name, func(t *testing.T) {
+			withCluster(t, 2, func(c *qt.C, cl *cluster) {
+				owner := cl.owner()
+				for id, n := range cl.nodes {
+					if id != owner {
+						_, version := n.Owner()
+						c.Check(n.claim(context.Background(), reason, version-1), qt.ErrorIs, storer.ErrConflict)
+					}
+				}
+				c.Check(cl.owner(), qt.Equals, owner)
+			})
+		})
+	}
+}
--- a/elector/deleted_owner_test.go
+++ b/elector/deleted_owner_test.go
@@ -84,7 +84,7 @@
 			cl.write(key, []byte("claim"))
 			return item, err
 		}
-		cl.c.Assert(e.claim(context.Background(), reasonNoOwner), qt.ErrorIs, storer.ErrConflict)
+		cl.c.Assert(e.claim(context.Background(), reasonNoOwner, 0), qt.ErrorIs, storer.ErrConflict)
 		cl.c.Check(e.IsOwner(), qt.IsFalse)
 	})
 }
