--- a/storer/decode.go
+++ b/pruner/pruner.go
@@ -1,17 +1,18 @@
-package storer
+// Package pruner decodes JSON that other writers may have nested too deeply.
+package pruner
 
 import (
 	"encoding/json"
 	"errors"
 )
 
-// maxDepth is the depth to which decode reads nested values; no reply of the store is nested
-// deeper.
-const maxDepth = 16
+// MaxDepth is the depth to which Decode reads nested values; nothing that is read with it is
+// meant to be nested deeper.
+const MaxDepth = 16
 
-// decode reads JSON of the store. The decoder of the standard library gives up on the whole
-// text if a part of it is nested too deeply; decode replaces such a part by null.
-func decode(raw []byte, v any) error {
+// Decode reads JSON like json.Unmarshal, whose decoder gives up on the whole text if a part of
+// it is nested too deeply; Decode replaces such a part by null.
+func Decode(raw []byte, v any) error {
 	err := json.Unmarshal(raw, v)
 	var syntaxErr *json.SyntaxError
 	if !errors.As(err, &syntaxErr) {
@@ -24,7 +25,7 @@
 	return json.Unmarshal(pruned, v)
 }
 
-// prune replaces values that are nested deeper than maxDepth by null, and reports whether
+// prune replaces values that are nested deeper than MaxDepth by null, and reports whether
 // there are any.
 func prune(raw []byte) (pruned []byte, ok bool) {
 	depth, inString, escaped := 0, false, false
@@ -44,11 +45,11 @@
 			closes = true
 		}
 		if opens {
-			if depth++; depth == maxDepth+1 {
+			if depth++; depth == MaxDepth+1 {
 				pruned, ok = append(pruned, "null"...), true
 			}
 		}
-		if depth <= maxDepth {
+		if depth <= MaxDepth {
 			pruned = append(pruned, b)
 		}
 		if closes {
--- a/storer/client.go
+++ b/storer/client.go
@@ -16,6 +16,7 @@
 
 	"github.com/endivefall/endivefall/estimator"
 	"github.com/endivefall/endivefall/fetcher"
+	"github.com/endivefall/endivefall/pruner"
 )
 
 // Errors of the platform's store.
@@ -255,7 +256,7 @@
 	case into == nil:
 		return nil
 	}
-	if err := decode(reply.Body, into); err != nil {
+	if err := pruner.Decode(reply.Body, into); err != nil {
 		return classifyFailure(method, err)
 	}
 	return nil
--- a/storer/reply_test.go
+++ b/storer/reply_test.go
@@ -9,13 +9,15 @@
 	"testing"
 
 	qt "github.com/frankban/quicktest"
+
+	"github.com/endivefall/endivefall/pruner"
 )
 
 func nested(depth int) string { return strings.Repeat("[", depth) + strings.Repeat("]", depth) }
 
 // oddValues are values as another writer may leave them.
 var oddValues = []string{
-	nested(maxDepth + 1), nested(20000), strings.Repeat(`{"a":`, 20000) + "1" + strings.Repeat("}", 20000), `"[[["`, `{}`, `null`, `true`, `"x"`, `-1`, `1.5`,
+	nested(pruner.MaxDepth + 1), nested(20000), strings.Repeat(`{"a":`, 20000) + "1" + strings.Repeat("}", 20000), `"[[["`, `{}`, `null`, `true`, `"x"`, `-1`, `1.5`,
 	`9223372036854775808`, `18446744073709551616`, `1e999`, `-1e999`, `9223372036854775807`, `18446744073709551615`, `"` + "\xff" + `"`,
 }
 
