--- a/review/world/many_ends.go
+++ b/review/world/many_ends.go
@@ -50,7 +50,7 @@
 	w.record.note("all at work after %s", took)
 	if w.trouble {
 		time.Sleep(lasts - took - 600*time.Millisecond)
-		agent := w.busiestAgent()
+		agent := w.agents[w.busiest()]
 		w.signal(syscall.SIGKILL, agent)
 		time.Sleep(downTime)
 		runs, ends := w.running()
--- a/review/world/rules.go
+++ b/review/world/rules.go
@@ -1,6 +1,9 @@
 package main
 
-import "fmt"
+import (
+	"fmt"
+	"time"
+)
 
 // startedAfterDone returns the breaks of TWICE: a start after a run of the task has ended
 // done, if that end is taken note of then or later, unless the worker's lease lapsed between
@@ -43,3 +46,44 @@
 	}
 	return broken
 }
+
+// Bounds of LOST for a task that lasts: it has to be at work again from restartBound after
+// its last run; missing for awayBound breaks the rule, if calmBefore and that time are calm.
+const (
+	restartBound = 6 * time.Second
+	awayBound    = 3 * time.Second
+	calmBefore   = 4 * time.Second
+	// contact is how long a disturbance counts after its end.
+	contact = 3 * time.Second
+)
+
+// lastingAway returns the breaks of LOST by tasks that last, where the only disturbance was
+// over at the given time.
+func (r *record) lastingAway(disturbed time.Duration) []string {
+	type away struct{ from, to time.Duration }
+	events := r.all()
+	last := events[len(events)-1].at
+	open := map[string]time.Duration{}
+	var broken []string
+	check := func(task string, a away) {
+		from := max(a.from+restartBound, disturbed+contact+calmBefore)
+		if a.to-from >= awayBound {
+			broken = append(broken, fmt.Sprintf("LOST: %s is to last and isn't at work from %.3f to %.3f", task, a.from.Seconds(), a.to.Seconds()))
+		}
+	}
+	for _, e := range events {
+		switch e.kind {
+		case "lost", "end":
+			open[e.task] = e.at
+		case "start":
+			if from, ok := open[e.task]; ok {
+				check(e.task, away{from, e.at})
+				delete(open, e.task)
+			}
+		}
+	}
+	for task, from := range open {
+		check(task, away{from, last})
+	}
+	return broken
+}
--- a/review/world/worker.go
+++ b/review/world/worker.go
@@ -72,6 +72,7 @@
 	finished   []endedRun
 	lastEnd    int64
 	draining   bool
+	gone       bool
 	remaining  time.Time
 	changed    chan struct{}
 	seq        uint64
@@ -205,6 +206,11 @@
 		return
 	}
 	w.mu.Lock()
+	if w.gone {
+		w.mu.Unlock()
+		<-r.Context().Done()
+		return
+	}
 	w.lapse()
 	body := map[string]any{"clockMs": w.clock()}
 	if want := r.Header.Get(words["expect"]); want != "" && want != w.id {
@@ -329,6 +335,10 @@
 	client := &http.Client{Timeout: time.Second}
 	for ctx.Err() == nil {
 		w.mu.Lock()
+		if w.gone {
+			w.mu.Unlock()
+			return
+		}
 		w.seq++
 		body := map[string]any{
 			"service": w.service, "address": w.name, "zone": "z", "version": "v1", "slots": 8, "state": "ready", "warmupLeftMs": 0, "seq": w.seq,
@@ -357,3 +367,16 @@
 		}
 	}
 }
+
+// lose ends the worker for good: it answers nothing from then on.
+func (w *worker) lose() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, r := range w.runs {
+		if r.timer != nil {
+			r.timer.Stop()
+		}
+		w.record.add(event{kind: "lost", worker: w.name, task: r.task, attempt: r.attempt})
+	}
+	w.runs, w.finished, w.gone = map[string]*activeRun{}, nil, true
+}
--- a/review/world/world.go
+++ b/review/world/world.go
@@ -44,6 +44,7 @@
 	cancel   context.CancelFunc
 	advisers string
 	trouble  bool
+	proxies  []*proxy
 }
 
 // options are the size of a world and its settings.
@@ -56,15 +57,27 @@
 	startup          time.Duration
 	adviser          http.Handler
 	checkTicket      func(id, task, ticket string) bool
+	proxied          bool // channels between the processes, to the store and to workers
 }
 
+// Ports that no connection takes by itself.
+const firstPort, lastPort = 12000, 31000
+
+// nextPort is the next port to try.
+var nextPort = firstPort + os.Getpid()%190*100
+
+// freeAddr returns an address with a free port.
 func freeAddr() string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		panic(err)
+	for {
+		if nextPort++; nextPort > lastPort {
+			nextPort = firstPort
+		}
+		addr := fmt.Sprintf("127.0.0.1:%d", nextPort)
+		if l, err := net.Listen("tcp", addr); err == nil {
+			_ = l.Close()
+			return addr
+		}
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
 }
 
 func serve(h http.Handler) string {
@@ -92,16 +105,24 @@
 		return nil, err
 	}
 	storeAddr := serve(&standin.Store{Backend: w.store})
+	via := func(addr string) string {
+		if !o.proxied {
+			return addr
+		}
+		p := newProxy(addr)
+		w.proxies = append(w.proxies, p)
+		return p.addr
+	}
 	advice := ""
 	if o.adviser != nil {
 		advice = "advice: " + serve(o.adviser) + "\n"
 	}
 	for n := range o.entries {
-		front := freeAddr()
+		front, bind := freeAddr(), freeAddr()
 		w.fronts = append(w.fronts, front)
 		w.entries = append(w.entries, &program{name: fmt.Sprintf("edge-%d", n+1), role: "pool-entry", settings: w.settings(fmt.Sprintf("edge-%d", n+1), fmt.Sprintf(
-			"domain: zone-%d\nlisten: %s\nready: %s\npeer: %s\nstore: %s\n%shold: 6000ms\nkeep: 120s\ndrain: 6s\ncores: 0.4\nspeed: 1\nmetrics: %s\nlevel: info\n",
-			n+1, front, freeAddr(), freeAddr(), storeAddr, advice, freeAddr()))})
+			"domain: zone-%d\nlisten: %s\nready: %s\npeer: %s\nbind: %s\nstore: %s\n%shold: 6000ms\nkeep: 120s\ndrain: 6s\ncores: 0.4\nspeed: 1\nmetrics: %s\nlevel: info\n",
+			n+1, front, freeAddr(), via(bind), bind, via(storeAddr), advice, freeAddr()))})
 	}
 	for n := range o.workers {
 		name := fmt.Sprintf("side-%d", n+1)
@@ -116,7 +137,7 @@
 		w.workers = append(w.workers, wk)
 		control := freeAddr()
 		w.agents = append(w.agents, &program{name: name, role: "pool-agent", settings: w.settings(name, fmt.Sprintf(
-			"domain: zone-%d\nlisten: %s\nworker: %s\npool: svc\nstore: %s\nhold: 6000ms\nmetrics: %s\nlevel: info\n", n%4+1, control, serve(wk), storeAddr, freeAddr()))})
+			"domain: zone-%d\nlisten: %s\nworker: %s\npool: svc\nstore: %s\nhold: 6000ms\nmetrics: %s\nlevel: info\n", n%4+1, control, via(serve(wk)), via(storeAddr), freeAddr()))})
 		go wk.beat(w.ctx, control)
 	}
 	for _, p := range w.programs() {
@@ -249,13 +270,26 @@
 	return runs, ends
 }
 
-// busiestAgent returns the agent beside the worker with the most runs.
-func (w *world) busiestAgent() *program {
+// busiest returns the number of the worker with the most runs.
+func (w *world) busiest() int {
 	best, most := 0, -1
 	for n, wk := range w.workers {
 		if runs, _ := wk.active(); runs > most {
 			best, most = n, runs
 		}
 	}
-	return w.agents[best]
+	return best
+}
+
+// configure writes a configuration as the operator.
+func (w *world) configure(config string) error {
+	item, err := w.store.Client().Get(w.ctx, "op/config")
+	if err != nil {
+		return err
+	}
+	_, err = w.store.Client().Commit(w.ctx, storer.Transaction{
+		Checks: []storer.Check{{Key: "op/config", Version: item.Version}}, Writes: []storer.Write{{Key: "op/config", Value: []byte(config)}},
+	})
+	w.record.note("configuration acknowledged: %v", err == nil)
+	return err
 }
