--- a/review/world/worker.go
+++ b/review/world/worker.go
@@ -55,6 +55,9 @@
 	ending func(task string, attempt uint64) string
 	// checkTicket returns whether a start with a ticket is allowed; nil allows all.
 	checkTicket func(id, task, ticket string) bool
+	// measure returns the fifth column of an active run, given all tasks at work on the
+	// worker; nil measures nothing.
+	measure func(task string, all []string) int64
 	// startup is the time until a run that lasts shows 100 percent.
 	startup time.Duration
 	// maxHold is the longest lease.
@@ -257,6 +260,11 @@
 				return
 			}
 			w.mu.Lock()
+			if w.gone {
+				w.mu.Unlock()
+				<-r.Context().Done()
+				return
+			}
 			if w.id != id {
 				w.mu.Unlock()
 				panic(http.ErrAbortHandler) // that life is over
@@ -306,7 +314,15 @@
 // lists returns both lists; the caller holds mu.
 func (w *worker) lists() (active, finished [][]any) {
 	active, finished = [][]any{}, [][]any{}
+	var tasks []string
+	for task := range w.runs {
+		tasks = append(tasks, task)
+	}
 	for _, r := range w.runs {
+		measured := int64(0)
+		if w.measure != nil {
+			measured = w.measure(r.task, tasks)
+		}
 		whole := r.lasts
 		if whole == 0 {
 			whole = w.startup
@@ -315,7 +331,7 @@
 		if whole > 0 {
 			percent = min(int(100*time.Since(r.startedAt)/whole), 100)
 		}
-		active = append(active, []any{r.task, r.attempt, "", percent, 0})
+		active = append(active, []any{r.task, r.attempt, "", percent, measured})
 	}
 	for _, e := range w.finished[:min(len(w.finished), listedEnds)] {
 		finished = append(finished, []any{e.n, e.task, e.attempt, e.how, ""})
--- a/review/world/world.go
+++ b/review/world/world.go
@@ -55,6 +55,7 @@
 	duration         func(task string, attempt uint64) time.Duration
 	ending           func(task string, attempt uint64) string
 	startup          time.Duration
+	measure          func(task string, all []string) int64
 	adviser          http.Handler
 	checkTicket      func(id, task, ticket string) bool
 	proxied          bool // channels between the processes, to the store and to workers
@@ -128,7 +129,7 @@
 		name := fmt.Sprintf("side-%d", n+1)
 		wk := &worker{
 			name: name, service: "svc", cpu: o.cpu, memory: o.memory, labels: []string{"a", fmt.Sprintf("r1-%d", n/3)}, duration: o.duration, ending: o.ending,
-			startup: o.startup, maxHold: 6 * time.Second, record: rec, checkTicket: o.checkTicket,
+			startup: o.startup, measure: o.measure, maxHold: 6 * time.Second, record: rec, checkTicket: o.checkTicket,
 		}
 		if wk.ending == nil {
 			wk.ending = func(string, uint64) string { return "done" }
