--- a/review/world/main.go
+++ b/review/world/main.go
@@ -18,7 +18,7 @@
 )
 
 // cases are the scripts by number. Each returns what broke the rule, or nothing.
-var cases = map[int]func(dir string) ([]string, error){1: manyEnds, 2: loseTwoMachines, 3: loseFiller}
+var cases = map[int]func(dir string) ([]string, error){1: manyEnds, 2: loseTwoMachines, 3: loseFiller, 4: crashAdvised}
 
 // limit is how long a case may take.
 const limit = 115 * time.Second
--- a/review/world/world.go
+++ b/review/world/world.go
@@ -294,3 +294,11 @@
 	w.record.note("configuration acknowledged: %v", err == nil)
 	return err
 }
+
+// silence makes all open channels silent: between the processes, to the store and to workers.
+func (w *world) silence() {
+	w.record.note("open channels go silent")
+	for _, p := range w.proxies {
+		p.silence()
+	}
+}
