Review case 1: more tasks, so that it doesn't hang on one moment; stand-ins tidied

What no case uses is taken out of the stand-ins, and a process that ends by itself makes the script exit with 2.

--- a/review/world/advised.go
+++ b/review/world/advised.go
@@ -65,5 +65,5 @@
 		runs, _ := w.running()
 		w.record.note("%d of 8 tasks are at work", runs)
 	}
-	return w.record.lastingAway(crashedAt), nil
+	return w.verdict(w.record.lastingAway(crashedAt))
 }
--- a/review/world/crowded.go
+++ b/review/world/crowded.go
@@ -47,5 +47,5 @@
 		runs, _ := w.running()
 		w.record.note("%d of %d tasks are at work", runs, fillingTasks)
 	}
-	return w.record.lastingAway(lostAt), nil
+	return w.verdict(w.record.lastingAway(lostAt))
 }
--- a/review/world/deadly.go
+++ b/review/world/deadly.go
@@ -63,7 +63,7 @@
 		time.Sleep(500 * time.Millisecond)
 		return state["state"] == "failed"
 	})
-	return w.record.startedAfterCrashes(), nil
+	return w.verdict(w.record.startedAfterCrashes())
 }
 
 // startedAfterCrashes returns the breaks of BUDGET: a task that crashes the workers that start
--- a/review/world/many_ends.go
+++ b/review/world/many_ends.go
@@ -9,9 +9,9 @@
 const (
 	// tasksAtOnce is how many short tasks a worker of 64 cores has at work when the agent
 	// beside it is killed: more than the ends that it lists in one reply.
-	tasksAtOnce = 800
+	tasksAtOnce = 1600
 	// downTime is how long the agent's process is down.
-	downTime = 1500 * time.Millisecond
+	downTime = 2500 * time.Millisecond
 )
 
 const plainConfig = `{"version":3,"routes":[{"name":"r1","host":"host.example","prefix":"/q/","kind":"unsafe","timeoutMs":3000,"targetLatencyMs":1000,"priority":1,"service":"svc","maxAttempts":4,"stretchFactor":2.0}],
@@ -20,7 +20,7 @@
 // manyEnds kills the agent beside a worker that has many tasks at work, which end before the
 // agent is back.
 func manyEnds(dir string) ([]string, error) {
-	const lasts = 4 * time.Second
+	const lasts = 5 * time.Second
 	w, err := newWorld(dir, options{
 		entries: 2, workers: 2, cpu: 64000, memory: 256000, config: plainConfig,
 		duration: func(string, uint64) time.Duration { return lasts },
@@ -33,7 +33,7 @@
 	}
 	time.Sleep(4 * time.Second) // traffic starts after the machines
 	const path = "/q/5c0e7a21d94b36f8"
-	if err := w.submit(path, fmt.Sprintf(`{"spec":"roll","phases":[{"count":%d,"cpu":80,"memMb":100,"estimateMs":%d}]}`, tasksAtOnce, lasts.Milliseconds())); err != nil {
+	if err := w.submit(path, fmt.Sprintf(`{"spec":"roll","phases":[{"count":%d,"cpu":40,"memMb":100,"estimateMs":%d}]}`, tasksAtOnce, lasts.Milliseconds())); err != nil {
 		return nil, err
 	}
 	first := time.Time{}
@@ -64,5 +64,5 @@
 	})
 	time.Sleep(3 * time.Second)
 	w.record.note("complete: %t", complete)
-	return w.record.startedAfterDone(), nil
+	return w.verdict(w.record.startedAfterDone())
 }
--- a/review/world/two_machines.go
+++ b/review/world/two_machines.go
@@ -79,5 +79,5 @@
 		w.record.note("%d of %d tasks are at work", runs, lastingTasks)
 		w.send(other, "GET", "/q/5c0e7a21d94b36f8", "")
 	}
-	return w.record.lastingAway(lostAt), nil
+	return w.verdict(w.record.lastingAway(lostAt))
 }
--- a/review/world/worker.go
+++ b/review/world/worker.go
@@ -77,10 +77,8 @@
 	highest    map[string]uint64
 	finished   []endedRun
 	lastEnd    int64
-	draining   bool
 	gone       bool
 	down       bool
-	remaining  time.Time
 	changed    chan struct{}
 	seq        uint64
 }
@@ -99,7 +97,7 @@
 	w.down = false
 	w.id = fmt.Sprintf("i-%s-%d", w.name, w.boots)
 	w.bootedAt, w.fence, w.leaseUntil = time.Now(), 0, time.Time{}
-	w.runs, w.highest, w.finished, w.lastEnd, w.draining = map[string]*activeRun{}, map[string]uint64{}, nil, 0, false
+	w.runs, w.highest, w.finished, w.lastEnd = map[string]*activeRun{}, map[string]uint64{}, nil, 0
 	if w.changed == nil {
 		w.changed = make(chan struct{})
 	}
@@ -377,9 +375,6 @@
 			"service": w.service, "address": w.name, "zone": "z", "version": "v1", "slots": 8, "state": "ready", "warmupLeftMs": 0, "seq": w.seq,
 			"capacity": map[string]any{"cpu": w.cpu, "memMb": w.memory, "gpu": 0}, "labels": w.labels, "clockMs": w.clock(),
 		}
-		if w.draining {
-			body["state"], body["remainingMs"] = "draining", max(time.Until(w.remaining).Milliseconds(), 0)
-		}
 		id := w.id
 		w.mu.Unlock()
 		raw, err := json.Marshal(body)
--- a/review/world/world.go
+++ b/review/world/world.go
@@ -12,6 +12,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -28,23 +29,23 @@
 	name, role, settings string
 	process              *os.Process
 	exited               chan struct{}
+	told                 atomic.Bool // a signal was sent to it
 }
 
 // world is a small deployment: the project's processes, and stand-ins of all else.
 type world struct {
-	dir      string // temporary
-	record   *record
-	store    *faker.Store
-	entries  []*program
-	agents   []*program
-	fronts   []string
-	workers  []*worker
-	client   *http.Client
-	ctx      context.Context
-	cancel   context.CancelFunc
-	advisers string
-	trouble  bool
-	proxies  []*proxy
+	dir     string // temporary
+	record  *record
+	store   *faker.Store
+	entries []*program
+	agents  []*program
+	fronts  []string
+	workers []*worker
+	client  *http.Client
+	ctx     context.Context
+	cancel  context.CancelFunc
+	trouble bool
+	ended   atomic.Bool // a process has ended by itself
 }
 
 // options are the size of a world and its settings.
@@ -59,7 +60,6 @@
 	onStart          func(w *worker, task string)
 	adviser          http.Handler
 	checkTicket      func(id, task, ticket string) bool
-	proxied          bool // channels between the processes, to the store and to workers
 }
 
 // Ports that no connection takes by itself.
@@ -107,24 +107,16 @@
 		return nil, err
 	}
 	storeAddr := serve(&standin.Store{Backend: w.store})
-	via := func(addr string) string {
-		if !o.proxied {
-			return addr
-		}
-		p := newProxy(addr)
-		w.proxies = append(w.proxies, p)
-		return p.addr
-	}
 	advice := ""
 	if o.adviser != nil {
 		advice = "advice: " + serve(o.adviser) + "\n"
 	}
 	for n := range o.entries {
-		front, bind := freeAddr(), freeAddr()
+		front := freeAddr()
 		w.fronts = append(w.fronts, front)
 		w.entries = append(w.entries, &program{name: fmt.Sprintf("edge-%d", n+1), role: "pool-entry", settings: w.settings(fmt.Sprintf("edge-%d", n+1), fmt.Sprintf(
-			"domain: zone-%d\nlisten: %s\nready: %s\npeer: %s\nbind: %s\nstore: %s\n%shold: 6000ms\nkeep: 120s\ndrain: 6s\ncores: 0.4\nspeed: 1\nmetrics: %s\nlevel: info\n",
-			n+1, front, freeAddr(), via(bind), bind, via(storeAddr), advice, freeAddr()))})
+			"domain: zone-%d\nlisten: %s\nready: %s\npeer: %s\nstore: %s\n%shold: 6000ms\nkeep: 120s\ndrain: 6s\ncores: 0.4\nspeed: 1\nmetrics: %s\nlevel: info\n",
+			n+1, front, freeAddr(), freeAddr(), storeAddr, advice, freeAddr()))})
 	}
 	for n := range o.workers {
 		name := fmt.Sprintf("side-%d", n+1)
@@ -139,7 +131,7 @@
 		w.workers = append(w.workers, wk)
 		control := freeAddr()
 		w.agents = append(w.agents, &program{name: name, role: "pool-agent", settings: w.settings(name, fmt.Sprintf(
-			"domain: zone-%d\nlisten: %s\nworker: %s\npool: svc\nstore: %s\nhold: 6000ms\nmetrics: %s\nlevel: info\n", n%4+1, control, via(serve(wk)), via(storeAddr), freeAddr()))})
+			"domain: zone-%d\nlisten: %s\nworker: %s\npool: svc\nstore: %s\nhold: 6000ms\nmetrics: %s\nlevel: info\n", n%4+1, control, serve(wk), storeAddr, freeAddr()))})
 		go wk.beat(w.ctx, control)
 	}
 	for _, p := range w.programs() {
@@ -177,8 +169,13 @@
 	}
 	p.process, p.exited = process, make(chan struct{})
 	exited := p.exited
+	p.told.Store(false)
 	go func() {
-		_, _ = process.Wait()
+		state, _ := process.Wait()
+		if !p.told.Load() {
+			w.record.note("%s ended by itself: %v", p.name, state)
+			w.ended.Store(true)
+		}
 		close(exited)
 	}()
 	w.record.note("started %s", p.name)
@@ -189,6 +186,7 @@
 func (w *world) signal(s syscall.Signal, list ...*program) {
 	for _, p := range list {
 		w.record.note("%s to %s", s, p.name)
+		p.told.Store(true)
 		_ = p.process.Signal(s)
 	}
 }
@@ -208,6 +206,7 @@
 	w.cancel()
 	for _, p := range w.programs() {
 		if p.process != nil {
+			p.told.Store(true)
 			_ = p.process.Kill()
 			<-p.exited
 		}
@@ -253,6 +252,15 @@
 	return fmt.Errorf("%w: no submission is accepted", errCannotRun)
 }
 
+// verdict returns what broke a rule, or errCannotRun if a process has ended by itself, as one
+// does that finds its port taken.
+func (w *world) verdict(broken []string) ([]string, error) {
+	if w.ended.Load() {
+		return nil, fmt.Errorf("%w: a process has ended by itself", errCannotRun)
+	}
+	return broken, nil
+}
+
 // await waits until a condition holds, and reports whether it did in time.
 func await(limit time.Duration, condition func() bool) bool {
 	for until := time.Now().Add(limit); time.Now().Before(until); time.Sleep(20 * time.Millisecond) {
@@ -282,24 +290,3 @@
 	}
 	return best
 }
-
-// configure writes a configuration as the operator.
-func (w *world) configure(config string) error {
-	item, err := w.store.Client().Get(w.ctx, "op/config")
-	if err != nil {
-		return err
-	}
-	_, err = w.store.Client().Commit(w.ctx, storer.Transaction{
-		Checks: []storer.Check{{Key: "op/config", Version: item.Version}}, Writes: []storer.Write{{Key: "op/config", Value: []byte(config)}},
-	})
-	w.record.note("configuration acknowledged: %v", err == nil)
-	return err
-}
-
-// silence makes all open channels silent: between the processes, to the store and to workers.
-func (w *world) silence() {
-	w.record.note("open channels go silent")
-	for _, p := range w.proxies {
-		p.silence()
-	}
-}
