--- a/review/world/rules.go
+++ b/review/world/rules.go
@@ -53,12 +53,14 @@
 	restartBound = 6 * time.Second
 	awayBound    = 3 * time.Second
 	calmBefore   = 4 * time.Second
-	// contact is how long a disturbance counts after its end.
+	// contact is how long a disturbance counts after its end, and lasting how long the loss of
+	// a machine or a worker counts as one: the longest time that the pages give it (for_s).
 	contact = 3 * time.Second
+	lasting = 5 * time.Second
 )
 
-// lastingAway returns the breaks of LOST by tasks that last, where the only disturbance was
-// over at the given time.
+// lastingAway returns the breaks of LOST by tasks that last, where the only disturbance
+// began at the given time.
 func (r *record) lastingAway(disturbed time.Duration) []string {
 	type away struct{ from, to time.Duration }
 	events := r.all()
@@ -66,7 +68,7 @@
 	open := map[string]time.Duration{}
 	var broken []string
 	check := func(task string, a away) {
-		from := max(a.from+restartBound, disturbed+contact+calmBefore)
+		from := max(a.from+restartBound, disturbed+lasting+contact+calmBefore)
 		if a.to-from >= awayBound {
 			broken = append(broken, fmt.Sprintf("LOST: %s is to last and isn't at work from %.3f to %.3f", task, a.from.Seconds(), a.to.Seconds()))
 		}
