--- /dev/null
+++ b/review/bed/outage.go
@@ -0,0 +1,50 @@
+package main
+
+import (
+	"fmt"
+	"net/http"
+	"time"
+)
+
+// storeDownFor is the length of the outage: platform_down of agua-opendays.
+const storeDownFor = 4500 * time.Millisecond
+
+// playOutage takes the platform's store away while many short tasks end.
+func playOutage(dir string, rec *record) ([]string, error) {
+	const id, tasks = "5c0e7a21d94b36f8", 2400
+	rec.quiet["noted"] = true
+	w, err := newWorld(dir, rec, size{entries: 2, workers: 2, cpu: 64000, memory: 256000, plan: func(string) time.Duration { return 2500 * time.Millisecond }})
+	if err != nil {
+		return nil, err
+	}
+	if err := w.ready(); err != nil {
+		return nil, err
+	}
+	if !w.submit(id, map[string]any{"spec": "x", "phases": []any{map[string]any{"count": tasks, "cpu": 50, "memMb": 20, "estimateMs": 2500}}}, 5*time.Second) {
+		return nil, fmt.Errorf("the job was not accepted")
+	}
+	if !await(20*time.Second, func() bool { return starts(rec.all(), id) >= tasks*9/10 }) {
+		return nil, fmt.Errorf("%d of %d tasks run", w.running(id), tasks)
+	}
+	rec.note("%d and %d run", w.workers[0].count(id), w.workers[1].count(id))
+	if w.trouble {
+		until := time.Now().Add(storeDownFor)
+		w.mu.Lock()
+		w.gate = func(_ http.ResponseWriter, r *http.Request, _ http.Handler) bool {
+			if time.Now().After(until) {
+				return true
+			}
+			<-r.Context().Done()
+			panic(http.ErrAbortHandler)
+		}
+		w.mu.Unlock()
+		rec.note("the store does not answer for %s", storeDownFor)
+		time.Sleep(storeDownFor)
+		rec.note("the store answers again")
+	}
+	var broken []string
+	if !await(40*time.Second, func() bool { time.Sleep(500 * time.Millisecond); return w.state(id) == "complete" }) {
+		broken = append(broken, fmt.Sprintf("LOST: 40 s after the outage the job is %q; %d tasks run, %d starts", w.state(id), w.running(id), starts(rec.all(), id)))
+	}
+	return append(broken, summary(judgeTwice(rec.all()))...), nil
+}
--- a/review/build.sh
+++ b/review/build.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Builds the stand-ins that the scripts start.
-set -euo pipefail
+# Builds the stand-ins of the cases; the build of the deploy file builds the project's own programs.
+set -eu
 cd "$(dirname "$0")/.."
-go build -o target/review/world ./review/world
+go build -o target/bed ./review/bed
