--- a/review/bed/main.go
+++ b/review/bed/main.go
@@ -20,6 +20,7 @@
 type play func(dir string, rec *record) (broken []string, err error)
 
 var plays = map[string]play{
+	"loop":    playLoop,
 	"cancel":  playCancel,
 	"outage":  playOutage,
 	"stress":  playStress,
--- a/review/bed/worker.go
+++ b/review/bed/worker.go
@@ -50,6 +50,8 @@
 	// reject returns why a start is rejected, or an empty string; nil rejects none.
 	reject func(ticket string) string
 
+	// fails reports whether a task fails at its end; nil if none does.
+	fails func(task string) bool
 	// late returns after how long an order without an answer is carried out; 0 for one that
 	// is answered at once. It is nil if all are.
 	late func(path string) time.Duration
@@ -260,7 +262,11 @@
 			defer w.mu.Unlock()
 			if w.runs[c.Task] == r {
 				w.lapse()
-				w.end(c.Task, "done")
+				how := "done"
+				if w.fails != nil && w.fails(c.Task) {
+					how = "failed"
+				}
+				w.end(c.Task, how)
 			}
 		})
 	}
