--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -1,2 +1,3 @@
 #!/usr/bin/env bash
-exec bash "$(dirname "$0")/../play.sh" outage "$(dirname "$0")"
+# Plays the case; see claim.txt. TROUBLE=0 plays it without the disruption.
+exec bash "$(dirname "$0")/../play.sh" cancel "$(dirname "$0")" 1
--- a/review/bed/main.go
+++ b/review/bed/main.go
@@ -20,12 +20,12 @@
 type play func(dir string, rec *record) (broken []string, err error)
 
 var plays = map[string]play{
-	"ends":    playEnds,
-	"fills":   playFills,
-	"cancel":  playCancel,
-	"outage":  playOutage,
-	"stress":  playStress,
-	"doubt":   playDoubt,
+	"ends":   playEnds,
+	"fills":  playFills,
+	"cancel": playCancel,
+	"outage": playOutage,
+	"stress": playStress,
+	"doubt":  playDoubt,
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
