--- a/coordinator/history_faults_test.go
+++ b/coordinator/history_faults_test.go
@@ -121,6 +121,31 @@
 	}
 }
 
+// injectShortListOrFault restarts an agent, mostly while the store is down, whose worker lists
+// maxListedEnds ends at once, or injects one of the other faults.
+func (f *fleet) injectShortListOrFault(r *rand.Rand) {
+	const maxListedEnds = 2
+	f.disturb("", maxFaultDuration)
+	for _, a := range f.agents {
+		a.worker.LimitListedEnds(maxListedEnds)
+	}
+	if r.IntN(3) == 0 {
+		f.injectFault(r)
+		return
+	}
+	if r.IntN(3) > 0 {
+		f.setFaults(func() { f.storeDown = true })
+		time.AfterFunc(time.Duration(500+r.IntN(5000))*time.Millisecond, func() { f.setFaults(func() { f.storeDown = false }) })
+	}
+	a := f.agents[fmt.Sprintf("agent-%d", r.IntN(len(f.agents)))]
+	for range 1 + r.IntN(2) {
+		f.stopAgent(a)
+		advancer.Sleep(time.Duration(50+r.IntN(3000)) * time.Millisecond)
+		f.startAgent(a)
+		advancer.Sleep(time.Duration(r.IntN(500)) * time.Millisecond)
+	}
+}
+
 // clearFaults ends all injected faults.
 func (f *fleet) clearFaults() {
 	f.mu.Lock()
--- a/coordinator/history_test.go
+++ b/coordinator/history_test.go
@@ -54,6 +54,13 @@
 	runHistories(t, nil, (*fleet).injectRestartOrFault)
 }
 
+// TestHistoriesWithShortLists adds agents that restart beside workers with more ends than
+// they list at once, also while the ends can't be written to the ledger. Tasks whose ends were
+// not listed yet ran twice.
+func TestHistoriesWithShortLists(t *testing.T) {
+	runHistories(t, nil, (*fleet).injectShortListOrFault)
+}
+
 // runHistories runs histories of the regression seeds and of the seeds that the flags
 // select.
 func runHistories(t *testing.T, regressionSeeds []uint64, inject func(*fleet, *rand.Rand)) *totals {
--- a/faker/pool.go
+++ b/faker/pool.go
@@ -64,6 +64,8 @@
 	endedAttempts map[string]uint64
 	endedRuns     []supervisor.EndedRun
 	lastEndSeq    uint64
+	// maxListedEnds is the most ends in one list; 0 for all.
+	maxListedEnds int
 	changed       chan struct{}
 }
 
@@ -82,8 +84,8 @@
 	At          time.Time
 	Worker      string
 	Incarnation string // differs for each start of the worker
-	// Kind is start, end, forgotten (the end was acknowledged), crash (the run crashes the
-	// worker) or gone (the incarnation ended).
+	// Kind is start, end, forgotten (the end was acknowledged), lapsed (the lease expired),
+	// crash (the run crashes the worker) or gone (the incarnation ended).
 	Kind    string
 	Task    string
 	Attempt uint64
@@ -93,6 +95,13 @@
 // NewPoolWorker returns a worker that is down until Restart is called.
 func NewPoolWorker() *PoolWorker { return &PoolWorker{changed: make(chan struct{})} }
 
+// LimitListedEnds limits the ends in one list; 0 lists all.
+func (w *PoolWorker) LimitListedEnds(n int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.maxListedEnds = n
+}
+
 // Crash ends the current incarnation with all its runs.
 func (w *PoolWorker) Crash() {
 	w.mu.Lock()
@@ -186,6 +195,7 @@
 	if time.Now().Before(w.leaseExpiresAt) {
 		return
 	}
+	w.emit("lapsed", "", 0, 0)
 	for task := range w.runs {
 		w.endRun(task, messenger.EndLeaseExpired)
 	}
--- a/faker/pool_auditor.go
+++ b/faker/pool_auditor.go
@@ -20,6 +20,11 @@
 	// ackedDone holds the tasks with an acknowledged successful run; completed those
 	// with a successful run, acknowledged or not.
 	ackedDone, completed map[string]bool
+	// doneAt is when the successful runs of a task ended, lastStart when it was started
+	// last, lapsedAt when a lease of a worker incarnation last expired.
+	doneAt    map[runOnWorker]time.Time
+	lastStart map[string]time.Time
+	lapsedAt  map[string]time.Time
 	// failures counts the failed runs of a task, ackedFailures those whose end was
 	// acknowledged. A worker may crash before that.
 	failures, ackedFailures map[string]int
@@ -57,6 +62,7 @@
 	return &PoolAuditor{
 		jobs: map[string]*auditedJob{}, running: map[string][]string{}, ackedDone: map[string]bool{}, completed: map[string]bool{},
 		failures: map[string]int{}, ackedFailures: map[string]int{}, crashes: map[string]int{}, crashesCaused: map[string]int{}, startsAfterCrashes: map[string]int{}, givenUp: map[string]bool{}, runsSince: map[workerTaskKey]time.Time{},
+		doneAt: map[runOnWorker]time.Time{}, lastStart: map[string]time.Time{}, lapsedAt: map[string]time.Time{},
 	}
 }
 
@@ -97,19 +103,38 @@
 		switch e.Status {
 		case messenger.EndDone:
 			a.completed[e.Task] = true
+			a.doneAt[runOnWorker{e.Incarnation, e.Task, e.Attempt}] = e.At
 		case messenger.EndFailed:
 			a.failures[e.Task]++
 		}
+	case "lapsed":
+		a.lapsedAt[e.Incarnation] = e.At
 	case "forgotten":
 		switch e.Status {
 		case messenger.EndDone:
 			a.ackedDone[e.Task] = true
+			a.checkAckedDone(e)
 		case messenger.EndFailed:
 			a.ackedFailures[e.Task]++
 		}
 	}
 }
 
+// runOnWorker identifies a run of a worker incarnation.
+type runOnWorker struct {
+	incarnation, task string
+	attempt           uint64
+}
+
+// checkAckedDone checks that a task whose successful run is acknowledged was not started
+// again after that run, unless the worker's lease has expired since.
+func (a *PoolAuditor) checkAckedDone(e PoolEvent) {
+	doneAt := a.doneAt[runOnWorker{e.Incarnation, e.Task, e.Attempt}]
+	if lapsed := a.lapsedAt[e.Incarnation].After(doneAt); !lapsed && a.lastStart[e.Task].After(doneAt) {
+		a.reportf("%s was started again %s after a run whose completion was acknowledged", e.Task, a.lastStart[e.Task].Sub(doneAt))
+	}
+}
+
 func (a *PoolAuditor) recordStart(e PoolEvent) {
 	id, occurrence, step, _, err := sequencer.ParseTaskName(e.Task)
 	j := a.jobs[id]
@@ -121,6 +146,7 @@
 		a.reportf("%s runs on %v and started on %s", e.Task, others, e.Incarnation)
 	}
 	a.running[e.Task] = append(a.running[e.Task], e.Incarnation)
+	a.lastStart[e.Task] = e.At
 	a.runsSince[workerTaskKey{e.Worker, e.Incarnation, e.Task}] = e.At
 	if a.crashesCaused[e.Task] >= maxCrashes {
 		if a.startsAfterCrashes[e.Task]++; a.startsAfterCrashes[e.Task] == maxStartsAfterCrashes {
--- a/faker/pool_calls.go
+++ b/faker/pool_calls.go
@@ -130,6 +130,9 @@
 			reply.Runs = append(reply.Runs, supervisor.ActiveRun{Task: task, Attempt: r.attempt, ProgressPercent: percent, Checkpoint: fmt.Sprint(percent), Measurement: r.measure()})
 		}
 		reply.Ends = slices.Clone(w.endedRuns)
+		if w.maxListedEnds > 0 && len(reply.Ends) >= w.maxListedEnds {
+			reply.Ends, reply.Complete = reply.Ends[:w.maxListedEnds], false
+		}
 		changed = w.changed
 		return nil
 	}
--- a/messenger/pool_messages.go
+++ b/messenger/pool_messages.go
@@ -93,6 +93,10 @@
 	FirstEnd uint64 `cbor:"20,keyasint,omitempty"`
 	// Gone has the Ref of each run that is no longer in Runs.
 	Gone []uint64 `cbor:"21,keyasint,omitempty"`
+	// Complete is set if every run of the worker whose end is not acknowledged is in Runs
+	// or RunEnds: no other run works there or has ended there. Without it, nothing follows
+	// from the absence of a run.
+	Complete bool `cbor:"22,keyasint,omitempty"`
 }
 
 // RunStatus is the state of a run at an agent's worker. In a Delta, a run that was in
--- a/orchestrator/agent.go
+++ b/orchestrator/agent.go
@@ -103,7 +103,7 @@
 func (o *Orchestrator) Disconnect(l *AgentLink) {
 	o.enqueue(func() {
 		if a := o.agents[l.ID]; a != nil && a.link == l {
-			if a.snapshot != nil && a.snapshot.Reconciled && a.snapshot.Draining && len(a.snapshot.Runs) == 0 && len(o.runsOf(a)) == 0 {
+			if a.snapshot != nil && a.snapshot.Complete && a.snapshot.Draining && len(a.snapshot.Runs) == 0 && len(o.runsOf(a)) == 0 {
 				a.leaseExpiresAt = o.cfg.Now() // it accepted no more starts and had no runs
 			}
 			a.link, a.snapshot = nil, nil
--- a/orchestrator/harness_test.go
+++ b/orchestrator/harness_test.go
@@ -65,6 +65,12 @@
 
 // sendSnapshot delivers a snapshot of an agent.
 func (h *harness) sendSnapshot(id string, snapshot *messenger.WorkerSnapshot) {
+	snapshot.Complete = true
+	h.sendIncomplete(id, snapshot)
+}
+
+// sendIncomplete delivers a snapshot of an agent that does not know all runs of its worker.
+func (h *harness) sendIncomplete(id string, snapshot *messenger.WorkerSnapshot) {
 	snapshot.Term, snapshot.WorkerIncarnation, snapshot.CPU, snapshot.Memory, snapshot.Pool, snapshot.Reconciled, snapshot.MayStart = 1, "life-"+id, 8000, 16000, "pool", true, true
 	snapshot.Seq = h.o.agents[id].seq
 	h.o.handleSnapshot(h.o.agents[id], snapshot)
--- /dev/null
+++ b/orchestrator/incomplete_test.go
@@ -0,0 +1,73 @@
+package orchestrator
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/endivefall/endivefall/messenger"
+	"github.com/endivefall/endivefall/sequencer"
+	"github.com/endivefall/endivefall/storer"
+)
+
+// Tasks ran twice after an agent had restarted beside more ends than its worker lists at
+// once: the owner took the runs behind them for runs that had never started.
+func TestRunsMissingFromAnIncompleteSnapshotAreNotStartedAgain(t *testing.T) {
+	c := qt.New(t)
+	h := newHarness(c, 1)
+	j := h.submit(sequencer.Spec{Steps: []sequencer.Step{step(3, 10)}})
+	h.o.place()
+	h.reportRunning("a0", 10)
+	a := h.o.agents["a0"]
+	a.incarnation, a.lastEnd = "b2", 0
+	first := messenger.RunEnd{Seq: 1, Task: j.Task(0, 0, 0).Name(), Attempt: 1, Status: messenger.EndDone}
+	h.sendIncomplete("a0", &messenger.WorkerSnapshot{RunEnds: []messenger.RunEnd{first}})
+	h.sendIncomplete("a0", &messenger.WorkerSnapshot{})
+	c.Assert(j.liveRuns, qt.HasLen, 2)
+	h.now = h.now.Add(time.Second)
+	h.o.place()
+	c.Assert(h.commands("a0"), qt.HasLen, 3)
+
+	second := messenger.RunEnd{Seq: 2, Task: j.Task(0, 0, 1).Name(), Attempt: 1, Status: messenger.EndDone}
+	h.sendSnapshot("a0", &messenger.WorkerSnapshot{RunEnds: []messenger.RunEnd{second}})
+	c.Assert(j.liveRuns, qt.HasLen, 0)
+	h.now = h.now.Add(time.Second)
+	h.o.place()
+	c.Assert(h.commands("a0")[3:], qt.DeepEquals, []string{"start " + j.Task(0, 0, 2).Name()}, qt.Commentf("it never ran"))
+}
+
+// A new owner started the tasks of an earlier one again whose ends an agent had not listed
+// yet.
+func TestOldJobsWaitForACompleteSnapshot(t *testing.T) {
+	c := qt.New(t)
+	h := newHarness(c, 1)
+	h.o.cfg.Epoch = 100
+	spec := sequencer.Spec{ID: "00000000000000aa", Pool: "pool", Queue: "queue", AcceptedAt: h.now, Steps: []sequencer.Step{step(1, 10)}}
+	raw, err := spec.Encode()
+	c.Assert(err, qt.IsNil)
+	h.connectAgent("a1")
+	h.o.agents["a1"].reconciled, h.o.agents["a1"].snapshot = false, nil
+	h.o.takeOver([]storer.Item{{Key: JobKey(spec.ID), Value: raw, Version: 20}}, nil,
+		[]storer.Item{{Key: agentPrefix + "a1", Value: registration{Open: true}.encode(), Version: 30}})
+	h.sendIncomplete("a1", &messenger.WorkerSnapshot{})
+	h.o.place()
+	c.Assert(append(h.commands("a0"), h.commands("a1")...), qt.HasLen, 0)
+	h.sendSnapshot("a1", &messenger.WorkerSnapshot{})
+	h.o.place()
+	c.Assert(append(h.commands("a0"), h.commands("a1")...), qt.HasLen, 1)
+}
+
+// An agent that drains and leaves before it has listed all ends may have run any task.
+func TestAnAgentThatLeavesBeforeACompleteSnapshotKeepsItsLease(t *testing.T) {
+	c := qt.New(t)
+	h := newHarness(c, 2)
+	a := h.o.agents["a0"]
+	a.leaseExpiresAt = h.now.Add(5 * time.Second)
+	h.sendIncomplete("a0", &messenger.WorkerSnapshot{Draining: true})
+	c.Assert(a.removalPending, qt.IsFalse)
+	lease := a.leaseExpiresAt
+	h.o.Disconnect(a.link)
+	(<-h.o.actions)()
+	c.Assert(a.leaseExpiresAt, qt.Equals, lease)
+}
--- a/orchestrator/registration.go
+++ b/orchestrator/registration.go
@@ -86,7 +86,7 @@
 	draining := snapshot.Draining && snapshot.Reconciled
 	switch {
 	case a.writing || a.hasUnknownRuns: // its registration stands until it is reconciled
-	case draining && len(snapshot.Runs) == 0 && len(snapshot.RunEnds) == 0 && a.idle():
+	case draining && snapshot.Complete && len(snapshot.Runs) == 0 && len(snapshot.RunEnds) == 0 && a.idle():
 		a.openPending, a.closePending, a.removalPending = false, false, a.keyVersion != 0
 	case draining:
 		a.closePending = a.closePending || a.mayRunAny
--- a/orchestrator/snapshot.go
+++ b/orchestrator/snapshot.go
@@ -103,14 +103,14 @@
 		o.handleRunStatus(a, status)
 	}
 	o.learnInterference(a, snapshot)
+	if !snapshot.Complete {
+		return // a run that is missing may be at work, or have ended
+	}
 	if !a.reconciled || a.hasUnknownRuns {
 		a.reconciled, a.hasUnknownRuns, a.recordedTasks = true, false, nil
 		o.planDue = true
 		o.cfg.Log.Info("agent reconciled", zap.String("agent", a.id), zap.Int("runs", len(snapshot.Runs)), zap.Int("ends", len(snapshot.RunEnds)), zap.Int("missing", o.agentsWithUnknownRuns()))
 	}
-	if len(snapshot.RunEnds) >= maxListedEnds {
-		return // unlisted runs may have ended among the omitted ends
-	}
 	maps.DeleteFunc(a.strays, func(key runKey, _ *stray) bool { return !reported[key] })
 	for _, r := range o.runsOf(a) {
 		if reported[r.key] || r.link == a.link && r.seq > snapshot.Seq {
@@ -120,9 +120,6 @@
 	}
 }
 
-// maxListedEnds is the most ends that an agent lists in one snapshot.
-const maxListedEnds = 500
-
 // handleRunStatus updates a run from the snapshot of its agent.
 func (o *Orchestrator) handleRunStatus(a *agent, status messenger.RunStatus) {
 	key := runKey{status.Task, status.Attempt}
--- a/supervisor/history_owner_test.go
+++ b/supervisor/history_owner_test.go
@@ -112,13 +112,13 @@
 		h.recordEnd(end)
 		h.set(func() { h.ackedEnd = max(h.ackedEnd, end.Seq) })
 	}
-	if !snapshot.Reconciled {
-		return
-	}
 	for _, status := range snapshot.Runs {
 		reported[runName(status.Task, status.Attempt)] = true
 		h.recordRun(status)
 	}
+	if !snapshot.Complete {
+		return
+	}
 	for _, r := range h.runs {
 		if r.ended || reported[runName(r.task, r.attempt)] || r.link == h.link && r.seq > snapshot.Seq {
 			continue
--- a/supervisor/reconcile_test.go
+++ b/supervisor/reconcile_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"time"
 
@@ -147,3 +148,50 @@
 	known.Start.AlreadyRunning, known.Start.Spec.BestEffort = true, true
 	h.send(known)
 }
+
+// Tasks ran twice after an agent had restarted beside more ends than its worker lists at
+// once: the snapshots of its next process claimed that nothing else had run there.
+func TestSnapshotsAreIncompleteUntilAllEndsAreListed(t *testing.T) {
+	inBubble(t, func(c *qt.C, h *harness) {
+		h.set(func() { h.plan = faker.PoolRunPlan{Duration: 600 * time.Millisecond} })
+		h.worker.CPU = 100000
+		h.sup.HandleHeartbeat(context.Background(), h.worker.Heartbeat(2))
+		for n := range 5 {
+			h.send(startCommand(fmt.Sprint("j.0.0.", n), 1))
+		}
+		c.Assert(h.latestSnapshot().Complete, qt.IsTrue)
+		h.stop()
+		<-h.done
+		h.worker.LimitListedEnds(2)
+		advancer.Sleep(time.Second)
+		h.startAgent("b2")
+		for n, want := range []bool{false, false, true} {
+			snapshot := h.latestSnapshot()
+			c.Assert(snapshot.Reconciled, qt.IsTrue)
+			c.Assert(snapshot.Complete, qt.Equals, want, qt.Commentf("list %d: %v", n, h.ends()))
+			h.set(func() { h.ackedEnd = snapshot.RunEnds[len(snapshot.RunEnds)-1].Seq })
+			advancer.Sleep(2 * time.Second)
+		}
+		c.Assert(h.count("end"), qt.Equals, 5)
+		c.Assert(h.count("forgotten"), qt.Equals, 5)
+	})
+}
+
+// A snapshot has at most maxSnapshotEnds ends, so that it may omit some.
+func TestASnapshotThatOmitsEndsIsIncomplete(t *testing.T) {
+	inBubble(t, func(c *qt.C, h *harness) {
+		const room, starts = 2, 503
+		h.set(func() { h.plan = faker.PoolRunPlan{} })
+		for n := range starts {
+			cmd := startCommand(fmt.Sprint("j.0.0.", n), 1)
+			cmd.Term, cmd.Seq = 1, uint64(n+1)
+			c.Assert(h.ownerConn().Send(context.Background(), messenger.Frame{Kind: messenger.KindCommand, Command: &cmd}), qt.IsNil)
+		}
+		advancer.Sleep(2 * time.Second)
+		c.Assert(h.latestSnapshot().RunEnds, qt.HasLen, starts-room-1)
+		c.Assert(h.latestSnapshot().Complete, qt.IsFalse)
+		h.set(func() { h.ackedEnd = 1 })
+		advancer.Sleep(2 * time.Second)
+		c.Assert(h.latestSnapshot().Complete, qt.IsTrue)
+	})
+}
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -86,8 +86,10 @@
 	// heartbeat is the newest heartbeat of the worker's current incarnation, empty
 	// while none is confirmed.
 	heartbeat Heartbeat
-	// reconciled is set once runs has been compared with the incarnation's lists.
-	reconciled bool
+	// reconciled is set once runs has been compared with the incarnation's lists, and
+	// complete once one of them had all runs and all ends: since then, each run of the
+	// incarnation whose end is not acknowledged is in runs or ends.
+	reconciled, complete bool
 	// draining is set when the worker has announced that it is shutting down.
 	draining bool
 	// leaving is set once this process of the agent is to end; it starts nothing more.
@@ -213,6 +215,7 @@
 		Labels: s.heartbeat.Labels, Pool: s.heartbeat.Pool, Draining: s.heartbeat.Draining || s.draining,
 		Unreachable: !s.unreachableSince.IsZero() && s.cfg.Now().Sub(s.unreachableSince) > time.Second, Reconciled: s.reconciled,
 		WarmupMs: s.heartbeat.Warmup.Milliseconds(), MayStart: s.blockedReason() == "",
+		Complete: s.complete && len(s.ends) <= maxSnapshotEnds,
 	}
 	if s.cfg.Pacer != nil {
 		snap.MeasurementUpdates = s.cfg.Pacer.MeasurementUpdates
--- a/supervisor/worker.go
+++ b/supervisor/worker.go
@@ -70,7 +70,7 @@
 	Clock     time.Time
 	Runs      []ActiveRun
 	Ends      []EndedRun
-	// Complete is false if the worker may have more ends than it listed.
+	// Complete is false if the worker may have runs or ends that it did not list.
 	Complete bool
 }
 
