orchestrator: Keep commands in an outbox until agents confirm earlier ones

Cause: one command for each run was queued in one loop on a connection that holds 256 frames and ends when they are full. On one core nothing is written meanwhile. Each new connection repeated the burst, and the acknowledgement that renews the lease came after it. In the log the first error follows the cancel by 2 ms, 321 connections follow, and no agent accepts one stop. Slow agents and refused stops are ruled out: no command ever reached an agent.

Change: at most 64 commands of a connection are unconfirmed, the others wait in an outbox and are built when they are sent. Acknowledgements go first and always find room. A start that was never sent ends with its connection. Agents confirm each command at once. The limit of starts a round is replaced by the same window.

--- a/orchestrator/agent.go
+++ b/orchestrator/agent.go
@@ -50,8 +50,10 @@
 	// hasUnknownRuns while an earlier owner may have left runs there that are not
 	// known here.
 	reconciled, hasUnknownRuns bool
-	// seq is the number of the last command on link.
-	seq uint64
+	// seq is the number of the last command on link, confirmedSeq that of the last one
+	// that the agent has confirmed, outbox those that wait to be sent.
+	seq, confirmedSeq uint64
+	outbox            []queuedCommand
 	// lastEnd is the newest end handled from this incarnation, durableEnd the
 	// newest end that it may discard, ackedEnd the newest end that was acknowledged
 	// to it.
@@ -92,7 +94,8 @@
 		if a.incarnation != l.Incarnation {
 			a.incarnation, a.lastEnd, a.durableEnd, a.ackedEnd, a.pendingEnds = l.Incarnation, 0, 0, 0, nil
 		}
-		a.link, a.seq, a.snapshot, a.lastSnapshotAt, a.measurementUpdates = l, 0, nil, o.cfg.Now(), 0
+		o.dropOutbox(a)
+		a.link, a.seq, a.confirmedSeq, a.snapshot, a.lastSnapshotAt, a.measurementUpdates = l, 0, 0, nil, o.cfg.Now(), 0
 		a.snapshots, a.payloads, a.strays = differ.Decoder{}, differ.PayloadEncoder{}, map[runKey]*stray{}
 		o.starts.Drop(a.id)
 		o.cfg.Log.Info("agent connected", zap.String("agent", l.ID), zap.String("born", l.Incarnation))
@@ -106,6 +109,7 @@
 			if a.snapshot != nil && a.snapshot.Complete && a.snapshot.Draining && len(a.snapshot.Runs) == 0 && len(o.runsOf(a)) == 0 {
 				a.leaseExpiresAt = o.cfg.Now() // it accepted no more starts and had no runs
 			}
+			o.dropOutbox(a)
 			a.link, a.snapshot = nil, nil
 			o.starts.Drop(a.id)
 			o.cfg.Log.Info("agent disconnected", zap.String("agent", l.ID), zap.Duration("lease", a.leaseExpiresAt.Sub(o.cfg.Now())))
--- a/orchestrator/ends.go
+++ b/orchestrator/ends.go
@@ -57,10 +57,7 @@
 
 // endRun removes a run and applies the consequences of its end.
 func (o *Orchestrator) endRun(r *run, end messenger.RunEnd) {
-	delete(o.runs, r.key)
-	delete(r.job.liveRuns, r.key)
-	delete(r.agent.runs, r.key)
-	r.task.LiveRuns--
+	o.removeRun(r)
 	now := o.cfg.Now()
 	o.cfg.Log.Info("run ended", zap.String("task", end.Task), zap.Uint64("attempt", end.Attempt), zap.Stringer("how", end.Status),
 		zap.String("reason", end.Reason), zap.String("agent", r.agent.id), zap.Duration("ran", now.Sub(r.startedAt)), zap.Int("percent", r.progressPercent))
@@ -76,6 +73,14 @@
 	o.applyRunEnd(r.job, r.task, r.agent, end)
 }
 
+// removeRun removes a run from those that may be active.
+func (o *Orchestrator) removeRun(r *run) {
+	delete(o.runs, r.key)
+	delete(r.job.liveRuns, r.key)
+	delete(r.agent.runs, r.key)
+	r.task.LiveRuns--
+}
+
 // applyRunEnd updates the task and the job of a run that ended.
 func (o *Orchestrator) applyRunEnd(j *job, t *sequencer.Task, a *agent, end messenger.RunEnd) {
 	now := o.cfg.Now()
--- a/orchestrator/gang.go
+++ b/orchestrator/gang.go
@@ -10,7 +10,7 @@
 
 // placeGang starts all members of a gang together, or none: they make progress only
 // when all of them run, and all resume from the same checkpoint.
-func (o *Orchestrator) placeGang(j *job, members []*sequencer.Task, candidates []*allocator.Candidate, agents map[string]*agent, starts map[*agent]int, now time.Time) {
+func (o *Orchestrator) placeGang(j *job, members []*sequencer.Task, candidates []*allocator.Candidate, agents map[string]*agent, now time.Time) {
 	step, name := members[0].StepSpec(), members[0].StepName()
 	if members[len(members)-1].Step != members[0].Step || members[len(members)-1].Occurrence != members[0].Occurrence {
 		return // some member is not runnable
@@ -25,7 +25,7 @@
 	}
 	for _, candidateSet := range gangCandidateSets(step, candidates) {
 		if chosen := pickGang(members, name, candidateSet, now, o.predictor.UpperInterference); chosen != nil {
-			o.startGang(j, members, chosen, agents, starts)
+			o.startGang(j, members, chosen, agents)
 			return
 		}
 	}
@@ -76,7 +76,7 @@
 }
 
 // startGang starts all members with the same attempt number and checkpoint.
-func (o *Orchestrator) startGang(j *job, members []*sequencer.Task, chosen []*allocator.Candidate, agents map[string]*agent, starts map[*agent]int) {
+func (o *Orchestrator) startGang(j *job, members []*sequencer.Task, chosen []*allocator.Candidate, agents map[string]*agent) {
 	attempt := uint64(0)
 	newest := members[0]
 	for n, t := range members {
@@ -84,7 +84,8 @@
 		if t.Checkpoint != "" && (newest.Checkpoint == "" || t.CheckpointAt.After(newest.CheckpointAt)) {
 			newest = t
 		}
-		if starts[agents[chosen[n].ID]] >= maxStartsPerRound {
+		if !agents[chosen[n].ID].hasRoom() {
+			o.startsHeld = true
 			return
 		}
 	}
@@ -98,7 +99,6 @@
 		if !o.startRun(t, j, a, attempt) {
 			return // stopIncompleteGangs stops the others
 		}
-		starts[a]++
 		chosen[n].Reserve(t.StepSpec(), t.StepName())
 	}
 }
--- a/orchestrator/orchestrator.go
+++ b/orchestrator/orchestrator.go
@@ -154,7 +154,10 @@
 // reason.
 func (o *Orchestrator) Serve(ctx context.Context) error {
 	defer close(o.done)
-	defer o.cfg.Gauge(oldestStopGauge, 0) // the next owner reports its own
+	defer func() { // the next owner reports its own
+		o.cfg.Gauge(oldestStopGauge, 0)
+		o.cfg.Gauge(waitingCommandsGauge, 0)
+	}()
 	ctx, cancel := context.WithCancel(ctx)
 	defer o.background.Wait() // after stopped is closed: enqueue blocks until then
 	defer close(o.stopped)
--- a/orchestrator/place.go
+++ b/orchestrator/place.go
@@ -12,19 +12,12 @@
 	"github.com/endivefall/endivefall/messenger"
 	"github.com/endivefall/endivefall/predictor"
 	"github.com/endivefall/endivefall/quarantiner"
-	"github.com/endivefall/endivefall/regulator"
 	"github.com/endivefall/endivefall/sequencer"
 )
 
-// Limits of a placement round.
-const (
-	// attemptsPerTerm separates the attempt numbers of successive owners: one owner
-	// starts a task less often than this.
-	attemptsPerTerm = 100000
-	// maxStartsPerRound limits the starts sent to one agent in a round. It is below
-	// the number of frames that a connection queues.
-	maxStartsPerRound = 64
-)
+// attemptsPerTerm separates the attempt numbers of successive owners: one owner starts a
+// task less often than this.
+const attemptsPerTerm = 100000
 
 // place starts waiting tasks on workers that have room.
 func (o *Orchestrator) place() {
@@ -37,10 +30,9 @@
 	}
 	allBlocked, blockedTasks := o.blockedTasks()
 	now, wall := o.cfg.Now(), o.cfg.WallClock()
-	starts := map[*agent]int{}
 	o.placeSuspects(func(t *sequencer.Task) bool {
 		return t.Job.Version < o.cfg.Epoch && (allBlocked || blockedTasks[t.Name()])
-	}, byPool, agents, starts, now, wall)
+	}, byPool, agents, now, wall)
 	for _, j := range o.rankedJobs(wall) {
 		waiting := j.Runnable(wall)
 		if j.Version < o.cfg.Epoch { // an agent that is not reconciled yet may run its tasks
@@ -49,7 +41,7 @@
 			}
 			waiting = slices.DeleteFunc(waiting, func(t *sequencer.Task) bool { return blockedTasks[t.Name()] })
 		}
-		o.placeJob(j, waiting, byPool[j.Spec.Pool], agents, starts, now)
+		o.placeJob(j, waiting, byPool[j.Spec.Pool], agents, now)
 	}
 }
 
@@ -185,7 +177,7 @@
 func (r *run) cpuAtPace() int64 { return r.cpuDemand() * int64(r.pacePercent) / 100 }
 
 // placeJob starts those of a job's waiting tasks that fit.
-func (o *Orchestrator) placeJob(j *job, waiting []*sequencer.Task, candidates []*allocator.Candidate, agents map[string]*agent, starts map[*agent]int, now time.Time) {
+func (o *Orchestrator) placeJob(j *job, waiting []*sequencer.Task, candidates []*allocator.Candidate, agents map[string]*agent, now time.Time) {
 	fullStep := "" // the step for which no candidate was found in this round
 	for n, t := range waiting {
 		if t.WaitingSince.IsZero() {
@@ -197,7 +189,7 @@
 		if t.StepSpec().Gang {
 			granted := o.grantedCandidates(j, t.StepName(), candidates, agents, now)
 			if t.Index == 0 && len(waiting) >= n+t.StepSpec().Count {
-				o.placeGang(j, waiting[n:n+t.StepSpec().Count], granted, agents, starts, now)
+				o.placeGang(j, waiting[n:n+t.StepSpec().Count], granted, agents, now)
 			}
 			continue
 		}
@@ -215,11 +207,11 @@
 			continue
 		}
 		a := agents[candidate.ID]
-		if starts[a] >= maxStartsPerRound || !a.reachable() {
+		if !a.hasRoom() {
+			o.startsHeld = true
 			continue
 		}
 		if o.startTask(t, j, a) {
-			starts[a]++
 			candidate.Reserve(t.StepSpec(), name)
 			if t.StepSpec().BestEffort {
 				candidate.AddInterference(t.StepSpec().Image, t.StepSpec().CPU, o.predictor.UpperInterference)
@@ -246,25 +238,20 @@
 	return max(t.Attempt, (o.cfg.Term-1)*attemptsPerTerm) + 1
 }
 
-// startRun sends the start command of an attempt, records the run and reports
-// whether the command was sent.
+// startRun records the run of an attempt, sends or queues its start, and reports whether
+// the agent is still connected.
 func (o *Orchestrator) startRun(t *sequencer.Task, j *job, a *agent, attempt uint64) bool {
 	r := &run{
-		key: runKey{t.Name(), attempt}, task: t, job: j, agent: a, link: a.link,
+		key: runKey{t.Name(), attempt}, task: t, job: j, agent: a, link: a.link, seq: notSent,
 		phase: messenger.PhaseStarting, pacePercent: 100, startedAt: o.cfg.Now(), resumed: t.Checkpoint != "",
 	}
-	if a.link == nil {
-		return false
-	}
-	start := o.runStart(r, false)
-	if !o.sendCommand(a, &messenger.Command{Start: start}) {
+	o.runs[r.key], j.liveRuns[r.key], a.runs[r.key] = r, r, r
+	t.LiveRuns++
+	if !o.queueCommand(a, queuedCommand{kind: startCommand, run: r}) {
+		o.removeRun(r)
 		return false
 	}
-	o.starts.Sent(a.id, regulator.Command{Seq: a.seq, Bytes: startBytes(start), SentAt: r.startedAt})
-	r.seq = a.seq
 	t.Attempt = attempt
-	t.LiveRuns++
-	o.runs[r.key], j.liveRuns[r.key], a.runs[r.key] = r, r, r
 	o.cfg.Count("start")
 	o.cfg.Log.Info("starting run", zap.String("task", r.key.task), zap.Uint64("attempt", attempt), zap.String("agent", a.id),
 		zap.Duration("waited", r.startedAt.Sub(t.WaitingSince)), zap.Duration("table_age", r.startedAt.Sub(a.lastSnapshotAt)), zap.Bool("resumes", t.Checkpoint != ""))
--- a/orchestrator/run.go
+++ b/orchestrator/run.go
@@ -19,16 +19,21 @@
 	task  *sequencer.Task
 	job   *job
 	agent *agent
-	// link and seq identify the command that started the run; a nil link means that
-	// the run was adopted from the snapshot of the agent.
+	// link and seq identify the command that started the run; seq is notSent while it
+	// waits in the outbox. A nil link means that the run was adopted from the snapshot of
+	// the agent.
 	link  *AgentLink
 	seq   uint64
 	phase messenger.Phase
-	// stopSentOn is the connection on which a stop command was last sent, stopSeq the
-	// number of that command. It is not sent again on that connection before stopAgainAt.
-	stopSentOn  *AgentLink
-	stopSeq     uint64
-	stopAgainAt time.Time
+	// stopQueuedOn is the connection for which a stop command was last queued, stopSeq the
+	// number of that command, or notSent. It is not queued again on that connection before
+	// stopAgainAt.
+	stopQueuedOn *AgentLink
+	stopSeq      uint64
+	stopAgainAt  time.Time
+	// specQueuedOn and specSeq are the same for the command that conveys the task's spec.
+	specQueuedOn *AgentLink
+	specSeq      uint64
 	// stopWantedAt is when the run was to be stopped first; zero while it is not.
 	stopWantedAt    time.Time
 	progressPercent int
--- a/orchestrator/snapshot.go
+++ b/orchestrator/snapshot.go
@@ -48,6 +48,8 @@
 		o.updateRegistration(a, snapshot)
 	}
 	o.ackSnapshot(a)
+	a.confirmedSeq = snapshot.Seq
+	o.sendQueued(a) // after the acknowledgement, which renews the lease
 }
 
 // ackSnapshot acknowledges the last snapshot of an agent and renews its lease if it
@@ -137,8 +139,9 @@
 		o.cfg.Log.Error("run is listed by two agents", zap.String("task", status.Task), zap.Uint64("attempt", status.Attempt), zap.String("agent", a.id), zap.String("other", r.agent.id))
 		return
 	}
-	if status.SpecUnknown {
-		o.sendCommand(a, &messenger.Command{Start: o.runStart(r, true)})
+	if status.SpecUnknown && (r.specQueuedOn != a.link || a.snapshot.Seq >= r.specSeq) {
+		r.specQueuedOn, r.specSeq = a.link, notSent
+		o.queueCommand(a, queuedCommand{kind: specCommand, run: r})
 	}
 	now := o.cfg.Now()
 	if status.ProgressPercent > r.progressPercent || r.progressedAt.IsZero() {
--- a/orchestrator/stop.go
+++ b/orchestrator/stop.go
@@ -17,9 +17,9 @@
 	if !o.stopDue(r) {
 		return
 	}
-	repeated := r.stopSentOn == r.agent.link
-	if o.sendCommand(r.agent, &messenger.Command{Stop: &messenger.RunStop{Task: r.key.task, Attempt: r.key.attempt}}) {
-		r.stopSentOn, r.stopSeq, r.stopAgainAt = r.agent.link, r.agent.seq, o.cfg.Now().Add(stopRepeatDelay)
+	repeated := r.stopQueuedOn == r.agent.link
+	r.stopQueuedOn, r.stopSeq = r.agent.link, notSent
+	if o.queueCommand(r.agent, queuedCommand{kind: stopCommand, run: r}) {
 		o.cfg.Log.Info("stopping run", zap.String("task", r.key.task), zap.Uint64("attempt", r.key.attempt), zap.String("agent", r.agent.id), zap.String("why", reason), zap.Bool("repeated", repeated))
 	}
 }
@@ -32,7 +32,7 @@
 // and again while it has seen the command and still does not report that it stops the run.
 func (o *Orchestrator) stopDue(r *run) bool {
 	a := r.agent
-	if !a.reachable() || r.stopSentOn != a.link {
+	if !a.reachable() || r.stopQueuedOn != a.link {
 		return a.reachable()
 	}
 	seen := a.snapshot != nil && a.snapshot.Seq >= r.stopSeq
@@ -48,11 +48,11 @@
 		known = &stray{firstListedAt: now}
 		a.strays[key] = known
 	}
-	if status.Phase == messenger.PhaseStopping || now.Before(known.stopAgainAt) {
+	if status.Phase == messenger.PhaseStopping || known.stopSeq == notSent || now.Before(known.stopAgainAt) {
 		return
 	}
-	if o.sendCommand(a, &messenger.Command{Stop: &messenger.RunStop{Task: status.Task, Attempt: status.Attempt}}) {
-		known.stopAgainAt = now.Add(stopRepeatDelay)
+	known.stopSeq = notSent
+	if o.queueCommand(a, queuedCommand{kind: stopCommand, stray: known, key: key}) {
 		o.cfg.Log.Warn("stopping a stray run", zap.String("task", status.Task), zap.Uint64("attempt", status.Attempt), zap.String("agent", a.id), zap.String("why", why))
 	}
 }
@@ -60,6 +60,8 @@
 const (
 	// oldestStopGauge is the age in seconds of the oldest stop whose run has not ended.
 	oldestStopGauge = "oldest_stop_seconds"
+	// waitingCommandsGauge is the number of commands in all outboxes.
+	waitingCommandsGauge = "waiting_commands"
 	// stopReportInterval is the time between two reports of outstanding stops.
 	stopReportInterval = time.Second
 	// maxStopAge is the age from which an outstanding stop is logged.
@@ -72,7 +74,7 @@
 		return
 	}
 	o.reportStopsAt = now.Add(stopReportInterval)
-	oldest, outstanding := now, 0
+	oldest, outstanding, waiting := now, 0, 0
 	var oldestRun *run // the one with the oldest stop; nil for a stray
 	for _, r := range o.runs {
 		if r.stopWantedAt.IsZero() {
@@ -85,6 +87,7 @@
 	}
 	for _, a := range o.agents {
 		outstanding += len(a.strays)
+		waiting += len(a.outbox)
 		for _, stray := range a.strays {
 			if stray.firstListedAt.Before(oldest) {
 				oldest, oldestRun = stray.firstListedAt, nil
@@ -93,6 +96,7 @@
 	}
 	age := now.Sub(oldest)
 	o.cfg.Gauge(oldestStopGauge, age.Seconds())
+	o.cfg.Gauge(waitingCommandsGauge, float64(waiting))
 	if age < maxStopAge {
 		return
 	}
@@ -101,6 +105,6 @@
 		return
 	}
 	o.cfg.Log.Warn("stop is outstanding", zap.String("task", oldestRun.key.task), zap.Uint64("attempt", oldestRun.key.attempt), zap.Duration("age", age), zap.Int("outstanding", outstanding),
-		zap.String("agent", oldestRun.agent.id), zap.Bool("connected", oldestRun.agent.link != nil), zap.Bool("sent", oldestRun.stopSentOn != nil && oldestRun.stopSentOn == oldestRun.agent.link),
+		zap.String("agent", oldestRun.agent.id), zap.Bool("connected", oldestRun.agent.link != nil), zap.Bool("sent", oldestRun.stopQueuedOn != nil && oldestRun.stopQueuedOn == oldestRun.agent.link && oldestRun.stopSeq != notSent),
 		zap.Uint8("phase", uint8(oldestRun.phase)), zap.Bool("job_ended", oldestRun.job.Ended()))
 }
--- a/orchestrator/stray.go
+++ b/orchestrator/stray.go
@@ -7,4 +7,6 @@
 	// firstListedAt is when the agent listed it first; it is not asked to stop it again
 	// before stopAgainAt.
 	firstListedAt, stopAgainAt time.Time
+	// stopSeq is the number of the last stop, notSent while it waits in the outbox, or 0.
+	stopSeq uint64
 }
--- a/orchestrator/suspect.go
+++ b/orchestrator/suspect.go
@@ -35,7 +35,7 @@
 
 // placeSuspects starts the waiting tasks that are suspected of crashing workers, the least
 // likely ones first: most of them do not. They go before all others, as they have waited.
-func (o *Orchestrator) placeSuspects(blocked func(*sequencer.Task) bool, byPool map[string][]*allocator.Candidate, agents map[string]*agent, starts map[*agent]int, now, wall time.Time) {
+func (o *Orchestrator) placeSuspects(blocked func(*sequencer.Task) bool, byPool map[string][]*allocator.Candidate, agents map[string]*agent, now, wall time.Time) {
 	var suspects []*sequencer.Task
 	for _, j := range o.openJobs {
 		if !j.suspected {
@@ -56,7 +56,7 @@
 	trials := o.trials()
 	for _, t := range suspects {
 		if pool := trials[t.Job.Spec.Pool]; pool != nil && o.mayStart(1) {
-			o.tryTask(t, pool, byPool[t.Job.Spec.Pool], agents, starts, now)
+			o.tryTask(t, pool, byPool[t.Job.Spec.Pool], agents, now)
 		}
 	}
 }
@@ -68,7 +68,7 @@
 }
 
 // tryTask starts a suspected task if there is a worker for it.
-func (o *Orchestrator) tryTask(t *sequencer.Task, trials *quarantiner.Trials, candidates []*allocator.Candidate, agents map[string]*agent, starts map[*agent]int, now time.Time) {
+func (o *Orchestrator) tryTask(t *sequencer.Task, trials *quarantiner.Trials, candidates []*allocator.Candidate, agents map[string]*agent, now time.Time) {
 	j, name, odds := o.jobs[t.Job.Spec.ID], t.StepName(), quarantiner.Odds(t.CrashOdds)
 	allowed := trials.Allowed(j.Spec.ID, odds, o.grantedCandidates(j, name, candidates, agents, now))
 	var candidate *allocator.Candidate
@@ -81,10 +81,9 @@
 		return
 	}
 	a := agents[candidate.ID]
-	if starts[a] >= maxStartsPerRound || !o.startTask(t, j, a) {
+	if !a.hasRoom() || !o.startTask(t, j, a) {
 		return
 	}
-	starts[a]++
 	trials.Add(j.Spec.ID, a.id, odds)
 	candidate.Reserve(t.StepSpec(), name)
 	if t.StepSpec().BestEffort {
--- a/supervisor/commands.go
+++ b/supervisor/commands.go
@@ -17,6 +17,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.commandSeq = cmd.Seq
+	s.markDirty() // the owner limits its commands by how soon they are confirmed
 	if cmd.Start != nil && !cmd.Start.AlreadyRunning {
 		payload, err := s.payloads.Restore(sequencer.JobOf(cmd.Start.Task), cmd.Start.Payload, cmd.Start.PayloadKept)
 		if err != nil {
@@ -63,7 +64,6 @@
 	}
 	s.cfg.Log.Info("start command accepted", zap.String("task", cmd.Task), zap.Uint64("attempt", cmd.Attempt), zap.Uint64("term", s.term),
 		zap.String("worker", s.heartbeat.Incarnation()), zap.Duration("lease", s.leaseExpiresAt.Sub(s.workerNow())))
-	s.markDirty() // the owner regulates its starts by how soon they are confirmed
 	s.calls.Go(func() { s.startRun(ctx, r, cmd) })
 }
 
--- a/supervisor/owner_test.go
+++ b/supervisor/owner_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/endivefall/endivefall/advancer"
 	"github.com/endivefall/endivefall/faker"
+	"github.com/endivefall/endivefall/messenger"
 	"github.com/endivefall/endivefall/supervisor"
 )
 
@@ -120,3 +121,26 @@
 		c.Check(isClosed(left), qt.IsTrue)
 	})
 }
+
+// The owner limits the commands that are on their way by how soon they are confirmed. One that
+// changed nothing was confirmed only by the next heartbeat.
+func TestEachCommandIsConfirmedAtOnce(t *testing.T) {
+	for name, cmd := range map[string]messenger.Command{
+		"stop of an unknown run":  {Stop: &messenger.RunStop{Task: "j.0.0.7", Attempt: 1}},
+		"spec of an ended run":    {Start: &messenger.RunStart{Task: "j.0.0.8", Attempt: 1, AlreadyRunning: true}},
+		"command of another term": {Term: 1, Stop: &messenger.RunStop{Task: "j.0.0.9", Attempt: 1}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			inBubble(t, func(c *qt.C, h *harness) {
+				h.set(func() { h.term = 2 })
+				advancer.Sleep(time.Second)
+				heartbeat := h.latestSnapshot()
+				for h.latestSnapshot() == heartbeat {
+					advancer.Sleep(10 * time.Millisecond)
+				}
+				h.send(cmd)
+				c.Assert(h.latestSnapshot().Seq, qt.Equals, uint64(1))
+			})
+		})
+	}
+}
