coordinator: Let bursts of state queries wait for room

Change: a query waits for room until its deadline, and so does its reply. The reader of the replies never waits, so that the two sides can't block each other.

--- a/connector/link.go
+++ b/connector/link.go
@@ -76,6 +76,9 @@
 // TrySend queues a frame without blocking.
 func (l *Link) TrySend(f messenger.Frame) error { return l.conn.TrySend(f) }
 
+// Send queues a frame and blocks while the queue is full, until ctx ends.
+func (l *Link) Send(ctx context.Context, f messenger.Frame) error { return l.conn.Send(ctx, f) }
+
 // Close ends the connection and sends the reason to the peer.
 func (l *Link) Close(reason string) { l.conn.Close(reason) }
 
--- a/coordinator/links.go
+++ b/coordinator/links.go
@@ -99,15 +99,18 @@
 func (c *Coordinator) replyToQuery(l *connector.Link, f messenger.Frame) {
 	o := c.activeOrchestrator()
 	reply := messenger.StateReply{}
+	ctx, cancel := context.WithTimeout(context.Background(), queryTimeout)
+	defer cancel()
 	if o != nil && (f.StateQuery.Job != "" || f.StateQuery.Queue != "") {
-		ctx, cancel := context.WithTimeout(context.Background(), queryTimeout)
-		defer cancel()
 		var err error
 		if reply, err = o.Query(ctx, *f.StateQuery); err != nil {
 			c.cfg.Log.Debug("state query failed", zap.String("job", f.StateQuery.Job), zap.Error(err))
 		}
 	}
-	c.send(l, messenger.Frame{Kind: messenger.KindStateReply, ID: f.ID, StateReply: &reply})
+	// The peer reads its replies whatever it sends, so that this does not wait for long.
+	if err := l.Send(ctx, messenger.Frame{Kind: messenger.KindStateReply, ID: f.ID, StateReply: &reply}); err != nil {
+		c.cfg.Log.Debug("reply to a state query dropped", zap.String("peer", l.Hello.ID), zap.Error(err))
+	}
 }
 
 // queryOwner sends a query to the owner, which may be this process.
--- a/coordinator/owner_client.go
+++ b/coordinator/owner_client.go
@@ -199,6 +199,6 @@
 
 func (c *ownerClient) queryOn(ctx context.Context, conn *messenger.Conn, query messenger.StateQuery) (messenger.StateReply, error) {
 	return c.requests.Do(ctx, conn.Done(), func(id uint64) error {
-		return conn.TrySend(messenger.Frame{Kind: messenger.KindStateQuery, ID: id, StateQuery: &query})
+		return conn.Send(ctx, messenger.Frame{Kind: messenger.KindStateQuery, ID: id, StateQuery: &query})
 	})
 }
--- a/coordinator/owner_client_test.go
+++ b/coordinator/owner_client_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"net/netip"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -25,7 +26,7 @@
 		OnConnect: func(*connector.Link) {}, OnDisconnect: func(*connector.Link) {},
 		Handle: func(l *connector.Link, f messenger.Frame) {
 			if f.Kind == messenger.KindStateQuery {
-				_ = l.TrySend(messenger.Frame{Kind: messenger.KindStateReply, ID: f.ID, StateReply: &messenger.StateReply{State: owner.ID}})
+				_ = l.Send(context.Background(), messenger.Frame{Kind: messenger.KindStateReply, ID: f.ID, StateReply: &messenger.StateReply{State: owner.ID}})
 			}
 		},
 	})
@@ -100,3 +101,39 @@
 		advancer.Sleep(time.Minute)
 	})
 }
+
+// A burst of callers who asked for the state of their jobs at once ended the connection to the
+// owner, and with it all of their queries.
+func TestABurstOfQueriesKeepsTheConnection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		const queries, bytesPerSecond = 1000, 100_000
+		network := faker.NewNetwork()
+		owner := elector.Member{ID: "owner", Incarnation: "1", PeerAddr: netip.MustParseAddrPort("10.0.0.1:1")}
+		ready := make(chan struct{})
+		close(ready)
+		server := startOwner(network, owner, ready)
+		client := newOwnerClient(ownerClientConfig{ID: "entry", Incarnation: "1", Client: network.Client("entry"), Now: time.Now, Log: zap.NewNop()})
+		ctx, cancel := context.WithCancel(context.Background())
+		client.SetOwner(owner)
+		go client.Serve(ctx)
+		advancer.Sleep(time.Second)
+		network.SetRate("entry", bytesPerSecond)
+		var answered atomic.Int64
+		for range queries {
+			go func() {
+				ctx, cancel := context.WithTimeout(ctx, 3*time.Second)
+				defer cancel()
+				if _, err := client.Query(ctx, messenger.StateQuery{Job: "00000000000000aa"}); err == nil {
+					answered.Add(1)
+				}
+			}()
+		}
+		advancer.Sleep(4 * time.Second)
+		c.Check(answered.Load(), qt.Equals, int64(queries))
+		cancel()
+		network.CloseConnections("entry")
+		_ = server.Close()
+		advancer.Sleep(time.Minute)
+	})
+}
