orchestrator: Count no run as stuck whose end may be unlisted

Cause: a worker with more ends than it lists at once lists the same ones until the store answers again. The runs behind them are in no list, and look as if they stood still.

--- a/messenger/pool_messages.go
+++ b/messenger/pool_messages.go
@@ -97,6 +97,9 @@
 	// or RunEnds: no other run works there or has ended there. Without it, nothing follows
 	// from the absence of a run.
 	Complete bool `cbor:"22,keyasint,omitempty"`
+	// EndsUnlisted is set while the worker may have ends that its last list lacked: a run
+	// that makes no progress may have ended.
+	EndsUnlisted bool `cbor:"23,keyasint,omitempty"`
 }
 
 // RunStatus is the state of a run at an agent's worker. In a Delta, a run that was in
--- a/orchestrator/incomplete_test.go
+++ b/orchestrator/incomplete_test.go
@@ -71,3 +71,31 @@
 	(<-h.o.actions)()
 	c.Assert(a.leaseExpiresAt, qt.Equals, lease)
 }
+
+// After an outage of the store a worker listed the first of its many ends only. The runs behind
+// them had ended, and were stopped for want of progress; the worker counted as failing.
+func TestARunWhoseEndMayBeUnlistedIsNotStuck(t *testing.T) {
+	for name, tt := range map[string]struct {
+		unlisted bool
+		failures int
+	}{
+		"all ends are listed":  {false, 1},
+		"ends may be unlisted": {true, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			h := newHarness(c, 1)
+			h.submit(sequencer.Spec{Steps: []sequencer.Step{step(1, 10)}})
+			h.o.place()
+			for range 10 {
+				snapshot := &messenger.WorkerSnapshot{Runs: h.runStatuses("a0", messenger.PhaseRunning, 10), EndsUnlisted: tt.unlisted}
+				h.sendSnapshot("a0", snapshot)
+				h.now = h.now.Add(relocationInterval)
+				h.o.relocateSlowedRuns(h.now)
+				h.now = h.now.Add(relocationInterval)
+			}
+			c.Assert(h.stopCount("a0") > 0, qt.Equals, tt.failures > 0)
+			c.Assert(h.o.agents["a0"].health.consecutiveFailures, qt.Equals, tt.failures)
+		})
+	}
+}
--- a/orchestrator/relocate.go
+++ b/orchestrator/relocate.go
@@ -61,8 +61,8 @@
 			step.LongRunning && r.progressPercent >= 100 {
 			continue
 		}
-		if r.pacePercent < slowedPacePercent {
-			r.progressedAt = now // throttled on purpose
+		if r.pacePercent < slowedPacePercent || r.agent.snapshot.EndsUnlisted {
+			r.progressedAt = now // throttled on purpose, or it may have ended
 			continue
 		}
 		if r.progressedAt.IsZero() || now.Sub(r.progressedAt) < stuckTimeout {
--- a/orchestrator/run.go
+++ b/orchestrator/run.go
@@ -41,7 +41,7 @@
 	pacePercent     int
 	startedAt       time.Time
 	// progressedAt is the local time at which progressPercent last grew. It is also
-	// advanced while the run is throttled.
+	// advanced while the run is throttled, and while its end may be unlisted.
 	progressedAt time.Time
 	// throttled is set once the run was slowed; resumed is set for a run that began
 	// from a checkpoint or was adopted.
--- a/supervisor/list.go
+++ b/supervisor/list.go
@@ -188,6 +188,7 @@
 			s.endRun(r, messenger.RunEnd{Status: messenger.EndWorkerLost, Reason: "the worker no longer lists it"}, 0)
 		}
 	}
+	s.endsUnlisted = !reply.Complete
 	if !s.reconciled || !s.complete && reply.Complete {
 		s.reconciled, s.complete = true, reply.Complete
 		s.cfg.Log.Info("worker reconciled", zap.String("worker", s.heartbeat.Incarnation()), zap.Int("runs", len(s.runs)), zap.Int("ends", len(s.ends)), zap.Bool("complete", s.complete))
--- a/supervisor/reconcile_test.go
+++ b/supervisor/reconcile_test.go
@@ -168,6 +168,7 @@
 		for n, want := range []bool{false, false, true} {
 			snapshot := h.latestSnapshot()
 			c.Assert(snapshot.Reconciled, qt.IsTrue)
+			c.Assert(snapshot.EndsUnlisted, qt.Equals, !want)
 			c.Assert(snapshot.Complete, qt.Equals, want, qt.Commentf("list %d: %v", n, h.ends()))
 			h.set(func() { h.ackedEnd = snapshot.RunEnds[len(snapshot.RunEnds)-1].Seq })
 			advancer.Sleep(2 * time.Second)
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -90,6 +90,8 @@
 	// complete once one of them had all runs and all ends: since then, each run of the
 	// incarnation whose end is not acknowledged is in runs or ends.
 	reconciled, complete bool
+	// endsUnlisted is set while the last list may have lacked ends.
+	endsUnlisted bool
 	// draining is set when the worker has announced that it is shutting down.
 	draining bool
 	// leaving is set once this process of the agent is to end; it starts nothing more.
@@ -215,7 +217,7 @@
 		Labels: s.heartbeat.Labels, Pool: s.heartbeat.Pool, Draining: s.heartbeat.Draining || s.draining,
 		Unreachable: !s.unreachableSince.IsZero() && s.cfg.Now().Sub(s.unreachableSince) > time.Second, Reconciled: s.reconciled,
 		WarmupMs: s.heartbeat.Warmup.Milliseconds(), MayStart: s.blockedReason() == "",
-		Complete: s.complete && len(s.ends) <= maxSnapshotEnds,
+		Complete: s.complete && len(s.ends) <= maxSnapshotEnds, EndsUnlisted: s.endsUnlisted,
 	}
 	if s.cfg.Pacer != nil {
 		snap.MeasurementUpdates = s.cfg.Pacer.MeasurementUpdates
