coordinator: Report jobs in doubt on each new connection to the owner

A job could be rejected as not accepted at one entry while a write of another one was still to be carried out.

Cause: an entry tells the owner of a job in doubt once. Without a connection at that moment the report is dropped, and nobody hears of it later.

Change: an entry reports its own jobs in doubt on each new connection. Reports of others don't prolong its own, so that a doubt ends on time.

Test: TestAnEntryThatWasCutOffReportsItsJobsInDoubt failed before with "not accepted".

--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -111,11 +111,14 @@
 	// inDoubtUntil holds the jobs whose write had an unknown outcome, here or at
 	// another entry, with the time until which it may take effect; mu guards it.
 	inDoubtUntil map[string]time.Time
+	// ownInDoubtUntil holds those of them that were written here. What others report does
+	// not prolong it, so that entries don't keep a doubt alive between them.
+	ownInDoubtUntil map[string]time.Time
 }
 
 // New returns an Acceptor, which stores no jobs until Serve runs.
 func New(cfg Config) *Acceptor {
-	return &Acceptor{cfg: cfg, submissions: make(chan *submission, maxQueued), inDoubtUntil: map[string]time.Time{}, tombstones: rate.NewLimiter(tombstoneRate, maxTombstones)}
+	return &Acceptor{cfg: cfg, submissions: make(chan *submission, maxQueued), inDoubtUntil: map[string]time.Time{}, ownInDoubtUntil: map[string]time.Time{}, tombstones: rate.NewLimiter(tombstoneRate, maxTombstones)}
 }
 
 // Configure sets the queues unless the current version is the same or newer.
@@ -196,6 +199,25 @@
 	}
 }
 
+// markOwnInDoubt records jobs whose write here had an unknown outcome.
+func (a *Acceptor) markOwnInDoubt(jobs []string) {
+	a.MarkInDoubt(jobs)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, id := range jobs {
+		a.ownInDoubtUntil[id] = a.inDoubtUntil[id]
+	}
+}
+
+// OwnInDoubt returns the jobs that may have been stored by writes of this entry.
+func (a *Acceptor) OwnInDoubt() []string {
+	now := a.cfg.Now()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	maps.DeleteFunc(a.ownInDoubtUntil, func(_ string, until time.Time) bool { return now.After(until) })
+	return slices.Sorted(maps.Keys(a.ownInDoubtUntil))
+}
+
 // InDoubt returns the jobs that may have been stored. Jobs whose time has passed
 // are included until the next MarkInDoubt.
 func (a *Acceptor) InDoubt() []string {
@@ -232,7 +254,7 @@
 	case err = <-sub.done:
 	case <-ctx.Done():
 		err = ErrUnknownOutcome // the caller has gone; the write continues
-		a.MarkInDoubt([]string{spec.ID})
+		a.markOwnInDoubt([]string{spec.ID})
 	}
 	a.cfg.ObserveDuration("submit", a.cfg.Now().Sub(sub.receivedAt))
 	return err
--- a/acceptor/cancel_test.go
+++ b/acceptor/cancel_test.go
@@ -145,3 +145,17 @@
 		c.Assert(state, qt.Equals, sequencer.Queued)
 	})
 }
+
+// Entries report their jobs in doubt on each new connection. What one has heard from another must
+// not keep the doubt alive.
+func TestADoubtIsNotProlongedByReports(t *testing.T) {
+	runWithHarness(t, func(c *qt.C, h *harness) {
+		h.submitInDoubt(1)
+		c.Assert(h.a.OwnInDoubt(), qt.DeepEquals, []string{jobID(1)})
+		h.a.MarkInDoubt([]string{jobID(2)})
+		advancer.Sleep(inDoubtTTL / 2)
+		h.a.MarkInDoubt([]string{jobID(1)})
+		advancer.Sleep(inDoubtTTL / 2)
+		c.Assert(h.a.OwnInDoubt(), qt.HasLen, 0)
+	})
+}
--- a/acceptor/write.go
+++ b/acceptor/write.go
@@ -115,7 +115,7 @@
 		failed = append(failed, sub)
 	}
 	if len(inDoubt) > 0 { // before any of their callers can retry
-		a.MarkInDoubt(inDoubt)
+		a.markOwnInDoubt(inDoubt)
 		a.cfg.BroadcastInDoubt(inDoubt)
 	}
 	for _, sub := range failed {
@@ -147,7 +147,7 @@
 		sub.done <- nil
 	}
 	if len(replaced) > 0 { // before any of their callers can retry
-		a.MarkInDoubt(inDoubt)
+		a.markOwnInDoubt(inDoubt)
 		a.cfg.BroadcastInDoubt(inDoubt)
 	}
 	for _, sub := range replaced {
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -138,7 +138,7 @@
 	self := elector.Member{ID: cfg.ID, Incarnation: c.incarnation, PeerAddr: cfg.PeerAddr, CPUCapacity: cfg.CPUCapacity}
 	c.ownerClient = newOwnerClient(ownerClientConfig{
 		ID: cfg.ID, Incarnation: c.incarnation, Client: cfg.Client, Now: cfg.Now, Log: cfg.Log, Traffic: &c.traffic,
-		OnInDoubt: func(jobs []string) { c.Acceptor.MarkInDoubt(jobs) },
+		OnInDoubt: func(jobs []string) { c.Acceptor.MarkInDoubt(jobs) }, InDoubt: func() []string { return c.Acceptor.OwnInDoubt() },
 	})
 	c.elector = elector.New(elector.Config{
 		Self: self, Store: store, ClaimKey: orchestrator.ClaimKey, Now: cfg.Now, Log: cfg.Log, Count: cfg.Count, OwnerLastReply: c.ownerClient.LastReply,
--- a/coordinator/in_doubt_test.go
+++ b/coordinator/in_doubt_test.go
@@ -53,3 +53,36 @@
 		})
 	}
 }
+
+// An entry that was cut off as one of its jobs got in doubt told nobody of it, and another entry
+// reported the job as not accepted.
+func TestAnEntryThatWasCutOffReportsItsJobsInDoubt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		ctx, cancel := context.WithCancel(context.Background())
+		f := newFleet(ctx, t, 1, 3, 0)
+		advancer.Sleep(3 * time.Second)
+		var apart, other *entryNode
+		for n := range 3 {
+			if e := f.entry(n); !e.isOwner() && apart == nil {
+				apart = e
+			} else if !e.isOwner() {
+				other = e
+			}
+		}
+		const outage = 4 * time.Second
+		f.cutOff(apart.name, outage, false)
+		advancer.Sleep(time.Second)
+		spec := &sequencer.Spec{ID: "00000000000000aa", Queue: "queue", Pool: "pool", Steps: []sequencer.Step{{Count: 1}}}
+		f.setFaults(func() { f.storeReplyLoss = 1 })
+		c.Check(f.submitAt(apart, spec), qt.ErrorIs, acceptor.ErrUnknownOutcome)
+		f.setFaults(func() { f.storeReplyLoss = 0 })
+		advancer.Sleep(outage)
+		f.setFaults(func() { f.storeDown = true })
+		advancer.Sleep(time.Second)
+		c.Check(f.submitAt(other, spec), qt.ErrorIs, acceptor.ErrUnknownOutcome)
+		cancel()
+		f.close()
+		advancer.Sleep(time.Minute)
+	})
+}
--- a/coordinator/owner_client.go
+++ b/coordinator/owner_client.go
@@ -39,6 +39,8 @@
 	Log             *zap.Logger
 	// OnInDoubt is called with jobs that are in doubt at other entries.
 	OnInDoubt func(jobs []string)
+	// InDoubt returns the jobs whose writes here are in doubt; nil if there are never any.
+	InDoubt func() []string
 	// Traffic counts the frames.
 	Traffic *messenger.Traffic
 }
@@ -141,6 +143,7 @@
 		_ = ws.CloseNow()
 		return errNotConnected // the owner has changed during the dial
 	}
+	c.reportInDoubt(conn)
 	var wg sync.WaitGroup
 	wg.Go(func() { c.pingLoop(ctx, conn) })
 	err = conn.Run(ctx)
@@ -152,6 +155,21 @@
 	return err
 }
 
+// reportInDoubt sends the jobs in doubt on a new connection: a report on an earlier one may
+// have been lost.
+func (c *ownerClient) reportInDoubt(conn *messenger.Conn) {
+	if c.cfg.InDoubt == nil {
+		return
+	}
+	jobs := c.cfg.InDoubt()
+	if len(jobs) == 0 {
+		return
+	}
+	if err := conn.TrySend(messenger.Frame{Kind: messenger.KindInDoubt, InDoubt: &messenger.InDoubt{Jobs: jobs}}); err != nil {
+		c.cfg.Log.Info("jobs in doubt not reported", zap.Int("jobs", len(jobs)), zap.Error(err))
+	}
+}
+
 // pingLoop pings the owner and closes the connection when a reply is overdue.
 func (c *ownerClient) pingLoop(ctx context.Context, conn *messenger.Conn) {
 	for ctx.Err() == nil {
