allocator: Bound both waits of best-effort tasks

Cause: a worker whose best-effort tasks ask for all free CPU was left out for as long as they run, and long-running ones never end. The wait for a worker without slowdown was 12 s for long-running tasks too.

Change: both waits end after 12 s, after 2 s for long-running tasks. Then the costs decide.

Tests: the two new tests failed before. TestBestEffortTaskAvoidsInterference contained the fault: it expected a task that has waited to take a worker where it gets a tenth of its pace, as one that gives 94% of its CPU was excluded for good. It now expects the latter, and the former where the latter takes no task, so that it checks both.

--- a/allocator/allocator.go
+++ b/allocator/allocator.go
@@ -144,9 +144,13 @@
 	headroomCost     = 2.0
 	maxHeadroomShare = 3.0
 	// minPace is the fraction of full pace below which a best-effort task waits
-	// for another worker, for at most maxPaceWait.
-	minPace     = 0.95
-	maxPaceWait = 12000 * time.Millisecond
+	// for another worker.
+	minPace = 0.95
+	// maxPaceWait is how long a best-effort task waits for a worker where it is neither
+	// slowed nor shares the CPU of other ones, maxLongRunningWait how long one that runs
+	// until it is stopped does: those in its way may run as long.
+	maxPaceWait        = 12 * time.Second
+	maxLongRunningWait = 2 * time.Second
 	// emptyWorkerCost is the cost to a task with a reservation of a worker without
 	// serving tasks: such workers are kept for best-effort tasks.
 	emptyWorkerCost = 1.0
@@ -188,16 +192,21 @@
 func Pick(t *sequencer.Task, stepName string, candidates []*Candidate, now time.Time, interference func(bestEffortImage, servingImage string) float64) *Candidate {
 	var best *Candidate
 	bestCost := 0.0
+	wait := maxPaceWait
+	if t.StepSpec().LongRunning {
+		wait = maxLongRunningWait
+	}
+	selective := now.Sub(t.WaitingSince) < wait
 	for _, c := range candidates {
 		if !Fits(t, stepName, c) {
 			continue
 		}
 		pressure := Pressure{Pace: 1}
 		if t.StepSpec().BestEffort {
-			if c.BestEffortCPU > 0 && c.BestEffortCPU+t.StepSpec().CPU > c.ReclaimableCPU() {
+			if selective && c.BestEffortCPU > 0 && c.BestEffortCPU+t.StepSpec().CPU > c.ReclaimableCPU() {
 				continue // would only share the CPU of the best-effort tasks there
 			}
-			if pressure = ExpectedPressure(t.StepSpec(), c, interference); pressure.Pace < minPace && now.Sub(t.WaitingSince) < maxPaceWait {
+			if pressure = ExpectedPressure(t.StepSpec(), c, interference); selective && pressure.Pace < minPace {
 				continue
 			}
 		}
--- a/allocator/allocator_test.go
+++ b/allocator/allocator_test.go
@@ -59,6 +59,8 @@
 	bestEffort := task(sequencer.Step{CPU: 8000, BestEffort: true})
 	c.Assert(Pick(bestEffort, "s", candidates, now, constantInterference(0)).ID, qt.Equals, "b")
 	c.Assert(Pick(bestEffort, "s", candidates, now, constantInterference(30)), qt.IsNil, qt.Commentf("it would be slowed to almost nothing"))
+	c.Assert(Pick(bestEffort, "s", candidates, now.Add(2*maxPaceWait), constantInterference(30)).ID, qt.Equals, "a", qt.Commentf("it has waited for maxPaceWait, and gets more CPU there"))
+	full.OnTrial = true
 	c.Assert(Pick(bestEffort, "s", candidates, now.Add(2*maxPaceWait), constantInterference(30)).ID, qt.Equals, "b", qt.Commentf("it has waited for maxPaceWait"))
 }
 
@@ -168,3 +170,37 @@
 	c.Assert(w.TasksByStep, qt.HasLen, 0)
 	c.Assert(w.ServingTasks[0].Reserved, qt.HasLen, 0)
 }
+
+// Two long-running best-effort tasks were never started again after their worker was lost: those on
+// the other workers asked for all CPU that is free, and never ended.
+func TestBestEffortTasksShareTheCPUOfOthersInTime(t *testing.T) {
+	for name, tt := range map[string]struct {
+		longRunning bool
+		wait        time.Duration
+	}{
+		"long-running": {true, maxLongRunningWait},
+		"others":       {false, maxPaceWait},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			full, fuller := emptyWorker("a"), emptyWorker("b")
+			full.BestEffortCPU, fuller.BestEffortCPU = 60000, 90000
+			waiting := task(sequencer.Step{CPU: 30000, BestEffort: true, LongRunning: tt.longRunning})
+			candidates := []*Candidate{fuller, full}
+			c.Assert(Pick(waiting, "s", candidates, now.Add(tt.wait-time.Millisecond), constantInterference(0)), qt.IsNil)
+			c.Assert(Pick(waiting, "s", candidates, now.Add(tt.wait), constantInterference(0)).ID, qt.Equals, "a")
+			full.UsedMemory = full.Memory
+			waiting.StepSpec().Memory = 10
+			c.Assert(Pick(waiting, "s", candidates, now.Add(tt.wait), constantInterference(0)).ID, qt.Equals, "b")
+		})
+	}
+}
+
+// A long-running best-effort task stayed away for 12 s where every worker would slow it down.
+func TestALongRunningBestEffortTaskDoesNotWaitForFullPace(t *testing.T) {
+	c := qt.New(t)
+	waiting := task(sequencer.Step{CPU: 8000, BestEffort: true, LongRunning: true})
+	candidates := []*Candidate{servingWorker("b", 0.4)}
+	c.Assert(Pick(waiting, "s", candidates, now, constantInterference(30)), qt.IsNil)
+	c.Assert(Pick(waiting, "s", candidates, now.Add(maxLongRunningWait), constantInterference(30)).ID, qt.Equals, "b")
+}
