orchestrator: Place tasks elsewhere while an agent confirms nothing

With the window of unconfirmed commands, tasks waited for an agent that had reached it while other workers had room: placement chose the same worker for each of them and then could not send the start.

Change: such a worker is busy and fits no task until its agent confirms earlier starts, which makes placement due again. Interference is reserved in one place.

Test: TestTasksGoElsewhereWhileAnAgentConfirmsNothing failed before, with 64 of 320 tasks started.

--- a/allocator/allocator.go
+++ b/allocator/allocator.go
@@ -38,6 +38,8 @@
 	// OnTrial is set while the worker tries a task that is likely to crash it. No other
 	// task is placed there.
 	OnTrial bool
+	// Busy is set while the worker's agent has to confirm earlier starts first.
+	Busy bool
 	// Unproven is the number of its runs that have just been started.
 	Unproven int
 	// AtRisk is the harm of a crash of the worker: the number of its runs, and of the
@@ -171,7 +173,7 @@
 func Fits(t *sequencer.Task, stepName string, c *Candidate) bool {
 	step := t.StepSpec()
 	switch {
-	case c.OnTrial:
+	case c.OnTrial || c.Busy:
 		return false
 	case c.UsedMemory+step.Memory > c.Memory || c.UsedGPU+step.GPU > c.GPU:
 		return false
--- a/orchestrator/gang.go
+++ b/orchestrator/gang.go
@@ -79,15 +79,11 @@
 func (o *Orchestrator) startGang(j *job, members []*sequencer.Task, chosen []*allocator.Candidate, agents map[string]*agent) {
 	attempt := uint64(0)
 	newest := members[0]
-	for n, t := range members {
+	for _, t := range members {
 		attempt = max(attempt, o.nextAttempt(t))
 		if t.Checkpoint != "" && (newest.Checkpoint == "" || t.CheckpointAt.After(newest.CheckpointAt)) {
 			newest = t
 		}
-		if !agents[chosen[n].ID].hasRoom() {
-			o.startsHeld = true
-			return
-		}
 	}
 	if !o.mayStart(len(members)) {
 		return
@@ -100,6 +96,7 @@
 			return // stopIncompleteGangs stops the others
 		}
 		chosen[n].Reserve(t.StepSpec(), t.StepName())
+		o.setBusy(chosen[n], a)
 	}
 }
 
--- a/orchestrator/outbox_test.go
+++ b/orchestrator/outbox_test.go
@@ -189,3 +189,17 @@
 	l.exchange(nil)
 	c.Assert(len(l.stops), qt.Equals, maxUnconfirmedCommands)
 }
+
+// While one agent confirms nothing, tasks go to the others, even if its worker is the better one.
+func TestTasksGoElsewhereWhileAnAgentConfirmsNothing(t *testing.T) {
+	c := qt.New(t)
+	h := newHarness(c, 2)
+	links := map[string]*boundedLink{"a0": h.limitQueue("a0"), "a1": h.limitQueue("a1")}
+	h.submit(sequencer.Spec{Steps: []sequencer.Step{{Count: 5 * maxUnconfirmedCommands, CPU: 1, Memory: 1}}})
+	for range 10 {
+		h.o.place()
+		links["a1"].exchange(h.runStatuses("a1", messenger.PhaseRunning, 1))
+	}
+	c.Assert(len(links["a0"].starts) <= maxUnconfirmedCommands, qt.IsTrue)
+	c.Assert(len(links["a0"].starts)+len(links["a1"].starts), qt.Equals, 5*maxUnconfirmedCommands)
+}
--- a/orchestrator/place.go
+++ b/orchestrator/place.go
@@ -95,9 +95,11 @@
 		now.Before(a.health.excludedUntil) || now.Sub(a.lastSnapshotAt) > isolationTimeout/2 {
 		return nil
 	}
-	return &allocator.Candidate{
+	candidate := &allocator.Candidate{
 		ID: a.id, CPU: snapshot.CPU, Memory: snapshot.Memory, GPU: snapshot.GPU, Labels: snapshot.Labels, Speed: a.health.speed(), FailureRate: a.health.failureRate,
 	}
+	o.setBusy(candidate, a)
+	return candidate
 }
 
 // reserveRuns reserves the resources of active and possibly active runs on the
@@ -207,19 +209,29 @@
 			continue
 		}
 		a := agents[candidate.ID]
-		if !a.hasRoom() {
-			o.startsHeld = true
-			continue
-		}
 		if o.startTask(t, j, a) {
-			candidate.Reserve(t.StepSpec(), name)
-			if t.StepSpec().BestEffort {
-				candidate.AddInterference(t.StepSpec().Image, t.StepSpec().CPU, o.predictor.UpperInterference)
-			}
+			o.reserve(candidate, t)
 		}
+		o.setBusy(candidate, a)
+	}
+}
+
+// reserve reserves the resources of a task that was started on a candidate.
+func (o *Orchestrator) reserve(candidate *allocator.Candidate, t *sequencer.Task) {
+	step := t.StepSpec()
+	candidate.Reserve(step, t.StepName())
+	if step.BestEffort {
+		candidate.AddInterference(step.Image, step.CPU, o.predictor.UpperInterference)
 	}
 }
 
+// setBusy marks a candidate whose agent has to confirm earlier starts first, after which
+// placement is due again.
+func (o *Orchestrator) setBusy(candidate *allocator.Candidate, a *agent) {
+	candidate.Busy = !a.hasRoom()
+	o.startsHeld = o.startsHeld || candidate.Busy
+}
+
 // mayStart reports whether so many starts may be sent now. If not, placement is due once
 // an agent has confirmed earlier ones.
 func (o *Orchestrator) mayStart(starts int) bool {
--- a/orchestrator/suspect.go
+++ b/orchestrator/suspect.go
@@ -85,10 +85,8 @@
 		return
 	}
 	trials.Add(j.Spec.ID, a.id, odds)
-	candidate.Reserve(t.StepSpec(), name)
-	if t.StepSpec().BestEffort {
-		candidate.AddInterference(t.StepSpec().Image, t.StepSpec().CPU, o.predictor.UpperInterference)
-	}
+	o.reserve(candidate, t)
+	o.setBusy(candidate, a)
 	candidate.OnTrial = odds >= quarantiner.Likely
 	o.cfg.Log.Info("trying a suspected task", zap.String("task", t.Name()), zap.Uint64("attempt", t.Attempt), zap.String("agent", a.id), zap.Float64("odds", t.CrashOdds),
 		zap.Int("crashes", len(t.Crashes)), zap.Float64("at_risk", candidate.AtRisk))
