acceptor: Keep the outcome of a cancel unknown once a write got no answer

A cancel reads the job again after a write without an answer. If the store could not be read then, the caller was told that the request had no effect (503), though its first write may have cancelled the job.

Test: TestACancelInDoubtIsNotReportedAsUnavailable failed before.

--- a/acceptor/cancel.go
+++ b/acceptor/cancel.go
@@ -17,10 +17,14 @@
 // then an earlier submission of it that is still to be stored never runs.
 func (a *Acceptor) Cancel(ctx context.Context, queue, id string) error {
 	admitted := false // whether a tombstone of this call was counted
+	inDoubt := false  // whether a write of this call may have taken effect
 	for {
 		item, err := a.readKey(ctx, orchestrator.JobKey(id))
 		known := !errors.Is(err, ErrNotFound)
 		if known && err != nil {
+			if inDoubt {
+				err = errors.Join(ErrUnknownOutcome, err)
+			}
 			return err
 		}
 		if !known && !admitted {
@@ -49,6 +53,7 @@
 		case errors.As(err, &conflict) && conflict.Item(orchestrator.CancelKey(id)).Version != 0 && conflict.Item(orchestrator.JobKey(id)).Version != 0:
 			return nil // it was canceled before, perhaps by an earlier try of this call
 		}
+		inDoubt = inDoubt || errors.Is(err, storer.ErrUnknownOutcome)
 		if waiter.Sleep(ctx, retryDelay); ctx.Err() != nil {
 			return errors.Join(ErrUnknownOutcome, err)
 		}
--- a/acceptor/cancel_test.go
+++ b/acceptor/cancel_test.go
@@ -159,3 +159,25 @@
 		c.Assert(h.a.OwnInDoubt(), qt.HasLen, 0)
 	})
 }
+
+// A cancel whose write got no answer must not be reported as one without an effect because the
+// store can't be read after it.
+func TestACancelInDoubtIsNotReportedAsUnavailable(t *testing.T) {
+	runWithHarness(t, func(c *qt.C, h *harness) {
+		_, err := h.submit(1)
+		c.Assert(err, qt.IsNil)
+		written := false
+		h.store.SetFault(func(call string) faker.StoreFault {
+			switch {
+			case call == "commit":
+				written = true
+				return faker.StoreFault{LoseReply: true}
+			case call == "get" && written:
+				return faker.StoreFault{Refuse: true}
+			}
+			return faker.StoreFault{}
+		})
+		err = h.cancel(1)
+		c.Assert(err, qt.ErrorIs, ErrUnknownOutcome)
+	})
+}
