--- a/allocator/allocator_test.go
+++ b/allocator/allocator_test.go
@@ -175,8 +175,8 @@
 // the other workers asked for all CPU that is free, and never ended.
 func TestBestEffortTasksShareTheCPUOfOthersInTime(t *testing.T) {
 	for name, tt := range map[string]struct {
-		longRunning bool
-		wait        time.Duration
+		endless bool
+		wait    time.Duration
 	}{
 		"long-running": {true, maxLongRunningWait},
 		"others":       {false, maxPaceWait},
@@ -185,7 +185,7 @@
 			c := qt.New(t)
 			full, fuller := emptyWorker("a"), emptyWorker("b")
 			full.BestEffortCPU, fuller.BestEffortCPU = 60000, 90000
-			waiting := task(sequencer.Step{CPU: 30000, BestEffort: true, LongRunning: tt.longRunning})
+			waiting := task(sequencer.Step{CPU: 30000, BestEffort: true, LongRunning: tt.endless})
 			candidates := []*Candidate{fuller, full}
 			c.Assert(Pick(waiting, "s", candidates, now.Add(tt.wait-time.Millisecond), constantInterference(0)), qt.IsNil)
 			c.Assert(Pick(waiting, "s", candidates, now.Add(tt.wait), constantInterference(0)).ID, qt.Equals, "a")
