orchestrator: Close the registration of an agent before it leaves

Cause: the owner closed the registration of an agent 0.25 s after its connection had ended. An owner that freezes within that time leaves it open, and the next one waits 16 s for that agent with all tasks of older jobs.

Change: an agent that is to end says so.

Tests: TestOlderTasksDoNotWaitForAnAgentThatLeftBeforeTheOwnerFroze failed before (0 of 10 tasks ran after 12 s, all do now), and so did the two tests of the owner.

--- a/coordinator/takeover_test.go
+++ b/coordinator/takeover_test.go
@@ -139,3 +139,46 @@
 		advancer.Sleep(time.Minute)
 	})
 }
+
+// Of a fleet that is replaced agent by agent, one had just left as the owner froze. All older tasks
+// waited for 16 s, though nothing but its own runs could be at work there.
+func TestOlderTasksDoNotWaitForAnAgentThatLeftBeforeTheOwnerFroze(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		ctx, cancel := context.WithCancel(context.Background())
+		f := newFleet(ctx, t, 1, 3, 5)
+		advancer.Sleep(3 * time.Second)
+		spec := &sequencer.Spec{ID: "00000000000000aa", Queue: "queue", Pool: "pool", Steps: []sequencer.Step{{Count: 10, CPU: 1000, Memory: 100, LongRunning: true}}}
+		f.auditor.AddJob(spec)
+		c.Assert(f.submitAt(f.entry(0), spec), qt.IsNil)
+		advancer.Sleep(2 * time.Second)
+		lost := f.agents["agent-0"]
+		for _, a := range f.agents { // another worker than that of the agent that leaves, with runs
+			if len(a.worker.Running()) > 0 {
+				lost = a
+			}
+		}
+		leaving := f.agents["agent-0"]
+		if leaving == lost {
+			leaving = f.agents["agent-1"]
+		}
+		leaveCtx, leave := context.WithTimeout(ctx, 3*time.Second)
+		leaving.supervisor.AwaitOwner(leaveCtx)
+		leave()
+		f.stopAgent(leaving)
+		f.setFrozen(f.owners()[0], true)
+		f.restartWorker(lost) // its tasks are to be started again
+		advancer.Sleep(12 * time.Second)
+		running := 0
+		for _, a := range f.agents {
+			if a != leaving {
+				running += len(a.worker.Running())
+			}
+		}
+		c.Check(running, qt.Equals, 10)
+		f.clearFaults()
+		cancel()
+		f.close()
+		advancer.Sleep(time.Minute)
+	})
+}
--- a/messenger/pool_messages.go
+++ b/messenger/pool_messages.go
@@ -100,6 +100,9 @@
 	// EndsUnlisted is set while the worker may have ends that its last list lacked: a run
 	// that makes no progress may have ended.
 	EndsUnlisted bool `cbor:"23,keyasint,omitempty"`
+	// Leaving is set once the agent is to end. It starts nothing more, and waits until the
+	// ledger no longer says that it may run any task.
+	Leaving bool `cbor:"24,keyasint,omitempty"`
 }
 
 // RunStatus is the state of a run at an agent's worker. In a Delta, a run that was in
--- a/orchestrator/registration.go
+++ b/orchestrator/registration.go
@@ -79,16 +79,16 @@
 	return o.cfg.PreviousOwnerTTL
 }
 
-// updateRegistration opens the registration of a connected agent with a worker. A
-// draining worker accepts no starts, so its registration lists its tasks; it is removed
-// once nothing is left there, so that no later owner waits for it.
+// updateRegistration opens the registration of a connected agent with a worker. Where the
+// worker drains or the agent leaves, no starts are accepted, so that its registration lists
+// its tasks; it is removed once nothing is left there, so that no later owner waits for it.
 func (o *Orchestrator) updateRegistration(a *agent, snapshot *messenger.WorkerSnapshot) {
-	draining := snapshot.Draining && snapshot.Reconciled
+	closing := (snapshot.Draining || snapshot.Leaving) && snapshot.Reconciled
 	switch {
 	case a.writing || a.hasUnknownRuns: // its registration stands until it is reconciled
-	case draining && snapshot.Complete && len(snapshot.Runs) == 0 && len(snapshot.RunEnds) == 0 && a.idle():
+	case closing && snapshot.Complete && len(snapshot.Runs) == 0 && len(snapshot.RunEnds) == 0 && a.idle():
 		a.openPending, a.closePending, a.removalPending = false, false, a.keyVersion != 0
-	case draining:
+	case closing:
 		a.closePending = a.closePending || a.mayRunAny
 		a.mayRunAny = false
 	case !snapshot.Reconciled: // it may run nothing; expireLease removes its registration
@@ -98,6 +98,10 @@
 	}
 }
 
+// mayLeave reports whether an agent that is to end may do so: the next owner does not wait
+// with all older tasks for one whose registration is closed.
+func (a *agent) mayLeave() bool { return !a.writing && (a.keyVersion == 0 || !a.recordOpen) }
+
 // idle reports whether the agent has no runs and no ends that are yet to be written
 // to the ledger.
 func (a *agent) idle() bool { return len(a.runs) == 0 && len(a.pendingEnds) == 0 }
--- a/orchestrator/registration_test.go
+++ b/orchestrator/registration_test.go
@@ -315,3 +315,33 @@
 	}
 	c.Assert(a.leaseExpiresAt.After(h.now), qt.IsTrue, qt.Commentf("lease ended %v before the end of the outage; live runs %d", h.now.Sub(a.leaseExpiresAt), j.Task(0, 0, 0).LiveRuns))
 }
+
+// The owner was lost just after an agent had left with an open registration: it could not close that
+// any more, and the next owner waited 16 s for the agent with all older tasks.
+func TestAnAgentLeavesOnceItsRegistrationIsClosed(t *testing.T) {
+	c := qt.New(t)
+	h, j, a := newBusyHarness(c)
+	lastAck := func() *messenger.SnapshotAck { return h.sent["a0"][len(h.sent["a0"])-1].SnapshotAck }
+	h.sendSnapshot("a0", &messenger.WorkerSnapshot{Leaving: true, SentAt: h.now, Runs: h.runStatuses("a0", messenger.PhaseRunning, 10)})
+	c.Assert(lastAck().AppliedSentAt.IsZero(), qt.IsTrue, qt.Commentf("its registration is open"))
+	c.Assert(a.mayRunAny, qt.IsFalse, qt.Commentf("it accepts no more starts"))
+	b := h.o.nextBatch()
+	c.Assert(b.closedAgents, qt.HasLen, 1)
+	h.sendSnapshot("a0", &messenger.WorkerSnapshot{Leaving: true, SentAt: h.now, Runs: h.runStatuses("a0", messenger.PhaseRunning, 10)})
+	c.Assert(lastAck().AppliedSentAt.IsZero(), qt.IsTrue, qt.Commentf("the outcome of the write is not known"))
+	h.o.handleCommit(b, 50, h.now, nil)
+	c.Assert(lastAck().AppliedSentAt.Equal(h.now), qt.IsTrue)
+	c.Assert(j.liveRuns, qt.HasLen, 3)
+	c.Assert(lastAck().EchoSentAt.Equal(h.now), qt.IsTrue, qt.Commentf("its runs keep their lease"))
+}
+
+// An agent with nothing at work leaves once its registration is removed.
+func TestAnIdleAgentLeavesOnceItsRegistrationIsRemoved(t *testing.T) {
+	c := qt.New(t)
+	h := newHarness(c, 1)
+	lastAck := func() *messenger.SnapshotAck { return h.sent["a0"][len(h.sent["a0"])-1].SnapshotAck }
+	h.sendSnapshot("a0", &messenger.WorkerSnapshot{Leaving: true, SentAt: h.now})
+	c.Assert(lastAck().AppliedSentAt.IsZero(), qt.IsTrue)
+	c.Assert(h.commitBatch(50).removedAgents, qt.HasLen, 1)
+	c.Assert(lastAck().AppliedSentAt.Equal(h.now), qt.IsTrue)
+}
--- a/orchestrator/snapshot.go
+++ b/orchestrator/snapshot.go
@@ -57,7 +57,7 @@
 func (o *Orchestrator) ackSnapshot(a *agent) {
 	snapshot := a.snapshot
 	ack := &messenger.SnapshotAck{Term: o.cfg.Term, AckedEnd: a.durableEnd, WorkerIncarnation: snapshot.WorkerIncarnation}
-	if o.loaded && o.confirmedWithin(closedConfirmationTTL) {
+	if o.loaded && o.confirmedWithin(closedConfirmationTTL) && (!snapshot.Leaving || a.mayLeave()) {
 		ack.AppliedSentAt = snapshot.SentAt
 	}
 	if o.mayRenew(a) && snapshot.Reconciled {
--- a/orchestrator/write.go
+++ b/orchestrator/write.go
@@ -180,10 +180,12 @@
 	for _, a := range b.closedAgents {
 		a.keyVersion, a.writing, a.recordOpen = version, false, false
 		o.cfg.Log.Info("agent registration closed", zap.String("agent", a.id), zap.Int("runs", len(a.runs)), zap.Int("ends", len(a.pendingEnds)))
+		o.letLeave(a)
 	}
 	for _, a := range b.removedAgents {
 		a.writing = false
 		o.cfg.Log.Info("agent registration removed", zap.String("agent", a.id))
+		o.letLeave(a)
 		if a.link == nil {
 			delete(o.agents, a.id)
 		}
@@ -208,6 +210,13 @@
 	o.ackDurableEnds()
 }
 
+// letLeave acknowledges the snapshot of an agent that waits to end.
+func (o *Orchestrator) letLeave(a *agent) {
+	if a.snapshot != nil && a.snapshot.Leaving {
+		o.ackSnapshot(a)
+	}
+}
+
 // resolveConflict adopts the state in the ledger of the keys that were in conflict,
 // and queues the progress of the jobs again; the next snapshot or tick updates the
 // registration of an agent. Only this owner writes these keys, so a conflict means
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -217,7 +217,7 @@
 		Labels: s.heartbeat.Labels, Pool: s.heartbeat.Pool, Draining: s.heartbeat.Draining || s.draining,
 		Unreachable: !s.unreachableSince.IsZero() && s.cfg.Now().Sub(s.unreachableSince) > time.Second, Reconciled: s.reconciled,
 		WarmupMs: s.heartbeat.Warmup.Milliseconds(), MayStart: s.blockedReason() == "",
-		Complete: s.complete && len(s.ends) <= maxSnapshotEnds, EndsUnlisted: s.endsUnlisted,
+		Complete: s.complete && len(s.ends) <= maxSnapshotEnds, EndsUnlisted: s.endsUnlisted, Leaving: s.leaving,
 	}
 	if s.cfg.Pacer != nil {
 		snap.MeasurementUpdates = s.cfg.Pacer.MeasurementUpdates
