orchestrator: Count no failure against a worker that the task causes

Cause: each failed run counted against its worker, and three in a row exclude a worker for 5 s. The owner's log has the exclusions of one worker after the other, after failures of the one job only. Runs that are stopped for want of progress counted in the same way.

Change: a failure counts if the step has worked somewhere, or has failed on no other worker. The exclusions also bounded the starts of a long-running task that fails at once; such a task of a step that works nowhere waits 0.5 s.

--- a/orchestrator/ends.go
+++ b/orchestrator/ends.go
@@ -12,6 +12,10 @@
 // refusedStartDelay is how long a task waits after a refused start.
 const refusedStartDelay = 60 * time.Millisecond
 
+// failingTaskDelay is how long a long-running task waits after a failure if its step has
+// failed on several workers and worked on none.
+const failingTaskDelay = 500 * time.Millisecond
+
 // handleRunEnd processes an end that an agent lists.
 func (o *Orchestrator) handleRunEnd(a *agent, end messenger.RunEnd) {
 	pending := pendingEnd{seq: end.Seq, task: end.Task}
@@ -95,6 +99,7 @@
 	step := t.StepSpec()
 	switch end.Status {
 	case messenger.EndDone:
+		j.resultsOf(t.Step).succeeded = true
 		if step.LongRunning {
 			return
 		}
@@ -114,10 +119,14 @@
 			delete(o.openJobs, j.Spec.ID)
 		}
 	case messenger.EndFailed:
-		if a.health.recordFailure(now) {
+		againstWorker := j.resultsOf(t.Step).recordFailure(a.id)
+		if againstWorker && a.health.recordFailure(now) {
 			o.cfg.Log.Warn("worker excluded after consecutive failures", zap.String("agent", a.id), zap.Float64("doubt", a.health.failureRate), zap.Int("row", a.health.consecutiveFailures))
 		}
 		if step.LongRunning {
+			if !againstWorker {
+				t.NotBefore = now.Add(failingTaskDelay) // nothing else bounds its attempts
+			}
 			return
 		}
 		t.FailedWorkers = append(t.FailedWorkers, a.id)
--- a/orchestrator/job.go
+++ b/orchestrator/job.go
@@ -17,6 +17,8 @@
 	// cancellation has been read meanwhile.
 	endWriting, cancelWaiting bool
 	liveRuns                  map[runKey]*run
+	// results has those of each step, by its index.
+	results map[int]*results
 	// suspected is set once a task of it was suspected of crashing workers.
 	suspected bool
 	// checkpointsSavedAt is the local time at which new checkpoints were last
--- a/orchestrator/relocate.go
+++ b/orchestrator/relocate.go
@@ -69,7 +69,9 @@
 			continue
 		}
 		r.task.FailedWorkers = append(r.task.FailedWorkers, r.agent.id)
-		r.agent.health.recordFailure(now)
+		if r.job.resultsOf(r.task.Step).recordFailure(r.agent.id) {
+			r.agent.health.recordFailure(now)
+		}
 		o.cfg.Count("stuck")
 		o.stopRun(r, "no progress")
 	}
--- a/orchestrator/snapshot.go
+++ b/orchestrator/snapshot.go
@@ -157,6 +157,7 @@
 	}
 	if status.Checkpoint != "" && status.Checkpoint != r.task.Checkpoint || r.task.StepSpec().LongRunning && status.ProgressPercent >= 100 {
 		r.progressed = true
+		r.job.resultsOf(r.task.Step).succeeded = true
 		if r.oddsNow() < quarantiner.Suspect {
 			suspectOf(r.task).Crashes = nil
 		}
--- a/orchestrator/watch.go
+++ b/orchestrator/watch.go
@@ -184,7 +184,7 @@
 		o.cfg.Count(unreadableJobCount)
 		return
 	}
-	j := &job{Job: sequencer.NewJob(spec, item.Version, progress), liveRuns: map[runKey]*run{}}
+	j := &job{Job: sequencer.NewJob(spec, item.Version, progress), liveRuns: map[runKey]*run{}, results: map[int]*results{}}
 	j.ProgressVersion = progressVersion
 	j.suspected = progress != nil && slices.ContainsFunc(progress.Tasks, func(r sequencer.TaskRecord) bool { return r.CrashOdds > 0 })
 	o.jobs[spec.ID] = j
