orchestrator: Ask the policy about new workers once the granted ones are full

Cause: the policy was queried about workers without a known answer only if no candidate had a valid ticket, whether those had room or not. A worker that came back under a new ID was never asked about. Gangs that need more workers than have tickets, and suspected tasks, waited in the same way.

Change: the policy is queried when no granted candidate takes the task or the gang. A worker is still asked about once while an answer is valid.

Tests: TestATaskDoesNotWaitForTicketsOfFullWorkersToExpire failed before, for a task and for a gang (no query).

--- a/orchestrator/gang.go
+++ b/orchestrator/gang.go
@@ -23,12 +23,13 @@
 			return
 		}
 	}
-	for _, candidateSet := range gangCandidateSets(step, candidates) {
+	for _, candidateSet := range gangCandidateSets(step, o.grantedCandidates(j, name, candidates, agents, now)) {
 		if chosen := pickGang(members, name, candidateSet, now, o.predictor.UpperInterference); chosen != nil {
 			o.startGang(j, members, chosen, agents)
 			return
 		}
 	}
+	o.queryUngranted(j, name, candidates, agents, now)
 }
 
 // gangCandidateSets returns the candidate sets to try in order. A tightly coupled
--- a/orchestrator/place.go
+++ b/orchestrator/place.go
@@ -189,9 +189,8 @@
 			continue
 		}
 		if t.StepSpec().Gang {
-			granted := o.grantedCandidates(j, t.StepName(), candidates, agents, now)
 			if t.Index == 0 && len(waiting) >= n+t.StepSpec().Count {
-				o.placeGang(j, waiting[n:n+t.StepSpec().Count], granted, agents, now)
+				o.placeGang(j, waiting[n:n+t.StepSpec().Count], candidates, agents, now)
 			}
 			continue
 		}
@@ -204,6 +203,7 @@
 		}
 		candidate := allocator.Pick(t, name, o.grantedCandidates(j, name, candidates, agents, now), now, o.predictor.UpperInterference)
 		if candidate == nil {
+			o.queryUngranted(j, name, candidates, agents, now)
 			o.preempt(t, name, candidates, agents, now)
 			fullStep = name
 			continue
--- a/orchestrator/place_test.go
+++ b/orchestrator/place_test.go
@@ -164,6 +164,41 @@
 	c.Assert(queries, qt.Equals, 3)
 }
 
+// A task of a queue with a policy waited as long as the tickets of full workers were valid,
+// beside a worker about which the policy had not been asked.
+func TestATaskDoesNotWaitForTicketsOfFullWorkersToExpire(t *testing.T) {
+	for name, gang := range map[string]bool{"a task": false, "a gang": true} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			h := newHarness(c, 1)
+			var asked [][]string
+			h.o.cfg.QueryPolicy = func(_ context.Context, _ string, workers []string) ([]PolicyGrant, time.Duration, error) {
+				asked = append(asked, workers)
+				var grants []PolicyGrant
+				for _, w := range workers {
+					grants = append(grants, PolicyGrant{Incarnation: w, Ticket: "t-" + w})
+				}
+				return grants, time.Minute, nil
+			}
+			wide := step(2, 5000)
+			wide.Gang = gang
+			j := h.submit(sequencer.Spec{Steps: []sequencer.Step{wide}, PolicyRestricted: true})
+			h.o.place()
+			(<-h.o.actions)()
+			h.o.place()
+			h.connectAgent("a1")
+			h.o.place()
+			c.Assert(h.o.policyQueries, qt.Equals, 1)
+			(<-h.o.actions)()
+			h.o.place()
+			c.Assert(asked, qt.DeepEquals, [][]string{{"life-a0"}, {"life-a1"}})
+			c.Assert(j.liveRuns, qt.HasLen, 2)
+			h.o.place()
+			c.Assert(h.o.policyQueries, qt.Equals, 0)
+		})
+	}
+}
+
 // The connection of an agent may end during a placement round that queries the
 // policy.
 func TestThePolicyIsNotQueriedForUnreachableWorkers(t *testing.T) {
--- a/orchestrator/policy.go
+++ b/orchestrator/policy.go
@@ -50,19 +50,46 @@
 	expiresAt time.Time
 }
 
-// grantedCandidates returns the candidates that may run a step of a queue with a
-// policy. If there are none, it queries the policy about the candidates without a
-// known or valid grant. For other queues it returns all candidates.
+// grantedCandidates returns the candidates that may run a step of a queue with a policy.
+// For other queues it returns all candidates.
 func (o *Orchestrator) grantedCandidates(j *job, name string, candidates []*allocator.Candidate, agents map[string]*agent, now time.Time) []*allocator.Candidate {
 	if !j.Spec.PolicyRestricted {
 		return candidates
 	}
 	policy := o.policies[name]
+	if policy == nil {
+		return nil
+	}
+	var granted []*allocator.Candidate
+	for _, candidate := range candidates {
+		a := agents[candidate.ID]
+		if a.reachable() && policy.grants(a.snapshot.WorkerIncarnation, now) {
+			granted = append(granted, candidate)
+		}
+	}
+	return granted
+}
+
+// grants reports whether a worker may run the step.
+func (p *stepPolicy) grants(incarnation string, now time.Time) bool {
+	t, ok := p.tickets[incarnation]
+	return ok && now.Before(t.expiresAt.Add(-ticketMargin))
+}
+
+// queryUngranted queries the policy of a step about the candidates without a known or valid
+// grant. It is called when the granted ones have no room for the step.
+func (o *Orchestrator) queryUngranted(j *job, name string, candidates []*allocator.Candidate, agents map[string]*agent, now time.Time) {
+	if !j.Spec.PolicyRestricted || o.policyQueries >= maxPolicyQueries {
+		return
+	}
+	policy := o.policies[name]
 	if policy == nil {
 		policy = &stepPolicy{tickets: map[string]ticket{}, queried: map[string]bool{}}
 		o.policies[name] = policy
 	}
-	var granted []*allocator.Candidate
+	if policy.querying || !now.After(policy.nextQueryAt) {
+		return
+	}
 	var unknown []string
 	for _, candidate := range candidates {
 		a := agents[candidate.ID]
@@ -70,16 +97,14 @@
 			continue // its connection ended during this round
 		}
 		incarnation := a.snapshot.WorkerIncarnation
-		if t, ok := policy.tickets[incarnation]; ok && now.Before(t.expiresAt.Add(-ticketMargin)) {
-			granted = append(granted, candidate)
-		} else if !policy.queried[incarnation] || ok {
+		_, expired := policy.tickets[incarnation]
+		if !policy.grants(incarnation, now) && (expired || !policy.queried[incarnation]) {
 			unknown = append(unknown, incarnation)
 		}
 	}
-	if len(unknown) > 0 && len(granted) == 0 && !policy.querying && now.After(policy.nextQueryAt) && o.policyQueries < maxPolicyQueries {
+	if len(unknown) > 0 {
 		o.queryPolicy(policy, name, unknown[:min(len(unknown), maxWorkersPerQuery)])
 	}
-	return granted
 }
 
 // queryPolicy asks the policy service which worker incarnations may run a step.
--- a/orchestrator/results_test.go
+++ b/orchestrator/results_test.go
@@ -10,7 +10,7 @@
 	"github.com/endivefall/endivefall/sequencer"
 )
 
-// failRuns reports the runs of an agent as failed, but not those of a step that works.
+// failRuns reports the runs of an agent as failed, except those that work; nil fails all.
 func (h *harness) failRuns(id string, works func(r *run) bool) {
 	snapshot := &messenger.WorkerSnapshot{}
 	a := h.o.agents[id]
