supervisor: End the runs of a worker that has shut down at once

Cause: a worker that does not answer counts as lost when its lease is over, also after it has deregistered and its process has ended. The agent knew of that for 1 s, left with its runs reported as running, and two owners in turn waited for bounds of their own.

Change: the agent ends the runs at once if the worker has deregistered, has then closed the connection of a call without a reply, and refuses connections. A refusal alone proves nothing: a network can refuse connections to a worker that goes on. Runs that no list has shown wait for their lease as before.

Tests: TestRunsOfAWorkerThatHasShutDownEndAtOnce failed before (no end within 0.5 s). The fake worker tells a closed connection from a refused one now.

--- a/faker/pool_calls.go
+++ b/faker/pool_calls.go
@@ -4,7 +4,9 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"slices"
+	"syscall"
 	"time"
 
 	"github.com/endivefall/endivefall/messenger"
@@ -69,7 +71,7 @@
 func (w *PoolWorker) checkCall(id string, fence uint64) error {
 	switch {
 	case w.id == "":
-		return supervisor.ErrUnknownOutcome
+		return fmt.Errorf("%w: %w", supervisor.ErrUnknownOutcome, syscall.ECONNREFUSED)
 	case id != w.id:
 		return supervisor.ErrWrongIncarnation
 	case fence < w.fence:
@@ -104,8 +106,8 @@
 	listOnce := func() error {
 		w.mu.Lock()
 		defer w.mu.Unlock()
-		if starts != 0 && w.starts != starts {
-			return supervisor.ErrUnknownOutcome // the connection ended with its incarnation
+		if starts != 0 && (w.starts != starts || w.id == "") {
+			return fmt.Errorf("%w: %w", supervisor.ErrUnknownOutcome, io.EOF) // the connection ended with its incarnation
 		}
 		starts = w.starts
 		err := w.checkCall(req.WorkerID, req.Fence)
--- a/supervisor/incarnation.go
+++ b/supervisor/incarnation.go
@@ -159,7 +159,8 @@
 		s.ends[i].workerSeq = 0 // the numbers belong to that incarnation
 	}
 	s.earlierWorkerID, s.earlierStartedAt, s.earlierFence = s.heartbeat.WorkerID, s.heartbeat.StartedAt, s.fence
-	s.heartbeat, s.reconciled, s.complete, s.endsUnlisted, s.draining = Heartbeat{}, false, false, false, false
+	s.heartbeat, s.reconciled, s.complete, s.endsUnlisted = Heartbeat{}, false, false, false
+	s.draining, s.closed = false, false
 	s.fence, s.seenEnd, s.ackedEnd, s.appliedSentAt = 0, 0, 0, time.Time{}
 	s.leaseExpiresAt, s.sentLease, s.workerClock, s.unreachableSince = time.Time{}, time.Time{}, time.Time{}, time.Time{}
 	s.aliveAt, s.brokenAt = time.Time{}, time.Time{}
--- a/supervisor/list.go
+++ b/supervisor/list.go
@@ -105,7 +105,7 @@
 		s.unreachableSince = time.Time{}
 		s.markDirty()
 	}
-	s.aliveAt, s.brokenAt = receivedAt, time.Time{}
+	s.aliveAt, s.brokenAt, s.closed = receivedAt, time.Time{}, false
 	if reply.Clock.After(s.workerClock) {
 		s.workerClock, s.clockReadAt = reply.Clock, receivedAt
 	}
@@ -122,6 +122,7 @@
 		s.markDirty() // nothing can be started there
 		s.cfg.Log.Warn("worker does not answer", zap.String("worker", s.heartbeat.Incarnation()), zap.Duration("last_reply", now.Sub(s.aliveAt)), zap.Error(err))
 	}
+	s.endShutDownRuns(err)
 	if !s.leasesExpired() {
 		return
 	}
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -92,8 +92,9 @@
 	reconciled, complete bool
 	// endsUnlisted is set while the last list may have lacked ends.
 	endsUnlisted bool
-	// draining is set when the worker has announced that it is shutting down.
-	draining bool
+	// draining is set when the worker has announced that it is shutting down, closed once it
+	// has closed the connection of a call since then.
+	draining, closed bool
 	// leaving is set once this process of the agent is to end; it starts nothing more.
 	leaving bool
 	// fence is the fencing number of calls, above every number used before for this
