--- a/orchestrator/results_test.go
+++ b/orchestrator/results_test.go
@@ -28,14 +28,14 @@
 // A job whose tasks failed wherever they ran kept every worker of the pool from starting
 // tasks of other jobs, for 5 s at a time.
 func TestAJobThatFailsEverywhereExcludesNoWorkerForGood(t *testing.T) {
-	for name, longRunning := range map[string]bool{"long-running": true, "with an end": false} {
+	for name, endless := range map[string]bool{"long-running": true, "with an end": false} {
 		t.Run(name, func(t *testing.T) {
 			c := qt.New(t)
 			h := newHarness(c, 3)
 			failing := step(6, 10)
-			failing.LongRunning = longRunning
+			failing.LongRunning = endless
 			j := h.submit(sequencer.Spec{Steps: []sequencer.Step{failing}})
-			if !longRunning {
+			if !endless {
 				j.Spec.MaxAttempts = 1000
 			}
 			for range 100 {
@@ -59,9 +59,9 @@
 func TestAWorkerOnWhichWorkingStepsFailIsExcluded(t *testing.T) {
 	c := qt.New(t)
 	h := newHarness(c, 3)
-	longRunning := step(9, 2000)
-	longRunning.LongRunning = true
-	h.submit(sequencer.Spec{Steps: []sequencer.Step{longRunning}})
+	endless := step(9, 2000)
+	endless.LongRunning = true
+	h.submit(sequencer.Spec{Steps: []sequencer.Step{endless}})
 	for range 3 {
 		h.o.place()
 		h.failRuns("a0", func(*run) bool { return true })
