supervisor: Conclude nothing about a started run from an earlier list

Cause: a list was taken as newer than the reply to a start by the worker's clock. A worker that keeps its ID starts again, its next incarnation carries out a start that is on its way and answers, and then a list reply of the incarnation before arrives, which lacks the run and has the later time of another clock.

Change: the absence of a run that no list has shown counts only in a list that was requested after the reply to its start had arrived. An incarnation that had ended by then can't answer such a list.

Tests: TestALateListOfTheEarlierIncarnationEndsNoRunOfTheNextOne failed before ("j.0.0.0#1 gone").

--- a/supervisor/commands.go
+++ b/supervisor/commands.go
@@ -139,7 +139,8 @@
 	}
 	switch {
 	case err == nil:
-		r.phase, r.confirmedAt, s.aliveAt = messenger.PhaseRunning, clock, s.cfg.Now()
+		now := s.cfg.Now()
+		r.phase, r.confirmedAt, r.startRepliedAt, s.aliveAt = messenger.PhaseRunning, clock, now, now
 		s.adjustPaces()
 	case errors.Is(err, ErrStaleFence) && s.fence > fence:
 		return true
--- a/supervisor/incarnation.go
+++ b/supervisor/incarnation.go
@@ -148,7 +148,6 @@
 	for _, r := range s.sortedRuns() {
 		r.crash = s.crashOf(r)
 		if s.heartbeat.WorkerID == nextWorkerID && !r.listed && r.startFence != 0 {
-			r.startReplied = r.startReplied || r.phase != messenger.PhaseStarting
 			r.phase, r.unansweredFence = messenger.PhaseStarting, r.startFence
 			r.pacePercent, r.workerPace, r.nextStopAt = 100, unknownPace, time.Time{}
 			continue
--- a/supervisor/list.go
+++ b/supervisor/list.go
@@ -180,11 +180,12 @@
 		case r.phase == messenger.PhaseStarting:
 			switch {
 			case r.unansweredFence == 0 || fence <= r.unansweredFence:
-			case r.startReplied:
+			case !r.startRepliedAt.IsZero():
 				s.endRun(r, messenger.RunEnd{Status: messenger.EndWorkerLost, Reason: "the worker started again after it"}, 0)
 			default:
 				s.endRun(r, messenger.RunEnd{Status: messenger.EndNotStarted, Reason: "the start got no answer and was fenced off"}, 0)
 			}
+		case !r.listed && !requestedAt.After(r.startRepliedAt): // another incarnation may have started it
 		case r.confirmedAt.Before(reply.Clock):
 			s.endRun(r, messenger.RunEnd{Status: messenger.EndWorkerLost, Reason: "the worker no longer lists it"}, 0)
 		}
--- a/supervisor/restart_test.go
+++ b/supervisor/restart_test.go
@@ -181,6 +181,32 @@
 	}
 }
 
+// TestALateListOfTheEarlierIncarnationEndsNoRunOfTheNextOne delays the last list reply of an
+// incarnation until the next one, whose clock is behind, has answered a start.
+func TestALateListOfTheEarlierIncarnationEndsNoRunOfTheNextOne(t *testing.T) {
+	inBubble(t, func(c *qt.C, h *harness) {
+		h.set(func() {
+			h.plan = faker.PoolRunPlan{}
+			h.fault = func(call string) faker.PoolFault {
+				if call == "look" {
+					return faker.PoolFault{ReplyDelay: 600 * time.Millisecond}
+				}
+				return faker.PoolFault{}
+			}
+		})
+		advancer.Sleep(600 * time.Millisecond) // a list reply is on its way
+		h.worker.Restart("life-1", time.UnixMilli(900))
+		h.send(startCommand("j.0.0.0", 1))
+		advancer.Sleep(500 * time.Millisecond)
+		h.set(func() { h.fault = nil })
+		h.sup.HandleHeartbeat(context.Background(), h.worker.Heartbeat(1))
+		advancer.Sleep(4 * time.Second)
+		c.Assert(h.worker.Running(), qt.HasLen, 1)
+		c.Assert(h.ends(), qt.HasLen, 0)
+		c.Assert(h.latestSnapshot().Runs, qt.HasLen, 1)
+	})
+}
+
 // TestARunOfTheEarlierIncarnationIsLostOnce sends a start whose reply is the last that the
 // earlier incarnation sends.
 func TestARunOfTheEarlierIncarnationIsLostOnce(t *testing.T) {
--- a/supervisor/run.go
+++ b/supervisor/run.go
@@ -31,7 +31,8 @@
 	// it is not known.
 	tailLatencyMs int64
 	// confirmedAt is when the worker confirmed the run, on its clock. If a later
-	// list reply lacks the run, the run has ended.
+	// list reply lacks the run, the run has ended. Until one has shown the run, that clock may
+	// be the one of the next incarnation, and the list must be requested after startRepliedAt.
 	confirmedAt time.Time
 	// startSentAt is the local time of the last start call; zero for a run that an earlier
 	// process of the agent started.
@@ -45,12 +46,11 @@
 	// reply under a higher fence settles; 0 while there is none. It is set only in
 	// messenger.PhaseStarting.
 	unansweredFence uint64
-	// listed is set once a list reply of the current incarnation has shown the run. The
-	// reply to a start does not tell which incarnation carried it out.
+	// listed is set once a list reply of the current incarnation has shown the run.
 	listed bool
-	// startReplied is set for a run with an unknown outcome whose start was answered, by
-	// an incarnation that is not known.
-	startReplied bool
+	// startRepliedAt is the local time of the reply to the start, which does not tell which
+	// incarnation carried it out; zero without one.
+	startRepliedAt time.Time
 	// specUnknown is set for a run that an earlier process of the agent started,
 	// until the owner sends its spec.
 	specUnknown bool
