messenger: Send no body before the call that opens its stream

One of 30 bookings ended with 502 and "ContentLength=10 with Body length 0", and its key was unknown after (TestIdempotencyKeyAcrossEntries, once).

Cause: a writer that waits on the control queue and the data queue takes from either once both have a frame. If a call and its body are queued meanwhile, the body can go first, and the peer drops data of a stream that it doesn't know.

Change: a data frame that is taken waits for the control frames that were queued by then.

--- a/messenger/conn.go
+++ b/messenger/conn.go
@@ -41,6 +41,9 @@
 	cfg     Config
 	control chan queuedFrame
 	data    chan queuedFrame
+	// held is a data frame that waits for control frames queued before it. Only the writer
+	// goroutine uses it.
+	held queuedFrame
 	// done is closed when the connection ends; err is set before that.
 	done         chan struct{}
 	failOnce     sync.Once
@@ -226,9 +229,13 @@
 		return f
 	default:
 	}
+	if f := c.held; f.frame != nil {
+		c.held = queuedFrame{}
+		return f
+	}
 	select {
 	case f := <-c.data:
-		return f
+		return c.afterControl(f)
 	default:
 		return queuedFrame{}
 	}
@@ -244,7 +251,7 @@
 	case f := <-c.control:
 		return f, true
 	case f := <-c.data:
-		return f, true
+		return c.afterControl(f), true
 	case <-c.done:
 		return queuedFrame{}, false
 	case <-ctx.Done():
@@ -252,6 +259,18 @@
 	}
 }
 
+// afterControl returns a data frame, or a control frame that may have been queued before it
+// and holds the data frame: the call that opens a stream must precede its body.
+func (c *Conn) afterControl(data queuedFrame) queuedFrame {
+	select {
+	case f := <-c.control:
+		c.held = data
+		return f
+	default:
+		return data
+	}
+}
+
 func (c *Conn) write(ctx context.Context, raw []byte) error {
 	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
