orchestrator, supervisor: Start tasks that were seen at work, whoever is absent

Long-running tasks ran nowhere for 16 s after their worker had left, under an owner that had seen them at work, with room for them.

Cause: after a change of owner all older tasks wait while one absent agent has an open registration, also those whose run another agent lists.

Change: an agent says of each run whether it was at work after the agent had heard of the owner's term. A task has one run, so that no absent agent has another one, and an earlier owner starts none while it knows of this one. Such a task is located, and waits for nobody. A run that an earlier list showed may have ended before the claim; it locates nothing, nor does one of two copies.

--- a/messenger/pool_messages.go
+++ b/messenger/pool_messages.go
@@ -120,6 +120,9 @@
 	SpecUnknown bool  `cbor:"8,keyasint,omitempty"` // the agent does not know the task's spec
 	// Ref identifies the run on the connection.
 	Ref uint64 `cbor:"9,keyasint,omitempty"`
+	// Current is set if the run was started under WorkerSnapshot.Term, or is known to have
+	// been at work after the agent had heard of that term.
+	Current bool `cbor:"10,keyasint,omitempty"`
 }
 
 // Phase is the phase of a run that has not ended.
--- a/orchestrator/evict.go
+++ b/orchestrator/evict.go
@@ -23,7 +23,7 @@
 	for _, a := range draining {
 		for _, r := range o.runsOf(a) {
 			step, name := r.task.StepSpec(), r.task.StepName()
-			if r.phase != messenger.PhaseRunning || r.evict || step.Gang || !step.LongRunning && !step.Checkpointable || blocked(r) {
+			if r.phase != messenger.PhaseRunning || r.evict || step.Gang || !step.LongRunning && !step.Checkpointable || blocked(r.task) {
 				continue
 			}
 			for _, candidate := range byPool[r.job.Spec.Pool] {
@@ -88,7 +88,7 @@
 				break
 			}
 			step := r.task.StepSpec()
-			if blocked(r) {
+			if blocked(r.task) {
 				continue
 			}
 			if !step.BestEffort {
--- /dev/null
+++ b/orchestrator/locate_test.go
@@ -0,0 +1,55 @@
+package orchestrator
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/endivefall/endivefall/messenger"
+	"github.com/endivefall/endivefall/sequencer"
+	"github.com/endivefall/endivefall/storer"
+)
+
+// A task that was at work after the claim waits for no absent agent. A run that an agent
+// lists may have ended before the claim, and an earlier owner have started the task again.
+func TestOnlyARunAtWorkAfterTheClaimLocatesItsTask(t *testing.T) {
+	for name, tt := range map[string]struct {
+		status      messenger.RunStatus
+		speculative bool
+		starts      int
+	}{
+		"at work":          {messenger.RunStatus{Phase: messenger.PhaseRunning, Current: true}, false, 1},
+		"stopping":         {messenger.RunStatus{Phase: messenger.PhaseStopping, Current: true}, false, 1},
+		"listed earlier":   {messenger.RunStatus{Phase: messenger.PhaseRunning}, false, 0},
+		"may not begin":    {messenger.RunStatus{Phase: messenger.PhaseStarting, Current: true}, false, 0},
+		"one of two so":    {messenger.RunStatus{Phase: messenger.PhaseRunning, Current: true}, true, 0},
+		"the agent's view": {messenger.RunStatus{Phase: messenger.PhaseRunning, Current: true, SpecUnknown: true}, false, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			h := newHarness(c, 2)
+			h.o.cfg.Epoch = 100
+			spec := sequencer.Spec{
+				ID: "00000000000000aa", Pool: "pool", Queue: "queue", AcceptedAt: h.now,
+				Steps: []sequencer.Step{{Count: 2, CPU: 10, Memory: 10, LongRunning: true, Speculative: tt.speculative}},
+			}
+			raw, err := spec.Encode()
+			c.Assert(err, qt.IsNil)
+			h.o.takeOver([]storer.Item{{Key: JobKey(spec.ID), Value: raw, Version: 20}}, nil,
+				[]storer.Item{{Key: agentPrefix + "lost", Value: registration{Open: true}.encode(), Version: 30}})
+			tt.status.Task, tt.status.Attempt, tt.status.PacePercent = "00000000000000aa.0.0.0", 1, 100
+			h.sendSnapshot("a0", &messenger.WorkerSnapshot{Runs: []messenger.RunStatus{tt.status}})
+			h.reportEnd("a0", 1, tt.status.Task, 1, messenger.EndWorkerLost)
+			h.now = h.now.Add(time.Second)
+			h.sendSnapshot("a1", &messenger.WorkerSnapshot{})
+			h.sendSnapshot("a0", &messenger.WorkerSnapshot{})
+			h.o.place()
+			started := append(h.commands("a0"), h.commands("a1")...)
+			c.Assert(started, qt.HasLen, tt.starts)
+			if tt.starts > 0 {
+				c.Assert(started[0], qt.Equals, "start "+tt.status.Task)
+			}
+		})
+	}
+}
--- a/orchestrator/place.go
+++ b/orchestrator/place.go
@@ -28,20 +28,11 @@
 	if len(agents) == 0 {
 		return
 	}
-	allBlocked, blockedTasks := o.blockedTasks()
+	blocked := o.startBlocked()
 	now, wall := o.cfg.Now(), o.cfg.WallClock()
-	o.placeSuspects(func(t *sequencer.Task) bool {
-		return t.Job.Version < o.cfg.Epoch && (allBlocked || blockedTasks[t.Name()])
-	}, byPool, agents, now, wall)
+	o.placeSuspects(blocked, byPool, agents, now, wall)
 	for _, j := range o.rankedJobs(wall) {
-		waiting := j.Runnable(wall)
-		if j.Version < o.cfg.Epoch { // an agent that is not reconciled yet may run its tasks
-			if allBlocked {
-				continue
-			}
-			waiting = slices.DeleteFunc(waiting, func(t *sequencer.Task) bool { return blockedTasks[t.Name()] })
-		}
-		o.placeJob(j, waiting, byPool[j.Spec.Pool], agents, now)
+		o.placeJob(j, slices.DeleteFunc(j.Runnable(wall), blocked), byPool[j.Spec.Pool], agents, now)
 	}
 }
 
--- a/orchestrator/registration.go
+++ b/orchestrator/registration.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"github.com/endivefall/endivefall/messenger"
+	"github.com/endivefall/endivefall/sequencer"
 )
 
 // registrationCloseDelay is how long an agent may be disconnected before its
@@ -136,9 +137,16 @@
 	return tasks
 }
 
-// blockedTasks returns which tasks of jobs older than this ownership must wait: all
-// of them while an agent that is not reconciled has an open registration, otherwise
-// the tasks that such agents may run.
+// locate records that a task was at work after this owner's claim. A task has one run, so
+// that no agent that is not reconciled has one, and no earlier owner starts another.
+func (o *Orchestrator) locate(t *sequencer.Task) {
+	o.planDue = o.planDue || !t.Located
+	t.Located = true
+}
+
+// blockedTasks returns which tasks of jobs older than this ownership must wait unless they
+// are located: all of them while an agent that is not reconciled has an open registration,
+// otherwise the tasks that such agents may run.
 func (o *Orchestrator) blockedTasks() (allBlocked bool, blocked map[string]bool) {
 	blocked = map[string]bool{}
 	for _, a := range o.agents {
@@ -155,11 +163,13 @@
 	return false, blocked
 }
 
-// startBlocked returns a function that reports whether the task of a run may not be
-// started again yet. Such a run should be stopped only if it must.
-func (o *Orchestrator) startBlocked() func(*run) bool {
+// startBlocked returns a function that reports whether a task may not be started yet, as an
+// agent that is not reconciled may run it. Its run should be stopped only if it must.
+func (o *Orchestrator) startBlocked() func(*sequencer.Task) bool {
 	all, tasks := o.blockedTasks()
-	return func(r *run) bool { return r.job.Version < o.cfg.Epoch && (all || tasks[r.key.task]) }
+	return func(t *sequencer.Task) bool {
+		return t.Job.Version < o.cfg.Epoch && !t.Located && (all || tasks[t.Name()])
+	}
 }
 
 // blockingLogInterval is the shortest time between two log lines about the agents
--- a/orchestrator/relocate.go
+++ b/orchestrator/relocate.go
@@ -26,7 +26,7 @@
 	var runs []relocator.Run
 	for _, r := range o.runs {
 		step := r.task.StepSpec()
-		if step.BestEffort && step.Checkpointable && !step.Gang && r.phase == messenger.PhaseRunning && !r.evict && !blocked(r) {
+		if step.BestEffort && step.Checkpointable && !step.Gang && r.phase == messenger.PhaseRunning && !r.evict && !blocked(r.task) {
 			movable = append(movable, r)
 			runs = append(runs, relocator.Run{
 				Task: r.task, Worker: r.agent.id, Pool: r.job.Spec.Pool, PacePercent: r.pacePercent, ProgressPercent: r.progressPercent, StartedAt: r.startedAt,
@@ -57,7 +57,7 @@
 	blocked := o.startBlocked()
 	for _, r := range o.runs {
 		step := r.task.StepSpec()
-		if blocked(r) || r.phase != messenger.PhaseRunning || r.evict || step.Gang || r.agent.link == nil || r.agent.snapshot == nil || r.agent.snapshot.Unreachable ||
+		if blocked(r.task) || r.phase != messenger.PhaseRunning || r.evict || step.Gang || r.agent.link == nil || r.agent.snapshot == nil || r.agent.snapshot.Unreachable ||
 			step.LongRunning && r.progressPercent >= 100 {
 			continue
 		}
--- a/sequencer/task.go
+++ b/sequencer/task.go
@@ -32,6 +32,9 @@
 	Attempt uint64
 	// LiveRuns is the number of runs that may still be running.
 	LiveRuns int
+	// Located is set once an agent has shown this owner a run of the task at work. No earlier
+	// owner can have started another one, so that the task waits for no absent agent.
+	Located bool
 	// FailedWorkers has the workers on which a run of the task has failed.
 	FailedWorkers []string
 	// WaitingSince is when the task became runnable, or when its last run ended.
--- a/supervisor/commands.go
+++ b/supervisor/commands.go
@@ -54,7 +54,7 @@
 	}
 	r := &run{
 		task: cmd.Task, attempt: cmd.Attempt, spec: cmd.Spec, phase: messenger.PhaseStarting, checkpoint: cmd.Checkpoint,
-		pacePercent: 100, workerPace: 100, pacedSince: s.cfg.Now(),
+		seenTerm: s.term, pacePercent: 100, workerPace: 100, pacedSince: s.cfg.Now(),
 	}
 	s.runs[key] = r
 	s.mergeInterference(cmd.Interference)
--- a/supervisor/list.go
+++ b/supervisor/list.go
@@ -63,7 +63,7 @@
 	if req.LeaseExpiresAt.After(s.sentLease) {
 		s.sentLease = req.LeaseExpiresAt
 	}
-	requestedAt := s.cfg.Now()
+	requested := listRequest{fence: s.fence, at: s.cfg.Now(), term: s.term}
 	s.mu.Unlock()
 	callCtx, cancel := context.WithTimeout(ctx, req.Wait+timeout)
 	defer cancel()
@@ -92,7 +92,7 @@
 	}
 	s.fenceStep = 0
 	s.recordReply(reply, receivedAt)
-	s.reconcile(req.Fence, requestedAt, reply)
+	s.reconcile(requested, reply)
 	return true
 }
 
@@ -131,9 +131,15 @@
 	}
 }
 
-// reconcile updates runs and ends from a list reply that was requested under a fence at a
-// local time.
-func (s *Supervisor) reconcile(fence uint64, requestedAt time.Time, reply *ListReply) {
+// listRequest is the state in which a list was requested.
+type listRequest struct {
+	fence uint64
+	at    time.Time // local
+	term  uint64    // the highest that had been received
+}
+
+// reconcile updates runs and ends from a list reply.
+func (s *Supervisor) reconcile(requested listRequest, reply *ListReply) {
 	if reply.Clock.Before(s.workerClock) { // a newer reply has arrived before this one
 		s.cfg.Log.Info("list reply ignored; the worker's clock was ahead of it", zap.String("worker", s.heartbeat.Incarnation()), zap.Duration("behind", s.workerClock.Sub(reply.Clock)))
 		return
@@ -153,6 +159,10 @@
 			r.phase, r.confirmedAt, r.unansweredFence = messenger.PhaseRunning, reply.Clock, 0
 			s.markDirty()
 		}
+		if r.seenTerm < requested.term {
+			r.seenTerm = requested.term
+			s.markDirty()
+		}
 		r.listed, r.crash = true, nil
 		r.checkpoint, r.progressPercent, r.measurement = active.Checkpoint, active.ProgressPercent, active.Measurement
 	}
@@ -179,13 +189,13 @@
 		case listed[runKey{r.task, r.attempt}] || !reply.Complete:
 		case r.phase == messenger.PhaseStarting:
 			switch {
-			case r.unansweredFence == 0 || fence <= r.unansweredFence:
+			case r.unansweredFence == 0 || requested.fence <= r.unansweredFence:
 			case !r.startRepliedAt.IsZero():
 				s.endRun(r, messenger.RunEnd{Status: messenger.EndWorkerLost, Reason: "the worker started again after it"}, 0)
 			default:
 				s.endRun(r, messenger.RunEnd{Status: messenger.EndNotStarted, Reason: "the start got no answer and was fenced off"}, 0)
 			}
-		case !r.listed && !requestedAt.After(r.startRepliedAt): // another incarnation may have started it
+		case !r.listed && !requested.at.After(r.startRepliedAt): // another incarnation may have started it
 		case r.confirmedAt.Before(reply.Clock):
 			s.endRun(r, messenger.RunEnd{Status: messenger.EndWorkerLost, Reason: "the worker no longer lists it"}, 0)
 		}
@@ -196,6 +206,6 @@
 		s.cfg.Log.Info("worker reconciled", zap.String("worker", s.heartbeat.Incarnation()), zap.Int("runs", len(s.runs)), zap.Int("ends", len(s.ends)), zap.Bool("complete", s.complete))
 		s.markDirty()
 	}
-	s.settleUnknownStops(requestedAt, reply.Complete)
+	s.settleUnknownStops(requested.at, reply.Complete)
 	s.adjustPaces()
 }
--- a/supervisor/owner.go
+++ b/supervisor/owner.go
@@ -96,6 +96,7 @@
 	s.mu.Unlock()
 	s.cfg.Log.Info("connected to the owner", zap.Stringer("addr", addr), zap.Uint64("term", term), zap.String("owner", welcome.ID))
 	s.markDirty()
+	s.requestList() // the owner needs to know which runs are still at work
 	var loops sync.WaitGroup
 	loops.Go(func() { s.sendLoop(ctx, conn, &lastAck, welcome.TakesDeltas) })
 	loops.Go(func() { s.lookupLoop(ctx, conn) })
--- a/supervisor/owner_test.go
+++ b/supervisor/owner_test.go
@@ -144,3 +144,26 @@
 		})
 	}
 }
+
+// The next owner concludes from a run at work that no other agent runs the task. A run that
+// was seen before its claim may have ended since.
+func TestARunIsCurrentOnceAListUnderTheTermHasShownIt(t *testing.T) {
+	inBubble(t, func(c *qt.C, h *harness) {
+		h.set(func() { h.plan = faker.PoolRunPlan{Duration: time.Minute} })
+		h.send(startCommand("j.0.0.0", 1))
+		c.Assert(h.latestSnapshot().Runs, qt.HasLen, 1)
+		c.Assert(h.latestSnapshot().Runs[0].Current, qt.IsTrue)
+		h.set(func() {
+			h.fault = func(string) faker.PoolFault { return faker.PoolFault{Drop: true, LoseReply: true} }
+			h.term = 2
+		})
+		h.ownerConn().Close("another owner")
+		advancer.Sleep(2 * time.Second)
+		c.Assert(h.latestSnapshot().Term, qt.Equals, uint64(2))
+		c.Assert(h.latestSnapshot().Runs, qt.HasLen, 1)
+		c.Check(h.latestSnapshot().Runs[0].Current, qt.IsFalse, qt.Commentf("the worker has shown it under term 1 only"))
+		h.set(func() { h.fault = nil })
+		advancer.Sleep(2 * time.Second)
+		c.Check(h.latestSnapshot().Runs[0].Current, qt.IsTrue)
+	})
+}
--- a/supervisor/run.go
+++ b/supervisor/run.go
@@ -48,6 +48,9 @@
 	unansweredFence uint64
 	// listed is set once a list reply of the current incarnation has shown the run.
 	listed bool
+	// seenTerm is the highest term that had been received when the run was started, or when
+	// the last list that showed it was requested.
+	seenTerm uint64
 	// startRepliedAt is the local time of the reply to the start, which does not tell which
 	// incarnation carried it out; zero without one.
 	startRepliedAt time.Time
@@ -75,7 +78,8 @@
 // pacePending reports whether the worker has yet to confirm the pace of the run.
 func (r *run) pacePending() bool { return r.workerPace != r.pacePercent }
 
-func (r *run) status() messenger.RunStatus {
+// status returns what is reported of the run to the owner of a term.
+func (r *run) status(term uint64) messenger.RunStatus {
 	phase := r.phase
 	if phase == messenger.PhaseRunning && r.stopRequested {
 		phase = messenger.PhaseStopping
@@ -87,6 +91,7 @@
 	return messenger.RunStatus{
 		Task: r.task, Attempt: r.attempt, Phase: phase, Checkpoint: r.checkpoint,
 		ProgressPercent: r.progressPercent, Measurement: measurement, PacePercent: r.pacePercent, SpecUnknown: r.specUnknown,
+		Current: r.seenTerm == term,
 	}
 }
 
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -230,7 +230,7 @@
 		snap.DrainRemainingMs = max(s.heartbeat.EarliestExit.Sub(s.workerNow()).Milliseconds(), 0)
 	}
 	for _, r := range s.sortedRuns() {
-		snap.Runs = append(snap.Runs, r.status())
+		snap.Runs = append(snap.Runs, r.status(s.term))
 	}
 	for _, e := range s.ends[:min(len(s.ends), maxSnapshotEnds)] {
 		snap.RunEnds = append(snap.RunEnds, e.RunEnd)
