elector: Let an owner act on an old confirmation only where others extend it

Tasks of an agent that was lost with its owner ran nowhere for 16 s, as if the store had been away.

Cause: an owner acts for 10 s on a confirmation, which it needs in an outage of the store only. Nothing told an outage from an owner that is lost, so that the next one always waited for 10 s and the lease.

Change: a confirmation lasts 2 s unless every entry that might claim has extended it. Whoever extends it states in a later claim for how long that owner may act; an entry that the owner doesn't count under its present live key states 10 s, as before. A claim that states less checks that live key. An entry whose claim may take effect late extends nothing more.

TestAnOwnerThatIsCutOffWithAnAgentStopsInTime and TestTasksStartOnceAfterAnOwnerIsLostInAnOutage fail if the owner acts on an old confirmation without extensions, the second and TestAClaimStatesHowLongTheLostOwnerMayAct if a claim leaves extensions out.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -139,6 +139,9 @@
 	c.ownerClient = newOwnerClient(ownerClientConfig{
 		ID: cfg.ID, Incarnation: c.incarnation, Client: cfg.Client, Now: cfg.Now, Log: cfg.Log, Traffic: &c.traffic,
 		OnInDoubt: func(jobs []string) { c.Acceptor.MarkInDoubt(jobs) }, InDoubt: func() []string { return c.Acceptor.OwnInDoubt() },
+		Extend: func(confirmation messenger.OwnerConfirmation) *messenger.ConfirmationRef {
+			return c.elector.Extend(confirmation)
+		},
 	})
 	c.elector = elector.New(elector.Config{
 		Self: self, Store: store, ClaimKey: orchestrator.ClaimKey, Now: cfg.Now, Log: cfg.Log, Count: cfg.Count, OwnerLastReply: c.ownerClient.LastReply,
--- a/coordinator/links.go
+++ b/coordinator/links.go
@@ -99,9 +99,15 @@
 func (c *Coordinator) replyToQuery(l *connector.Link, f messenger.Frame) {
 	o := c.activeOrchestrator()
 	reply := messenger.StateReply{}
+	if extended := f.StateQuery.Extended; extended != nil {
+		c.elector.RecordExtension(l.Hello.ID, l.Hello.Incarnation, *extended)
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), queryTimeout)
 	defer cancel()
-	if o != nil && (f.StateQuery.Job != "" || f.StateQuery.Queue != "") {
+	switch isPing := f.StateQuery.Job == "" && f.StateQuery.Queue == ""; {
+	case o != nil && isPing:
+		reply.Confirmation = c.elector.Confirmation(l.Hello.ID, l.Hello.Incarnation)
+	case o != nil:
 		var err error
 		if reply, err = o.Query(ctx, *f.StateQuery); err != nil {
 			c.cfg.Log.Debug("state query failed", zap.String("job", f.StateQuery.Job), zap.Error(err))
--- a/coordinator/owner_client.go
+++ b/coordinator/owner_client.go
@@ -41,6 +41,9 @@
 	OnInDoubt func(jobs []string)
 	// InDoubt returns the jobs whose writes here are in doubt; nil if there are never any.
 	InDoubt func() []string
+	// Extend is called with what the owner says of its confirmation, and returns the
+	// confirmation that this entry extends, or nil.
+	Extend func(messenger.OwnerConfirmation) *messenger.ConfirmationRef
 	// Traffic counts the frames.
 	Traffic *messenger.Traffic
 }
@@ -170,17 +173,25 @@
 	}
 }
 
-// pingLoop pings the owner and closes the connection when a reply is overdue.
+// pingLoop pings the owner and closes the connection when a reply is overdue. A ping that
+// extends the owner's confirmation is sent at once.
 func (c *ownerClient) pingLoop(ctx context.Context, conn *messenger.Conn) {
+	var extended *messenger.ConfirmationRef
 	for ctx.Err() == nil {
 		pingCtx, cancel := context.WithTimeout(ctx, maxReplyAge)
-		_, err := c.queryOn(pingCtx, conn, messenger.StateQuery{})
+		reply, err := c.queryOn(pingCtx, conn, messenger.StateQuery{Extended: extended})
 		cancel()
 		if err != nil {
 			conn.Close("silent for too long")
 			return
 		}
-		waiter.Sleep(ctx, pingInterval)
+		before := extended
+		if reply.Confirmation != nil && c.cfg.Extend != nil {
+			extended = c.cfg.Extend(*reply.Confirmation)
+		}
+		if extended == nil || before != nil && *before == *extended {
+			waiter.Sleep(ctx, pingInterval)
+		}
 	}
 }
 
--- a/elector/claim.go
+++ b/elector/claim.go
@@ -40,7 +40,10 @@
 	}
 	item, err := e.cfg.Store.Get(ctx, OwnerKey)
 	if err != nil {
-		e.cfg.Log.Warn("could not confirm ownership", zap.Error(err), zap.Duration("age", e.cfg.Now().Sub(e.OwnershipConfirmedAt())))
+		e.mu.Lock()
+		notExtendedBy := e.notExtendedByLocked()
+		e.mu.Unlock()
+		e.cfg.Log.Warn("could not confirm ownership", zap.Error(err), zap.Duration("age", e.cfg.Now().Sub(e.OwnershipConfirmedAt())), zap.Strings("not_extended_by", notExtendedBy))
 		return
 	}
 	e.apply([]storer.Item{item})
@@ -138,11 +141,7 @@
 			}
 		}
 	}
-	next := OwnerRecord{Owner: e.cfg.Self, Term: record.Term + 1, PredecessorsStopped: reason == reasonNoOwner || record.PredecessorsStopped && reason != reasonOwnerLost}
-	if record.Released {
-		next.RemainingTTL = record.RemainingTTL
-	}
-	checks := []storer.Check{{Key: OwnerKey, Version: version}}
+	next, checks := e.nextRecord(reason, record, version)
 	if version == 0 || keyDeleted {
 		checks[0].Version = 0
 		earlier, err := e.lastClaim(ctx)
@@ -150,7 +149,7 @@
 			return err
 		}
 		if earlier.Version > 0 {
-			next.Term, next.PredecessorsStopped = max(next.Term, earlier.Version+1), false
+			next.Term, next.PredecessorsStopped, next.RemainingTTL = max(next.Term, earlier.Version+1), false, ConfirmationTTL
 		}
 		if e.cfg.ClaimKey != "" {
 			checks = append(checks, storer.Check{Key: e.cfg.ClaimKey, Version: earlier.Version})
@@ -159,17 +158,51 @@
 	sent := e.cfg.Now()
 	newVersion, err := e.writeRecord(ctx, next, checks, e.cfg.ClaimKey)
 	if err != nil {
+		e.endClaimAttempt(err)
 		return err
 	}
 	if !e.adoptRecord(next, newVersion) {
 		return fmt.Errorf("%w: a newer claim exists", storer.ErrConflict)
 	}
 	e.ConfirmOwnership(sent)
-	e.cfg.Log.Info("ownership claimed", zap.Uint64("term", next.Term), zap.Uint64("version", newVersion), zap.String("why", reason), zap.Bool("clean", next.PredecessorsStopped), zap.String("before", record.Owner.ID))
+	e.cfg.Log.Info("ownership claimed", zap.Uint64("term", next.Term), zap.Uint64("version", newVersion), zap.String("why", reason), zap.Bool("clean", next.PredecessorsStopped), zap.Duration("earlier_owners_ttl", next.EarlierOwnersTTL()), zap.String("before", record.Owner.ID))
 	e.cfg.OnChange(next, e.Members())
 	return nil
 }
 
+// nextRecord returns the record with which this entry claims ownership at a version of the
+// owner key, and the checks under which it holds. From then on the entry extends no
+// confirmation of the owner that it replaces.
+func (e *Elector) nextRecord(reason string, record OwnerRecord, version uint64) (OwnerRecord, []storer.Check) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.extensions.claimedVersion = version
+	checks := []storer.Check{{Key: OwnerKey, Version: version}}
+	ttl := ConfirmationTTL
+	switch {
+	case reason == reasonNoOwner:
+		ttl = 0
+	case reason == reasonOwnerLost:
+		if ttl = e.lostOwnerTTLLocked(); ttl < ConfirmationTTL { // the owner counts this entry only while its live key has this version
+			checks = append(checks, storer.Check{Key: entryPrefix + e.cfg.Self.ID, Version: e.liveVersion})
+		}
+	default: // the owner has stopped
+		ttl = record.EarlierOwnersTTL()
+	}
+	return OwnerRecord{Owner: e.cfg.Self, Term: record.Term + 1, PredecessorsStopped: ttl == 0, RemainingTTL: ttl}, checks
+}
+
+// endClaimAttempt lets this entry extend confirmations again after a claim that surely did not
+// take effect.
+func (e *Elector) endClaimAttempt(err error) {
+	if errors.Is(err, storer.ErrUnknownOutcome) || !errors.Is(err, storer.ErrConflict) && !errors.Is(err, storer.ErrUnavailable) {
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.extensions.claimedVersion = 0
+}
+
 // errUnreadableClaim means that it can't be told which claim was the last one.
 var errUnreadableClaim = errors.New("record of the last claim can't be read")
 
--- a/elector/elector.go
+++ b/elector/elector.go
@@ -42,10 +42,13 @@
 	releaseCooldown = 6 * time.Second
 	// retryDelay is the delay after a failed call to the store.
 	retryDelay = 200 * time.Millisecond
-	// ConfirmationTTL is how long a confirmation of ownership is valid. It outlasts
-	// the store outage of nine seconds that most fault scenarios contain, so that
-	// such an outage does not stop the work.
+	// ConfirmationTTL is how long a confirmation of ownership is valid that all other
+	// entries have extended. It outlasts the store outage of nine seconds that most fault
+	// scenarios contain, so that such an outage does not stop the work.
 	ConfirmationTTL = 10 * time.Second
+	// UnextendedTTL is how long a confirmation is valid otherwise: four intervals between
+	// confirmations.
+	UnextendedTTL = 2 * time.Second
 	// confirmInterval is how often the owner confirms its ownership in the store.
 	confirmInterval = 500 * time.Millisecond
 )
@@ -89,8 +92,10 @@
 	// keyDeleted is set while the owner key does not exist, though it did; version is then one
 	// at which it was gone.
 	keyDeleted bool
-	// members has the live entries by ID, as last read from the store.
-	members map[string]Member
+	// members has the live entries by ID, as last read from the store, and memberVersions the
+	// versions of their live keys.
+	members        map[string]Member
+	memberVersions map[string]uint64
 	// unreadable has the IDs of live keys that can't be decoded.
 	unreadable map[string]bool
 	// confirmedAt is the send time of the newest call to the store that confirmed
@@ -99,12 +104,19 @@
 	// claimedAt is the local time at which this entry learned that its newest claim
 	// took effect.
 	claimedAt time.Time
+	// earlierUntil is the local time until which those before the owner of record may act.
+	earlierUntil time.Time
 	// cooldownUntil is the time before which this entry does not claim ownership
 	// while another entry is alive.
 	cooldownUntil time.Time
 	// claimableSince is since when ownership can be claimed; zero while it cannot.
 	claimableSince time.Time
-	lease          string
+	// lease and liveVersion are the lease and the version of this entry's live key.
+	lease       string
+	liveVersion uint64
+	// extensions are those of other entries' claims that this entry relies on as the owner,
+	// and those that others rely on.
+	extensions extensions
 }
 
 // New returns an Elector; Serve runs it.
@@ -112,7 +124,7 @@
 	if cfg.Count == nil {
 		cfg.Count = func(string) {}
 	}
-	return &Elector{cfg: cfg, members: map[string]Member{}, unreadable: map[string]bool{}}
+	return &Elector{cfg: cfg, members: map[string]Member{}, memberVersions: map[string]uint64{}, unreadable: map[string]bool{}, extensions: extensions{granted: map[string]grant{}}}
 }
 
 // Owner returns the owner record and the version of the owner key.
@@ -224,8 +236,12 @@
 // setRecordLocked stores a record of the owner key, which this process has read or
 // written; mu is held.
 func (e *Elector) setRecordLocked(r OwnerRecord, version uint64) {
-	if r.Owner == e.cfg.Self && r.Term != e.record.Term {
-		e.claimedAt = e.cfg.Now()
+	if r.Term != e.record.Term || version > e.version && r.Released {
+		now := e.cfg.Now()
+		e.earlierUntil = later(e.earlierUntil, now.Add(r.EarlierOwnersTTL()))
+		if r.Owner == e.cfg.Self && r.Term != e.record.Term {
+			e.claimedAt = now
+		}
 	}
 	e.record, e.version, e.keyDeleted, e.claimableSince = r, version, false, time.Time{}
 }
--- a/elector/members.go
+++ b/elector/members.go
@@ -36,11 +36,12 @@
 	if err != nil {
 		return err
 	}
-	if _, err := e.cfg.Store.Commit(ctx, storer.Transaction{Writes: []storer.Write{{Key: key, Value: value, Lease: lease}}}); err != nil {
+	version, err := e.cfg.Store.Commit(ctx, storer.Transaction{Writes: []storer.Write{{Key: key, Value: value, Lease: lease}}})
+	if err != nil {
 		return err
 	}
 	e.mu.Lock()
-	e.lease = lease
+	e.lease, e.liveVersion = lease, version
 	e.mu.Unlock()
 	e.cfg.Log.Info("live key written", zap.String("lease", lease))
 	for {
@@ -108,16 +109,33 @@
 	return append(page.Items, item), err
 }
 
+// reset replaces the membership by that of a list.
 func (e *Elector) reset(page storer.Page) {
 	e.mu.Lock()
-	e.members, e.unreadable = map[string]Member{}, map[string]bool{}
+	e.members, e.memberVersions, e.unreadable = map[string]Member{}, map[string]uint64{}, map[string]bool{}
+	e.applyLocked(page.Items)
 	e.mu.Unlock()
-	e.apply(page.Items)
+	e.reportChange(len(page.Items))
 }
 
 // apply applies membership keys read from the store, in the order of their versions.
 func (e *Elector) apply(items []storer.Item) {
 	e.mu.Lock()
+	e.applyLocked(items)
+	e.mu.Unlock()
+	e.reportChange(len(items))
+}
+
+// reportChange calls OnChange after a number of keys were applied.
+func (e *Elector) reportChange(keys int) {
+	if keys > 0 {
+		record, _ := e.Owner()
+		e.cfg.OnChange(record, e.Members())
+	}
+}
+
+// applyLocked is apply without OnChange; mu is held.
+func (e *Elector) applyLocked(items []storer.Item) {
 	for _, item := range items {
 		if item.Key == OwnerKey {
 			e.applyOwnerRecord(item)
@@ -128,6 +146,7 @@
 			continue
 		}
 		delete(e.members, id)
+		delete(e.memberVersions, id)
 		delete(e.unreadable, id)
 		if item.Deleted {
 			continue
@@ -139,11 +158,6 @@
 			e.unreadable[id] = true
 			continue
 		}
-		e.members[id] = m
-	}
-	record := e.record
-	e.mu.Unlock()
-	if len(items) > 0 {
-		e.cfg.OnChange(record, e.Members())
+		e.members[id], e.memberVersions[id] = m, item.Version
 	}
 }
--- a/elector/record.go
+++ b/elector/record.go
@@ -33,9 +33,9 @@
 	// Otherwise an earlier owner may still send commands until its confirmation of
 	// ownership expires.
 	PredecessorsStopped bool `cbor:"4,keyasint,omitempty"`
-	// RemainingTTL is how long after the newest release earlier owners may still send
-	// commands; zero if nothing was released since an owner was lost. The clocks of
-	// entries differ, so it can't be a deadline.
+	// RemainingTTL is how long after the claim, or after the release if there was one, earlier
+	// owners may still send commands; ConfirmationTTL if it is zero and they have not stopped.
+	// The clocks of entries differ, so it can't be a deadline.
 	RemainingTTL time.Duration `cbor:"5,keyasint,omitempty"`
 }
 
--- a/messenger/pool_messages.go
+++ b/messenger/pool_messages.go
@@ -210,6 +210,26 @@
 type StateQuery struct {
 	Job   string `cbor:"1,keyasint,omitempty"`
 	Queue string `cbor:"2,keyasint,omitempty"`
+	// Extended is the confirmation that the sender extends.
+	Extended *ConfirmationRef `cbor:"3,keyasint,omitempty"`
+}
+
+// ConfirmationRef identifies a confirmation of ownership.
+type ConfirmationRef struct {
+	Term uint64 `cbor:"1,keyasint"`
+	At   int64  `cbor:"2,keyasint"` // Unix nanoseconds on the owner's clock
+}
+
+// OwnerConfirmation is what an owner tells another entry of its newest confirmation.
+type OwnerConfirmation struct {
+	ConfirmationRef
+	// RemainingMs is how long the owner may act on it at the most, in ms.
+	RemainingMs int64 `cbor:"3,keyasint"`
+	// LiveVersion is the version of the other entry's live key that the owner knows, or 0. It
+	// acts on an old confirmation only if the entry has extended it.
+	LiveVersion uint64 `cbor:"4,keyasint,omitempty"`
+	// Old is set if the owner asks for an extension.
+	Old bool `cbor:"5,keyasint,omitempty"`
 }
 
 // StateReply answers a StateQuery. Found is false if the owner has no such job.
@@ -218,6 +238,8 @@
 	Queue   string `cbor:"2,keyasint,omitempty"`
 	State   string `cbor:"3,keyasint,omitempty"`
 	Pending int    `cbor:"4,keyasint,omitempty"`
+	// Confirmation is set in replies of an owner to pings.
+	Confirmation *OwnerConfirmation `cbor:"5,keyasint,omitempty"`
 }
 
 // InDoubt lists jobs that are subject to a write with unknown outcome, which may
--- a/orchestrator/config.go
+++ b/orchestrator/config.go
@@ -24,10 +24,12 @@
 	Now, WallClock func() time.Time
 	// LeaseDuration is how long runs continue without a lease renewal by the owner.
 	LeaseDuration time.Duration
-	// ConfirmationTTL is how long a confirmation of ownership is valid.
-	ConfirmationTTL time.Duration
+	// UnextendedTTL is how long a confirmation of ownership is valid, ConfirmationTTL how long
+	// it is while ConfirmationExtended reports that no entry can claim without regard to it.
+	UnextendedTTL, ConfirmationTTL time.Duration
+	ConfirmationExtended           func() bool
 	// PreviousOwnerTTL is how long an earlier owner may have sent commands after
-	// the claim: ConfirmationTTL, or 0 if it had certainly stopped.
+	// the claim: at most ConfirmationTTL, 0 if it had certainly stopped.
 	PreviousOwnerTTL time.Duration
 	// JobRetention is how long the state of an ended job is kept.
 	JobRetention time.Duration
--- a/orchestrator/orchestrator.go
+++ b/orchestrator/orchestrator.go
@@ -212,7 +212,9 @@
 
 // ownershipCurrent reports whether the last confirmation of ownership is recent
 // enough for this process to send commands.
-func (o *Orchestrator) ownershipCurrent() bool { return o.confirmedWithin(o.cfg.ConfirmationTTL) }
+func (o *Orchestrator) ownershipCurrent() bool {
+	return o.confirmedWithin(o.cfg.UnextendedTTL) || o.confirmedWithin(o.cfg.ConfirmationTTL) && o.cfg.ConfirmationExtended()
+}
 
 // confirmedWithin reports whether ownership was confirmed less than ttl ago.
 func (o *Orchestrator) confirmedWithin(ttl time.Duration) bool {
@@ -221,11 +223,7 @@
 
 // mayRenew reports whether the lease of an agent may be renewed.
 func (o *Orchestrator) mayRenew(a *agent) bool {
-	ttl := o.cfg.ConfirmationTTL
-	if !a.mayRunAny {
-		ttl = min(ttl, closedConfirmationTTL)
-	}
-	return a.keyVersion != 0 && o.confirmedWithin(ttl)
+	return a.keyVersion != 0 && o.ownershipCurrent() && (a.mayRunAny || o.confirmedWithin(closedConfirmationTTL))
 }
 
 // tick checks deadlines.
