orchestrator: Wait on for an agent that the last owner never reached

Tasks of an agent that was lost with its owner ran nowhere for as long as owners were lost in a row: each new one waited for the agent anew, from its own claim on.

Cause: nothing durable tells under which owner an agent was last, so that each owner takes it that the last one has renewed the agent's lease to the end.

Change: an owner writes a roster of the agents that it has reached, and from 2 s after its claim on renews the leases of no others. The next one waits for an agent outside the roster only for what is left since the claim of the last one. The roster is one key, written with registrations or 100 ms after an agent connected.

TestTheWaitForAnAgentThatTheLastOwnerNeverReachedGoesOn and TestALeaseIsRenewedOnlyForAgentsInTheRoster fail without their guard. TestHistoriesWithOwnersLostInSeries is new: owners frozen or cut off together with an agent, in series, while agents leave.

--- a/coordinator/confirmation_test.go
+++ b/coordinator/confirmation_test.go
@@ -30,25 +30,11 @@
 		busy, _ := f.agentsByLoad()
 		earlier := f.owners()[0]
 		starts := f.auditor.StartCount()
-		setCut := func(cut bool) {
-			f.setFaults(func() { f.rejected[earlier.name], f.rejected[busy.name] = cut, cut })
-			for name := range f.entries {
-				if name != earlier.name {
-					f.network.SetPartition(earlier.name, name, cut, true)
-					f.network.SetPartition(busy.name, name, cut, true)
-				}
-			}
-			for name := range f.agents {
-				if name != busy.name {
-					f.network.SetPartition(earlier.name, name, cut, true)
-				}
-			}
-		}
-		setCut(true)
+		f.cutOffTogether(earlier, busy, true, true)
 		advancer.Sleep(14 * time.Second)
 		c.Check(f.owners(earlier), qt.HasLen, 1)
 		c.Check(f.auditor.StartCount() > starts, qt.IsTrue, qt.Commentf("the next owner has started nothing again"))
-		setCut(false)
+		f.cutOffTogether(earlier, busy, false, false)
 	})
 }
 
--- a/elector/claim.go
+++ b/elector/claim.go
@@ -177,6 +177,9 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.extensions.claimedVersion = version
+	if e.claimSentAt.IsZero() || e.claimSentVersion != version {
+		e.claimSentAt, e.claimSentVersion = e.cfg.Now(), version
+	}
 	checks := []storer.Check{{Key: OwnerKey, Version: version}}
 	ttl := ConfirmationTTL
 	switch {
@@ -189,7 +192,7 @@
 	default: // the owner has stopped
 		ttl = record.EarlierOwnersTTL()
 	}
-	return OwnerRecord{Owner: e.cfg.Self, Term: record.Term + 1, PredecessorsStopped: ttl == 0, RemainingTTL: ttl}, checks
+	return OwnerRecord{Owner: e.cfg.Self, Term: record.Term + 1, PredecessorsStopped: ttl == 0, RemainingTTL: ttl, Roster: true}, checks
 }
 
 // endClaimAttempt lets this entry extend confirmations again after a claim that surely did not
--- a/elector/elector.go
+++ b/elector/elector.go
@@ -104,8 +104,17 @@
 	// claimedAt is the local time at which this entry learned that its newest claim
 	// took effect.
 	claimedAt time.Time
-	// earlierUntil is the local time until which those before the owner of record may act.
-	earlierUntil time.Time
+	// ownerSeenAt is the local time at which this entry learned of the claim of record.
+	// earlierUntil is the one until which those before the owner of record may act.
+	ownerSeenAt, earlierUntil time.Time
+	// unreachedUntil is the local time until which an owner before that of record may renew
+	// the lease of an agent that the last of them has not recorded as reached; zero if that
+	// is not known.
+	unreachedUntil time.Time
+	// claimSentAt is the local time of the first claim of this entry at the version
+	// claimSentVersion of the owner key.
+	claimSentAt      time.Time
+	claimSentVersion uint64
 	// cooldownUntil is the time before which this entry does not claim ownership
 	// while another entry is alive.
 	cooldownUntil time.Time
@@ -160,6 +169,24 @@
 	return e.claimedAt
 }
 
+// UnreachedUntil returns the local time until which an owner before this one may renew the
+// lease of an agent that the last of them has not recorded as reached, or the zero time if
+// that is not known.
+func (e *Elector) UnreachedUntil() time.Time {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.unreachedUntil
+}
+
+// ReachBy returns the local time from which this owner renews the leases of no agents but
+// those that it has recorded as reached. Other entries count UnextendedTTL from when they see
+// the claim.
+func (e *Elector) ReachBy() time.Time {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.claimSentAt.Add(UnextendedTTL)
+}
+
 // ConfirmOwnership records that a call to the store sent at the given time confirmed
 // this process as the owner.
 func (e *Elector) ConfirmOwnership(sent time.Time) {
@@ -236,10 +263,14 @@
 // setRecordLocked stores a record of the owner key, which this process has read or
 // written; mu is held.
 func (e *Elector) setRecordLocked(r OwnerRecord, version uint64) {
-	if r.Term != e.record.Term || version > e.version && r.Released {
+	if r.Term != e.record.Term {
 		now := e.cfg.Now()
-		e.earlierUntil = later(e.earlierUntil, now.Add(r.EarlierOwnersTTL()))
-		if r.Owner == e.cfg.Self && r.Term != e.record.Term {
+		e.unreachedUntil = time.Time{}
+		if e.record.Roster && r.Term == e.record.Term+1 {
+			e.unreachedUntil = later(e.earlierUntil, e.ownerSeenAt.Add(UnextendedTTL))
+		}
+		e.earlierUntil, e.ownerSeenAt = later(e.earlierUntil, now.Add(r.EarlierOwnersTTL())), now
+		if r.Owner == e.cfg.Self {
 			e.claimedAt = now
 		}
 	}
--- a/elector/record.go
+++ b/elector/record.go
@@ -37,6 +37,9 @@
 	// owners may still send commands; ConfirmationTTL if it is zero and they have not stopped.
 	// The clocks of entries differ, so it can't be a deadline.
 	RemainingTTL time.Duration `cbor:"5,keyasint,omitempty"`
+	// Roster is set if, from UnextendedTTL after its claim on, the owner renews the leases of
+	// no agents but those that it has recorded as reached.
+	Roster bool `cbor:"6,keyasint,omitempty"`
 }
 
 // EarlierOwnersTTL returns how long after the claim of the record's owner earlier
--- a/orchestrator/orchestrator.go
+++ b/orchestrator/orchestrator.go
@@ -104,6 +104,10 @@
 	progressDue time.Time
 	// writing is set while a commit is in flight.
 	writing bool
+	// rosterDueAt is when the roster is written next, zero while all connected agents are in
+	// it; rosterVersion is the version of its key.
+	rosterDueAt   time.Time
+	rosterVersion uint64
 	// starts limits how many bytes of starts are on their way to the agents.
 	starts *regulator.Regulator
 	// startsHeld is set if starts have been held back since the last confirmation.
@@ -223,7 +227,7 @@
 
 // mayRenew reports whether the lease of an agent may be renewed.
 func (o *Orchestrator) mayRenew(a *agent) bool {
-	return a.keyVersion != 0 && o.ownershipCurrent() && (a.mayRunAny || o.confirmedWithin(closedConfirmationTTL))
+	return a.keyVersion != 0 && o.mayReach(a) && o.ownershipCurrent() && (a.mayRunAny || o.confirmedWithin(closedConfirmationTTL))
 }
 
 // tick checks deadlines.
--- /dev/null
+++ b/orchestrator/roster.go
@@ -0,0 +1,108 @@
+package orchestrator
+
+import (
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"go.uber.org/zap"
+
+	"github.com/endivefall/endivefall/storer"
+)
+
+// rosterKey is the key of the roster of the last owner that wrote one.
+const rosterKey = "ef/roster"
+
+// rosterInterval is how long agents that connect are collected before the roster is written.
+const rosterInterval = 100 * time.Millisecond
+
+// roster has the agents that an owner has reached. It renews the leases of no others, but for
+// a moment after its claim, so that the wait for an agent that it never reached goes on
+// under the next owner and does not start anew.
+type roster struct {
+	Term   uint64   `cbor:"1,keyasint"`
+	Agents []string `cbor:"2,keyasint,omitempty"`
+}
+
+func (r roster) encode() []byte {
+	raw, err := cbor.Marshal(r)
+	if err != nil {
+		panic(err) // numbers and strings always encode
+	}
+	return raw
+}
+
+// loadRoster bounds the wait for agents that the last owner never reached. Without a roster
+// of that owner, it reached none.
+func (o *Orchestrator) loadRoster(item storer.Item) {
+	o.rosterVersion = item.Version
+	if o.cfg.UnreachedUntil.IsZero() {
+		return
+	}
+	r := roster{}
+	if item.Version != 0 {
+		if err := cbor.Unmarshal(item.Value, &r); err != nil {
+			o.cfg.Log.Warn("roster can't be decoded; waiting for all agents", zap.Error(err))
+			o.cfg.Count(unreadableRosterCount)
+			return
+		}
+	}
+	reached := map[string]bool{}
+	if r.Term == o.cfg.Term-1 {
+		for _, id := range r.Agents {
+			reached[id] = true
+		}
+	}
+	unreached := 0
+	expiresAt := o.cfg.UnreachedUntil.Add(o.maxLeaseElapsed())
+	for id, a := range o.agents {
+		if a.hasUnknownRuns && !reached[id] && expiresAt.Before(a.leaseExpiresAt) {
+			a.leaseExpiresAt = expiresAt
+			unreached++
+		}
+	}
+	o.cfg.Log.Info("roster loaded", zap.Uint64("term", r.Term), zap.Int("reached", len(reached)), zap.Int("unreached", unreached), zap.Duration("lease", expiresAt.Sub(o.cfg.Now())))
+}
+
+// reach records that an agent is connected, so that its lease may be renewed.
+func (o *Orchestrator) reach(a *agent) {
+	if !a.inRoster && o.rosterDueAt.IsZero() {
+		o.rosterDueAt = o.cfg.Now().Add(rosterInterval)
+	}
+}
+
+// rosterDue reports whether the roster is to be written now.
+func (o *Orchestrator) rosterDue() bool {
+	return !o.rosterDueAt.IsZero() && !o.cfg.Now().Before(o.rosterDueAt)
+}
+
+// nextRoster returns the agents of the next roster: those of the present one that are still
+// registered, and those that are connected.
+func (o *Orchestrator) nextRoster() (agents []*agent, value []byte) {
+	r := roster{Term: o.cfg.Term}
+	for id, a := range o.agents {
+		if a.inRoster || a.link != nil && a.snapshot != nil {
+			agents, r.Agents = append(agents, a), append(r.Agents, id)
+		}
+	}
+	return agents, r.encode()
+}
+
+// mayReach reports whether the lease of an agent may be renewed as far as the roster goes.
+func (o *Orchestrator) mayReach(a *agent) bool {
+	return a.inRoster || o.cfg.Now().Before(o.cfg.ReachBy)
+}
+
+// handleRosterWritten processes that agents are in the roster.
+func (o *Orchestrator) handleRosterWritten(b *batch, version uint64) {
+	o.rosterVersion = version
+	for _, a := range b.rosterAgents {
+		waited := !o.mayReach(a)
+		a.inRoster = true
+		if waited && a.snapshot != nil {
+			o.ackSnapshot(a)
+		}
+	}
+}
+
+// unreadableRosterCount counts rosters that can't be decoded.
+const unreadableRosterCount = "unreadable_roster"
--- a/orchestrator/snapshot.go
+++ b/orchestrator/snapshot.go
@@ -43,6 +43,7 @@
 		a.silentSince = now
 	}
 	a.snapshot, a.lastSnapshotAt = snapshot, now
+	o.reach(a)
 	if o.loaded {
 		o.applySnapshot(a, snapshot)
 		o.updateRegistration(a, snapshot)
--- a/orchestrator/watch.go
+++ b/orchestrator/watch.go
@@ -74,8 +74,13 @@
 	if err != nil {
 		return 0, err
 	}
+	lastRoster, err := o.cfg.Store.Get(ctx, rosterKey)
+	if err != nil && !errors.Is(err, storer.ErrNotFound) {
+		return 0, err
+	}
 	o.enqueue(func() {
 		o.takeOver(inputs.Items, progress.Items, agents.Items)
+		o.loadRoster(lastRoster)
 		o.inputVersion = inputs.Version
 	})
 	return inputs.Version, nil
--- a/orchestrator/write.go
+++ b/orchestrator/write.go
@@ -25,6 +25,8 @@
 	openedAgents, closedAgents []*agent
 	// removedAgents are agents whose registrations are deleted.
 	removedAgents []*agent
+	// rosterAgents are the agents of the roster that is written, nil if none is.
+	rosterAgents []*agent
 	// deletedJobs are jobs whose keys are deleted.
 	deletedJobs []*job
 }
@@ -53,7 +55,7 @@
 
 // writeDue reports whether there are changes that are to be written now.
 func (o *Orchestrator) writeDue() bool {
-	if len(o.dirtyJobs) > 0 && !o.cfg.Now().Before(o.progressDue) {
+	if len(o.dirtyJobs) > 0 && !o.cfg.Now().Before(o.progressDue) || o.rosterDue() {
 		return true
 	}
 	for _, a := range o.agents {
@@ -84,6 +86,11 @@
 		b.transaction.Checks = append(b.transaction.Checks, storer.Check{Key: key, Version: version})
 		b.transaction.Writes = append(b.transaction.Writes, storer.Write{Key: key, Value: value})
 	}
+	if !o.rosterDueAt.IsZero() {
+		agents, value := o.nextRoster()
+		o.rosterDueAt, b.rosterAgents = time.Time{}, agents
+		add(rosterKey, o.rosterVersion, value)
+	}
 	for _, a := range o.agents {
 		if a.openPending && b.keyCount() < maxBatchKeys {
 			a.openPending, a.writing = false, true
@@ -169,6 +176,7 @@
 		return
 	}
 	o.cfg.ConfirmOwnership(sent)
+	o.handleRosterWritten(b, version)
 	for _, a := range b.openedAgents {
 		a.keyVersion, a.writing, a.mayRunAny, a.recordOpen = version, false, true, true
 		o.planDue = true
@@ -228,6 +236,9 @@
 			o.loadRegistration(a, item.Version, item.Value)
 		}
 	}
+	if len(b.rosterAgents) > 0 {
+		o.rosterVersion, o.rosterDueAt = conflict.Item(rosterKey).Version, o.cfg.Now().Add(rosterInterval)
+	}
 	for _, write := range b.jobs {
 		write.job.endWriting = false
 		if write.job.cancelWaiting {
