orchestrator: Take no lease for over that a later owner may have renewed

An owner that is replaced may still act on its last confirmation. If the lease of an agent that it doesn't reach ends meanwhile, it starts the agent's tasks again, though the next owner may have renewed the lease.

Change: a lease counts as over once it is known that there was no later owner at its end: by a confirmation that was sent after it, or by extensions of entries that had not claimed then. This takes half a second at the most while the store answers, and in an outage that the entries extend.

--- a/elector/extension.go
+++ b/elector/extension.go
@@ -30,10 +30,12 @@
 	claimedVersion uint64
 }
 
-// grant is an extension by a process of an entry.
+// grant is an extension by a process of an entry, which had not claimed ownership at
+// unclaimedAt, on the local clock.
 type grant struct {
 	incarnation  string
 	confirmation messenger.ConfirmationRef
+	unclaimedAt  time.Time
 }
 
 // Confirmation returns what this owner tells a process of another entry, or nil if it is not
@@ -49,6 +51,7 @@
 		ConfirmationRef: e.confirmationLocked(),
 		RemainingMs:     max(e.confirmedAt.Add(ConfirmationTTL).Sub(now).Milliseconds()+1, 0),
 		Old:             now.Sub(e.confirmedAt) >= extensionAge,
+		SentAt:          now.UnixNano(),
 	}
 	if e.members[id].Incarnation == incarnation {
 		c.LiveVersion = e.memberVersions[id]
@@ -63,10 +66,10 @@
 
 // RecordExtension records that a process of another entry has extended a confirmation of
 // this owner.
-func (e *Elector) RecordExtension(id, incarnation string, confirmation messenger.ConfirmationRef) {
+func (e *Elector) RecordExtension(id, incarnation string, x messenger.Extension) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.extensions.granted[id] = grant{incarnation, confirmation}
+	e.extensions.granted[id] = grant{incarnation, x.ConfirmationRef, time.Unix(0, x.EchoSentAt)}
 }
 
 // ConfirmationExtended reports whether each other live entry has extended the newest
@@ -82,16 +85,34 @@
 func (e *Elector) notExtendedByLocked() []string {
 	var ids []string
 	for id, m := range e.members {
-		if id != e.cfg.Self.ID && e.extensions.granted[id] != (grant{m.Incarnation, e.confirmationLocked()}) {
+		g := e.extensions.granted[id]
+		if id != e.cfg.Self.ID && (g.incarnation != m.Incarnation || g.confirmation != e.confirmationLocked()) {
 			ids = append(ids, id)
 		}
 	}
 	return ids
 }
 
-// Extend processes what the owner says of its confirmation, and returns the confirmation that
-// this entry extends, or nil.
-func (e *Elector) Extend(c messenger.OwnerConfirmation) *messenger.ConfirmationRef {
+// UnclaimedAt returns the latest local time at which this process was surely the last that had
+// claimed ownership.
+func (e *Elector) UnclaimedAt() time.Time {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if len(e.notExtendedByLocked()) > 0 {
+		return e.confirmedAt
+	}
+	unclaimedAt := e.cfg.Now()
+	for id := range e.members {
+		if at := e.extensions.granted[id].unclaimedAt; id != e.cfg.Self.ID && at.Before(unclaimedAt) {
+			unclaimedAt = at
+		}
+	}
+	return later(e.confirmedAt, unclaimedAt)
+}
+
+// Extend processes what the owner says of its confirmation, and returns the extension of this
+// entry, or nil.
+func (e *Elector) Extend(c messenger.OwnerConfirmation) *messenger.Extension {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if c.Term != e.record.Term || e.isOwnerLocked() {
@@ -109,7 +130,7 @@
 	}
 	remaining := min(time.Duration(c.RemainingMs)*time.Millisecond, ConfirmationTTL)
 	e.extensions.until = later(e.extensions.until, e.cfg.Now().Add(remaining))
-	return &c.ConfirmationRef
+	return &messenger.Extension{ConfirmationRef: c.ConfirmationRef, EchoSentAt: c.SentAt}
 }
 
 // lostOwnerTTLLocked returns how long the owner of record, which is lost, and those before it may
--- a/elector/extension_test.go
+++ b/elector/extension_test.go
@@ -20,8 +20,8 @@
 	if c == nil || !extend && c.Old {
 		return
 	}
-	if extended := n.Extend(*c); extended != nil {
-		o.RecordExtension(id, n.cfg.Self.Incarnation, *extended)
+	if x := n.Extend(*c); x != nil {
+		o.RecordExtension(id, n.cfg.Self.Incarnation, *x)
 	}
 }
 
@@ -99,6 +99,13 @@
 		c.Check(cl.nodes[owner].ConfirmationExtended(), qt.IsFalse, qt.Commentf("%s has not", others[1]))
 		cl.ping(others[1], owner, true)
 		c.Check(cl.nodes[owner].ConfirmationExtended(), qt.IsTrue)
+		confirmedAt, extendedAt := cl.nodes[owner].OwnershipConfirmedAt(), time.Now()
+		c.Check(cl.nodes[owner].UnclaimedAt().Equal(extendedAt), qt.IsTrue)
+		advancer.Sleep(300 * time.Millisecond)
+		c.Check(cl.nodes[owner].UnclaimedAt().Equal(extendedAt), qt.IsTrue, qt.Commentf("an entry may have claimed since"))
+		cl.ping(others[0], owner, true)
+		c.Check(cl.nodes[owner].UnclaimedAt().Equal(extendedAt), qt.IsTrue, qt.Commentf("%s may have", others[1]))
+		c.Check(confirmedAt.Before(extendedAt), qt.IsTrue)
 		cl.store.SetFault(nil)
 		advancer.Sleep(2 * time.Second)
 		c.Check(cl.nodes[owner].ConfirmationExtended(), qt.IsFalse, qt.Commentf("there is a newer confirmation"))
@@ -122,6 +129,6 @@
 		n.endClaimAttempt(fmt.Errorf("%w: %w", storer.ErrUnavailable, storer.ErrUnknownOutcome))
 		c.Check(n.Extend(old), qt.IsNil, qt.Commentf("the claim may take effect late"))
 		n.endClaimAttempt(storer.ErrUnavailable)
-		c.Check(n.Extend(old), qt.DeepEquals, &old.ConfirmationRef)
+		c.Check(n.Extend(old), qt.DeepEquals, &messenger.Extension{ConfirmationRef: old.ConfirmationRef})
 	})
 }
--- a/messenger/pool_messages.go
+++ b/messenger/pool_messages.go
@@ -210,8 +210,15 @@
 type StateQuery struct {
 	Job   string `cbor:"1,keyasint,omitempty"`
 	Queue string `cbor:"2,keyasint,omitempty"`
-	// Extended is the confirmation that the sender extends.
-	Extended *ConfirmationRef `cbor:"3,keyasint,omitempty"`
+	// Extension is set if the sender extends the confirmation of the owner.
+	Extension *Extension `cbor:"3,keyasint,omitempty"`
+}
+
+// Extension lets an owner act on an old confirmation. Its sender had not claimed ownership
+// when the reply that it answers was sent.
+type Extension struct {
+	ConfirmationRef
+	EchoSentAt int64 `cbor:"3,keyasint"` // OwnerConfirmation.SentAt of that reply
 }
 
 // ConfirmationRef identifies a confirmation of ownership.
@@ -229,7 +236,8 @@
 	// acts on an old confirmation only if the entry has extended it.
 	LiveVersion uint64 `cbor:"4,keyasint,omitempty"`
 	// Old is set if the owner asks for an extension.
-	Old bool `cbor:"5,keyasint,omitempty"`
+	Old    bool  `cbor:"5,keyasint,omitempty"`
+	SentAt int64 `cbor:"6,keyasint"` // Unix nanoseconds on the owner's clock
 }
 
 // StateReply answers a StateQuery. Found is false if the owner has no such job.
--- a/orchestrator/agent_test.go
+++ b/orchestrator/agent_test.go
@@ -118,3 +118,19 @@
 		})
 	}
 }
+
+// An owner that a later one has replaced took the lease of an agent for over that the later one
+// had renewed, and started its tasks a second time.
+func TestALeaseIsNotOverWhileALaterOwnerMayHaveRenewedIt(t *testing.T) {
+	c := qt.New(t)
+	h, j, a := newBusyHarness(c)
+	h.disconnect(a, time.Second)
+	h.now = a.leaseExpiresAt.Add(time.Second)
+	unclaimedAt := a.leaseExpiresAt.Add(-time.Millisecond)
+	h.o.cfg.UnclaimedAt = func() time.Time { return unclaimedAt }
+	h.o.expireLease(a, h.now)
+	c.Assert(j.liveRuns, qt.HasLen, 3)
+	unclaimedAt = a.leaseExpiresAt
+	h.o.expireLease(a, h.now)
+	c.Assert(j.liveRuns, qt.HasLen, 0)
+}
--- a/orchestrator/config.go
+++ b/orchestrator/config.go
@@ -28,6 +28,8 @@
 	// it is while ConfirmationExtended reports that no entry can claim without regard to it.
 	UnextendedTTL, ConfirmationTTL time.Duration
 	ConfirmationExtended           func() bool
+	// UnclaimedAt returns the latest time at which there was surely no later owner.
+	UnclaimedAt func() time.Time
 	// PreviousOwnerTTL is how long an earlier owner may have sent commands after
 	// the claim: at most ConfirmationTTL, 0 if it had certainly stopped.
 	PreviousOwnerTTL time.Duration
