orchestrator: Let an incomplete gang wait only for agents that may run a member

A gang that was incomplete after a change of owner held its room without progress while any agent was absent.

Cause: incomplete gangs are not judged while one agent is not reconciled, also where all members are known to be elsewhere.

Change: a gang is judged once none of its tasks is blocked.

Test: TestAnIncompleteGangOfLocatedTasksWaitsForNoAbsentAgent failed before.

--- a/orchestrator/gang.go
+++ b/orchestrator/gang.go
@@ -104,9 +104,7 @@
 // stopIncompleteGangs stops the members of gangs that are incomplete, as they would
 // wait for the others forever.
 func (o *Orchestrator) stopIncompleteGangs() {
-	if o.agentsWithUnknownRuns() > 0 {
-		return // members may run on agents that are not reconciled yet
-	}
+	blocked := o.startBlocked()
 	type gang struct {
 		j                *job
 		occurrence, step int
@@ -119,6 +117,9 @@
 		}
 	}
 	for g, runs := range live {
+		if slices.ContainsFunc(g.j.Tasks(g.occurrence, g.step), blocked) {
+			continue // a member may run on an agent that is not reconciled yet
+		}
 		if len(runs) == g.j.Spec.Steps[g.step].Count && !slices.ContainsFunc(runs, func(r *run) bool { return r.key.attempt != runs[0].key.attempt || r.evict }) {
 			continue
 		}
