--- a/elector/claim.go
+++ b/elector/claim.go
@@ -60,6 +60,10 @@
 	reasonOwnerLost = "owner is gone"
 )
 
+// uncountedRanks is how many ranks later an entry claims that the lost owner does not count:
+// its claim would state a longer time.
+const uncountedRanks = 2
+
 // claimReason returns why this entry should claim ownership now, or an empty string
 // if it should not, and the version of the owner key that it judged.
 func (e *Elector) claimReason() (string, uint64) {
@@ -91,6 +95,9 @@
 	if now.Before(e.cooldownUntil) && rank > 0 {
 		return "", 0
 	}
+	if reason == reasonOwnerLost && !e.countedLocked() {
+		rank += uncountedRanks
+	}
 	if now.Before(e.claimableSince.Add(time.Duration(rank) * claimDelayPerRank)) {
 		return "", 0
 	}
@@ -176,7 +183,10 @@
 func (e *Elector) nextRecord(reason string, record OwnerRecord, version uint64) (OwnerRecord, []storer.Check) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.extensions.claimedVersion = version
+	if e.extensions.claimedVersion != version {
+		e.extensions.claimedVersion, e.extensions.pendingClaims = version, 0
+	}
+	e.extensions.pendingClaims++
 	if e.claimSentAt.IsZero() || e.claimSentVersion != version {
 		e.claimSentAt, e.claimSentVersion = e.cfg.Now(), version
 	}
@@ -186,12 +196,13 @@
 	case reason == reasonNoOwner:
 		ttl = 0
 	case reason == reasonOwnerLost:
-		if ttl = e.lostOwnerTTLLocked(); ttl < ConfirmationTTL { // the owner counts this entry only while its live key has this version
-			checks = append(checks, storer.Check{Key: entryPrefix + e.cfg.Self.ID, Version: e.liveVersion})
-		}
+		ttl = e.lostOwnerTTLLocked()
 	default: // the owner has stopped
 		ttl = record.EarlierOwnersTTL()
 	}
+	if e.countedLocked() { // the owner counts this entry only while its live key has this version
+		checks = append(checks, storer.Check{Key: entryPrefix + e.cfg.Self.ID, Version: e.extensions.countedVersion})
+	}
 	return OwnerRecord{Owner: e.cfg.Self, Term: record.Term + 1, PredecessorsStopped: ttl == 0, RemainingTTL: ttl, Roster: true}, checks
 }
 
@@ -203,7 +214,7 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.extensions.claimedVersion = 0
+	e.extensions.pendingClaims--
 }
 
 // errUnreadableClaim means that it can't be told which claim was the last one.
--- a/elector/elector.go
+++ b/elector/elector.go
@@ -12,6 +12,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/endivefall/endivefall/estimator"
 	"github.com/endivefall/endivefall/storer"
 )
 
@@ -120,9 +121,8 @@
 	cooldownUntil time.Time
 	// claimableSince is since when ownership can be claimed; zero while it cannot.
 	claimableSince time.Time
-	// lease and liveVersion are the lease and the version of this entry's live key.
-	lease       string
-	liveVersion uint64
+	// lease is the lease of this entry's live key.
+	lease string
 	// extensions are those of other entries' claims that this entry relies on as the owner,
 	// and those that others rely on.
 	extensions extensions
@@ -266,10 +266,11 @@
 	if r.Term != e.record.Term {
 		now := e.cfg.Now()
 		e.unreachedUntil = time.Time{}
-		if e.record.Roster && r.Term == e.record.Term+1 {
-			e.unreachedUntil = later(e.earlierUntil, e.ownerSeenAt.Add(UnextendedTTL))
+		if e.record.Roster && r.Term == e.record.Term+1 && e.countedLocked() {
+			x := &e.extensions
+			e.unreachedUntil = later(later(e.earlierUntil, e.ownerSeenAt.Add(estimator.MaxLocalElapsed(UnextendedTTL))), later(x.countedAt, x.until))
 		}
-		e.earlierUntil, e.ownerSeenAt = later(e.earlierUntil, now.Add(r.EarlierOwnersTTL())), now
+		e.earlierUntil, e.ownerSeenAt = later(e.earlierUntil, now.Add(estimator.MaxLocalElapsed(r.EarlierOwnersTTL()))), now
 		if r.Owner == e.cfg.Self {
 			e.claimedAt = now
 		}
--- a/elector/extension.go
+++ b/elector/extension.go
@@ -5,12 +5,13 @@
 
 	"go.uber.org/zap"
 
+	"github.com/endivefall/endivefall/estimator"
 	"github.com/endivefall/endivefall/messenger"
 )
 
 // extensionAge is the age from which an owner asks the other entries to extend its
-// confirmation. Two of them can answer before UnextendedTTL is over.
-const extensionAge = 600 * time.Millisecond
+// confirmation: twice confirmInterval, and early enough for two pings before UnextendedTTL.
+const extensionAge = time.Second
 
 // extensions keep an owner that does not reach the store at work: it acts on a confirmation
 // older than UnextendedTTL once every entry that might claim has agreed to say in its claim
@@ -23,11 +24,14 @@
 	until  time.Time
 	newest messenger.ConfirmationRef
 	// countedTerm and countedVersion are the term of an owner that asks this entry before it
-	// acts on an old confirmation, and the version of the live key for which it does.
+	// acts on an old confirmation, and the version of the live key for which it does, at the
+	// latest since the local time countedAt.
 	countedTerm, countedVersion uint64
-	// claimedVersion is the version of the owner key that a claim of this entry may replace,
-	// now or late. It extends nothing of that owner any more.
+	countedAt                   time.Time
+	// claimedVersion is the version of the owner key that pendingClaims claims of this entry
+	// may replace, now or late. Meanwhile it extends nothing of that owner.
 	claimedVersion uint64
+	pendingClaims  int
 }
 
 // grant is an extension by a process of an entry, which had not claimed ownership at
@@ -77,7 +81,7 @@
 func (e *Elector) ConfirmationExtended() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return len(e.notExtendedByLocked()) == 0
+	return e.isOwnerLocked() && len(e.notExtendedByLocked()) == 0
 }
 
 // notExtendedByLocked returns the IDs of the other live entries that have not extended the
@@ -118,29 +122,37 @@
 	if c.Term != e.record.Term || e.isOwnerLocked() {
 		return nil
 	}
-	if c.LiveVersion != 0 && c.LiveVersion == e.liveVersion {
-		e.extensions.countedTerm, e.extensions.countedVersion = c.Term, c.LiveVersion
+	x := &e.extensions
+	if c.LiveVersion != 0 && c.LiveVersion == e.memberVersions[e.cfg.Self.ID] && (x.countedTerm != c.Term || x.countedVersion != c.LiveVersion) {
+		x.countedTerm, x.countedVersion, x.countedAt = c.Term, c.LiveVersion, e.cfg.Now()
 	}
-	if !c.Old || e.extensions.claimedVersion == e.version {
+	if !c.Old || x.claimedVersion == e.version && x.pendingClaims > 0 {
 		return nil
 	}
-	if e.extensions.newest != c.ConfirmationRef {
+	if x.newest != c.ConfirmationRef {
 		e.cfg.Log.Info("confirmation of the owner extended", zap.Uint64("term", c.Term), zap.Int64("remaining_ms", c.RemainingMs))
-		e.extensions.newest = c.ConfirmationRef
+		x.newest = c.ConfirmationRef
 	}
 	remaining := min(time.Duration(c.RemainingMs)*time.Millisecond, ConfirmationTTL)
-	e.extensions.until = later(e.extensions.until, e.cfg.Now().Add(remaining))
+	x.until = later(x.until, e.cfg.Now().Add(estimator.MaxLocalElapsed(remaining)))
 	return &messenger.Extension{ConfirmationRef: c.ConfirmationRef, EchoSentAt: c.SentAt}
 }
 
+// countedLocked reports whether the owner of record asks this entry before it acts on an old
+// confirmation, if the live key still has that version in the store; mu is held.
+func (e *Elector) countedLocked() bool {
+	x := &e.extensions
+	return x.countedTerm == e.record.Term && x.countedVersion != 0 && x.countedVersion == e.memberVersions[e.cfg.Self.ID]
+}
+
 // lostOwnerTTLLocked returns how long the owner of record, which is lost, and those before it may
 // still act after a claim; mu is held.
 func (e *Elector) lostOwnerTTLLocked() time.Duration {
-	x := &e.extensions
-	if x.countedTerm != e.record.Term || x.countedVersion != e.liveVersion || e.liveVersion == 0 {
+	if !e.countedLocked() {
 		return ConfirmationTTL
 	}
-	return max(UnextendedTTL, x.until.Sub(e.cfg.Now()), e.earlierUntil.Sub(e.cfg.Now()))
+	now := e.cfg.Now()
+	return max(UnextendedTTL, e.extensions.until.Sub(now), e.earlierUntil.Sub(now))
 }
 
 // later returns the later of two times.
--- a/elector/members.go
+++ b/elector/members.go
@@ -36,12 +36,11 @@
 	if err != nil {
 		return err
 	}
-	version, err := e.cfg.Store.Commit(ctx, storer.Transaction{Writes: []storer.Write{{Key: key, Value: value, Lease: lease}}})
-	if err != nil {
+	if _, err := e.cfg.Store.Commit(ctx, storer.Transaction{Writes: []storer.Write{{Key: key, Value: value, Lease: lease}}}); err != nil {
 		return err
 	}
 	e.mu.Lock()
-	e.lease, e.liveVersion = lease, version
+	e.lease = lease
 	e.mu.Unlock()
 	e.cfg.Log.Info("live key written", zap.String("lease", lease))
 	for {
--- a/elector/record.go
+++ b/elector/record.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
+
+	"github.com/endivefall/endivefall/estimator"
 )
 
 // Member describes a live entry to the other entries.
@@ -49,7 +51,7 @@
 	case r.PredecessorsStopped:
 		return 0
 	case r.RemainingTTL > 0:
-		return min(r.RemainingTTL, ConfirmationTTL)
+		return min(r.RemainingTTL, estimator.MaxLocalElapsed(ConfirmationTTL))
 	default:
 		return ConfirmationTTL
 	}
