--- a/orchestrator/agent.go
+++ b/orchestrator/agent.go
@@ -36,8 +36,9 @@
 	// while it is closed and states that every owner renews the lease only within
 	// closedConfirmationTTL.
 	recordOpen, renewalBounded bool
-	// inRoster is set once the roster of this owner in the ledger has the agent.
-	inRoster bool
+	// reached is set once this owner has a snapshot of it, inRoster once the roster of this
+	// owner in the ledger has the agent.
+	reached, inRoster bool
 	// recordedTasks are the tasks that a closed registration of an earlier owner
 	// lists as possibly running.
 	recordedTasks []string
--- a/orchestrator/roster.go
+++ b/orchestrator/roster.go
@@ -46,6 +46,10 @@
 			return
 		}
 	}
+	if r.Term >= o.cfg.Term {
+		o.stopReason = ErrOwnershipLost
+		return
+	}
 	reached := map[string]bool{}
 	if r.Term == o.cfg.Term-1 {
 		for _, id := range r.Agents {
@@ -65,6 +69,7 @@
 
 // reach records that an agent is connected, so that its lease may be renewed.
 func (o *Orchestrator) reach(a *agent) {
+	a.reached = true
 	if !a.inRoster && o.rosterDueAt.IsZero() {
 		o.rosterDueAt = o.cfg.Now().Add(rosterInterval)
 	}
@@ -75,25 +80,29 @@
 	return !o.rosterDueAt.IsZero() && !o.cfg.Now().Before(o.rosterDueAt)
 }
 
-// nextRoster returns the agents of the next roster: those of the present one that are still
-// registered, and those that are connected.
+// nextRoster returns the agents of the next roster: those that this owner has reached and that
+// are still registered.
 func (o *Orchestrator) nextRoster() (agents []*agent, value []byte) {
 	r := roster{Term: o.cfg.Term}
 	for id, a := range o.agents {
-		if a.inRoster || a.link != nil && a.snapshot != nil {
+		if a.reached {
 			agents, r.Agents = append(agents, a), append(r.Agents, id)
 		}
 	}
 	return agents, r.encode()
 }
 
-// mayReach reports whether the lease of an agent may be renewed as far as the roster goes.
+// mayReach reports whether the lease of an agent may be renewed as far as the roster goes. An
+// entry that extends a confirmation counts on any agent being reached meanwhile.
 func (o *Orchestrator) mayReach(a *agent) bool {
-	return a.inRoster || o.cfg.Now().Before(o.cfg.ReachBy)
+	return a.inRoster || o.cfg.Now().Before(o.cfg.ReachBy) || o.cfg.ConfirmationExtended()
 }
 
 // handleRosterWritten processes that agents are in the roster.
 func (o *Orchestrator) handleRosterWritten(b *batch, version uint64) {
+	if !b.hasRoster {
+		return
+	}
 	o.rosterVersion = version
 	for _, a := range b.rosterAgents {
 		waited := !o.mayReach(a)
--- a/orchestrator/write.go
+++ b/orchestrator/write.go
@@ -25,7 +25,8 @@
 	openedAgents, closedAgents []*agent
 	// removedAgents are agents whose registrations are deleted.
 	removedAgents []*agent
-	// rosterAgents are the agents of the roster that is written, nil if none is.
+	// hasRoster is set if the roster is written, with rosterAgents.
+	hasRoster    bool
 	rosterAgents []*agent
 	// deletedJobs are jobs whose keys are deleted.
 	deletedJobs []*job
@@ -88,7 +89,7 @@
 	}
 	if !o.rosterDueAt.IsZero() {
 		agents, value := o.nextRoster()
-		o.rosterDueAt, b.rosterAgents = time.Time{}, agents
+		o.rosterDueAt, b.hasRoster, b.rosterAgents = time.Time{}, true, agents
 		add(rosterKey, o.rosterVersion, value)
 	}
 	for _, a := range o.agents {
@@ -236,7 +237,7 @@
 			o.loadRegistration(a, item.Version, item.Value)
 		}
 	}
-	if len(b.rosterAgents) > 0 {
+	if b.hasRoster {
 		o.rosterVersion, o.rosterDueAt = conflict.Item(rosterKey).Version, o.cfg.Now().Add(rosterInterval)
 	}
 	for _, write := range b.jobs {
