--- a/differ/differ.go
+++ b/differ/differ.go
@@ -97,7 +97,7 @@
 		return
 	}
 	status.Ref = before.Ref
-	if !measure && status.Phase == before.Phase && status.PacePercent == before.PacePercent && status.SpecUnknown == before.SpecUnknown && status.Current == before.Current {
+	if !measure && status.Phase == before.Phase && status.PacePercent == before.PacePercent && status.SpecUnknown == before.SpecUnknown {
 		*status = before
 		return
 	}
--- a/messenger/pool_messages.go
+++ b/messenger/pool_messages.go
@@ -100,6 +100,9 @@
 	// EndsUnlisted is set while the worker may have ends that its last list lacked: a run
 	// that makes no progress may have ended.
 	EndsUnlisted bool `cbor:"23,keyasint,omitempty"`
+	// Current is set if each run in Runs that has begun was started under Term, or is known to
+	// have been at work after the agent had heard of that term.
+	Current bool `cbor:"25,keyasint,omitempty"`
 	// Leaving is set once the agent is to end. It starts nothing more, and waits until the
 	// ledger no longer says that it may run any task.
 	Leaving bool `cbor:"24,keyasint,omitempty"`
@@ -120,9 +123,6 @@
 	SpecUnknown bool  `cbor:"8,keyasint,omitempty"` // the agent does not know the task's spec
 	// Ref identifies the run on the connection.
 	Ref uint64 `cbor:"9,keyasint,omitempty"`
-	// Current is set if the run was started under WorkerSnapshot.Term, or is known to have
-	// been at work after the agent had heard of that term.
-	Current bool `cbor:"10,keyasint,omitempty"`
 }
 
 // Phase is the phase of a run that has not ended.
--- a/orchestrator/snapshot.go
+++ b/orchestrator/snapshot.go
@@ -144,7 +144,7 @@
 		r.specQueuedOn, r.specSeq = a.link, notSent
 		o.queueCommand(a, queuedCommand{kind: specCommand, run: r})
 	}
-	if status.Current && a.snapshot.Term == o.cfg.Term && status.Phase != messenger.PhaseStarting && !r.task.StepSpec().Speculative {
+	if a.snapshot.Current && a.snapshot.Term == o.cfg.Term && status.Phase != messenger.PhaseStarting && !r.task.StepSpec().Speculative {
 		o.locate(r.task)
 	}
 	now := o.cfg.Now()
--- a/supervisor/run.go
+++ b/supervisor/run.go
@@ -78,8 +78,7 @@
 // pacePending reports whether the worker has yet to confirm the pace of the run.
 func (r *run) pacePending() bool { return r.workerPace != r.pacePercent }
 
-// status returns what is reported of the run to the owner of a term.
-func (r *run) status(term uint64) messenger.RunStatus {
+func (r *run) status() messenger.RunStatus {
 	phase := r.phase
 	if phase == messenger.PhaseRunning && r.stopRequested {
 		phase = messenger.PhaseStopping
@@ -91,7 +90,6 @@
 	return messenger.RunStatus{
 		Task: r.task, Attempt: r.attempt, Phase: phase, Checkpoint: r.checkpoint,
 		ProgressPercent: r.progressPercent, Measurement: measurement, PacePercent: r.pacePercent, SpecUnknown: r.specUnknown,
-		Current: r.seenTerm == term,
 	}
 }
 
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -218,7 +218,7 @@
 		Labels: s.heartbeat.Labels, Pool: s.heartbeat.Pool, Draining: s.heartbeat.Draining || s.draining,
 		Unreachable: !s.unreachableSince.IsZero() && s.cfg.Now().Sub(s.unreachableSince) > time.Second, Reconciled: s.reconciled,
 		WarmupMs: s.heartbeat.Warmup.Milliseconds(), MayStart: s.blockedReason() == "",
-		Complete: s.complete && len(s.ends) <= maxSnapshotEnds, EndsUnlisted: s.endsUnlisted, Leaving: s.leaving,
+		Complete: s.complete && len(s.ends) <= maxSnapshotEnds, EndsUnlisted: s.endsUnlisted, Leaving: s.leaving, Current: true,
 	}
 	if s.cfg.Pacer != nil {
 		snap.MeasurementUpdates = s.cfg.Pacer.MeasurementUpdates
@@ -230,7 +230,8 @@
 		snap.DrainRemainingMs = max(s.heartbeat.EarliestExit.Sub(s.workerNow()).Milliseconds(), 0)
 	}
 	for _, r := range s.sortedRuns() {
-		snap.Runs = append(snap.Runs, r.status(s.term))
+		snap.Runs = append(snap.Runs, r.status())
+		snap.Current = snap.Current && (r.phase == messenger.PhaseStarting || r.seenTerm == s.term)
 	}
 	for _, e := range s.ends[:min(len(s.ends), maxSnapshotEnds)] {
 		snap.RunEnds = append(snap.RunEnds, e.RunEnd)
