orchestrator: Log why a task that waits for long is not placed

Change: once a second the owner logs the task that has waited the longest, a long-running one if there is one, with how many workers of its pool lack what or are out of use, and the free room. The search runs once a second over the waiting tasks and the workers. It changes no placement.

--- a/orchestrator/orchestrator.go
+++ b/orchestrator/orchestrator.go
@@ -137,6 +137,8 @@
 	blockingLoggedAt time.Time
 	// reportStopsAt is when outstanding stops are reported next.
 	reportStopsAt time.Time
+	// waitLoggedAt is when the task that waits the longest was last logged.
+	waitLoggedAt time.Time
 	// stopReason is the error that Serve is to return.
 	stopReason error
 	background sync.WaitGroup
--- a/orchestrator/place.go
+++ b/orchestrator/place.go
@@ -25,11 +25,12 @@
 		return
 	}
 	byPool, agents := o.candidates()
+	blocked := o.startBlocked()
+	now, wall := o.cfg.Now(), o.cfg.WallClock()
+	defer o.logLongestWait(blocked, byPool, agents, now, wall)
 	if len(agents) == 0 {
 		return
 	}
-	blocked := o.startBlocked()
-	now, wall := o.cfg.Now(), o.cfg.WallClock()
 	o.placeSuspects(blocked, byPool, agents, now, wall)
 	for _, j := range o.rankedJobs(wall) {
 		o.placeJob(j, slices.DeleteFunc(j.Runnable(wall), blocked), byPool[j.Spec.Pool], agents, now)
@@ -80,12 +81,10 @@
 // candidate returns the worker of an agent as a candidate for placement, or nil if
 // it may not receive tasks.
 func (o *Orchestrator) candidate(a *agent) *allocator.Candidate {
-	snapshot := a.snapshot
-	now := o.cfg.Now()
-	if !a.reachable() || snapshot == nil || !a.mayRunAny || !a.reconciled || snapshot.Draining || snapshot.Unreachable || !snapshot.MayStart ||
-		now.Before(a.health.excludedUntil) || now.Sub(a.lastSnapshotAt) > isolationTimeout/2 {
+	if o.unavailability(a, o.cfg.Now()) != available {
 		return nil
 	}
+	snapshot := a.snapshot
 	candidate := &allocator.Candidate{
 		ID: a.id, CPU: snapshot.CPU, Memory: snapshot.Memory, GPU: snapshot.GPU, Labels: snapshot.Labels, Speed: a.health.speed(), FailureRate: a.health.failureRate,
 	}
--- /dev/null
+++ b/orchestrator/wait_report.go
@@ -0,0 +1,142 @@
+package orchestrator
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/endivefall/endivefall/allocator"
+	"github.com/endivefall/endivefall/sequencer"
+)
+
+const (
+	// waitLogInterval is the shortest time between two log lines about waiting tasks.
+	waitLogInterval = time.Second
+	// minLoggedWait is how long a task waits before it is logged.
+	minLoggedWait = 2 * time.Second
+)
+
+// waitReport says why a waiting task is not placed, by the workers of its pool.
+type waitReport struct {
+	workers int
+	// unavailable counts the workers that may not receive tasks, by the reason.
+	unavailable map[unavailability]int
+	// The other workers: those that the queue's policy doesn't grant, and the granted ones by
+	// what they lack. A worker may lack several things.
+	notGranted, lackCPU, lackMemory, lackGPU, lackLabel, atLimit, held int
+	// fit counts the workers on which the task could start.
+	fit int
+	// freeCPU and freeMemory are the sums of what is not reserved on the granted workers with
+	// the label, roomiest the one of them with the most free CPU.
+	freeCPU, freeMemory int64
+	roomiest            *allocator.Candidate
+}
+
+// logLongestWait logs why the task that has waited the longest is not placed: of long-running
+// tasks, if any of them waits for long.
+func (o *Orchestrator) logLongestWait(blocked func(*sequencer.Task) bool, byPool map[string][]*allocator.Candidate, agents map[string]*agent, now, wall time.Time) {
+	if now.Sub(o.waitLoggedAt) < waitLogInterval {
+		return
+	}
+	o.waitLoggedAt = now
+	t, tasks := o.longestWaiting(blocked, now, wall)
+	if t == nil {
+		return
+	}
+	step := t.StepSpec()
+	report := o.reportWait(t, byPool[t.Job.Spec.Pool], agents, now)
+	fields := []zap.Field{
+		zap.String("task", t.Name()), zap.String("step", step.String()), zap.Duration("waited", now.Sub(o.waitingSince(t))), zap.Int("tasks", tasks),
+		zap.Bool("blocked", blocked(t)), zap.Bool("suspect", isSuspect(t)), zap.Duration("not_before", max(t.NotBefore.Sub(now), 0)), zap.Int("workers", report.workers),
+		zap.Int("disconnected", report.unavailable[disconnected]), zap.Int("unregistered", report.unavailable[unregistered]), zap.Int("draining", report.unavailable[draining]),
+		zap.Int("leaseless", report.unavailable[leaseless]), zap.Int("excluded", report.unavailable[excluded]), zap.Int("not_granted", report.notGranted),
+		zap.Int("lack_cpu", report.lackCPU), zap.Int("lack_memory", report.lackMemory), zap.Int("lack_gpu", report.lackGPU), zap.Int("lack_label", report.lackLabel),
+		zap.Int("at_limit", report.atLimit), zap.Int("held", report.held), zap.Int("fit", report.fit), zap.Int64("free_cpu", report.freeCPU), zap.Int64("free_memory", report.freeMemory),
+	}
+	if c := report.roomiest; c != nil {
+		fields = append(fields, zap.String("roomiest", c.ID), zap.Int64("its_free_cpu", c.FreeCPU()), zap.Int64("its_free_memory", c.Memory-c.UsedMemory), zap.Int64("its_free_gpu", c.GPU-c.UsedGPU))
+	}
+	o.cfg.Log.Info("task waits", fields...)
+}
+
+// longestWaiting returns the task that has waited the longest, long-running tasks before
+// others, and the number of tasks that have waited for long.
+func (o *Orchestrator) longestWaiting(blocked func(*sequencer.Task) bool, now, wall time.Time) (longest *sequencer.Task, tasks int) {
+	for _, j := range o.openJobs {
+		for _, t := range j.Runnable(wall) {
+			since := o.waitingSince(t)
+			if now.Sub(since) < minLoggedWait || t.WaitingSince.IsZero() && !blocked(t) {
+				continue
+			}
+			tasks++
+			if longest == nil || longer(t.StepSpec().LongRunning, since, longest.StepSpec().LongRunning, o.waitingSince(longest)) {
+				longest = t
+			}
+		}
+	}
+	return longest, tasks
+}
+
+// longer reports whether a task goes before another in the report of waits.
+func longer(longRunning bool, since time.Time, otherLongRunning bool, otherSince time.Time) bool {
+	if longRunning != otherLongRunning {
+		return longRunning
+	}
+	return since.Before(otherSince)
+}
+
+// waitingSince returns since when a task waits under this owner.
+func (o *Orchestrator) waitingSince(t *sequencer.Task) time.Time {
+	if t.WaitingSince.IsZero() {
+		return o.cfg.ClaimedAt
+	}
+	return t.WaitingSince
+}
+
+// reportWait returns why a task is not placed on any of the candidates of its pool.
+func (o *Orchestrator) reportWait(t *sequencer.Task, candidates []*allocator.Candidate, agents map[string]*agent, now time.Time) *waitReport {
+	report := &waitReport{unavailable: map[unavailability]int{}}
+	for _, a := range o.agents {
+		if a.snapshot == nil || a.snapshot.Pool == t.Job.Spec.Pool {
+			report.workers++
+			if why := o.unavailability(a, now); why != available {
+				report.unavailable[why]++
+			}
+		}
+	}
+	name := t.StepName()
+	granted := o.grantedCandidates(o.jobs[t.Job.Spec.ID], name, candidates, agents, now)
+	report.notGranted = len(candidates) - len(granted)
+	for _, c := range granted {
+		report.add(allocator.ShortageOf(t, name, c), c)
+	}
+	return report
+}
+
+// add counts a granted candidate.
+func (r *waitReport) add(lacks allocator.Shortage, c *allocator.Candidate) {
+	for _, count := range []struct {
+		counter *int
+		lacks   bool
+	}{
+		{&r.lackCPU, lacks.CPU},
+		{&r.lackMemory, lacks.Memory},
+		{&r.lackGPU, lacks.GPU},
+		{&r.lackLabel, lacks.Label},
+		{&r.atLimit, lacks.Limit},
+		{&r.held, lacks.Held},
+		{&r.fit, lacks == allocator.Shortage{}},
+	} {
+		if count.lacks {
+			*count.counter++
+		}
+	}
+	if lacks.Label {
+		return
+	}
+	r.freeCPU += max(c.FreeCPU(), 0)
+	r.freeMemory += max(c.Memory-c.UsedMemory, 0)
+	if r.roomiest == nil || c.FreeCPU() > r.roomiest.FreeCPU() {
+		r.roomiest = c
+	}
+}
