orchestrator: Keep the room of a moved run until its task has started

Long-running tasks that were stopped because their worker drained waited for up to 13 s, although they are stopped only if another worker has room.

Cause: the room was reserved by the run that was to end. Once it had ended the task was placed like all others, after the short ones, which took the room.

Change: a claim keeps the room for the task, not for the run. A task with a claim starts there before anything else is placed. A claim ends if the run doesn't end within 3 s, as before, or if the worker may not receive the task any more.

--- a/allocator/allocator.go
+++ b/allocator/allocator.go
@@ -130,6 +130,23 @@
 	c.TasksByStep[stepName]++
 }
 
+// Release takes a task of a step off the worker. It is the inverse of Reserve.
+func (c *Candidate) Release(step *sequencer.Step, stepName string) {
+	if step.BestEffort {
+		c.BestEffortCPU -= step.CPU
+	} else {
+		c.UsedCPU -= step.CPU
+	}
+	c.UsedMemory -= step.Memory
+	c.UsedGPU -= step.GPU
+	if step.LatencyTargetMs > 0 {
+		c.ServingCount--
+		c.ServingCPU -= step.CPU
+		c.ServingByImage[step.Image]--
+	}
+	c.TasksByStep[stepName]--
+}
+
 // Placement costs. Cost adds them up; the candidate with the lowest sum wins.
 const (
 	// failureCost is the cost of a failure rate of 1. On the same scale the free
--- a/allocator/allocator_test.go
+++ b/allocator/allocator_test.go
@@ -204,3 +204,21 @@
 	c.Assert(Pick(waiting, "s", candidates, now, constantInterference(30)), qt.IsNil)
 	c.Assert(Pick(waiting, "s", candidates, now.Add(maxLongRunningWait), constantInterference(30)).ID, qt.Equals, "b")
 }
+
+func TestReleaseIsTheInverseOfReserve(t *testing.T) {
+	for name, step := range map[string]sequencer.Step{
+		"serving":     {CPU: 5, Memory: 6, GPU: 1, LatencyTargetMs: 50, Image: "a"},
+		"best effort": {CPU: 5, Memory: 6, BestEffort: true},
+		"short":       {CPU: 5, Memory: 6},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			candidate := &Candidate{CPU: 100, Memory: 100, GPU: 1}
+			candidate.Reserve(&step, "0.0")
+			want := candidate.Clone()
+			candidate.Reserve(&step, "0.0")
+			candidate.Release(&step, "0.0")
+			c.Check(candidate, qt.DeepEquals, want)
+		})
+	}
+}
--- a/orchestrator/evict.go
+++ b/orchestrator/evict.go
@@ -39,14 +39,14 @@
 	}
 }
 
-// maxMoveTime is how long capacity is reserved for a run that is stopped to move: a few
-// attempts to stop it.
+// maxMoveTime is how long a run that is stopped to move may take to end before the room for
+// its task is given up: a few attempts to stop it.
 const maxMoveTime = 3 * time.Second
 
-// moveRun stops a run to start its task on another agent, and reserves capacity there so
-// that no other task is started on it before the run has ended.
+// moveRun stops a run to start its task on another agent, and claims room there so that no
+// other task takes it.
 func (o *Orchestrator) moveRun(r *run, agentID, reason string) {
-	r.moveTo, r.moveBy = o.agents[agentID], o.cfg.Now().Add(maxMoveTime)
+	o.claims[r.task] = &claim{task: r.task, job: r.job, agent: o.agents[agentID], stopBy: o.cfg.Now().Add(maxMoveTime)}
 	o.stopRun(r, reason)
 }
 
--- a/orchestrator/orchestrator.go
+++ b/orchestrator/orchestrator.go
@@ -13,6 +13,7 @@
 
 	"github.com/endivefall/endivefall/predictor"
 	"github.com/endivefall/endivefall/regulator"
+	"github.com/endivefall/endivefall/sequencer"
 )
 
 // ErrOwnershipLost reports that another process owns the pools.
@@ -96,7 +97,9 @@
 	// scheduled, since it is unknown which of their tasks have ended.
 	unreadableJobs map[string]bool
 	runs           map[runKey]*run
-	agents         map[string]*agent
+	// claims has the room that is kept for tasks, at most one claim for each.
+	claims map[*sequencer.Task]*claim
+	agents map[string]*agent
 	// dirtyJobs are jobs whose progress is yet to be written to the ledger, in
 	// order.
 	dirtyJobs []*job
@@ -151,7 +154,7 @@
 	}
 	return &Orchestrator{
 		cfg: cfg, actions: make(chan func(), queueCapacity), stopped: make(chan struct{}), done: make(chan struct{}),
-		jobs: map[string]*job{}, openJobs: map[string]*job{}, unreadableJobs: map[string]bool{}, runs: map[runKey]*run{}, agents: map[string]*agent{},
+		jobs: map[string]*job{}, openJobs: map[string]*job{}, unreadableJobs: map[string]bool{}, runs: map[runKey]*run{}, claims: map[*sequencer.Task]*claim{}, agents: map[string]*agent{},
 		predictor: predictor.New(), policies: map[string]*stepPolicy{}, starts: regulator.New(), isolation: isolation{firstContactBy: cfg.ClaimedAt.Add(firstContactTimeout)},
 	}
 }
--- a/orchestrator/place.go
+++ b/orchestrator/place.go
@@ -31,6 +31,7 @@
 	if len(agents) == 0 {
 		return
 	}
+	o.placeClaimed(blocked, byPool, agents, now)
 	o.placeSuspects(blocked, byPool, agents, now, wall)
 	for _, j := range o.rankedJobs(wall) {
 		o.placeJob(j, slices.DeleteFunc(j.Runnable(wall), blocked), byPool[j.Spec.Pool], agents, now)
@@ -92,8 +93,8 @@
 	return candidate
 }
 
-// reserveRuns reserves the resources of active and possibly active runs on the
-// candidates.
+// reserveRuns reserves the resources of active and possibly active runs, and of claims, on
+// the candidates.
 func (o *Orchestrator) reserveRuns(byPool map[string][]*allocator.Candidate) {
 	index := map[string]*allocator.Candidate{}
 	for _, candidates := range byPool {
@@ -102,10 +103,8 @@
 		}
 	}
 	now := o.cfg.Now()
+	o.reserveClaims(index, now)
 	for _, r := range o.runs {
-		if r.moveTo != nil && now.Before(r.moveBy) && index[r.moveTo.id] != nil {
-			index[r.moveTo.id].Reserve(r.task.StepSpec(), r.task.StepName())
-		}
 		candidate := index[r.agent.id]
 		if candidate == nil {
 			continue
@@ -132,8 +131,8 @@
 		if !r.task.StepSpec().BestEffort {
 			continue
 		}
-		if r.moveTo != nil && now.Before(r.moveBy) && index[r.moveTo.id] != nil {
-			index[r.moveTo.id].AddInterference(r.task.StepSpec().Image, r.cpuDemand(), o.predictor.UpperInterference)
+		if cl := o.claims[r.task]; cl != nil && index[cl.agent.id] != nil {
+			index[cl.agent.id].AddInterference(r.task.StepSpec().Image, r.cpuDemand(), o.predictor.UpperInterference)
 		}
 		if candidate := index[r.agent.id]; candidate != nil {
 			candidate.AddInterference(r.task.StepSpec().Image, r.cpuDemand(), o.predictor.UpperInterference)
@@ -254,6 +253,7 @@
 		return false
 	}
 	t.Attempt = attempt
+	delete(o.claims, t)
 	o.cfg.Count("start")
 	o.cfg.Log.Info("starting run", zap.String("task", r.key.task), zap.Uint64("attempt", attempt), zap.String("agent", a.id),
 		zap.Duration("waited", r.startedAt.Sub(t.WaitingSince)), zap.Duration("table_age", r.startedAt.Sub(a.lastSnapshotAt)), zap.Bool("resumes", t.Checkpoint != ""))
--- a/orchestrator/run.go
+++ b/orchestrator/run.go
@@ -53,8 +53,4 @@
 	progressed bool
 	// evict is set once the run is to be stopped.
 	evict bool
-	// moveTo is the agent on which capacity is reserved for the task of a run that is
-	// stopped to move, until moveBy; nil for none.
-	moveTo *agent
-	moveBy time.Time
 }
