orchestrator: Claim room for long-running tasks that fit nowhere

Cause: starvation by fit. Long-running tasks of 9 to 16 cores need a worker that has them free at once. Short tasks, ranked first, and what fits beside them take each piece of room that comes free. `task waits` shows 60 of 70 workers without the processor, at most 7 to 20 cores free on one of them, and 27 to 140 cores free in sum.

The longest wait claims first, and claims take a sixteenth of a pool's workers at a time. The room is kept from all other tasks until it fits.

Tests: TestALongRunningTaskIsNotKeptWaitingByShorterOnes failed before: it had not started after 40 short tasks had ended on three workers. So did TestALongRunningTaskOnADrainingWorkerClaimsRoomBeforeItIsStopped.

--- a/orchestrator/claim.go
+++ b/orchestrator/claim.go
@@ -15,13 +15,15 @@
 	task  *sequencer.Task
 	job   *job
 	agent *agent
-	// stopBy is when the claim ends if the run that is stopped to move has not ended.
-	stopBy time.Time
+	// endBy is when the claim ends if a run of the task has not ended, moving is set once
+	// that run is stopped.
+	endBy  time.Time
+	moving bool
 }
 
 // void reports whether the task of a claim needs no room any more, or can't move in time.
 func (cl *claim) void(now time.Time) bool {
-	return cl.task.Done || cl.job.Ended() || cl.task.LiveRuns > 0 && !now.Before(cl.stopBy)
+	return cl.task.Done || cl.job.Ended() || cl.task.LiveRuns > 0 && !now.Before(cl.endBy)
 }
 
 // reserveClaims reserves the claimed room on the candidates and drops the claims that have
@@ -36,8 +38,8 @@
 	}
 }
 
-// placeClaimed starts the tasks that have claimed room, the ones that have waited longest
-// first. They go before all others, which would take it.
+// placeClaimed starts the waiting tasks that have claimed room, the ones that have waited
+// longest first. They go before all others, which would take it.
 func (o *Orchestrator) placeClaimed(blocked func(*sequencer.Task) bool, byPool map[string][]*allocator.Candidate, agents map[string]*agent, now time.Time) {
 	var waiting []*claim
 	for _, cl := range o.claims {
@@ -45,9 +47,7 @@
 			waiting = append(waiting, cl)
 		}
 	}
-	slices.SortFunc(waiting, func(a, b *claim) int {
-		return cmp.Or(a.task.WaitingSince.Compare(b.task.WaitingSince), strings.Compare(a.task.Name(), b.task.Name()))
-	})
+	slices.SortFunc(waiting, func(a, b *claim) int { return compareWaits(a.task, b.task) })
 	for _, cl := range waiting {
 		t := cl.task
 		granted := o.grantedCandidates(cl.job, t.StepName(), byPool[cl.job.Spec.Pool], agents, now)
@@ -58,17 +58,20 @@
 	}
 }
 
+// compareWaits orders tasks by how long they wait, the longest first.
+func compareWaits(a, b *sequencer.Task) int {
+	return cmp.Or(a.WaitingSince.Compare(b.WaitingSince), strings.Compare(a.Job.Spec.ID, b.Job.Spec.ID), a.Occurrence-b.Occurrence, a.Step-b.Step, a.Index-b.Index)
+}
+
 // placeClaim starts the task of a claim on its candidate if it fits there, and reports whether
 // the claim is still of use.
 func (o *Orchestrator) placeClaim(cl *claim, candidate *allocator.Candidate, now time.Time) bool {
 	t, name := cl.task, cl.task.StepName()
 	candidate.Release(t.StepSpec(), name)
-	switch {
-	case now.Before(t.NotBefore) || candidate.Busy || !o.mayStart(1):
+	held := now.Before(t.NotBefore) || candidate.Busy || !o.mayStart(1)
+	if held || !allocator.Fits(t, name, candidate) {
 		candidate.Reserve(t.StepSpec(), name)
-		return true
-	case !allocator.Fits(t, name, candidate):
-		return false
+		return held || t.StepSpec().LongRunning
 	}
 	if o.startTask(t, cl.job, cl.agent) {
 		o.reserve(candidate, t)
--- a/orchestrator/evict.go
+++ b/orchestrator/evict.go
@@ -22,23 +22,39 @@
 	blocked := o.startBlocked()
 	for _, a := range draining {
 		for _, r := range o.runsOf(a) {
-			step, name := r.task.StepSpec(), r.task.StepName()
-			if r.phase != messenger.PhaseRunning || r.evict || step.Gang || !step.LongRunning && !step.Checkpointable || blocked(r.task) {
-				continue
-			}
-			for _, candidate := range byPool[r.job.Spec.Pool] {
-				if !allocator.Fits(r.task, name, candidate) {
-					continue
-				}
-				candidate.Reserve(step, name)
-				o.moveRun(r, candidate.ID, "worker is draining")
-				o.cfg.Count("evacuated")
-				break
+			if o.mayEvacuate(r, blocked) {
+				o.evacuateRun(r, byPool[r.job.Spec.Pool])
 			}
 		}
 	}
 }
 
+// mayEvacuate reports whether a run may be stopped because its worker drains.
+func (o *Orchestrator) mayEvacuate(r *run, blocked func(*sequencer.Task) bool) bool {
+	step := r.task.StepSpec()
+	return r.phase == messenger.PhaseRunning && !r.evict && !step.Gang && (step.LongRunning || step.Checkpointable) && !blocked(r.task)
+}
+
+// evacuateRun moves a run to a candidate that has room, its own claim included.
+func (o *Orchestrator) evacuateRun(r *run, candidates []*allocator.Candidate) {
+	step, name := r.task.StepSpec(), r.task.StepName()
+	for _, candidate := range candidates {
+		claimed := o.claims[r.task] != nil && o.claims[r.task].agent.id == candidate.ID
+		if claimed {
+			candidate.Release(step, name)
+		}
+		fits := allocator.Fits(r.task, name, candidate)
+		if claimed || fits {
+			candidate.Reserve(step, name)
+		}
+		if fits {
+			o.moveRun(r, candidate.ID, "worker is draining")
+			o.cfg.Count("evacuated")
+			return
+		}
+	}
+}
+
 // maxMoveTime is how long a run that is stopped to move may take to end before the room for
 // its task is given up: a few attempts to stop it.
 const maxMoveTime = 3 * time.Second
@@ -46,7 +62,7 @@
 // moveRun stops a run to start its task on another agent, and claims room there so that no
 // other task takes it.
 func (o *Orchestrator) moveRun(r *run, agentID, reason string) {
-	o.claims[r.task] = &claim{task: r.task, job: r.job, agent: o.agents[agentID], stopBy: o.cfg.Now().Add(maxMoveTime)}
+	o.claims[r.task] = &claim{task: r.task, job: r.job, agent: o.agents[agentID], endBy: o.cfg.Now().Add(maxMoveTime), moving: true}
 	o.stopRun(r, reason)
 }
 
--- a/orchestrator/orchestrator.go
+++ b/orchestrator/orchestrator.go
@@ -99,7 +99,9 @@
 	runs           map[runKey]*run
 	// claims has the room that is kept for tasks, at most one claim for each.
 	claims map[*sequencer.Task]*claim
-	agents map[string]*agent
+	// lastClaims is when room for waiting tasks was last searched for.
+	lastClaims time.Time
+	agents     map[string]*agent
 	// dirtyJobs are jobs whose progress is yet to be written to the ledger, in
 	// order.
 	dirtyJobs []*job
--- a/orchestrator/place.go
+++ b/orchestrator/place.go
@@ -36,6 +36,7 @@
 	for _, j := range o.rankedJobs(wall) {
 		o.placeJob(j, slices.DeleteFunc(j.Runnable(wall), blocked), byPool[j.Spec.Pool], agents, now)
 	}
+	o.claimRoom(blocked, byPool, agents, now, wall)
 }
 
 // candidates returns the workers that may receive tasks, by pool, with the
--- a/orchestrator/place_bench_test.go
+++ b/orchestrator/place_bench_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
@@ -31,3 +32,28 @@
 		})
 	}
 }
+
+// BenchmarkClaimRoom measures a search for room for long-running jobs on full workers.
+func BenchmarkClaimRoom(b *testing.B) {
+	for _, size := range []struct{ jobs, agents int }{{100, 30}, {1000, 30}, {100, 300}, {1000, 300}} {
+		b.Run(fmt.Sprintf("jobs=%d/agents=%d", size.jobs, size.agents), func(b *testing.B) {
+			h := newHarness(qt.New(b), size.agents)
+			h.submit(sequencer.Spec{Steps: []sequencer.Step{step(size.agents*8, 1000)}})
+			for h.o.place(); len(h.o.runs) < size.agents*8; h.o.place() {
+				h.reportAllRunning()
+			}
+			for range size.jobs {
+				h.submit(longRunning(4000))
+			}
+			h.o.place()
+			h.now = h.now.Add(minClaimWait)
+			h.reportAllRunning()
+			byPool, agents := h.o.candidates()
+			b.ResetTimer()
+			for b.Loop() {
+				h.o.lastClaims = time.Time{}
+				h.o.claimRoom(h.o.startBlocked(), byPool, agents, h.now, h.now)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/orchestrator/starvation_test.go
@@ -0,0 +1,211 @@
+package orchestrator
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/endivefall/endivefall/messenger"
+	"github.com/endivefall/endivefall/sequencer"
+)
+
+// Long-running tasks waited for 14 to 20 s while workers that could hold them were kept full
+// by short tasks, which fitted first into each piece of room that came free.
+func TestALongRunningTaskIsNotKeptWaitingByShorterOnes(t *testing.T) {
+	const agents, rounds = 3, 40
+	c := qt.New(t)
+	h := newHarness(c, agents)
+	backlog := sequencer.Spec{Steps: []sequencer.Step{step(agents*4+rounds, 2000)}, StretchFactor: 100, LatencyAllowance: time.Hour}
+	h.submit(backlog)
+	h.o.place()
+	j := h.submit(sequencer.Spec{Steps: []sequencer.Step{{Count: 1, CPU: 6000, Memory: 10, LongRunning: true}}})
+	task := j.Task(0, 0, 0)
+	started, ended := 0, 0
+	for round := range rounds {
+		h.now = h.now.Add(250 * time.Millisecond)
+		for n := range agents {
+			id := fmt.Sprint("a", n)
+			h.reportRunning(id, 10)
+			if n != round%agents {
+				continue
+			}
+			if r := h.oldestShortRun(id); r != nil {
+				ended++
+				h.endRun(id, uint64(ended), r)
+			}
+		}
+		h.o.place()
+		if task.LiveRuns > 0 {
+			started = round + 1
+			break
+		}
+	}
+	c.Assert(started > 0 && started <= rounds/2, qt.IsTrue, qt.Commentf("started in round %d after %d short tasks", started, ended))
+}
+
+func longRunning(cpu int64) sequencer.Spec {
+	return sequencer.Spec{Steps: []sequencer.Step{{Count: 1, CPU: cpu, Memory: 10, LongRunning: true}}}
+}
+
+func TestFewWorkersAreKeptFromShortTasks(t *testing.T) {
+	for _, tt := range []struct{ agents, want int }{{1, 1}, {15, 1}, {32, 2}, {40, 2}} {
+		t.Run(fmt.Sprint(tt.agents), func(t *testing.T) {
+			c := qt.New(t)
+			h := newHarness(c, tt.agents)
+			h.submit(sequencer.Spec{Steps: []sequencer.Step{step(tt.agents, 5000)}})
+			h.o.place()
+			for range tt.agents {
+				h.submit(longRunning(4000))
+			}
+			h.o.place()
+			c.Check(len(h.o.claims), qt.Equals, 0, qt.Commentf("none has waited yet"))
+			for range 3 {
+				h.now = h.now.Add(minClaimWait)
+				h.reportAllRunning()
+				h.o.place()
+				c.Check(len(h.o.claims), qt.Equals, tt.want)
+			}
+			short := h.submit(sequencer.Spec{Steps: []sequencer.Step{step(tt.agents, 3000)}})
+			h.o.place()
+			c.Check(len(short.liveRuns) >= tt.agents-tt.want, qt.IsTrue, qt.Commentf("%d started", len(short.liveRuns)))
+		})
+	}
+}
+
+func TestNoRoomIsKeptThatWillNotDoInTime(t *testing.T) {
+	for name, tt := range map[string]struct {
+		estimate time.Duration
+		step     sequencer.Step
+		want     int
+	}{
+		"soon":                    {time.Second, sequencer.Step{CPU: 4000, LongRunning: true}, 1},
+		"late":                    {time.Minute, sequencer.Step{CPU: 4000, LongRunning: true}, 0},
+		"larger than any worker":  {time.Second, sequencer.Step{CPU: 9000, LongRunning: true}, 0},
+		"a label that none has":   {time.Second, sequencer.Step{CPU: 4000, LongRunning: true, RequiredLabel: "x"}, 0},
+		"a short one":             {time.Second, sequencer.Step{CPU: 4000, Estimate: time.Second}, 0},
+		"best effort finds place": {time.Second, sequencer.Step{CPU: 4000, LongRunning: true, BestEffort: true}, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			h := newHarness(c, 1)
+			filler := step(1, 5000)
+			filler.Estimate = tt.estimate
+			h.submit(sequencer.Spec{Steps: []sequencer.Step{filler}})
+			h.o.place()
+			tt.step.Count, tt.step.Memory = 1, 10
+			h.submit(sequencer.Spec{Steps: []sequencer.Step{tt.step}})
+			h.o.place()
+			h.now = h.now.Add(minClaimWait)
+			h.reportAllRunning()
+			h.o.place()
+			c.Assert(len(h.o.claims), qt.Equals, tt.want)
+		})
+	}
+}
+
+// A claimed worker may drain, fill with runs that go on, or be lost.
+func TestAClaimEndsWithTheRoom(t *testing.T) {
+	for name, change := range map[string]func(h *harness){
+		"drains":       func(h *harness) { h.o.agents["a0"].snapshot.Draining = true },
+		"disconnected": func(h *harness) { h.o.agents["a0"].link = nil },
+		"shrinks":      func(h *harness) { h.o.agents["a0"].snapshot.CPU = 1000 },
+		"canceled": func(h *harness) {
+			for t := range h.o.claims {
+				t.Job.Canceled = true
+			}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			h := newHarness(c, 2)
+			h.submit(sequencer.Spec{Steps: []sequencer.Step{step(2, 5000)}})
+			h.o.place()
+			h.submit(longRunning(4000))
+			h.o.place()
+			h.now = h.now.Add(minClaimWait)
+			h.reportAllRunning()
+			h.o.place()
+			c.Assert(h.claimedAgents(), qt.DeepEquals, []string{"a0"})
+			change(h)
+			h.now = h.now.Add(claimInterval)
+			h.o.place()
+			c.Assert(slices.Contains(h.claimedAgents(), "a0"), qt.IsFalse)
+		})
+	}
+}
+
+// A long-running task went on until its draining worker ended, as no other worker ever had
+// room for it, and then waited.
+func TestALongRunningTaskOnADrainingWorkerClaimsRoomBeforeItIsStopped(t *testing.T) {
+	c := qt.New(t)
+	h := newHarness(c, 1)
+	j := h.submit(longRunning(6000))
+	h.o.place()
+	h.reportRunning("a0", 100)
+	h.connectAgent("a1")
+	drain := func() {
+		h.sendSnapshot("a0", &messenger.WorkerSnapshot{Draining: true, DrainRemainingMs: 20000, Runs: h.runStatuses("a0", messenger.PhaseRunning, 100)})
+	}
+	drain()
+	backlog := h.submit(sequencer.Spec{Steps: []sequencer.Step{step(20, 2000)}, StretchFactor: 100, LatencyAllowance: time.Hour})
+	h.o.place()
+	for n := range 3 {
+		h.now = h.now.Add(claimInterval)
+		drain()
+		h.o.evacuate()
+		c.Assert(h.commands("a0"), qt.HasLen, 1, qt.Commentf("no room yet"))
+		h.o.place()
+		h.endRun("a1", uint64(n+1), h.oldestShortRun("a1"))
+		h.o.place()
+	}
+	drain()
+	h.o.evacuate()
+	name := j.Task(0, 0, 0).Name()
+	c.Assert(h.commands("a0"), qt.DeepEquals, []string{"start " + name, "stop " + name})
+	h.sendSnapshot("a0", &messenger.WorkerSnapshot{Draining: true, RunEnds: []messenger.RunEnd{{Seq: 1, Task: name, Attempt: 1, Status: messenger.EndStopped}}})
+	h.o.place()
+	c.Assert(j.liveRuns[runKey{name, 2}].agent.id, qt.Equals, "a1")
+	c.Assert(len(h.o.claims), qt.Equals, 0)
+	c.Assert(len(backlog.liveRuns), qt.Equals, 1, qt.Commentf("beside it fits one short task"))
+}
+
+// claimedAgents returns the agents on whose workers room is claimed.
+func (h *harness) claimedAgents() []string {
+	var ids []string
+	for _, cl := range h.o.claims {
+		ids = append(ids, cl.agent.id)
+	}
+	return ids
+}
+
+// reportAllRunning delivers a snapshot of each agent that lists all its runs as running.
+func (h *harness) reportAllRunning() {
+	for id := range h.o.agents {
+		h.reportRunning(id, 10)
+	}
+}
+
+// oldestShortRun returns the oldest run of an agent that is not long-running.
+func (h *harness) oldestShortRun(id string) *run {
+	var oldest *run
+	for _, r := range h.o.runsOf(h.o.agents[id]) {
+		if !r.task.StepSpec().LongRunning && (oldest == nil || r.startedAt.Before(oldest.startedAt)) {
+			oldest = r
+		}
+	}
+	return oldest
+}
+
+// endRun delivers a snapshot that lists the end of a run beside the others of its agent.
+func (h *harness) endRun(id string, seq uint64, r *run) {
+	var others []messenger.RunStatus
+	for _, status := range h.runStatuses(id, messenger.PhaseRunning, 10) {
+		if status.Task != r.key.task {
+			others = append(others, status)
+		}
+	}
+	h.sendSnapshot(id, &messenger.WorkerSnapshot{Runs: others, RunEnds: []messenger.RunEnd{{Seq: seq, Task: r.key.task, Attempt: r.key.attempt, Status: messenger.EndDone}}})
+}
--- a/orchestrator/wait_report.go
+++ b/orchestrator/wait_report.go
@@ -24,6 +24,8 @@
 	// The other workers: those that the queue's policy doesn't grant, and the granted ones by
 	// what they lack. A worker may lack several things.
 	notGranted, lackCPU, lackMemory, lackGPU, lackLabel, atLimit, held int
+	// claimed is the worker that keeps room for the task.
+	claimed string
 	// fit counts the workers on which the task could start.
 	fit int
 	// freeCPU and freeMemory are the sums of what is not reserved on the granted workers with
@@ -47,7 +49,7 @@
 	report := o.reportWait(t, byPool[t.Job.Spec.Pool], agents, now)
 	fields := []zap.Field{
 		zap.String("task", t.Name()), zap.String("step", step.String()), zap.Duration("waited", now.Sub(o.waitingSince(t))), zap.Int("tasks", tasks),
-		zap.Bool("blocked", blocked(t)), zap.Bool("suspect", isSuspect(t)), zap.Duration("not_before", max(t.NotBefore.Sub(now), 0)), zap.Int("workers", report.workers),
+		zap.Bool("blocked", blocked(t)), zap.Bool("suspect", isSuspect(t)), zap.String("claimed", report.claimed), zap.Duration("not_before", max(t.NotBefore.Sub(now), 0)), zap.Int("workers", report.workers),
 		zap.Int("disconnected", report.unavailable[disconnected]), zap.Int("unregistered", report.unavailable[unregistered]), zap.Int("draining", report.unavailable[draining]),
 		zap.Int("leaseless", report.unavailable[leaseless]), zap.Int("excluded", report.unavailable[excluded]), zap.Int("not_granted", report.notGranted),
 		zap.Int("lack_cpu", report.lackCPU), zap.Int("lack_memory", report.lackMemory), zap.Int("lack_gpu", report.lackGPU), zap.Int("lack_label", report.lackLabel),
@@ -108,6 +110,11 @@
 	granted := o.grantedCandidates(o.jobs[t.Job.Spec.ID], name, candidates, agents, now)
 	report.notGranted = len(candidates) - len(granted)
 	for _, c := range granted {
+		if cl := o.claims[t]; cl != nil && cl.agent.id == c.ID {
+			report.claimed = c.ID
+			c = c.Clone()
+			c.Release(t.StepSpec(), name) // its own claim doesn't keep it from the room
+		}
 		report.add(allocator.ShortageOf(t, name, c), c)
 	}
 	return report
