orchestrator: Stop best-effort tasks for a claim that would take long

Cause: best-effort tasks need no free processor, so that they take what memory is left wherever a larger task does not fit, for up to 20 s each. Only jobs of a lower priority are preempted, whatever they are.

Change: where a long-running task fits within 5 s only if best-effort tasks with checkpoints are stopped, as many of them are stopped as it needs, those with the least progress first. They resume elsewhere.

Tests: TestALongRunningTaskIsNotKeptWaitingByBestEffortOnes/checkpoints failed before.

--- a/orchestrator/starvation.go
+++ b/orchestrator/starvation.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"github.com/endivefall/endivefall/allocator"
+	"github.com/endivefall/endivefall/messenger"
 	"github.com/endivefall/endivefall/sequencer"
 )
 
@@ -39,10 +40,10 @@
 	for pool, candidates := range byPool {
 		forecasts[pool] = map[string]*allocator.Forecast{}
 		for _, candidate := range candidates {
-			forecasts[pool][candidate.ID] = allocator.NewForecast(candidate, agents[candidate.ID].expectedEndings(now))
+			forecasts[pool][candidate.ID] = allocator.NewForecast(candidate, agents[candidate.ID].expectedEndings(now, blocked))
 		}
 	}
-	claims := o.checkClaims(forecasts, now)
+	claims := o.checkClaims(blocked, forecasts, now)
 	fullStep := "" // the step for which no worker was found
 	for _, t := range starving {
 		pool, name := t.Job.Spec.Pool, t.StepName()
@@ -55,6 +56,7 @@
 			fullStep = name
 			continue
 		}
+		o.stopFillers(t, name, agents[forecast.ID], forecast.Candidate, blocked, now, at)
 		forecast.Reserve(t.StepSpec(), name)
 		o.claims[t] = &claim{task: t, job: j, agent: agents[forecast.ID], endBy: now.Add(maxClaimDelay)}
 		claims[pool]++
@@ -89,24 +91,61 @@
 	return list
 }
 
-// expectedEndings returns the runs of an agent that will end.
-func (a *agent) expectedEndings(now time.Time) []allocator.Ending {
+// expectedEndings returns the runs of an agent that will end. Those that may be stopped for
+// long-running tasks end within maxClaimDelay.
+func (a *agent) expectedEndings(now time.Time, blocked func(*sequencer.Task) bool) []allocator.Ending {
 	var endings []allocator.Ending
 	for _, r := range a.runs {
-		step := r.task.StepSpec()
+		step, at := r.task.StepSpec(), now
 		switch {
 		case r.evict:
-			endings = append(endings, allocator.Ending{Step: step, StepName: r.task.StepName(), At: now})
-		case !step.LongRunning:
-			endings = append(endings, allocator.Ending{Step: step, StepName: r.task.StepName(), At: allocator.ExpectedEnd(step, r.startedAt, now)})
+		case step.LongRunning:
+			continue
+		default:
+			at = allocator.ExpectedEnd(step, r.startedAt, now)
+			if horizon := now.Add(maxClaimDelay); r.fills() && !blocked(r.task) && at.After(horizon) {
+				at = horizon
+			}
 		}
+		endings = append(endings, allocator.Ending{Step: step, StepName: r.task.StepName(), At: at})
 	}
 	return endings
 }
 
+// fills reports whether a run may be stopped for a long-running task: it takes what others
+// leave, and resumes elsewhere from its checkpoint.
+func (r *run) fills() bool {
+	step := r.task.StepSpec()
+	return step.BestEffort && step.Checkpointable && !step.Gang && !step.LongRunning && r.phase == messenger.PhaseRunning
+}
+
+// stopFillers stops best-effort runs of an agent if a task, which is expected to fit there at
+// a time, would not do so before maxClaimDelay: as many as are needed, those with the least
+// progress first.
+func (o *Orchestrator) stopFillers(t *sequencer.Task, name string, a *agent, candidate *allocator.Candidate, blocked func(*sequencer.Task) bool, now, at time.Time) {
+	horizon := now.Add(maxClaimDelay)
+	if at.Before(horizon) {
+		return
+	}
+	var fillers []*run
+	for _, r := range o.runsOf(a) {
+		if r.fills() && !r.evict && !blocked(r.task) {
+			fillers = append(fillers, r)
+		}
+	}
+	slices.SortStableFunc(fillers, func(a, b *run) int { return a.progressPercent - b.progressPercent })
+	for _, r := range fillers {
+		if at, fits := allocator.NewForecast(candidate, a.expectedEndings(now, blocked)).FitsAt(t, name, now); fits && at.Before(horizon) {
+			return
+		}
+		o.cfg.Count("preempted")
+		o.stopRun(r, "room for "+t.Name())
+	}
+}
+
 // checkClaims drops the claims of tasks that won't fit in time, and returns the number of the
 // others by pool, without those of runs that are being moved.
-func (o *Orchestrator) checkClaims(forecasts map[string]map[string]*allocator.Forecast, now time.Time) map[string]int {
+func (o *Orchestrator) checkClaims(blocked func(*sequencer.Task) bool, forecasts map[string]map[string]*allocator.Forecast, now time.Time) map[string]int {
 	counts := map[string]int{}
 	for t, cl := range o.claims {
 		pool, name := cl.job.Spec.Pool, t.StepName()
@@ -119,10 +158,12 @@
 			continue
 		}
 		forecast.Release(t.StepSpec(), name)
-		if at, fits := forecast.FitsAt(t, name, now); !fits || at.Sub(now) > maxClaimDelay {
+		at, fits := forecast.FitsAt(t, name, now)
+		if !fits || at.Sub(now) > maxClaimDelay {
 			delete(o.claims, t)
 			continue
 		}
+		o.stopFillers(t, name, cl.agent, forecast.Candidate, blocked, now, at)
 		forecast.Reserve(t.StepSpec(), name)
 		counts[pool]++
 	}
--- a/orchestrator/starvation_test.go
+++ b/orchestrator/starvation_test.go
@@ -188,6 +188,56 @@
 	}
 }
 
+// Best-effort tasks, which need no CPU of their own, held the memory of all workers, and took
+// each piece of it that came free.
+func TestALongRunningTaskIsNotKeptWaitingByBestEffortOnes(t *testing.T) {
+	for name, tt := range map[string]struct {
+		change func(*sequencer.Step)
+		stops  int
+	}{
+		"checkpoints":    {func(*sequencer.Step) {}, 2},
+		"no checkpoints": {func(s *sequencer.Step) { s.Checkpointable = false }, 0},
+		"a reservation":  {func(s *sequencer.Step) { s.BestEffort = false }, 0},
+		"ends soon":      {func(s *sequencer.Step) { s.Estimate = 3 * time.Second }, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			h := newHarness(c, 1)
+			filler := sequencer.Step{Count: 4, CPU: 2000, Memory: 4000, Estimate: 20 * time.Second, BestEffort: true, Checkpointable: true}
+			tt.change(&filler)
+			fillers := h.submit(sequencer.Spec{Steps: []sequencer.Step{filler}, StretchFactor: 100})
+			h.o.place()
+			c.Assert(len(fillers.liveRuns), qt.Equals, 4)
+			j := h.submit(sequencer.Spec{Steps: []sequencer.Step{{Count: 1, CPU: 6000, Memory: 8000, LongRunning: true}}})
+			h.o.place()
+			h.now = h.now.Add(minClaimWait)
+			h.reportAllRunning()
+			h.o.place()
+			stopped := map[string]uint64{}
+			for key, r := range fillers.liveRuns {
+				if r.evict {
+					stopped[key.task] = key.attempt
+				}
+			}
+			c.Assert(len(stopped), qt.Equals, tt.stops)
+			if tt.stops == 0 {
+				return
+			}
+			snapshot := &messenger.WorkerSnapshot{}
+			for _, status := range h.runStatuses("a0", messenger.PhaseRunning, 10) {
+				if stopped[status.Task] == 0 {
+					snapshot.Runs = append(snapshot.Runs, status)
+				} else {
+					snapshot.RunEnds = append(snapshot.RunEnds, messenger.RunEnd{Seq: uint64(len(snapshot.RunEnds) + 1), Task: status.Task, Attempt: status.Attempt, Status: messenger.EndStopped, Checkpoint: "c"})
+				}
+			}
+			h.sendSnapshot("a0", snapshot)
+			h.o.place()
+			c.Assert(len(j.liveRuns), qt.Equals, 1)
+		})
+	}
+}
+
 // oldestShortRun returns the oldest run of an agent that is not long-running.
 func (h *harness) oldestShortRun(id string) *run {
 	var oldest *run
