--- a/elector/extension_test.go
+++ b/elector/extension_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -157,20 +158,19 @@
 		old, next := cl.nodes["old"], cl.nodes["next"]
 		c.Assert(old.IsOwner(), qt.IsTrue)
 		cl.ping("next", "old", false)
-		commits := 0
+		var commits atomic.Int64
 		cl.store.SetFault(func(call string) faker.StoreFault {
 			if call != "commit" {
 				return faker.StoreFault{}
 			}
-			commits++
-			if commits == 1 {
+			if commits.Add(1) == 1 {
 				return faker.StoreFault{LoseReply: true, ApplyDelay: 2 * time.Second}
 			}
 			return faker.StoreFault{Refuse: true}
 		})
 		cl.frozen["old"].close() // it doesn't reach the store
 		advancer.Sleep(2500 * time.Millisecond)
-		c.Assert(commits > 1, qt.IsTrue)
+		c.Assert(commits.Load() > 1, qt.IsTrue)
 		c.Assert(next.IsOwner(), qt.IsFalse)
 		cl.ping("next", "old", true)
 		advancer.Sleep(2 * time.Second)
