--- a/e2e/link_test.go
+++ b/e2e/link_test.go
@@ -28,6 +28,8 @@
 	changed chan struct{} // closed when blocked changes
 	conns   map[net.Conn]struct{}
 	opened  int
+	// wasReset is set if the connections were reset since the last call of disturbed.
+	wasReset bool
 }
 
 // newLink starts a proxy in front of target, at a free address.
@@ -129,6 +131,15 @@
 	l.changed = make(chan struct{})
 }
 
+// disturbed reports whether the link has a fault or was reset since the last call.
+func (l *link) disturbed() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	wasReset := l.wasReset
+	l.wasReset = false
+	return wasReset || l.delay > 0 || l.blocked != [2]bool{}
+}
+
 // clearFault ends the fault, if there is one. With reset, it first resets the
 // connections, so that waiting bytes are lost.
 func (l *link) clearFault(reset bool) {
@@ -147,6 +158,7 @@
 func (l *link) reset() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.wasReset = true
 	for conn := range l.conns {
 		if tcp, ok := conn.(*net.TCPConn); ok {
 			_ = tcp.SetLinger(0) // fails only if the connection is closed already
