orchestrator: Claim room once a long-running task has waited for 3 s

A long-running task may be without a run for 6 s, and a claim is made only where room is expected within 5 s.

--- a/orchestrator/starvation.go
+++ b/orchestrator/starvation.go
@@ -13,8 +13,9 @@
 
 // Limits of the claims for long-running tasks that fit nowhere.
 const (
-	// minClaimWait is how long such a task waits before it claims room.
-	minClaimWait = 500 * time.Millisecond
+	// minClaimWait is how long such a task waits before it claims room: half of the time for
+	// which a long-running task may be without a run.
+	minClaimWait = 3 * time.Second
 	// claimInterval bounds the cost of the search for room.
 	claimInterval = 250 * time.Millisecond
 	// maxClaimDelay is how far ahead a task may be expected to fit, as the room is left idle
