orchestrator: Rely on the store alone for a lease that is over

An extension says that its entry has not claimed; an entry that the owner doesn't count may have, and have renewed the lease. So a lease counts as over only by a confirmation that was sent after its end. In an outage of the store the tasks of an agent that is lost in it wait for its end. TestALeaseIsNotOverWhileALaterOwnerMayHaveRenewedIt and TestAnEarlierOwnerDoesNotOutwaitTheLeaseOfAnAgentThatHasALaterOwner pass as before.

The roster's fields and functions are named for the roster.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -139,7 +139,7 @@
 	c.ownerClient = newOwnerClient(ownerClientConfig{
 		ID: cfg.ID, Incarnation: c.incarnation, Client: cfg.Client, Now: cfg.Now, Log: cfg.Log, Traffic: &c.traffic,
 		OnInDoubt: func(jobs []string) { c.Acceptor.MarkInDoubt(jobs) }, InDoubt: func() []string { return c.Acceptor.OwnInDoubt() },
-		Extend: func(confirmation messenger.OwnerConfirmation) *messenger.Extension {
+		Extend: func(confirmation messenger.OwnerConfirmation) *messenger.ConfirmationRef {
 			return c.elector.Extend(confirmation)
 		},
 	})
--- a/coordinator/links.go
+++ b/coordinator/links.go
@@ -99,8 +99,8 @@
 func (c *Coordinator) replyToQuery(l *connector.Link, f messenger.Frame) {
 	o := c.activeOrchestrator()
 	reply := messenger.StateReply{}
-	if x := f.StateQuery.Extension; x != nil {
-		c.elector.RecordExtension(l.Hello.ID, l.Hello.Incarnation, *x)
+	if extended := f.StateQuery.Extended; extended != nil {
+		c.elector.RecordExtension(l.Hello.ID, l.Hello.Incarnation, *extended)
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), queryTimeout)
 	defer cancel()
--- a/coordinator/owner_client.go
+++ b/coordinator/owner_client.go
@@ -42,8 +42,8 @@
 	// InDoubt returns the jobs whose writes here are in doubt; nil if there are never any.
 	InDoubt func() []string
 	// Extend is called with what the owner says of its confirmation, and returns the
-	// extension of this entry, or nil.
-	Extend func(messenger.OwnerConfirmation) *messenger.Extension
+	// confirmation that this entry extends, or nil.
+	Extend func(messenger.OwnerConfirmation) *messenger.ConfirmationRef
 	// Traffic counts the frames.
 	Traffic *messenger.Traffic
 }
@@ -176,21 +176,21 @@
 // pingLoop pings the owner and closes the connection when a reply is overdue. A ping that
 // extends the owner's confirmation is sent at once.
 func (c *ownerClient) pingLoop(ctx context.Context, conn *messenger.Conn) {
-	var extension *messenger.Extension
+	var extended *messenger.ConfirmationRef
 	for ctx.Err() == nil {
 		pingCtx, cancel := context.WithTimeout(ctx, maxReplyAge)
-		reply, err := c.queryOn(pingCtx, conn, messenger.StateQuery{Extension: extension})
+		reply, err := c.queryOn(pingCtx, conn, messenger.StateQuery{Extended: extended})
 		cancel()
 		if err != nil {
 			conn.Close("silent for too long")
 			return
 		}
-		before := extension
-		extension = nil
+		before := extended
+		extended = nil
 		if reply.Confirmation != nil && c.cfg.Extend != nil {
-			extension = c.cfg.Extend(*reply.Confirmation)
+			extended = c.cfg.Extend(*reply.Confirmation)
 		}
-		if extension == nil || before != nil && before.ConfirmationRef == extension.ConfirmationRef {
+		if extended == nil || before != nil && *before == *extended {
 			waiter.Sleep(ctx, pingInterval)
 		}
 	}
--- a/coordinator/ownership.go
+++ b/coordinator/ownership.go
@@ -45,7 +45,7 @@
 		Term: record.Term, Epoch: epoch, OwnerKey: elector.OwnerKey, ClaimedAt: claimedAt, Store: c.relayer.Store(), Now: c.cfg.Now, WallClock: c.cfg.WallClock,
 		LeaseDuration: RunLease(c.cfg.MaxWorkerLease), JobRetention: c.cfg.JobRetention, QueryPolicy: c.cfg.QueryPolicy,
 		UnextendedTTL: elector.UnextendedTTL, ConfirmationTTL: elector.ConfirmationTTL, ConfirmationExtended: c.elector.ConfirmationExtended,
-		PreviousOwnerTTL: previousOwnerTTL, ReachBy: c.elector.ReachBy(), UnreachedUntil: c.elector.UnreachedUntil(), UnclaimedAt: c.elector.UnclaimedAt,
+		PreviousOwnerTTL: previousOwnerTTL, RosterFrom: c.elector.RosterFrom(), UnrosteredUntil: c.elector.UnrosteredUntil(),
 		OwnershipConfirmedAt: c.elector.OwnershipConfirmedAt, ConfirmOwnership: c.elector.ConfirmOwnership,
 		HasStandby: func() bool { return len(c.elector.Members()) > 0 },
 		Log:        c.cfg.Log, Count: c.cfg.Count, Gauge: c.cfg.Gauge, ObserveDuration: c.cfg.ObserveDuration,
--- a/elector/elector.go
+++ b/elector/elector.go
@@ -108,10 +108,10 @@
 	// ownerSeenAt is the local time at which this entry learned of the claim of record.
 	// earlierUntil is the one until which those before the owner of record may act.
 	ownerSeenAt, earlierUntil time.Time
-	// unreachedUntil is the local time until which an owner before that of record may renew
+	// unrosteredUntil is the local time until which an owner before that of record may renew
 	// the lease of an agent that the last of them has not recorded as reached; zero if that
 	// is not known.
-	unreachedUntil time.Time
+	unrosteredUntil time.Time
 	// claimSentAt is the local time of the first claim of this entry at the version
 	// claimSentVersion of the owner key.
 	claimSentAt      time.Time
@@ -169,19 +169,19 @@
 	return e.claimedAt
 }
 
-// UnreachedUntil returns the local time until which an owner before this one may renew the
+// UnrosteredUntil returns the local time until which an owner before this one may renew the
 // lease of an agent that the last of them has not recorded as reached, or the zero time if
 // that is not known.
-func (e *Elector) UnreachedUntil() time.Time {
+func (e *Elector) UnrosteredUntil() time.Time {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.unreachedUntil
+	return e.unrosteredUntil
 }
 
-// ReachBy returns the local time from which this owner renews the leases of no agents but
+// RosterFrom returns the local time from which this owner renews the leases of no agents but
 // those that it has recorded as reached. Other entries count UnextendedTTL from when they see
 // the claim.
-func (e *Elector) ReachBy() time.Time {
+func (e *Elector) RosterFrom() time.Time {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	return e.claimSentAt.Add(UnextendedTTL)
@@ -265,10 +265,10 @@
 func (e *Elector) setRecordLocked(r OwnerRecord, version uint64) {
 	if r.Term != e.record.Term {
 		now := e.cfg.Now()
-		e.unreachedUntil = time.Time{}
+		e.unrosteredUntil = time.Time{}
 		if e.record.Roster && r.Term == e.record.Term+1 && e.countedLocked() {
 			x := &e.extensions
-			e.unreachedUntil = later(later(e.earlierUntil, e.ownerSeenAt.Add(estimator.MaxLocalElapsed(UnextendedTTL))), later(x.countedAt, x.until))
+			e.unrosteredUntil = later(later(e.earlierUntil, e.ownerSeenAt.Add(estimator.MaxLocalElapsed(UnextendedTTL))), later(x.countedAt, x.until))
 		}
 		e.earlierUntil, e.ownerSeenAt = later(e.earlierUntil, now.Add(estimator.MaxLocalElapsed(r.EarlierOwnersTTL()))), now
 		if r.Owner == e.cfg.Self {
--- a/elector/extension.go
+++ b/elector/extension.go
@@ -34,12 +34,10 @@
 	pendingClaims  int
 }
 
-// grant is an extension by a process of an entry, which had not claimed ownership at
-// unclaimedAt, on the local clock.
+// grant is an extension by a process of an entry.
 type grant struct {
 	incarnation  string
 	confirmation messenger.ConfirmationRef
-	unclaimedAt  time.Time
 }
 
 // Confirmation returns what this owner tells a process of another entry, or nil if it is not
@@ -55,7 +53,6 @@
 		ConfirmationRef: e.confirmationLocked(),
 		RemainingMs:     max(e.confirmedAt.Add(ConfirmationTTL).Sub(now).Milliseconds()+1, 0),
 		Ask:             now.Sub(e.confirmedAt) >= extensionAge,
-		SentAt:          now.UnixNano(),
 	}
 	if e.members[id].Incarnation == incarnation {
 		c.LiveVersion = e.memberVersions[id]
@@ -70,10 +67,10 @@
 
 // RecordExtension records that a process of another entry has extended a confirmation of
 // this owner.
-func (e *Elector) RecordExtension(id, incarnation string, x messenger.Extension) {
+func (e *Elector) RecordExtension(id, incarnation string, extended messenger.ConfirmationRef) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.extensions.granted[id] = grant{incarnation, x.ConfirmationRef, time.Unix(0, x.EchoSentAt)}
+	e.extensions.granted[id] = grant{incarnation, extended}
 }
 
 // ConfirmationExtended reports whether each other live entry has extended the newest
@@ -89,34 +86,16 @@
 func (e *Elector) notExtendedByLocked() []string {
 	var ids []string
 	for id, m := range e.members {
-		g := e.extensions.granted[id]
-		if id != e.cfg.Self.ID && (g.incarnation != m.Incarnation || g.confirmation != e.confirmationLocked()) {
+		if id != e.cfg.Self.ID && e.extensions.granted[id] != (grant{m.Incarnation, e.confirmationLocked()}) {
 			ids = append(ids, id)
 		}
 	}
 	return ids
 }
 
-// UnclaimedAt returns the latest local time at which this process was surely the last that had
-// claimed ownership.
-func (e *Elector) UnclaimedAt() time.Time {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if len(e.notExtendedByLocked()) > 0 {
-		return e.confirmedAt
-	}
-	unclaimedAt := e.cfg.Now()
-	for id := range e.members {
-		if at := e.extensions.granted[id].unclaimedAt; id != e.cfg.Self.ID && at.Before(unclaimedAt) {
-			unclaimedAt = at
-		}
-	}
-	return later(e.confirmedAt, unclaimedAt)
-}
-
-// Extend processes what the owner says of its confirmation, and returns the extension of this
-// entry, or nil.
-func (e *Elector) Extend(c messenger.OwnerConfirmation) *messenger.Extension {
+// Extend processes what the owner says of its confirmation, and returns the confirmation that
+// this entry extends, or nil.
+func (e *Elector) Extend(c messenger.OwnerConfirmation) *messenger.ConfirmationRef {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if c.Term != e.record.Term || e.isOwnerLocked() {
@@ -135,7 +114,7 @@
 	}
 	remaining := min(time.Duration(c.RemainingMs)*time.Millisecond, ConfirmationTTL)
 	x.until = later(x.until, e.cfg.Now().Add(estimator.MaxLocalElapsed(remaining)))
-	return &messenger.Extension{ConfirmationRef: c.ConfirmationRef, EchoSentAt: c.SentAt}
+	return &c.ConfirmationRef
 }
 
 // countedLocked reports whether the owner of record asks this entry before it acts on an old
--- a/elector/extension_test.go
+++ b/elector/extension_test.go
@@ -98,13 +98,6 @@
 		c.Check(cl.nodes[owner].ConfirmationExtended(), qt.IsFalse, qt.Commentf("%s has not", others[1]))
 		cl.ping(others[1], owner, true)
 		c.Check(cl.nodes[owner].ConfirmationExtended(), qt.IsTrue)
-		confirmedAt, extendedAt := cl.nodes[owner].OwnershipConfirmedAt(), time.Now()
-		c.Check(cl.nodes[owner].UnclaimedAt().Equal(extendedAt), qt.IsTrue)
-		advancer.Sleep(300 * time.Millisecond)
-		c.Check(cl.nodes[owner].UnclaimedAt().Equal(extendedAt), qt.IsTrue, qt.Commentf("an entry may have claimed since"))
-		cl.ping(others[0], owner, true)
-		c.Check(cl.nodes[owner].UnclaimedAt().Equal(extendedAt), qt.IsTrue, qt.Commentf("%s may have", others[1]))
-		c.Check(confirmedAt.Before(extendedAt), qt.IsTrue)
 		cl.store.SetFault(nil)
 		advancer.Sleep(2 * time.Second)
 		c.Check(cl.nodes[owner].ConfirmationExtended(), qt.IsFalse, qt.Commentf("there is a newer confirmation"))
@@ -119,7 +112,7 @@
 		n.nextRecord(reasonOwnerLost, record, version)
 		n.endClaimAttempt(storer.ErrUnavailable)
 		old := messenger.OwnerConfirmation{ConfirmationRef: messenger.ConfirmationRef{Term: record.Term, At: 1}, RemainingMs: 9000, Ask: true}
-		c.Check(n.Extend(old), qt.DeepEquals, &messenger.Extension{ConfirmationRef: old.ConfirmationRef})
+		c.Check(n.Extend(old), qt.DeepEquals, &old.ConfirmationRef)
 	})
 }
 
--- a/messenger/pool_messages.go
+++ b/messenger/pool_messages.go
@@ -210,15 +210,8 @@
 type StateQuery struct {
 	Job   string `cbor:"1,keyasint,omitempty"`
 	Queue string `cbor:"2,keyasint,omitempty"`
-	// Extension is set if the sender extends the confirmation of the owner.
-	Extension *Extension `cbor:"3,keyasint,omitempty"`
-}
-
-// Extension lets an owner act on an old confirmation. Its sender had not claimed ownership
-// when the reply that it answers was sent.
-type Extension struct {
-	ConfirmationRef
-	EchoSentAt int64 `cbor:"3,keyasint"` // OwnerConfirmation.SentAt of that reply
+	// Extended is the confirmation that the sender extends, if any.
+	Extended *ConfirmationRef `cbor:"3,keyasint,omitempty"`
 }
 
 // ConfirmationRef identifies a confirmation of ownership.
@@ -236,8 +229,7 @@
 	// acts on an old confirmation only if the entry has extended it.
 	LiveVersion uint64 `cbor:"4,keyasint,omitempty"`
 	// Ask is set if the owner asks for an extension.
-	Ask    bool  `cbor:"5,keyasint,omitempty"`
-	SentAt int64 `cbor:"6,keyasint"` // Unix nanoseconds on the owner's clock
+	Ask bool `cbor:"5,keyasint,omitempty"`
 }
 
 // StateReply answers a StateQuery. Found is false if the owner has no such job.
--- a/orchestrator/agent.go
+++ b/orchestrator/agent.go
@@ -139,7 +139,7 @@
 func (o *Orchestrator) expireLease(a *agent, now time.Time) {
 	reporting := a.link != nil && a.snapshot != nil && a.snapshot.Reconciled && now.Sub(a.lastSnapshotAt) < isolationTimeout
 	// A later owner may have renewed the lease unless there was none when it ended.
-	if reporting || now.Before(a.leaseExpiresAt) || o.cfg.UnclaimedAt().Before(a.leaseExpiresAt) || !o.loaded {
+	if reporting || now.Before(a.leaseExpiresAt) || o.cfg.OwnershipConfirmedAt().Before(a.leaseExpiresAt) || !o.loaded {
 		return
 	}
 	for _, r := range o.runsOf(a) {
--- a/orchestrator/agent_test.go
+++ b/orchestrator/agent_test.go
@@ -126,11 +126,11 @@
 	h, j, a := newBusyHarness(c)
 	h.disconnect(a, time.Second)
 	h.now = a.leaseExpiresAt.Add(time.Second)
-	unclaimedAt := a.leaseExpiresAt.Add(-time.Millisecond)
-	h.o.cfg.UnclaimedAt = func() time.Time { return unclaimedAt }
+	confirmedAt := a.leaseExpiresAt.Add(-time.Millisecond)
+	h.o.cfg.OwnershipConfirmedAt = func() time.Time { return confirmedAt }
 	h.o.expireLease(a, h.now)
 	c.Assert(j.liveRuns, qt.HasLen, 3)
-	unclaimedAt = a.leaseExpiresAt
+	confirmedAt = a.leaseExpiresAt
 	h.o.expireLease(a, h.now)
 	c.Assert(j.liveRuns, qt.HasLen, 0)
 }
--- a/orchestrator/config.go
+++ b/orchestrator/config.go
@@ -28,15 +28,13 @@
 	// it is while ConfirmationExtended reports that no entry can claim without regard to it.
 	UnextendedTTL, ConfirmationTTL time.Duration
 	ConfirmationExtended           func() bool
-	// UnclaimedAt returns the latest time at which there was surely no later owner.
-	UnclaimedAt func() time.Time
 	// PreviousOwnerTTL is how long an earlier owner may have sent commands after
 	// the claim: at most ConfirmationTTL, 0 if it had certainly stopped.
 	PreviousOwnerTTL time.Duration
-	// ReachBy is the time from which the leases of no agents are renewed but those in the
-	// roster of this owner. UnreachedUntil is until when an earlier owner may renew the lease
+	// RosterFrom is the time from which the leases of no agents are renewed but those in the
+	// roster of this owner. UnrosteredUntil is until when an earlier owner may renew the lease
 	// of an agent that is not in the roster of the last one; zero if that is not known.
-	ReachBy, UnreachedUntil time.Time
+	RosterFrom, UnrosteredUntil time.Time
 	// JobRetention is how long the state of an ended job is kept.
 	JobRetention time.Duration
 	// OwnershipConfirmedAt returns the time of the newest confirmation of
--- a/orchestrator/roster.go
+++ b/orchestrator/roster.go
@@ -35,7 +35,7 @@
 // of that owner, it reached none.
 func (o *Orchestrator) loadRoster(item storer.Item) {
 	o.rosterVersion = item.Version
-	if o.cfg.UnreachedUntil.IsZero() {
+	if o.cfg.UnrosteredUntil.IsZero() {
 		return
 	}
 	r := roster{}
@@ -57,7 +57,7 @@
 		}
 	}
 	unreached := 0
-	expiresAt := o.cfg.UnreachedUntil.Add(o.maxLeaseElapsed())
+	expiresAt := o.cfg.UnrosteredUntil.Add(o.maxLeaseElapsed())
 	for id, a := range o.agents {
 		if a.hasUnknownRuns && !reached[id] && expiresAt.Before(a.leaseExpiresAt) {
 			a.leaseExpiresAt = expiresAt
@@ -67,8 +67,8 @@
 	o.cfg.Log.Info("roster loaded", zap.Uint64("term", r.Term), zap.Int("reached", len(reached)), zap.Int("unreached", unreached), zap.Duration("lease", expiresAt.Sub(o.cfg.Now())))
 }
 
-// reach records that an agent is connected, so that its lease may be renewed.
-func (o *Orchestrator) reach(a *agent) {
+// addToRoster makes an agent that is connected part of the next roster.
+func (o *Orchestrator) addToRoster(a *agent) {
 	a.reached = true
 	if !a.inRoster && o.rosterDueAt.IsZero() {
 		o.rosterDueAt = o.cfg.Now().Add(rosterInterval)
@@ -92,10 +92,10 @@
 	return agents, r.encode()
 }
 
-// mayReach reports whether the lease of an agent may be renewed as far as the roster goes. An
+// rosterAllows reports whether the lease of an agent may be renewed as far as the roster goes. An
 // entry that extends a confirmation counts on any agent being reached meanwhile.
-func (o *Orchestrator) mayReach(a *agent) bool {
-	return a.inRoster || o.cfg.Now().Before(o.cfg.ReachBy) || o.cfg.ConfirmationExtended()
+func (o *Orchestrator) rosterAllows(a *agent) bool {
+	return a.inRoster || o.cfg.Now().Before(o.cfg.RosterFrom) || o.cfg.ConfirmationExtended()
 }
 
 // handleRosterWritten processes that agents are in the roster.
@@ -105,7 +105,7 @@
 	}
 	o.rosterVersion = version
 	for _, a := range b.rosterAgents {
-		waited := !o.mayReach(a)
+		waited := !o.rosterAllows(a)
 		a.inRoster = true
 		if waited && a.snapshot != nil {
 			o.ackSnapshot(a)
--- a/orchestrator/roster_test.go
+++ b/orchestrator/roster_test.go
@@ -30,7 +30,7 @@
 			h := newHarness(c, 0)
 			h.o.cfg.Term, h.o.cfg.PreviousOwnerTTL = 4, 2*time.Second
 			if tt.known {
-				h.o.cfg.UnreachedUntil = h.now.Add(until)
+				h.o.cfg.UnrosteredUntil = h.now.Add(until)
 			}
 			h.o.takeOver(nil, nil, []storer.Item{{Key: agentPrefix + "lost", Value: registration{Open: true}.encode(), Version: 30}})
 			version := uint64(0)
@@ -48,7 +48,7 @@
 	c := qt.New(t)
 	h, _, a := newBusyHarness(c)
 	a.inRoster = false
-	h.o.cfg.ReachBy, h.o.cfg.ConfirmationExtended = h.now.Add(2*time.Second), func() bool { return false }
+	h.o.cfg.RosterFrom, h.o.cfg.ConfirmationExtended = h.now.Add(2*time.Second), func() bool { return false }
 	renewed := func() bool {
 		before := a.leaseExpiresAt
 		h.now = h.now.Add(time.Second)
--- a/orchestrator/snapshot.go
+++ b/orchestrator/snapshot.go
@@ -43,7 +43,7 @@
 		a.silentSince = now
 	}
 	a.snapshot, a.lastSnapshotAt = snapshot, now
-	o.reach(a)
+	o.addToRoster(a)
 	if o.loaded {
 		o.applySnapshot(a, snapshot)
 		o.updateRegistration(a, snapshot)
