elector: Log what the time stated by a claim comes from

No logic is changed; go test ./elector passes, ./orchestrator fails only in the known red TestRunsOfADrainingAgentOutliveAStoreOutage.

--- a/elector/claim.go
+++ b/elector/claim.go
@@ -163,6 +163,9 @@
 		}
 	}
 	sent := e.cfg.Now()
+	e.mu.Lock()
+	counted, extended := e.countedLocked(), max(e.extensions.until.Sub(sent), 0)
+	e.mu.Unlock()
 	newVersion, err := e.writeRecord(ctx, next, checks, e.cfg.ClaimKey)
 	if err != nil {
 		e.endClaimAttempt(err)
@@ -172,7 +175,7 @@
 		return fmt.Errorf("%w: a newer claim exists", storer.ErrConflict)
 	}
 	e.ConfirmOwnership(sent)
-	e.cfg.Log.Info("ownership claimed", zap.Uint64("term", next.Term), zap.Uint64("version", newVersion), zap.String("why", reason), zap.Bool("clean", next.PredecessorsStopped), zap.Duration("earlier_owners_ttl", next.EarlierOwnersTTL()), zap.String("before", record.Owner.ID))
+	e.cfg.Log.Info("ownership claimed", zap.Uint64("term", next.Term), zap.Uint64("version", newVersion), zap.String("why", reason), zap.Bool("clean", next.PredecessorsStopped), zap.Duration("earlier_owners_ttl", next.EarlierOwnersTTL()), zap.Bool("counted", counted), zap.Duration("extended", extended), zap.String("before", record.Owner.ID))
 	e.cfg.OnChange(next, e.Members())
 	return nil
 }
--- a/orchestrator/registration.go
+++ b/orchestrator/registration.go
@@ -189,13 +189,17 @@
 		return
 	}
 	var last *agent
+	open := 0
 	for _, a := range o.agents {
+		if a.hasUnknownRuns && a.mayRunAny {
+			open++
+		}
 		if a.hasUnknownRuns && (last == nil || a.leaseExpiresAt.After(last.leaseExpiresAt)) {
 			last = a
 		}
 	}
 	all, tasks := o.blockedTasks()
 	o.cfg.Log.Info("tasks of older jobs wait for agents that are not reconciled", zap.Uint64("term", o.cfg.Term), zap.Int("agents", blocking),
-		zap.Bool("all", all), zap.Int("tasks", len(tasks)), zap.String("last", last.id), zap.Bool("connected", last.link != nil),
+		zap.Int("open_agents", open), zap.Bool("all", all), zap.Int("tasks", len(tasks)), zap.String("last", last.id), zap.Bool("connected", last.link != nil),
 		zap.Bool("open", last.mayRunAny), zap.Duration("lease", last.leaseExpiresAt.Sub(now)))
 }
