elector: Extend a confirmation again with each ping, not once for 10 s

Cause: once the owner's confirmation was 1 s old, every other entry extended it for all that was left of 10 s. If that owner was lost then, the next claim had to state these seconds, though the owner had been silent before it.

An entry extends it for 3 s with each ping now. As it claims only after 1 s of silence, its claim states no more than the 2 s that hold without an outage. The owner acts on an old confirmation only while the extensions of all others are current by its own clock. Ruled out: shorter total time, as work has to outlast an outage of 9 s. The price: an entry that is lost in the middle of an outage ends the extensions 3 s later, which shows only in outages of which more than 8 s are left then.

TestRunsOutliveAnOutageOfTheStore and all histories of ./elector and ./coordinator pass but for TestHistoriesWithAgentsThatRestartBesideCrashes, known red.

--- a/coordinator/owner_client.go
+++ b/coordinator/owner_client.go
@@ -173,8 +173,8 @@
 	}
 }
 
-// pingLoop pings the owner and closes the connection when a reply is overdue. A ping that
-// extends the owner's confirmation is sent at once.
+// pingLoop pings the owner and closes the connection when a reply is overdue. The first of the
+// pings that extend the owner's confirmation is sent at once.
 func (c *ownerClient) pingLoop(ctx context.Context, conn *messenger.Conn) {
 	var extended *messenger.ConfirmationRef
 	for ctx.Err() == nil {
@@ -185,12 +185,12 @@
 			conn.Close("silent for too long")
 			return
 		}
-		before := extended
+		first := extended == nil
 		extended = nil
 		if reply.Confirmation != nil && c.cfg.Extend != nil {
 			extended = c.cfg.Extend(*reply.Confirmation)
 		}
-		if extended == nil || before != nil && *before == *extended {
+		if !first || extended == nil {
 			waiter.Sleep(ctx, pingInterval)
 		}
 	}
--- a/elector/claim.go
+++ b/elector/claim.go
@@ -81,7 +81,7 @@
 		reason = "owner released"
 	case alive && owner.Incarnation != e.record.Owner.Incarnation:
 		reason = "owner started anew"
-	case !alive && now.Sub(e.cfg.OwnerLastReply()) > time.Second:
+	case !alive && now.Sub(e.cfg.OwnerLastReply()) > ownerSilence:
 		reason = reasonOwnerLost
 	}
 	if reason == "" {
--- a/elector/elector.go
+++ b/elector/elector.go
@@ -43,8 +43,11 @@
 	releaseCooldown = 6 * time.Second
 	// retryDelay is the delay after a failed call to the store.
 	retryDelay = 200 * time.Millisecond
-	// ConfirmationTTL is how long a confirmation of ownership is valid that all other
-	// entries have extended. It outlasts the store outage of nine seconds that most fault
+	// ownerSilence is how long an owner without a live key may send nothing on its links before
+	// it is taken for lost.
+	ownerSilence = time.Second
+	// ConfirmationTTL is how long a confirmation of ownership is valid while all other
+	// entries extend it. It outlasts the store outage of nine seconds that most fault
 	// scenarios contain, so that such an outage does not stop the work.
 	ConfirmationTTL = 10 * time.Second
 	// UnextendedTTL is how long a confirmation is valid otherwise: four intervals between
--- a/elector/extension.go
+++ b/elector/extension.go
@@ -13,9 +13,14 @@
 // confirmation: twice confirmInterval, and early enough for two pings before UnextendedTTL.
 const extensionAge = time.Second
 
+// extensionTTL is for how long an entry extends a confirmation at once. It claims only after
+// ownerSilence, so that its claim states no more than UnextendedTTL after an outage, too.
+const extensionTTL = UnextendedTTL + ownerSilence
+
 // extensions keep an owner that does not reach the store at work: it acts on a confirmation
-// older than UnextendedTTL once every entry that might claim has agreed to say in its claim
-// how long the owner may still act. The claims of all others state ConfirmationTTL.
+// older than UnextendedTTL while every entry that might claim agrees, again with each ping, to
+// say in its claim how long the owner may still act. The claims of all others state
+// ConfirmationTTL.
 type extensions struct {
 	// granted has, by ID, the newest confirmation of this owner that an entry has extended.
 	granted map[string]grant
@@ -49,9 +54,10 @@
 		return nil
 	}
 	now := e.cfg.Now()
+	remaining := min(extensionTTL, e.confirmedAt.Add(ConfirmationTTL).Sub(now))
 	c := &messenger.OwnerConfirmation{
-		ConfirmationRef: e.confirmationLocked(),
-		RemainingMs:     max(e.confirmedAt.Add(ConfirmationTTL).Sub(now).Milliseconds()+1, 0),
+		ConfirmationRef: messenger.ConfirmationRef{Term: e.record.Term, At: e.confirmedAt.UnixNano(), Sent: now.UnixNano()},
+		RemainingMs:     max(remaining.Milliseconds()+1, 0),
 		Ask:             now.Sub(e.confirmedAt) >= extensionAge,
 	}
 	if e.members[id].Incarnation == incarnation {
@@ -60,11 +66,6 @@
 	return c
 }
 
-// confirmationLocked identifies the newest confirmation of this owner; mu is held.
-func (e *Elector) confirmationLocked() messenger.ConfirmationRef {
-	return messenger.ConfirmationRef{Term: e.record.Term, At: e.confirmedAt.UnixNano()}
-}
-
 // RecordExtension records that a process of another entry has extended a confirmation of
 // this owner.
 func (e *Elector) RecordExtension(id, incarnation string, extended messenger.ConfirmationRef) {
@@ -73,20 +74,27 @@
 	e.extensions.granted[id] = grant{incarnation, extended}
 }
 
-// ConfirmationExtended reports whether each other live entry has extended the newest
-// confirmation of this owner.
+// extendsLocked reports whether a process of an entry has extended the newest confirmation of
+// this owner until now or later; mu is held.
+func (e *Elector) extendsLocked(g grant, incarnation string) bool {
+	c := g.confirmation
+	return g.incarnation == incarnation && c.Term == e.record.Term && c.At == e.confirmedAt.UnixNano() && e.cfg.Now().UnixNano() < c.Sent+extensionTTL.Nanoseconds()
+}
+
+// ConfirmationExtended reports whether each other live entry extends the newest confirmation
+// of this owner at present.
 func (e *Elector) ConfirmationExtended() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	return e.isOwnerLocked() && len(e.notExtendedByLocked()) == 0
 }
 
-// notExtendedByLocked returns the IDs of the other live entries that have not extended the
-// newest confirmation of this owner; mu is held.
+// notExtendedByLocked returns the IDs of the other live entries that don't extend the newest
+// confirmation of this owner at present; mu is held.
 func (e *Elector) notExtendedByLocked() []string {
 	var ids []string
 	for id, m := range e.members {
-		if id != e.cfg.Self.ID && e.extensions.granted[id] != (grant{m.Incarnation, e.confirmationLocked()}) {
+		if id != e.cfg.Self.ID && !e.extendsLocked(e.extensions.granted[id], m.Incarnation) {
 			ids = append(ids, id)
 		}
 	}
@@ -108,10 +116,10 @@
 	if !c.Ask || x.claimedVersion == e.version && x.pendingClaims > 0 {
 		return nil
 	}
-	if x.newest != c.ConfirmationRef {
+	if x.newest.Term != c.Term || x.newest.At != c.At {
 		e.cfg.Log.Info("confirmation of the owner extended", zap.Uint64("term", c.Term), zap.Int64("remaining_ms", c.RemainingMs))
-		x.newest = c.ConfirmationRef
 	}
+	x.newest = c.ConfirmationRef
 	remaining := min(time.Duration(c.RemainingMs)*time.Millisecond, ConfirmationTTL)
 	x.until = later(x.until, e.cfg.Now().Add(estimator.MaxLocalElapsed(remaining)))
 	return &c.ConfirmationRef
--- a/messenger/pool_messages.go
+++ b/messenger/pool_messages.go
@@ -214,16 +214,18 @@
 	Extended *ConfirmationRef `cbor:"3,keyasint,omitempty"`
 }
 
-// ConfirmationRef identifies a confirmation of ownership.
+// ConfirmationRef identifies a confirmation of ownership, and when the owner asked for its
+// extension.
 type ConfirmationRef struct {
 	Term uint64 `cbor:"1,keyasint"`
-	At   int64  `cbor:"2,keyasint"` // Unix nanoseconds on the owner's clock
+	At   int64  `cbor:"2,keyasint"`           // Unix nanoseconds on the owner's clock
+	Sent int64  `cbor:"6,keyasint,omitempty"` // the same
 }
 
 // OwnerConfirmation is what an owner tells another entry of its newest confirmation.
 type OwnerConfirmation struct {
 	ConfirmationRef
-	// RemainingMs is how long the owner may act on it at the most, in ms.
+	// RemainingMs is how long the owner may act on it from Sent on if it is extended, in ms.
 	RemainingMs int64 `cbor:"3,keyasint"`
 	// LiveVersion is the version of the other entry's live key that the owner knows, or 0. It
 	// acts on an old confirmation only if the entry has extended it.
