elector: Keep in the store whom an owner asks for extensions

A claim stated 10 s wherever the lost owner had not counted the claimant's present live key. In an outage of 2 s and more all live keys expire and are written anew under other versions, so that the next owner waited for 10 s + lease if the owner was lost in it. Cause: the owner stopped asking an entry as soon as its live key was gone, so that only the key's version said whether the entry had been asked.

Each claim writes the list of those whom the owner asks (ef/live/extenders), and the owner rewrites it as the membership changes. It stops asking a process only once the store has a list without it; a claim that relies on the list checks its version. The process that owned before is asked again once it has pinged the new owner. Ruled out: asking an entry for some time after its live key expired, which ends all extensions for that time wherever an entry is lost for good before an outage. A fleet with entries of both versions claims with 10 s.

--- a/elector/claim.go
+++ b/elector/claim.go
@@ -20,6 +20,7 @@
 	for ctx.Err() == nil {
 		waiter.Sleep(ctx, checkInterval)
 		if e.IsOwner() {
+			e.updateExtenders(ctx)
 			e.refreshConfirmation(ctx)
 			continue
 		}
@@ -165,8 +166,10 @@
 	sent := e.cfg.Now()
 	e.mu.Lock()
 	counted, extended := e.countedLocked(), max(e.extensions.until.Sub(sent), 0)
+	e.extensions.before = extender{record.Owner.ID, record.Owner.Incarnation}
+	list := storer.Write{Key: extendersKey, Value: e.currentExtendersLocked(next.Term).encode()}
 	e.mu.Unlock()
-	newVersion, err := e.writeRecord(ctx, next, checks, e.cfg.ClaimKey)
+	newVersion, err := e.writeRecord(ctx, next, checks, e.cfg.ClaimKey, list)
 	if err != nil {
 		e.endClaimAttempt(err)
 		return err
@@ -203,8 +206,8 @@
 	default: // the owner has stopped
 		ttl = record.EarlierOwnersTTL()
 	}
-	if e.countedLocked() { // the owner counts this entry only while its live key has this version
-		checks = append(checks, storer.Check{Key: entryPrefix + e.cfg.Self.ID, Version: e.extensions.countedVersion})
+	if e.countedLocked() { // the owner asks this entry only as long as the list has this version
+		checks = append(checks, storer.Check{Key: extendersKey, Version: e.extensions.listVersion})
 	}
 	return OwnerRecord{Owner: e.cfg.Self, Term: record.Term + 1, PredecessorsStopped: ttl == 0, RemainingTTL: ttl, Roster: true}, checks
 }
@@ -239,14 +242,13 @@
 	return item, err
 }
 
-// writeRecord sets the owner key, and the claim key unless it is empty, if the checks hold;
-// one is on the owner key.
-func (e *Elector) writeRecord(ctx context.Context, r OwnerRecord, checks []storer.Check, claimKey string) (uint64, error) {
+// writeRecord sets the owner key, the claim key unless it is empty, and other keys, if the
+// checks hold; one is on the owner key.
+func (e *Elector) writeRecord(ctx context.Context, r OwnerRecord, checks []storer.Check, claimKey string, alongside ...storer.Write) (uint64, error) {
 	value, err := cbor.Marshal(r)
 	if err != nil {
 		return 0, err
 	}
-	var alongside []storer.Write
 	if claimKey != "" {
 		alongside = append(alongside, storer.Write{Key: claimKey, Value: value})
 	}
@@ -256,7 +258,7 @@
 	}, alongside...)
 	var conflict *storer.ConflictError
 	if errors.As(err, &conflict) {
-		e.apply([]storer.Item{conflict.Item(OwnerKey)})
+		e.apply([]storer.Item{conflict.Item(OwnerKey), conflict.Item(extendersKey)})
 	}
 	return newVersion, err
 }
--- a/elector/claim_test.go
+++ b/elector/claim_test.go
@@ -104,7 +104,7 @@
 func TestALostOwnerDoesNotCountAsStoppedAfterAnEarlyRelease(t *testing.T) {
 	withCluster(t, 2, func(c *qt.C, cl *cluster) {
 		first := cl.owner()
-		cl.kill(first)
+		cl.killUnaware(first)
 		killed := time.Now()
 		cl.start("entry-2", "1")
 		second := first
@@ -126,7 +126,7 @@
 // the next owner wait for them from the beginning.
 func TestAReleaseSaysHowLongEarlierOwnersMayAct(t *testing.T) {
 	withCluster(t, 2, func(c *qt.C, cl *cluster) {
-		cl.kill(cl.owner())
+		cl.killUnaware(cl.owner())
 		for cl.owner() == "" {
 			advancer.Sleep(100 * time.Millisecond)
 		}
--- a/elector/elector.go
+++ b/elector/elector.go
@@ -96,10 +96,8 @@
 	// keyDeleted is set while the owner key does not exist, though it did; version is then one
 	// at which it was gone.
 	keyDeleted bool
-	// members has the live entries by ID, as last read from the store, and memberVersions the
-	// versions of their live keys.
-	members        map[string]Member
-	memberVersions map[string]uint64
+	// members has the live entries by ID, as last read from the store.
+	members map[string]Member
 	// unreadable has the IDs of live keys that can't be decoded.
 	unreadable map[string]bool
 	// confirmedAt is the send time of the newest call to the store that confirmed
@@ -136,7 +134,7 @@
 	if cfg.Count == nil {
 		cfg.Count = func(string) {}
 	}
-	return &Elector{cfg: cfg, members: map[string]Member{}, memberVersions: map[string]uint64{}, unreadable: map[string]bool{}, extensions: extensions{granted: map[string]grant{}}}
+	return &Elector{cfg: cfg, members: map[string]Member{}, unreadable: map[string]bool{}, extensions: extensions{granted: map[string]grant{}}}
 }
 
 // Owner returns the owner record and the version of the owner key.
--- a/elector/elector_test.go
+++ b/elector/elector_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"net/netip"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -79,6 +81,16 @@
 	delete(cl.nodes, id)
 }
 
+// killUnaware kills an owner as all other entries start anew, so that it has asked none of their
+// processes for anything.
+func (cl *cluster) killUnaware(owner string) {
+	cl.kill(owner)
+	for _, id := range slices.Collect(maps.Keys(cl.nodes)) {
+		cl.kill(id)
+		cl.start(id, "2")
+	}
+}
+
 // owner returns the ID of the node that considers itself the owner, and fails the
 // test if there are several.
 func (cl *cluster) owner() string {
--- /dev/null
+++ b/elector/extenders_test.go
@@ -0,0 +1,75 @@
+package elector
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/endivefall/endivefall/advancer"
+	"github.com/endivefall/endivefall/faker"
+	"github.com/endivefall/endivefall/storer"
+)
+
+// An entry whose live key has expired may be alive, and claim with the list as it is.
+func TestAnOwnerAsksAProcessUntilTheListIsWrittenWithoutIt(t *testing.T) {
+	withCluster(t, 2, func(c *qt.C, cl *cluster) {
+		owner := cl.nodes[cl.owner()]
+		cl.store.SetFault(func(call string) faker.StoreFault { return faker.StoreFault{Refuse: call == "commit"} })
+		cl.kill(cl.other(cl.owner()))
+		advancer.Sleep(3 * time.Second)
+		c.Check(owner.Members(), qt.HasLen, 0)
+		c.Check(owner.ConfirmationExtended(), qt.IsFalse)
+		cl.store.SetFault(nil)
+		advancer.Sleep(time.Second)
+		c.Check(owner.ConfirmationExtended(), qt.IsTrue)
+	})
+}
+
+// An entry was frozen while the owner stopped asking it.
+func TestAClaimReliesOnTheListOfExtendersOnlyAsItIs(t *testing.T) {
+	withCluster(t, 3, func(c *qt.C, cl *cluster) {
+		owner := cl.owner()
+		n := cl.nodes[cl.other(owner)]
+		record, version := n.Owner()
+		next, checks := n.nextRecord(reasonOwnerLost, record, version)
+		c.Assert(next.EarlierOwnersTTL(), qt.Equals, UnextendedTTL)
+		for id := range cl.nodes {
+			if id != owner && cl.nodes[id] != n {
+				cl.kill(id)
+			}
+		}
+		advancer.Sleep(3 * time.Second)
+		_, err := n.writeRecord(t.Context(), next, checks, testClaimKey)
+		c.Check(err, qt.ErrorIs, storer.ErrConflict)
+	})
+}
+
+// A list that another writer has deleted or overwritten is written again.
+func TestAnOddListOfExtendersIsReplaced(t *testing.T) {
+	for name, spoil := range map[string]func(cl *cluster){
+		"deleted": func(cl *cluster) { cl.store.DeleteKey(extendersKey) },
+		"unreadable": func(cl *cluster) {
+			_, err := cl.store.Client().Commit(cl.c.Context(), storer.Transaction{Writes: []storer.Write{{Key: extendersKey, Value: []byte("\xff")}}})
+			cl.c.Assert(err, qt.IsNil)
+		},
+		"of a later term": func(cl *cluster) {
+			_, err := cl.store.Client().Commit(cl.c.Context(), storer.Transaction{Writes: []storer.Write{{Key: extendersKey, Value: extenders{Term: 1 << 40}.encode()}}})
+			cl.c.Assert(err, qt.IsNil)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			withCluster(t, 2, func(c *qt.C, cl *cluster) {
+				owner := cl.owner()
+				id := cl.other(owner)
+				spoil(cl)
+				advancer.Sleep(time.Second)
+				cl.kill(owner)
+				advancer.Sleep(4 * time.Second)
+				c.Assert(cl.owner(), qt.Equals, id)
+				record, _ := cl.nodes[id].Owner()
+				c.Check(record.EarlierOwnersTTL(), qt.Equals, UnextendedTTL)
+			})
+		})
+	}
+}
--- a/elector/extension.go
+++ b/elector/extension.go
@@ -1,6 +1,7 @@
 package elector
 
 import (
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -28,11 +29,18 @@
 	// others, newest the last one that it did.
 	until  time.Time
 	newest messenger.ConfirmationRef
-	// countedTerm and countedVersion are the term of an owner that asks this entry before it
-	// acts on an old confirmation, and the version of the live key for which it does, at the
-	// latest since the local time countedAt.
-	countedTerm, countedVersion uint64
-	countedAt                   time.Time
+	// list is the newest known list of extenders, listVersion the version of its key, 0 if there
+	// is none, and listedAt the one at which this was read. The owner has asked those listed
+	// at the latest since the local time countedAt.
+	list                  extenders
+	listVersion, listedAt uint64
+	countedAt             time.Time
+	// before is the process that owned before this one, until it shows that it goes on. Most
+	// end with their release.
+	before extender
+	// written has the processes of lists that this owner has written, as long as the outcome
+	// is not known.
+	written []extender
 	// claimedVersion is the version of the owner key that pendingClaims claims of this entry
 	// may replace, now or late. Meanwhile it extends nothing of that owner.
 	claimedVersion uint64
@@ -53,17 +61,16 @@
 	if !e.isOwnerLocked() {
 		return nil
 	}
+	if e.extensions.before == (extender{id, incarnation}) {
+		e.extensions.before = extender{}
+	}
 	now := e.cfg.Now()
 	remaining := min(extensionTTL, e.confirmedAt.Add(ConfirmationTTL).Sub(now))
-	c := &messenger.OwnerConfirmation{
+	return &messenger.OwnerConfirmation{
 		ConfirmationRef: messenger.ConfirmationRef{Term: e.record.Term, At: e.confirmedAt.UnixNano(), Sent: now.UnixNano()},
 		RemainingMs:     max(remaining.Milliseconds()+1, 0),
 		Ask:             now.Sub(e.confirmedAt) >= extensionAge,
 	}
-	if e.members[id].Incarnation == incarnation {
-		c.LiveVersion = e.memberVersions[id]
-	}
-	return c
 }
 
 // RecordExtension records that a process of another entry has extended a confirmation of
@@ -81,21 +88,22 @@
 	return g.incarnation == incarnation && c.Term == e.record.Term && c.At == e.confirmedAt.UnixNano() && e.cfg.Now().UnixNano() < c.Sent+extensionTTL.Nanoseconds()
 }
 
-// ConfirmationExtended reports whether each other live entry extends the newest confirmation
-// of this owner at present.
+// ConfirmationExtended reports whether every process that might claim extends the newest
+// confirmation of this owner at present.
 func (e *Elector) ConfirmationExtended() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.isOwnerLocked() && len(e.notExtendedByLocked()) == 0
+	return e.isOwnerLocked() && e.extensions.list.Term == e.record.Term && len(e.notExtendedByLocked()) == 0
 }
 
-// notExtendedByLocked returns the IDs of the other live entries that don't extend the newest
-// confirmation of this owner at present; mu is held.
+// notExtendedByLocked returns the IDs of the other entries, live or listed as extenders, that
+// don't extend the newest confirmation of this owner at present; mu is held.
 func (e *Elector) notExtendedByLocked() []string {
 	var ids []string
-	for id, m := range e.members {
-		if id != e.cfg.Self.ID && !e.extendsLocked(e.extensions.granted[id], m.Incarnation) {
-			ids = append(ids, id)
+	asked := slices.Concat(e.currentExtendersLocked(e.record.Term).Entries, e.extensions.list.Entries, e.extensions.written)
+	for _, x := range asked {
+		if !slices.Contains(ids, x.ID) && !e.extendsLocked(e.extensions.granted[x.ID], x.Incarnation) {
+			ids = append(ids, x.ID)
 		}
 	}
 	return ids
@@ -110,9 +118,6 @@
 		return nil
 	}
 	x := &e.extensions
-	if c.LiveVersion != 0 && c.LiveVersion == e.memberVersions[e.cfg.Self.ID] && (x.countedTerm != c.Term || x.countedVersion != c.LiveVersion) {
-		x.countedTerm, x.countedVersion, x.countedAt = c.Term, c.LiveVersion, e.cfg.Now()
-	}
 	if !c.Ask || x.claimedVersion == e.version && x.pendingClaims > 0 {
 		return nil
 	}
@@ -125,13 +130,6 @@
 	return &c.ConfirmationRef
 }
 
-// countedLocked reports whether the owner of record asks this entry before it acts on an old
-// confirmation, if the live key still has that version in the store; mu is held.
-func (e *Elector) countedLocked() bool {
-	x := &e.extensions
-	return x.countedTerm == e.record.Term && x.countedVersion != 0 && x.countedVersion == e.memberVersions[e.cfg.Self.ID]
-}
-
 // lostOwnerTTLLocked returns how long the owner of record, which is lost, and those before it may
 // still act after a claim; mu is held.
 func (e *Elector) lostOwnerTTLLocked() time.Duration {
--- a/elector/extension_test.go
+++ b/elector/extension_test.go
@@ -43,38 +43,36 @@
 // had answered all the while, and 12 s where it had been away just before.
 func TestAClaimStatesHowLongTheLostOwnerMayAct(t *testing.T) {
 	for name, tt := range map[string]struct {
-		counted  bool
-		extended bool
-		rejoin   bool // the entry has a new live key
-		ttl      time.Duration
+		before func(cl *cluster, id, owner string)
+		ttl    time.Duration
 	}{
-		"store answers":                 {counted: true, ttl: UnextendedTTL},
-		"owner does not know the entry": {ttl: ConfirmationTTL},
-		"owner knows its last live key": {counted: true, rejoin: true, ttl: ConfirmationTTL},
-		"extended":                      {counted: true, extended: true, ttl: UnextendedTTL},
+		"store answers": {func(*cluster, string, string) {}, UnextendedTTL},
+		"extended":      {func(cl *cluster, id, owner string) { cl.ping(id, owner, true) }, UnextendedTTL},
+		"entry has a new live key": {func(cl *cluster, id, _ string) {
+			cl.nodes[id].Deregister(cl.c.Context())
+			advancer.Sleep(time.Second)
+		}, UnextendedTTL},
+		"live keys expired in an outage": {func(cl *cluster, _, owner string) {
+			cl.store.SetFault(func(string) faker.StoreFault { return faker.StoreFault{Refuse: true} })
+			advancer.Sleep(3 * time.Second)
+			cl.kill(owner)
+			cl.store.SetFault(nil)
+		}, UnextendedTTL},
+		"owner does not know the process": {func(cl *cluster, _, owner string) { cl.killUnaware(owner) }, ConfirmationTTL},
 	} {
 		t.Run(name, func(t *testing.T) {
 			withCluster(t, 2, func(c *qt.C, cl *cluster) {
 				owner := cl.owner()
 				id := cl.other(owner)
-				if tt.counted {
-					cl.ping(id, owner, false)
+				tt.before(cl, id, owner)
+				if cl.nodes[owner] != nil {
+					cl.kill(owner)
 				}
-				if tt.rejoin {
-					n := cl.nodes[id]
-					n.Deregister(t.Context())
-					advancer.Sleep(time.Second)
-				}
-				if tt.extended {
-					cl.ping(id, owner, true)
-				}
-				cl.kill(owner)
 				advancer.Sleep(4 * time.Second)
 				c.Assert(cl.owner(), qt.Equals, id)
 				record, _ := cl.nodes[id].Owner()
 				c.Check(record.PredecessorsStopped, qt.IsFalse)
-				ttl := record.EarlierOwnersTTL()
-				c.Check(ttl, qt.Equals, tt.ttl)
+				c.Check(record.EarlierOwnersTTL(), qt.Equals, tt.ttl)
 			})
 		})
 	}
@@ -141,7 +139,6 @@
 		owner := cl.owner()
 		id := cl.other(owner)
 		n := cl.nodes[id]
-		cl.ping(id, owner, false)
 		record, version := n.Owner()
 		next, checks := n.nextRecord(reasonOwnerLost, record, version)
 		c.Assert(next.EarlierOwnersTTL(), qt.Equals, UnextendedTTL)
@@ -201,7 +198,7 @@
 }
 
 // A write of the live key that was sent twice takes effect late, under the same lease. The entry
-// checks the version of the first one in each claim from then on.
+// checked the version of the first one in each claim from then on.
 func TestAnEntryClaimsAfterItsLiveKeyWasWrittenAgain(t *testing.T) {
 	withCluster(t, 2, func(c *qt.C, cl *cluster) {
 		owner := cl.owner()
--- a/elector/members.go
+++ b/elector/members.go
@@ -111,8 +111,11 @@
 // reset replaces the membership by that of a list.
 func (e *Elector) reset(page storer.Page) {
 	e.mu.Lock()
-	e.members, e.memberVersions, e.unreadable = map[string]Member{}, map[string]uint64{}, map[string]bool{}
+	e.members, e.unreadable = map[string]Member{}, map[string]bool{}
 	e.applyLocked(page.Items)
+	if !slices.ContainsFunc(page.Items, func(item storer.Item) bool { return item.Key == extendersKey }) {
+		e.applyExtendersLocked(storer.Item{Key: extendersKey, Version: page.Version, Deleted: true})
+	}
 	e.mu.Unlock()
 	e.reportChange(len(page.Items))
 }
@@ -135,17 +138,21 @@
 
 // applyLocked is apply without OnChange; mu is held.
 func (e *Elector) applyLocked(items []storer.Item) {
+	// The owner key goes first: the list of extenders before says who was asked until then.
 	for _, item := range items {
 		if item.Key == OwnerKey {
 			e.applyOwnerRecord(item)
-			continue
+		}
+	}
+	for _, item := range items {
+		if item.Key == extendersKey {
+			e.applyExtendersLocked(item)
 		}
 		id, ok := strings.CutPrefix(item.Key, entryPrefix)
 		if !ok {
 			continue
 		}
 		delete(e.members, id)
-		delete(e.memberVersions, id)
 		delete(e.unreadable, id)
 		if item.Deleted {
 			continue
@@ -157,6 +164,6 @@
 			e.unreadable[id] = true
 			continue
 		}
-		e.members[id], e.memberVersions[id] = m, item.Version
+		e.members[id] = m
 	}
 }
--- a/messenger/pool_messages.go
+++ b/messenger/pool_messages.go
@@ -227,9 +227,6 @@
 	ConfirmationRef
 	// RemainingMs is how long the owner may act on it from Sent on if it is extended, in ms.
 	RemainingMs int64 `cbor:"3,keyasint"`
-	// LiveVersion is the version of the other entry's live key that the owner knows, or 0. It
-	// acts on an old confirmation only if the entry has extended it.
-	LiveVersion uint64 `cbor:"4,keyasint,omitempty"`
 	// Ask is set if the owner asks for an extension.
 	Ask bool `cbor:"5,keyasint,omitempty"`
 }
