--- a/coordinator/absent_agent_test.go
+++ b/coordinator/absent_agent_test.go
@@ -23,10 +23,10 @@
 	lastingTasks = 10
 )
 
-// newLastingFleet returns a fleet with three entries, and five agents on which lastingTasks
+// newLastingFleet returns a fleet of some entries, and five agents on which lastingTasks
 // long-running tasks run.
-func newLastingFleet(ctx context.Context, c *qt.C, t *testing.T) *fleet {
-	f := newFleet(ctx, t, 1, 3, 5)
+func newLastingFleet(ctx context.Context, c *qt.C, t *testing.T, entries int) *fleet {
+	f := newFleet(ctx, t, 1, entries, 5)
 	advancer.Sleep(3 * time.Second)
 	spec := &sequencer.Spec{ID: "00000000000000aa", Queue: "queue", Pool: "pool", Steps: []sequencer.Step{{Count: lastingTasks, CPU: 1000, Memory: 100, LongRunning: true}}}
 	f.auditor.AddJob(spec)
@@ -63,18 +63,21 @@
 
 // inLastingFleet runs a test in a bubble, and checks the invariants at its end.
 func inLastingFleet(t *testing.T, test func(c *qt.C, f *fleet)) {
-	synctest.Test(t, func(t *testing.T) {
-		c := qt.New(t)
-		ctx, cancel := context.WithCancel(context.Background())
-		f := newLastingFleet(ctx, c, t)
-		test(c, f)
-		f.clearFaults()
-		advancer.Sleep(10 * time.Second)
-		cancel()
-		f.close()
-		c.Check(f.auditor.Violations(), qt.HasLen, 0)
-		advancer.Sleep(time.Minute)
-	})
+	synctest.Test(t, func(t *testing.T) { withLastingFleet(t, 3, test) })
+}
+
+// withLastingFleet runs a test with a fleet of some entries, and checks the invariants at its end.
+func withLastingFleet(t *testing.T, entries int, test func(c *qt.C, f *fleet)) {
+	c := qt.New(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	f := newLastingFleet(ctx, c, t, entries)
+	test(c, f)
+	f.clearFaults()
+	advancer.Sleep(10 * time.Second)
+	cancel()
+	f.close()
+	c.Check(f.auditor.Violations(), qt.HasLen, 0)
+	advancer.Sleep(time.Minute)
 }
 
 // An agent was killed as its owner froze. The next owner saw a task at work elsewhere, and
