scheduler: Verify the owner before a run is reported as unknown

Cause: an entry whose registration had expired goes on answering from its copy of a shard until its next commit fails, up to a quarter of the ownership TTL later, while another entry has claimed the shard and accepted runs.

An entry reads the shard's epoch from the store before it says that it doesn't have a run, and before it lists. If the store doesn't answer, the request is answered with ledger-down in place of not found. The state of a run that the copy has may still be old for that long.

--- a/entry/jobs.go
+++ b/entry/jobs.go
@@ -66,11 +66,11 @@
 }
 
 func (e *Entry) getJob(w http.ResponseWriter, r *http.Request) {
-	e.handleJob(w, r, http.StatusOK, func(_ context.Context, s *scheduler.Scheduler) (any, error) { return s.Get(runID(r)) })
+	e.handleJob(w, r, http.StatusOK, func(ctx context.Context, s *scheduler.Scheduler) (any, error) { return s.Get(ctx, runID(r)) })
 }
 
 func (e *Entry) listJobs(w http.ResponseWriter, r *http.Request) {
-	e.handleJob(w, r, http.StatusOK, func(_ context.Context, s *scheduler.Scheduler) (any, error) { return s.List(r.PathValue("team")) })
+	e.handleJob(w, r, http.StatusOK, func(ctx context.Context, s *scheduler.Scheduler) (any, error) { return s.List(ctx, r.PathValue("team")) })
 }
 
 func (e *Entry) cancelJob(w http.ResponseWriter, r *http.Request) {
@@ -78,7 +78,7 @@
 }
 
 func (e *Entry) explainJob(w http.ResponseWriter, r *http.Request) {
-	e.handleJob(w, r, http.StatusOK, func(_ context.Context, s *scheduler.Scheduler) (any, error) { return s.Explain(runID(r)) })
+	e.handleJob(w, r, http.StatusOK, func(ctx context.Context, s *scheduler.Scheduler) (any, error) { return s.Explain(ctx, runID(r)) })
 }
 
 // handleJob calls do if this entry owns the run's shard, and otherwise forwards
--- a/recorder/recorder.go
+++ b/recorder/recorder.go
@@ -144,6 +144,24 @@
 	return r.shard.Runs
 }
 
+// Verify reads from the store whether this entry still owns the shard, and returns ErrNotOwner
+// if another one has claimed it.
+func (r *Recorder) Verify(ctx context.Context) error {
+	item, err := r.cfg.Store.Get(ctx, r.cfg.Key)
+	if err != nil {
+		return fmt.Errorf("verifying the owner of %s: %w", r.cfg.Key, err)
+	}
+	stored, err := decodeShard(item.Value)
+	if err != nil {
+		return err
+	}
+	if stored.Epoch != r.Epoch() {
+		r.closeLost.Do(func() { close(r.lost) })
+		return fmt.Errorf("%s: %w", r.cfg.Key, ErrNotOwner)
+	}
+	return nil
+}
+
 // Stats returns the number of commits, the number of changes in them and the size
 // of the last commit in bytes.
 func (r *Recorder) Stats() (commits, changes, bytes int64) {
--- a/scheduler/history_test.go
+++ b/scheduler/history_test.go
@@ -131,7 +131,7 @@
 		f.mu.Lock()
 		e := f.entries[name]
 		f.mu.Unlock()
-		if r, err := e.sched.Get(id); err == nil {
+		if r, err := e.sched.Get(context.Background(), id); err == nil {
 			return r
 		}
 	}
--- a/scheduler/jobs.go
+++ b/scheduler/jobs.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"strings"
 
@@ -51,8 +52,9 @@
 	return fmt.Sprintf("%g processors, %s memory, %d accelerators", n.Processors, n.Memory, n.Accelerators)
 }
 
-// Get returns the current state of a run.
-func (s *Scheduler) Get(id string) (*recorder.Run, error) {
+// Get returns the current state of a run. It reads the store before it reports a run as
+// unknown: another entry may have claimed the shard and accepted the run.
+func (s *Scheduler) Get(ctx context.Context, id string) (*recorder.Run, error) {
 	sh, err := s.shardOfRun(id)
 	if err != nil {
 		return nil, err
@@ -60,15 +62,26 @@
 	if r := sh.rec.Runs()[id]; r != nil {
 		return r, nil
 	}
-	return nil, fmt.Errorf("%s: %w", id, ErrRunNotFound)
+	return nil, sh.notFound(ctx, id)
 }
 
-// List returns a team's runs.
-func (s *Scheduler) List(team string) ([]*recorder.Run, error) {
+// notFound returns ErrRunNotFound for a run, or why the shard may have it all the same.
+func (sh *shard) notFound(ctx context.Context, id string) error {
+	if err := sh.rec.Verify(ctx); err != nil {
+		return err
+	}
+	return fmt.Errorf("%s: %w", id, ErrRunNotFound)
+}
+
+// List returns a team's runs, once the store has shown that the shard is still this entry's.
+func (s *Scheduler) List(ctx context.Context, team string) ([]*recorder.Run, error) {
 	sh, err := s.shardOfRun(team)
 	if err != nil {
 		return nil, err
 	}
+	if err := sh.rec.Verify(ctx); err != nil {
+		return nil, err
+	}
 	var list []*recorder.Run
 	for id, r := range sh.rec.Runs() {
 		if strings.HasPrefix(id, team+"/") {
@@ -88,13 +101,16 @@
 	err = sh.rec.Update(ctx, func(tx *recorder.Tx) error {
 		r := tx.Run(id)
 		if r == nil {
-			return fmt.Errorf("%s: %w", id, ErrRunNotFound)
+			return ErrRunNotFound
 		}
 		if !r.End(recorder.Cancelled, "cancelled", tx.Now) {
 			return recorder.ErrUnchanged
 		}
 		return nil
 	})
+	if errors.Is(err, ErrRunNotFound) {
+		return nil, sh.notFound(ctx, id)
+	}
 	if err != nil {
 		return nil, err
 	}
@@ -110,8 +126,8 @@
 }
 
 // Explain returns the state of a run and its last placement.
-func (s *Scheduler) Explain(id string) (Explanation, error) {
-	r, err := s.Get(id)
+func (s *Scheduler) Explain(ctx context.Context, id string) (Explanation, error) {
+	r, err := s.Get(ctx, id)
 	if err != nil {
 		return Explanation{}, err
 	}
