--- a/elector/extenders_test.go
+++ b/elector/extenders_test.go
@@ -26,6 +26,30 @@
 	})
 }
 
+// The list with an entry that left at once got no reply. The owner asked the entry ever after, and
+// would have stopped all work in an outage.
+func TestAnOwnerStopsAskingAProcessThatLeftBeforeItsListWasWritten(t *testing.T) {
+	withCluster(t, 2, func(c *qt.C, cl *cluster) {
+		owner := cl.owner()
+		other := cl.other(owner)
+		cl.start("brief", "1")
+		for len(cl.nodes[owner].Members()) < 2 {
+			advancer.Sleep(time.Millisecond)
+		}
+		cl.store.SetFault(func(call string) faker.StoreFault {
+			return faker.StoreFault{LoseReply: call == "commit", ApplyDelay: time.Hour}
+		})
+		advancer.Sleep(2 * checkInterval)
+		cl.nodes["brief"].Deregister(t.Context())
+		cl.kill("brief")
+		advancer.Sleep(2 * checkInterval)
+		cl.store.SetFault(nil)
+		advancer.Sleep(2 * time.Second)
+		cl.ping(other, owner, true)
+		c.Check(cl.nodes[owner].ConfirmationExtended(), qt.IsTrue)
+	})
+}
+
 // An entry was frozen while the owner stopped asking it.
 func TestAClaimReliesOnTheListOfExtendersOnlyAsItIs(t *testing.T) {
 	withCluster(t, 3, func(c *qt.C, cl *cluster) {
