elector: List an entry that pings before it has its live key again

Callers would see long-running tasks stand still for 10 s + lease where the owner is lost just after an outage of the store of 2 s or more, in which the live keys expired.

Cause: as soon as the store answered, the owner saw that the live keys were gone and wrote the list of extenders without the entries, which had yet to write theirs, so that the next claim stated 10 s. The list now has the processes, too, that have pinged the owner within the last second and are connected: as they ping, they extend. A live key outlasts the last ping of an entry that is lost by a second, so none is listed for longer for it, and one that ends closes its connection. Ruled out: keeping whoever had a live key for some seconds, which ends all extensions where an entry is lost just before an outage.

--- a/coordinator/links.go
+++ b/coordinator/links.go
@@ -40,6 +40,9 @@
 }
 
 func (c *Coordinator) onDisconnect(l *connector.Link) {
+	if l.Hello.Role == messenger.RoleEntry {
+		c.elector.Disconnect(l.Hello.ID, l.Hello.Incarnation)
+	}
 	o, link := c.agentLink(l)
 	c.mu.Lock()
 	delete(c.links, l)
--- a/elector/elector.go
+++ b/elector/elector.go
@@ -134,7 +134,7 @@
 	if cfg.Count == nil {
 		cfg.Count = func(string) {}
 	}
-	return &Elector{cfg: cfg, members: map[string]Member{}, unreadable: map[string]bool{}, extensions: extensions{granted: map[string]grant{}}}
+	return &Elector{cfg: cfg, members: map[string]Member{}, unreadable: map[string]bool{}, extensions: extensions{granted: map[string]grant{}, pings: map[string]ping{}}}
 }
 
 // Owner returns the owner record and the version of the owner key.
--- a/elector/extenders.go
+++ b/elector/extenders.go
@@ -49,7 +49,7 @@
 }
 
 // currentExtendersLocked returns the list that this entry writes as the owner of a term; mu is
-// held.
+// held. A process that still pings it is about to write its live key again.
 func (e *Elector) currentExtendersLocked(term uint64) extenders {
 	l := extenders{Term: term}
 	for id, m := range e.members {
@@ -57,6 +57,12 @@
 			l.Entries = append(l.Entries, x)
 		}
 	}
+	silentSince := e.cfg.Now().Add(-ownerSilence)
+	for id, p := range e.extensions.pings {
+		if _, live := e.members[id]; !live && id != e.cfg.Self.ID && p.at.After(silentSince) {
+			l.Entries = append(l.Entries, extender{id, p.incarnation})
+		}
+	}
 	slices.SortFunc(l.Entries, func(a, b extender) int { return cmp.Compare(a.ID, b.ID) })
 	return l
 }
--- a/elector/extenders_test.go
+++ b/elector/extenders_test.go
@@ -69,6 +69,34 @@
 	})
 }
 
+// All live keys expired in an outage. Once the store answered, the owner wrote a list without the
+// entries that had yet to write theirs, and was lost then.
+func TestAnOwnerAsksAPingingProcessThatHasYetToWriteItsLiveKey(t *testing.T) {
+	for delay := 100 * time.Millisecond; delay <= 2*time.Second; delay += 100 * time.Millisecond {
+		t.Run(delay.String(), func(t *testing.T) {
+			withCluster(t, 2, func(c *qt.C, cl *cluster) {
+				owner := cl.owner()
+				other := cl.other(owner)
+				pingFor := func(d time.Duration) {
+					for end := time.Now().Add(d); time.Now().Before(end); advancer.Sleep(100 * time.Millisecond) {
+						cl.ping(other, owner, false)
+						cl.lastReply.Store(time.Now().UnixNano())
+					}
+				}
+				cl.store.SetFault(func(string) faker.StoreFault { return faker.StoreFault{Delay: 300 * time.Millisecond, Refuse: true} })
+				pingFor(3 * time.Second)
+				cl.store.SetFault(nil)
+				pingFor(delay)
+				cl.kill(owner)
+				advancer.Sleep(5 * time.Second)
+				c.Assert(cl.owner(), qt.Equals, other)
+				record, _ := cl.nodes[other].Owner()
+				c.Check(record.EarlierOwnersTTL(), qt.Equals, UnextendedTTL)
+			})
+		})
+	}
+}
+
 // A list that another writer has deleted or overwritten is written again.
 func TestAnOddListOfExtendersIsReplaced(t *testing.T) {
 	for name, spoil := range map[string]func(cl *cluster){
--- a/elector/extension.go
+++ b/elector/extension.go
@@ -25,6 +25,8 @@
 type extensions struct {
 	// granted has, by ID, the newest confirmation of this owner that an entry has extended.
 	granted map[string]grant
+	// pings has, by ID, the last ping of each entry that is connected to this owner.
+	pings map[string]ping
 	// until is the local time until which this entry has extended the confirmations of
 	// others, newest the last one that it did.
 	until  time.Time
@@ -53,6 +55,12 @@
 	confirmation messenger.ConfirmationRef
 }
 
+// ping is the last ping of a process of an entry.
+type ping struct {
+	incarnation string
+	at          time.Time
+}
+
 // Confirmation returns what this owner tells a process of another entry, or nil if it is not
 // the owner.
 func (e *Elector) Confirmation(id, incarnation string) *messenger.OwnerConfirmation {
@@ -65,6 +73,7 @@
 		e.extensions.before = extender{}
 	}
 	now := e.cfg.Now()
+	e.extensions.pings[id] = ping{incarnation, now}
 	remaining := min(extensionTTL, e.confirmedAt.Add(ConfirmationTTL).Sub(now))
 	return &messenger.OwnerConfirmation{
 		ConfirmationRef: messenger.ConfirmationRef{Term: e.record.Term, At: e.confirmedAt.UnixNano(), Sent: now.UnixNano()},
@@ -73,6 +82,15 @@
 	}
 }
 
+// Disconnect records that a process of another entry has lost its connection to this owner.
+func (e *Elector) Disconnect(id, incarnation string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.extensions.pings[id].incarnation == incarnation {
+		delete(e.extensions.pings, id)
+	}
+}
+
 // RecordExtension records that a process of another entry has extended a confirmation of
 // this owner.
 func (e *Elector) RecordExtension(id, incarnation string, extended messenger.ConfirmationRef) {
