elector: Conclude nothing of the roster from a late claim that checks no list

Callers could see two runs of a task: the next owner may take the lease of an agent that the last one never recorded for over while that one still renews it.

Cause: whether the lost owner asked this entry was read from the list as known when the claim took effect. A claim that was sent before the entry was listed checks no list, and takes effect late, also where the owner has dropped the entry from the list meanwhile and acts on the extensions of the others. An attempt that was surely refused changes nothing.

TestALateClaimWithoutACheckOfTheListSaysNothingOfTheRoster/late failed before and passes now; go test ./elector passes, TestHistoriesWithFrozenEntries and TestHistoriesWithOwnersLostInSeries with -histories 60.

--- a/elector/claim.go
+++ b/elector/claim.go
@@ -192,6 +192,9 @@
 	if e.extensions.claimedVersion != version {
 		e.extensions.claimedVersion, e.extensions.pendingClaims = version, 0
 	}
+	if e.extensions.pendingClaims == 0 {
+		e.extensions.claimedUncounted = false
+	}
 	e.extensions.pendingClaims++
 	if e.claimSentAt.IsZero() || e.claimSentVersion != version {
 		e.claimSentAt, e.claimSentVersion = e.cfg.Now(), version
@@ -208,6 +211,8 @@
 	}
 	if e.countedLocked() { // the owner asks this entry only as long as the list has this version
 		checks = append(checks, storer.Check{Key: extendersKey, Version: e.extensions.listVersion})
+	} else {
+		e.extensions.claimedUncounted = true
 	}
 	return OwnerRecord{Owner: e.cfg.Self, Term: record.Term + 1, PredecessorsStopped: ttl == 0, RemainingTTL: ttl, Roster: true}, checks
 }
--- a/elector/elector.go
+++ b/elector/elector.go
@@ -267,7 +267,7 @@
 	if r.Term != e.record.Term {
 		now := e.cfg.Now()
 		e.unrosteredUntil = time.Time{}
-		if e.record.Roster && r.Term == e.record.Term+1 && e.countedLocked() {
+		if e.record.Roster && r.Term == e.record.Term+1 && e.countedLocked() && !e.extensions.claimedUncounted {
 			x := &e.extensions
 			e.unrosteredUntil = later(later(e.earlierUntil, e.ownerSeenAt.Add(estimator.MaxLocalElapsed(UnextendedTTL))), later(x.countedAt, x.until))
 		}
--- a/elector/elector_test.go
+++ b/elector/elector_test.go
@@ -54,16 +54,21 @@
 	})
 }
 
-func (cl *cluster) start(id, incarnation string) {
+// elector returns an elector that is not served.
+func (cl *cluster) elector(id, incarnation string) *Elector {
 	store := cl.store.Client()
 	if g := cl.frozen[id]; g != nil {
 		store = g.wrap(store)
 	}
-	e := New(Config{
+	return New(Config{
 		Self:  Member{ID: id, Incarnation: incarnation, PeerAddr: netip.MustParseAddrPort("10.0.0.1:1"), CPUCapacity: cl.cpuCapacity[id]},
 		Store: store, ClaimKey: testClaimKey, Now: time.Now, Log: zap.NewNop(), OwnerLastReply: func() time.Time { return time.Unix(0, cl.lastReply.Load()) },
 		OnChange: func(OwnerRecord, []Member) {},
 	})
+}
+
+func (cl *cluster) start(id, incarnation string) {
+	e := cl.elector(id, incarnation)
 	ctx, stop := context.WithCancel(context.Background())
 	n := &node{Elector: e, stop: stop, done: make(chan struct{})}
 	cl.nodes[id] = n
--- a/elector/extenders_test.go
+++ b/elector/extenders_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/fxamacker/cbor/v2"
 
 	"github.com/endivefall/endivefall/advancer"
 	"github.com/endivefall/endivefall/faker"
@@ -69,6 +70,37 @@
 	})
 }
 
+// A claim that checks no list took effect late. By then the owner asked this entry no more, so that
+// it may have renewed the lease of any agent until just before.
+func TestALateClaimWithoutACheckOfTheListSaysNothingOfTheRoster(t *testing.T) {
+	for name, refused := range map[string]bool{"late": false, "refused": true} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			cl := &cluster{c: c, store: faker.NewStore()}
+			n := cl.elector("next", "1")
+			asked := extenders{Term: 1, Entries: []extender{{"next", "1"}}}
+			record := OwnerRecord{Owner: Member{ID: "old", PeerAddr: n.cfg.Self.PeerAddr}, Term: 1, Roster: true}
+			item := func(key string, version uint64, value any) storer.Item {
+				raw, err := cbor.Marshal(value)
+				c.Assert(err, qt.IsNil)
+				return storer.Item{Key: key, Version: version, Value: raw}
+			}
+			n.apply([]storer.Item{item(OwnerKey, 5, record), item(extendersKey, 5, extenders{Term: 1})})
+			_, unchecked := n.nextRecord(reasonOwnerLost, record, 5)
+			c.Assert(unchecked, qt.HasLen, 1)
+			n.apply([]storer.Item{item(extendersKey, 6, asked)})
+			if refused {
+				n.endClaimAttempt(storer.ErrUnavailable)
+			}
+			next, checks := n.nextRecord(reasonOwnerLost, record, 5)
+			c.Assert(checks, qt.HasLen, 2)
+			n.apply([]storer.Item{item(OwnerKey, 8, next), item(extendersKey, 8, extenders{Term: 2})})
+			c.Check(n.IsOwner(), qt.IsTrue)
+			c.Check(n.UnrosteredUntil().IsZero(), qt.Equals, !refused)
+		})
+	}
+}
+
 // All live keys expired in an outage. Once the store answered, the owner wrote a list without the
 // entries that had yet to write theirs, and was lost then.
 func TestAnOwnerAsksAPingingProcessThatHasYetToWriteItsLiveKey(t *testing.T) {
--- a/elector/extension.go
+++ b/elector/extension.go
@@ -47,6 +47,9 @@
 	// may replace, now or late. Meanwhile it extends nothing of that owner.
 	claimedVersion uint64
 	pendingClaims  int
+	// claimedUncounted is set if one of them does not check the list, so that the owner may
+	// have stopped asking this entry before it takes effect.
+	claimedUncounted bool
 }
 
 // grant is an extension by a process of an entry.
