elector: Write the list of extenders while the store is slow

Callers would see long-running tasks wait for 10 s + lease where an entry came while the store answered late, and the owner was lost then.

Cause: the owner wrote the list of extenders only while its confirmation was less than 1 s old. With calls of 0.85 s it never is when the list is due, so that no new entry was listed. It writes the list now while the confirmation is valid without extensions. A write confirms ownership as a read does. Ruled out: writing it at any age, which delays the reads that show the end of an outage.

TestTheListOfExtendersIsWrittenWhileTheStoreIsSlow/850ms failed before in 3 of 3 runs and passes now, the shorter delays passed. TestRunsOutliveAnOutageOfTheStore, TestRunsOutliveAnOutageJustAfterAClaim, TestHistoriesWithFrozenEntries and TestHistoriesWithOwnersLostInSeries pass with -histories 60.

--- a/elector/extenders.go
+++ b/elector/extenders.go
@@ -95,7 +95,7 @@
 	sent := e.cfg.Now()
 	list := e.currentExtendersLocked(e.record.Term)
 	current := x.list.Term == list.Term && slices.Equal(x.list.Entries, list.Entries) && len(x.written) == 0
-	if !e.isOwnerLocked() || current || sent.Sub(e.confirmedAt) >= extensionAge {
+	if !e.isOwnerLocked() || current || sent.Sub(e.confirmedAt) >= UnextendedTTL {
 		e.mu.Unlock()
 		return
 	}
--- a/elector/extenders_test.go
+++ b/elector/extenders_test.go
@@ -101,6 +101,32 @@
 	}
 }
 
+// The store answers late, so that each confirmation is old by the time it is known. The owner listed
+// no entry that came meanwhile.
+func TestTheListOfExtendersIsWrittenWhileTheStoreIsSlow(t *testing.T) {
+	for _, delay := range []time.Duration{5, 100, 300, 500, 700, 850} {
+		delay *= time.Millisecond
+		t.Run(delay.String(), func(t *testing.T) {
+			withCluster(t, 2, func(c *qt.C, cl *cluster) {
+				owner := cl.owner()
+				cl.store.SetFault(func(string) faker.StoreFault { return faker.StoreFault{Delay: delay} })
+				advancer.Sleep(5 * time.Second)
+				cl.start("late", "1")
+				for range 50 {
+					advancer.Sleep(200 * time.Millisecond)
+					cl.ping("late", owner, false)
+				}
+				c.Assert(cl.nodes[owner].IsOwner(), qt.IsTrue)
+				cl.nodes["late"].mu.Lock()
+				c.Check(cl.nodes["late"].countedLocked(), qt.IsTrue)
+				cl.nodes["late"].mu.Unlock()
+				cl.store.SetFault(nil)
+				advancer.Sleep(time.Second)
+			})
+		})
+	}
+}
+
 // All live keys expired in an outage. Once the store answered, the owner wrote a list without the
 // entries that had yet to write theirs, and was lost then.
 func TestAnOwnerAsksAPingingProcessThatHasYetToWriteItsLiveKey(t *testing.T) {
