--- a/elector/gate_test.go
+++ b/elector/gate_test.go
@@ -65,3 +65,9 @@
 	}
 	return &wrapped
 }
+
+func (g *gate) closed() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.open != nil
+}
