supervisor: Close the registration of an agent that ends without an owner

Callers saw long-running tasks wait nowhere at work for 8 to 12 s after an owner was lost in an outage of the store, though no agent that could run them was absent. An agent that was told to end meanwhile found no owner within 3 s and left an open registration, so that the next owner waited for its lease with all older tasks that no agent had shown.

After 1 s without an owner such an agent closes its registration itself, with the tasks of its runs, of starts of unknown outcome and of ends that are not acknowledged, or removes it if there is none. It goes on waiting for an owner. The store may be away: it tries again each 250 ms until the 3 s are over. The record is encoded in one place, the new package registrar.

What keeps a task from having two runs: - The agent starts nothing from before it reads the key, and knows all that its worker holds by a complete list. The change applies to the version read, so that one that takes effect late undoes nothing. - An open registration names the process of the agent for which it was written. An agent closes only its own. An owner that gets a connection of another process writes the registration again, under its epoch, before it starts anything there: one that still has it open in memory starts nothing that a later owner, which has read it closed, doesn't know of. Leases are renewed meanwhile, or the runs of an agent that restarts in an outage would lapse. Without the name each claim would have to write all registrations again. - The closed record is not bounded: a later owner waits for the tasks in it for all that its claim states, as the agent doesn't know how owners renew the lease. - An owner whose write meets the record adopts it and keeps the runs that it knows until the lease is over.

TestRunsMissingFromAnIncompleteSnapshotAreNotStartedAgain changes the process of the agent, and now commits the registration before it asserts what starts and what doesn't; otherwise nothing would start in either case.

--- a/coordinator/agent_node_test.go
+++ b/coordinator/agent_node_test.go
@@ -34,7 +34,8 @@
 	a.supervisor = supervisor.New(supervisor.Config{
 		ID: a.name, Incarnation: incarnation, Worker: a.worker.Client(), LeaseDuration: coordinator.RunLease(maxWorkerLease), Now: time.Now, Log: f.log.With(zap.String("at", a.name)),
 		FindOwner: func(ctx context.Context) (netip.AddrPort, uint64, error) { return elector.FindOwner(ctx, store) },
-		Client:    f.network.Client(a.name), Pacer: pacer.New(),
+		GetItem:   store.Get, Commit: store.Commit,
+		Client: f.network.Client(a.name), Pacer: pacer.New(),
 	})
 	done, sup := a.done, a.supervisor
 	go func() {
--- a/orchestrator/agent.go
+++ b/orchestrator/agent.go
@@ -36,6 +36,9 @@
 	// while it is closed and states that every owner renews the lease only within
 	// closedConfirmationTTL.
 	recordOpen, renewalBounded bool
+	// recordIncarnation is the process that its registration in the ledger names,
+	// writingIncarnation the one that a write in flight names.
+	recordIncarnation, writingIncarnation string
 	// reached is set once this owner has a snapshot of it, inRoster once the roster of this
 	// owner in the ledger has the agent.
 	reached, inRoster bool
--- a/orchestrator/agent_test.go
+++ b/orchestrator/agent_test.go
@@ -8,6 +8,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/endivefall/endivefall/messenger"
+	"github.com/endivefall/endivefall/registrar"
 	"github.com/endivefall/endivefall/storer"
 )
 
@@ -74,18 +75,18 @@
 // waited for the agent with all older jobs.
 func TestARegistrationIsClosedAfterAConflict(t *testing.T) {
 	for name, tt := range map[string]struct {
-		stored registration
+		stored registrar.Registration
 		closed int
 	}{
-		"open in the ledger":   {registration{Open: true}, 1},
-		"closed in the ledger": {registration{HeldTasks: []string{"x"}}, 0},
+		"open in the ledger":   {registrar.Registration{Open: true}, 1},
+		"closed in the ledger": {registrar.Registration{HeldTasks: []string{"x"}}, 0},
 	} {
 		t.Run(name, func(t *testing.T) {
 			c := qt.New(t)
 			h, _, a := newBusyHarness(c)
 			h.disconnect(a, 2*registrationCloseDelay)
 			h.o.handleCommit(h.o.nextBatch(), 0, h.now, &storer.ConflictError{Items: []storer.Item{
-				{Key: h.o.cfg.OwnerKey, Version: h.o.cfg.Epoch}, {Key: agentPrefix + "a0", Version: 7, Value: tt.stored.encode()},
+				{Key: h.o.cfg.OwnerKey, Version: h.o.cfg.Epoch}, {Key: registrar.Key("a0"), Version: 7, Value: tt.stored.Encode()},
 			}})
 			h.o.closeRegistration(a, h.now)
 			c.Assert(h.commitBatch(50).closedAgents, qt.HasLen, tt.closed)
--- a/orchestrator/gang_located_test.go
+++ b/orchestrator/gang_located_test.go
@@ -7,6 +7,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/endivefall/endivefall/messenger"
+	"github.com/endivefall/endivefall/registrar"
 	"github.com/endivefall/endivefall/sequencer"
 	"github.com/endivefall/endivefall/storer"
 )
@@ -24,7 +25,7 @@
 	raw, err := spec.Encode()
 	c.Assert(err, qt.IsNil)
 	h.o.takeOver([]storer.Item{{Key: JobKey(spec.ID), Value: raw, Version: 20}}, nil,
-		[]storer.Item{{Key: agentPrefix + "lost", Value: registration{Open: true}.encode(), Version: 30}})
+		[]storer.Item{{Key: registrar.Key("lost"), Value: registrar.Registration{Open: true}.Encode(), Version: 30}})
 	status := func(task string) *messenger.WorkerSnapshot {
 		return &messenger.WorkerSnapshot{Runs: []messenger.RunStatus{{Task: task, Attempt: 1, Phase: messenger.PhaseRunning, PacePercent: 100}}, Current: true}
 	}
--- a/orchestrator/harness_test.go
+++ b/orchestrator/harness_test.go
@@ -58,7 +58,7 @@
 		h.sent[id] = append(h.sent[id], f)
 		return nil
 	}}
-	a.incarnation, a.keyVersion, a.mayRunAny, a.recordOpen, a.inRoster = "b", 1, true, true, true
+	a.incarnation, a.recordIncarnation, a.keyVersion, a.mayRunAny, a.recordOpen, a.inRoster = "b", "b", 1, true, true, true
 	h.sendSnapshot(id, &messenger.WorkerSnapshot{})
 	return a
 }
--- a/orchestrator/incomplete_test.go
+++ b/orchestrator/incomplete_test.go
@@ -7,6 +7,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/endivefall/endivefall/messenger"
+	"github.com/endivefall/endivefall/registrar"
 	"github.com/endivefall/endivefall/sequencer"
 	"github.com/endivefall/endivefall/storer"
 )
@@ -24,6 +25,7 @@
 	first := messenger.RunEnd{Seq: 1, Task: j.Task(0, 0, 0).Name(), Attempt: 1, Status: messenger.EndDone}
 	h.sendIncomplete("a0", &messenger.WorkerSnapshot{RunEnds: []messenger.RunEnd{first}})
 	h.sendIncomplete("a0", &messenger.WorkerSnapshot{})
+	h.commitBatch(50) // the registration of the new process
 	c.Assert(j.liveRuns, qt.HasLen, 2)
 	h.now = h.now.Add(time.Second)
 	h.o.place()
@@ -49,7 +51,7 @@
 	h.connectAgent("a1")
 	h.o.agents["a1"].reconciled, h.o.agents["a1"].snapshot = false, nil
 	h.o.takeOver([]storer.Item{{Key: JobKey(spec.ID), Value: raw, Version: 20}}, nil,
-		[]storer.Item{{Key: agentPrefix + "a1", Value: registration{Open: true}.encode(), Version: 30}})
+		[]storer.Item{{Key: registrar.Key("a1"), Value: registrar.Registration{Open: true}.Encode(), Version: 30}})
 	h.sendIncomplete("a1", &messenger.WorkerSnapshot{})
 	h.o.place()
 	c.Assert(append(h.commands("a0"), h.commands("a1")...), qt.HasLen, 0)
--- a/orchestrator/later_roster_test.go
+++ b/orchestrator/later_roster_test.go
@@ -6,6 +6,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/endivefall/endivefall/registrar"
 	"github.com/endivefall/endivefall/storer"
 )
 
@@ -16,7 +17,7 @@
 	h := newHarness(c, 0)
 	h.o.cfg.Term, h.o.cfg.PreviousOwnerTTL = 4, 2*time.Second
 	h.o.cfg.UnrosteredUntil = h.now.Add(-time.Hour) // the last owner claimed long ago
-	h.o.takeOver(nil, nil, []storer.Item{{Key: agentPrefix + "lost", Value: registration{Open: true}.encode(), Version: 30}})
+	h.o.takeOver(nil, nil, []storer.Item{{Key: registrar.Key("lost"), Value: registrar.Registration{Open: true}.Encode(), Version: 30}})
 	h.o.loadRoster(storer.Item{Key: rosterKey, Value: roster{Term: 5, Agents: []string{"other"}}.encode(), Version: 31})
 	c.Assert(h.o.agents["lost"].leaseExpiresAt.Sub(h.now), qt.Equals, 2*time.Second+h.o.maxLeaseElapsed())
 }
--- a/orchestrator/locate_test.go
+++ b/orchestrator/locate_test.go
@@ -7,6 +7,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/endivefall/endivefall/messenger"
+	"github.com/endivefall/endivefall/registrar"
 	"github.com/endivefall/endivefall/sequencer"
 	"github.com/endivefall/endivefall/storer"
 )
@@ -37,7 +38,7 @@
 			raw, err := spec.Encode()
 			c.Assert(err, qt.IsNil)
 			h.o.takeOver([]storer.Item{{Key: JobKey(spec.ID), Value: raw, Version: 20}}, nil,
-				[]storer.Item{{Key: agentPrefix + "lost", Value: registration{Open: true}.encode(), Version: 30}})
+				[]storer.Item{{Key: registrar.Key("lost"), Value: registrar.Registration{Open: true}.Encode(), Version: 30}})
 			status := messenger.RunStatus{Task: "00000000000000aa.0.0.0", Attempt: 1, Phase: tt.phase, PacePercent: 100}
 			h.sendSnapshot("a0", &messenger.WorkerSnapshot{Current: tt.current, Runs: []messenger.RunStatus{status}})
 			h.reportEnd("a0", 1, status.Task, 1, messenger.EndWorkerLost)
--- a/orchestrator/orchestrator.go
+++ b/orchestrator/orchestrator.go
@@ -32,8 +32,6 @@
 	ClaimKey = InputPrefix + "owner"
 	// progressPrefix is the key prefix of job progress.
 	progressPrefix = "ef/out/"
-	// agentPrefix is the key prefix of agents that may hold work.
-	agentPrefix = "ef/agent/"
 )
 
 // JobKey returns the key of an accepted job.
--- a/orchestrator/registration.go
+++ b/orchestrator/registration.go
@@ -3,10 +3,10 @@
 import (
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
 	"go.uber.org/zap"
 
 	"github.com/endivefall/endivefall/messenger"
+	"github.com/endivefall/endivefall/registrar"
 	"github.com/endivefall/endivefall/sequencer"
 )
 
@@ -14,39 +14,16 @@
 // registration is closed. Most agents reconnect sooner.
 const registrationCloseDelay = 250 * time.Millisecond
 
-// registration is the ledger record of an agent that may hold work. A later owner
-// that cannot reach the agent delays the tasks that it may run until its lease has
-// certainly expired.
-type registration struct {
-	// Open means that the agent may run any task.
-	Open bool `cbor:"1,keyasint,omitempty"`
-	// HeldTasks are the tasks that the agent may run if the registration is not
-	// open.
-	HeldTasks []string `cbor:"2,keyasint,omitempty"`
-	// Bounded means that, while the registration is closed, every owner renews the
-	// agent's lease only on a confirmation younger than closedConfirmationTTL.
-	Bounded bool `cbor:"3,keyasint,omitempty"`
-}
-
-func (r registration) encode() []byte {
-	raw, err := cbor.Marshal(r)
-	if err != nil {
-		panic(err) // a bool and strings always encode
-	}
-	return raw
-}
-
 // loadRegistration sets the state of an agent from its ledger record. A record that
 // cannot be decoded counts as open, as the agent may run any task.
 func (o *Orchestrator) loadRegistration(a *agent, version uint64, value []byte) {
-	r := registration{}
-	if err := cbor.Unmarshal(value, &r); err != nil {
+	r, err := registrar.Decode(value)
+	if err != nil {
 		o.cfg.Log.Warn("registration can't be decoded; treating it as open", zap.String("agent", a.id), zap.Error(err))
 		o.cfg.Count(unreadableRegistrationCount)
-		r = registration{Open: true}
 	}
 	a.keyVersion, a.mayRunAny, a.recordedTasks = version, r.Open, r.HeldTasks
-	a.recordOpen, a.renewalBounded = r.Open, r.Bounded && !r.Open
+	a.recordOpen, a.recordIncarnation, a.renewalBounded = r.Open, r.Incarnation, r.Bounded && !r.Open
 }
 
 // earlierOwnersStopped reports whether the confirmations of every earlier owner have
@@ -58,10 +35,15 @@
 // closedRegistration returns the record of an agent whose registration is closed. It is
 // bounded only once the confirmations of every earlier owner have expired: one of them
 // may have loaded the registration while it was open, and renew the lease for longer.
-func (o *Orchestrator) closedRegistration(a *agent) registration {
-	return registration{HeldTasks: a.heldTasks(), Bounded: o.earlierOwnersStopped()}
+func (o *Orchestrator) closedRegistration(a *agent) registrar.Registration {
+	return registrar.Registration{HeldTasks: a.heldTasks(), Bounded: o.earlierOwnersStopped(), Incarnation: a.incarnation}
 }
 
+// startsRegistered reports whether the open registration of an agent is of the process that is
+// connected. An earlier process may have closed it as it ended, which this owner learns only
+// when it writes the registration for the next one.
+func (a *agent) startsRegistered() bool { return a.recordIncarnation == a.incarnation }
+
 // boundRegistration writes a closed registration again that was written while an
 // earlier owner might still act.
 func (o *Orchestrator) boundRegistration(a *agent) {
@@ -95,7 +77,7 @@
 	case !snapshot.Reconciled: // it may run nothing; expireLease removes its registration
 	default:
 		a.closePending, a.removalPending = false, false // they are not written yet
-		a.mayRunAny, a.openPending = a.recordOpen, !a.recordOpen
+		a.mayRunAny, a.openPending = a.recordOpen, !a.recordOpen || !a.startsRegistered()
 	}
 }
 
--- a/orchestrator/registration_test.go
+++ b/orchestrator/registration_test.go
@@ -7,6 +7,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/endivefall/endivefall/messenger"
+	"github.com/endivefall/endivefall/registrar"
 	"github.com/endivefall/endivefall/sequencer"
 	"github.com/endivefall/endivefall/storer"
 )
@@ -108,7 +109,7 @@
 func TestAnAgentWithoutAWorkerKeepsItsRegistrationClosed(t *testing.T) {
 	c := qt.New(t)
 	h := newHarness(c, 1)
-	h.o.takeOver(nil, nil, []storer.Item{{Key: agentPrefix + "lost", Value: registration{HeldTasks: []string{"x.0.0.0"}}.encode(), Version: 30}})
+	h.o.takeOver(nil, nil, []storer.Item{{Key: registrar.Key("lost"), Value: registrar.Registration{HeldTasks: []string{"x.0.0.0"}}.Encode(), Version: 30}})
 	lost := h.o.agents["lost"]
 	lost.link = &AgentLink{ID: "lost", Incarnation: "b2", TrySend: func(messenger.Frame) error { return nil }}
 	h.o.handleSnapshot(lost, &messenger.WorkerSnapshot{Term: 1})
@@ -124,10 +125,10 @@
 		value  []byte
 		starts int
 	}{
-		"closed":        {registration{HeldTasks: []string{"00000000000000aa.0.0.1"}}.encode(), 2},
-		"open":          {registration{Open: true}.encode(), 0},
+		"closed":        {registrar.Registration{HeldTasks: []string{"00000000000000aa.0.0.1"}}.Encode(), 2},
+		"open":          {registrar.Registration{Open: true}.Encode(), 0},
 		"undecodable":   {[]byte("a1"), 0},
-		"no held tasks": {registration{}.encode(), 3},
+		"no held tasks": {registrar.Registration{}.Encode(), 3},
 	} {
 		t.Run(name, func(t *testing.T) {
 			c := qt.New(t)
@@ -136,7 +137,7 @@
 			spec := sequencer.Spec{ID: "00000000000000aa", Pool: "pool", Queue: "queue", AcceptedAt: h.now, Steps: []sequencer.Step{step(3, 10)}}
 			raw, err := spec.Encode()
 			c.Assert(err, qt.IsNil)
-			h.o.takeOver([]storer.Item{{Key: JobKey(spec.ID), Value: raw, Version: 20}}, nil, []storer.Item{{Key: agentPrefix + "lost", Value: tt.value, Version: 30}})
+			h.o.takeOver([]storer.Item{{Key: JobKey(spec.ID), Value: raw, Version: 20}}, nil, []storer.Item{{Key: registrar.Key("lost"), Value: tt.value, Version: 30}})
 			h.o.place()
 			c.Assert(h.commands("a0"), qt.HasLen, tt.starts)
 			lost := h.o.agents["lost"]
@@ -177,7 +178,7 @@
 			raw, err := spec.Encode()
 			c.Assert(err, qt.IsNil)
 			h.o.takeOver([]storer.Item{{Key: JobKey(spec.ID), Value: raw, Version: 20}}, nil,
-				[]storer.Item{{Key: agentPrefix + "lost", Value: b.transaction.Writes[0].Value, Version: 50}})
+				[]storer.Item{{Key: registrar.Key("lost"), Value: b.transaction.Writes[0].Value, Version: 50}})
 			h.o.place()
 			c.Assert(h.commands("a0"), qt.HasLen, 0, qt.Commentf("its lease may not have expired"))
 			h.now = h.now.Add(maxRestartDelay)
@@ -241,7 +242,7 @@
 			record := h.commitBatch(50).transaction.Writes[0].Value
 			next := newHarness(c, 0)
 			next.o.cfg.PreviousOwnerTTL = 10 * time.Second
-			next.o.takeOver(nil, nil, []storer.Item{{Key: agentPrefix + "lost", Value: record, Version: 50}})
+			next.o.takeOver(nil, nil, []storer.Item{{Key: registrar.Key("lost"), Value: record, Version: 50}})
 			c.Assert(next.o.agents["lost"].leaseExpiresAt, qt.Equals, next.o.cfg.ClaimedAt.Add(tt.held+next.o.maxLeaseElapsed()))
 		})
 	}
@@ -298,7 +299,7 @@
 	c.Assert(a.keyVersion, qt.Equals, uint64(50))
 	next := newHarness(c, 0)
 	next.o.cfg.PreviousOwnerTTL = next.o.cfg.ConfirmationTTL
-	next.o.takeOver(nil, nil, []storer.Item{{Key: agentPrefix + "lost", Value: record, Version: 50}})
+	next.o.takeOver(nil, nil, []storer.Item{{Key: registrar.Key("lost"), Value: record, Version: 50}})
 	c.Assert(next.o.agents["lost"].leaseExpiresAt.Sub(next.o.cfg.ClaimedAt) <= maxRestartDelay, qt.IsTrue)
 }
 
--- a/orchestrator/roster_test.go
+++ b/orchestrator/roster_test.go
@@ -7,6 +7,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/endivefall/endivefall/messenger"
+	"github.com/endivefall/endivefall/registrar"
 	"github.com/endivefall/endivefall/storer"
 )
 
@@ -32,7 +33,7 @@
 			if tt.known {
 				h.o.cfg.UnrosteredUntil = h.now.Add(until)
 			}
-			h.o.takeOver(nil, nil, []storer.Item{{Key: agentPrefix + "lost", Value: registration{Open: true}.encode(), Version: 30}})
+			h.o.takeOver(nil, nil, []storer.Item{{Key: registrar.Key("lost"), Value: registrar.Registration{Open: true}.Encode(), Version: 30}})
 			version := uint64(0)
 			if tt.value != nil {
 				version = 31
--- a/orchestrator/takeover_test.go
+++ b/orchestrator/takeover_test.go
@@ -6,6 +6,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/endivefall/endivefall/messenger"
+	"github.com/endivefall/endivefall/registrar"
 	"github.com/endivefall/endivefall/sequencer"
 	"github.com/endivefall/endivefall/storer"
 )
@@ -121,7 +122,7 @@
 	raw, err := spec.Encode()
 	c.Assert(err, qt.IsNil)
 	h.o.takeOver([]storer.Item{{Key: JobKey(spec.ID), Value: raw, Version: 20}}, nil,
-		[]storer.Item{{Key: agentPrefix + "lost", Value: registration{Open: true}.encode(), Version: 30}})
+		[]storer.Item{{Key: registrar.Key("lost"), Value: registrar.Registration{Open: true}.Encode(), Version: 30}})
 	run := messenger.RunStatus{Task: "00000000000000aa.0.0.0", Attempt: 1, Phase: messenger.PhaseRunning, PacePercent: 100}
 	h.sendSnapshot("a1", &messenger.WorkerSnapshot{})
 	h.sendSnapshot("a0", &messenger.WorkerSnapshot{Draining: true, DrainRemainingMs: 20000, Runs: []messenger.RunStatus{run}})
--- a/orchestrator/unavailability.go
+++ b/orchestrator/unavailability.go
@@ -10,7 +10,7 @@
 	// disconnected workers have no agent that answers, or an agent that doesn't reach them.
 	disconnected
 	// unregistered workers have an agent that is not reconciled, or whose registration is
-	// not open.
+	// not open, or open for an earlier process of the agent.
 	unregistered
 	draining
 	// leaseless workers start nothing before their lease is renewed.
@@ -27,7 +27,7 @@
 		return disconnected
 	case snapshot.Draining:
 		return draining
-	case !a.mayRunAny || !a.reconciled:
+	case !a.mayRunAny || !a.startsRegistered() || !a.reconciled:
 		return unregistered
 	case !snapshot.MayStart:
 		return leaseless
--- a/orchestrator/watch.go
+++ b/orchestrator/watch.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap/zapcore"
 
 	"github.com/endivefall/endivefall/estimator"
+	"github.com/endivefall/endivefall/registrar"
 	"github.com/endivefall/endivefall/sequencer"
 	"github.com/endivefall/endivefall/storer"
 	"github.com/endivefall/endivefall/waiter"
@@ -56,7 +57,8 @@
 }
 
 // loadLedger reads the ledger and returns the version from which to watch. Progress
-// and agents are read only the first time, as only the owner writes them.
+// and agents are read only the first time: the owner writes them, and learns from a conflict
+// that an agent has closed its own registration.
 func (o *Orchestrator) loadLedger(ctx context.Context, first bool) (uint64, error) {
 	inputs, err := o.cfg.Store.List(ctx, InputPrefix)
 	if err != nil {
@@ -70,7 +72,7 @@
 	if err != nil {
 		return 0, err
 	}
-	agents, err := o.cfg.Store.List(ctx, agentPrefix)
+	agents, err := o.cfg.Store.List(ctx, registrar.Prefix)
 	if err != nil {
 		return 0, err
 	}
@@ -111,7 +113,7 @@
 		o.addJob(item, p, stored.Version)
 	}
 	for _, item := range agents {
-		id := strings.TrimPrefix(item.Key, agentPrefix)
+		id := strings.TrimPrefix(item.Key, registrar.Prefix)
 		a := o.agent(id)
 		o.loadRegistration(a, item.Version, item.Value)
 		a.hasUnknownRuns = !a.reconciled
--- a/orchestrator/watch_test.go
+++ b/orchestrator/watch_test.go
@@ -11,6 +11,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/endivefall/endivefall/registrar"
 	"github.com/endivefall/endivefall/sequencer"
 	"github.com/endivefall/endivefall/storer"
 )
@@ -173,14 +174,14 @@
 
 // Until the lease of the agent has expired, its tasks may go on.
 func TestARegistrationThatCantBeReadBlocksOlderJobs(t *testing.T) {
-	for name, value := range map[string][]byte{"empty": nil, "text": []byte("text"), "nested": bytes.Repeat([]byte{0x81}, 10000), "cut off": registration{HeldTasks: []string{"x.0.0.0"}}.encode()[:5]} {
+	for name, value := range map[string][]byte{"empty": nil, "text": []byte("text"), "nested": bytes.Repeat([]byte{0x81}, 10000), "cut off": registrar.Registration{HeldTasks: []string{"x.0.0.0"}}.Encode()[:5]} {
 		t.Run(name, func(t *testing.T) {
 			c := qt.New(t)
 			h := newHarness(c, 1)
 			spec := sequencer.Spec{ID: "00000000000000aa", Pool: "pool", Queue: "queue", AcceptedAt: h.now, Steps: []sequencer.Step{step(1, 100)}}
 			raw, err := spec.Encode()
 			c.Assert(err, qt.IsNil)
-			h.o.takeOver([]storer.Item{{Key: JobKey(spec.ID), Value: raw, Version: 9}}, nil, []storer.Item{{Key: agentPrefix + "lost", Value: value, Version: 8}})
+			h.o.takeOver([]storer.Item{{Key: JobKey(spec.ID), Value: raw, Version: 9}}, nil, []storer.Item{{Key: registrar.Key("lost"), Value: value, Version: 8}})
 			h.o.place()
 			c.Check(h.commands("a0"), qt.HasLen, 0)
 			c.Check(h.counts["unreadable_registration"], qt.Equals, 1)
@@ -200,7 +201,7 @@
 	f.Fuzz(func(t *testing.T, key string, raw []byte) {
 		h := newHarness(qt.New(t), 1)
 		items := []storer.Item{{Key: InputPrefix + key, Value: raw, Version: 8}}
-		h.o.takeOver(items, []storer.Item{{Key: progressPrefix + key, Value: raw, Version: 8}}, []storer.Item{{Key: agentPrefix + key, Value: raw, Version: 8}})
+		h.o.takeOver(items, []storer.Item{{Key: progressPrefix + key, Value: raw, Version: 8}}, []storer.Item{{Key: registrar.Key(key), Value: raw, Version: 8}})
 		j := h.submit(sequencer.Spec{Steps: []sequencer.Step{step(1, 100)}})
 		h.o.handleInputs(items)
 		h.o.place()
--- a/orchestrator/write.go
+++ b/orchestrator/write.go
@@ -8,6 +8,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/endivefall/endivefall/registrar"
 	"github.com/endivefall/endivefall/sequencer"
 	"github.com/endivefall/endivefall/storer"
 	"github.com/endivefall/endivefall/waiter"
@@ -94,24 +95,24 @@
 	}
 	for _, a := range o.agents {
 		if a.openPending && b.keyCount() < maxBatchKeys {
-			a.openPending, a.writing = false, true
+			a.openPending, a.writing, a.writingIncarnation = false, true, a.incarnation
 			b.openedAgents = append(b.openedAgents, a)
-			add(agentPrefix+a.id, a.keyVersion, registration{Open: true}.encode())
+			add(registrar.Key(a.id), a.keyVersion, registrar.Registration{Open: true, Incarnation: a.incarnation}.Encode())
 		}
 		if a.closePending && b.keyCount() < maxBatchKeys {
-			a.closePending, a.writing = false, true
+			a.closePending, a.writing, a.writingIncarnation = false, true, a.incarnation
 			r := o.closedRegistration(a)
 			a.renewalBounded = r.Bounded
 			b.closedAgents = append(b.closedAgents, a)
-			add(agentPrefix+a.id, a.keyVersion, r.encode())
+			add(registrar.Key(a.id), a.keyVersion, r.Encode())
 		}
 	}
 	for _, a := range o.agents {
 		if a.removalPending && b.keyCount() < maxBatchKeys {
 			a.removalPending, a.writing = false, true
 			b.removedAgents = append(b.removedAgents, a)
-			b.transaction.Checks = append(b.transaction.Checks, storer.Check{Key: agentPrefix + a.id, Version: a.keyVersion})
-			b.transaction.Deletes = append(b.transaction.Deletes, agentPrefix+a.id)
+			b.transaction.Checks = append(b.transaction.Checks, storer.Check{Key: registrar.Key(a.id), Version: a.keyVersion})
+			b.transaction.Deletes = append(b.transaction.Deletes, registrar.Key(a.id))
 			a.keyVersion, a.mayRunAny, a.recordOpen = 0, false, false // from now on no command and no lease renewal is sent there
 		}
 	}
@@ -179,7 +180,7 @@
 	o.cfg.ConfirmOwnership(sent)
 	o.handleRosterWritten(b, version)
 	for _, a := range b.openedAgents {
-		a.keyVersion, a.writing, a.mayRunAny, a.recordOpen = version, false, true, true
+		a.keyVersion, a.writing, a.mayRunAny, a.recordOpen, a.recordIncarnation = version, false, true, true, a.writingIncarnation
 		o.planDue = true
 		o.cfg.Log.Info("agent registered", zap.String("agent", a.id))
 		if a.snapshot != nil {
@@ -187,7 +188,7 @@
 		}
 	}
 	for _, a := range b.closedAgents {
-		a.keyVersion, a.writing, a.recordOpen = version, false, false
+		a.keyVersion, a.writing, a.recordOpen, a.recordIncarnation = version, false, false, a.writingIncarnation
 		o.cfg.Log.Info("agent registration closed", zap.String("agent", a.id), zap.Int("runs", len(a.runs)), zap.Int("ends", len(a.pendingEnds)))
 		o.letLeave(a)
 	}
@@ -228,12 +229,12 @@
 
 // resolveConflict adopts the state in the ledger of the keys that were in conflict,
 // and queues the progress of the jobs again; the next snapshot or tick updates the
-// registration of an agent. Only this owner writes these keys, so a conflict means
-// that the reply to an earlier write was lost.
+// registration of an agent. A conflict means that the reply to an earlier write was lost, or
+// that an agent has closed its own registration as it ended.
 func (o *Orchestrator) resolveConflict(b *batch, conflict *storer.ConflictError) {
 	for _, a := range slices.Concat(b.openedAgents, b.closedAgents, b.removedAgents) {
-		a.writing, a.mayRunAny, a.recordOpen, a.keyVersion = false, false, false, 0
-		if item := conflict.Item(agentPrefix + a.id); item.Version != 0 {
+		a.writing, a.mayRunAny, a.recordOpen, a.recordIncarnation, a.keyVersion = false, false, false, "", 0
+		if item := conflict.Item(registrar.Key(a.id)); item.Version != 0 {
 			o.loadRegistration(a, item.Version, item.Value)
 		}
 	}
--- a/supervisor/harness_test.go
+++ b/supervisor/harness_test.go
@@ -25,11 +25,12 @@
 
 // harness connects a Supervisor to a fake worker and a fake owner.
 type harness struct {
-	// mu guards what the fakes' goroutines use: all fields but c, worker, network,
+	// mu guards what the fakes' goroutines use: all fields but c, worker, store, network,
 	// sup, stop and done.
 	mu     sync.Mutex
 	c      *qt.C
 	worker *faker.PoolWorker
+	store  *faker.Store
 	// network connects the agent and the owner, which listens at ownerAddr.
 	network *faker.Network
 	sup     *supervisor.Supervisor
@@ -108,7 +109,7 @@
 }
 
 func newHarness(c *qt.C) *harness {
-	h := &harness{c: c, worker: faker.NewPoolWorker(), acking: true, owner: ownerAddr, term: 1, paces: map[string]int{}, payloads: map[string]string{}, gauges: map[string]float64{}}
+	h := &harness{c: c, worker: faker.NewPoolWorker(), store: faker.NewStore(), acking: true, owner: ownerAddr, term: 1, paces: map[string]int{}, payloads: map[string]string{}, gauges: map[string]float64{}}
 	h.worker.CPU, h.worker.Memory = 4000, 8000
 	h.plan = faker.PoolRunPlan{Duration: time.Second}
 	h.worker.Plan = func(string, uint64) faker.PoolRunPlan {
@@ -202,6 +203,7 @@
 			defer h.mu.Unlock()
 			return h.owner, max(h.term, h.nextTerm), nil
 		},
+		GetItem: h.store.Client().Get, Commit: h.store.Client().Commit,
 		Client: h.network.Client("agent"), Pacer: pacer.New(),
 		Gauge: func(name string, value float64) { h.set(func() { h.gauges[name] = value }) },
 	})
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -19,6 +19,7 @@
 	"github.com/endivefall/endivefall/estimator"
 	"github.com/endivefall/endivefall/messenger"
 	"github.com/endivefall/endivefall/pacer"
+	"github.com/endivefall/endivefall/storer"
 )
 
 // Timeouts and intervals of calls to the worker.
@@ -59,6 +60,10 @@
 	Log            *zap.Logger
 	// FindOwner returns the owner's address and term.
 	FindOwner func(ctx context.Context) (netip.AddrPort, uint64, error)
+	// GetItem and Commit reach the store, so that an agent that ends without an owner can
+	// close its registration; nil if it can't.
+	GetItem func(ctx context.Context, key string) (storer.Item, error)
+	Commit  func(ctx context.Context, change storer.Transaction) (uint64, error)
 	// Client opens connections to owners.
 	Client *http.Client
 	// OnPeers is called with the addresses of the entries that the owner knows.
