orchestrator: Locate a task by an end that no earlier owner knows of

Callers saw long-running tasks run nowhere for 8 to 12 s after a change of owner, though the new owner had their ends 0.1 s after its claim: it waited for absent agents that never had the tasks. A run at work after the claim locates its task, as a task has one run; its end did not, as an earlier owner may have had it, too, and started the task again on an agent that is absent now.

An agent now states with an end the term of which it had heard when it first sent it (RunEnd.UntoldTerm), if the run was at work in this process of the agent, and the lease was not over from then until the agent heard of that term. An owner of that term locates the task, if it is not speculative and no later attempt is known.

Why the task has one run. Between the moment at which the run was at work and the claim of the new owner, an earlier owner frees the task in one of three ways only: - It has the end. No owner counts the lease as over sooner than the agent does, by its own clock, and the agent heard of the new term, so that the claim had been made, before. After the claim no confirmation of an earlier owner succeeds. It has the run or its end, or is not complete. An owner that the agent never reached waits for it, as its registration is open or holds the task.

Ends of another process of the agent, read from the worker's list, are never stated so, nor are starts that were not confirmed: a command may arrive after its owner had ended the run by itself. Ruled out: taking an end as untold because the owner has not acknowledged it, as it may have it all the same.

What remains: an agent takes up to 1.2 s to notice that its owner is silent. What it sends meanwhile counts as told, and so does the end of a run that lapsed with its lease.

TestTasksWhoseEndNoOwnerKnewDoNotWaitForAnAbsentAgent failed in 20 of 20 plays before and passes in 20 of 20. Each guard was taken out and its test failed.

--- a/messenger/pool_messages.go
+++ b/messenger/pool_messages.go
@@ -163,6 +163,11 @@
 	// Crash is set for a run that was lost in a crash of its worker, rather than one that
 	// was emptied, drained or cut off.
 	Crash *Crash `cbor:"8,keyasint,omitempty"`
+	// UntoldTerm is the term of which the agent had heard when it first sent the end. It is set
+	// only if the run was at work in this process of the agent, and the lease was not over from
+	// then until the agent heard of the term: every owner of an earlier term counts the run as
+	// one that may be at work. It never changes.
+	UntoldTerm uint64 `cbor:"9,keyasint,omitempty"`
 }
 
 // Crash is the crash of a worker from the view of a run that was lost in it. Its times are
--- a/orchestrator/ends.go
+++ b/orchestrator/ends.go
@@ -21,6 +21,7 @@
 	pending := pendingEnd{seq: end.Seq, task: end.Task}
 	key := runKey{end.Task, end.Attempt}
 	if r := o.runs[key]; r != nil && r.agent == a {
+		o.locateByEnd(r.task, end)
 		o.endRun(r, end)
 		pending.job, pending.revision = r.job, r.job.revision
 	} else {
@@ -55,6 +56,7 @@
 	if stale {
 		end.Checkpoint = ""
 	}
+	o.locateByEnd(t, end)
 	o.applyRunEnd(j, t, a, end)
 	return j, j.revision
 }
--- a/orchestrator/registration.go
+++ b/orchestrator/registration.go
@@ -119,13 +119,22 @@
 	return tasks
 }
 
-// locate records that a task was at work after this owner's claim. A task has one run, so
+// locate records that a task was at work after this owner's claim, or that no earlier owner knew
+// that it was not. A task has one run, so
 // that no agent that is not reconciled has one, and no earlier owner starts another.
 func (o *Orchestrator) locate(t *sequencer.Task) {
 	o.planDue = o.planDue || !t.Located
 	t.Located = true
 }
 
+// locateByEnd locates a task by the end of a run that no owner of an earlier term has been told
+// of, nor concluded. Each of them counted the run as at work, and started the task nowhere else.
+func (o *Orchestrator) locateByEnd(t *sequencer.Task, end messenger.RunEnd) {
+	if end.UntoldTerm == o.cfg.Term && t.Attempt <= end.Attempt && !t.StepSpec().Speculative {
+		o.locate(t)
+	}
+}
+
 // blockedTasks returns which tasks of jobs older than this ownership must wait unless they
 // are located: all of them while an agent that is not reconciled has an open registration,
 // otherwise the tasks that such agents may run.
--- a/supervisor/commands.go
+++ b/supervisor/commands.go
@@ -31,7 +31,7 @@
 		s.cfg.Log.Warn("command of an earlier owner refused", zap.Uint64("term", cmd.Term), zap.Uint64("heard", s.term))
 		return
 	}
-	s.term = cmd.Term
+	s.hearTerm(cmd.Term)
 	if cmd.Stop != nil {
 		s.handleStop(cmd.Stop)
 		return
@@ -141,6 +141,7 @@
 	case err == nil:
 		now := s.cfg.Now()
 		r.phase, r.confirmedAt, r.startRepliedAt, s.aliveAt = messenger.PhaseRunning, clock, now, now
+		r.workedAt = r.startSentAt
 		s.adjustPaces()
 	case errors.Is(err, ErrStaleFence) && s.fence > fence:
 		return true
--- a/supervisor/list.go
+++ b/supervisor/list.go
@@ -163,7 +163,7 @@
 			r.seenTerm = requested.term
 			s.markDirty()
 		}
-		r.listed, r.crash = true, nil
+		r.listed, r.crash, r.workedAt = true, nil, requested.at
 		r.checkpoint, r.progressPercent, r.measurement = active.Checkpoint, active.ProgressPercent, active.Measurement
 	}
 	for _, ended := range reply.Ends {
@@ -182,7 +182,7 @@
 			s.endRun(r, messenger.RunEnd{Status: ended.Status, Checkpoint: ended.Checkpoint}, ended.Seq)
 			continue
 		}
-		s.addEnd(messenger.RunEnd{Task: ended.Task, Attempt: ended.Attempt, Status: ended.Status, Checkpoint: ended.Checkpoint}, ended.Seq)
+		s.addEnd(messenger.RunEnd{Task: ended.Task, Attempt: ended.Attempt, Status: ended.Status, Checkpoint: ended.Checkpoint}, ended.Seq, time.Time{})
 	}
 	for _, r := range s.sortedRuns() {
 		switch {
--- a/supervisor/owner.go
+++ b/supervisor/owner.go
@@ -57,7 +57,7 @@
 		return err
 	}
 	s.mu.Lock()
-	s.term = max(s.term, term)
+	s.hearTerm(term)
 	s.mu.Unlock()
 	dialCtx, cancelDial := context.WithTimeout(ctx, ownerTimeout)
 	ws, welcome, err := messenger.DialWith(dialCtx, s.cfg.Client, addr, messenger.Hello{
@@ -138,7 +138,7 @@
 	if ack.Term < s.term {
 		return false
 	}
-	s.term = ack.Term
+	s.hearTerm(ack.Term)
 	s.dropAckedEnds(ack.AckedEnd)
 	s.mergeInterference(ack.Interference)
 	if !ack.AppliedSentAt.IsZero() {
@@ -157,6 +157,7 @@
 	blockedBy := s.blockedReason()
 	if expiresAt := ack.EchoSentAt.Add(s.cfg.LeaseDuration); ack.WorkerIncarnation == s.heartbeat.Incarnation() && expiresAt.After(s.leaseExpiresAt) {
 		s.leaseExpiresAt = expiresAt
+		s.extendOwnerLease()
 	}
 	if blockedBy == "no lease" && s.blockedReason() == "" {
 		s.markDirty()
@@ -165,6 +166,29 @@
 	return true
 }
 
+// hearTerm records that there is an owner of a term, which had claimed by now.
+func (s *Supervisor) hearTerm(term uint64) {
+	if term <= s.term {
+		return
+	}
+	s.term, s.termLeasedSince = term, time.Time{}
+	if s.cfg.Now().Before(s.ownerLeaseUntil) {
+		s.termLeasedSince = s.ownerLeaseSince
+	}
+}
+
+// extendOwnerLease records that an owner has renewed the lease. It counts the lease as over no
+// sooner than a worker with the slowest clock does.
+func (s *Supervisor) extendOwnerLease() {
+	now := s.cfg.Now()
+	if !now.Before(s.ownerLeaseUntil) {
+		s.ownerLeaseSince = now
+	}
+	if until := now.Add(s.leaseExpiresAt.Sub(s.workerNow())); until.After(s.ownerLeaseUntil) {
+		s.ownerLeaseUntil = until
+	}
+}
+
 // sendLoop sends a snapshot on each change, and as a heartbeat. To an owner that takes
 // deltas, it sends what has changed.
 func (s *Supervisor) sendLoop(ctx context.Context, conn *messenger.Conn, lastAck *atomic.Int64, deltas bool) {
--- a/supervisor/run.go
+++ b/supervisor/run.go
@@ -51,6 +51,9 @@
 	// seenTerm is the highest term that had been received when the run was started, or when
 	// the last list that showed it was requested.
 	seenTerm uint64
+	// workedAt is the local time after which the run was last known to be at work, zero if it
+	// never was.
+	workedAt time.Time
 	// startRepliedAt is the local time of the reply to the start, which does not tell which
 	// incarnation carried it out; zero without one.
 	startRepliedAt time.Time
@@ -104,4 +107,9 @@
 	messenger.RunEnd
 	// workerSeq is the worker's number of the end; 0 if the worker has not listed it.
 	workerSeq uint64
+	// workedAt is the local time after which this process last knew the run to be at work; zero
+	// if it never did.
+	workedAt time.Time
+	// sent is set once a snapshot with the end may have been sent.
+	sent bool
 }
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -111,8 +111,13 @@
 	// fenceStep is by how much the fence was last raised because the worker had seen a
 	// higher one; it doubles until a list request succeeds.
 	fenceStep uint64
-	// term is the highest term received of any owner.
-	term uint64
+	// term is the highest term received of any owner. termLeasedSince is the ownerLeaseSince at
+	// that moment; zero if the lease was over.
+	term            uint64
+	termLeasedSince time.Time
+	// ownerLeaseUntil is the local time before which no owner counts the lease as over, whichever
+	// incarnation of the worker it was granted for. Since ownerLeaseSince it has never been.
+	ownerLeaseUntil, ownerLeaseSince time.Time
 	// leaseExpiresAt is when the runs' lease expires, on the worker's clock. It
 	// never decreases within an incarnation.
 	leaseExpiresAt time.Time
@@ -238,7 +243,12 @@
 		snap.Runs = append(snap.Runs, r.status())
 		snap.Current = snap.Current && (r.phase == messenger.PhaseStarting || r.seenTerm == s.term)
 	}
-	for _, e := range s.ends[:min(len(s.ends), maxSnapshotEnds)] {
+	for i := range s.ends[:min(len(s.ends), maxSnapshotEnds)] {
+		e := &s.ends[i]
+		if !e.sent && !s.termLeasedSince.IsZero() && !e.workedAt.Before(s.termLeasedSince) {
+			e.UntoldTerm = s.term
+		}
+		e.sent = true
 		snap.RunEnds = append(snap.RunEnds, e.RunEnd)
 	}
 	return snap
@@ -279,14 +289,19 @@
 	if runEnd.Checkpoint == "" {
 		runEnd.Checkpoint = r.checkpoint
 	}
-	s.addEnd(runEnd, workerSeq)
+	var workedAt time.Time
+	if r.phase == messenger.PhaseRunning {
+		workedAt = r.workedAt
+	}
+	s.addEnd(runEnd, workerSeq, workedAt)
 }
 
-// addEnd numbers an end and adds it to those reported to the owner.
-func (s *Supervisor) addEnd(runEnd messenger.RunEnd, workerSeq uint64) {
+// addEnd numbers an end and adds it to those reported to the owner. workedAt is the
+// run.workedAt of a run that this process has seen at work, zero for any other one.
+func (s *Supervisor) addEnd(runEnd messenger.RunEnd, workerSeq uint64, workedAt time.Time) {
 	s.lastEnd++
 	runEnd.Seq = s.lastEnd
-	s.ends = append(s.ends, pendingEnd{RunEnd: runEnd, workerSeq: workerSeq})
+	s.ends = append(s.ends, pendingEnd{RunEnd: runEnd, workerSeq: workerSeq, workedAt: workedAt})
 	fields := []zap.Field{
 		zap.String("task", runEnd.Task), zap.Uint64("attempt", runEnd.Attempt), zap.Stringer("how", runEnd.Status), zap.String("reason", runEnd.Reason),
 		zap.Uint64("listed", workerSeq), zap.String("worker", s.heartbeat.Incarnation()),
