supervisor: Send the end of a long-running task once the owner has answered

An owner was gone, and 0.2 s later a run ended. Its agent notices a silent owner after 1.2 s and sent the end to it, so that it counted as known to an earlier owner: the next one started the task again only after the last absent agent.

The end of a long-running task is now held back until the owner has answered since the end was known.

Ends are told in order, so that those after it wait, too. A connection that was made since counts as an answer. An agent that leaves waits until an owner has applied the ends that it held back. Nothing relies on the answer: what was sent still counts as known.

Ruled out: holding back all ends. Short tasks end many times a second, and each would wait for an answer.

--- a/coordinator/untold_end_test.go
+++ b/coordinator/untold_end_test.go
@@ -17,6 +17,10 @@
 			f.setFrozen(owner, true)
 			advancer.Sleep(1500 * time.Millisecond) // the agents send the owner nothing more
 		},
+		"frozen just before": func(f *fleet, owner *entryNode) {
+			f.setFrozen(owner, true)
+			advancer.Sleep(100 * time.Millisecond)
+		},
 		"killed": func(f *fleet, owner *entryNode) { f.kill(owner) },
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/messenger/pool_messages.go
+++ b/messenger/pool_messages.go
@@ -52,6 +52,7 @@
 	Image      string `cbor:"5,keyasint,omitempty"`
 	// LatencyTargetMs bounds the tail latency of a latency-critical task; 0 for none.
 	LatencyTargetMs int64 `cbor:"6,keyasint,omitempty"`
+	LongRunning     bool  `cbor:"7,keyasint,omitempty"`
 }
 
 // RunStop tells an agent to stop a run.
--- a/orchestrator/place.go
+++ b/orchestrator/place.go
@@ -282,6 +282,7 @@
 		Task: r.key.task, Attempt: r.key.attempt, AlreadyRunning: alreadyRunning,
 		Spec: messenger.TaskSpec{
 			CPU: step.CPU, Memory: step.Memory, GPU: step.GPU, BestEffort: step.BestEffort, Image: step.Image, LatencyTargetMs: step.LatencyTargetMs,
+			LongRunning: step.LongRunning,
 		},
 	}
 	if alreadyRunning {
--- a/supervisor/leave.go
+++ b/supervisor/leave.go
@@ -34,8 +34,8 @@
 // starts nothing.
 func (s *Supervisor) AwaitOwner(ctx context.Context) {
 	s.mu.Lock()
-	s.leaving = true
-	incarnation, called, since := s.heartbeat.Incarnation(), s.cfg.Now(), s.workerNow()
+	s.leaving, s.leaveAfter = true, s.workerNow()
+	incarnation, called := s.heartbeat.Incarnation(), s.cfg.Now()
 	s.mu.Unlock()
 	s.markDirty()
 	closeCtx, cancel := context.WithCancel(ctx)
@@ -47,7 +47,7 @@
 	}
 	for {
 		s.mu.Lock()
-		known := s.heartbeat.Incarnation() == "" || s.heartbeat.Incarnation() != incarnation || !s.appliedSentAt.Before(since)
+		known := s.heartbeat.Incarnation() == "" || s.heartbeat.Incarnation() != incarnation || !s.appliedSentAt.Before(s.leaveAfter) && !s.endsUnsent()
 		runs := len(s.runs)
 		s.mu.Unlock()
 		if known || ctx.Err() != nil {
--- a/supervisor/list.go
+++ b/supervisor/list.go
@@ -182,7 +182,7 @@
 			s.endRun(r, messenger.RunEnd{Status: ended.Status, Checkpoint: ended.Checkpoint}, ended.Seq)
 			continue
 		}
-		s.addEnd(messenger.RunEnd{Task: ended.Task, Attempt: ended.Attempt, Status: ended.Status, Checkpoint: ended.Checkpoint}, ended.Seq, time.Time{})
+		s.addEnd(pendingEnd{RunEnd: messenger.RunEnd{Task: ended.Task, Attempt: ended.Attempt, Status: ended.Status, Checkpoint: ended.Checkpoint}, workerSeq: ended.Seq})
 	}
 	for _, r := range s.sortedRuns() {
 		switch {
--- a/supervisor/owner.go
+++ b/supervisor/owner.go
@@ -92,7 +92,7 @@
 		}
 	}})
 	s.mu.Lock()
-	s.conn, s.commandSeq, s.payloads, s.ownerConfirmedAt = conn, 0, differ.PayloadDecoder{}, s.cfg.Now()
+	s.conn, s.commandSeq, s.payloads, s.ownerConfirmedAt, s.ownerHeardAt = conn, 0, differ.PayloadDecoder{}, s.cfg.Now(), s.cfg.Now()
 	s.mu.Unlock()
 	s.cfg.Log.Info("connected to the owner", zap.Stringer("addr", addr), zap.Uint64("term", term), zap.String("owner", welcome.ID))
 	s.markDirty()
@@ -139,6 +139,10 @@
 		return false
 	}
 	s.hearTerm(ack.Term)
+	held := s.endsHeld()
+	if s.ownerHeardAt = s.cfg.Now(); held {
+		s.markDirty()
+	}
 	s.dropAckedEnds(ack.AckedEnd)
 	s.mergeInterference(ack.Interference)
 	if !ack.AppliedSentAt.IsZero() {
--- a/supervisor/run.go
+++ b/supervisor/run.go
@@ -110,6 +110,9 @@
 	// workedAt is the local time after which this process last knew the run to be at work; zero
 	// if it never did.
 	workedAt time.Time
-	// sent is set once a snapshot with the end may have been sent.
-	sent bool
+	// sent is set once a snapshot with the end may have been sent. Until then the end of a
+	// longRunning task is held back while the owner has not answered since knownAt, on the local
+	// clock.
+	sent, longRunning bool
+	knownAt           time.Time
 }
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -102,6 +102,9 @@
 	draining, closed bool
 	// leaving is set once this process of the agent is to end; it starts nothing more.
 	leaving bool
+	// leaveAfter is the time on the worker's clock from which on an owner has to have applied a
+	// snapshot before the agent ends.
+	leaveAfter time.Time
 	// fence is the fencing number of calls, above every number used before for this
 	// worker ID. earlierFence is the last one used for the incarnation that ended last,
 	// which had earlierWorkerID and earlierStartedAt.
@@ -141,6 +144,8 @@
 	// arrival. The next list that is requested settles them.
 	unknownStops map[runKey]time.Time
 	ends         []pendingEnd
+	// ownerHeardAt is when the owner last answered on the current connection.
+	ownerHeardAt time.Time
 	// lastEnd is the newest sequence number that this process has given to an
 	// end. seenEnd is the newest of the worker's own numbers that was processed,
 	// ackedEnd the newest that the worker may discard.
@@ -245,15 +250,39 @@
 	}
 	for i := range s.ends[:min(len(s.ends), maxSnapshotEnds)] {
 		e := &s.ends[i]
+		if s.endHeld(e) {
+			snap.Complete = false
+			break
+		}
 		if !e.sent && !s.termLeasedSince.IsZero() && !e.workedAt.Before(s.termLeasedSince) {
 			e.UntoldTerm = s.term
 		}
+		if e.longRunning && !e.sent {
+			s.leaveAfter = snap.SentAt
+		}
 		e.sent = true
 		snap.RunEnds = append(snap.RunEnds, e.RunEnd)
 	}
 	return snap
 }
 
+// endHeld reports whether an end is not to be sent yet. An owner that is gone is noticed a second
+// later, and an end that was sent to it may be known. So the end of a long-running task is sent
+// once the owner has answered since it was known.
+func (s *Supervisor) endHeld(e *pendingEnd) bool {
+	return e.longRunning && !e.sent && s.ownerHeardAt.Before(e.knownAt)
+}
+
+// endsUnsent reports whether no snapshot has had some end.
+func (s *Supervisor) endsUnsent() bool {
+	return slices.ContainsFunc(s.ends, func(e pendingEnd) bool { return e.longRunning && !e.sent })
+}
+
+// endsHeld reports whether an end is not to be sent yet.
+func (s *Supervisor) endsHeld() bool {
+	return slices.ContainsFunc(s.ends, func(e pendingEnd) bool { return s.endHeld(&e) })
+}
+
 // maxSnapshotEnds bounds the ends in one snapshot: 500 take about 30 KB.
 const maxSnapshotEnds = 500
 
@@ -293,15 +322,15 @@
 	if r.phase == messenger.PhaseRunning {
 		workedAt = r.workedAt
 	}
-	s.addEnd(runEnd, workerSeq, workedAt)
+	s.addEnd(pendingEnd{RunEnd: runEnd, workerSeq: workerSeq, workedAt: workedAt, longRunning: r.spec.LongRunning})
 }
 
-// addEnd numbers an end and adds it to those reported to the owner. workedAt is the
-// run.workedAt of a run that this process has seen at work, zero for any other one.
-func (s *Supervisor) addEnd(runEnd messenger.RunEnd, workerSeq uint64, workedAt time.Time) {
+// addEnd numbers an end and adds it to those reported to the owner.
+func (s *Supervisor) addEnd(e pendingEnd) {
 	s.lastEnd++
-	runEnd.Seq = s.lastEnd
-	s.ends = append(s.ends, pendingEnd{RunEnd: runEnd, workerSeq: workerSeq, workedAt: workedAt})
+	e.Seq, e.knownAt = s.lastEnd, s.cfg.Now()
+	s.ends = append(s.ends, e)
+	runEnd, workerSeq := e.RunEnd, e.workerSeq
 	fields := []zap.Field{
 		zap.String("task", runEnd.Task), zap.Uint64("attempt", runEnd.Attempt), zap.Stringer("how", runEnd.Status), zap.String("reason", runEnd.Reason),
 		zap.Uint64("listed", workerSeq), zap.String("worker", s.heartbeat.Incarnation()),
--- a/supervisor/untold_test.go
+++ b/supervisor/untold_test.go
@@ -99,3 +99,61 @@
 		c.Assert(last.UntoldTerm, qt.Equals, uint64(0))
 	})
 }
+
+// An end that was sent just after the owner was lost counted as known to it.
+func TestTheEndOfALongRunningTaskIsSentOnceTheOwnerAnswers(t *testing.T) {
+	const end = 300 * time.Millisecond
+	for name, tt := range map[string]struct {
+		longRunning bool
+		sent        int
+		term        uint64
+	}{
+		"long-running": {true, 0, 2},
+		"short":        {false, 1, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			inBubble(t, func(c *qt.C, h *harness) {
+				h.set(func() { h.plan = faker.PoolRunPlan{Duration: end} })
+				cmd := startCommand("j.0.0.0", 1)
+				cmd.Start.Spec.LongRunning = tt.longRunning
+				h.send(cmd)
+				h.set(func() { h.acking = false })
+				advancer.Sleep(2 * end)
+				c.Assert(h.ends(), qt.HasLen, tt.sent)
+				c.Assert(h.latestSnapshot().Complete, qt.Equals, tt.sent > 0)
+				h.loseOwner()
+				h.set(func() { h.acking = true })
+				h.meetOwner(2)
+				c.Assert(h.endOf("j.0.0.0").UntoldTerm, qt.Equals, tt.term)
+				c.Assert(h.latestSnapshot().Complete, qt.IsTrue)
+			})
+		})
+	}
+}
+
+// An agent that leaves waits until its owner has the ends that it held back.
+func TestAnAgentDoesNotLeaveWithAnEndThatItHoldsBack(t *testing.T) {
+	inBubble(t, func(c *qt.C, h *harness) {
+		h.set(func() { h.plan = faker.PoolRunPlan{Duration: 300 * time.Millisecond} })
+		cmd := startCommand("j.0.0.0", 1)
+		cmd.Start.Spec.LongRunning = true
+		h.send(cmd)
+		h.set(func() { h.acking = false })
+		advancer.Sleep(500 * time.Millisecond)
+		h.set(func() { h.acking = true })
+		h.sup.AwaitOwner(context.Background())
+		c.Assert(h.ends(), qt.HasLen, 1)
+	})
+}
+
+// Where the owner answers, the end of a long-running task is delayed by one answer.
+func TestTheEndOfALongRunningTaskIsSentSoonToAnOwnerThatAnswers(t *testing.T) {
+	inBubble(t, func(c *qt.C, h *harness) {
+		h.set(func() { h.plan = faker.PoolRunPlan{Duration: 300 * time.Millisecond} })
+		cmd := startCommand("j.0.0.0", 1)
+		cmd.Start.Spec.LongRunning = true
+		h.send(cmd)
+		advancer.Sleep(150 * time.Millisecond)
+		c.Assert(h.ends(), qt.HasLen, 1)
+	})
+}
