supervisor: Keep a call in flight to a worker that shuts down

The runs of a worker that had deregistered counted until their lease was over, if no call was in flight as its process ended: only a call whose connection the worker closes, and a refusal after it, show that the process has ended. An agent asked such a worker for its runs each 15 ms and got its answer at once, so that most of the time no call was in flight.

It now lets the worker hold the list until a run ends, as one that has not deregistered, unless an end waits for its acknowledgement, which has to arrive before the worker is gone. What shows the end of the process is unchanged, and so is the lease: nothing is prolonged.

TestRunsOfAWorkerThatEndsSomeTimeAfterItDeregisteredEndAtOnce failed in 2 of its 3 cases before (0.4 and 1.7 s after the deregistration). TestTheEndsOfAWorkerThatShutsDownAreAcknowledgedAtOnce passed before, and fails without the condition on ends. 100 histories each pass of TestHistories, of those with frozen entries and with agents that leave without an owner.

--- a/supervisor/list.go
+++ b/supervisor/list.go
@@ -44,8 +44,8 @@
 	if s.hasColocatedRuns() {
 		req.Wait = min(req.Wait, measurementWait)
 	}
-	if !s.reconciled || s.draining {
-		req.Wait = 0
+	if !s.reconciled || s.draining && len(s.ends) > 0 {
+		req.Wait = 0 // the worker may be gone before it gets the acknowledgement
 	}
 	if s.draining {
 		req.LeaseExpiresAt = time.Time{} // the worker is shutting down; its runs must not be prolonged
--- a/supervisor/shutdown_test.go
+++ b/supervisor/shutdown_test.go
@@ -92,3 +92,37 @@
 		})
 	}
 }
+
+// No call was in flight as a worker that had deregistered ended, so that its runs counted until
+// their lease was over.
+func TestRunsOfAWorkerThatEndsSomeTimeAfterItDeregisteredEndAtOnce(t *testing.T) {
+	for _, after := range []time.Duration{time.Millisecond, 400 * time.Millisecond, 1700 * time.Millisecond} {
+		t.Run(after.String(), func(t *testing.T) {
+			inBubble(t, func(c *qt.C, h *harness) {
+				h.set(func() { h.plan = faker.PoolRunPlan{} })
+				h.send(startCommand("j.0.0.0", 1))
+				h.shutDown()
+				advancer.Sleep(after)
+				h.worker.Crash()
+				advancer.Sleep(500 * time.Millisecond)
+				c.Assert(h.ends(), qt.DeepEquals, []string{"j.0.0.0#1 gone"})
+			})
+		})
+	}
+}
+
+// A worker that is shutting down gets the acknowledgement of an end before it is gone.
+func TestTheEndsOfAWorkerThatShutsDownAreAcknowledgedAtOnce(t *testing.T) {
+	inBubble(t, func(c *qt.C, h *harness) {
+		h.set(func() { h.plan = faker.PoolRunPlan{Duration: 600 * time.Millisecond} })
+		h.send(startCommand("j.0.0.0", 1))
+		h.shutDown()
+		advancer.Sleep(time.Second)
+		c.Assert(h.ends(), qt.HasLen, 1)
+		h.set(func() { h.ackedEnd = h.snapshot.RunEnds[0].Seq })
+		h.worker.CPU = 5000 // a snapshot follows, and its acknowledgement
+		h.sup.HandleHeartbeat(context.Background(), h.worker.Heartbeat(3))
+		advancer.Sleep(50 * time.Millisecond)
+		c.Assert(h.count("forgotten"), qt.Equals, 1)
+	})
+}
