--- a/entry/jobs.go
+++ b/entry/jobs.go
@@ -70,7 +70,9 @@
 }
 
 func (e *Entry) listJobs(w http.ResponseWriter, r *http.Request) {
-	e.handleJob(w, r, http.StatusOK, func(ctx context.Context, s *scheduler.Scheduler) (any, error) { return s.List(ctx, r.PathValue("team")) })
+	e.handleJob(w, r, http.StatusOK, func(ctx context.Context, s *scheduler.Scheduler) (any, error) {
+		return s.List(ctx, r.PathValue("team"))
+	})
 }
 
 func (e *Entry) cancelJob(w http.ResponseWriter, r *http.Request) {
