orchestrator: Keep memory for long-running tasks from a best-effort backlog

Callers saw long-running tasks wait for 8 to 13 s under a healthy owner, in calm, beside over 1000 cores that nobody had reserved: `task waits` says lack_memory=74 of 74 workers, lack_cpu=27 to 54. A best-effort task waits up to 12 s for a worker where it neither shares the CPU of others nor is slowed, and then takes any place with memory. A backlog of them so takes all memory of the fleet, for up to five times its unreserved CPU, and gets no more CPU by it.

Now those that would only share the CPU or be slowed leave on each worker the memory of the largest long-running task of the pool, at most half of the worker's. The first one on a worker is exempt, so that none waits forever, and so are gangs and best-effort tasks that are long-running themselves.

TestABacklogOfBestEffortTasksLeavesMemoryToLongRunningOnes failed before (not started beside 28 best-effort tasks) and passes now.

Weighed: claims on a quarter of the workers, not a sixteenth, for tasks that have waited for 5 s.

--- a/allocator/allocator.go
+++ b/allocator/allocator.go
@@ -47,6 +47,9 @@
 	AtRisk float64
 	// TasksByStep counts the tasks by step, for Step.MaxPerWorker.
 	TasksByStep map[string]int
+	// KeptMemory is the memory in MB that is kept for long-running tasks from best-effort ones
+	// that would gain nothing from their place.
+	KeptMemory int64
 }
 
 // Rack returns the worker's rack, which is its last label.
@@ -222,10 +225,11 @@
 		}
 		pressure := Pressure{Pace: 1}
 		if t.StepSpec().BestEffort {
-			if selective && c.BestEffortCPU > 0 && c.BestEffortCPU+t.StepSpec().CPU > c.ReclaimableCPU() {
+			shares := c.BestEffortCPU > 0 && c.BestEffortCPU+t.StepSpec().CPU > c.ReclaimableCPU()
+			if shares && (selective || !c.keepsMemory(t.StepSpec())) {
 				continue // would only share the CPU of the best-effort tasks there
 			}
-			if pressure = ExpectedPressure(t.StepSpec(), c, interference); selective && pressure.Pace < minPace {
+			if pressure = ExpectedPressure(t.StepSpec(), c, interference); pressure.Pace < minPace && (selective || !c.keepsMemory(t.StepSpec())) {
 				continue
 			}
 		}
@@ -237,6 +241,13 @@
 	return best
 }
 
+// keepsMemory reports whether a best-effort task may start beside others without taking
+// KeptMemory. The first one on a worker may, so that none waits forever, and so may members of
+// gangs, which need all of their places at once.
+func (c *Candidate) keepsMemory(step *sequencer.Step) bool {
+	return step.LongRunning || step.Gang || c.BestEffortCPU == 0 || c.UsedMemory+step.Memory+c.KeptMemory <= c.Memory
+}
+
 // Pressure is what a best-effort task would do to the serving tasks of a worker.
 type Pressure struct {
 	// Pace is the fraction of full pace at which it can run without exceeding the
--- a/allocator/allocator_test.go
+++ b/allocator/allocator_test.go
@@ -64,6 +64,35 @@
 	c.Assert(Pick(bestEffort, "s", candidates, now.Add(2*maxPaceWait), constantInterference(30)).ID, qt.Equals, "b", qt.Commentf("it has waited for maxPaceWait"))
 }
 
+func TestABestEffortTaskThatGainsNothingKeepsMemory(t *testing.T) {
+	for name, tt := range map[string]struct {
+		change       func(*Candidate)
+		interference float64
+		want         bool
+	}{
+		"shares the CPU":             {func(c *Candidate) { c.BestEffortCPU = 60000 }, 0, false},
+		"beside little memory":       {func(c *Candidate) { c.BestEffortCPU, c.UsedMemory = 60000, 0 }, 0, true},
+		"has CPU":                    {func(c *Candidate) { c.BestEffortCPU = 8000 }, 0, true},
+		"is slowed":                  {func(c *Candidate) { c.BestEffortCPU = 8000 }, 30, false},
+		"is the first on the worker": {func(*Candidate) {}, 30, true},
+		"no long-running tasks":      {func(c *Candidate) { c.BestEffortCPU, c.KeptMemory = 60000, 0 }, 0, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			worker := servingWorker("a", 0.4)
+			worker.UsedMemory, worker.KeptMemory = 230000, 20000
+			tt.change(worker)
+			waiting := task(sequencer.Step{CPU: 8000, Memory: 10000, BestEffort: true})
+			picked := Pick(waiting, "s", []*Candidate{worker}, now.Add(2*maxPaceWait), constantInterference(tt.interference))
+			c.Assert(picked != nil, qt.Equals, tt.want)
+			for _, exempt := range []sequencer.Step{{LongRunning: true}, {Gang: true}} {
+				exempt.CPU, exempt.Memory, exempt.BestEffort = 8000, 10000, true
+				c.Assert(Pick(task(exempt), "s", []*Candidate{worker}, now.Add(2*maxPaceWait), constantInterference(tt.interference)), qt.IsNotNil)
+			}
+		})
+	}
+}
+
 func TestBestEffortTasksFillEmptyWorkersEvenly(t *testing.T) {
 	c := qt.New(t)
 	candidates := []*Candidate{emptyWorker("a"), emptyWorker("b"), emptyWorker("c")}
--- a/orchestrator/place.go
+++ b/orchestrator/place.go
@@ -31,6 +31,7 @@
 	if len(agents) == 0 {
 		return
 	}
+	o.keepMemory(byPool)
 	o.placeClaimed(blocked, byPool, agents, now)
 	o.placeSuspects(blocked, byPool, agents, now, wall)
 	for _, j := range o.rankedJobs(wall) {
--- a/orchestrator/starvation.go
+++ b/orchestrator/starvation.go
@@ -92,6 +92,24 @@
 	return list
 }
 
+// keepMemory keeps on each worker the memory of the largest long-running task of its pool:
+// best-effort tasks need no CPU of their own, so that a backlog of them would take it all.
+func (o *Orchestrator) keepMemory(byPool map[string][]*allocator.Candidate) {
+	largest := map[string]int64{}
+	for _, j := range o.openJobs {
+		for n := range j.Spec.Steps {
+			if step := &j.Spec.Steps[n]; step.LongRunning && !step.BestEffort {
+				largest[j.Spec.Pool] = max(largest[j.Spec.Pool], step.Memory)
+			}
+		}
+	}
+	for pool, candidates := range byPool {
+		for _, c := range candidates {
+			c.KeptMemory = min(largest[pool], c.Memory/2) // best-effort tasks always get half
+		}
+	}
+}
+
 // expectedEndings returns the runs of an agent that will end. Those that may be stopped for
 // long-running tasks end within maxClaimDelay.
 func (a *agent) expectedEndings(now time.Time, blocked func(*sequencer.Task) bool) []allocator.Ending {
--- a/orchestrator/starvation_test.go
+++ b/orchestrator/starvation_test.go
@@ -244,6 +244,30 @@
 	}
 }
 
+// A backlog of best-effort tasks, which share the CPU once they have waited for long, took all
+// memory, so that long-running tasks waited beside thousands of idle cores.
+func TestABacklogOfBestEffortTasksLeavesMemoryToLongRunningOnes(t *testing.T) {
+	c := qt.New(t)
+	h := newHarness(c, 2)
+	lasting := sequencer.Spec{Steps: []sequencer.Step{{Count: 1, CPU: 2000, Memory: 4000, LongRunning: true}}}
+	h.submit(lasting)
+	h.o.place()
+	filler := sequencer.Step{Count: 30, CPU: 4000, Memory: 1000, Estimate: time.Minute, BestEffort: true, Checkpointable: true}
+	backlog := h.submit(sequencer.Spec{Steps: []sequencer.Step{filler}, StretchFactor: 100})
+	for range 15 {
+		h.reportAllRunning()
+		h.o.place()
+		h.now = h.now.Add(time.Second)
+	}
+	c.Assert(len(backlog.liveRuns) > 4, qt.IsTrue, qt.Commentf("%d share the CPU", len(backlog.liveRuns)))
+	for range 2 {
+		j := h.submit(lasting)
+		h.reportAllRunning()
+		h.o.place()
+		c.Check(len(j.liveRuns), qt.Equals, 1, qt.Commentf("beside %d best-effort tasks", len(backlog.liveRuns)))
+	}
+}
+
 // oldestShortRun returns the oldest run of an agent that is not long-running.
 func (h *harness) oldestShortRun(id string) *run {
 	var oldest *run
