coordinator: Reject no job at an owner that the other entries can't reach

An owner that was cut off from the store and the other entries answered "not accepted" for a job that was in doubt at one of them, 0.8 s after that entry had got no reply. Cause: the others report such jobs over the owner's links, and an owner counted as reached by them, whether they were there or not.

It counts as reached while each live entry has pinged it within 1.2 s; otherwise it answers that the outcome is unknown, as an entry without a link to the owner does.

TestAnOwnerThatIsCutOffRejectsNoJobs failed before and passes now. What remains: an entry that reaches the owner may reject a job that is in doubt at one that doesn't.

--- a/coordinator/in_doubt_test.go
+++ b/coordinator/in_doubt_test.go
@@ -86,3 +86,36 @@
 		advancer.Sleep(time.Minute)
 	})
 }
+
+// An owner was cut off from the store and the other entries. It rejected a job that one of them had in
+// doubt, and the job ran.
+func TestAnOwnerThatIsCutOffRejectsNoJobs(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		ctx, cancel := context.WithCancel(context.Background())
+		f := newFleet(ctx, t, 1, 3, 2)
+		advancer.Sleep(3 * time.Second)
+		owner := f.owners()[0]
+		f.setFaults(func() { f.rejected[owner.name] = true })
+		for n := range 3 {
+			f.network.SetPartition(owner.name, f.entry(n).name, true, true)
+		}
+		advancer.Sleep(4 * time.Second)
+		spec := &sequencer.Spec{ID: "00000000000000aa", Queue: "queue", Pool: "pool", Steps: []sequencer.Step{{Count: 1}}}
+		f.setFaults(func() { f.storeReplyLoss = 1 })
+		for n := range 3 {
+			if e := f.entry(n); e != owner {
+				c.Check(f.submitAt(e, spec), qt.ErrorIs, acceptor.ErrUnknownOutcome)
+				break
+			}
+		}
+		f.setFaults(func() { f.storeReplyLoss = 0 })
+		c.Assert(owner.isOwner(), qt.IsTrue)
+		for range 5 {
+			c.Check(f.submitAt(owner, spec), qt.ErrorIs, acceptor.ErrUnknownOutcome)
+		}
+		cancel()
+		f.close()
+		advancer.Sleep(time.Minute)
+	})
+}
--- a/coordinator/links.go
+++ b/coordinator/links.go
@@ -94,7 +94,10 @@
 
 // peersConnected reports whether jobs in doubt at other entries become known here.
 func (c *Coordinator) peersConnected() bool {
-	return c.activeOrchestrator() != nil || c.ownerClient.Connected()
+	if c.activeOrchestrator() != nil {
+		return c.elector.HeardFromAll(c.cfg.Now().Add(-maxReplyAge))
+	}
+	return c.ownerClient.Connected()
 }
 
 // replyToQuery replies to another entry's query; one that names neither job nor
--- a/elector/extension.go
+++ b/elector/extension.go
@@ -94,6 +94,18 @@
 	}
 }
 
+// HeardFromAll reports whether each other live entry has pinged this owner since a local time.
+func (e *Elector) HeardFromAll(since time.Time) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for id, m := range e.members {
+		if p := e.extensions.pings[id]; id != e.cfg.Self.ID && (p.incarnation != m.Incarnation || p.at.Before(since)) {
+			return false
+		}
+	}
+	return true
+}
+
 // RecordExtension records that a process of another entry has extended a confirmation of
 // this owner.
 func (e *Elector) RecordExtension(id, incarnation string, extended messenger.ConfirmationRef) {
