orchestrator: Write the registration of a closing agent once

A transaction had two writes of one key, with two checks: the open registration for the new process of an agent, and the closed one. In memory the agent then could run any task while its registration was closed; a store that refuses such a transaction would have left it without a known registration, and so without renewed leases.

An open registration that names an earlier process is written again, so that a write as open may be pending while the registration is open. It now replaces it. The write as open stays where the registration is not open: without a key no lease is renewed.

TestTheRegistrationOfANewProcessThatClosesIsWrittenOnce failed before, with two writes in both cases, and passes now.

--- a/orchestrator/own_registration_test.go
+++ b/orchestrator/own_registration_test.go
@@ -108,3 +108,30 @@
 		})
 	}
 }
+
+// The registration of an agent that restarted, and closed before the write for its new process was sent, was
+// written twice in one transaction, as open and as closed.
+func TestTheRegistrationOfANewProcessThatClosesIsWrittenOnce(t *testing.T) {
+	for name, closing := range map[string]messenger.WorkerSnapshot{
+		"draining": {Draining: true},
+		"leaving":  {Leaving: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			h, _, a := newBusyHarness(c)
+			a.incarnation = "b2"
+			h.reportRunning("a0", 10)
+			closing.Runs = h.runStatuses("a0", messenger.PhaseRunning, 10)
+			h.sendSnapshot("a0", &closing)
+			b := h.commitBatch(50)
+			c.Assert(b.transaction.Writes, qt.HasLen, 1)
+			c.Assert(b.transaction.Checks, qt.HasLen, 2, qt.Commentf("the owner's key and its own"))
+			written, err := registrar.Decode(b.transaction.Writes[0].Value)
+			c.Assert(err, qt.IsNil)
+			c.Assert(written.Open, qt.IsFalse)
+			c.Assert(written.HeldTasks, qt.HasLen, 3)
+			c.Assert(a.recordOpen, qt.IsFalse)
+			c.Assert(a.mayRunAny, qt.IsFalse)
+		})
+	}
+}
--- a/orchestrator/registration.go
+++ b/orchestrator/registration.go
@@ -71,9 +71,10 @@
 	case a.writing || a.hasUnknownRuns: // its registration stands until it is reconciled
 	case closing && snapshot.Complete && len(snapshot.Runs) == 0 && len(snapshot.RunEnds) == 0 && a.idle():
 		a.openPending, a.closePending, a.removalPending = false, false, a.keyVersion != 0
+	case closing && a.mayRunAny:
+		// The write that names the process that is connected may not have been sent.
+		a.mayRunAny, a.openPending, a.closePending = false, false, true
 	case closing:
-		a.closePending = a.closePending || a.mayRunAny
-		a.mayRunAny = false
 	case !snapshot.Reconciled: // it may run nothing; expireLease removes its registration
 	default:
 		a.closePending, a.removalPending = false, false // they are not written yet
