--- a/elector/extension.go
+++ b/elector/extension.go
@@ -58,12 +58,6 @@
 	confirmation messenger.ConfirmationRef
 }
 
-// ping is the last ping of a process of an entry.
-type ping struct {
-	incarnation string
-	at          time.Time
-}
-
 // Confirmation returns what this owner tells a process of another entry, or nil if it is not
 // the owner.
 func (e *Elector) Confirmation(id, incarnation string) *messenger.OwnerConfirmation {
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -266,23 +266,6 @@
 	return snap
 }
 
-// endHeld reports whether an end is not to be sent yet. An owner that is gone is noticed a second
-// later, and an end that was sent to it may be known. So the end of a long-running task is sent
-// once the owner has answered since it was known.
-func (s *Supervisor) endHeld(e *pendingEnd) bool {
-	return e.longRunning && !e.sent && s.ownerHeardAt.Before(e.knownAt)
-}
-
-// endsUnsent reports whether no snapshot has had some end.
-func (s *Supervisor) endsUnsent() bool {
-	return slices.ContainsFunc(s.ends, func(e pendingEnd) bool { return e.longRunning && !e.sent })
-}
-
-// endsHeld reports whether an end is not to be sent yet.
-func (s *Supervisor) endsHeld() bool {
-	return slices.ContainsFunc(s.ends, func(e pendingEnd) bool { return s.endHeld(&e) })
-}
-
 // maxSnapshotEnds bounds the ends in one snapshot: 500 take about 30 KB.
 const maxSnapshotEnds = 500
 
