--- a/supervisor/run.go
+++ b/supervisor/run.go
@@ -111,8 +111,8 @@
 	// if it never did.
 	workedAt time.Time
 	// sent is set once a snapshot with the end may have been sent. Until then the end of a
-	// longRunning task is held back while the owner has not answered since knownAt, on the local
+	// lasting task is held back while the owner has not answered since knownAt, on the local
 	// clock.
-	sent, longRunning bool
-	knownAt           time.Time
+	sent, lasting bool
+	knownAt       time.Time
 }
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -257,7 +257,7 @@
 		if !e.sent && !s.termLeasedSince.IsZero() && !e.workedAt.Before(s.termLeasedSince) {
 			e.UntoldTerm = s.term
 		}
-		if e.longRunning && !e.sent {
+		if e.lasting && !e.sent {
 			s.leaveAfter = snap.SentAt
 		}
 		e.sent = true
@@ -305,7 +305,7 @@
 	if r.phase == messenger.PhaseRunning {
 		workedAt = r.workedAt
 	}
-	s.addEnd(pendingEnd{RunEnd: runEnd, workerSeq: workerSeq, workedAt: workedAt, longRunning: r.spec.LongRunning})
+	s.addEnd(pendingEnd{RunEnd: runEnd, workerSeq: workerSeq, workedAt: workedAt, lasting: r.spec.LongRunning})
 }
 
 // addEnd numbers an end and adds it to those reported to the owner.
--- a/supervisor/untold_test.go
+++ b/supervisor/untold_test.go
@@ -104,9 +104,9 @@
 func TestTheEndOfALongRunningTaskIsSentOnceTheOwnerAnswers(t *testing.T) {
 	const end = 300 * time.Millisecond
 	for name, tt := range map[string]struct {
-		longRunning bool
-		sent        int
-		term        uint64
+		lasting bool
+		sent    int
+		term    uint64
 	}{
 		"long-running": {true, 0, 2},
 		"short":        {false, 1, 0},
@@ -115,7 +115,7 @@
 			inBubble(t, func(c *qt.C, h *harness) {
 				h.set(func() { h.plan = faker.PoolRunPlan{Duration: end} })
 				cmd := startCommand("j.0.0.0", 1)
-				cmd.Start.Spec.LongRunning = tt.longRunning
+				cmd.Start.Spec.LongRunning = tt.lasting
 				h.send(cmd)
 				h.set(func() { h.acking = false })
 				advancer.Sleep(2 * end)
