elector: Count an owner as reached only if all that it asks have pinged it

Cause: it counted the live entries that had pinged it, and had just heard that the live keys of all others had expired, so that none was left to hear from. It now counts all that it asks for extensions, as the store has them listed.

--- a/coordinator/in_doubt_test.go
+++ b/coordinator/in_doubt_test.go
@@ -90,32 +90,51 @@
 // An owner was cut off from the store and the other entries. It rejected a job that one of them had in
 // doubt, and the job ran.
 func TestAnOwnerThatIsCutOffRejectsNoJobs(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		c := qt.New(t)
-		ctx, cancel := context.WithCancel(context.Background())
-		f := newFleet(ctx, t, 1, 3, 2)
-		advancer.Sleep(3 * time.Second)
-		owner := f.owners()[0]
-		f.setFaults(func() { f.rejected[owner.name] = true })
-		for n := range 3 {
-			f.network.SetPartition(owner.name, f.entry(n).name, true, true)
-		}
-		advancer.Sleep(4 * time.Second)
-		spec := &sequencer.Spec{ID: "00000000000000aa", Queue: "queue", Pool: "pool", Steps: []sequencer.Step{{Count: 1}}}
-		f.setFaults(func() { f.storeReplyLoss = 1 })
-		for n := range 3 {
-			if e := f.entry(n); e != owner {
-				c.Check(f.submitAt(e, spec), qt.ErrorIs, acceptor.ErrUnknownOutcome)
-				break
-			}
-		}
-		f.setFaults(func() { f.storeReplyLoss = 0 })
-		c.Assert(owner.isOwner(), qt.IsTrue)
-		for range 5 {
-			c.Check(f.submitAt(owner, spec), qt.ErrorIs, acceptor.ErrUnknownOutcome)
+	for name, keysExpire := range map[string]bool{"at once": false, "after the live keys of the others": true} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				ctx, cancel := context.WithCancel(context.Background())
+				f := newFleet(ctx, t, 1, 3, 2)
+				advancer.Sleep(3 * time.Second)
+				owner := f.owners()[0]
+				if keysExpire {
+					f.expireLiveKeys(owner)
+				}
+				f.setFaults(func() { f.rejected[owner.name] = true })
+				for n := range 3 {
+					f.network.SetPartition(owner.name, f.entry(n).name, true, true)
+				}
+				advancer.Sleep(4 * time.Second)
+				spec := &sequencer.Spec{ID: "00000000000000aa", Queue: "queue", Pool: "pool", Steps: []sequencer.Step{{Count: 1}}}
+				f.setFaults(func() { f.storeReplyLoss = 1 })
+				for n := range 3 {
+					if e := f.entry(n); e != owner {
+						c.Check(f.submitAt(e, spec), qt.ErrorIs, acceptor.ErrUnknownOutcome)
+						break
+					}
+				}
+				f.setFaults(func() { f.storeReplyLoss = 0 })
+				c.Assert(owner.isOwner(), qt.IsTrue)
+				for range 5 {
+					c.Check(f.submitAt(owner, spec), qt.ErrorIs, acceptor.ErrUnknownOutcome)
+				}
+				cancel()
+				f.close()
+				advancer.Sleep(time.Minute)
+			})
+		})
+	}
+}
+
+// expireLiveKeys deletes the live keys of all entries but one, which loses its path to the store at
+// that moment and still hears of it.
+func (f *fleet) expireLiveKeys(kept *entryNode) {
+	f.setFaults(func() { f.rejected[kept.name] = true })
+	for name := range f.entries {
+		if name != kept.name {
+			f.store.DeleteKey("ef/live/entry/" + name)
 		}
-		cancel()
-		f.close()
-		advancer.Sleep(time.Minute)
-	})
+	}
+	advancer.Sleep(10 * time.Millisecond)
 }
--- a/elector/extension.go
+++ b/elector/extension.go
@@ -88,12 +88,13 @@
 	}
 }
 
-// HeardFromAll reports whether each other live entry has pinged this owner since a local time.
+// HeardFromAll reports whether each process that this owner asks for extensions has pinged it
+// since a local time. The live keys alone do not show them all to an owner that is cut off.
 func (e *Elector) HeardFromAll(since time.Time) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	for id, m := range e.members {
-		if p := e.extensions.pings[id]; id != e.cfg.Self.ID && (p.incarnation != m.Incarnation || p.at.Before(since)) {
+	for _, x := range e.askedLocked() {
+		if p := e.extensions.pings[x.ID]; p.incarnation != x.Incarnation || p.at.Before(since) {
 			return false
 		}
 	}
@@ -127,8 +128,7 @@
 // don't extend the newest confirmation of this owner at present; mu is held.
 func (e *Elector) notExtendedByLocked() []string {
 	var ids []string
-	asked := slices.Concat(e.currentExtendersLocked(e.record.Term).Entries, e.extensions.list.Entries, e.extensions.written)
-	for _, x := range asked {
+	for _, x := range e.askedLocked() {
 		if !slices.Contains(ids, x.ID) && !e.extendsLocked(e.extensions.granted[x.ID], x.Incarnation) {
 			ids = append(ids, x.ID)
 		}
@@ -136,6 +136,12 @@
 	return ids
 }
 
+// askedLocked returns the processes that this owner asks for extensions, some of them twice; mu
+// is held.
+func (e *Elector) askedLocked() []extender {
+	return slices.Concat(e.currentExtendersLocked(e.record.Term).Entries, e.extensions.list.Entries, e.extensions.written)
+}
+
 // Extend processes what the owner says of its confirmation, and returns the confirmation that
 // this entry extends, or nil.
 func (e *Elector) Extend(c messenger.OwnerConfirmation) *messenger.ConfirmationRef {
