chronicler: Keep when each version of the store was known

Versions rise across the whole store, so that a key was written before the moment at which any reply showed its version or a later one. Each entry keeps these moments on its own clock, from lists, watches, its writes, and the owner's replies to pings, which carry the newest version that the owner knows.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -17,6 +17,7 @@
 	"go.uber.org/zap"
 
 	"github.com/endivefall/endivefall/acceptor"
+	"github.com/endivefall/endivefall/chronicler"
 	"github.com/endivefall/endivefall/connector"
 	"github.com/endivefall/endivefall/dialer"
 	"github.com/endivefall/endivefall/elector"
@@ -95,6 +96,8 @@
 	cfg         Config
 	incarnation string
 	relayer     *relayer.Relayer
+	// chronicler keeps when this process knew each version of the store.
+	chronicler  *chronicler.Chronicler
 	elector     *elector.Elector
 	connector   *connector.Connector
 	ownerClient *ownerClient
@@ -134,11 +137,13 @@
 		Store: cfg.Store, Peers: func() []netip.AddrPort { return c.elector.Peers() }, Client: cfg.Client,
 		Now: cfg.Now, Log: cfg.Log, Count: func(name string) { cfg.Count("store_" + name) },
 	})
-	store := c.relayer.Store()
+	c.chronicler = chronicler.New(cfg.Now)
+	store := c.Store()
 	self := elector.Member{ID: cfg.ID, Incarnation: c.incarnation, PeerAddr: cfg.PeerAddr, CPUCapacity: cfg.CPUCapacity}
 	c.ownerClient = newOwnerClient(ownerClientConfig{
 		ID: cfg.ID, Incarnation: c.incarnation, Client: cfg.Client, Now: cfg.Now, Log: cfg.Log, Traffic: &c.traffic,
-		OnInDoubt: func(jobs []string) { c.Acceptor.MarkInDoubt(jobs) }, InDoubt: func() []string { return c.Acceptor.OwnInDoubt() },
+		OnStoreVersion: c.chronicler.Observe,
+		OnInDoubt:      func(jobs []string) { c.Acceptor.MarkInDoubt(jobs) }, InDoubt: func() []string { return c.Acceptor.OwnInDoubt() },
 		Extend: func(confirmation messenger.OwnerConfirmation) *messenger.ConfirmationRef {
 			return c.elector.Extend(confirmation)
 		},
@@ -161,7 +166,7 @@
 }
 
 // Store returns the store, reached directly or through another entry.
-func (c *Coordinator) Store() *storer.Store { return c.relayer.Store() }
+func (c *Coordinator) Store() *storer.Store { return c.chronicler.Store(c.relayer.Store()) }
 
 // StoreReachable reports whether this instance reaches the store directly and, if
 // not, since when it does not.
--- a/coordinator/links.go
+++ b/coordinator/links.go
@@ -119,6 +119,7 @@
 			c.cfg.Log.Debug("state query failed", zap.String("job", f.StateQuery.Job), zap.Error(err))
 		}
 	}
+	reply.StoreVersion = c.chronicler.Newest()
 	// The peer reads its replies whatever it sends, so that this does not wait for long.
 	if err := l.Send(ctx, messenger.Frame{Kind: messenger.KindStateReply, ID: f.ID, StateReply: &reply}); err != nil {
 		c.cfg.Log.Debug("reply to a state query dropped", zap.String("peer", l.Hello.ID), zap.Error(err))
--- a/coordinator/owner_client.go
+++ b/coordinator/owner_client.go
@@ -37,6 +37,9 @@
 	Client          *http.Client
 	Now             func() time.Time
 	Log             *zap.Logger
+	// OnStoreVersion is called with each version that the store had reached before a reply; nil if
+	// it is not needed.
+	OnStoreVersion func(version uint64)
 	// OnInDoubt is called with jobs that are in doubt at other entries.
 	OnInDoubt func(jobs []string)
 	// InDoubt returns the jobs whose writes here are in doubt; nil if there are never any.
@@ -131,6 +134,9 @@
 		switch f.Kind {
 		case messenger.KindStateReply:
 			c.lastReply.Store(c.cfg.Now().UnixNano())
+			if c.cfg.OnStoreVersion != nil {
+				c.cfg.OnStoreVersion(f.StateReply.StoreVersion)
+			}
 			c.requests.Deliver(f.ID, *f.StateReply)
 		case messenger.KindInDoubt:
 			c.cfg.OnInDoubt(f.InDoubt.Jobs)
--- a/messenger/pool_messages.go
+++ b/messenger/pool_messages.go
@@ -245,6 +245,8 @@
 	Pending int    `cbor:"4,keyasint,omitempty"`
 	// Confirmation is set in replies of an owner to pings.
 	Confirmation *OwnerConfirmation `cbor:"5,keyasint,omitempty"`
+	// StoreVersion is a version that the store had reached before the reply, 0 if none is known.
+	StoreVersion uint64 `cbor:"6,keyasint,omitempty"`
 }
 
 // InDoubt lists jobs that are subject to a write with unknown outcome, which may
