orchestrator: Count the wait for an agent that left from its last registration

An agent that left in good order was waited out like one that is silent: for 2 s and the lease from the claim of the next owner, though nobody can renew its lease any more. The registration now says that its lease is renewed no more (the term of the owner that wrote it), and for how long owners before that one may still act. A later owner, which heeds a record that it has loaded in the same way, counts the lease from when its process knew a version of the store as new as the record. The roster says since which term all owners do so; without that, only a record of the last owner counts.

Price: the next process of an agent that left is renewed only once its registration is written. Where the store is away by then, its runs go on with what is left of the lease; the closed registration allowed 2 s more.

--- a/coordinator/ownership.go
+++ b/coordinator/ownership.go
@@ -42,10 +42,10 @@
 	previousOwnerTTL := record.EarlierOwnersTTL()
 	claimedAt := c.elector.ClaimedAt()
 	o := orchestrator.New(orchestrator.Config{
-		Term: record.Term, Epoch: epoch, OwnerKey: elector.OwnerKey, ClaimedAt: claimedAt, Store: c.relayer.Store(), Now: c.cfg.Now, WallClock: c.cfg.WallClock,
+		Term: record.Term, Epoch: epoch, OwnerKey: elector.OwnerKey, ClaimedAt: claimedAt, Store: c.Store(), Now: c.cfg.Now, WallClock: c.cfg.WallClock,
 		LeaseDuration: RunLease(c.cfg.MaxWorkerLease), JobRetention: c.cfg.JobRetention, QueryPolicy: c.cfg.QueryPolicy,
 		UnextendedTTL: elector.UnextendedTTL, ConfirmationTTL: elector.ConfirmationTTL, ConfirmationExtended: c.elector.ConfirmationExtended,
-		PreviousOwnerTTL: previousOwnerTTL, RosterFrom: c.elector.RosterFrom(), UnrosteredUntil: c.elector.UnrosteredUntil(),
+		PreviousOwnerTTL: previousOwnerTTL, KnownSince: c.chronicler.KnownSince, RosterFrom: c.elector.RosterFrom(), UnrosteredUntil: c.elector.UnrosteredUntil(),
 		OwnershipConfirmedAt: c.elector.OwnershipConfirmedAt, ConfirmOwnership: c.elector.ConfirmOwnership,
 		HasStandby: func() bool { return len(c.elector.Members()) > 0 },
 		Log:        c.cfg.Log, Count: c.cfg.Count, Gauge: c.cfg.Gauge, ObserveDuration: c.cfg.ObserveDuration,
--- a/orchestrator/agent.go
+++ b/orchestrator/agent.go
@@ -36,6 +36,18 @@
 	// while it is closed and states that every owner renews the lease only within
 	// closedConfirmationTTL.
 	recordOpen, renewalBounded bool
+	// unrenewed is set from when a registration is loaded, or sent, that says that the lease is
+	// renewed no more, until one that doesn't say so has been written: no snapshot that arrives
+	// meanwhile renews it. writingUnrenewed is set if the write in flight says so.
+	unrenewed, writingUnrenewed bool
+	// recordUnrenewed is the term at which the record in the ledger says so, or 0; earlier owners
+	// may have renewed the lease for recordEarlier after that.
+	recordUnrenewed uint64
+	recordEarlier   time.Duration
+	// renewed is the last renewal of the lease.
+	renewed renewal
+	// leaving is set once the process that is or was connected has said that it ends.
+	leaving bool
 	// recordIncarnation is the process that its registration in the ledger names,
 	// writingIncarnation the one that a write in flight names.
 	recordIncarnation, writingIncarnation string
@@ -98,6 +110,7 @@
 	o.enqueue(func() {
 		a := o.agent(l.ID)
 		if a.incarnation != l.Incarnation {
+			a.leaving = false
 			a.incarnation, a.lastEnd, a.durableEnd, a.ackedEnd, a.pendingEnds = l.Incarnation, 0, 0, 0, nil
 		}
 		o.dropOutbox(a)
--- a/orchestrator/config.go
+++ b/orchestrator/config.go
@@ -31,6 +31,9 @@
 	// PreviousOwnerTTL is how long an earlier owner may have sent commands after
 	// the claim: at most ConfirmationTTL, 0 if it had certainly stopped.
 	PreviousOwnerTTL time.Duration
+	// KnownSince returns a time by which the store had reached a version, and false if none is
+	// known; it may be nil.
+	KnownSince func(version uint64) (time.Time, bool)
 	// RosterFrom is the time from which the leases of no agents are renewed but those in the
 	// roster of this owner. UnrosteredUntil is until when an earlier owner may renew the lease
 	// of an agent that is not in the roster of the last one; zero if that is not known.
--- a/orchestrator/orchestrator.go
+++ b/orchestrator/orchestrator.go
@@ -111,6 +111,9 @@
 	// it; rosterVersion is the version of its key.
 	rosterDueAt   time.Time
 	rosterVersion uint64
+	// unrenewedSince is the first of the terms, without a gap up to this one, whose owners are known
+	// to heed that a registration says that a lease is renewed no more.
+	unrenewedSince uint64
 	// starts limits how many bytes of starts are on their way to the agents.
 	starts *regulator.Regulator
 	// startsHeld is set if starts have been held back since the last confirmation.
@@ -152,6 +155,9 @@
 	if cfg.Gauge == nil {
 		cfg.Gauge = func(string, float64) {}
 	}
+	if cfg.KnownSince == nil {
+		cfg.KnownSince = func(uint64) (time.Time, bool) { return time.Time{}, false }
+	}
 	return &Orchestrator{
 		cfg: cfg, actions: make(chan func(), queueCapacity), stopped: make(chan struct{}), done: make(chan struct{}),
 		jobs: map[string]*job{}, openJobs: map[string]*job{}, unreadableJobs: map[string]bool{}, runs: map[runKey]*run{}, claims: map[*sequencer.Task]*claim{}, agents: map[string]*agent{},
@@ -232,7 +238,7 @@
 
 // mayRenew reports whether the lease of an agent may be renewed.
 func (o *Orchestrator) mayRenew(a *agent) bool {
-	return a.keyVersion != 0 && o.rosterAllows(a) && o.ownershipCurrent() && (a.mayRunAny || o.confirmedWithin(closedConfirmationTTL))
+	return a.keyVersion != 0 && !a.unrenewed && o.rosterAllows(a) && o.ownershipCurrent() && (a.mayRunAny || o.confirmedWithin(closedConfirmationTTL))
 }
 
 // tick checks deadlines.
--- a/orchestrator/registration.go
+++ b/orchestrator/registration.go
@@ -23,20 +23,27 @@
 		o.cfg.Count(unreadableRegistrationCount)
 	}
 	a.keyVersion, a.mayRunAny, a.recordedTasks = version, r.Open, r.HeldTasks
-	a.recordOpen, a.recordIncarnation, a.renewalBounded = r.Open, r.Incarnation, r.Bounded && !r.Open
+	a.recordOpen, a.recordIncarnation, a.renewalBounded, a.recordUnrenewed = r.Open, r.Incarnation, r.Bounded && !r.Open, 0
+	if !r.Open {
+		a.recordUnrenewed, a.recordEarlier = r.Unrenewed, time.Duration(r.EarlierMs)*time.Millisecond
+	}
 }
 
 // earlierOwnersStopped reports whether the confirmations of every earlier owner have
 // expired.
 func (o *Orchestrator) earlierOwnersStopped() bool {
-	return !o.cfg.Now().Before(o.cfg.ClaimedAt.Add(o.cfg.PreviousOwnerTTL))
+	return o.earlierOwnersLeft() <= 0
 }
 
 // closedRegistration returns the record of an agent whose registration is closed. It is
 // bounded only once the confirmations of every earlier owner have expired: one of them
 // may have loaded the registration while it was open, and renew the lease for longer.
 func (o *Orchestrator) closedRegistration(a *agent) registrar.Registration {
-	return registrar.Registration{HeldTasks: a.heldTasks(), Bounded: o.earlierOwnersStopped(), Incarnation: a.incarnation}
+	r := registrar.Registration{HeldTasks: a.heldTasks(), Bounded: o.earlierOwnersStopped(), Incarnation: a.incarnation}
+	if a.leaving {
+		r.Unrenewed, r.EarlierMs = o.cfg.Term, max(o.earlierOwnersLeft().Milliseconds()+1, 0)
+	}
+	return r
 }
 
 // startsRegistered reports whether the open registration of an agent is of the process that is
@@ -45,12 +52,13 @@
 func (a *agent) startsRegistered() bool { return a.recordIncarnation == a.incarnation }
 
 // boundRegistration writes a closed registration again that was written while an
-// earlier owner might still act.
+// earlier owner might still act, or before the agent left.
 func (o *Orchestrator) boundRegistration(a *agent) {
-	if a.keyVersion == 0 || a.recordOpen || a.renewalBounded || a.writing || a.openPending || a.removalPending || !a.reconciled || a.hasUnknownRuns {
+	bounded := a.renewalBounded && (a.unrenewed || !a.leaving)
+	if a.keyVersion == 0 || a.recordOpen || bounded || a.writing || a.openPending || a.removalPending || !a.reconciled || a.hasUnknownRuns {
 		return
 	}
-	a.closePending = o.earlierOwnersStopped()
+	a.closePending = o.earlierOwnersStopped() || a.leaving && !a.unrenewed
 }
 
 // previousOwnerTTL returns how long after the claim an earlier owner may have renewed
@@ -68,10 +76,12 @@
 func (o *Orchestrator) updateRegistration(a *agent, snapshot *messenger.WorkerSnapshot) {
 	closing := (snapshot.Draining || snapshot.Leaving) && snapshot.Reconciled
 	switch {
+	case !a.writing && a.hasUnknownRuns && a.unrenewed && !a.leaving && snapshot.Reconciled:
+		a.closePending = true // it may be renewed from then on, and holds what it did
 	case a.writing || a.hasUnknownRuns: // its registration stands until it is reconciled
 	case closing && snapshot.Complete && len(snapshot.Runs) == 0 && len(snapshot.RunEnds) == 0 && a.idle():
 		a.openPending, a.closePending, a.removalPending = false, false, a.keyVersion != 0
-	case closing && a.mayRunAny:
+	case closing && (a.mayRunAny || a.unrenewed && !a.leaving):
 		// The write that names the process that is connected may not have been sent.
 		a.mayRunAny, a.openPending, a.closePending = false, false, true
 	case closing:
@@ -117,6 +127,9 @@
 	for _, e := range a.pendingEnds {
 		tasks = append(tasks, e.task)
 	}
+	if a.hasUnknownRuns {
+		tasks = append(tasks, a.recordedTasks...)
+	}
 	return tasks
 }
 
--- /dev/null
+++ b/orchestrator/renewal.go
@@ -0,0 +1,48 @@
+package orchestrator
+
+import (
+	"time"
+
+	"github.com/endivefall/endivefall/estimator"
+)
+
+// renewal is a renewal of the lease of a worker.
+type renewal struct {
+	// worker is the incarnation of the worker, sentAt the time on its clock from which the lease
+	// counts.
+	worker string
+	sentAt time.Time
+}
+
+// earlierOwnersLeft returns for how long an earlier owner may still act; it has stopped if that is
+// not above 0.
+func (o *Orchestrator) earlierOwnersLeft() time.Duration {
+	return o.cfg.ClaimedAt.Add(estimator.MaxLocalElapsed(o.cfg.PreviousOwnerTTL)).Sub(o.cfg.Now())
+}
+
+// boundUnrenewed bounds the wait for agents of which a registration says that their lease is renewed no
+// more: it counts from when that was written, at the latest when this process knew a version of the
+// store that was as new. That holds if each owner from the one that wrote it to the last one heeds it.
+func (o *Orchestrator) boundUnrenewed(last roster) {
+	o.unrenewedSince = o.cfg.Term
+	heededSince := o.cfg.Term - 1
+	if last.Term == o.cfg.Term-1 && last.UnrenewedSince > 0 && last.UnrenewedSince <= last.Term {
+		o.unrenewedSince, heededSince = last.UnrenewedSince, last.UnrenewedSince
+	}
+	for _, a := range o.agents {
+		if !a.hasUnknownRuns || a.recordUnrenewed == 0 || a.recordUnrenewed < heededSince || a.recordUnrenewed >= o.cfg.Term {
+			continue
+		}
+		writtenBy, ok := o.cfg.KnownSince(a.keyVersion)
+		if !ok {
+			continue
+		}
+		earlierUntil := writtenBy.Add(estimator.MaxLocalElapsed(a.recordEarlier))
+		if known := o.cfg.UnrosteredUntil; !known.IsZero() && known.Before(earlierUntil) {
+			earlierUntil = known // no owner before the last one acts after that
+		}
+		if expiresAt := later(writtenBy, earlierUntil).Add(o.maxLeaseElapsed()); expiresAt.Before(a.leaseExpiresAt) {
+			a.leaseExpiresAt = expiresAt
+		}
+	}
+}
--- /dev/null
+++ b/orchestrator/renewal_test.go
@@ -0,0 +1,228 @@
+package orchestrator
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/endivefall/endivefall/messenger"
+	"github.com/endivefall/endivefall/registrar"
+	"github.com/endivefall/endivefall/storer"
+)
+
+// report delivers a snapshot of an agent with all its runs, a second after the last one, and returns the
+// time for which its acknowledgement renews the lease.
+func (h *harness) report(id string, snapshot messenger.WorkerSnapshot) time.Time {
+	h.now = h.now.Add(time.Second)
+	snapshot.SentAt, snapshot.Runs = h.now, h.runStatuses(id, messenger.PhaseRunning, 10)
+	h.sendSnapshot(id, &snapshot)
+	return h.lastRenewal(id)
+}
+
+// lastRenewal returns the time for which the last acknowledgement to an agent renews its lease.
+func (h *harness) lastRenewal(id string) time.Time {
+	return h.sent[id][len(h.sent[id])-1].SnapshotAck.EchoSentAt
+}
+
+// written returns the registration that a batch writes.
+func (h *harness) written(b *batch) registrar.Registration {
+	h.c.Assert(b.transaction.Writes, qt.HasLen, 1)
+	r, err := registrar.Decode(b.transaction.Writes[0].Value)
+	h.c.Assert(err, qt.IsNil)
+	return r
+}
+
+// The wait of a later owner counts from when the record was written, so that a renewal after that would
+// let a task run twice.
+func TestTheLeaseOfAnAgentThatLeftIsRenewedNoMore(t *testing.T) {
+	c := qt.New(t)
+	h, _, a := newBusyHarness(c)
+	last := h.report("a0", messenger.WorkerSnapshot{Leaving: true})
+	c.Assert(last.Equal(h.now), qt.IsTrue, qt.Commentf("the record has not been sent"))
+	expiresAt := a.leaseExpiresAt
+	b := h.o.nextBatch()
+	record := h.written(b)
+	c.Assert(record.Unrenewed, qt.Equals, h.o.cfg.Term)
+	c.Assert(record.HeldTasks, qt.HasLen, 3)
+	c.Assert(h.report("a0", messenger.WorkerSnapshot{Leaving: true}).Equal(last), qt.IsTrue, qt.Commentf("sent, without an outcome"))
+	h.o.handleCommit(b, 50, h.now, nil)
+	c.Assert(h.lastRenewal("a0").Equal(last), qt.IsTrue, qt.Commentf("as it is let go"))
+	c.Assert(h.report("a0", messenger.WorkerSnapshot{Leaving: true}).Equal(last), qt.IsTrue)
+	c.Assert(a.leaseExpiresAt, qt.Equals, expiresAt)
+
+	a.incarnation = "b2"
+	c.Assert(h.report("a0", messenger.WorkerSnapshot{}).Equal(last), qt.IsTrue, qt.Commentf("of the next process, until it is registered"))
+	c.Assert(h.written(h.commitBatch(51)), qt.DeepEquals, registrar.Registration{Open: true, Incarnation: "b2"})
+	c.Assert(h.lastRenewal("a0").Equal(h.now), qt.IsTrue)
+	c.Assert(h.report("a0", messenger.WorkerSnapshot{}).Equal(h.now), qt.IsTrue)
+}
+
+// A renewal is repeated to the worker for which it was given only: another one has another clock.
+func TestARenewalIsNotRepeatedToAnotherWorker(t *testing.T) {
+	c := qt.New(t)
+	h, _, a := newBusyHarness(c)
+	h.report("a0", messenger.WorkerSnapshot{Leaving: true})
+	h.commitBatch(50)
+	a.renewed.worker = "an earlier one"
+	c.Assert(h.report("a0", messenger.WorkerSnapshot{Leaving: true}).IsZero(), qt.IsTrue)
+}
+
+// A write of unknown outcome, and one that meets another record, may have taken effect.
+func TestALeaseIsNotRenewedAfterAConflictOfItsLastRecord(t *testing.T) {
+	for name, tt := range map[string]struct {
+		version uint64
+		stored  registrar.Registration
+	}{
+		"unchanged": {1, registrar.Registration{Open: true, Incarnation: "b"}},
+		"closed":    {7, registrar.Registration{HeldTasks: []string{"0000000000000001.0.0.0"}, Incarnation: "b"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			h, _, a := newBusyHarness(c)
+			last := h.report("a0", messenger.WorkerSnapshot{Leaving: true})
+			h.conflict("a0", tt.version, tt.stored)
+			a.incarnation, a.leaving = "b2", false
+			c.Assert(h.report("a0", messenger.WorkerSnapshot{}).Equal(last), qt.IsTrue)
+			h.commitBatch(50)
+			c.Assert(h.report("a0", messenger.WorkerSnapshot{}).Equal(h.now), qt.IsTrue)
+		})
+	}
+}
+
+// The runs of a worker that drains would lapse, as its registration isn't opened again.
+func TestTheNextProcessOnADrainingWorkerIsRenewedOnceItIsRegistered(t *testing.T) {
+	c := qt.New(t)
+	h, _, a := newBusyHarness(c)
+	h.report("a0", messenger.WorkerSnapshot{Leaving: true, Draining: true})
+	h.commitBatch(50)
+	a.incarnation = "b2"
+	h.report("a0", messenger.WorkerSnapshot{Draining: true})
+	record := h.written(h.commitBatch(51))
+	c.Assert(record.Unrenewed, qt.Equals, uint64(0))
+	c.Assert(record.HeldTasks, qt.HasLen, 3)
+	c.Assert(h.report("a0", messenger.WorkerSnapshot{Draining: true}).Equal(h.now), qt.IsTrue)
+}
+
+// The registration of a worker that drains was closed before its agent left, and the next owner waited
+// as for an agent that may return.
+func TestTheRegistrationOfADrainingAgentThatLeavesIsWrittenAgain(t *testing.T) {
+	c := qt.New(t)
+	h, _, a := newBusyHarness(c)
+	h.report("a0", messenger.WorkerSnapshot{Draining: true})
+	c.Assert(h.written(h.commitBatch(50)).Unrenewed, qt.Equals, uint64(0))
+	h.report("a0", messenger.WorkerSnapshot{Draining: true, Leaving: true})
+	a.link, a.snapshot = nil, nil
+	h.o.tick(t.Context())
+	c.Assert(h.written(h.commitBatch(51)).Unrenewed, qt.Equals, h.o.cfg.Term)
+	h.o.tick(t.Context())
+	c.Assert(h.o.nextBatch().keyCount(), qt.Equals, 0)
+}
+
+// An earlier owner may have loaded the open registration, and renew the lease of the next process.
+func TestTheRecordOfAnAgentThatLeftSaysForHowLongEarlierOwnersMayAct(t *testing.T) {
+	c := qt.New(t)
+	h, _, _ := newBusyHarness(c)
+	h.o.cfg.PreviousOwnerTTL = 2 * time.Second
+	h.report("a0", messenger.WorkerSnapshot{Leaving: true})
+	record := h.written(h.commitBatch(50))
+	c.Assert(record.Bounded, qt.IsFalse)
+	left := time.Duration(record.EarlierMs) * time.Millisecond
+	c.Assert(left > time.Second, qt.IsTrue, qt.Commentf("%v", left))
+	c.Assert(left < 1100*time.Millisecond, qt.IsTrue, qt.Commentf("%v", left))
+}
+
+// takeOverFrom loads the registration of an agent with one task, of version 30, and the roster of the last
+// owner, as the owner of term 5.
+func (h *harness) takeOverFrom(record registrar.Registration, last roster) *agent {
+	record.HeldTasks = []string{"x.0.0.0"}
+	h.o.cfg.Term, h.o.cfg.PreviousOwnerTTL = 5, 2*time.Second
+	h.o.takeOver(nil, nil, []storer.Item{{Key: registrar.Key("left"), Value: record.Encode(), Version: 30}})
+	h.o.loadRoster(storer.Item{Key: rosterKey, Version: 20, Value: last.encode()})
+	return h.o.agents["left"]
+}
+
+// The next owner waited for 2 s and the lease from its own claim for an agent whose lease nobody could
+// have renewed since it left.
+func TestTheWaitForAnAgentThatLeftCountsFromItsLastRecord(t *testing.T) {
+	const known = -3 * time.Second // from the claim
+	for name, tt := range map[string]struct {
+		record registrar.Registration
+		last   roster
+		// until is when the last renewal was possible, from the claim.
+		until time.Duration
+	}{
+		"of the last owner":                       {registrar.Registration{Unrenewed: 4}, roster{}, known},
+		"whose predecessors acted":                {registrar.Registration{Unrenewed: 4, EarlierMs: 1000}, roster{}, known + 1021*time.Millisecond},
+		"whose predecessors acted for long":       {registrar.Registration{Unrenewed: 4, EarlierMs: 9000}, roster{}, 2 * time.Second},
+		"of an owner before, all heed it":         {registrar.Registration{Unrenewed: 2}, roster{Term: 4, UnrenewedSince: 2}, known},
+		"of an owner before, one doesn't heed it": {registrar.Registration{Unrenewed: 2}, roster{Term: 4, UnrenewedSince: 3}, 2 * time.Second},
+		"of an owner before, the last doesn't":    {registrar.Registration{Unrenewed: 3}, roster{Term: 4}, 2 * time.Second},
+		"of an owner before, the last is unknown": {registrar.Registration{Unrenewed: 3}, roster{Term: 3, UnrenewedSince: 2}, 2 * time.Second},
+		"of a term that has not been":             {registrar.Registration{Unrenewed: 5}, roster{}, 2 * time.Second},
+		"that says nothing":                       {registrar.Registration{}, roster{Term: 4, UnrenewedSince: 1}, 2 * time.Second},
+		"that is open":                            {registrar.Registration{Open: true, Unrenewed: 4}, roster{}, 2 * time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			h := newHarness(c, 0)
+			claimed := h.o.cfg.ClaimedAt
+			h.o.cfg.KnownSince = func(version uint64) (time.Time, bool) { return claimed.Add(known), version == 30 }
+			a := h.takeOverFrom(tt.record, tt.last)
+			c.Assert(a.leaseExpiresAt.Sub(claimed), qt.Equals, tt.until+h.o.maxLeaseElapsed())
+		})
+	}
+}
+
+func TestTheWaitForAnAgentThatLeftIsLongWithoutSightOfItsRecord(t *testing.T) {
+	c := qt.New(t)
+	h := newHarness(c, 0)
+	a := h.takeOverFrom(registrar.Registration{Unrenewed: 4}, roster{})
+	c.Assert(a.leaseExpiresAt.Sub(h.o.cfg.ClaimedAt), qt.Equals, 2*time.Second+h.o.maxLeaseElapsed())
+}
+
+// What the record says of the owners before the one that wrote it may be known better here.
+func TestTheWaitForEarlierOwnersIsNoLongerThanKnown(t *testing.T) {
+	for name, tt := range map[string]struct{ unrostered, until time.Duration }{
+		"later than the record":  {-time.Second, -time.Second},
+		"before the record":      {-5 * time.Second, -3 * time.Second},
+		"after what it says":     {time.Second, -3*time.Second + 3063*time.Millisecond},
+		"at once with the claim": {0, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			h := newHarness(c, 0)
+			claimed := h.o.cfg.ClaimedAt
+			h.o.cfg.KnownSince = func(uint64) (time.Time, bool) { return claimed.Add(-3 * time.Second), true }
+			h.o.cfg.UnrosteredUntil = claimed.Add(tt.unrostered)
+			a := h.takeOverFrom(registrar.Registration{Unrenewed: 4, EarlierMs: 3000}, roster{Term: 4, Agents: []string{"left"}})
+			c.Assert(a.leaseExpiresAt.Sub(claimed), qt.Equals, tt.until+h.o.maxLeaseElapsed())
+		})
+	}
+}
+
+// An owner that heeds what it has loaded renews the lease of the next process only once it has written
+// another record; one that doesn't know all runs there keeps the tasks of the last one in it.
+func TestALoadedRecordIsHeededUntilAnotherOneIsWritten(t *testing.T) {
+	c := qt.New(t)
+	h := newHarness(c, 0)
+	a := h.takeOverFrom(registrar.Registration{Unrenewed: 4, Incarnation: "b"}, roster{Term: 4, UnrenewedSince: 3})
+	a.inRoster, a.incarnation = true, "b2"
+	a.link = &AgentLink{ID: "left", Incarnation: "b2", TrySend: func(f messenger.Frame) error {
+		h.sent["left"] = append(h.sent["left"], f)
+		return nil
+	}}
+	h.sendIncomplete("left", &messenger.WorkerSnapshot{SentAt: h.now})
+	c.Assert(h.lastRenewal("left").IsZero(), qt.IsTrue)
+	c.Assert(a.hasUnknownRuns, qt.IsTrue)
+	record := h.written(h.commitBatch(50))
+	c.Assert(record, qt.DeepEquals, registrar.Registration{HeldTasks: []string{"x.0.0.0"}, Incarnation: "b2"})
+	h.sendIncomplete("left", &messenger.WorkerSnapshot{SentAt: h.now})
+	c.Assert(h.lastRenewal("left").Equal(h.now), qt.IsTrue)
+	c.Assert(a.hasUnknownRuns, qt.IsTrue)
+	agents, value := h.o.nextRoster()
+	c.Assert(agents, qt.HasLen, 1)
+	r, err := decodeRoster(storer.Item{Version: 1, Value: value})
+	c.Assert(err, qt.IsNil)
+	c.Assert(r.UnrenewedSince, qt.Equals, uint64(3))
+}
--- a/orchestrator/roster.go
+++ b/orchestrator/roster.go
@@ -21,6 +21,9 @@
 type roster struct {
 	Term   uint64   `cbor:"1,keyasint"`
 	Agents []string `cbor:"2,keyasint,omitempty"`
+	// UnrenewedSince is the first of the terms, without a gap up to Term, whose owners heed that a
+	// registration says that a lease is renewed no more; 0 if Term's doesn't.
+	UnrenewedSince uint64 `cbor:"3,keyasint,omitempty"`
 }
 
 func (r roster) encode() []byte {
@@ -31,20 +34,31 @@
 	return raw
 }
 
+// decodeRoster reads the roster, which is empty if there is none or it can't be decoded.
+func decodeRoster(item storer.Item) (roster, error) {
+	r := roster{}
+	if item.Version == 0 {
+		return r, nil
+	}
+	if err := cbor.Unmarshal(item.Value, &r); err != nil {
+		return roster{}, err
+	}
+	return r, nil
+}
+
 // loadRoster bounds the wait for agents that the last owner never reached. Without a roster
 // of that owner, it reached none.
 func (o *Orchestrator) loadRoster(item storer.Item) {
 	o.rosterVersion = item.Version
+	r, err := decodeRoster(item)
+	o.boundUnrenewed(r)
 	if o.cfg.UnrosteredUntil.IsZero() {
 		return
 	}
-	r := roster{}
-	if item.Version != 0 {
-		if err := cbor.Unmarshal(item.Value, &r); err != nil {
-			o.cfg.Log.Warn("roster can't be decoded; waiting for all agents", zap.Error(err))
-			o.cfg.Count(unreadableRosterCount)
-			return
-		}
+	if err != nil {
+		o.cfg.Log.Warn("roster can't be decoded; waiting for all agents", zap.Error(err))
+		o.cfg.Count(unreadableRosterCount)
+		return
 	}
 	if r.Term >= o.cfg.Term {
 		o.stopReason = ErrOwnershipLost
@@ -83,7 +97,7 @@
 // nextRoster returns the agents of the next roster: those that this owner has reached and that
 // are still registered.
 func (o *Orchestrator) nextRoster() (agents []*agent, value []byte) {
-	r := roster{Term: o.cfg.Term}
+	r := roster{Term: o.cfg.Term, UnrenewedSince: o.unrenewedSince}
 	for id, a := range o.agents {
 		if a.reached {
 			agents, r.Agents = append(agents, a), append(r.Agents, id)
--- a/orchestrator/snapshot.go
+++ b/orchestrator/snapshot.go
@@ -42,7 +42,7 @@
 	if a.snapshot != nil && a.snapshot.MayStart && !snapshot.MayStart && !snapshot.Draining {
 		a.silentSince = now
 	}
-	a.snapshot, a.lastSnapshotAt = snapshot, now
+	a.snapshot, a.lastSnapshotAt, a.leaving = snapshot, now, snapshot.Leaving
 	o.addToRoster(a)
 	if o.loaded {
 		o.applySnapshot(a, snapshot)
@@ -62,12 +62,14 @@
 		ack.AppliedSentAt = snapshot.SentAt
 	}
 	if o.mayRenew(a) && snapshot.Reconciled {
-		ack.EchoSentAt = snapshot.SentAt
+		ack.EchoSentAt, a.renewed = snapshot.SentAt, renewal{snapshot.WorkerIncarnation, snapshot.SentAt}
 		if expiresAt := o.cfg.Now().Add(o.maxLeaseElapsed()); snapshot.Term == o.cfg.Term {
 			a.leaseExpiresAt = expiresAt // no earlier owner can renew it any more
 		} else {
 			a.leaseExpiresAt = later(a.leaseExpiresAt, expiresAt)
 		}
+	} else if a.unrenewed && a.renewed.worker == snapshot.WorkerIncarnation {
+		ack.EchoSentAt = a.renewed.sentAt // which may not have arrived
 	}
 	a.ackedEnd = a.durableEnd
 	o.sendFrame(a, messenger.Frame{Kind: messenger.KindSnapshotAck, SnapshotAck: ack})
--- a/registrar/registration_test.go
+++ b/registrar/registration_test.go
@@ -1,6 +1,7 @@
 package registrar
 
 import (
+	"math"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -10,6 +11,7 @@
 	for name, r := range map[string]Registration{
 		"open":   {Open: true, Incarnation: "born-1"},
 		"closed": {HeldTasks: []string{"x.0.0.0"}, Bounded: true, Incarnation: "born-1"},
+		"left":   {HeldTasks: []string{"x.0.0.0"}, Bounded: true, Incarnation: "born-1", Unrenewed: 7, EarlierMs: 1500},
 		"empty":  {},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -21,6 +23,16 @@
 	}
 }
 
+// A wait that is far too long, or none, can't be told from that of an odd record.
+func TestARegistrationWithAnOddWaitSaysNothingOfRenewals(t *testing.T) {
+	for _, odd := range []int64{-1, maxEarlierMs + 1, math.MaxInt64} {
+		c := qt.New(t)
+		got, err := Decode(Registration{HeldTasks: []string{"x.0.0.0"}, Unrenewed: 7, EarlierMs: odd}.Encode())
+		c.Assert(err, qt.IsNil)
+		c.Assert(got, qt.DeepEquals, Registration{HeldTasks: []string{"x.0.0.0"}})
+	}
+}
+
 // The agent of a record that can't be read may run any task.
 func TestAnUnreadableRegistrationIsOpen(t *testing.T) {
 	c := qt.New(t)
