orchestrator: Count the wait for a lost agent from the close of its registration

An agent that was killed 2 to 6 s before its owner was waited out for 2 s and the lease from the next owner's claim, though its registration had been closed a quarter of a second after its connection. Such a record now says, too, that the lease is renewed no more, as does that of a draining worker whose agent is lost later. An agent that returns is renewed once its registration is written again.

Price: that write comes before the first renewal after a disconnection of over 0.25 s, or a silence of over 1.1 s. If the store goes away just then, the runs last up to 2 s less than under the closed registration before.

--- a/coordinator/left_agent_test.go
+++ b/coordinator/left_agent_test.go
@@ -31,15 +31,73 @@
 				advancer.Sleep(tt.outage)
 				tt.lose(f, owner)
 				f.setFaults(func() { f.storeDown = false })
-				for len(busy.worker.Running()) > 0 {
-					advancer.Sleep(10 * time.Millisecond)
-				}
-				idleSince := time.Now()
-				for f.runningExcept(busy) < lastingTasks && time.Since(idleSince) < time.Minute {
-					advancer.Sleep(10 * time.Millisecond)
-				}
-				c.Check(time.Since(idleSince) <= restartDelay, qt.IsTrue, qt.Commentf("its tasks ran nowhere for %v", time.Since(idleSince)))
+				idle := f.idleUntilRunning(busy)
+				c.Check(idle <= restartDelay, qt.IsTrue, qt.Commentf("its tasks ran nowhere for %v", idle))
 			})
 		})
 	}
 }
+
+// An agent was killed, and its owner lost 5 s later, a second before it would have started the agent's tasks
+// again. The next owner waited for 8 s from its own claim, as if somebody could have renewed the lease.
+func TestTasksOfAnAgentThatWasLostBeforeItsOwnerRunInTime(t *testing.T) {
+	for name, lose := range map[string]func(f *fleet, owner *entryNode){
+		"frozen": func(f *fleet, owner *entryNode) { f.setFrozen(owner, true) },
+		"killed": func(f *fleet, owner *entryNode) { f.kill(owner) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			inLastingFleet(t, func(c *qt.C, f *fleet) {
+				busy, _ := f.agentsByLoad()
+				owner := f.owners()[0]
+				f.stopAgent(busy)
+				advancer.Sleep(5 * time.Second)
+				lose(f, owner)
+				idle := f.idleUntilRunning(busy)
+				c.Check(idle <= maxIdleTime, qt.IsTrue, qt.Commentf("its tasks ran nowhere for %v", idle))
+			})
+		})
+	}
+}
+
+// The next process of an agent that left or was lost finds an owner that can't write its registration any
+// more. The owner after that starts the agent's tasks as soon as the last lease that it knows of is over.
+func TestALostOwnerRenewsNoLeaseOfTheNextProcess(t *testing.T) {
+	for name, end := range map[string]func(f *fleet, a *agentNode){
+		"left": (*fleet).leave,
+		"killed": func(f *fleet, a *agentNode) {
+			f.stopAgent(a)
+			advancer.Sleep(time.Second)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			inLastingFleet(t, func(c *qt.C, f *fleet) {
+				busy, _ := f.agentsByLoad()
+				owner := f.owners()[0]
+				end(f, busy)
+				advancer.Sleep(500 * time.Millisecond) // the others know of its registration
+				f.setApart(owner, true)
+				f.startAgent(busy)
+				advancer.Sleep(500 * time.Millisecond)
+				c.Assert(f.owners(owner), qt.HasLen, 0, qt.Commentf("it has found the owner that is lost"))
+				f.cutOffTogether(owner, busy, true, true)
+				advancer.Sleep(lostAgentDelay)
+				c.Check(f.owners(owner), qt.HasLen, 1)
+				c.Check(f.runningExcept(busy), qt.Equals, lastingTasks)
+				f.cutOffTogether(owner, busy, false, false)
+			})
+		})
+	}
+}
+
+// idleUntilRunning waits until the runs of an agent's worker have ended and all tasks run elsewhere, and
+// returns the time between.
+func (f *fleet) idleUntilRunning(gone *agentNode) time.Duration {
+	for len(gone.worker.Running()) > 0 {
+		advancer.Sleep(10 * time.Millisecond)
+	}
+	idleSince := time.Now()
+	for f.runningExcept(gone) < lastingTasks && time.Since(idleSince) < time.Minute {
+		advancer.Sleep(10 * time.Millisecond)
+	}
+	return time.Since(idleSince)
+}
--- a/coordinator/left_history_test.go
+++ b/coordinator/left_history_test.go
@@ -16,14 +16,25 @@
 const maxLeaveLead = 5 * time.Second
 
 // TestLastingTasksRunAgainAfterAgentsLeftBeforeTheirOwnerWasLost lets agents leave in good order up to
-// maxLeaveLead before their owner is frozen, killed, or cut off with the next process of an agent, and
+// maxLeaveLead before their owner is frozen, killed, or cut off, alone or with the next process of an agent, and
 // the next owner may be lost, too. Long-running tasks have to run again within maxIdleTime.
 func TestLastingTasksRunAgainAfterAgentsLeftBeforeTheirOwnerWasLost(t *testing.T) {
 	for n := range *histories {
 		seed := *firstSeed + uint64(n)
 		t.Run(fmt.Sprint("seed-", seed), func(t *testing.T) {
 			t.Parallel()
-			synctest.Test(t, func(t *testing.T) { runLeaverHistory(t, seed) })
+			synctest.Test(t, func(t *testing.T) { runLeaverHistory(t, seed, false) })
+		})
+	}
+}
+
+// TestLastingTasksRunAgainAfterAgentsWereLostBeforeTheirOwner kills some of the agents instead.
+func TestLastingTasksRunAgainAfterAgentsWereLostBeforeTheirOwner(t *testing.T) {
+	for n := range *histories {
+		seed := *firstSeed + uint64(n)
+		t.Run(fmt.Sprint("seed-", seed), func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) { runLeaverHistory(t, seed, true) })
 		})
 	}
 }
@@ -37,7 +48,7 @@
 	lost   []*entryNode
 }
 
-func runLeaverHistory(t *testing.T, seed uint64) {
+func runLeaverHistory(t *testing.T, seed uint64, killed bool) {
 	withLastingFleet(t, 4, func(c *qt.C, f *fleet) {
 		h := &leaverHistory{f: f, r: rand.New(rand.NewPCG(seed, 2)), calmAt: time.Now()}
 		lossIn := maxLeaveLead
@@ -47,9 +58,13 @@
 		}
 		leaving := h.leavingAgents()
 		for n, a := range leaving {
+			end := f.leave
+			if killed && h.r.IntN(2) == 0 {
+				end = f.stopAgent
+			}
 			returns, absence := n == maxLostAgents || h.r.IntN(2) == 0, h.randomTime(time.Second)
 			h.after(lossIn-h.randomTime(maxLeaveLead), func() {
-				f.leave(a)
+				end(a)
 				if returns {
 					advancer.Sleep(absence)
 					f.startAgent(a)
@@ -98,7 +113,7 @@
 		return
 	}
 	owner, ends := owners[0], time.Second+h.randomTime(7*time.Second)
-	switch kind := h.r.IntN(4); {
+	switch kind := h.r.IntN(5); {
 	case kind == 0:
 		h.lost = append(h.lost, owner)
 		h.f.kill(owner)
@@ -106,7 +121,10 @@
 	case kind == 1 && a != nil:
 		h.f.cutOffTogether(owner, a, true, h.r.IntN(2) == 0)
 		h.after(ends, func() { h.f.cutOffTogether(owner, a, false, false) })
-	case kind == 2:
+	case kind == 2: // agents that start now connect to it
+		h.f.setApart(owner, true)
+		h.after(ends, func() { h.f.setApart(owner, false) })
+	case kind == 3:
 		h.f.setFrozen(owner, true)
 		h.after(ends, func() { h.f.setFrozen(owner, false) })
 	default:
@@ -115,3 +133,13 @@
 		h.after(0, func() {})
 	}
 }
+
+// setApart cuts an entry off from the store and the other entries, or ends that. Agents reach it.
+func (f *fleet) setApart(e *entryNode, apart bool) {
+	f.setFaults(func() { f.rejected[e.name] = apart })
+	for n := range len(f.entries) {
+		if other := f.entry(n); other != e {
+			f.network.SetPartition(e.name, other.name, apart, true)
+		}
+	}
+}
--- a/orchestrator/registration.go
+++ b/orchestrator/registration.go
@@ -40,7 +40,7 @@
 // may have loaded the registration while it was open, and renew the lease for longer.
 func (o *Orchestrator) closedRegistration(a *agent) registrar.Registration {
 	r := registrar.Registration{HeldTasks: a.heldTasks(), Bounded: o.earlierOwnersStopped(), Incarnation: a.incarnation}
-	if a.leaving {
+	if o.endsRenewal(a) {
 		r.Unrenewed, r.EarlierMs = o.cfg.Term, max(o.earlierOwnersLeft().Milliseconds()+1, 0)
 	}
 	return r
@@ -52,13 +52,14 @@
 func (a *agent) startsRegistered() bool { return a.recordIncarnation == a.incarnation }
 
 // boundRegistration writes a closed registration again that was written while an
-// earlier owner might still act, or before the agent left.
+// earlier owner might still act, or before the agent left or became unreachable.
 func (o *Orchestrator) boundRegistration(a *agent) {
-	bounded := a.renewalBounded && (a.unrenewed || !a.leaving)
+	ends := !a.unrenewed && o.endsRenewal(a)
+	bounded := a.renewalBounded && !ends
 	if a.keyVersion == 0 || a.recordOpen || bounded || a.writing || a.openPending || a.removalPending || !a.reconciled || a.hasUnknownRuns {
 		return
 	}
-	a.closePending = o.earlierOwnersStopped() || a.leaving && !a.unrenewed
+	a.closePending = a.closePending || ends || o.earlierOwnersStopped()
 }
 
 // previousOwnerTTL returns how long after the claim an earlier owner may have renewed
@@ -96,6 +97,13 @@
 // with all older tasks for one whose registration is closed.
 func (a *agent) mayLeave() bool { return !a.writing && (a.keyVersion == 0 || !a.recordOpen) }
 
+// unreachable reports whether an agent has been disconnected, or silent, for long enough to close
+// its registration.
+func (a *agent) unreachable(now time.Time) bool {
+	silence := now.Sub(a.lastSnapshotAt)
+	return a.link == nil && silence > registrationCloseDelay || silence > isolationTimeout/2
+}
+
 // idle reports whether the agent has no runs and no ends that are yet to be written
 // to the ledger.
 func (a *agent) idle() bool { return len(a.runs) == 0 && len(a.pendingEnds) == 0 }
@@ -104,9 +112,7 @@
 // if the agent is idle. It waits for the end of an outage of the store: the write would
 // fail, and an agent that returns meanwhile gets no lease under a closed registration.
 func (o *Orchestrator) closeRegistration(a *agent, now time.Time) {
-	silence := now.Sub(a.lastSnapshotAt)
-	unreachable := a.link == nil && silence > registrationCloseDelay || silence > isolationTimeout/2
-	if !unreachable || !o.confirmedWithin(closedConfirmationTTL) || !a.mayRunAny || a.writing || a.openPending || !a.reconciled || a.hasUnknownRuns || !o.loaded {
+	if !a.unreachable(now) || !o.confirmedWithin(closedConfirmationTTL) || !a.mayRunAny || a.writing || a.openPending || !a.reconciled || a.hasUnknownRuns || !o.loaded {
 		return
 	}
 	a.mayRunAny = false // no start is sent there until its registration is open again
--- a/orchestrator/renewal.go
+++ b/orchestrator/renewal.go
@@ -20,6 +20,13 @@
 	return o.cfg.ClaimedAt.Add(estimator.MaxLocalElapsed(o.cfg.PreviousOwnerTTL)).Sub(o.cfg.Now())
 }
 
+// endsRenewal reports whether a closed registration may say that the lease is renewed no more: the
+// agent leaves, or is unreachable, in no outage of the store. If it returns, its registration is written
+// again.
+func (o *Orchestrator) endsRenewal(a *agent) bool {
+	return a.leaving || a.unreachable(o.cfg.Now()) && o.confirmedWithin(closedConfirmationTTL)
+}
+
 // boundUnrenewed bounds the wait for agents of which a registration says that their lease is renewed no
 // more: it counts from when that was written, at the latest when this process knew a version of the
 // store that was as new. That holds if each owner from the one that wrote it to the last one heeds it.
--- a/orchestrator/renewal_test.go
+++ b/orchestrator/renewal_test.go
@@ -226,3 +226,64 @@
 	c.Assert(err, qt.IsNil)
 	c.Assert(r.UnrenewedSince, qt.Equals, uint64(3))
 }
+
+// reconnect connects an agent again.
+func (h *harness) reconnect(a *agent, incarnation string) {
+	a.incarnation, a.lastSnapshotAt = incarnation, h.now
+	a.link = &AgentLink{ID: a.id, Incarnation: incarnation, TrySend: func(f messenger.Frame) error {
+		h.sent[a.id] = append(h.sent[a.id], f)
+		return nil
+	}}
+}
+
+// An agent was killed some seconds before its owner was lost, and the next owner waited for 2 s and the
+// lease from its own claim.
+func TestTheLeaseOfAnUnreachableAgentIsRenewedNoMore(t *testing.T) {
+	for _, incarnation := range []string{"b", "b2"} {
+		t.Run(incarnation, func(t *testing.T) {
+			c := qt.New(t)
+			h, _, a := newBusyHarness(c)
+			last := h.report("a0", messenger.WorkerSnapshot{})
+			h.disconnect(a, 2*registrationCloseDelay)
+			b := h.o.nextBatch()
+			c.Assert(h.written(b).Unrenewed, qt.Equals, h.o.cfg.Term)
+			h.reconnect(a, incarnation)
+			c.Assert(h.report("a0", messenger.WorkerSnapshot{}).Equal(last), qt.IsTrue, qt.Commentf("the write is on its way"))
+			h.o.handleCommit(b, 50, h.now, nil)
+			c.Assert(h.report("a0", messenger.WorkerSnapshot{}).Equal(last), qt.IsTrue)
+			c.Assert(h.written(h.commitBatch(51)).Open, qt.IsTrue)
+			c.Assert(h.lastRenewal("a0").Equal(h.now), qt.IsTrue)
+		})
+	}
+}
+
+// The registration of a worker that drains is closed while its agent is connected and needs the lease.
+func TestTheRegistrationOfADrainingAgentThatIsLostIsWrittenAgain(t *testing.T) {
+	for name, tt := range map[string]struct {
+		confirmed time.Duration
+		again     bool
+	}{
+		"":             {0, true},
+		"in an outage": {closedConfirmationTTL, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			h, _, a := newBusyHarness(c)
+			h.report("a0", messenger.WorkerSnapshot{Draining: true})
+			c.Assert(h.written(h.commitBatch(50)).Unrenewed, qt.Equals, uint64(0))
+			a.link, a.snapshot, h.now = nil, nil, h.now.Add(2*registrationCloseDelay)
+			h.o.cfg.OwnershipConfirmedAt = func() time.Time { return h.now.Add(-tt.confirmed) }
+			h.o.tick(t.Context())
+			b := h.commitBatch(51)
+			c.Assert(b.keyCount() > 0, qt.Equals, tt.again)
+			h.reconnect(a, "b")
+			h.report("a0", messenger.WorkerSnapshot{Draining: true})
+			b = h.commitBatch(52)
+			c.Assert(b.keyCount() > 0, qt.Equals, tt.again)
+			if tt.again {
+				c.Assert(h.written(b).Unrenewed, qt.Equals, uint64(0))
+				c.Assert(h.report("a0", messenger.WorkerSnapshot{Draining: true}).Equal(h.now), qt.IsTrue)
+			}
+		})
+	}
+}
