orchestrator: Log the whole wait of a task and how long it was free to start

Starts and waits counted from the moment at which a task was first free to start, so that the wait for an agent that an earlier owner had lost was not shown, and a wait for it could not be told from one for room.

A task's wait now begins with the end of its last run, with its job, or with the claim for a task that nobody has shown since; 'free' says since when only room has kept it from a start. Decisions use the latter, as before. 'task waits' and gauges count the long-running tasks without a run, those of them that are blocked, and the claims of room.

--- a/allocator/allocator.go
+++ b/allocator/allocator.go
@@ -218,7 +218,7 @@
 	if t.StepSpec().LongRunning {
 		wait = maxLongRunningWait
 	}
-	selective := now.Sub(t.WaitingSince) < wait
+	selective := now.Sub(t.FreeSince) < wait
 	for _, c := range candidates {
 		if !Fits(t, stepName, c) {
 			continue
--- a/allocator/allocator_test.go
+++ b/allocator/allocator_test.go
@@ -16,7 +16,7 @@
 	step.Count = max(step.Count, 1)
 	j := sequencer.NewJob(&sequencer.Spec{ID: "j", Steps: []sequencer.Step{step}}, 1, nil)
 	t := j.Task(0, 0, 0)
-	t.WaitingSince = now
+	t.WaitingSince, t.FreeSince = now, now
 	return t
 }
 
--- a/orchestrator/ends.go
+++ b/orchestrator/ends.go
@@ -90,7 +90,7 @@
 // applyRunEnd updates the task and the job of a run that ended.
 func (o *Orchestrator) applyRunEnd(j *job, t *sequencer.Task, a *agent, end messenger.RunEnd) {
 	now := o.cfg.Now()
-	t.WaitingSince = now
+	t.WaitingSince, t.FreeSince = now, time.Time{}
 	if end.Checkpoint != "" {
 		t.Checkpoint, t.CheckpointAt = end.Checkpoint, now
 	}
--- a/orchestrator/evict.go
+++ b/orchestrator/evict.go
@@ -90,7 +90,7 @@
 // preempt evicts less urgent tasks that resume from a checkpoint, on the worker
 // where the fewest evictions make room for a waiting task.
 func (o *Orchestrator) preempt(t *sequencer.Task, name string, candidates []*allocator.Candidate, agents map[string]*agent, now time.Time) {
-	if now.Sub(t.WaitingSince) < preemptDelay || now.Sub(o.lastPreemption) < preemptInterval {
+	if now.Sub(t.FreeSince) < preemptDelay || now.Sub(o.lastPreemption) < preemptInterval {
 		return
 	}
 	o.lastPreemption = now // a search without a result costs as much
--- a/orchestrator/gang.go
+++ b/orchestrator/gang.go
@@ -16,9 +16,6 @@
 		return // some member is not runnable
 	}
 	for _, t := range members {
-		if t.WaitingSince.IsZero() {
-			t.WaitingSince = now
-		}
 		if now.Before(t.NotBefore) {
 			return
 		}
--- a/orchestrator/orchestrator.go
+++ b/orchestrator/orchestrator.go
@@ -145,6 +145,8 @@
 	reportStopsAt time.Time
 	// waitLoggedAt is when the task that waits the longest was last logged.
 	waitLoggedAt time.Time
+	// waitsNoted is set once a round of placement has noted which tasks wait.
+	waitsNoted bool
 	// stopReason is the error that Serve is to return.
 	stopReason error
 	background sync.WaitGroup
@@ -171,7 +173,9 @@
 	defer close(o.done)
 	defer func() { // the next owner reports its own
 		o.cfg.Gauge(oldestStopGauge, 0)
-		o.cfg.Gauge(waitingCommandsGauge, 0)
+		for _, name := range []string{waitingCommandsGauge, lastingWaitsGauge, blockedWaitsGauge, claimsGauge} {
+			o.cfg.Gauge(name, 0)
+		}
 	}()
 	ctx, cancel := context.WithCancel(ctx)
 	defer o.background.Wait() // after stopped is closed: enqueue blocks until then
--- a/orchestrator/place.go
+++ b/orchestrator/place.go
@@ -27,6 +27,7 @@
 	byPool, agents := o.candidates()
 	blocked := o.startBlocked()
 	now, wall := o.cfg.Now(), o.cfg.WallClock()
+	waiting := o.waitingTasks(blocked, now, wall)
 	defer o.logLongestWait(blocked, byPool, agents, now, wall)
 	if len(agents) == 0 {
 		return
@@ -35,7 +36,8 @@
 	o.placeClaimed(blocked, byPool, agents, now)
 	o.placeSuspects(blocked, byPool, agents, now, wall)
 	for _, j := range o.rankedJobs(wall) {
-		o.placeJob(j, slices.DeleteFunc(j.Runnable(wall), blocked), byPool[j.Spec.Pool], agents, now)
+		startable := slices.DeleteFunc(waiting[j], func(t *sequencer.Task) bool { return t.LiveRuns > 0 || blocked(t) })
+		o.placeJob(j, startable, byPool[j.Spec.Pool], agents, now)
 	}
 	o.claimRoom(blocked, byPool, agents, now, wall)
 }
@@ -173,9 +175,6 @@
 func (o *Orchestrator) placeJob(j *job, waiting []*sequencer.Task, candidates []*allocator.Candidate, agents map[string]*agent, now time.Time) {
 	fullStep := "" // the step for which no candidate was found in this round
 	for n, t := range waiting {
-		if t.WaitingSince.IsZero() {
-			t.WaitingSince = now
-		}
 		if !o.mayStart(1) {
 			continue
 		}
@@ -258,7 +257,7 @@
 	delete(o.claims, t)
 	o.cfg.Count("start")
 	o.cfg.Log.Info("starting run", zap.String("task", r.key.task), zap.Uint64("attempt", attempt), zap.String("agent", a.id),
-		zap.Duration("waited", r.startedAt.Sub(t.WaitingSince)), zap.Duration("table_age", r.startedAt.Sub(a.lastSnapshotAt)), zap.Bool("resumes", t.Checkpoint != ""))
+		zap.Duration("waited", r.startedAt.Sub(t.WaitingSince)), zap.Duration("free", r.startedAt.Sub(t.FreeSince)), zap.Duration("table_age", r.startedAt.Sub(a.lastSnapshotAt)), zap.Bool("resumes", t.Checkpoint != ""))
 	return true
 }
 
--- a/orchestrator/starvation_test.go
+++ b/orchestrator/starvation_test.go
@@ -187,10 +187,12 @@
 	return ids
 }
 
-// reportAllRunning delivers a snapshot of each agent that lists all its runs as running.
+// reportAllRunning delivers a snapshot of each connected agent that lists all its runs as running.
 func (h *harness) reportAllRunning() {
-	for id := range h.o.agents {
-		h.reportRunning(id, 10)
+	for id, a := range h.o.agents {
+		if a.link != nil {
+			h.reportRunning(id, 10)
+		}
 	}
 }
 
--- a/orchestrator/wait_report.go
+++ b/orchestrator/wait_report.go
@@ -16,6 +16,15 @@
 	minLoggedWait = 2 * time.Second
 )
 
+const (
+	// lastingWaitsGauge is the number of long-running tasks without a run, blockedWaitsGauge of
+	// those that may not be started yet.
+	lastingWaitsGauge = "lasting_waits"
+	blockedWaitsGauge = "lasting_waits_blocked"
+	// claimsGauge is the number of claims of room.
+	claimsGauge = "room_claims"
+)
+
 // waitReport says why a waiting task is not placed, by the workers of its pool.
 type waitReport struct {
 	workers int
@@ -41,14 +50,18 @@
 		return
 	}
 	o.waitLoggedAt = now
-	t, tasks := o.longestWaiting(blocked, now, wall)
+	t, counts := o.longestWaiting(blocked, now, wall)
+	o.cfg.Gauge(lastingWaitsGauge, float64(counts.lasting))
+	o.cfg.Gauge(blockedWaitsGauge, float64(counts.lastingBlocked))
+	o.cfg.Gauge(claimsGauge, float64(len(o.claims)))
 	if t == nil {
 		return
 	}
 	step := t.StepSpec()
 	report := o.reportWait(t, byPool[t.Job.Spec.Pool], agents, now)
 	fields := []zap.Field{
-		zap.String("task", t.Name()), zap.String("step", step.String()), zap.Duration("waited", now.Sub(o.waitingSince(t))), zap.Int("tasks", tasks),
+		zap.String("task", t.Name()), zap.String("step", step.String()), zap.Duration("waited", now.Sub(t.WaitingSince)), zap.Int("tasks", counts.long),
+		zap.Int("lasting", counts.lasting), zap.Int("lasting_blocked", counts.lastingBlocked), zap.Int("claims", counts.claims), zap.Int("moves", counts.moves), zap.Duration("free", freeFor(t, now)),
 		zap.Bool("blocked", blocked(t)), zap.Bool("suspect", isSuspect(t)), zap.String("claimed", report.claimed), zap.Duration("not_before", max(t.NotBefore.Sub(now), 0)), zap.Int("workers", report.workers),
 		zap.Int("disconnected", report.unavailable[disconnected]), zap.Int("unregistered", report.unavailable[unregistered]), zap.Int("draining", report.unavailable[draining]),
 		zap.Int("leaseless", report.unavailable[leaseless]), zap.Int("excluded", report.unavailable[excluded]), zap.Int("not_granted", report.notGranted),
@@ -61,22 +74,51 @@
 	o.cfg.Log.Info("task waits", fields...)
 }
 
+// waitCounts counts the tasks that wait.
+type waitCounts struct {
+	// long counts those that have waited for long, lasting all long-running tasks without a run,
+	// and lastingBlocked those of them that may not be started yet.
+	long, lasting, lastingBlocked int
+	// claims counts the claims for tasks without a run, moves those for runs that move.
+	claims, moves int
+}
+
 // longestWaiting returns the task that has waited the longest, long-running tasks before
-// others, and the number of tasks that have waited for long.
-func (o *Orchestrator) longestWaiting(blocked func(*sequencer.Task) bool, now, wall time.Time) (longest *sequencer.Task, tasks int) {
+// others, and the numbers of tasks that wait.
+func (o *Orchestrator) longestWaiting(blocked func(*sequencer.Task) bool, now, wall time.Time) (longest *sequencer.Task, counts waitCounts) {
 	for _, j := range o.openJobs {
 		for _, t := range j.Runnable(wall) {
-			since := o.waitingSince(t)
-			if now.Sub(since) < minLoggedWait || t.WaitingSince.IsZero() && !blocked(t) {
+			if t.StepSpec().LongRunning {
+				counts.lasting++
+				if blocked(t) {
+					counts.lastingBlocked++
+				}
+			}
+			if t.WaitingSince.IsZero() || now.Sub(t.WaitingSince) < minLoggedWait {
 				continue
 			}
-			tasks++
-			if longest == nil || longer(t.StepSpec().LongRunning, since, longest.StepSpec().LongRunning, o.waitingSince(longest)) {
+			counts.long++
+			if longest == nil || longer(t.StepSpec().LongRunning, t.WaitingSince, longest.StepSpec().LongRunning, longest.WaitingSince) {
 				longest = t
 			}
 		}
 	}
-	return longest, tasks
+	for t := range o.claims {
+		if t.LiveRuns > 0 {
+			counts.moves++
+		} else {
+			counts.claims++
+		}
+	}
+	return longest, counts
+}
+
+// freeFor returns for how long nothing but room has kept a task from a start.
+func freeFor(t *sequencer.Task, now time.Time) time.Duration {
+	if t.FreeSince.IsZero() {
+		return 0
+	}
+	return now.Sub(t.FreeSince)
 }
 
 // longer reports whether a task goes before another in the report of waits.
@@ -87,14 +129,6 @@
 	return since.Before(otherSince)
 }
 
-// waitingSince returns since when a task waits under this owner.
-func (o *Orchestrator) waitingSince(t *sequencer.Task) time.Time {
-	if t.WaitingSince.IsZero() {
-		return o.cfg.ClaimedAt
-	}
-	return t.WaitingSince
-}
-
 // reportWait returns why a task is not placed on any of the candidates of its pool.
 func (o *Orchestrator) reportWait(t *sequencer.Task, candidates []*allocator.Candidate, agents map[string]*agent, now time.Time) *waitReport {
 	report := &waitReport{unavailable: map[unavailability]int{}}
--- /dev/null
+++ b/orchestrator/waiting.go
@@ -0,0 +1,35 @@
+package orchestrator
+
+import (
+	"time"
+
+	"github.com/endivefall/endivefall/sequencer"
+)
+
+// waitingTasks returns the tasks that may run and have no run, by job, and notes since when they
+// wait, and since when they are free to start.
+func (o *Orchestrator) waitingTasks(blocked func(*sequencer.Task) bool, now, wall time.Time) map[*job][]*sequencer.Task {
+	waiting := make(map[*job][]*sequencer.Task, len(o.openJobs))
+	for _, j := range o.openJobs {
+		waiting[j] = j.Runnable(wall)
+		for _, t := range waiting[j] {
+			if t.WaitingSince.IsZero() {
+				t.WaitingSince = o.runnableSince(j, now)
+			}
+			if t.FreeSince.IsZero() && !blocked(t) {
+				t.FreeSince = now
+			}
+		}
+	}
+	o.waitsNoted = true
+	return waiting
+}
+
+// runnableSince returns since when a task is runnable that is first seen to be so. One of an older
+// job has been, since the claim at least, if it is in the first round of placement.
+func (o *Orchestrator) runnableSince(j *job, now time.Time) time.Time {
+	if !o.waitsNoted && j.Version < o.cfg.Epoch {
+		return o.cfg.ClaimedAt
+	}
+	return now
+}
--- a/rehearser/owner.go
+++ b/rehearser/owner.go
@@ -71,7 +71,7 @@
 		full := ""
 		for _, t := range q.a.job.Runnable(now) {
 			if t.WaitingSince.IsZero() {
-				t.WaitingSince = now
+				t.WaitingSince, t.FreeSince = now, now
 			}
 			name := t.StepName()
 			if now.Before(t.NotBefore) || name == full {
--- a/rehearser/rehearser.go
+++ b/rehearser/rehearser.go
@@ -207,7 +207,7 @@
 	}
 	r.report.Wasted += (ended.saved - ended.left) / 1000
 	r.saved[ended.task.Name()] = ended.saved
-	ended.task.WaitingSince, ended.task.NotBefore = now, now.Add(moveDelay)
+	ended.task.WaitingSince, ended.task.FreeSince, ended.task.NotBefore = now, now, now.Add(moveDelay)
 }
 
 // observe records how the serving tasks do.
--- a/sequencer/task.go
+++ b/sequencer/task.go
@@ -37,8 +37,9 @@
 	Located bool
 	// FailedWorkers has the workers on which a run of the task has failed.
 	FailedWorkers []string
-	// WaitingSince is when the task became runnable, or when its last run ended.
-	WaitingSince time.Time
+	// WaitingSince is when the task became runnable, or when its last run ended, as far as any
+	// owner knows. FreeSince is since when nothing but room has kept it from a start.
+	WaitingSince, FreeSince time.Time
 	// NotBefore is the earliest time of the next start, after a refusal.
 	NotBefore time.Time
 }
