orchestrator: Count the wait for an agent as a wait for room

A long-running task claimed room 3 s after it was first free to start, so that one that had waited for 7 s for a lost agent claimed 10 s after its last run, and those without a run for longest did not go first. A refused start began a wait anew. Claims now go by since when a task has had no run.

Before, TestAWaitForAnAgentCountsAsOneForRoom had 0 claims and TestARefusedStartDoesNotBeginAWaitAnew a wait of 0 s instead of 2.

--- a/orchestrator/claim.go
+++ b/orchestrator/claim.go
@@ -60,7 +60,7 @@
 
 // compareWaits orders tasks by how long they wait, the longest first.
 func compareWaits(a, b *sequencer.Task) int {
-	return cmp.Or(a.FreeSince.Compare(b.FreeSince), strings.Compare(a.Job.Spec.ID, b.Job.Spec.ID), a.Occurrence-b.Occurrence, a.Step-b.Step, a.Index-b.Index)
+	return cmp.Or(a.WaitingSince.Compare(b.WaitingSince), strings.Compare(a.Job.Spec.ID, b.Job.Spec.ID), a.Occurrence-b.Occurrence, a.Step-b.Step, a.Index-b.Index)
 }
 
 // placeClaim starts the task of a claim on its candidate if it fits there, and reports whether
--- a/orchestrator/ends.go
+++ b/orchestrator/ends.go
@@ -90,7 +90,10 @@
 // applyRunEnd updates the task and the job of a run that ended.
 func (o *Orchestrator) applyRunEnd(j *job, t *sequencer.Task, a *agent, end messenger.RunEnd) {
 	now := o.cfg.Now()
-	t.WaitingSince, t.FreeSince = now, time.Time{}
+	if end.Status != messenger.EndNotStarted || t.WaitingSince.IsZero() {
+		t.WaitingSince = now
+	}
+	t.FreeSince = time.Time{}
 	if end.Checkpoint != "" {
 		t.Checkpoint, t.CheckpointAt = end.Checkpoint, now
 	}
--- a/orchestrator/starvation.go
+++ b/orchestrator/starvation.go
@@ -76,7 +76,7 @@
 		}
 		for _, t := range j.Runnable(wall) {
 			step := t.StepSpec()
-			if step.LongRunning && !step.Gang && !step.BestEffort && !t.FreeSince.IsZero() && now.Sub(t.FreeSince) >= minClaimWait && !isSuspect(t) && !blocked(t) {
+			if step.LongRunning && !step.Gang && !step.BestEffort && !t.WaitingSince.IsZero() && now.Sub(t.WaitingSince) >= minClaimWait && !isSuspect(t) && !blocked(t) {
 				list = append(list, t)
 			}
 		}
--- a/orchestrator/waiting_test.go
+++ b/orchestrator/waiting_test.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 	"go.uber.org/zap/zaptest/observer"
 
+	"github.com/endivefall/endivefall/messenger"
 	"github.com/endivefall/endivefall/registrar"
 	"github.com/endivefall/endivefall/sequencer"
 	"github.com/endivefall/endivefall/storer"
@@ -82,3 +83,45 @@
 	c.Check(h.gauges[blockedWaitsGauge], qt.Equals, 3.0)
 	c.Check(h.gauges[claimsGauge], qt.Equals, 1.0)
 }
+
+// Tasks that had waited for 7 s for an agent claimed room only 3 s after that, and not in the order
+// in which their runs had ended.
+func TestAWaitForAnAgentCountsAsOneForRoom(t *testing.T) {
+	c := qt.New(t)
+	h := newHarness(c, 1)
+	h.submit(sequencer.Spec{Steps: []sequencer.Step{step(1, 5000)}})
+	h.o.place()
+	j := h.takeOverTasks(sequencer.Step{Count: 3, CPU: 4000, Memory: 10, LongRunning: true})
+	h.o.place()
+	h.now = h.now.Add(time.Second)
+	last, first := j.Task(0, 0, 0), j.Task(0, 0, 2)
+	last.WaitingSince = h.now
+	first.WaitingSince = h.now.Add(-10 * time.Second)
+	h.now = h.now.Add(minClaimWait)
+	h.o.agents["lost"].hasUnknownRuns = false
+	h.reportAllRunning()
+	h.o.place()
+	c.Assert(h.o.claims[first], qt.Not(qt.IsNil), qt.Commentf("of %d claims", len(h.o.claims)))
+}
+
+// A worker refused a start, and its task waited again from then on.
+func TestARefusedStartDoesNotBeginAWaitAnew(t *testing.T) {
+	for status, want := range map[messenger.EndStatus]time.Duration{
+		messenger.EndNotStarted: 2 * time.Second,
+		messenger.EndStopped:    0,
+	} {
+		t.Run(status.String(), func(t *testing.T) {
+			c := qt.New(t)
+			h := newHarness(c, 0)
+			j := h.submit(lastingSpec(10))
+			h.o.place()
+			h.now = h.now.Add(time.Second)
+			h.connectAgent("a0")
+			h.o.place()
+			h.now = h.now.Add(time.Second)
+			task := j.Task(0, 0, 0)
+			h.reportEnd("a0", 1, task.Name(), task.Attempt, status)
+			c.Assert(h.now.Sub(task.WaitingSince), qt.Equals, want)
+		})
+	}
+}
