orchestrator: Give room to long-running tasks without a run first, those that waited longest

Claims took a sixteenth of the workers at a time, 3 or 4, however many long-running tasks ran nowhere. Tasks at work on draining workers claimed at once, those without a run after 3 s; evacuations and moves took room at each tick. What came free went to short tasks, but for the few workers with a claim, and two claims on one worker kept both tasks out until it had room for both.

Each round, a task that has waited for 3 s also gets any room that fits it now, and evacuations and moves get what those without a run leave.

--- a/allocator/forecast.go
+++ b/allocator/forecast.go
@@ -65,12 +65,30 @@
 	if fits(f.Candidate) {
 		return now, true
 	}
-	trial := f.Clone()
+	step := t.StepSpec()
+	cpu, memory, gpu, tasks := f.UsedCPU, f.UsedMemory, f.UsedGPU, f.TasksByStep[stepName]
 	for _, ending := range f.endings {
-		trial.Release(ending.Step, ending.StepName)
-		if fits(trial) {
+		if !ending.Step.BestEffort {
+			cpu -= ending.Step.CPU
+		}
+		memory, gpu = memory-ending.Step.Memory, gpu-ending.Step.GPU
+		if ending.StepName == stepName {
+			tasks--
+		}
+		if (step.BestEffort || cpu+step.CPU <= f.CPU) && memory+step.Memory <= f.Memory && gpu+step.GPU <= f.GPU && (step.MaxPerWorker == 0 || tasks < step.MaxPerWorker) {
 			return ending.At, true
 		}
 	}
 	return time.Time{}, false
 }
+
+// FreeCPUAt returns the CPU that will not be reserved at a time, in thousandths of a core.
+func (f *Forecast) FreeCPUAt(at time.Time) int64 {
+	free := f.FreeCPU()
+	for _, ending := range f.endings {
+		if !ending.Step.BestEffort && !ending.At.After(at) {
+			free += ending.Step.CPU
+		}
+	}
+	return free
+}
--- /dev/null
+++ b/orchestrator/apportion_test.go
@@ -0,0 +1,139 @@
+package orchestrator
+
+import (
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/endivefall/endivefall/messenger"
+	"github.com/endivefall/endivefall/sequencer"
+)
+
+// maxIdle is how long a long-running task may be without a run where there is room for it twice over.
+const maxIdle = 6 * time.Second
+
+// fleet is a harness whose workers run short and best-effort tasks beside long-running ones, with
+// more of both kinds waiting all the time.
+type fleet struct {
+	*harness
+	rand *rand.Rand
+	// endsAt has when the runs of short and best-effort tasks end, ends the last end by agent.
+	endsAt map[runKey]time.Time
+	ends   map[string]uint64
+	// backlog has the jobs with waiting tasks, short and best-effort ones.
+	backlog [2][]*job
+	// freed is the CPU of short runs that have ended, others that of those started, since reset.
+	freed, others int64
+}
+
+func newFleet(c *qt.C, agents int) *fleet {
+	f := &fleet{harness: newHarness(c, agents), rand: rand.New(rand.NewPCG(1, 2)), endsAt: map[runKey]time.Time{}, ends: map[string]uint64{}}
+	f.o.cfg.Epoch, f.o.cfg.PreviousOwnerTTL = 100, 2*time.Second
+	return f
+}
+
+// submitLater adds a job that is younger than the claim.
+func (f *fleet) submitLater(spec sequencer.Spec) *job {
+	j := f.submit(spec)
+	j.Version = f.o.cfg.Epoch + 1
+	return j
+}
+
+// step advances the clock: short runs end, their jobs are followed by others, and waiting tasks
+// are placed.
+func (f *fleet) step() {
+	const interval = 50 * time.Millisecond
+	f.now = f.now.Add(interval)
+	const backlog = 5 // waiting jobs of each kind
+	for n, step := range []sequencer.Step{step(40, 1000), {Count: 20, CPU: 2000, Memory: 1000, Estimate: 2 * time.Second, BestEffort: true, Checkpointable: true}} {
+		f.backlog[n] = slices.DeleteFunc(f.backlog[n], func(j *job) bool { return len(j.Runnable(f.now)) == 0 })
+		for len(f.backlog[n]) < backlog {
+			f.backlog[n] = append(f.backlog[n], f.submitLater(sequencer.Spec{Steps: []sequencer.Step{step}, StretchFactor: 100, LatencyAllowance: time.Hour}))
+		}
+	}
+	for id, a := range f.o.agents {
+		if a.link != nil {
+			f.report(id, a)
+		}
+	}
+	f.o.tick(f.c.Context())
+	f.o.place()
+	f.o.place()
+	for key, r := range f.o.runs {
+		step := r.task.StepSpec()
+		if step.LongRunning || !f.endsAt[key].IsZero() {
+			continue
+		}
+		f.endsAt[key] = f.now.Add(time.Duration((0.5 + f.rand.Float64()) * float64(step.Estimate)))
+		if !step.BestEffort {
+			f.others += step.CPU
+		}
+	}
+}
+
+// report delivers a snapshot of an agent, with the ends of the runs whose time has come and of
+// those that were to be stopped.
+func (f *fleet) report(id string, a *agent) {
+	snapshot := &messenger.WorkerSnapshot{}
+	for _, r := range f.o.runsOf(a) {
+		step := r.task.StepSpec()
+		over := !step.LongRunning && !f.now.Before(f.endsAt[r.key])
+		if !over && !r.evict {
+			snapshot.Runs = append(snapshot.Runs, messenger.RunStatus{Task: r.key.task, Attempt: r.key.attempt, Phase: messenger.PhaseRunning, ProgressPercent: 50, PacePercent: 100})
+			continue
+		}
+		status := messenger.EndStopped
+		if over {
+			status = messenger.EndDone
+		}
+		if !step.BestEffort {
+			f.freed += step.CPU
+		}
+		f.ends[id]++
+		snapshot.RunEnds = append(snapshot.RunEnds, messenger.RunEnd{Seq: f.ends[id], Task: r.key.task, Attempt: r.key.attempt, Status: status, Checkpoint: "c"})
+	}
+	f.sendSnapshot(id, snapshot)
+}
+
+// 150 long-running tasks were freed in one moment into a fleet that had filled with short and
+// best-effort work, which went on to take what came free. They waited for up to 11 s more.
+func TestLongRunningTasksThatAreFreedTogetherStartInTime(t *testing.T) {
+	const agents, tasks, cpu = 100, 150, 1500
+	lasting := sequencer.Step{Count: tasks, CPU: cpu, Memory: 1500, LongRunning: true}
+	for name, prepare := range map[string]func(f *fleet) (j *job, free func() bool){
+		"lost under this owner": func(f *fleet) (*job, func() bool) {
+			j := f.submitLater(sequencer.Spec{Steps: []sequencer.Step{lasting}})
+			for _, task := range j.Tasks(0, 0) {
+				task.NotBefore = f.now.Add(4 * time.Second)
+				task.WaitingSince = task.NotBefore
+			}
+			return j, func() bool { return !f.now.Before(j.Task(0, 0, 0).NotBefore) }
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			f := newFleet(c, agents)
+			f.submitLater(sequencer.Spec{Steps: []sequencer.Step{{Count: agents, CPU: 2500, Memory: 2000, MaxPerWorker: 1, LongRunning: true}}})
+			f.o.place()
+			j, free := prepare(f)
+			var freeAt time.Time
+			waiting, claimed := tasks, false
+			for waiting > 0 && (freeAt.IsZero() || f.now.Sub(freeAt) < maxIdle) {
+				if !claimed {
+					f.freed, f.others = 0, 0
+				}
+				f.step()
+				claimed = claimed || len(f.o.claims) > 0
+				if freeAt.IsZero() && free() {
+					freeAt = f.now
+				}
+				waiting = tasks - len(j.liveRuns)
+			}
+			c.Assert(waiting, qt.Equals, 0, qt.Commentf("%v after they were free", f.now.Sub(freeAt)))
+			c.Check(f.others*2 >= f.freed, qt.IsTrue, qt.Commentf("of %d that came free since the first claim others got %d", f.freed, f.others))
+		})
+	}
+}
--- a/orchestrator/claim.go
+++ b/orchestrator/claim.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/endivefall/endivefall/allocator"
+	"github.com/endivefall/endivefall/apportioner"
 	"github.com/endivefall/endivefall/sequencer"
 )
 
@@ -15,21 +16,27 @@
 	task  *sequencer.Task
 	job   *job
 	agent *agent
-	// endBy is when the claim ends if a run of the task has not ended, moving is set once
-	// that run is stopped.
+	// runs is set while the task has the run that it had when it claimed room. endBy is when
+	// the claim ends if that run has not ended, moving is set once it is stopped.
+	runs   bool
 	endBy  time.Time
 	moving bool
 }
 
-// void reports whether the task of a claim needs no room any more, or can't move in time.
+// void reports whether the task of a claim needs no room any more, can't move in time, or turns
+// out to be at work elsewhere.
 func (cl *claim) void(now time.Time) bool {
-	return cl.task.Done || cl.job.Ended() || cl.task.LiveRuns > 0 && !now.Before(cl.endBy)
+	return cl.task.Done || cl.job.Ended() || cl.task.LiveRuns > 0 && (!cl.runs || !now.Before(cl.endBy))
 }
 
+// promised reports whether a run was stopped for the room, so that no other task gets it.
+func (cl *claim) promised() bool { return cl.moving && cl.runs }
+
 // reserveClaims reserves the claimed room on the candidates and drops the claims that have
 // become void.
 func (o *Orchestrator) reserveClaims(index map[string]*allocator.Candidate, now time.Time) {
 	for t, cl := range o.claims {
+		cl.runs = cl.runs && t.LiveRuns > 0
 		if cl.void(now) {
 			delete(o.claims, t)
 		} else if candidate := index[cl.agent.id]; candidate != nil {
@@ -38,44 +45,135 @@
 	}
 }
 
-// placeClaimed starts the waiting tasks that have claimed room, the ones that have waited
-// longest first. They go before all others, which would take it.
-func (o *Orchestrator) placeClaimed(blocked func(*sequencer.Task) bool, byPool map[string][]*allocator.Candidate, agents map[string]*agent, now time.Time) {
-	var waiting []*claim
-	for _, cl := range o.claims {
-		if cl.task.LiveRuns == 0 {
-			waiting = append(waiting, cl)
-		}
+// placeStarving starts the waiting tasks that have claimed room, and other long-running ones that
+// have waited for as long as those: first the ones that were stopped to move, and then the ones
+// that have waited longest. They go before all others, which would take the room, and none takes
+// what those before it have claimed.
+func (o *Orchestrator) placeStarving(blocked func(*sequencer.Task) bool, byPool map[string][]*allocator.Candidate, agents map[string]*agent, now, wall time.Time) {
+	list := o.startingFirst(blocked, minClaimWait, now, wall)
+	if len(list) == 0 {
+		return
 	}
-	slices.SortFunc(waiting, func(a, b *claim) int { return compareWaits(a.task, b.task) })
-	for _, cl := range waiting {
-		t := cl.task
-		granted := o.grantedCandidates(cl.job, t.StepName(), byPool[cl.job.Spec.Pool], agents, now)
-		n := slices.IndexFunc(granted, func(c *allocator.Candidate) bool { return c.ID == cl.agent.id })
-		if n < 0 || blocked(t) || isSuspect(t) || !o.placeClaim(cl, granted[n], now) {
+	o.releaseClaims(byPool)
+	defer o.reserveMoves(byPool)
+	unmet := map[string]*apportioner.Unmet{}
+	for _, s := range list {
+		t, name := s.task, s.task.StepName()
+		granted := o.grantedCandidates(s.job, name, byPool[s.job.Spec.Pool], agents, now)
+		claimed := o.claimedCandidate(t, granted)
+		if claimed == nil || isSuspect(t) {
+			delete(o.claims, t)
+		}
+		if isSuspect(t) {
+			continue
+		}
+		held := blocked(t) || now.Before(t.NotBefore) || !o.mayStart(1)
+		candidate := claimed
+		if !held && (claimed == nil || !allocator.Fits(t, name, claimed)) {
+			candidate = o.pickUnlessUnmet(s, granted, unmet, now)
+		}
+		switch {
+		case !held && candidate != nil:
+			if o.startTask(t, s.job, agents[candidate.ID]) {
+				o.reserve(candidate, t)
+			} else {
+				delete(o.claims, t)
+			}
+			o.setBusy(candidate, agents[candidate.ID])
+		case claimed != nil && (held || claimed.Busy || claims(t)):
+			claimed.Reserve(t.StepSpec(), name)
+		default:
 			delete(o.claims, t)
 		}
 	}
 }
 
-// compareWaits orders tasks by how long they wait, the longest first.
-func compareWaits(a, b *sequencer.Task) int {
-	return cmp.Or(a.WaitingSince.Compare(b.WaitingSince), strings.Compare(a.Job.Spec.ID, b.Job.Spec.ID), a.Occurrence-b.Occurrence, a.Step-b.Step, a.Index-b.Index)
+// releaseClaims releases the claimed room on the candidates, but for what runs were stopped for.
+func (o *Orchestrator) releaseClaims(byPool map[string][]*allocator.Candidate) {
+	for t, cl := range o.claims {
+		if candidate := o.claimedCandidate(t, byPool[cl.job.Spec.Pool]); candidate != nil && !cl.promised() {
+			candidate.Release(t.StepSpec(), t.StepName())
+		}
+	}
+}
+
+// reserveMoves reserves the room that releaseClaims released of tasks that have a run.
+func (o *Orchestrator) reserveMoves(byPool map[string][]*allocator.Candidate) {
+	for t, cl := range o.claims {
+		if candidate := o.claimedCandidate(t, byPool[cl.job.Spec.Pool]); candidate != nil && cl.runs && !cl.promised() {
+			candidate.Reserve(t.StepSpec(), t.StepName())
+		}
+	}
+}
+
+// pickUnlessUnmet returns a candidate with room for a task, or nil if there is none, or was none for
+// a smaller one in this round.
+func (o *Orchestrator) pickUnlessUnmet(s starvingTask, granted []*allocator.Candidate, unmet map[string]*apportioner.Unmet, now time.Time) *allocator.Candidate {
+	pool := s.job.Spec.Pool
+	if unmet[pool] == nil {
+		unmet[pool] = &apportioner.Unmet{}
+	}
+	name := s.task.StepName()
+	if !claims(s.task) || unmet[pool].Known(s.task, name) {
+		return nil
+	}
+	candidate := allocator.Pick(s.task, name, granted, now, o.predictor.UpperInterference)
+	if candidate == nil {
+		unmet[pool].Add(s.task, name, !s.job.Spec.PolicyRestricted)
+	}
+	return candidate
+}
+
+// startingFirst returns the tasks without a run that have claimed room, and the other long-running
+// ones that are free to start and have waited for some time, in the order in which they get room.
+func (o *Orchestrator) startingFirst(blocked func(*sequencer.Task) bool, minWait time.Duration, now, wall time.Time) []starvingTask {
+	var list []starvingTask
+	for t, cl := range o.claims {
+		if t.LiveRuns == 0 {
+			list = append(list, starvingTask{task: t, job: cl.job})
+		}
+	}
+	for _, j := range o.openJobs {
+		if !j.lasts() {
+			continue
+		}
+		for _, t := range j.Runnable(wall) {
+			o.noteWait(t, j, blocked, now)
+			if claims(t) && o.claims[t] == nil && now.Sub(t.WaitingSince) >= minWait && !blocked(t) {
+				list = append(list, starvingTask{task: t, job: j})
+			}
+		}
+	}
+	slices.SortFunc(list, o.compareStarving)
+	return list
+}
+
+// compareStarving orders tasks without a run: those that were stopped for the room that they have
+// claimed go first, and then those that have waited longest.
+func (o *Orchestrator) compareStarving(a, b starvingTask) int {
+	rank := func(t *sequencer.Task) int {
+		if cl := o.claims[t]; cl != nil && cl.moving {
+			return 0
+		}
+		return 1
+	}
+	return cmp.Or(rank(a.task)-rank(b.task), compareWaits(a.task, b.task))
 }
 
-// placeClaim starts the task of a claim on its candidate if it fits there, and reports whether
-// the claim is still of use.
-func (o *Orchestrator) placeClaim(cl *claim, candidate *allocator.Candidate, now time.Time) bool {
-	t, name := cl.task, cl.task.StepName()
-	candidate.Release(t.StepSpec(), name)
-	held := now.Before(t.NotBefore) || candidate.Busy || !o.mayStart(1)
-	if held || !allocator.Fits(t, name, candidate) {
-		candidate.Reserve(t.StepSpec(), name)
-		return held || t.StepSpec().LongRunning
+// claimedCandidate returns that one of the candidates on which a task has claimed room, or nil.
+func (o *Orchestrator) claimedCandidate(t *sequencer.Task, candidates []*allocator.Candidate) *allocator.Candidate {
+	cl := o.claims[t]
+	if cl == nil {
+		return nil
 	}
-	if o.startTask(t, cl.job, cl.agent) {
-		o.reserve(candidate, t)
+	n, found := slices.BinarySearchFunc(candidates, cl.agent.id, func(c *allocator.Candidate, id string) int { return strings.Compare(c.ID, id) })
+	if !found {
+		return nil
 	}
-	o.setBusy(candidate, cl.agent)
-	return false
+	return candidates[n]
+}
+
+// compareWaits orders tasks by how long they wait, the longest first.
+func compareWaits(a, b *sequencer.Task) int {
+	return cmp.Or(a.WaitingSince.Compare(b.WaitingSince), strings.Compare(a.Job.Spec.ID, b.Job.Spec.ID), a.Occurrence-b.Occurrence, a.Step-b.Step, a.Index-b.Index)
 }
--- a/orchestrator/evict.go
+++ b/orchestrator/evict.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/endivefall/endivefall/allocator"
+	"github.com/endivefall/endivefall/apportioner"
 	"github.com/endivefall/endivefall/messenger"
 	"github.com/endivefall/endivefall/sequencer"
 )
@@ -18,8 +19,9 @@
 	if len(draining) == 0 || !o.ownershipCurrent() {
 		return
 	}
-	byPool, _ := o.candidates()
+	byPool, agents := o.candidates()
 	blocked := o.startBlocked()
+	o.setAside(blocked, byPool, agents)
 	for _, a := range draining {
 		for _, r := range o.runsOf(a) {
 			if o.mayEvacuate(r, blocked) {
@@ -59,10 +61,31 @@
 // its task is given up: a few attempts to stop it.
 const maxMoveTime = 3 * time.Second
 
+// setAside reserves room on the candidates for the long-running tasks that run nowhere, those that
+// have waited longest first, so that only what they leave goes to tasks that have a run.
+func (o *Orchestrator) setAside(blocked func(*sequencer.Task) bool, byPool map[string][]*allocator.Candidate, agents map[string]*agent) {
+	now := o.cfg.Now()
+	list := o.startingFirst(blocked, 0, now, o.cfg.WallClock())
+	if len(list) == 0 {
+		return
+	}
+	o.releaseClaims(byPool)
+	defer o.reserveMoves(byPool)
+	unmet := map[string]*apportioner.Unmet{}
+	for _, s := range list {
+		granted := o.grantedCandidates(s.job, s.task.StepName(), byPool[s.job.Spec.Pool], agents, now)
+		if claimed := o.claimedCandidate(s.task, granted); claimed != nil {
+			claimed.Reserve(s.task.StepSpec(), s.task.StepName())
+		} else if candidate := o.pickUnlessUnmet(s, granted, unmet, now); candidate != nil {
+			candidate.Reserve(s.task.StepSpec(), s.task.StepName())
+		}
+	}
+}
+
 // moveRun stops a run to start its task on another agent, and claims room there so that no
 // other task takes it.
 func (o *Orchestrator) moveRun(r *run, agentID, reason string) {
-	o.claims[r.task] = &claim{task: r.task, job: r.job, agent: o.agents[agentID], endBy: o.cfg.Now().Add(maxMoveTime), moving: true}
+	o.claims[r.task] = &claim{task: r.task, job: r.job, agent: o.agents[agentID], runs: true, endBy: o.cfg.Now().Add(maxMoveTime), moving: true}
 	o.stopRun(r, reason)
 }
 
--- a/orchestrator/place.go
+++ b/orchestrator/place.go
@@ -33,7 +33,7 @@
 		return
 	}
 	o.keepMemory(byPool)
-	o.placeClaimed(blocked, byPool, agents, now)
+	o.placeStarving(blocked, byPool, agents, now, wall)
 	o.placeSuspects(blocked, byPool, agents, now, wall)
 	for _, j := range o.rankedJobs(wall) {
 		startable := slices.DeleteFunc(waiting[j], func(t *sequencer.Task) bool { return t.LiveRuns > 0 || blocked(t) })
--- a/orchestrator/relocate.go
+++ b/orchestrator/relocate.go
@@ -36,7 +36,8 @@
 	if !slices.ContainsFunc(movable, func(r *run) bool { return r.pacePercent < slowedPacePercent }) {
 		return
 	}
-	byPool, _ := o.candidates()
+	byPool, agents := o.candidates()
+	o.setAside(blocked, byPool, agents)
 	for _, move := range relocator.Choose(now, runs, byPool, len(o.agents), o.predictor.UpperInterference) {
 		r := movable[move.Run]
 		o.moveRun(r, move.To, "throttled to "+strconv.Itoa(r.pacePercent)+" percent; would run faster on "+move.To)
--- a/orchestrator/waiting.go
+++ b/orchestrator/waiting.go
@@ -13,18 +13,22 @@
 	for _, j := range o.openJobs {
 		waiting[j] = j.Runnable(wall)
 		for _, t := range waiting[j] {
-			if t.WaitingSince.IsZero() {
-				t.WaitingSince = o.runnableSince(j, now)
-			}
-			if t.FreeSince.IsZero() && !blocked(t) {
-				t.FreeSince = now
-			}
+			o.noteWait(t, j, blocked, now)
 		}
 	}
 	o.waitsNoted = true
 	return waiting
 }
 
+func (o *Orchestrator) noteWait(t *sequencer.Task, j *job, blocked func(*sequencer.Task) bool, now time.Time) {
+	if t.WaitingSince.IsZero() {
+		t.WaitingSince = o.runnableSince(j, now)
+	}
+	if t.FreeSince.IsZero() && !blocked(t) {
+		t.FreeSince = now
+	}
+}
+
 // runnableSince returns since when a task is runnable that is first seen to be so. One of an older
 // job has been, since the claim at least, if it is in the first round of placement.
 func (o *Orchestrator) runnableSince(j *job, now time.Time) time.Time {
