orchestrator: Keep room for tasks that are blocked until a known time

Nothing kept room for long-running tasks that wait for the leases of absent agents: they were freed in one moment into a fleet that had filled with short and best-effort work. They now claim room from 2 s before the last of these leases is over, as others without a run do. The claim ends at once if the task is shown at work, and 3 s after that time if the task is still blocked, as in an outage of the store.

--- a/orchestrator/apportion_test.go
+++ b/orchestrator/apportion_test.go
@@ -1,6 +1,7 @@
 package orchestrator
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -9,11 +10,17 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/endivefall/endivefall/messenger"
+	"github.com/endivefall/endivefall/registrar"
 	"github.com/endivefall/endivefall/sequencer"
+	"github.com/endivefall/endivefall/storer"
 )
 
-// maxIdle is how long a long-running task may be without a run where there is room for it twice over.
-const maxIdle = 6 * time.Second
+// maxIdle is how long a long-running task may be without a run where there is room for it twice over,
+// maxIdleLater how long one that has been so already.
+const (
+	maxIdle      = 6 * time.Second
+	maxIdleLater = 3 * time.Second
+)
 
 // fleet is a harness whose workers run short and best-effort tasks beside long-running ones, with
 // more of both kinds waiting all the time.
@@ -42,6 +49,15 @@
 	return j
 }
 
+// takeOver gives the owner a job of an earlier one.
+func (f *fleet) takeOver(step sequencer.Step, registrations ...storer.Item) *job {
+	spec := sequencer.Spec{ID: "00000000000000aa", Pool: "pool", Queue: "queue", AcceptedAt: f.now, Steps: []sequencer.Step{step}}
+	raw, err := spec.Encode()
+	f.c.Assert(err, qt.IsNil)
+	f.o.takeOver([]storer.Item{{Key: JobKey(spec.ID), Value: raw, Version: 20}}, nil, registrations)
+	return f.o.jobs[spec.ID]
+}
+
 // step advances the clock: short runs end, their jobs are followed by others, and waiting tasks
 // are placed.
 func (f *fleet) step() {
@@ -103,25 +119,41 @@
 func TestLongRunningTasksThatAreFreedTogetherStartInTime(t *testing.T) {
 	const agents, tasks, cpu = 100, 150, 1500
 	lasting := sequencer.Step{Count: tasks, CPU: cpu, Memory: 1500, LongRunning: true}
-	for name, prepare := range map[string]func(f *fleet) (j *job, free func() bool){
-		"lost under this owner": func(f *fleet) (*job, func() bool) {
+	open := storer.Item{Key: registrar.Key("lost"), Value: registrar.Registration{Open: true}.Encode(), Version: 30}
+	for name, tt := range map[string]struct {
+		within  time.Duration
+		prepare func(f *fleet) (j *job, free func() bool)
+	}{
+		"blocked until a lease is over": {maxIdleLater, func(f *fleet) (*job, func() bool) {
+			j := f.takeOver(lasting, open)
+			return j, func() bool { return !f.o.startBlocked()(j.Task(0, 0, 0)) }
+		}},
+		"blocked each by a closed registration": {maxIdleLater, func(f *fleet) (*job, func() bool) {
+			closed := registrar.Registration{}
+			for n := range tasks {
+				closed.HeldTasks = append(closed.HeldTasks, fmt.Sprint("00000000000000aa.0.0.", n))
+			}
+			j := f.takeOver(lasting, storer.Item{Key: registrar.Key("lost"), Value: closed.Encode(), Version: 30})
+			return j, func() bool { return !f.o.startBlocked()(j.Task(0, 0, 0)) }
+		}},
+		"lost under this owner": {maxIdle, func(f *fleet) (*job, func() bool) {
 			j := f.submitLater(sequencer.Spec{Steps: []sequencer.Step{lasting}})
 			for _, task := range j.Tasks(0, 0) {
 				task.NotBefore = f.now.Add(4 * time.Second)
 				task.WaitingSince = task.NotBefore
 			}
 			return j, func() bool { return !f.now.Before(j.Task(0, 0, 0).NotBefore) }
-		},
+		}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			c := qt.New(t)
 			f := newFleet(c, agents)
 			f.submitLater(sequencer.Spec{Steps: []sequencer.Step{{Count: agents, CPU: 2500, Memory: 2000, MaxPerWorker: 1, LongRunning: true}}})
 			f.o.place()
-			j, free := prepare(f)
+			j, free := tt.prepare(f)
 			var freeAt time.Time
 			waiting, claimed := tasks, false
-			for waiting > 0 && (freeAt.IsZero() || f.now.Sub(freeAt) < maxIdle) {
+			for waiting > 0 && (freeAt.IsZero() || f.now.Sub(freeAt) < tt.within) {
 				if !claimed {
 					f.freed, f.others = 0, 0
 				}
--- a/orchestrator/starvation.go
+++ b/orchestrator/starvation.go
@@ -20,6 +20,12 @@
 	minClaimWait = 3 * time.Second
 	// claimInterval bounds the cost of the search for room.
 	claimInterval = 250 * time.Millisecond
+	// claimLead is how long before a blocked task may start it claims room: short tasks that
+	// are at work then have mostly ended by that time.
+	claimLead = 2 * time.Second
+	// maxOverdue is for how long room is kept for a task that is blocked for longer than it
+	// should be, as in an outage of the store.
+	maxOverdue = apportioner.MaxDelay - claimLead
 )
 
 // claimRoom keeps room for long-running tasks that run nowhere and fit nowhere, and then for those
@@ -97,6 +103,7 @@
 		minWait = 0 // what runs gets no room before what doesn't
 	}
 	var list []starvingTask
+	unblockedAt := o.unblockedAt()
 	for _, j := range o.openJobs {
 		if !j.lasts() {
 			continue
@@ -105,8 +112,15 @@
 			if !claims(t) || t.WaitingSince.IsZero() || isSuspect(t) {
 				continue
 			}
-			if !blocked(t) && (o.claims[t] != nil || now.Sub(t.WaitingSince) >= minWait) {
-				list = append(list, starvingTask{t, j, now})
+			startsAt := now
+			if blocked(t) {
+				if startsAt = unblockedAt(t); now.Sub(startsAt) > maxOverdue {
+					continue
+				}
+				startsAt = later(now, startsAt)
+			}
+			if o.claims[t] != nil || now.Sub(t.WaitingSince) >= minWait && startsAt.Sub(now) <= claimLead {
+				list = append(list, starvingTask{t, j, startsAt})
 			}
 		}
 	}
--- a/orchestrator/waiting.go
+++ b/orchestrator/waiting.go
@@ -37,3 +37,22 @@
 	}
 	return now
 }
+
+// unblockedAt returns a function that returns when a blocked task may start at the latest: once the
+// leases are over of the agents that it waits for.
+func (o *Orchestrator) unblockedAt() func(*sequencer.Task) time.Time {
+	var all time.Time
+	byTask := map[string]time.Time{}
+	for _, a := range o.agents {
+		switch {
+		case !a.hasUnknownRuns:
+		case a.mayRunAny:
+			all = later(all, a.leaseExpiresAt)
+		default:
+			for _, task := range a.recordedTasks {
+				byTask[task] = later(byTask[task], a.leaseExpiresAt)
+			}
+		}
+	}
+	return func(t *sequencer.Task) time.Time { return later(all, byTask[t.Name()]) }
+}
--- a/orchestrator/waiting_test.go
+++ b/orchestrator/waiting_test.go
@@ -125,3 +125,60 @@
 		})
 	}
 }
+
+// newBlockedHarness returns a harness with a full worker, and a blocked long-running task that may
+// start in claimLead.
+func newBlockedHarness(c *qt.C) (*harness, *job) {
+	h := newHarness(c, 1)
+	h.submit(sequencer.Spec{Steps: []sequencer.Step{step(1, 5000)}})
+	h.o.place()
+	j := h.takeOverTasks(sequencer.Step{Count: 1, CPU: 4000, Memory: 10, LongRunning: true})
+	h.o.place()
+	h.now = h.o.agents["lost"].leaseExpiresAt.Add(-claimLead - time.Millisecond)
+	h.reportAllRunning()
+	h.o.place()
+	c.Assert(h.o.claims, qt.HasLen, 0)
+	h.now = h.now.Add(claimInterval)
+	h.reportAllRunning()
+	h.o.place()
+	c.Assert(h.claimedAgents(), qt.DeepEquals, []string{"a0"})
+	return h, j
+}
+
+// Nothing kept room for tasks that were blocked until a known time.
+func TestABlockedTaskClaimsRoomBeforeItMayStart(t *testing.T) {
+	c := qt.New(t)
+	h, j := newBlockedHarness(c)
+	h.endRun("a0", 1, h.oldestShortRun("a0"))
+	short := h.submit(sequencer.Spec{Steps: []sequencer.Step{step(8, 1000)}, StretchFactor: 100, LatencyAllowance: time.Hour})
+	short.Version = h.o.cfg.Epoch + 1
+	h.o.place()
+	c.Check(len(short.liveRuns), qt.Equals, 4)
+	c.Check(j.liveRuns, qt.HasLen, 0)
+	h.o.agents["lost"].hasUnknownRuns = false
+	h.o.place()
+	c.Check(j.liveRuns, qt.HasLen, 1)
+}
+
+func TestABlockedTaskKeepsNoRoomThatItCanNotUse(t *testing.T) {
+	for name, change := range map[string]func(h *harness, j *job){
+		"shown at work": func(h *harness, j *job) {
+			lost := h.connectAgent("lost")
+			lost.mayRunAny = false // its registration is open, but it takes no starts
+			h.sendSnapshot("lost", &messenger.WorkerSnapshot{Current: true, Runs: []messenger.RunStatus{{Task: j.Task(0, 0, 0).Name(), Attempt: 1, Phase: messenger.PhaseRunning, PacePercent: 100}}})
+		},
+		"blocked for longer": func(h *harness, _ *job) {
+			h.now = h.now.Add(claimLead + maxOverdue)
+			h.reportAllRunning()
+		},
+		"canceled": func(_ *harness, j *job) { j.Canceled = true },
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			h, j := newBlockedHarness(c)
+			change(h, j)
+			h.o.place()
+			c.Check(h.o.claims, qt.HasLen, 0)
+		})
+	}
+}
