--- a/orchestrator/claim.go
+++ b/orchestrator/claim.go
@@ -130,34 +130,33 @@
 	var list []starvingTask
 	for t, cl := range o.claims {
 		if t.LiveRuns == 0 {
-			list = append(list, starvingTask{task: t, job: cl.job})
+			list = append(list, starvingTask{task: t, job: cl.job, moved: cl.moving})
 		}
 	}
 	for _, j := range o.openJobs {
 		if !j.lasts() {
 			continue
 		}
-		for _, t := range j.Runnable(wall) {
-			o.noteWait(t, j, blocked, now)
+		for _, t := range o.waitingTasks(j, blocked, now, wall) {
 			if claims(t) && o.claims[t] == nil && now.Sub(t.WaitingSince) >= minWait && !blocked(t) {
 				list = append(list, starvingTask{task: t, job: j})
 			}
 		}
 	}
-	slices.SortFunc(list, o.compareStarving)
+	slices.SortFunc(list, compareStarving)
 	return list
 }
 
 // compareStarving orders tasks without a run: those that were stopped for the room that they have
 // claimed go first, and then those that have waited longest.
-func (o *Orchestrator) compareStarving(a, b starvingTask) int {
-	rank := func(t *sequencer.Task) int {
-		if cl := o.claims[t]; cl != nil && cl.moving {
-			return 0
+func compareStarving(a, b starvingTask) int {
+	if a.moved != b.moved {
+		if a.moved {
+			return -1
 		}
 		return 1
 	}
-	return cmp.Or(rank(a.task)-rank(b.task), compareWaits(a.task, b.task))
+	return compareWaits(a.task, b.task)
 }
 
 // claimedCandidate returns that one of the candidates on which a task has claimed room, or nil.
@@ -175,5 +174,8 @@
 
 // compareWaits orders tasks by how long they wait, the longest first.
 func compareWaits(a, b *sequencer.Task) int {
-	return cmp.Or(a.WaitingSince.Compare(b.WaitingSince), strings.Compare(a.Job.Spec.ID, b.Job.Spec.ID), a.Occurrence-b.Occurrence, a.Step-b.Step, a.Index-b.Index)
+	if c := a.WaitingSince.Compare(b.WaitingSince); c != 0 {
+		return c
+	}
+	return cmp.Or(strings.Compare(a.Job.Spec.ID, b.Job.Spec.ID), a.Occurrence-b.Occurrence, a.Step-b.Step, a.Index-b.Index)
 }
--- a/orchestrator/place.go
+++ b/orchestrator/place.go
@@ -27,18 +27,22 @@
 	byPool, agents := o.candidates()
 	blocked := o.startBlocked()
 	now, wall := o.cfg.Now(), o.cfg.WallClock()
-	waiting := o.waitingTasks(blocked, now, wall)
 	defer o.logLongestWait(blocked, byPool, agents, now, wall)
 	if len(agents) == 0 {
+		for _, j := range o.openJobs {
+			o.waitingTasks(j, blocked, now, wall)
+		}
+		o.waitsNoted = true
 		return
 	}
 	o.keepMemory(byPool)
 	o.placeStarving(blocked, byPool, agents, now, wall)
 	o.placeSuspects(blocked, byPool, agents, now, wall)
 	for _, j := range o.rankedJobs(wall) {
-		startable := slices.DeleteFunc(waiting[j], func(t *sequencer.Task) bool { return t.LiveRuns > 0 || blocked(t) })
+		startable := slices.DeleteFunc(o.waitingTasks(j, blocked, now, wall), blocked)
 		o.placeJob(j, startable, byPool[j.Spec.Pool], agents, now)
 	}
+	o.waitsNoted = true
 	o.claimRoom(blocked, byPool, agents, now, wall)
 }
 
--- a/orchestrator/place_bench_test.go
+++ b/orchestrator/place_bench_test.go
@@ -57,3 +57,28 @@
 		})
 	}
 }
+
+// BenchmarkPlaceStarving measures a round of placement while long-running jobs of many sizes, which
+// have waited, hold claims on full workers.
+func BenchmarkPlaceStarving(b *testing.B) {
+	for _, size := range []struct{ jobs, agents int }{{100, 70}, {1000, 70}, {1000, 300}} {
+		b.Run(fmt.Sprintf("jobs=%d/agents=%d", size.jobs, size.agents), func(b *testing.B) {
+			h := newHarness(qt.New(b), size.agents)
+			h.submit(sequencer.Spec{Steps: []sequencer.Step{step(size.agents*8, 1000)}})
+			for h.o.place(); len(h.o.runs) < size.agents*8; h.o.place() {
+				h.reportAllRunning()
+			}
+			for n := range size.jobs {
+				h.submit(lastingSpec(2000 + int64(n*37%4000)))
+			}
+			h.o.place()
+			h.now = h.now.Add(minClaimWait)
+			h.reportAllRunning()
+			h.o.place()
+			b.ResetTimer()
+			for b.Loop() {
+				h.o.place()
+			}
+		})
+	}
+}
--- a/orchestrator/starvation.go
+++ b/orchestrator/starvation.go
@@ -92,6 +92,8 @@
 	job  *job
 	// startsAt is when it may start at the latest; blocked tasks wait until then.
 	startsAt time.Time
+	// moved is set if its run was stopped for the room that it has claimed.
+	moved bool
 }
 
 // starving returns the long-running tasks that claim room: those that have run nowhere for
@@ -120,11 +122,11 @@
 				startsAt = later(now, startsAt)
 			}
 			if o.claims[t] != nil || now.Sub(t.WaitingSince) >= minWait && startsAt.Sub(now) <= claimLead {
-				list = append(list, starvingTask{t, j, startsAt})
+				list = append(list, starvingTask{task: t, job: j, startsAt: startsAt, moved: o.claims[t] != nil && o.claims[t].moving})
 			}
 		}
 	}
-	slices.SortFunc(list, o.compareStarving)
+	slices.SortFunc(list, compareStarving)
 	return append(list, evacuations...)
 }
 
@@ -134,7 +136,7 @@
 	for _, a := range o.drainingAgents() {
 		for _, r := range o.runsOf(a) {
 			if step := r.task.StepSpec(); step.LongRunning && !step.BestEffort && o.mayEvacuate(r, blocked) {
-				list = append(list, starvingTask{r.task, r.job, now})
+				list = append(list, starvingTask{task: r.task, job: r.job, startsAt: now})
 			}
 		}
 	}
--- a/orchestrator/suspect.go
+++ b/orchestrator/suspect.go
@@ -41,7 +41,7 @@
 		if !j.suspected {
 			continue
 		}
-		for _, t := range j.Runnable(wall) {
+		for _, t := range o.waitingTasks(j, blocked, now, wall) {
 			if isSuspect(t) && !now.Before(t.NotBefore) && !blocked(t) {
 				suspects = append(suspects, t)
 			}
--- a/orchestrator/waiting.go
+++ b/orchestrator/waiting.go
@@ -6,29 +6,21 @@
 	"github.com/endivefall/endivefall/sequencer"
 )
 
-// waitingTasks returns the tasks that may run and have no run, by job, and notes since when they
+// waitingTasks returns the tasks of a job that may run and have no run, and notes since when they
 // wait, and since when they are free to start.
-func (o *Orchestrator) waitingTasks(blocked func(*sequencer.Task) bool, now, wall time.Time) map[*job][]*sequencer.Task {
-	waiting := make(map[*job][]*sequencer.Task, len(o.openJobs))
-	for _, j := range o.openJobs {
-		waiting[j] = j.Runnable(wall)
-		for _, t := range waiting[j] {
-			o.noteWait(t, j, blocked, now)
+func (o *Orchestrator) waitingTasks(j *job, blocked func(*sequencer.Task) bool, now, wall time.Time) []*sequencer.Task {
+	waiting := j.Runnable(wall)
+	for _, t := range waiting {
+		if t.WaitingSince.IsZero() {
+			t.WaitingSince = o.runnableSince(j, now)
+		}
+		if t.FreeSince.IsZero() && !blocked(t) {
+			t.FreeSince = now
 		}
 	}
-	o.waitsNoted = true
 	return waiting
 }
 
-func (o *Orchestrator) noteWait(t *sequencer.Task, j *job, blocked func(*sequencer.Task) bool, now time.Time) {
-	if t.WaitingSince.IsZero() {
-		t.WaitingSince = o.runnableSince(j, now)
-	}
-	if t.FreeSince.IsZero() && !blocked(t) {
-		t.FreeSince = now
-	}
-}
-
 // runnableSince returns since when a task is runnable that is first seen to be so. One of an older
 // job has been, since the claim at least, if it is in the first round of placement.
 func (o *Orchestrator) runnableSince(j *job, now time.Time) time.Time {
