orchestrator: Grant a long-running task in the ledger before it starts

An agent with an open registration that a new owner could not reach held up every older task that no agent had shown: with 8 s of waiting for tasks that it never had. The progress of a job names the agent of each long-running task now, written before the start is sent and changed only while no run of the task may be at work, so that a next owner waits for that agent alone, and a told end needs no proof. Gangs, speculative tasks and all that does not last start without a write, as before.

Which progress counts: the owner record says since which term every owner grants. An owner of an earlier version writes it without the field, which makes all earlier grants void, also where it started tasks and wrote nothing. Jobs without a mark follow the old rule, until no agent with unknown runs is left; their runs are recorded then.

A start is dropped if its job is canceled or its agent may receive none any more before the grant is durable. Grants go before other progress, without its delay. A run is not stopped to move while ownership has not been confirmed for a second, as its next start needs the ledger.

--- a/acceptor/acceptor_test.go
+++ b/acceptor/acceptor_test.go
@@ -260,6 +260,25 @@
 	})
 }
 
+// The ledger names the agent of a task before it runs.
+func TestAJobWithProgressThatHasNotRunIsQueued(t *testing.T) {
+	for _, want := range []sequencer.State{sequencer.Queued, sequencer.Running} {
+		t.Run(string(want), func(t *testing.T) {
+			runWithHarness(t, func(c *qt.C, h *harness) {
+				_, err := h.submit(1)
+				c.Assert(err, qt.IsNil)
+				raw, err := (&sequencer.Progress{State: want, GrantTerm: 1}).Encode()
+				c.Assert(err, qt.IsNil)
+				_, err = h.store.Client().Commit(context.Background(), storer.Transaction{Writes: []storer.Write{{Key: orchestrator.ProgressKey(jobID(1)), Value: raw}}})
+				c.Assert(err, qt.IsNil)
+				state, err := h.state(1)
+				c.Assert(err, qt.IsNil)
+				c.Check(state, qt.Equals, want)
+			})
+		})
+	}
+}
+
 func TestQueuesAreFoundByHostAndLongestPrefix(t *testing.T) {
 	c := qt.New(t)
 	q := NewQueues(3, 0, []Queue{{Name: "short", Host: "h.example", Prefix: "/a/"}, {Name: "long", Host: "H.example", Prefix: "/a/b/"}})
--- a/acceptor/state.go
+++ b/acceptor/state.go
@@ -45,6 +45,7 @@
 	if spec.Queue != queue {
 		return "", ErrNotFound
 	}
+	stored := sequencer.Queued
 	progressItem, err := a.readKey(ctx, orchestrator.ProgressKey(id))
 	if err == nil {
 		progress, err := sequencer.DecodeProgress(progressItem.Value)
@@ -55,6 +56,7 @@
 		if progress.State.Final() {
 			return progress.State, nil
 		}
+		stored = progress.State
 	} else if !errors.Is(err, ErrNotFound) {
 		return "", err
 	}
@@ -63,10 +65,10 @@
 		return sequencer.Canceled, nil
 	case !errors.Is(cancelErr, ErrNotFound):
 		return "", cancelErr
-	case err == nil:
-		return sequencer.Running, nil
+	case stored == sequencer.Queued:
+		return sequencer.Queued, nil
 	}
-	return sequencer.Queued, nil
+	return sequencer.Running, nil
 }
 
 // decodeJob reads the job with the ID; a record of another job says nothing about it.
--- a/coordinator/ownership.go
+++ b/coordinator/ownership.go
@@ -45,7 +45,7 @@
 		Term: record.Term, Epoch: epoch, OwnerKey: elector.OwnerKey, ClaimedAt: claimedAt, Store: c.Store(), Now: c.cfg.Now, WallClock: c.cfg.WallClock,
 		LeaseDuration: RunLease(c.cfg.MaxWorkerLease), JobRetention: c.cfg.JobRetention, QueryPolicy: c.cfg.QueryPolicy,
 		UnextendedTTL: elector.UnextendedTTL, ConfirmationTTL: elector.ConfirmationTTL, ConfirmationExtended: c.elector.ConfirmationExtended,
-		PreviousOwnerTTL: previousOwnerTTL, KnownSince: c.chronicler.KnownSince, RosterFrom: c.elector.RosterFrom(), UnrosteredUntil: c.elector.UnrosteredUntil(),
+		PreviousOwnerTTL: previousOwnerTTL, KnownSince: c.chronicler.KnownSince, RosterFrom: c.elector.RosterFrom(), UnrosteredUntil: c.elector.UnrosteredUntil(), GrantsSince: record.GrantsSince,
 		OwnershipConfirmedAt: c.elector.OwnershipConfirmedAt, ConfirmOwnership: c.elector.ConfirmOwnership,
 		HasStandby: func() bool { return len(c.elector.Members()) > 0 },
 		Log:        c.cfg.Log, Count: c.cfg.Count, Gauge: c.cfg.Gauge, ObserveDuration: c.cfg.ObserveDuration,
--- a/elector/claim.go
+++ b/elector/claim.go
@@ -159,6 +159,7 @@
 		if earlier.Version > 0 {
 			next.Term, next.PredecessorsStopped, next.RemainingTTL = max(next.Term, earlier.Version+1), false, ConfirmationTTL
 		}
+		next.GrantsSince = next.Term
 		if e.cfg.ClaimKey != "" {
 			checks = append(checks, storer.Check{Key: e.cfg.ClaimKey, Version: earlier.Version})
 		}
@@ -214,7 +215,11 @@
 	} else {
 		e.extensions.claimedUncounted = true
 	}
-	return OwnerRecord{Owner: e.cfg.Self, Term: record.Term + 1, PredecessorsStopped: ttl == 0, RemainingTTL: ttl, Roster: true}, checks
+	next := OwnerRecord{Owner: e.cfg.Self, Term: record.Term + 1, PredecessorsStopped: ttl == 0, RemainingTTL: ttl, Roster: true, GrantsSince: record.GrantsSince}
+	if next.GrantsSince == 0 {
+		next.GrantsSince = next.Term
+	}
+	return next, checks
 }
 
 // endClaimAttempt lets this entry extend confirmations again after a claim that surely did not
--- a/elector/record.go
+++ b/elector/record.go
@@ -42,6 +42,9 @@
 	// Roster is set if, from UnextendedTTL after its claim on, the owner renews the leases of
 	// no agents but those that it has recorded as reached.
 	Roster bool `cbor:"6,keyasint,omitempty"`
+	// GrantsSince is the first term since which every owner has had the ledger name the agent of
+	// a long-running task before it started it; 0 if the owner does not.
+	GrantsSince uint64 `cbor:"7,keyasint,omitempty"`
 }
 
 // EarlierOwnersTTL returns how long after the claim of the record's owner earlier
--- a/orchestrator/claim.go
+++ b/orchestrator/claim.go
@@ -67,7 +67,7 @@
 		if isSuspect(t) {
 			continue
 		}
-		held := blocked(t) || now.Before(t.NotBefore) || !o.mayStart(1)
+		held := blocked(t) || now.Before(t.NotBefore) || !o.mayStart(t, 1)
 		candidate := claimed
 		if !held && (claimed == nil || !allocator.Fits(t, name, claimed)) {
 			candidate = o.pickUnlessUnmet(s, granted, unmet, now)
--- a/orchestrator/ends.go
+++ b/orchestrator/ends.go
@@ -82,6 +82,7 @@
 // removeRun removes a run from those that may be active.
 func (o *Orchestrator) removeRun(r *run) {
 	delete(o.runs, r.key)
+	delete(o.granting, r)
 	delete(r.job.liveRuns, r.key)
 	delete(r.agent.runs, r.key)
 	r.task.LiveRuns--
--- a/orchestrator/evict.go
+++ b/orchestrator/evict.go
@@ -34,7 +34,7 @@
 // mayEvacuate reports whether a run may be stopped because its worker drains.
 func (o *Orchestrator) mayEvacuate(r *run, blocked func(*sequencer.Task) bool) bool {
 	step := r.task.StepSpec()
-	return r.phase == messenger.PhaseRunning && !r.evict && !step.Gang && (step.LongRunning || step.Checkpointable) && !blocked(r.task)
+	return r.phase == messenger.PhaseRunning && !r.evict && !step.Gang && (step.LongRunning || step.Checkpointable) && !blocked(r.task) && o.mayGrant(r.task)
 }
 
 // evacuateRun moves a run to a candidate that has room, its own claim included.
--- a/orchestrator/gang.go
+++ b/orchestrator/gang.go
@@ -83,7 +83,7 @@
 			newest = t
 		}
 	}
-	if !o.mayStart(len(members)) {
+	if !o.mayStart(members[0], len(members)) {
 		return
 	}
 	checkpoint := newest.Checkpoint
--- a/orchestrator/job.go
+++ b/orchestrator/job.go
@@ -17,6 +17,10 @@
 	// cancellation has been read meanwhile.
 	endWriting, cancelWaiting bool
 	liveRuns                  map[runKey]*run
+	// grantDue is set while it is in dirtyJobs with a new grant; grantRevisions has the revision
+	// with which the agent of a task was set, if this owner did so.
+	grantDue       bool
+	grantRevisions map[*sequencer.Task]uint64
 	// results has those of each step, by its index.
 	results map[int]*results
 	// suspected is set once a task of it was suspected of crashing workers.
--- a/orchestrator/orchestrator.go
+++ b/orchestrator/orchestrator.go
@@ -114,6 +114,11 @@
 	// unrenewedSince is the first of the terms, without a gap up to this one, whose owners are known
 	// to heed that a registration says that a lease is renewed no more.
 	unrenewedSince uint64
+	// granting has the runs whose grants are not known to be durable. Nothing of them has been
+	// sent.
+	granting map[*run]bool
+	// grantsAdopted is set once the jobs that earlier owners started without grants have them.
+	grantsAdopted bool
 	// starts limits how many bytes of starts are on their way to the agents.
 	starts *regulator.Regulator
 	// startsHeld is set if starts have been held back since the last confirmation.
@@ -162,7 +167,7 @@
 	}
 	return &Orchestrator{
 		cfg: cfg, actions: make(chan func(), queueCapacity), stopped: make(chan struct{}), done: make(chan struct{}),
-		jobs: map[string]*job{}, openJobs: map[string]*job{}, unreadableJobs: map[string]bool{}, runs: map[runKey]*run{}, claims: map[*sequencer.Task]*claim{}, agents: map[string]*agent{},
+		jobs: map[string]*job{}, openJobs: map[string]*job{}, unreadableJobs: map[string]bool{}, runs: map[runKey]*run{}, granting: map[*run]bool{}, claims: map[*sequencer.Task]*claim{}, agents: map[string]*agent{},
 		predictor: predictor.New(), policies: map[string]*stepPolicy{}, starts: regulator.New(), isolation: isolation{firstContactBy: cfg.ClaimedAt.Add(firstContactTimeout)},
 	}
 }
@@ -264,6 +269,7 @@
 	if o.loaded {
 		o.logBlockingAgents(now)
 		o.reportStops(now)
+		o.adoptGrants()
 		o.evacuate()
 		o.relocateSlowedRuns(now)
 		o.stopIncompleteGangs()
--- a/orchestrator/outbox.go
+++ b/orchestrator/outbox.go
@@ -86,6 +86,7 @@
 // dropOutbox drops the commands to an agent whose connection has ended. Runs whose start
 // was never sent end; what else was queued is asked for anew on the next connection.
 func (o *Orchestrator) dropOutbox(a *agent) {
+	o.dropGrantsAt(a)
 	queued := a.outbox
 	a.outbox = nil
 	for _, c := range queued {
--- a/orchestrator/place.go
+++ b/orchestrator/place.go
@@ -179,7 +179,7 @@
 func (o *Orchestrator) placeJob(j *job, waiting []*sequencer.Task, candidates []*allocator.Candidate, agents map[string]*agent, now time.Time) {
 	fullStep := "" // the step for which no candidate was found in this round
 	for n, t := range waiting {
-		if !o.mayStart(1) {
+		if !o.mayStart(t, 1) {
 			continue
 		}
 		if t.StepSpec().Gang {
@@ -226,16 +226,25 @@
 	o.startsHeld = o.startsHeld || candidate.Busy
 }
 
-// mayStart reports whether so many starts may be sent now. If not, placement is due once
-// an agent has confirmed earlier ones.
-func (o *Orchestrator) mayStart(starts int) bool {
-	allowed := o.starts.Allows(starts * maxStartBytes)
+// mayStart reports whether so many starts of tasks like one may be sent now. If not, placement
+// is due once an agent has confirmed earlier ones.
+func (o *Orchestrator) mayStart(t *sequencer.Task, starts int) bool {
+	granting := 0
+	if t.NeedsGrant() {
+		granting = len(o.granting) // they are sent at once; the others don't wait for the ledger
+	}
+	allowed := o.starts.AllowsBeside(granting*maxStartBytes, starts*maxStartBytes)
 	o.startsHeld = o.startsHeld || !allowed
 	return allowed
 }
 
-// startTask starts the next attempt of a task.
+// startTask starts the next attempt of a task, or has it granted first, and reports whether it
+// takes room at the agent.
 func (o *Orchestrator) startTask(t *sequencer.Task, j *job, a *agent) bool {
+	if t.NeedsGrant() && !j.granted(t, a) {
+		o.grant(t, j, a)
+		return true
+	}
 	return o.startRun(t, j, a, o.nextAttempt(t))
 }
 
@@ -247,20 +256,32 @@
 // startRun records the run of an attempt, sends or queues its start, and reports whether
 // the agent is still connected.
 func (o *Orchestrator) startRun(t *sequencer.Task, j *job, a *agent, attempt uint64) bool {
+	return o.sendStart(o.addRun(t, j, a, attempt))
+}
+
+// addRun records the run of an attempt, nothing of which has been sent.
+func (o *Orchestrator) addRun(t *sequencer.Task, j *job, a *agent, attempt uint64) *run {
 	r := &run{
 		key: runKey{t.Name(), attempt}, task: t, job: j, agent: a, link: a.link, seq: notSent,
 		phase: messenger.PhaseStarting, pacePercent: 100, startedAt: o.cfg.Now(), resumed: t.Checkpoint != "",
 	}
 	o.runs[r.key], j.liveRuns[r.key], a.runs[r.key] = r, r, r
 	t.LiveRuns++
+	return r
+}
+
+// sendStart sends or queues the start of a run, and reports whether the agent is still
+// connected.
+func (o *Orchestrator) sendStart(r *run) bool {
+	t, a := r.task, r.agent
 	if !o.queueCommand(a, queuedCommand{kind: startCommand, run: r}) {
 		o.removeRun(r)
 		return false
 	}
-	t.Attempt = attempt
+	t.Attempt = r.key.attempt
 	delete(o.claims, t)
 	o.cfg.Count("start")
-	o.cfg.Log.Info("starting run", zap.String("task", r.key.task), zap.Uint64("attempt", attempt), zap.String("agent", a.id),
+	o.cfg.Log.Info("starting run", zap.String("task", r.key.task), zap.Uint64("attempt", r.key.attempt), zap.String("agent", a.id),
 		zap.Duration("waited", r.startedAt.Sub(t.WaitingSince)), zap.Duration("free", r.startedAt.Sub(t.FreeSince)), zap.Duration("table_age", r.startedAt.Sub(a.lastSnapshotAt)), zap.Bool("resumes", t.Checkpoint != ""))
 	return true
 }
--- a/orchestrator/registration.go
+++ b/orchestrator/registration.go
@@ -1,6 +1,7 @@
 package orchestrator
 
 import (
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -174,12 +175,23 @@
 	return false, blocked
 }
 
+// mayHold reports whether an agent, if there is one, may run a task that no other agent may run.
+func (a *agent) mayHold(t *sequencer.Task) bool {
+	return a != nil && a.hasUnknownRuns && (a.mayRunAny || slices.Contains(a.recordedTasks, t.Name()))
+}
+
 // startBlocked returns a function that reports whether a task may not be started yet, as an
 // agent that is not reconciled may run it. Its run should be stopped only if it must.
 func (o *Orchestrator) startBlocked() func(*sequencer.Task) bool {
 	all, tasks := o.blockedTasks()
 	return func(t *sequencer.Task) bool {
-		return t.Job.Version < o.cfg.Epoch && !t.Located && (all || tasks[t.Name()])
+		switch {
+		case t.Job.Version >= o.cfg.Epoch || t.Located:
+			return false
+		case t.NeedsGrant():
+			return o.agents[t.Agent].mayHold(t)
+		}
+		return all || tasks[t.Name()]
 	}
 }
 
--- a/orchestrator/snapshot.go
+++ b/orchestrator/snapshot.go
@@ -187,6 +187,7 @@
 		return nil
 	}
 	t := j.Task(occurrence, step, index)
+	o.followRun(j, t, a)
 	r := &run{key: runKey{status.Task, status.Attempt}, task: t, job: j, agent: a, phase: status.Phase, pacePercent: 100, startedAt: o.cfg.Now(), resumed: true}
 	if t.LiveRuns > 0 && !t.StepSpec().Speculative {
 		r.evict = true
--- a/orchestrator/stop.go
+++ b/orchestrator/stop.go
@@ -10,6 +10,10 @@
 
 // stopRun marks a run to be stopped and asks its agent to do so.
 func (o *Orchestrator) stopRun(r *run, reason string) {
+	if o.granting[r] {
+		o.dropGrant(r, reason)
+		return
+	}
 	r.evict = true
 	if r.stopWantedAt.IsZero() {
 		r.stopWantedAt = o.cfg.Now()
--- a/orchestrator/suspect.go
+++ b/orchestrator/suspect.go
@@ -55,7 +55,7 @@
 	})
 	trials := o.trials()
 	for _, t := range suspects {
-		if pool := trials[t.Job.Spec.Pool]; pool != nil && o.mayStart(1) {
+		if pool := trials[t.Job.Spec.Pool]; pool != nil && o.mayStart(t, 1) {
 			o.tryTask(t, pool, byPool[t.Job.Spec.Pool], agents, now)
 		}
 	}
--- a/orchestrator/waiting.go
+++ b/orchestrator/waiting.go
@@ -46,5 +46,10 @@
 			}
 		}
 	}
-	return func(t *sequencer.Task) time.Time { return later(all, byTask[t.Name()]) }
+	return func(t *sequencer.Task) time.Time {
+		if a := o.agents[t.Agent]; t.NeedsGrant() && a != nil {
+			return a.leaseExpiresAt
+		}
+		return later(all, byTask[t.Name()])
+	}
 }
--- a/orchestrator/watch.go
+++ b/orchestrator/watch.go
@@ -192,7 +192,7 @@
 		o.cfg.Count(unreadableJobCount)
 		return
 	}
-	j := &job{Job: sequencer.NewJob(spec, item.Version, progress), liveRuns: map[runKey]*run{}, results: map[int]*results{}}
+	j := &job{Job: sequencer.NewJob(spec, item.Version, progress), liveRuns: map[runKey]*run{}, grantRevisions: map[*sequencer.Task]uint64{}, results: map[int]*results{}}
 	j.ProgressVersion = progressVersion
 	j.suspected = progress != nil && slices.ContainsFunc(progress.Tasks, func(r sequencer.TaskRecord) bool { return r.CrashOdds > 0 })
 	o.jobs[spec.ID] = j
@@ -201,6 +201,7 @@
 		return
 	}
 	o.openJobs[spec.ID] = j
+	o.loadGrants(j)
 	o.planDue = true
 	o.cfg.Log.Info("job added", zap.String("job", spec.ID), zap.String("queue", spec.Queue), zap.Uint64("version", item.Version), zap.Array("steps", loggedSteps(spec.Steps)), zap.Int("priority", spec.Priority), zap.Duration("age", o.cfg.WallClock().Sub(spec.AcceptedAt)))
 }
--- a/orchestrator/write.go
+++ b/orchestrator/write.go
@@ -118,10 +118,11 @@
 			a.keyVersion, a.mayRunAny, a.recordOpen = 0, false, false // from now on no command and no lease renewal is sent there
 		}
 	}
+	o.putGrantsFirst()
 	for len(o.dirtyJobs) > 0 && b.keyCount() < maxBatchKeys {
 		j := o.dirtyJobs[0]
 		o.dirtyJobs = o.dirtyJobs[1:]
-		j.dirty = false
+		j.dirty, j.grantDue = false, false
 		p := j.Progress()
 		value, err := p.Encode()
 		if err != nil {
@@ -206,6 +207,7 @@
 	for _, write := range b.jobs {
 		write.job.endWriting, write.job.cancelWaiting = false, false
 		write.job.ProgressVersion, write.job.durableRevision = version, max(write.job.durableRevision, write.revision)
+		o.startGranted(write.job)
 		if write.state.Final() && !write.job.DurableState.Final() {
 			write.job.DurableState, write.job.endedAt = write.state, now
 			delete(o.openJobs, write.job.Spec.ID)
--- a/regulator/regulator.go
+++ b/regulator/regulator.go
@@ -53,8 +53,12 @@
 }
 
 // Allows reports whether a command of a size may be sent now.
-func (r *Regulator) Allows(bytes int) bool {
-	return r.inFlight == 0 || r.inFlight+bytes <= int(r.window)
+func (r *Regulator) Allows(bytes int) bool { return r.AllowsBeside(0, bytes) }
+
+// AllowsBeside reports whether a command of a size may be sent beside others that are about to
+// be.
+func (r *Regulator) AllowsBeside(others, bytes int) bool {
+	return r.inFlight+others == 0 || r.inFlight+others+bytes <= int(r.window)
 }
 
 // Sent records a command.
--- a/sequencer/job.go
+++ b/sequencer/job.go
@@ -21,6 +21,9 @@
 	// Started is set once a task is known to have run. A command to start it is not
 	// enough, as callers see how many jobs are queued.
 	Started bool
+	// GrantTerm is the term of the owner that wrote the agents of the tasks to the ledger, or 0
+	// if no owner has done so before each start.
+	GrantTerm uint64
 	// tasks has the tasks by occurrence and step; Tasks creates them on first use.
 	tasks map[[2]int][]*Task
 	// doneCount is the number of tasks that are done, by occurrence and step.
@@ -35,14 +38,14 @@
 		return j
 	}
 	j.DurableState = p.State
-	j.Canceled, j.Failed = p.State == Canceled, p.State == Failed
+	j.Canceled, j.Failed, j.GrantTerm = p.State == Canceled, p.State == Failed, p.GrantTerm
 	for _, record := range p.Tasks {
 		t := j.Task(record.Occurrence, record.Step, record.Index)
 		if t == nil {
 			continue // written by another version of the program; there is no such task
 		}
-		j.Started = true
-		t.FailedAttempts, t.Checkpoint = record.FailedAttempts, record.Checkpoint
+		j.Started = j.Started || record.hasRun()
+		t.FailedAttempts, t.Checkpoint, t.Agent = record.FailedAttempts, record.Checkpoint, record.Agent
 		t.CrashOdds, t.Crashes = record.CrashOdds, record.Crashes
 		for _, crash := range record.Crashes {
 			t.Attempt = max(t.Attempt, crash.Attempt)
@@ -189,13 +192,17 @@
 	if p.State.Final() {
 		return p // no task will run again
 	}
+	p.GrantTerm = j.GrantTerm
 	for key, list := range j.tasks {
 		for _, t := range list {
-			if t.Done || len(t.FailedAttempts) > 0 || t.Checkpoint != "" || len(t.Crashes) > 0 || t.CrashOdds > 0 {
-				record := TaskRecord{Occurrence: key[0], Step: key[1], Index: t.Index, Done: t.Done, FailedAttempts: t.FailedAttempts}
-				if !t.Done {
-					record.Checkpoint, record.CrashOdds, record.Crashes = t.Checkpoint, t.CrashOdds, t.Crashes
-				}
+			record := TaskRecord{Occurrence: key[0], Step: key[1], Index: t.Index, Done: t.Done, FailedAttempts: t.FailedAttempts}
+			if !t.Done {
+				record.Checkpoint, record.CrashOdds, record.Crashes = t.Checkpoint, t.CrashOdds, t.Crashes
+			}
+			if t.NeedsGrant() {
+				record.Agent = t.Agent
+			}
+			if record.hasRun() || record.Agent != "" {
 				p.Tasks = append(p.Tasks, record)
 			}
 		}
--- a/sequencer/progress.go
+++ b/sequencer/progress.go
@@ -26,9 +26,11 @@
 // new owner can't learn from the agents.
 type Progress struct {
 	State State `cbor:"1,keyasint"`
-	// Tasks has the tasks that are done, have failed attempts or a checkpoint, or were
-	// lost in crashes, by occurrence, step and index.
+	// Tasks has the tasks that are done, have failed attempts, a checkpoint or an agent, or
+	// were lost in crashes, by occurrence, step and index.
 	Tasks []TaskRecord `cbor:"2,keyasint,omitempty"`
+	// GrantTerm is Job.GrantTerm.
+	GrantTerm uint64 `cbor:"3,keyasint,omitempty"`
 }
 
 // TaskRecord is the durable part of a task.
@@ -43,6 +45,13 @@
 	// CrashOdds and Crashes are those of Task.
 	CrashOdds float64 `cbor:"7,keyasint,omitempty"`
 	Crashes   []Crash `cbor:"8,keyasint,omitempty"`
+	// Agent is that of Task.
+	Agent string `cbor:"9,keyasint,omitempty"`
+}
+
+// hasRun reports whether the record shows that the task has run: a grant does not.
+func (r *TaskRecord) hasRun() bool {
+	return r.Done || r.Checkpoint != "" || len(r.FailedAttempts) > 0 || len(r.Crashes) > 0 || r.CrashOdds > 0
 }
 
 // Encode returns the progress as CBOR.
--- a/sequencer/sequencer_test.go
+++ b/sequencer/sequencer_test.go
@@ -155,3 +155,25 @@
 		}
 	})
 }
+
+// A task that was granted has not run yet, and no agent is named for one that may run at several.
+func TestProgressNamesTheAgentsOfLongRunningTasks(t *testing.T) {
+	c := qt.New(t)
+	spec := &Spec{ID: "00000000000000aa", Steps: []Step{{Count: 2, LongRunning: true}, {Count: 1}, {Count: 1, LongRunning: true, Gang: true}, {Count: 1, LongRunning: true, Speculative: true}}}
+	j := NewJob(spec, 1, nil)
+	for n := range spec.Steps {
+		j.Task(0, n, 0).Agent = "agent"
+	}
+	c.Check(j.Progress().Tasks, qt.HasLen, 0, qt.Commentf("no mark says that the others run nowhere"))
+	j.GrantTerm = 7
+	raw, err := j.Progress().Encode()
+	c.Assert(err, qt.IsNil)
+	p, err := DecodeProgress(raw)
+	c.Assert(err, qt.IsNil)
+	c.Check(p.Tasks, qt.DeepEquals, []TaskRecord{{Agent: "agent"}})
+	next := NewJob(spec, 1, p)
+	c.Check(next.GrantTerm, qt.Equals, uint64(7))
+	c.Check(next.State(), qt.Equals, Queued)
+	c.Check(next.Task(0, 0, 0).Agent, qt.Equals, "agent")
+	c.Check(next.Task(0, 0, 1).Agent, qt.Equals, "")
+}
--- a/sequencer/spec.go
+++ b/sequencer/spec.go
@@ -102,6 +102,11 @@
 	return text
 }
 
+// MayBeGranted reports whether the ledger may name the agent of each task of the step: a
+// write before each start pays where starts are rare. The members of gangs start together,
+// and a speculative task may run at two agents.
+func (s *Step) MayBeGranted() bool { return s.LongRunning && !s.Gang && !s.Speculative }
+
 // Check returns an error that wraps ErrInvalid if the job is not valid.
 func (s *Spec) Check() error {
 	if len(s.Steps) == 0 || len(s.Steps) > maxSteps {
--- a/sequencer/task.go
+++ b/sequencer/task.go
@@ -35,6 +35,9 @@
 	// Located is set once an agent has shown this owner a run of the task at work. No earlier
 	// owner can have started another one, so that the task waits for no absent agent.
 	Located bool
+	// Agent is the only agent at which a run of a task that NeedsGrant may be at work or begin;
+	// empty if none may.
+	Agent string
 	// FailedWorkers has the workers on which a run of the task has failed.
 	FailedWorkers []string
 	// WaitingSince is when the task became runnable, or when its last run ended, as far as any
@@ -57,6 +60,9 @@
 // StepSpec returns the step that the task belongs to.
 func (t *Task) StepSpec() *Step { return &t.Job.Spec.Steps[t.Step] }
 
+// NeedsGrant reports whether a start of the task waits until the ledger names its Agent.
+func (t *Task) NeedsGrant() bool { return t.Job.GrantTerm > 0 && t.StepSpec().MayBeGranted() }
+
 // AddFailure records a failed attempt and reports whether it is new.
 func (t *Task) AddFailure(attempt uint64) bool {
 	if slices.Contains(t.FailedAttempts, attempt) {
