--- a/orchestrator/grant_test.go
+++ b/orchestrator/grant_test.go
@@ -273,6 +273,21 @@
 	c.Check(h.commitBatch(50).recordedAgent(c, j), qt.Equals, "a0")
 }
 
+// One of two runs is being stopped, and a next owner that finds one agent in the ledger starts the
+// task again while the other is at work.
+func TestAJobWithTwoRunsOfATaskIsNotGranted(t *testing.T) {
+	c := qt.New(t)
+	h, j := grantedTakeOver(c, nil, 5)
+	h.connectAgent("a1")
+	for n, id := range []string{"a0", "a1"} {
+		status := messenger.RunStatus{Task: j.Task(0, 0, 0).Name(), Attempt: uint64(n + 1), Phase: messenger.PhaseRunning, PacePercent: 100}
+		h.sendSnapshot(id, &messenger.WorkerSnapshot{Runs: []messenger.RunStatus{status}})
+	}
+	h.o.agents["gone"].hasUnknownRuns = false
+	h.o.tick(context.Background())
+	c.Check(j.GrantTerm, qt.Equals, uint64(0))
+}
+
 // A next owner takes the ledger's word that no other agent has a run of the task.
 func TestTheLedgerFollowsARunThatAnotherAgentShows(t *testing.T) {
 	c := qt.New(t)
