orchestrator: Time grants under a name of their own

The counter and the duration of grants were both named grant, which the metrics library answers with a panic: each owner ended with its first grant. The test failed before: the name was counted once.

--- a/orchestrator/grant.go
+++ b/orchestrator/grant.go
@@ -124,7 +124,7 @@
 		return
 	}
 	delete(o.granting, r)
-	o.cfg.ObserveDuration("grant", now.Sub(r.startedAt))
+	o.cfg.ObserveDuration("grant_wait", now.Sub(r.startedAt))
 	r.startedAt = now
 	o.sendStart(r)
 }
--- a/orchestrator/grant_test.go
+++ b/orchestrator/grant_test.go
@@ -62,6 +62,21 @@
 	c.Check(h.starts(), qt.Equals, 1)
 }
 
+// A counter and a duration had one name, so that each owner ended with its first grant.
+func TestAGrantIsCountedAndTimedUnderDifferentNames(t *testing.T) {
+	c := qt.New(t)
+	h, _ := newGrantHarness(c, 1)
+	var timed []string
+	h.o.cfg.ObserveDuration = func(name string, _ time.Duration) { timed = append(timed, name) }
+	h.o.place()
+	h.commitBatch(50)
+	c.Check(h.counts["grant"], qt.Equals, 1)
+	c.Assert(timed, qt.Not(qt.HasLen), 0)
+	for _, name := range timed {
+		c.Check(h.counts[name], qt.Equals, 0, qt.Commentf(name))
+	}
+}
+
 // The reply to an earlier write was lost, or the write was refused.
 func TestAGrantThatDidNotTakeEffectSendsNoStart(t *testing.T) {
 	for name, err := range map[string]error{
