elector: Confirm ownership by a write that the next owner checks

The tasks of an agent that is lost with its owner ran nowhere until 8 s after the next owner's claim. The store may be away until then, and the lost owner has acted no more for seconds.

Cause: nobody but the owner knew of its last confirmation, a read or any write, so that the wait counted from the claim. The owner writes a key now, twice a second, and nothing else confirms it. A claim for a lost owner checks the version of the key that its entry has seen: if it takes effect, that was the last confirmation, and the lost owner sent it before it was seen. So the new owner counts 2 s (2% more for a slow clock), or until what it has extended, from there. The record states what it did, as others count from the claim; the lost owner's own time always covers that of those before it. An owner of an earlier version writes no such key: its record lacks the flag, and the wait counts from the claim. The check is made only where the confirmation is a second old, as an owner that goes on writing would make it fail again and again. A repeated claim that finds itself in place confirms as of its first attempt, since it writes nothing. A write without a reply confirms once it is seen, by the watch or a read.

Writes of the ledger confirm no more. TestARepeatedWriteAfterAnotherClaimConfirmsNothing checked when one did; it checks now that the write is no success, and the histories of the elector that each owner was confirmed by a write of the key. TestAnEntryExtendsNothingWhileAnEarlierClaimMayTakeEffect failed the first write of any entry, which was the frozen owner's confirmation now; it begins once that has sent its last. The list of extenders is written without regard to the age of the confirmation, as it delays no confirmation any more.

--- a/coordinator/ownership.go
+++ b/coordinator/ownership.go
@@ -41,14 +41,15 @@
 	defer cancel()
 	previousOwnerTTL := record.EarlierOwnersTTL()
 	claimedAt := c.elector.ClaimedAt()
+	earlierConfirmedBy, earlierOwnersUntil := c.elector.EarlierOwners()
 	o := orchestrator.New(orchestrator.Config{
 		Term: record.Term, Epoch: epoch, OwnerKey: elector.OwnerKey, ClaimedAt: claimedAt, Store: c.Store(), Now: c.cfg.Now, WallClock: c.cfg.WallClock,
 		LeaseDuration: RunLease(c.cfg.MaxWorkerLease), JobRetention: c.cfg.JobRetention, QueryPolicy: c.cfg.QueryPolicy,
 		UnextendedTTL: elector.UnextendedTTL, ConfirmationTTL: elector.ConfirmationTTL, ConfirmationExtended: c.elector.ConfirmationExtended,
-		PreviousOwnerTTL: previousOwnerTTL, KnownSince: c.chronicler.KnownSince, RosterFrom: c.elector.RosterFrom(), UnrosteredUntil: c.elector.UnrosteredUntil(), GrantsSince: record.GrantsSince,
-		OwnershipConfirmedAt: c.elector.OwnershipConfirmedAt, ConfirmOwnership: c.elector.ConfirmOwnership,
-		HasStandby: func() bool { return len(c.elector.Members()) > 0 },
-		Log:        c.cfg.Log, Count: c.cfg.Count, Gauge: c.cfg.Gauge, ObserveDuration: c.cfg.ObserveDuration,
+		PreviousOwnerTTL: previousOwnerTTL, EarlierConfirmedBy: earlierConfirmedBy, EarlierOwnersUntil: earlierOwnersUntil, KnownSince: c.chronicler.KnownSince,
+		RosterFrom: c.elector.RosterFrom(), UnrosteredUntil: c.elector.UnrosteredUntil(), GrantsSince: record.GrantsSince,
+		OwnershipConfirmedAt: c.elector.OwnershipConfirmedAt, HasStandby: func() bool { return len(c.elector.Members()) > 0 },
+		Log: c.cfg.Log, Count: c.cfg.Count, Gauge: c.cfg.Gauge, ObserveDuration: c.cfg.ObserveDuration,
 	})
 	c.mu.Lock()
 	if c.shuttingDown {
--- a/elector/claim.go
+++ b/elector/claim.go
@@ -14,14 +14,13 @@
 	"github.com/endivefall/endivefall/waiter"
 )
 
-// claimLoop confirms ownership while this process is the owner, and claims it
+// claimLoop keeps the list of extenders while this process is the owner, and claims ownership
 // otherwise when it is free.
 func (e *Elector) claimLoop(ctx context.Context) {
 	for ctx.Err() == nil {
 		waiter.Sleep(ctx, checkInterval)
 		if e.IsOwner() {
 			e.updateExtenders(ctx)
-			e.refreshConfirmation(ctx)
 			continue
 		}
 		if reason, version := e.claimReason(); reason != "" {
@@ -32,29 +31,6 @@
 	}
 }
 
-// refreshConfirmation reads the owner key and records whether this process is still
-// the owner.
-func (e *Elector) refreshConfirmation(ctx context.Context) {
-	sent := e.cfg.Now()
-	if sent.Sub(e.OwnershipConfirmedAt()) < confirmInterval {
-		return
-	}
-	item, err := e.cfg.Store.Get(ctx, OwnerKey)
-	if err != nil {
-		e.mu.Lock()
-		notExtendedBy := e.notExtendedByLocked()
-		e.mu.Unlock()
-		e.cfg.Log.Warn("could not confirm ownership", zap.Error(err), zap.Duration("age", e.cfg.Now().Sub(e.OwnershipConfirmedAt())), zap.Strings("not_extended_by", notExtendedBy))
-		return
-	}
-	e.apply([]storer.Item{item})
-	e.mu.Lock()
-	if e.isOwnerLocked() && item.Version == e.version && sent.After(e.confirmedAt) {
-		e.confirmedAt = sent
-	}
-	e.mu.Unlock()
-}
-
 // Reasons of a claim that decide whether an earlier owner may still be active.
 const (
 	reasonNoOwner   = "no owner yet"
@@ -164,13 +140,13 @@
 			checks = append(checks, storer.Check{Key: e.cfg.ClaimKey, Version: earlier.Version})
 		}
 	}
-	sent := e.cfg.Now()
 	e.mu.Lock()
-	counted, extended := e.countedLocked(), max(e.extensions.until.Sub(sent), 0)
+	sent := e.claimSentAt // an earlier attempt may have taken effect since
+	counted, extended := e.countedLocked(), max(e.extensions.until.Sub(e.cfg.Now()), 0)
 	e.extensions.before = extender{record.Owner.ID, record.Owner.Incarnation}
 	list := storer.Write{Key: extendersKey, Value: e.currentExtendersLocked(next.Term).encode()}
 	e.mu.Unlock()
-	newVersion, err := e.writeRecord(ctx, next, checks, e.cfg.ClaimKey, list)
+	newVersion, err := e.writeRecord(ctx, next, checks, e.cfg.ClaimKey, list, e.confirmationWrite(e.cfg.Now()))
 	if err != nil {
 		e.endClaimAttempt(err)
 		return err
@@ -178,8 +154,9 @@
 	if !e.adoptRecord(next, newVersion) {
 		return fmt.Errorf("%w: a newer claim exists", storer.ErrConflict)
 	}
-	e.ConfirmOwnership(sent)
-	e.cfg.Log.Info("ownership claimed", zap.Uint64("term", next.Term), zap.Uint64("version", newVersion), zap.String("why", reason), zap.Bool("clean", next.PredecessorsStopped), zap.Duration("earlier_owners_ttl", next.EarlierOwnersTTL()), zap.Bool("counted", counted), zap.Duration("extended", extended), zap.String("before", record.Owner.ID))
+	e.confirmOwnership(sent)
+	confirmedBy, until := e.EarlierOwners()
+	e.cfg.Log.Info("ownership claimed", zap.Uint64("term", next.Term), zap.Uint64("version", newVersion), zap.String("why", reason), zap.Bool("clean", next.PredecessorsStopped), zap.Duration("earlier_owners_ttl", next.EarlierOwnersTTL()), zap.Bool("counted", counted), zap.Duration("extended", extended), zap.String("before", record.Owner.ID), zap.Time("earlier_confirmed_by", confirmedBy), zap.Time("earlier_until", until))
 	e.cfg.OnChange(next, e.Members())
 	return nil
 }
@@ -194,12 +171,9 @@
 		e.extensions.claimedVersion, e.extensions.pendingClaims = version, 0
 	}
 	if e.extensions.pendingClaims == 0 {
-		e.extensions.claimedUncounted = false
+		e.extensions.claimedUncounted, e.claimedUnchecked, e.claimedConfirmation, e.claimSentAt = false, false, time.Time{}, e.cfg.Now()
 	}
 	e.extensions.pendingClaims++
-	if e.claimSentAt.IsZero() || e.claimSentVersion != version {
-		e.claimSentAt, e.claimSentVersion = e.cfg.Now(), version
-	}
 	checks := []storer.Check{{Key: OwnerKey, Version: version}}
 	ttl := ConfirmationTTL
 	switch {
@@ -215,7 +189,8 @@
 	} else {
 		e.extensions.claimedUncounted = true
 	}
-	next := OwnerRecord{Owner: e.cfg.Self, Term: record.Term + 1, PredecessorsStopped: ttl == 0, RemainingTTL: ttl, Roster: true, GrantsSince: record.GrantsSince}
+	checks = e.checkConfirmationLocked(reason, record, checks)
+	next := OwnerRecord{Owner: e.cfg.Self, Term: record.Term + 1, PredecessorsStopped: ttl == 0, RemainingTTL: ttl, Roster: true, Confirms: true, GrantsSince: record.GrantsSince}
 	if next.GrantsSince == 0 {
 		next.GrantsSince = next.Term
 	}
@@ -268,7 +243,7 @@
 	}, alongside...)
 	var conflict *storer.ConflictError
 	if errors.As(err, &conflict) {
-		e.apply([]storer.Item{conflict.Item(OwnerKey), conflict.Item(extendersKey)})
+		e.apply([]storer.Item{conflict.Item(OwnerKey), conflict.Item(extendersKey), conflict.Item(confirmationKey)})
 	}
 	return newVersion, err
 }
--- a/elector/elector.go
+++ b/elector/elector.go
@@ -14,6 +14,7 @@
 
 	"github.com/endivefall/endivefall/estimator"
 	"github.com/endivefall/endivefall/storer"
+	"github.com/endivefall/endivefall/waiter"
 )
 
 // Keys of the membership in the store.
@@ -100,8 +101,8 @@
 	members map[string]Member
 	// unreadable has the IDs of live keys that can't be decoded.
 	unreadable map[string]bool
-	// confirmedAt is the send time of the newest call to the store that confirmed
-	// this entry as the owner.
+	// confirmedAt is the send time of the newest write of the confirmation key by this entry that
+	// is known to have taken effect while it was the owner.
 	confirmedAt time.Time
 	// claimedAt is the local time at which this entry learned that its newest claim
 	// took effect.
@@ -113,10 +114,15 @@
 	// the lease of an agent that the last of them has not recorded as reached; zero if that
 	// is not known.
 	unrosteredUntil time.Time
-	// claimSentAt is the local time of the first claim of this entry at the version
-	// claimSentVersion of the owner key.
-	claimSentAt      time.Time
-	claimSentVersion uint64
+	// claimSentAt is the local time of the first of the claims of this entry that may have taken
+	// effect, claimedConfirmation the latest one at which it learned of the confirmation that one
+	// of them checks. claimedUnchecked is set if one checks none.
+	claimSentAt, claimedConfirmation time.Time
+	claimedUnchecked                 bool
+	// confirmation is the last one known of any owner, earlierOwners what the newest claim of this
+	// entry shows of those before it.
+	confirmation  confirmation
+	earlierOwners earlierOwners
 	// cooldownUntil is the time before which this entry does not claim ownership
 	// while another entry is alive.
 	cooldownUntil time.Time
@@ -188,16 +194,6 @@
 	return e.claimSentAt.Add(UnextendedTTL)
 }
 
-// ConfirmOwnership records that a call to the store sent at the given time confirmed
-// this process as the owner.
-func (e *Elector) ConfirmOwnership(sent time.Time) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if sent.After(e.confirmedAt) {
-		e.confirmedAt = sent
-	}
-}
-
 // Members returns the live entries other than this one.
 func (e *Elector) Members() []Member {
 	e.mu.Lock()
@@ -227,6 +223,7 @@
 	wg.Go(func() { e.announceLoop(ctx) })
 	wg.Go(func() { e.watchLoop(ctx) })
 	wg.Go(func() { e.claimLoop(ctx) })
+	wg.Go(func() { waiter.Every(ctx, checkInterval, func() { e.confirm(ctx) }) })
 	wg.Wait()
 }
 
@@ -271,10 +268,10 @@
 			x := &e.extensions
 			e.unrosteredUntil = later(later(e.earlierUntil, e.ownerSeenAt.Add(estimator.MaxLocalElapsed(UnextendedTTL))), later(x.countedAt, x.until))
 		}
-		e.earlierUntil, e.ownerSeenAt = later(e.earlierUntil, now.Add(estimator.MaxLocalElapsed(r.EarlierOwnersTTL()))), now
 		if r.Owner == e.cfg.Self {
-			e.claimedAt = now
+			e.claimedAt, e.earlierOwners = now, e.earlierOwnersLocked()
 		}
+		e.earlierUntil, e.ownerSeenAt = later(e.earlierUntil, now.Add(estimator.MaxLocalElapsed(r.EarlierOwnersTTL()))), now
 	}
 	e.record, e.version, e.keyDeleted, e.claimableSince = r, version, false, time.Time{}
 }
--- a/elector/extenders.go
+++ b/elector/extenders.go
@@ -92,14 +92,17 @@
 func (e *Elector) updateExtenders(ctx context.Context) {
 	e.mu.Lock()
 	x := &e.extensions
-	sent := e.cfg.Now()
 	list := e.currentExtendersLocked(e.record.Term)
 	current := x.list.Term == list.Term && slices.Equal(x.list.Entries, list.Entries) && len(x.written) == 0
-	if !e.isOwnerLocked() || current || sent.Sub(e.confirmedAt) >= UnextendedTTL {
+	if !e.isOwnerLocked() || current {
 		e.mu.Unlock()
 		return
 	}
-	x.written = append(x.written, list.Entries...)
+	for _, listed := range list.Entries {
+		if !slices.Contains(x.written, listed) {
+			x.written = append(x.written, listed)
+		}
+	}
 	change := storer.Transaction{
 		Checks: []storer.Check{{Key: OwnerKey, Version: e.version}, {Key: extendersKey, Version: x.listVersion}},
 		Writes: []storer.Write{{Key: extendersKey, Value: list.encode()}},
@@ -115,7 +118,6 @@
 		return
 	default:
 		e.apply([]storer.Item{{Key: extendersKey, Version: version, Value: change.Writes[0].Value}})
-		e.ConfirmOwnership(sent)
 	}
 	e.mu.Lock()
 	x.written = nil // no earlier write can take effect any more
--- a/elector/history_test.go
+++ b/elector/history_test.go
@@ -45,6 +45,10 @@
 
 	// claims has the claims in the store by their terms. Only the goroutine of the test uses it.
 	claims map[uint64]observedClaim
+	// confirmation is the version of the confirmation key, in the store since confirmedBy at the
+	// latest.
+	confirmation uint64
+	confirmedBy  time.Time
 }
 
 // observedClaim is a claim that has been in the store since a time at the latest.
@@ -278,6 +282,7 @@
 	if h.claims[record.Term].at.IsZero() {
 		h.claims[record.Term] = observedClaim{record, now}
 	}
+	h.checkConfirmations(now)
 	for id, n := range h.nodes {
 		current, _ := n.Owner()
 		age := now.Sub(n.OwnershipConfirmedAt())
@@ -291,6 +296,11 @@
 			until := claim.at.Add(claim.record.EarlierOwnersTTL())
 			h.c.Check(now.After(until), qt.IsFalse, qt.Commentf("%s acts in term %d at %v, %v after %v of term %d", id, current.Term, now, now.Sub(until), claim.record, term))
 			later := h.nodes[claim.record.Owner.ID]
+			if later != nil && later.IsOwner() {
+				confirmedBy, until := later.EarlierOwners()
+				h.c.Check(!confirmedBy.IsZero() && n.OwnershipConfirmedAt().After(confirmedBy), qt.IsFalse, qt.Commentf("%s was confirmed in term %d, %v after what is known in term %d", id, current.Term, n.OwnershipConfirmedAt().Sub(confirmedBy), term))
+				h.c.Check(!until.IsZero() && now.After(until), qt.IsFalse, qt.Commentf("%s acts in term %d, %v after what is known in term %d", id, current.Term, now.Sub(until), term))
+			}
 			if later == nil || !later.IsOwner() || later.UnrosteredUntil().IsZero() || now.Before(n.RosterFrom()) || !n.ConfirmationExtended() {
 				continue
 			}
@@ -298,3 +308,22 @@
 		}
 	}
 }
+
+// checkConfirmations checks that each owner was confirmed by a write of the confirmation key, or before
+// the newest one.
+func (h *history) checkConfirmations(now time.Time) {
+	confirmedAt := map[string]time.Time{}
+	for id, n := range h.nodes {
+		if n.IsOwner() {
+			confirmedAt[id] = n.OwnershipConfirmedAt()
+		}
+	}
+	item, err := h.store.Client().Get(context.Background(), confirmationKey)
+	h.c.Assert(err, qt.IsNil)
+	if item.Version != h.confirmation {
+		h.confirmation, h.confirmedBy = item.Version, now
+	}
+	for id, at := range confirmedAt {
+		h.c.Check(at.After(h.confirmedBy), qt.IsFalse, qt.Commentf("%s was confirmed %v after the last write", id, at.Sub(h.confirmedBy)))
+	}
+}
--- a/elector/members.go
+++ b/elector/members.go
@@ -113,9 +113,15 @@
 	e.mu.Lock()
 	e.members, e.unreadable = map[string]Member{}, map[string]bool{}
 	e.applyLocked(page.Items)
-	if !slices.ContainsFunc(page.Items, func(item storer.Item) bool { return item.Key == extendersKey }) {
+	lacks := func(key string) bool {
+		return !slices.ContainsFunc(page.Items, func(item storer.Item) bool { return item.Key == key })
+	}
+	if lacks(extendersKey) {
 		e.applyExtendersLocked(storer.Item{Key: extendersKey, Version: page.Version, Deleted: true})
 	}
+	if lacks(confirmationKey) {
+		e.applyConfirmationLocked(storer.Item{Key: confirmationKey, Version: page.Version, Deleted: true})
+	}
 	e.mu.Unlock()
 	e.reportChange(len(page.Items))
 }
@@ -148,6 +154,9 @@
 		if item.Key == extendersKey {
 			e.applyExtendersLocked(item)
 		}
+		if item.Key == confirmationKey {
+			e.applyConfirmationLocked(item)
+		}
 		id, ok := strings.CutPrefix(item.Key, entryPrefix)
 		if !ok {
 			continue
--- a/elector/record.go
+++ b/elector/record.go
@@ -45,6 +45,8 @@
 	// GrantsSince is the first term since which every owner has had the ledger name the agent of
 	// a long-running task before it started it; 0 if the owner does not.
 	GrantsSince uint64 `cbor:"7,keyasint,omitempty"`
+	// Confirms is set if the owner counts only calls as confirmations that write confirmationKey.
+	Confirms bool `cbor:"8,keyasint,omitempty"`
 }
 
 // EarlierOwnersTTL returns how long after the claim of the record's owner earlier
--- a/orchestrator/config.go
+++ b/orchestrator/config.go
@@ -31,6 +31,10 @@
 	// PreviousOwnerTTL is how long an earlier owner may have sent commands after
 	// the claim: at most ConfirmationTTL, 0 if it had certainly stopped.
 	PreviousOwnerTTL time.Duration
+	// EarlierConfirmedBy is a time before which earlier owners sent each call that confirmed
+	// them, EarlierOwnersUntil the one until which they may send commands. Zero if no more is
+	// known than ClaimedAt and PreviousOwnerTTL.
+	EarlierConfirmedBy, EarlierOwnersUntil time.Time
 	// KnownSince returns a time by which the store had reached a version, and false if none is
 	// known; it may be nil.
 	KnownSince func(version uint64) (time.Time, bool)
@@ -43,10 +47,9 @@
 	GrantsSince uint64
 	// JobRetention is how long the state of an ended job is kept.
 	JobRetention time.Duration
-	// OwnershipConfirmedAt returns the time of the newest confirmation of
-	// ownership; ConfirmOwnership records one.
+	// OwnershipConfirmedAt returns the time of the newest confirmation of ownership. A write of
+	// the ledger is none, as the next owner knows of no more than the elector's.
 	OwnershipConfirmedAt func() time.Time
-	ConfirmOwnership     func(sent time.Time)
 	// QueryPolicy asks the policy service of a queue which worker incarnations may
 	// run a step, and how long the answer is valid.
 	QueryPolicy func(ctx context.Context, step string, workers []string) ([]PolicyGrant, time.Duration, error)
--- a/orchestrator/registration.go
+++ b/orchestrator/registration.go
@@ -6,6 +6,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/endivefall/endivefall/estimator"
 	"github.com/endivefall/endivefall/messenger"
 	"github.com/endivefall/endivefall/registrar"
 	"github.com/endivefall/endivefall/sequencer"
@@ -63,13 +64,25 @@
 	a.closePending = a.closePending || ends || o.earlierOwnersStopped()
 }
 
-// previousOwnerTTL returns how long after the claim an earlier owner may have renewed
-// the lease of an agent.
-func (o *Orchestrator) previousOwnerTTL(a *agent) time.Duration {
-	if a.renewalBounded {
-		return min(o.cfg.PreviousOwnerTTL, closedConfirmationTTL)
+// renewedUntil returns until when an earlier owner may have renewed the lease of an agent.
+func (o *Orchestrator) renewedUntil(a *agent) time.Time {
+	until := earlierKnown(o.cfg.ClaimedAt.Add(o.cfg.PreviousOwnerTTL), o.cfg.EarlierOwnersUntil)
+	if !a.renewalBounded {
+		return until
 	}
-	return o.cfg.PreviousOwnerTTL
+	until = earlierKnown(until, o.cfg.ClaimedAt.Add(closedConfirmationTTL))
+	if o.cfg.EarlierConfirmedBy.IsZero() {
+		return until
+	}
+	return earlierKnown(until, o.cfg.EarlierConfirmedBy.Add(estimator.MaxLocalElapsed(closedConfirmationTTL)))
+}
+
+// earlierKnown returns the earlier of two times, the first if the second is not known.
+func earlierKnown(a, b time.Time) time.Time {
+	if b.IsZero() || a.Before(b) {
+		return a
+	}
+	return b
 }
 
 // updateRegistration opens the registration of a connected agent with a worker. Where the
--- a/orchestrator/watch.go
+++ b/orchestrator/watch.go
@@ -119,7 +119,7 @@
 		a.hasUnknownRuns = !a.reconciled
 		// An earlier owner may have renewed its lease until the confirmation of its
 		// own ownership expired.
-		a.leaseExpiresAt = later(a.leaseExpiresAt, o.cfg.ClaimedAt.Add(o.previousOwnerTTL(a)+o.maxLeaseElapsed()))
+		a.leaseExpiresAt = later(a.leaseExpiresAt, o.renewedUntil(a).Add(o.maxLeaseElapsed()))
 		a.unrenewed = a.recordUnrenewed != 0
 	}
 	o.handleInputs(inputs) // for the cancellations
--- a/orchestrator/write.go
+++ b/orchestrator/write.go
@@ -163,7 +163,7 @@
 }
 
 // handleCommit processes the outcome of a transaction.
-func (o *Orchestrator) handleCommit(b *batch, version uint64, sent time.Time, err error) {
+func (o *Orchestrator) handleCommit(b *batch, version uint64, _ time.Time, err error) {
 	var conflict *storer.ConflictError
 	if errors.As(err, &conflict) {
 		if conflict.Item(o.cfg.OwnerKey).Version != o.cfg.Epoch {
@@ -180,7 +180,6 @@
 		}
 		return
 	}
-	o.cfg.ConfirmOwnership(sent)
 	o.handleRosterWritten(b, version)
 	for _, a := range b.openedAgents {
 		a.keyVersion, a.writing, a.mayRunAny, a.recordOpen, a.recordIncarnation, a.unrenewed = version, false, true, true, a.writingIncarnation, false
