elector: End an extension once the owner shows a later confirmation

After an outage the next owner waited until the end of an extension of which the lost owner had no use any more: it acts only on extensions of its last confirmation. An entry that sees a later one in the reply to a ping counts the older extension until then, and extends nothing of a reply that comes after a newer one.

TestAnExtensionEndsWithTheNextConfirmation failed before: the extension went on for 2.3 s.

--- a/elector/extension.go
+++ b/elector/extension.go
@@ -28,9 +28,10 @@
 	// pings has, by ID, the last ping of each entry that is connected to this owner.
 	pings map[string]ping
 	// until is the local time until which this entry has extended the confirmations of
-	// others, newest the last one that it did.
-	until  time.Time
-	newest messenger.ConfirmationRef
+	// others, extended the last one that it did, newest the one that the owner of record has
+	// shown last: it does not act on an older one any more.
+	until            time.Time
+	extended, newest messenger.ConfirmationRef
 	// list is the newest known list of extenders, listVersion the version of its key, 0 if there
 	// is none, and listedAt the one at which this was read. The owner has asked those listed
 	// at the latest since the local time countedAt.
@@ -150,16 +151,23 @@
 	if c.Term != e.record.Term || e.isOwnerLocked() {
 		return nil
 	}
-	x := &e.extensions
+	x, now := &e.extensions, e.cfg.Now()
+	if x.newest.Term == c.Term && c.At < x.newest.At {
+		return nil // a late reply
+	}
+	if x.newest.Term == c.Term && c.At > x.newest.At {
+		x.until = earlier(x.until, now) // the owner acts on the older confirmation no more
+	}
+	x.newest = c.ConfirmationRef
 	if !c.Ask || x.claimedVersion == e.version && x.pendingClaims > 0 {
 		return nil
 	}
-	if x.newest.Term != c.Term || x.newest.At != c.At {
+	if x.extended.Term != c.Term || x.extended.At != c.At {
 		e.cfg.Log.Info("confirmation of the owner extended", zap.Uint64("term", c.Term), zap.Int64("remaining_ms", c.RemainingMs))
 	}
-	x.newest = c.ConfirmationRef
+	x.extended = c.ConfirmationRef
 	remaining := min(time.Duration(c.RemainingMs)*time.Millisecond, ConfirmationTTL)
-	x.until = later(x.until, e.cfg.Now().Add(estimator.MaxLocalElapsed(remaining)))
+	x.until = later(x.until, now.Add(estimator.MaxLocalElapsed(remaining)))
 	return &c.ConfirmationRef
 }
 
@@ -180,3 +188,11 @@
 	}
 	return b
 }
+
+// earlier returns the earlier of two times.
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
--- a/elector/extension_test.go
+++ b/elector/extension_test.go
@@ -275,3 +275,29 @@
 		})
 	}
 }
+
+// An outage was over as the owner was lost. The next one waited until the end of an extension that
+// the owner had no use for any more.
+func TestAnExtensionEndsWithTheNextConfirmation(t *testing.T) {
+	inBubble(t, func(c *qt.C, cl *cluster, old, next *node) {
+		cl.store.SetFault(func(string) faker.StoreFault { return faker.StoreFault{Refuse: true} })
+		advancer.Sleep(extensionAge)
+		late := old.Confirmation("next", "1")
+		cl.ping("next", "old", true)
+		cl.store.SetFault(nil)
+		cl.lastReply.Store(time.Now().UnixNano())
+		advancer.Sleep(2*checkInterval + renewInterval)
+		extendedUntil := next.extensions.until
+		cl.ping("next", "old", false)
+		c.Check(next.extensions.until, qt.Equals, time.Now(), qt.Commentf("the owner may have acted on it until now"))
+		c.Assert(late.Ask, qt.IsTrue)
+		c.Check(next.Extend(*late), qt.IsNil)
+		cl.ping("next", "old", false)
+		cl.kill("old")
+		advancer.Sleep(4 * time.Second)
+		c.Assert(next.IsOwner(), qt.IsTrue)
+		assertKnown(c, old, next)
+		_, until := next.EarlierOwners()
+		c.Check(until.Before(extendedUntil), qt.IsTrue)
+	})
+}
