elector: Extend for agents outside the roster only if the owner needs it

The wait for an agent that was lost with an earlier owner began anew with an owner that was lost in an outage of the store, though that had never reached the agent.

Cause: an extension allowed an owner to renew the lease of any agent, so that its roster said nothing. An owner says now whether it renews on the extension only the leases of agents in its roster, as nearly all do; it asks for any agent once one that is not in the roster is connected. An owner or an entry of an earlier version says nothing of this, and its extensions count for any agent.

--- a/coordinator/last_confirmation_test.go
+++ b/coordinator/last_confirmation_test.go
@@ -30,3 +30,27 @@
 		})
 	}
 }
+
+// The second owner, which never reached an agent that was lost with the first one, is lost in an outage
+// of the store. The third waited as if the second had renewed its lease on the extensions of others.
+func TestTheWaitForAnAbsentAgentDoesNotStartAnewWithAnOwnerInAnOutage(t *testing.T) {
+	inLastingFleet(t, func(c *qt.C, f *fleet) {
+		busy, _ := f.agentsByLoad()
+		first := f.owners()[0]
+		f.stopAgent(busy)
+		f.setFrozen(first, true)
+		lostAt := time.Now()
+		advancer.Sleep(takeoverTimeout + time.Second) // until all other agents are in the roster
+		second := f.owners(first)
+		c.Assert(second, qt.HasLen, 1)
+		f.setFrozen(first, false)
+		f.setFaults(func() { f.storeDown = true })
+		advancer.Sleep(2 * time.Second)
+		f.setFrozen(second[0], true)
+		f.setFaults(func() { f.storeDown = false })
+		advancer.Sleep(takeoverTimeout)
+		c.Assert(f.owners(first, second[0]), qt.HasLen, 1)
+		advancer.Sleep(time.Until(lostAt.Add(lostAgentDelay + 2*time.Second))) // the second renewed any lease for so long
+		c.Check(f.runningExcept(busy), qt.Equals, lastingTasks)
+	})
+}
--- a/elector/elector.go
+++ b/elector/elector.go
@@ -266,7 +266,7 @@
 		e.unrosteredUntil = time.Time{}
 		if e.record.Roster && r.Term == e.record.Term+1 && e.countedLocked() && !e.extensions.claimedUncounted {
 			x := &e.extensions
-			e.unrosteredUntil = later(later(e.earlierUntil, e.ownerSeenAt.Add(estimator.MaxLocalElapsed(UnextendedTTL))), later(x.countedAt, x.until))
+			e.unrosteredUntil = later(later(e.earlierUntil, e.ownerSeenAt.Add(estimator.MaxLocalElapsed(UnextendedTTL))), later(x.countedAt, x.anyUntil))
 		}
 		if r.Owner == e.cfg.Self {
 			e.claimedAt, e.earlierOwners = now, e.earlierOwnersLocked()
--- a/elector/extension.go
+++ b/elector/extension.go
@@ -18,6 +18,11 @@
 // ownerSilence, so that its claim states no more than UnextendedTTL after an outage, too.
 const extensionTTL = UnextendedTTL + ownerSilence
 
+// anyAgentTime is for how long an owner asks for extensions for the leases of all agents once it
+// needs one. Most owners have recorded all agents as reached, so that the next one need not wait for
+// others.
+const anyAgentTime = time.Second
+
 // extensions keep an owner that does not reach the store at work: it acts on a confirmation
 // older than UnextendedTTL while every entry that might claim agrees, again with each ping, to
 // say in its claim how long the owner may still act. The claims of all others state
@@ -32,6 +37,11 @@
 	// shown last: it does not act on an older one any more.
 	until            time.Time
 	extended, newest messenger.ConfirmationRef
+	// anyUntil is the time until which it has extended them for the leases of all agents, and not
+	// of those alone that the owner has recorded as reached.
+	anyUntil time.Time
+	// anyAskedAt is when this owner last needed an extension for the lease of another agent.
+	anyAskedAt time.Time
 	// list is the newest known list of extenders, listVersion the version of its key, 0 if there
 	// is none, and listedAt the one at which this was read. The owner has asked those listed
 	// at the latest since the local time countedAt.
@@ -74,7 +84,7 @@
 	e.extensions.pings[id] = ping{incarnation, now}
 	remaining := min(extensionTTL, e.confirmedAt.Add(ConfirmationTTL).Sub(now))
 	return &messenger.OwnerConfirmation{
-		ConfirmationRef: messenger.ConfirmationRef{Term: e.record.Term, At: e.confirmedAt.UnixNano(), Sent: now.UnixNano()},
+		ConfirmationRef: messenger.ConfirmationRef{Term: e.record.Term, At: e.confirmedAt.UnixNano(), Sent: now.UnixNano(), Rostered: now.Sub(e.extensions.anyAskedAt) >= anyAgentTime},
 		RemainingMs:     max(remaining.Milliseconds()+1, 0),
 		Ask:             now.Sub(e.confirmedAt) >= extensionAge,
 	}
@@ -125,6 +135,20 @@
 	return e.isOwnerLocked() && e.extensions.list.Term == e.record.Term && len(e.notExtendedByLocked()) == 0
 }
 
+// ExtendedForAnyAgent reports whether they extend it also for the lease of an agent that is not
+// recorded as reached, and asks them to.
+func (e *Elector) ExtendedForAnyAgent() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.extensions.anyAskedAt = e.cfg.Now()
+	for _, x := range e.askedLocked() {
+		if e.extensions.granted[x.ID].confirmation.Rostered {
+			return false
+		}
+	}
+	return e.isOwnerLocked() && e.extensions.list.Term == e.record.Term && len(e.notExtendedByLocked()) == 0
+}
+
 // notExtendedByLocked returns the IDs of the other entries, live or listed as extenders, that
 // don't extend the newest confirmation of this owner at present; mu is held.
 func (e *Elector) notExtendedByLocked() []string {
@@ -156,7 +180,7 @@
 		return nil // a late reply
 	}
 	if x.newest.Term == c.Term && c.At > x.newest.At {
-		x.until = earlier(x.until, now) // the owner acts on the older confirmation no more
+		x.until, x.anyUntil = earlier(x.until, now), earlier(x.anyUntil, now) // the owner acts on the older confirmation no more
 	}
 	x.newest = c.ConfirmationRef
 	if !c.Ask || x.claimedVersion == e.version && x.pendingClaims > 0 {
@@ -167,7 +191,11 @@
 	}
 	x.extended = c.ConfirmationRef
 	remaining := min(time.Duration(c.RemainingMs)*time.Millisecond, ConfirmationTTL)
-	x.until = later(x.until, now.Add(estimator.MaxLocalElapsed(remaining)))
+	until := now.Add(estimator.MaxLocalElapsed(remaining))
+	x.until = later(x.until, until)
+	if !c.Rostered {
+		x.anyUntil = later(x.anyUntil, until)
+	}
 	return &c.ConfirmationRef
 }
 
--- a/messenger/pool_messages.go
+++ b/messenger/pool_messages.go
@@ -226,6 +226,9 @@
 	Term uint64 `cbor:"1,keyasint"`
 	At   int64  `cbor:"2,keyasint"`           // Unix nanoseconds on the owner's clock
 	Sent int64  `cbor:"6,keyasint,omitempty"` // the same
+	// Rostered is set if the owner renews the leases of no agents on the extension but those that it
+	// has recorded as reached.
+	Rostered bool `cbor:"7,keyasint,omitempty"`
 }
 
 // OwnerConfirmation is what an owner tells another entry of its newest confirmation.
--- a/orchestrator/config.go
+++ b/orchestrator/config.go
@@ -28,6 +28,9 @@
 	// it is while ConfirmationExtended reports that no entry can claim without regard to it.
 	UnextendedTTL, ConfirmationTTL time.Duration
 	ConfirmationExtended           func() bool
+	// ExtendedForAnyAgent reports whether they do so for the lease of an agent that is not in the
+	// roster, and asks them to.
+	ExtendedForAnyAgent func() bool
 	// PreviousOwnerTTL is how long an earlier owner may have sent commands after
 	// the claim: at most ConfirmationTTL, 0 if it had certainly stopped.
 	PreviousOwnerTTL time.Duration
--- a/orchestrator/roster.go
+++ b/orchestrator/roster.go
@@ -107,9 +107,9 @@
 }
 
 // rosterAllows reports whether the lease of an agent may be renewed as far as the roster goes. An
-// entry that extends a confirmation counts on any agent being reached meanwhile.
+// entry may extend a confirmation for any agent that is reached meanwhile.
 func (o *Orchestrator) rosterAllows(a *agent) bool {
-	return a.inRoster || o.cfg.Now().Before(o.cfg.RosterFrom) || o.cfg.ConfirmationExtended()
+	return a.inRoster || o.cfg.Now().Before(o.cfg.RosterFrom) || o.cfg.ExtendedForAnyAgent()
 }
 
 // handleRosterWritten processes that agents are in the roster.
