orchestrator: Keep the wait of a task whose grant is dropped with a lease

A grant was on its way when the lease of its agent ended. The run, which had never been sent, counted as one that had ended with the lease, so that its task lost its place among those that wait. It is dropped like other grants now.

TestAGrantAtAnAgentWhoseLeaseEndsKeepsTheWaitOfItsTask failed before: the wait began anew 20 s later.

--- a/orchestrator/agent.go
+++ b/orchestrator/agent.go
@@ -159,6 +159,10 @@
 		return
 	}
 	for _, r := range o.runsOf(a) {
+		if o.granting[r] {
+			o.dropGrant(r, "the lease expired")
+			continue
+		}
 		// The agent rejects a command that arrives now, as it has no lease.
 		o.endRun(r, messenger.RunEnd{Task: r.key.task, Attempt: r.key.attempt, Status: messenger.EndLeaseExpired, Reason: "agent unreachable and lease expired"})
 	}
--- a/orchestrator/grant_test.go
+++ b/orchestrator/grant_test.go
@@ -316,3 +316,20 @@
 	c.Check(h.starts(), qt.Equals, 0)
 	c.Check(h.commitBatch(51).recordedAgent(c, j), qt.Equals, other)
 }
+
+// An agent fell silent while its grant was on the way. The task, which never ran there, lost its place
+// among those that wait.
+func TestAGrantAtAnAgentWhoseLeaseEndsKeepsTheWaitOfItsTask(t *testing.T) {
+	c := qt.New(t)
+	h, j := newGrantHarness(c, 1)
+	h.o.place()
+	task, a := j.Task(0, 0, 0), h.o.agents["a0"]
+	since := task.WaitingSince
+	c.Assert(h.o.granting, qt.HasLen, 1)
+	h.o.nextBatch()
+	h.now = h.now.Add(20 * time.Second)
+	h.o.expireLease(a, h.now)
+	c.Check(h.o.granting, qt.HasLen, 0)
+	c.Check(task.WaitingSince, qt.Equals, since)
+	c.Check(h.counts["end_lease_expired"], qt.Equals, 0)
+}
