orchestrator: Start no task on the word of a void grant

A job whose grants are void, as an owner of an earlier version came between, is marked anew once all agents are reconciled. Its tasks kept the agents of the void mark, so that a start at one of them went out before the new mark was durable, and a later owner would have waited for an agent that has nothing of the task. They are forgotten as the job is marked.

TestAVoidGrantSendsNoStartBeforeTheNextMarkIsDurable failed before: one start was sent.

--- a/orchestrator/grant.go
+++ b/orchestrator/grant.go
@@ -54,6 +54,7 @@
 	}
 	j.GrantTerm = o.cfg.Term
 	o.markDirty(j)
+	j.forgetGrants()
 	for _, r := range j.liveRuns {
 		if r.task.NeedsGrant() {
 			r.task.Agent, j.grantRevisions[r.task] = r.agent.id, j.revision
@@ -61,6 +62,20 @@
 	}
 }
 
+// forgetGrants removes the agents of all tasks: those of a void mark say nothing.
+func (j *job) forgetGrants() {
+	for n := range j.Spec.Steps {
+		if !j.Spec.Steps[n].MayBeGranted() {
+			continue
+		}
+		for occurrence := range j.Occurrences() {
+			for _, t := range j.Tasks(occurrence, n) {
+				t.Agent = ""
+			}
+		}
+	}
+}
+
 // granted reports whether the ledger names an agent for a task.
 func (j *job) granted(t *sequencer.Task, a *agent) bool {
 	return t.Agent == a.id && j.grantRevisions[t] <= j.durableRevision
