--- a/coordinator/ownership.go
+++ b/coordinator/ownership.go
@@ -48,7 +48,7 @@
 		UnextendedTTL: elector.UnextendedTTL, ConfirmationTTL: elector.ConfirmationTTL, ConfirmationExtended: c.elector.ConfirmationExtended,
 		ExtendedForAnyAgent: c.elector.ExtendedForAnyAgent,
 		PreviousOwnerTTL:    previousOwnerTTL, EarlierConfirmedBy: earlierConfirmedBy, EarlierOwnersUntil: earlierOwnersUntil, KnownSince: c.chronicler.KnownSince,
-		RosterFrom: c.elector.RosterFrom(), UnrosteredUntil: c.elector.UnrosteredUntil(), GrantsSince: record.GrantsSince,
+		RosterFrom: c.elector.RosterFrom(), UnrosteredUntil: c.elector.UnrosteredUntil(), RulesSince: record.RulesSince,
 		OwnershipConfirmedAt: c.elector.OwnershipConfirmedAt, HasStandby: func() bool { return len(c.elector.Members()) > 0 },
 		Log: c.cfg.Log, Count: c.cfg.Count, Gauge: c.cfg.Gauge, ObserveDuration: c.cfg.ObserveDuration,
 	})
--- a/elector/claim.go
+++ b/elector/claim.go
@@ -135,7 +135,7 @@
 		if earlier.Version > 0 {
 			next.Term, next.PredecessorsStopped, next.RemainingTTL = max(next.Term, earlier.Version+1), false, ConfirmationTTL
 		}
-		next.GrantsSince = next.Term
+		next.RulesSince = next.Term
 		if e.cfg.ClaimKey != "" {
 			checks = append(checks, storer.Check{Key: e.cfg.ClaimKey, Version: earlier.Version})
 		}
@@ -190,9 +190,9 @@
 		e.extensions.claimedUncounted = true
 	}
 	checks = e.checkConfirmationLocked(reason, record, checks)
-	next := OwnerRecord{Owner: e.cfg.Self, Term: record.Term + 1, PredecessorsStopped: ttl == 0, RemainingTTL: ttl, Roster: true, Confirms: true, GrantsSince: record.GrantsSince}
-	if next.GrantsSince == 0 {
-		next.GrantsSince = next.Term
+	next := OwnerRecord{Owner: e.cfg.Self, Term: record.Term + 1, PredecessorsStopped: ttl == 0, RemainingTTL: ttl, Roster: true, Confirms: true, RulesSince: record.RulesSince}
+	if next.RulesSince == 0 || next.RulesSince > record.Term {
+		next.RulesSince = next.Term
 	}
 	return next, checks
 }
--- a/elector/grants_test.go
+++ b/elector/grants_test.go
@@ -18,16 +18,17 @@
 		want   uint64
 	}{
 		"earlier version":    {OwnerRecord{Term: 4}, 5},
-		"this version":       {OwnerRecord{Term: 4, GrantsSince: 4}, 4},
-		"since some time":    {OwnerRecord{Term: 9, GrantsSince: 4}, 4},
-		"released":           {OwnerRecord{Term: 4, GrantsSince: 3, Released: true}, 3},
+		"this version":       {OwnerRecord{Term: 4, RulesSince: 4}, 4},
+		"since some time":    {OwnerRecord{Term: 9, RulesSince: 4}, 4},
+		"released":           {OwnerRecord{Term: 4, RulesSince: 3, Released: true}, 3},
 		"record is not read": {OwnerRecord{Term: 8}, 9},
+		"of a later term":    {OwnerRecord{Term: 4, RulesSince: 6}, 5},
 	} {
 		t.Run(name, func(t *testing.T) {
 			c := qt.New(t)
 			e := New(Config{Self: otherMember, Now: time.Now})
 			next, _ := e.nextRecord(reasonOwnerLost, tt.before, 9)
-			c.Check(next.GrantsSince, qt.Equals, tt.want)
+			c.Check(next.RulesSince, qt.Equals, tt.want)
 		})
 	}
 }
@@ -39,19 +40,19 @@
 		cl.store.DeleteKey(OwnerKey)
 		advancer.Sleep(5 * time.Second)
 		record, _ := cl.nodes[cl.owner()].Owner()
-		c.Check(record.GrantsSince, qt.Equals, record.Term)
+		c.Check(record.RulesSince, qt.Equals, record.Term)
 		cl.kill(cl.owner())
 		advancer.Sleep(5 * time.Second)
 		next, _ := cl.nodes[cl.owner()].Owner()
 		c.Check(next.Term > record.Term, qt.IsTrue)
-		c.Check(next.GrantsSince, qt.Equals, record.Term)
+		c.Check(next.RulesSince, qt.Equals, record.Term)
 	})
 }
 
 // An entry of an earlier version reads the record and writes it without the field.
-func TestAnEarlierVersionDropsGrantsSince(t *testing.T) {
+func TestAnEarlierVersionDropsRulesSince(t *testing.T) {
 	c := qt.New(t)
-	raw, err := cbor.Marshal(OwnerRecord{Owner: otherMember, Term: 4, Roster: true, GrantsSince: 4})
+	raw, err := cbor.Marshal(OwnerRecord{Owner: otherMember, Term: 4, Roster: true, RulesSince: 4})
 	c.Assert(err, qt.IsNil)
 	type earlierRecord struct {
 		Owner  Member `cbor:"1,keyasint"`
@@ -65,5 +66,5 @@
 	record, err := decodeOwnerRecord(raw, 9)
 	c.Assert(err, qt.IsNil)
 	next, _ := New(Config{Self: otherMember, Now: time.Now}).nextRecord(reasonOwnerLost, record, 9)
-	c.Check(next.GrantsSince, qt.Equals, uint64(5))
+	c.Check(next.RulesSince, qt.Equals, uint64(5))
 }
--- a/elector/record.go
+++ b/elector/record.go
@@ -42,9 +42,11 @@
 	// Roster is set if, from UnextendedTTL after its claim on, the owner renews the leases of
 	// no agents but those that it has recorded as reached.
 	Roster bool `cbor:"6,keyasint,omitempty"`
-	// GrantsSince is the first term since which every owner has had the ledger name the agent of
-	// a long-running task before it started it; 0 if the owner does not.
-	GrantsSince uint64 `cbor:"7,keyasint,omitempty"`
+	// RulesSince is the first term since which every owner has followed these rules; 0 if the owner
+	// does not. The ledger names the agent of a long-running task before the task is started. The
+	// lease of an agent whose registration says that it is renewed no more is not renewed before
+	// another registration is written.
+	RulesSince uint64 `cbor:"7,keyasint,omitempty"`
 	// Confirms is set if the owner counts only calls as confirmations that write confirmationKey.
 	Confirms bool `cbor:"8,keyasint,omitempty"`
 }
--- a/orchestrator/config.go
+++ b/orchestrator/config.go
@@ -45,9 +45,10 @@
 	// roster of this owner. UnrosteredUntil is until when an earlier owner may renew the lease
 	// of an agent that is not in the roster of the last one; zero if that is not known.
 	RosterFrom, UnrosteredUntil time.Time
-	// GrantsSince is the first term since which every owner has granted long-running tasks
-	// before it started them; 0 if this owner does not.
-	GrantsSince uint64
+	// RulesSince is the first term since which every owner has granted long-running tasks before it
+	// started them, and has heeded that a registration says that a lease is renewed no more; 0 if
+	// this owner does not.
+	RulesSince uint64
 	// JobRetention is how long the state of an ended job is kept.
 	JobRetention time.Duration
 	// OwnershipConfirmedAt returns the time of the newest confirmation of ownership. A write of
--- a/orchestrator/grant.go
+++ b/orchestrator/grant.go
@@ -17,7 +17,7 @@
 // loadGrants keeps the grants of a job from the ledger if no owner since then has started a task
 // without one. A job that is newer than the claim has been started by no earlier owner.
 func (o *Orchestrator) loadGrants(j *job) {
-	switch since := o.cfg.GrantsSince; {
+	switch since := o.cfg.RulesSince; {
 	case since > 0 && since <= j.GrantTerm && j.GrantTerm <= o.cfg.Term:
 		j.GrantTerm = o.cfg.Term
 	case since > 0 && j.Version > o.cfg.Epoch:
@@ -30,7 +30,7 @@
 // adoptGrants records where the tasks run that earlier owners have started without grants, once
 // no agent may hold a run that this owner does not know.
 func (o *Orchestrator) adoptGrants() {
-	if o.grantsAdopted || o.cfg.GrantsSince == 0 || o.agentsWithUnknownRuns() > 0 {
+	if o.grantsAdopted || o.cfg.RulesSince == 0 || o.agentsWithUnknownRuns() > 0 {
 		return
 	}
 	o.grantsAdopted = true
--- a/orchestrator/grant_test.go
+++ b/orchestrator/grant_test.go
@@ -16,7 +16,7 @@
 // starts it.
 func newGrantHarness(c *qt.C, agents int) (*harness, *job) {
 	h := newHarness(c, agents)
-	h.o.cfg.GrantsSince = 1
+	h.o.cfg.RulesSince = 1
 	return h, h.submit(lastingSpec(1000))
 }
 
@@ -176,7 +176,7 @@
 func TestGrantsAreWrittenBeforeOtherProgress(t *testing.T) {
 	c := qt.New(t)
 	h := newHarness(c, 1)
-	h.o.cfg.GrantsSince = 1
+	h.o.cfg.RulesSince = 1
 	for range 50 {
 		h.o.markDirty(h.submit(sequencer.Spec{Steps: []sequencer.Step{step(1, 9000)}}))
 	}
@@ -211,7 +211,7 @@
 // "gone", whose runs it does not know, beside agent a0.
 func grantedTakeOver(c *qt.C, p *sequencer.Progress, since uint64) (*harness, *job) {
 	h := newHarness(c, 1)
-	h.o.cfg.Term, h.o.cfg.GrantsSince = 5, since
+	h.o.cfg.Term, h.o.cfg.RulesSince = 5, since
 	h.o.agents["a0"].snapshot.Term = 5
 	gone := h.o.agent("gone")
 	gone.keyVersion, gone.mayRunAny, gone.hasUnknownRuns, gone.leaseExpiresAt = 1, true, true, h.now.Add(16*time.Second)
--- a/orchestrator/orchestrator.go
+++ b/orchestrator/orchestrator.go
@@ -111,9 +111,6 @@
 	// it; rosterVersion is the version of its key.
 	rosterDueAt   time.Time
 	rosterVersion uint64
-	// unrenewedSince is the first of the terms, without a gap up to this one, whose owners are known
-	// to heed that a registration says that a lease is renewed no more.
-	unrenewedSince uint64
 	// granting has the runs whose grants are not known to be durable. Nothing of them has been
 	// sent.
 	granting map[*run]bool
--- a/orchestrator/renewal.go
+++ b/orchestrator/renewal.go
@@ -30,14 +30,9 @@
 // boundUnrenewed bounds the wait for agents of which a registration says that their lease is renewed no
 // more: it counts from when that was written, at the latest when this process knew a version of the
 // store that was as new. That holds if each owner from the one that wrote it to the last one heeds it.
-func (o *Orchestrator) boundUnrenewed(last roster) {
-	o.unrenewedSince = o.cfg.Term
-	heededSince := o.cfg.Term - 1
-	if last.Term == o.cfg.Term-1 && last.UnrenewedSince > 0 && last.UnrenewedSince <= last.Term {
-		o.unrenewedSince, heededSince = last.UnrenewedSince, last.UnrenewedSince
-	}
+func (o *Orchestrator) boundUnrenewed() {
 	for _, a := range o.agents {
-		if !a.hasUnknownRuns || a.recordUnrenewed == 0 || a.recordUnrenewed < heededSince || a.recordUnrenewed >= o.cfg.Term {
+		if !a.hasUnknownRuns || a.recordUnrenewed == 0 || !o.heededSince(a.recordUnrenewed) {
 			continue
 		}
 		writtenBy, ok := o.cfg.KnownSince(a.keyVersion)
@@ -53,3 +48,9 @@
 		}
 	}
 }
+
+// heededSince reports whether each owner from that of a term to the last one heeds that a
+// registration says that a lease is renewed no more.
+func (o *Orchestrator) heededSince(term uint64) bool {
+	return o.cfg.RulesSince > 0 && o.cfg.RulesSince <= term && term < o.cfg.Term
+}
--- a/orchestrator/renewal_test.go
+++ b/orchestrator/renewal_test.go
@@ -132,11 +132,11 @@
 	c.Assert(left < 1100*time.Millisecond, qt.IsTrue, qt.Commentf("%v", left))
 }
 
-// takeOverFrom loads the registration of an agent with one task, of version 30, and the roster of the last
-// owner, as the owner of term 5.
-func (h *harness) takeOverFrom(record registrar.Registration, last roster) *agent {
+// takeOverFrom loads the registration of an agent with one task, of version 30, and a roster, as the owner
+// of term 5.
+func (h *harness) takeOverFrom(record registrar.Registration, rulesSince uint64, last roster) *agent {
 	record.HeldTasks = []string{"x.0.0.0"}
-	h.o.cfg.Term, h.o.cfg.PreviousOwnerTTL = 5, 2*time.Second
+	h.o.cfg.Term, h.o.cfg.RulesSince, h.o.cfg.PreviousOwnerTTL = 5, rulesSince, 2*time.Second
 	h.o.takeOver(nil, nil, []storer.Item{{Key: registrar.Key("left"), Value: record.Encode(), Version: 30}})
 	h.o.loadRoster(storer.Item{Key: rosterKey, Version: 20, Value: last.encode()})
 	return h.o.agents["left"]
@@ -147,37 +147,49 @@
 func TestTheWaitForAnAgentThatLeftCountsFromItsLastRecord(t *testing.T) {
 	const known = -3 * time.Second // from the claim
 	for name, tt := range map[string]struct {
-		record registrar.Registration
-		last   roster
+		record     registrar.Registration
+		rulesSince uint64
 		// until is when the last renewal was possible, from the claim.
 		until time.Duration
 	}{
-		"of the last owner":                       {registrar.Registration{Unrenewed: 4}, roster{}, known},
-		"whose predecessors acted":                {registrar.Registration{Unrenewed: 4, EarlierMs: 1000}, roster{}, known + 1021*time.Millisecond},
-		"whose predecessors acted for long":       {registrar.Registration{Unrenewed: 4, EarlierMs: 9000}, roster{}, 2 * time.Second},
-		"of an owner before, all heed it":         {registrar.Registration{Unrenewed: 2}, roster{Term: 4, UnrenewedSince: 2}, known},
-		"of an owner before, one doesn't heed it": {registrar.Registration{Unrenewed: 2}, roster{Term: 4, UnrenewedSince: 3}, 2 * time.Second},
-		"of an owner before, the last doesn't":    {registrar.Registration{Unrenewed: 3}, roster{Term: 4}, 2 * time.Second},
-		"of an owner before, the last is unknown": {registrar.Registration{Unrenewed: 3}, roster{Term: 3, UnrenewedSince: 2}, 2 * time.Second},
-		"of a term that has not been":             {registrar.Registration{Unrenewed: 5}, roster{}, 2 * time.Second},
-		"that says nothing":                       {registrar.Registration{}, roster{Term: 4, UnrenewedSince: 1}, 2 * time.Second},
-		"that is open":                            {registrar.Registration{Open: true, Unrenewed: 4}, roster{}, 2 * time.Second},
+		"of the last owner":                       {registrar.Registration{Unrenewed: 4}, 4, known},
+		"whose predecessors acted":                {registrar.Registration{Unrenewed: 4, EarlierMs: 1000}, 4, known + 1021*time.Millisecond},
+		"whose predecessors acted for long":       {registrar.Registration{Unrenewed: 4, EarlierMs: 9000}, 4, 2 * time.Second},
+		"of an owner before, all heed it":         {registrar.Registration{Unrenewed: 2}, 2, known},
+		"of an owner before, one doesn't heed it": {registrar.Registration{Unrenewed: 2}, 3, 2 * time.Second},
+		"of an owner before, the last doesn't":    {registrar.Registration{Unrenewed: 3}, 5, 2 * time.Second},
+		"of the last owner, if that isn't known":  {registrar.Registration{Unrenewed: 4}, 5, 2 * time.Second},
+		"of owners that are not known":            {registrar.Registration{Unrenewed: 4}, 0, 2 * time.Second},
+		"of a term that has not been":             {registrar.Registration{Unrenewed: 5}, 1, 2 * time.Second},
+		"that says nothing":                       {registrar.Registration{}, 1, 2 * time.Second},
+		"that is open":                            {registrar.Registration{Open: true, Unrenewed: 4}, 1, 2 * time.Second},
 	} {
 		t.Run(name, func(t *testing.T) {
 			c := qt.New(t)
 			h := newHarness(c, 0)
 			claimed := h.o.cfg.ClaimedAt
 			h.o.cfg.KnownSince = func(version uint64) (time.Time, bool) { return claimed.Add(known), version == 30 }
-			a := h.takeOverFrom(tt.record, tt.last)
+			a := h.takeOverFrom(tt.record, tt.rulesSince, roster{})
 			c.Assert(a.leaseExpiresAt.Sub(claimed), qt.Equals, tt.until+h.o.maxLeaseElapsed())
 		})
 	}
 }
 
+// The next owner was lost, too, before it wrote a roster, and the one after that waited for 2 s and the lease
+// from its own claim.
+func TestTheWaitForAnAgentThatLeftStartsNotAnewWhereTwoOwnersAreLost(t *testing.T) {
+	c := qt.New(t)
+	h := newHarness(c, 0)
+	claimed := h.o.cfg.ClaimedAt
+	h.o.cfg.KnownSince = func(version uint64) (time.Time, bool) { return claimed.Add(-3 * time.Second), version == 30 }
+	a := h.takeOverFrom(registrar.Registration{Unrenewed: 3}, 2, roster{Term: 3, Agents: []string{"left"}})
+	c.Assert(a.leaseExpiresAt.Sub(claimed), qt.Equals, -3*time.Second+h.o.maxLeaseElapsed())
+}
+
 func TestTheWaitForAnAgentThatLeftIsLongWithoutSightOfItsRecord(t *testing.T) {
 	c := qt.New(t)
 	h := newHarness(c, 0)
-	a := h.takeOverFrom(registrar.Registration{Unrenewed: 4}, roster{})
+	a := h.takeOverFrom(registrar.Registration{Unrenewed: 4}, 1, roster{})
 	c.Assert(a.leaseExpiresAt.Sub(h.o.cfg.ClaimedAt), qt.Equals, 2*time.Second+h.o.maxLeaseElapsed())
 }
 
@@ -195,7 +207,7 @@
 			claimed := h.o.cfg.ClaimedAt
 			h.o.cfg.KnownSince = func(uint64) (time.Time, bool) { return claimed.Add(-3 * time.Second), true }
 			h.o.cfg.UnrosteredUntil = claimed.Add(tt.unrostered)
-			a := h.takeOverFrom(registrar.Registration{Unrenewed: 4, EarlierMs: 3000}, roster{Term: 4, Agents: []string{"left"}})
+			a := h.takeOverFrom(registrar.Registration{Unrenewed: 4, EarlierMs: 3000}, 1, roster{Term: 4, Agents: []string{"left"}})
 			c.Assert(a.leaseExpiresAt.Sub(claimed), qt.Equals, tt.until+h.o.maxLeaseElapsed())
 		})
 	}
@@ -206,7 +218,7 @@
 func TestALoadedRecordIsHeededUntilAnotherOneIsWritten(t *testing.T) {
 	c := qt.New(t)
 	h := newHarness(c, 0)
-	a := h.takeOverFrom(registrar.Registration{Unrenewed: 4, Incarnation: "b"}, roster{Term: 4, UnrenewedSince: 3})
+	a := h.takeOverFrom(registrar.Registration{Unrenewed: 4, Incarnation: "b"}, 3, roster{Term: 4})
 	a.inRoster, a.incarnation = true, "b2"
 	a.link = &AgentLink{ID: "left", Incarnation: "b2", TrySend: func(f messenger.Frame) error {
 		h.sent["left"] = append(h.sent["left"], f)
@@ -220,11 +232,8 @@
 	h.sendIncomplete("left", &messenger.WorkerSnapshot{SentAt: h.now})
 	c.Assert(h.lastRenewal("left").Equal(h.now), qt.IsTrue)
 	c.Assert(a.hasUnknownRuns, qt.IsTrue)
-	agents, value := h.o.nextRoster()
+	agents, _ := h.o.nextRoster()
 	c.Assert(agents, qt.HasLen, 1)
-	r, err := decodeRoster(storer.Item{Version: 1, Value: value})
-	c.Assert(err, qt.IsNil)
-	c.Assert(r.UnrenewedSince, qt.Equals, uint64(3))
 }
 
 // reconnect connects an agent again.
--- a/orchestrator/roster.go
+++ b/orchestrator/roster.go
@@ -21,9 +21,6 @@
 type roster struct {
 	Term   uint64   `cbor:"1,keyasint"`
 	Agents []string `cbor:"2,keyasint,omitempty"`
-	// UnrenewedSince is the first of the terms, without a gap up to Term, whose owners heed that a
-	// registration says that a lease is renewed no more; 0 if Term's doesn't.
-	UnrenewedSince uint64 `cbor:"3,keyasint,omitempty"`
 }
 
 func (r roster) encode() []byte {
@@ -51,7 +48,7 @@
 func (o *Orchestrator) loadRoster(item storer.Item) {
 	o.rosterVersion = item.Version
 	r, err := decodeRoster(item)
-	o.boundUnrenewed(r)
+	o.boundUnrenewed()
 	if o.cfg.UnrosteredUntil.IsZero() {
 		return
 	}
@@ -97,7 +94,7 @@
 // nextRoster returns the agents of the next roster: those that this owner has reached and that
 // are still registered.
 func (o *Orchestrator) nextRoster() (agents []*agent, value []byte) {
-	r := roster{Term: o.cfg.Term, UnrenewedSince: o.unrenewedSince}
+	r := roster{Term: o.cfg.Term}
 	for id, a := range o.agents {
 		if a.reached {
 			agents, r.Agents = append(agents, a), append(r.Agents, id)
