orchestrator: Wait for the whole lease where the store's versions went back

A record counts as written by when its version was known. Where the versions of the store had gone back, or a reply had shown one too high, that was before the record was written, and the wait for an agent was over before its lease.

Nothing that was known before the claim can be as high as its version. If it was, no record counts. The time to compare with is when the claim was sent: its own reply may be seen before this process has adopted it, but not before it was sent, so that a claim in good order keeps the bound.

Not excluded: versions that went back and have since passed the highest one known. Then the store looks sound.

--- a/coordinator/ownership.go
+++ b/coordinator/ownership.go
@@ -43,7 +43,7 @@
 	claimedAt := c.elector.ClaimedAt()
 	earlierConfirmedBy, earlierOwnersUntil := c.elector.EarlierOwners()
 	o := orchestrator.New(orchestrator.Config{
-		Term: record.Term, Epoch: epoch, OwnerKey: elector.OwnerKey, ClaimedAt: claimedAt, Store: c.Store(), Now: c.cfg.Now, WallClock: c.cfg.WallClock,
+		Term: record.Term, Epoch: epoch, OwnerKey: elector.OwnerKey, ClaimedAt: claimedAt, ClaimSentAt: c.elector.ClaimSentAt(), Store: c.Store(), Now: c.cfg.Now, WallClock: c.cfg.WallClock,
 		LeaseDuration: RunLease(c.cfg.MaxWorkerLease), JobRetention: c.cfg.JobRetention, QueryPolicy: c.cfg.QueryPolicy,
 		UnextendedTTL: elector.UnextendedTTL, ConfirmationTTL: elector.ConfirmationTTL, ConfirmationExtended: c.elector.ConfirmationExtended,
 		ExtendedForAnyAgent: c.elector.ExtendedForAnyAgent,
--- a/elector/elector.go
+++ b/elector/elector.go
@@ -185,6 +185,13 @@
 	return e.unrosteredUntil
 }
 
+// ClaimSentAt returns the local time before which the newest claim of this entry was not sent.
+func (e *Elector) ClaimSentAt() time.Time {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.claimSentAt
+}
+
 // RosterFrom returns the local time from which this owner renews the leases of no agents but
 // those that it has recorded as reached. Other entries count UnextendedTTL from when they see
 // the claim.
--- a/orchestrator/config.go
+++ b/orchestrator/config.go
@@ -18,7 +18,10 @@
 	// ClaimedAt is when this process learned that its claim had taken effect. No earlier
 	// owner has a confirmation of its ownership that is younger.
 	ClaimedAt time.Time
-	Store     *storer.Store
+	// ClaimSentAt is a time before which the claim was not sent, so that the store had not reached
+	// the version Epoch.
+	ClaimSentAt time.Time
+	Store       *storer.Store
 	// Now is a clock that includes the time during which the instance was
 	// suspended; WallClock is the time of day.
 	Now, WallClock func() time.Time
--- a/orchestrator/renewal.go
+++ b/orchestrator/renewal.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/endivefall/endivefall/estimator"
 )
 
@@ -31,6 +33,10 @@
 // more: it counts from when that was written, at the latest when this process knew a version of the
 // store that was as new. That holds if each owner from the one that wrote it to the last one heeds it.
 func (o *Orchestrator) boundUnrenewed() {
+	if !o.versionsSound() {
+		o.cfg.Log.Warn("the version of the claim was known before it was sent; waiting for all agents", zap.Uint64("epoch", o.cfg.Epoch))
+		return
+	}
 	for _, a := range o.agents {
 		if !a.hasUnknownRuns || a.recordUnrenewed == 0 || !o.heededSince(a.recordUnrenewed) {
 			continue
@@ -54,3 +60,11 @@
 func (o *Orchestrator) heededSince(term uint64) bool {
 	return o.cfg.RulesSince > 0 && o.cfg.RulesSince <= term && term < o.cfg.Term
 }
+
+// versionsSound reports whether no version as high as that of the claim was known before the claim
+// was sent. Otherwise the versions of the store have gone back, or one was too high, and when
+// a version was known says nothing of when a record was written.
+func (o *Orchestrator) versionsSound() bool {
+	at, ok := o.cfg.KnownSince(o.cfg.Epoch)
+	return !ok || !at.Before(o.cfg.ClaimSentAt)
+}
