orchestrator: Wait for the whole lease where a record's version is cut short

A registration whose version was cut short counted as written by when that version was known, and the wait for its agent was over before the lease.

A record that ends the renewals has the version of its writer's claim now, and counts only if its own one is above that. It is heeded all the same: whether a lease may be renewed depends on what the record says. A record without it, or with one below its term, says nothing of renewals.

A version that is cut short and yet above that of the claim is not told apart.

--- a/orchestrator/agent.go
+++ b/orchestrator/agent.go
@@ -41,9 +41,10 @@
 	// meanwhile renews it. writingUnrenewed is set if the write in flight says so.
 	unrenewed, writingUnrenewed bool
 	// recordUnrenewed is the term at which the record in the ledger says so, or 0; earlier owners
-	// may have renewed the lease for recordEarlier after that.
-	recordUnrenewed uint64
-	recordEarlier   time.Duration
+	// may have renewed the lease for recordEarlier after that. recordEpoch is the version of the
+	// claim of that term.
+	recordUnrenewed, recordEpoch uint64
+	recordEarlier                time.Duration
 	// renewed is the last renewal of the lease.
 	renewed renewal
 	// leaving is set once the process that is or was connected has said that it ends.
--- a/orchestrator/registration.go
+++ b/orchestrator/registration.go
@@ -27,7 +27,7 @@
 	a.keyVersion, a.mayRunAny, a.recordedTasks = version, r.Open, r.HeldTasks
 	a.recordOpen, a.recordIncarnation, a.renewalBounded, a.recordUnrenewed = r.Open, r.Incarnation, r.Bounded && !r.Open, 0
 	if !r.Open {
-		a.recordUnrenewed, a.recordEarlier = r.Unrenewed, time.Duration(r.EarlierMs)*time.Millisecond
+		a.recordUnrenewed, a.recordEpoch, a.recordEarlier = r.Unrenewed, r.Epoch, time.Duration(r.EarlierMs)*time.Millisecond
 	}
 }
 
@@ -43,7 +43,7 @@
 func (o *Orchestrator) closedRegistration(a *agent) registrar.Registration {
 	r := registrar.Registration{HeldTasks: a.heldTasks(), Bounded: o.earlierOwnersStopped(), Incarnation: a.incarnation}
 	if o.endsRenewal(a) {
-		r.Unrenewed, r.EarlierMs = o.cfg.Term, max(o.earlierOwnersLeft().Milliseconds()+1, 0)
+		r.Unrenewed, r.Epoch, r.EarlierMs = o.cfg.Term, o.cfg.Epoch, max(o.earlierOwnersLeft().Milliseconds()+1, 0)
 	}
 	return r
 }
--- a/orchestrator/renewal.go
+++ b/orchestrator/renewal.go
@@ -42,7 +42,7 @@
 			continue
 		}
 		writtenBy, ok := o.cfg.KnownSince(a.keyVersion)
-		if !ok {
+		if !ok || a.keyVersion <= a.recordEpoch { // a version that is not above that of the claim is cut short
 			continue
 		}
 		earlierUntil := writtenBy.Add(estimator.MaxLocalElapsed(a.recordEarlier))
--- a/orchestrator/renewal_test.go
+++ b/orchestrator/renewal_test.go
@@ -1,6 +1,7 @@
 package orchestrator
 
 import (
+	"cmp"
 	"testing"
 	"time"
 
@@ -44,6 +45,7 @@
 	b := h.o.nextBatch()
 	record := h.written(b)
 	c.Assert(record.Unrenewed, qt.Equals, h.o.cfg.Term)
+	c.Assert(record.Epoch, qt.Equals, h.o.cfg.Epoch)
 	c.Assert(record.HeldTasks, qt.HasLen, 3)
 	c.Assert(h.report("a0", messenger.WorkerSnapshot{Leaving: true}).Equal(last), qt.IsTrue, qt.Commentf("sent, without an outcome"))
 	h.o.handleCommit(b, 50, h.now, nil)
@@ -133,9 +135,9 @@
 }
 
 // takeOverFrom loads the registration of an agent with one task, of version 30, and a roster, as the owner
-// of term 5.
+// of term 5. The claim of its writer had version 10 unless the record says otherwise.
 func (h *harness) takeOverFrom(record registrar.Registration, rulesSince uint64, last roster) *agent {
-	record.HeldTasks = []string{"x.0.0.0"}
+	record.HeldTasks, record.Epoch = []string{"x.0.0.0"}, cmp.Or(record.Epoch, 10)
 	h.o.cfg.Term, h.o.cfg.RulesSince, h.o.cfg.PreviousOwnerTTL = 5, rulesSince, 2*time.Second
 	h.o.takeOver(nil, nil, []storer.Item{{Key: registrar.Key("left"), Value: record.Encode(), Version: 30}})
 	h.o.loadRoster(storer.Item{Key: rosterKey, Version: 20, Value: last.encode()})
@@ -224,6 +226,30 @@
 	}
 }
 
+// A record can't be older than the claim of the owner that wrote it: its version was cut short, and the wait
+// was over before the lease.
+func TestTheWaitIsLongWhereAVersionIsCutShort(t *testing.T) {
+	const known = -time.Minute // from the claim
+	for name, tt := range map[string]struct {
+		epoch uint64
+		until time.Duration
+	}{
+		"above that of the claim": {29, known},
+		"that of the claim":       {30, 2 * time.Second},
+		"below that of the claim": {5000, 2 * time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			h := newHarness(c, 0)
+			claimed := h.o.cfg.ClaimedAt
+			h.o.cfg.KnownSince = func(version uint64) (time.Time, bool) { return claimed.Add(known), version == 30 }
+			a := h.takeOverFrom(registrar.Registration{Unrenewed: 4, Epoch: tt.epoch}, 4, roster{})
+			c.Assert(a.leaseExpiresAt.Sub(claimed), qt.Equals, tt.until+h.o.maxLeaseElapsed())
+			c.Assert(a.unrenewed, qt.IsTrue, qt.Commentf("it is heeded all the same"))
+		})
+	}
+}
+
 // What the record says of the owners before the one that wrote it may be known better here.
 func TestTheWaitForEarlierOwnersIsNoLongerThanKnown(t *testing.T) {
 	for name, tt := range map[string]struct{ unrostered, until time.Duration }{
--- a/registrar/registration.go
+++ b/registrar/registration.go
@@ -35,6 +35,9 @@
 	// EarlierMs is for how long after the write of such a record owners before that one may still
 	// renew the lease, in ms.
 	EarlierMs int64 `cbor:"6,keyasint,omitempty"`
+	// Epoch is the version of the claim of the owner that wrote such a record, so that its own one
+	// is above it.
+	Epoch uint64 `cbor:"7,keyasint,omitempty"`
 }
 
 // maxEarlierMs bounds EarlierMs: no owner acts for a minute without the store.
@@ -56,8 +59,8 @@
 	if err := cbor.Unmarshal(raw, &r); err != nil {
 		return Registration{Open: true}, fmt.Errorf("decoding a registration: %w", err)
 	}
-	if r.EarlierMs < 0 || r.EarlierMs > maxEarlierMs {
-		r.Unrenewed, r.EarlierMs = 0, 0
+	if r.EarlierMs < 0 || r.EarlierMs > maxEarlierMs || r.Epoch < r.Unrenewed { // no term is above its version
+		r.Unrenewed, r.EarlierMs, r.Epoch = 0, 0, 0
 	}
 	return r, nil
 }
