orchestrator: Repeat no renewal that is later than the worker's clock

While a record says that a lease is renewed no more, the last renewal is repeated to the worker. The incarnation of a worker without a start time is just its ID, so that after a restart of its instance it got the renewal of its earlier clock, for a time to come.

TestARenewalIsNotRepeatedToAWorkerWhoseClockStartedAgain failed before ('value is not true': a renewal was sent). Not excluded: the new clock has reached the time of the renewal.

--- a/orchestrator/renewal_test.go
+++ b/orchestrator/renewal_test.go
@@ -70,6 +70,20 @@
 	c.Assert(h.report("a0", messenger.WorkerSnapshot{Leaving: true}).IsZero(), qt.IsTrue)
 }
 
+// A worker without a start time has the same incarnation after its instance has started anew, and its clock
+// starts again: it would take the renewal for one of the future, and run beyond its lease.
+func TestARenewalIsNotRepeatedToAWorkerWhoseClockStartedAgain(t *testing.T) {
+	c := qt.New(t)
+	h, _, a := newBusyHarness(c)
+	last := h.report("a0", messenger.WorkerSnapshot{Leaving: true})
+	h.commitBatch(50)
+	a.incarnation, a.leaving = "b2", false
+	h.sendSnapshot("a0", &messenger.WorkerSnapshot{SentAt: last.Add(-time.Hour), Reconciled: true})
+	c.Assert(h.lastRenewal("a0").IsZero(), qt.IsTrue)
+	h.sendSnapshot("a0", &messenger.WorkerSnapshot{SentAt: last, Reconciled: true})
+	c.Assert(h.lastRenewal("a0").Equal(last), qt.IsTrue)
+}
+
 // A write of unknown outcome, and one that meets another record, may have taken effect.
 func TestALeaseIsNotRenewedAfterAConflictOfItsLastRecord(t *testing.T) {
 	for name, tt := range map[string]struct {
--- a/orchestrator/snapshot.go
+++ b/orchestrator/snapshot.go
@@ -68,7 +68,7 @@
 		} else {
 			a.leaseExpiresAt = later(a.leaseExpiresAt, expiresAt)
 		}
-	} else if a.unrenewed && a.renewed.worker == snapshot.WorkerIncarnation {
+	} else if a.unrenewed && a.renewed.worker == snapshot.WorkerIncarnation && !a.renewed.sentAt.After(snapshot.SentAt) {
 		ack.EchoSentAt = a.renewed.sentAt // which may not have arrived
 	}
 	a.ackedEnd = a.durableEnd
