coordinator: Test that a returned agent's tasks run once under an owner that is cut off

A later owner counts the lease from the record of the agent that left, so that a renewal for its next process before another record is written lets tasks run twice.

Without !a.unrenewed in mayRenew, or with it cleared as the next registration is sent, this test and TestALostOwnerRenewsNoLeaseOfTheNextProcess fail in all cases. With the record heeded for only 2 s this one fails with each of its absences, while the latter fails for the killed agent alone: the agent that left is back too soon there.

--- a/coordinator/left_agent_test.go
+++ b/coordinator/left_agent_test.go
@@ -89,6 +89,29 @@
 	}
 }
 
+// The next process of an agent that left connects to its owner, which is cut off from the store with it and can't
+// register it. A renewal meanwhile let its tasks run twice, as a later owner counts from the last record.
+func TestTasksOfAnAgentThatReturnsToAnOwnerThatIsCutOffRunOnce(t *testing.T) {
+	for _, absence := range []time.Duration{time.Second, 3 * time.Second, 5 * time.Second} {
+		t.Run(absence.String(), func(t *testing.T) {
+			inLastingFleet(t, func(c *qt.C, f *fleet) {
+				busy, _ := f.agentsByLoad()
+				owner := f.owners()[0]
+				f.leave(busy)
+				advancer.Sleep(absence)
+				f.setApart(owner, true)
+				f.startAgent(busy)
+				advancer.Sleep(500 * time.Millisecond)
+				f.cutOffTogether(owner, busy, true, true)
+				advancer.Sleep(20 * time.Second)
+				f.cutOffTogether(owner, busy, false, false)
+				advancer.Sleep(10 * time.Second)
+				c.Check(f.runningTasks(), qt.HasLen, lastingTasks)
+			})
+		})
+	}
+}
+
 // idleUntilRunning waits until the runs of an agent's worker have ended and all tasks run elsewhere, and
 // returns the time between.
 func (f *fleet) idleUntilRunning(gone *agentNode) time.Duration {
