orchestrator: Name the state of ended renewals after what it says

'renewed' was the last renewal, 'unrenewed' that there are no more, and 'recordUnrenewed' a term. They are lastRenewal, renewalsEnded and renewalsEndedInTerm now, with the field of the registration. No change of behaviour.

--- a/orchestrator/agent.go
+++ b/orchestrator/agent.go
@@ -36,17 +36,17 @@
 	// while it is closed and states that every owner renews the lease only within
 	// closedConfirmationTTL.
 	recordOpen, renewalBounded bool
-	// unrenewed is set from when a registration is loaded, or sent, that says that the lease is
+	// renewalsEnded is set from when a registration is loaded, or sent, that says that the lease is
 	// renewed no more, until one that doesn't say so has been written: no snapshot that arrives
-	// meanwhile renews it. writingUnrenewed is set if the write in flight says so.
-	unrenewed, writingUnrenewed bool
-	// recordUnrenewed is the term at which the record in the ledger says so, or 0; earlier owners
+	// meanwhile renews it. writingEndsRenewals is set if the write in flight says so.
+	renewalsEnded, writingEndsRenewals bool
+	// renewalsEndedInTerm is the term at which the record in the ledger says so, or 0; earlier owners
 	// may have renewed the lease for recordEarlier after that. recordEpoch is the version of the
 	// claim of that term.
-	recordUnrenewed, recordEpoch uint64
-	recordEarlier                time.Duration
-	// renewed is the last renewal of the lease.
-	renewed renewal
+	renewalsEndedInTerm, recordEpoch uint64
+	recordEarlier                    time.Duration
+	// lastRenewal is the last renewal of the lease.
+	lastRenewal renewal
 	// leaving is set once the process that is or was connected has said that it ends.
 	leaving bool
 	// recordIncarnation is the process that its registration in the ledger names,
--- a/orchestrator/registration.go
+++ b/orchestrator/registration.go
@@ -25,9 +25,9 @@
 		o.cfg.Count(unreadableRegistrationCount)
 	}
 	a.keyVersion, a.mayRunAny, a.recordedTasks = version, r.Open, r.HeldTasks
-	a.recordOpen, a.recordIncarnation, a.renewalBounded, a.recordUnrenewed = r.Open, r.Incarnation, r.Bounded && !r.Open, 0
+	a.recordOpen, a.recordIncarnation, a.renewalBounded, a.renewalsEndedInTerm = r.Open, r.Incarnation, r.Bounded && !r.Open, 0
 	if !r.Open {
-		a.recordUnrenewed, a.recordEpoch, a.recordEarlier = r.Unrenewed, r.Epoch, time.Duration(r.EarlierMs)*time.Millisecond
+		a.renewalsEndedInTerm, a.recordEpoch, a.recordEarlier = r.RenewalsEndedInTerm, r.Epoch, time.Duration(r.EarlierMs)*time.Millisecond
 	}
 }
 
@@ -43,7 +43,7 @@
 func (o *Orchestrator) closedRegistration(a *agent) registrar.Registration {
 	r := registrar.Registration{HeldTasks: a.heldTasks(), Bounded: o.earlierOwnersStopped(), Incarnation: a.incarnation}
 	if o.endsRenewal(a) {
-		r.Unrenewed, r.Epoch, r.EarlierMs = o.cfg.Term, o.cfg.Epoch, max(o.earlierOwnersLeft().Milliseconds()+1, 0)
+		r.RenewalsEndedInTerm, r.Epoch, r.EarlierMs = o.cfg.Term, o.cfg.Epoch, max(o.earlierOwnersLeft().Milliseconds()+1, 0)
 	}
 	return r
 }
@@ -56,7 +56,7 @@
 // boundRegistration writes a closed registration again that was written while an
 // earlier owner might still act, or before the agent left or became unreachable.
 func (o *Orchestrator) boundRegistration(a *agent) {
-	ends := !a.unrenewed && o.endsRenewal(a)
+	ends := !a.renewalsEnded && o.endsRenewal(a)
 	bounded := a.renewalBounded && !ends
 	if a.keyVersion == 0 || a.recordOpen || bounded || a.writing || a.openPending || a.removalPending || !a.reconciled || a.hasUnknownRuns {
 		return
@@ -91,12 +91,12 @@
 func (o *Orchestrator) updateRegistration(a *agent, snapshot *messenger.WorkerSnapshot) {
 	closing := (snapshot.Draining || snapshot.Leaving) && snapshot.Reconciled
 	switch {
-	case !a.writing && a.hasUnknownRuns && a.unrenewed && !a.leaving && snapshot.Reconciled:
+	case !a.writing && a.hasUnknownRuns && a.renewalsEnded && !a.leaving && snapshot.Reconciled:
 		a.closePending = true // it may be renewed from then on, and holds what it did
 	case a.writing || a.hasUnknownRuns: // its registration stands until it is reconciled
 	case closing && snapshot.Complete && len(snapshot.Runs) == 0 && len(snapshot.RunEnds) == 0 && a.idle():
 		a.openPending, a.closePending, a.removalPending = false, false, a.keyVersion != 0
-	case closing && (a.mayRunAny || a.unrenewed && !a.leaving):
+	case closing && (a.mayRunAny || a.renewalsEnded && !a.leaving):
 		// The write that names the process that is connected may not have been sent.
 		a.mayRunAny, a.openPending, a.closePending = false, false, true
 	case closing:
--- a/orchestrator/renewal.go
+++ b/orchestrator/renewal.go
@@ -29,16 +29,16 @@
 	return a.leaving || a.unreachable(o.cfg.Now()) && o.confirmedWithin(closedConfirmationTTL)
 }
 
-// boundUnrenewed bounds the wait for agents of which a registration says that their lease is renewed no
+// boundEndedRenewals bounds the wait for agents of which a registration says that their lease is renewed no
 // more: it counts from when that was written, at the latest when this process knew a version of the
 // store that was as new. That holds if each owner from the one that wrote it to the last one heeds it.
-func (o *Orchestrator) boundUnrenewed() {
+func (o *Orchestrator) boundEndedRenewals() {
 	if !o.versionsSound() {
 		o.cfg.Log.Warn("the version of the claim was known before it was sent; waiting for all agents", zap.Uint64("epoch", o.cfg.Epoch))
 		return
 	}
 	for _, a := range o.agents {
-		if !a.hasUnknownRuns || a.recordUnrenewed == 0 || !o.heededSince(a.recordUnrenewed) {
+		if !a.hasUnknownRuns || a.renewalsEndedInTerm == 0 || !o.heededSince(a.renewalsEndedInTerm) {
 			continue
 		}
 		writtenBy, ok := o.cfg.KnownSince(a.keyVersion)
--- a/orchestrator/renewal_test.go
+++ b/orchestrator/renewal_test.go
@@ -44,7 +44,7 @@
 	expiresAt := a.leaseExpiresAt
 	b := h.o.nextBatch()
 	record := h.written(b)
-	c.Assert(record.Unrenewed, qt.Equals, h.o.cfg.Term)
+	c.Assert(record.RenewalsEndedInTerm, qt.Equals, h.o.cfg.Term)
 	c.Assert(record.Epoch, qt.Equals, h.o.cfg.Epoch)
 	c.Assert(record.HeldTasks, qt.HasLen, 3)
 	c.Assert(h.report("a0", messenger.WorkerSnapshot{Leaving: true}).Equal(last), qt.IsTrue, qt.Commentf("sent, without an outcome"))
@@ -66,7 +66,7 @@
 	h, _, a := newBusyHarness(c)
 	h.report("a0", messenger.WorkerSnapshot{Leaving: true})
 	h.commitBatch(50)
-	a.renewed.worker = "an earlier one"
+	a.lastRenewal.worker = "an earlier one"
 	c.Assert(h.report("a0", messenger.WorkerSnapshot{Leaving: true}).IsZero(), qt.IsTrue)
 }
 
@@ -115,7 +115,7 @@
 	a.incarnation = "b2"
 	h.report("a0", messenger.WorkerSnapshot{Draining: true})
 	record := h.written(h.commitBatch(51))
-	c.Assert(record.Unrenewed, qt.Equals, uint64(0))
+	c.Assert(record.RenewalsEndedInTerm, qt.Equals, uint64(0))
 	c.Assert(record.HeldTasks, qt.HasLen, 3)
 	c.Assert(h.report("a0", messenger.WorkerSnapshot{Draining: true}).Equal(h.now), qt.IsTrue)
 }
@@ -126,11 +126,11 @@
 	c := qt.New(t)
 	h, _, a := newBusyHarness(c)
 	h.report("a0", messenger.WorkerSnapshot{Draining: true})
-	c.Assert(h.written(h.commitBatch(50)).Unrenewed, qt.Equals, uint64(0))
+	c.Assert(h.written(h.commitBatch(50)).RenewalsEndedInTerm, qt.Equals, uint64(0))
 	h.report("a0", messenger.WorkerSnapshot{Draining: true, Leaving: true})
 	a.link, a.snapshot = nil, nil
 	h.o.tick(t.Context())
-	c.Assert(h.written(h.commitBatch(51)).Unrenewed, qt.Equals, h.o.cfg.Term)
+	c.Assert(h.written(h.commitBatch(51)).RenewalsEndedInTerm, qt.Equals, h.o.cfg.Term)
 	h.o.tick(t.Context())
 	c.Assert(h.o.nextBatch().keyCount(), qt.Equals, 0)
 }
@@ -168,17 +168,17 @@
 		// until is when the last renewal was possible, from the claim.
 		until time.Duration
 	}{
-		"of the last owner":                       {registrar.Registration{Unrenewed: 4}, 4, known},
-		"whose predecessors acted":                {registrar.Registration{Unrenewed: 4, EarlierMs: 1000}, 4, known + 1021*time.Millisecond},
-		"whose predecessors acted for long":       {registrar.Registration{Unrenewed: 4, EarlierMs: 9000}, 4, 2 * time.Second},
-		"of an owner before, all heed it":         {registrar.Registration{Unrenewed: 2}, 2, known},
-		"of an owner before, one doesn't heed it": {registrar.Registration{Unrenewed: 2}, 3, 2 * time.Second},
-		"of an owner before, the last doesn't":    {registrar.Registration{Unrenewed: 3}, 5, 2 * time.Second},
-		"of the last owner, if that isn't known":  {registrar.Registration{Unrenewed: 4}, 5, 2 * time.Second},
-		"of owners that are not known":            {registrar.Registration{Unrenewed: 4}, 0, 2 * time.Second},
-		"of a term that has not been":             {registrar.Registration{Unrenewed: 5}, 1, 2 * time.Second},
+		"of the last owner":                       {registrar.Registration{RenewalsEndedInTerm: 4}, 4, known},
+		"whose predecessors acted":                {registrar.Registration{RenewalsEndedInTerm: 4, EarlierMs: 1000}, 4, known + 1021*time.Millisecond},
+		"whose predecessors acted for long":       {registrar.Registration{RenewalsEndedInTerm: 4, EarlierMs: 9000}, 4, 2 * time.Second},
+		"of an owner before, all heed it":         {registrar.Registration{RenewalsEndedInTerm: 2}, 2, known},
+		"of an owner before, one doesn't heed it": {registrar.Registration{RenewalsEndedInTerm: 2}, 3, 2 * time.Second},
+		"of an owner before, the last doesn't":    {registrar.Registration{RenewalsEndedInTerm: 3}, 5, 2 * time.Second},
+		"of the last owner, if that isn't known":  {registrar.Registration{RenewalsEndedInTerm: 4}, 5, 2 * time.Second},
+		"of owners that are not known":            {registrar.Registration{RenewalsEndedInTerm: 4}, 0, 2 * time.Second},
+		"of a term that has not been":             {registrar.Registration{RenewalsEndedInTerm: 5}, 1, 2 * time.Second},
 		"that says nothing":                       {registrar.Registration{}, 1, 2 * time.Second},
-		"that is open":                            {registrar.Registration{Open: true, Unrenewed: 4}, 1, 2 * time.Second},
+		"that is open":                            {registrar.Registration{Open: true, RenewalsEndedInTerm: 4}, 1, 2 * time.Second},
 	} {
 		t.Run(name, func(t *testing.T) {
 			c := qt.New(t)
@@ -198,14 +198,14 @@
 	h := newHarness(c, 0)
 	claimed := h.o.cfg.ClaimedAt
 	h.o.cfg.KnownSince = func(version uint64) (time.Time, bool) { return claimed.Add(-3 * time.Second), version == 30 }
-	a := h.takeOverFrom(registrar.Registration{Unrenewed: 3}, 2, roster{Term: 3, Agents: []string{"left"}})
+	a := h.takeOverFrom(registrar.Registration{RenewalsEndedInTerm: 3}, 2, roster{Term: 3, Agents: []string{"left"}})
 	c.Assert(a.leaseExpiresAt.Sub(claimed), qt.Equals, -3*time.Second+h.o.maxLeaseElapsed())
 }
 
 func TestTheWaitForAnAgentThatLeftIsLongWithoutSightOfItsRecord(t *testing.T) {
 	c := qt.New(t)
 	h := newHarness(c, 0)
-	a := h.takeOverFrom(registrar.Registration{Unrenewed: 4}, 1, roster{})
+	a := h.takeOverFrom(registrar.Registration{RenewalsEndedInTerm: 4}, 1, roster{})
 	c.Assert(a.leaseExpiresAt.Sub(h.o.cfg.ClaimedAt), qt.Equals, 2*time.Second+h.o.maxLeaseElapsed())
 }
 
@@ -234,7 +234,7 @@
 				}
 				return sent.Add(tt.epochKnown), true
 			}
-			a := h.takeOverFrom(registrar.Registration{Unrenewed: 4}, 4, roster{})
+			a := h.takeOverFrom(registrar.Registration{RenewalsEndedInTerm: 4}, 4, roster{})
 			c.Assert(a.leaseExpiresAt.Sub(claimed), qt.Equals, tt.until+h.o.maxLeaseElapsed())
 		})
 	}
@@ -257,9 +257,9 @@
 			h := newHarness(c, 0)
 			claimed := h.o.cfg.ClaimedAt
 			h.o.cfg.KnownSince = func(version uint64) (time.Time, bool) { return claimed.Add(known), version == 30 }
-			a := h.takeOverFrom(registrar.Registration{Unrenewed: 4, Epoch: tt.epoch}, 4, roster{})
+			a := h.takeOverFrom(registrar.Registration{RenewalsEndedInTerm: 4, Epoch: tt.epoch}, 4, roster{})
 			c.Assert(a.leaseExpiresAt.Sub(claimed), qt.Equals, tt.until+h.o.maxLeaseElapsed())
-			c.Assert(a.unrenewed, qt.IsTrue, qt.Commentf("it is heeded all the same"))
+			c.Assert(a.renewalsEnded, qt.IsTrue, qt.Commentf("it is heeded all the same"))
 		})
 	}
 }
@@ -278,7 +278,7 @@
 			claimed := h.o.cfg.ClaimedAt
 			h.o.cfg.KnownSince = func(version uint64) (time.Time, bool) { return claimed.Add(-3 * time.Second), version == 30 }
 			h.o.cfg.UnrosteredUntil = claimed.Add(tt.unrostered)
-			a := h.takeOverFrom(registrar.Registration{Unrenewed: 4, EarlierMs: 3000}, 1, roster{Term: 4, Agents: []string{"left"}})
+			a := h.takeOverFrom(registrar.Registration{RenewalsEndedInTerm: 4, EarlierMs: 3000}, 1, roster{Term: 4, Agents: []string{"left"}})
 			c.Assert(a.leaseExpiresAt.Sub(claimed), qt.Equals, tt.until+h.o.maxLeaseElapsed())
 		})
 	}
@@ -289,7 +289,7 @@
 func TestALoadedRecordIsHeededUntilAnotherOneIsWritten(t *testing.T) {
 	c := qt.New(t)
 	h := newHarness(c, 0)
-	a := h.takeOverFrom(registrar.Registration{Unrenewed: 4, Incarnation: "b"}, 3, roster{Term: 4})
+	a := h.takeOverFrom(registrar.Registration{RenewalsEndedInTerm: 4, Incarnation: "b"}, 3, roster{Term: 4})
 	a.inRoster, a.incarnation = true, "b2"
 	a.link = &AgentLink{ID: "left", Incarnation: "b2", TrySend: func(f messenger.Frame) error {
 		h.sent["left"] = append(h.sent["left"], f)
@@ -326,7 +326,7 @@
 			last := h.report("a0", messenger.WorkerSnapshot{})
 			h.disconnect(a, 2*registrationCloseDelay)
 			b := h.o.nextBatch()
-			c.Assert(h.written(b).Unrenewed, qt.Equals, h.o.cfg.Term)
+			c.Assert(h.written(b).RenewalsEndedInTerm, qt.Equals, h.o.cfg.Term)
 			h.reconnect(a, incarnation)
 			c.Assert(h.report("a0", messenger.WorkerSnapshot{}).Equal(last), qt.IsTrue, qt.Commentf("the write is on its way"))
 			h.o.handleCommit(b, 50, h.now, nil)
@@ -350,7 +350,7 @@
 			c := qt.New(t)
 			h, _, a := newBusyHarness(c)
 			h.report("a0", messenger.WorkerSnapshot{Draining: true})
-			c.Assert(h.written(h.commitBatch(50)).Unrenewed, qt.Equals, uint64(0))
+			c.Assert(h.written(h.commitBatch(50)).RenewalsEndedInTerm, qt.Equals, uint64(0))
 			a.link, a.snapshot, h.now = nil, nil, h.now.Add(2*registrationCloseDelay)
 			h.o.cfg.OwnershipConfirmedAt = func() time.Time { return h.now.Add(-tt.confirmed) }
 			h.o.tick(t.Context())
@@ -361,7 +361,7 @@
 			b = h.commitBatch(52)
 			c.Assert(b.keyCount() > 0, qt.Equals, tt.again)
 			if tt.again {
-				c.Assert(h.written(b).Unrenewed, qt.Equals, uint64(0))
+				c.Assert(h.written(b).RenewalsEndedInTerm, qt.Equals, uint64(0))
 				c.Assert(h.report("a0", messenger.WorkerSnapshot{Draining: true}).Equal(h.now), qt.IsTrue)
 			}
 		})
--- a/orchestrator/roster.go
+++ b/orchestrator/roster.go
@@ -48,7 +48,7 @@
 func (o *Orchestrator) loadRoster(item storer.Item) {
 	o.rosterVersion = item.Version
 	r, err := decodeRoster(item)
-	o.boundUnrenewed()
+	o.boundEndedRenewals()
 	if o.cfg.UnrosteredUntil.IsZero() {
 		return
 	}
--- a/orchestrator/snapshot.go
+++ b/orchestrator/snapshot.go
@@ -62,14 +62,14 @@
 		ack.AppliedSentAt = snapshot.SentAt
 	}
 	if o.mayRenew(a) && snapshot.Reconciled {
-		ack.EchoSentAt, a.renewed = snapshot.SentAt, renewal{snapshot.WorkerIncarnation, snapshot.SentAt}
+		ack.EchoSentAt, a.lastRenewal = snapshot.SentAt, renewal{snapshot.WorkerIncarnation, snapshot.SentAt}
 		if expiresAt := o.cfg.Now().Add(o.maxLeaseElapsed()); snapshot.Term == o.cfg.Term {
 			a.leaseExpiresAt = expiresAt // no earlier owner can renew it any more
 		} else {
 			a.leaseExpiresAt = later(a.leaseExpiresAt, expiresAt)
 		}
-	} else if a.unrenewed && a.renewed.worker == snapshot.WorkerIncarnation && !a.renewed.sentAt.After(snapshot.SentAt) {
-		ack.EchoSentAt = a.renewed.sentAt // which may not have arrived
+	} else if a.renewalsEnded && a.lastRenewal.worker == snapshot.WorkerIncarnation && !a.lastRenewal.sentAt.After(snapshot.SentAt) {
+		ack.EchoSentAt = a.lastRenewal.sentAt // which may not have arrived
 	}
 	a.ackedEnd = a.durableEnd
 	o.sendFrame(a, messenger.Frame{Kind: messenger.KindSnapshotAck, SnapshotAck: ack})
--- a/orchestrator/watch.go
+++ b/orchestrator/watch.go
@@ -120,7 +120,7 @@
 		// An earlier owner may have renewed its lease until the confirmation of its
 		// own ownership expired.
 		a.leaseExpiresAt = later(a.leaseExpiresAt, o.renewedUntil(a).Add(o.maxLeaseElapsed()))
-		a.unrenewed = a.recordUnrenewed != 0
+		a.renewalsEnded = a.renewalsEndedInTerm != 0
 	}
 	o.handleInputs(inputs) // for the cancellations
 	o.loaded, o.planDue = true, true
--- a/orchestrator/write.go
+++ b/orchestrator/write.go
@@ -103,8 +103,8 @@
 			a.closePending, a.writing, a.writingIncarnation = false, true, a.incarnation
 			r := o.closedRegistration(a)
 			a.renewalBounded = r.Bounded
-			a.writingUnrenewed = r.Unrenewed != 0
-			a.unrenewed = a.unrenewed || a.writingUnrenewed
+			a.writingEndsRenewals = r.RenewalsEndedInTerm != 0
+			a.renewalsEnded = a.renewalsEnded || a.writingEndsRenewals
 			b.closedAgents = append(b.closedAgents, a)
 			add(registrar.Key(a.id), a.keyVersion, r.Encode())
 		}
@@ -182,7 +182,7 @@
 	}
 	o.handleRosterWritten(b, version)
 	for _, a := range b.openedAgents {
-		a.keyVersion, a.writing, a.mayRunAny, a.recordOpen, a.recordIncarnation, a.unrenewed = version, false, true, true, a.writingIncarnation, false
+		a.keyVersion, a.writing, a.mayRunAny, a.recordOpen, a.recordIncarnation, a.renewalsEnded = version, false, true, true, a.writingIncarnation, false
 		o.planDue = true
 		o.cfg.Log.Info("agent registered", zap.String("agent", a.id))
 		if a.snapshot != nil {
@@ -190,7 +190,7 @@
 		}
 	}
 	for _, a := range b.closedAgents {
-		a.keyVersion, a.writing, a.recordOpen, a.recordIncarnation, a.unrenewed = version, false, false, a.writingIncarnation, a.writingUnrenewed
+		a.keyVersion, a.writing, a.recordOpen, a.recordIncarnation, a.renewalsEnded = version, false, false, a.writingIncarnation, a.writingEndsRenewals
 		o.cfg.Log.Info("agent registration closed", zap.String("agent", a.id), zap.Int("runs", len(a.runs)), zap.Int("ends", len(a.pendingEnds)))
 		o.letLeave(a)
 	}
--- a/registrar/registration.go
+++ b/registrar/registration.go
@@ -29,9 +29,9 @@
 	// Incarnation is the process of the agent for which an owner wrote the record: an open
 	// registration allows starts by no other. It is empty if that process is not known.
 	Incarnation string `cbor:"4,keyasint,omitempty"`
-	// Unrenewed is the term of the owner that wrote the record, if neither this owner nor a later one
+	// RenewalsEndedInTerm is the term of the owner that wrote the record, if neither this owner nor a later one
 	// that heeds it renews the agent's lease before it has written another record; otherwise 0.
-	Unrenewed uint64 `cbor:"5,keyasint,omitempty"`
+	RenewalsEndedInTerm uint64 `cbor:"5,keyasint,omitempty"`
 	// EarlierMs is for how long after the write of such a record owners before that one may still
 	// renew the lease, in ms.
 	EarlierMs int64 `cbor:"6,keyasint,omitempty"`
@@ -59,8 +59,8 @@
 	if err := cbor.Unmarshal(raw, &r); err != nil {
 		return Registration{Open: true}, fmt.Errorf("decoding a registration: %w", err)
 	}
-	if r.EarlierMs < 0 || r.EarlierMs > maxEarlierMs || r.Epoch < r.Unrenewed { // no term is above its version
-		r.Unrenewed, r.EarlierMs, r.Epoch = 0, 0, 0
+	if r.EarlierMs < 0 || r.EarlierMs > maxEarlierMs || r.Epoch < r.RenewalsEndedInTerm { // no term is above its version
+		r.RenewalsEndedInTerm, r.EarlierMs, r.Epoch = 0, 0, 0
 	}
 	return r, nil
 }
--- a/registrar/registration_test.go
+++ b/registrar/registration_test.go
@@ -11,7 +11,7 @@
 	for name, r := range map[string]Registration{
 		"open":   {Open: true, Incarnation: "born-1"},
 		"closed": {HeldTasks: []string{"x.0.0.0"}, Bounded: true, Incarnation: "born-1"},
-		"left":   {HeldTasks: []string{"x.0.0.0"}, Bounded: true, Incarnation: "born-1", Unrenewed: 7, EarlierMs: 1500, Epoch: 90},
+		"left":   {HeldTasks: []string{"x.0.0.0"}, Bounded: true, Incarnation: "born-1", RenewalsEndedInTerm: 7, EarlierMs: 1500, Epoch: 90},
 		"empty":  {},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -27,7 +27,7 @@
 func TestARegistrationWithAnOddWaitSaysNothingOfRenewals(t *testing.T) {
 	for _, odd := range []int64{-1, maxEarlierMs + 1, math.MaxInt64} {
 		c := qt.New(t)
-		got, err := Decode(Registration{HeldTasks: []string{"x.0.0.0"}, Unrenewed: 7, EarlierMs: odd, Epoch: 90}.Encode())
+		got, err := Decode(Registration{HeldTasks: []string{"x.0.0.0"}, RenewalsEndedInTerm: 7, EarlierMs: odd, Epoch: 90}.Encode())
 		c.Assert(err, qt.IsNil)
 		c.Assert(got, qt.DeepEquals, Registration{HeldTasks: []string{"x.0.0.0"}})
 	}
@@ -37,7 +37,7 @@
 func TestARegistrationWithoutTheClaimOfItsOwnerSaysNothingOfRenewals(t *testing.T) {
 	for _, epoch := range []uint64{0, 6} {
 		c := qt.New(t)
-		got, err := Decode(Registration{HeldTasks: []string{"x.0.0.0"}, Unrenewed: 7, EarlierMs: 1500, Epoch: epoch}.Encode())
+		got, err := Decode(Registration{HeldTasks: []string{"x.0.0.0"}, RenewalsEndedInTerm: 7, EarlierMs: 1500, Epoch: epoch}.Encode())
 		c.Assert(err, qt.IsNil)
 		c.Assert(got, qt.DeepEquals, Registration{HeldTasks: []string{"x.0.0.0"}})
 	}
