orchestrator: Leave short tasks their half while long-running ones wait

The harness of TestLongRunningTasksThatAreFreedTogetherStartInTime reported long-running tasks at 50% for ever, so that each was stopped as stuck after 2.5 s and freed room that isn't there. Causes: the half that claims leave was that of MaxDelay, of which the claims took what came free in the first second; and tasks that had waited for minClaimWait started in any free room, with a claim elsewhere or none.

Claims now leave half of what comes free up to each time, and starts outside of a claimed room count, together with those in it, against a Share of half.

--- a/apportioner/apportioner.go
+++ b/apportioner/apportioner.go
@@ -16,8 +16,8 @@
 	// MaxDelay is how far ahead a task may be expected to fit, as the room is left idle until
 	// then.
 	MaxDelay = 5 * time.Second
-	// othersShare is the part of the room that comes free within MaxDelay, one in so many, for
-	// which no new claim is made: shorter tasks go on.
+	// othersShare is the part of the room that comes free up to any time within MaxDelay, one in
+	// so many, for which no new claim is made: shorter tasks go on.
 	othersShare = 2
 	// delayStep is the difference in time below which a better worker goes before an earlier one.
 	delayStep = 250 * time.Millisecond
@@ -28,11 +28,13 @@
 type Apportioner struct {
 	now       time.Time
 	forecasts map[string]*allocator.Forecast
-	// claimable is the CPU that new claims may still take, in thousandths of a core; the first
-	// claim may exceed it.
-	claimable int64
-	claims    int
-	unmet     Unmet
+	// claimable is the CPU that new claims may still take up to each delayStep from now, in
+	// thousandths of a core; the first claim may exceed it.
+	claimable [MaxDelay/delayStep + 1]int64
+	// spent is set once a request was refused as it left too little to others.
+	spent  bool
+	claims int
+	unmet  Unmet
 }
 
 // Request is a task that is to get room.
@@ -52,7 +54,9 @@
 func New(now time.Time, forecasts map[string]*allocator.Forecast) *Apportioner {
 	a := &Apportioner{now: now, forecasts: forecasts}
 	for _, f := range forecasts {
-		a.claimable += max(f.FreeCPUAt(now.Add(MaxDelay)), 0) / othersShare
+		for n := range a.claimable {
+			a.claimable[n] += max(f.FreeCPUAt(now.Add(time.Duration(n)*delayStep)), 0) / othersShare
+		}
 	}
 	return a
 }
@@ -62,11 +66,11 @@
 func (a *Apportioner) Claim(r Request) (*allocator.Forecast, time.Time) {
 	if f := a.forecasts[r.Held]; f != nil && slices.ContainsFunc(r.Workers, func(c *allocator.Candidate) bool { return c.ID == r.Held }) {
 		if at, fits := f.FitsAt(r.Task, r.StepName, a.now); fits && at.Sub(a.now) <= MaxDelay {
-			a.take(r)
+			a.take(r, at)
 			return f, at
 		}
 	}
-	if r.Held == "" && !a.mayClaim(r) || a.unmet.Known(r.Task, r.StepName) {
+	if r.Held == "" && a.spent || a.unmet.Known(r.Task, r.StepName) {
 		return nil, time.Time{}
 	}
 	f, at := a.soonest(r)
@@ -74,26 +78,35 @@
 		a.unmet.Add(r.Task, r.StepName, r.AnyWorker)
 		return nil, time.Time{}
 	}
-	a.take(r)
+	if r.Held == "" && !a.leavesEnough(r, at) {
+		a.spent = true
+		return nil, time.Time{}
+	}
+	a.take(r, at)
 	return f, at
 }
 
-// mayClaim reports whether a request leaves enough room to others. If not, no later request
-// claims any: it would take what comes free from those that have waited longer.
-func (a *Apportioner) mayClaim(r Request) bool {
-	if a.claims > 0 && reservedCPU(r) > a.claimable {
-		a.claimable = -1
-	}
-	return a.claims == 0 || a.claimable >= 0
+// leavesEnough reports whether a claim of room that comes free at a time leaves enough to others,
+// by then and later. If not, no later request claims any: it would take what comes free from
+// those that have waited longer.
+func (a *Apportioner) leavesEnough(r Request, at time.Time) bool {
+	return a.claims == 0 || slices.Min(a.claimable[a.step(at):]) >= reservedCPU(r.Task.StepSpec())
 }
 
-func (a *Apportioner) take(r Request) {
+func (a *Apportioner) take(r Request, at time.Time) {
 	a.claims++
-	a.claimable -= reservedCPU(r)
+	for n := a.step(at); n < len(a.claimable); n++ {
+		a.claimable[n] -= reservedCPU(r.Task.StepSpec())
+	}
+}
+
+// step returns the first delayStep that is not before a time.
+func (a *Apportioner) step(at time.Time) int {
+	return min(int((at.Sub(a.now)+delayStep-1)/delayStep), len(a.claimable)-1)
 }
 
-func reservedCPU(r Request) int64 {
-	if step := r.Task.StepSpec(); !step.BestEffort {
+func reservedCPU(step *sequencer.Step) int64 {
+	if !step.BestEffort {
 		return step.CPU
 	}
 	return 0
--- a/apportioner/apportioner_test.go
+++ b/apportioner/apportioner_test.go
@@ -87,6 +87,7 @@
 		"half":                        {make([]time.Duration, 4), []int64{4000, 4000, 4000, 4000, 4000}, 4},
 		"the first claim in any case": {make([]time.Duration, 1), []int64{8000, 1000}, 1},
 		"none goes before an earlier": {make([]time.Duration, 2), []int64{6000, 6000, 1000}, 1},
+		"half by each time":           {[]time.Duration{0, 4 * time.Second, 4 * time.Second, 4 * time.Second}, []int64{2000, 2000, 2000, 2000, 2000}, 2},
 		"only what comes free soon":   {[]time.Duration{0, time.Minute, time.Minute}, []int64{2000, 2000, 2000}, 2},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/orchestrator/apportion_test.go
+++ b/orchestrator/apportion_test.go
@@ -9,6 +9,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/endivefall/endivefall/apportioner"
 	"github.com/endivefall/endivefall/messenger"
 	"github.com/endivefall/endivefall/registrar"
 	"github.com/endivefall/endivefall/sequencer"
@@ -96,9 +97,13 @@
 	snapshot := &messenger.WorkerSnapshot{}
 	for _, r := range f.o.runsOf(a) {
 		step := r.task.StepSpec()
+		percent := 50
+		if step.LongRunning {
+			percent = 100 // one that stays below it is stopped as stuck
+		}
 		over := !step.LongRunning && !f.now.Before(f.endsAt[r.key])
 		if !over && !r.evict {
-			snapshot.Runs = append(snapshot.Runs, messenger.RunStatus{Task: r.key.task, Attempt: r.key.attempt, Phase: messenger.PhaseRunning, ProgressPercent: 50, PacePercent: 100})
+			snapshot.Runs = append(snapshot.Runs, messenger.RunStatus{Task: r.key.task, Attempt: r.key.attempt, Phase: messenger.PhaseRunning, ProgressPercent: percent, PacePercent: 100})
 			continue
 		}
 		status := messenger.EndStopped
@@ -169,3 +174,25 @@
 		})
 	}
 }
+
+// Long-running tasks that had waited took all room that came free while there were any. They stay, and
+// those after them take the room where their claims fit next, so that short tasks get less than half.
+func TestShortTasksGetRoomWhileLongRunningOnesAskForMoreThanThereIs(t *testing.T) {
+	const agents = 20
+	c := qt.New(t)
+	f := newFleet(c, agents)
+	f.submitLater(sequencer.Spec{Steps: []sequencer.Step{{Count: agents, CPU: 2500, Memory: 2000, MaxPerWorker: 1, LongRunning: true}}})
+	f.o.place()
+	for range 20 {
+		f.step() // short tasks fill the rest
+	}
+	f.submitLater(sequencer.Spec{Steps: []sequencer.Step{{Count: 15 * agents, CPU: 1000, Memory: 100, LongRunning: true}}})
+	for len(f.o.claims) == 0 {
+		f.freed, f.others = 0, 0
+		f.step()
+	}
+	for end := f.now.Add(apportioner.MaxDelay); f.now.Before(end); {
+		f.step()
+	}
+	c.Check(f.others*4 >= f.freed, qt.IsTrue, qt.Commentf("of %d that came free within MaxDelay others got %d", f.freed, f.others))
+}
--- a/orchestrator/claim.go
+++ b/orchestrator/claim.go
@@ -46,14 +46,15 @@
 }
 
 // placeStarving starts the waiting tasks that have claimed room, and other long-running ones that
-// have waited for as long as those: first the ones that were stopped to move, and then the ones
+// have waited for minClaimWait: first the ones that were stopped to move, and then the ones
 // that have waited longest. They go before all others, which would take the room, and none takes
-// what those before it have claimed.
+// what those before it have claimed. Those without a claim are bounded by the Share of their pool.
 func (o *Orchestrator) placeStarving(blocked func(*sequencer.Task) bool, byPool map[string][]*allocator.Candidate, agents map[string]*agent, now, wall time.Time) {
 	list := o.startingFirst(blocked, minClaimWait, now, wall)
 	if len(list) == 0 {
 		return
 	}
+	spent := map[string]bool{} // pools in which no more tasks without a claim may start
 	o.releaseClaims(byPool)
 	defer o.reserveMoves(byPool)
 	unmet := map[string]*apportioner.Unmet{}
@@ -72,10 +73,19 @@
 		if !held && (claimed == nil || !allocator.Fits(t, name, claimed)) {
 			candidate = o.pickUnlessUnmet(s, granted, unmet, now)
 		}
+		if candidate != nil && candidate != claimed && !s.moved {
+			pool := s.job.Spec.Pool
+			if spent[pool] = spent[pool] || !o.shareOf(pool).Allows(t.StepSpec(), now); spent[pool] {
+				candidate = nil
+			}
+		}
 		switch {
 		case !held && candidate != nil:
 			if o.startTask(t, s.job, agents[candidate.ID]) {
 				o.reserve(candidate, t)
+				if !s.moved {
+					o.shareOf(s.job.Spec.Pool).AddFirst(t.StepSpec(), now)
+				}
 			} else {
 				delete(o.claims, t)
 			}
@@ -88,6 +98,14 @@
 	}
 }
 
+// shareOf returns what was started in a pool lately.
+func (o *Orchestrator) shareOf(pool string) *apportioner.Share {
+	if o.shares[pool] == nil {
+		o.shares[pool] = &apportioner.Share{}
+	}
+	return o.shares[pool]
+}
+
 // releaseClaims releases the claimed room on the candidates, but for what runs were stopped for.
 func (o *Orchestrator) releaseClaims(byPool map[string][]*allocator.Candidate) {
 	for t, cl := range o.claims {
--- a/orchestrator/orchestrator.go
+++ b/orchestrator/orchestrator.go
@@ -11,6 +11,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/endivefall/endivefall/apportioner"
 	"github.com/endivefall/endivefall/predictor"
 	"github.com/endivefall/endivefall/regulator"
 	"github.com/endivefall/endivefall/sequencer"
@@ -97,6 +98,8 @@
 	runs           map[runKey]*run
 	// claims has the room that is kept for tasks, at most one claim for each.
 	claims map[*sequencer.Task]*claim
+	// shares has what was started lately, by pool.
+	shares map[string]*apportioner.Share
 	// lastClaims is when room for waiting tasks was last searched for.
 	lastClaims time.Time
 	agents     map[string]*agent
@@ -164,7 +167,7 @@
 	}
 	return &Orchestrator{
 		cfg: cfg, actions: make(chan func(), queueCapacity), stopped: make(chan struct{}), done: make(chan struct{}),
-		jobs: map[string]*job{}, openJobs: map[string]*job{}, unreadableJobs: map[string]bool{}, runs: map[runKey]*run{}, granting: map[*run]bool{}, claims: map[*sequencer.Task]*claim{}, agents: map[string]*agent{},
+		jobs: map[string]*job{}, openJobs: map[string]*job{}, unreadableJobs: map[string]bool{}, runs: map[runKey]*run{}, granting: map[*run]bool{}, claims: map[*sequencer.Task]*claim{}, shares: map[string]*apportioner.Share{}, agents: map[string]*agent{},
 		predictor: predictor.New(), policies: map[string]*stepPolicy{}, starts: regulator.New(), isolation: isolation{firstContactBy: cfg.ClaimedAt.Add(firstContactTimeout)},
 	}
 }
--- a/orchestrator/place.go
+++ b/orchestrator/place.go
@@ -205,6 +205,7 @@
 		a := agents[candidate.ID]
 		if o.startTask(t, j, a) {
 			o.reserve(candidate, t)
+			o.shareOf(j.Spec.Pool).AddOther(t.StepSpec(), now)
 		}
 		o.setBusy(candidate, a)
 	}
