orchestrator: Keep no room for tasks whose agent's lease goes on

A claim of a blocked task was kept for as long as the lease of the agent that it waits for went on. Where that agent is connected with lists that are not complete, each renewal moved the end on. A claim is kept only while the task may start within apportioner.MaxDelay, and not for a connected agent.

The test said before: got 1 claim after 15 s, want 0. A second test shows that a granted task goes by its own agent alone (passed before, too).

--- a/orchestrator/grant_test.go
+++ b/orchestrator/grant_test.go
@@ -272,6 +272,30 @@
 	}
 }
 
+// A granted task that claims room waits for the lease of its own agent, not for that of another one.
+func TestAGrantedTaskClaimsRoomBeforeTheLeaseOfItsOwnAgentIsOver(t *testing.T) {
+	for name, tt := range map[string]struct {
+		own, other time.Duration // until the leases are over
+		claims     int
+	}{
+		"its own is about to be over":     {claimLead, time.Minute, 1},
+		"another one is about to be over": {time.Minute, claimLead, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			h, _ := grantedTakeOver(c, &sequencer.Progress{State: sequencer.Running, GrantTerm: 4, Tasks: []sequencer.TaskRecord{{Agent: "gone"}}}, 2)
+			h.o.place()
+			h.now = h.now.Add(minClaimWait)
+			h.reportAllRunning()
+			other := h.o.agent("other")
+			other.keyVersion, other.mayRunAny, other.hasUnknownRuns = 1, true, true
+			h.o.agents["gone"].leaseExpiresAt, other.leaseExpiresAt = h.now.Add(tt.own), h.now.Add(tt.other)
+			h.o.place()
+			c.Check(h.o.claims, qt.HasLen, tt.claims)
+		})
+	}
+}
+
 // The jobs of earlier owners had no grants, and would have waited for all agents after each
 // further claim.
 func TestRunsOfEarlierOwnersAreGrantedOnceAllAgentsAreKnown(t *testing.T) {
--- a/orchestrator/starvation.go
+++ b/orchestrator/starvation.go
@@ -121,7 +121,7 @@
 				}
 				startsAt = later(now, startsAt)
 			}
-			if o.claims[t] != nil || now.Sub(t.WaitingSince) >= minWait && startsAt.Sub(now) <= claimLead {
+			if o.claims[t] != nil && startsAt.Sub(now) <= apportioner.MaxDelay || now.Sub(t.WaitingSince) >= minWait && startsAt.Sub(now) <= claimLead {
 				list = append(list, starvingTask{task: t, job: j, startsAt: startsAt, moved: o.claims[t] != nil && o.claims[t].moving})
 			}
 		}
--- a/orchestrator/waiting.go
+++ b/orchestrator/waiting.go
@@ -30,8 +30,11 @@
 	return now
 }
 
+// never stands for a time that is not known.
+var never = time.Unix(1<<40, 0)
+
 // unblockedAt returns a function that returns when a blocked task may start at the latest: once the
-// leases are over of the agents that it waits for.
+// leases are over of the agents that it waits for, or never while the lease of one is renewed.
 func (o *Orchestrator) unblockedAt() func(*sequencer.Task) time.Time {
 	var all time.Time
 	byTask := map[string]time.Time{}
@@ -39,17 +42,25 @@
 		switch {
 		case !a.hasUnknownRuns:
 		case a.mayRunAny:
-			all = later(all, a.leaseExpiresAt)
+			all = later(all, a.unblocksAt())
 		default:
 			for _, task := range a.recordedTasks {
-				byTask[task] = later(byTask[task], a.leaseExpiresAt)
+				byTask[task] = later(byTask[task], a.unblocksAt())
 			}
 		}
 	}
 	return func(t *sequencer.Task) time.Time {
 		if a := o.agents[t.Agent]; t.NeedsGrant() && a != nil {
-			return a.leaseExpiresAt
+			return a.unblocksAt()
 		}
 		return later(all, byTask[t.Name()])
 	}
 }
+
+// unblocksAt returns when the tasks that wait for an agent may start at the latest.
+func (a *agent) unblocksAt() time.Time {
+	if a.link != nil {
+		return never
+	}
+	return a.leaseExpiresAt
+}
--- a/orchestrator/waiting_test.go
+++ b/orchestrator/waiting_test.go
@@ -182,3 +182,23 @@
 		})
 	}
 }
+
+// The blocking agent came back without knowing all of its runs, and its lease went on.
+func TestABlockedTaskKeepsNoRoomWhileTheLeaseOfItsAgentGoesOn(t *testing.T) {
+	c := qt.New(t)
+	h, _ := newBlockedHarness(c)
+	h.endRun("a0", 1, h.oldestShortRun("a0"))
+	link := h.connectAgent("other").link
+	delete(h.o.agents, "other")
+	a := h.o.agents["lost"]
+	a.link, a.incarnation, a.inRoster = link, "b", true
+	for range 60 {
+		h.now = h.now.Add(claimInterval)
+		h.reportRunning("a0", 10)
+		h.sendIncomplete("lost", &messenger.WorkerSnapshot{SentAt: h.now})
+		h.o.tick(t.Context())
+		h.o.place()
+	}
+	c.Assert(a.hasUnknownRuns, qt.IsTrue)
+	c.Assert(h.o.claims, qt.HasLen, 0)
+}
