orchestrator: Begin a wait where a run that worked is unknown

An end as "not started" kept the task's wait, also for a run that had worked and is missing in its agent's list, so that its task went before those that had waited for longer. It is kept only if the run was never seen past its start.

The test said before: got 1m0s, want 0s.

--- a/orchestrator/ends.go
+++ b/orchestrator/ends.go
@@ -65,6 +65,9 @@
 func (o *Orchestrator) endRun(r *run, end messenger.RunEnd) {
 	o.removeRun(r)
 	now := o.cfg.Now()
+	if r.phase != messenger.PhaseStarting {
+		r.task.WaitingSince = now // whatever its end says, it has worked
+	}
 	o.cfg.Log.Info("run ended", zap.String("task", end.Task), zap.Uint64("attempt", end.Attempt), zap.Stringer("how", end.Status),
 		zap.String("reason", end.Reason), zap.String("agent", r.agent.id), zap.Duration("ran", now.Sub(r.startedAt)), zap.Int("percent", r.progressPercent))
 	o.cfg.Count("end_" + end.Status.String())
--- a/orchestrator/waiting_test.go
+++ b/orchestrator/waiting_test.go
@@ -202,3 +202,17 @@
 	c.Assert(a.hasUnknownRuns, qt.IsTrue)
 	c.Assert(h.o.claims, qt.HasLen, 0)
 }
+
+// A run that had worked was missing in the list of a restarted agent, and its task counted as waiting
+// since before its first start.
+func TestARunThatWorkedAndIsUnknownBeginsAWait(t *testing.T) {
+	c := qt.New(t)
+	h := newHarness(c, 1)
+	j := h.submit(lastingSpec(10))
+	h.o.place()
+	h.reportRunning("a0", 50)
+	h.now = h.now.Add(time.Minute)
+	h.sendSnapshot("a0", &messenger.WorkerSnapshot{})
+	c.Assert(j.liveRuns, qt.HasLen, 0)
+	c.Assert(h.now.Sub(j.Task(0, 0, 0).WaitingSince), qt.Equals, time.Duration(0))
+}
