orchestrator: Let tasks claim at once only where a worker of their pool drains

One draining worker with a long-running task let the tasks of all pools claim room without a wait.

The test said before: got 1 claim, want 0.

--- a/orchestrator/claim_test.go
+++ b/orchestrator/claim_test.go
@@ -97,6 +97,18 @@
 	})
 }
 
+// While a worker of another pool drained, tasks claimed room at once instead of after 3 s.
+func TestAWorkerThatDrainsLetsNoTaskOfAnotherPoolClaimAtOnce(t *testing.T) {
+	c := qt.New(t)
+	h, evacuated := newDrainingHarness(c)
+	h.o.agents["a0"].snapshot.Pool, evacuated.Spec.Pool = "other", "other"
+	h.submit(lastingSpec(6000))
+	h.reportRunning("a1", 10)
+	h.now = h.now.Add(claimInterval)
+	h.o.place()
+	c.Assert(h.o.claims, qt.HasLen, 0)
+}
+
 // A worker with claims of two tasks kept both from its room until it had enough for both.
 func TestTheTaskThatWaitsLongestStartsOnceThereIsRoomForIt(t *testing.T) {
 	c := qt.New(t)
--- a/orchestrator/starvation.go
+++ b/orchestrator/starvation.go
@@ -100,9 +100,9 @@
 // minClaimWait, the ones that have waited longest first, and then those whose workers drain.
 func (o *Orchestrator) starving(blocked func(*sequencer.Task) bool, now, wall time.Time) []starvingTask {
 	evacuations := o.lastingEvacuations(blocked, now)
-	minWait := minClaimWait
-	if len(evacuations) > 0 {
-		minWait = 0 // what runs gets no room before what doesn't
+	drains := map[string]bool{} // the pools with evacuations
+	for _, s := range evacuations {
+		drains[s.job.Spec.Pool] = true
 	}
 	var list []starvingTask
 	unblockedAt := o.unblockedAt()
@@ -110,6 +110,10 @@
 		if !j.lasts() {
 			continue
 		}
+		minWait := minClaimWait
+		if drains[j.Spec.Pool] {
+			minWait = 0 // what runs gets no room before what doesn't
+		}
 		for _, t := range j.Runnable(wall) {
 			if !claims(t) || t.WaitingSince.IsZero() || isSuspect(t) {
 				continue
