orchestrator: Log no wait of 292 years for a task that moved

A task that starts in the room for which its run was stopped has not been listed as waiting before, so that it has no FreeSince.

The test said before: got 2562047h47m16.854775807s, want 0s.

--- a/orchestrator/place.go
+++ b/orchestrator/place.go
@@ -283,7 +283,7 @@
 	delete(o.claims, t)
 	o.cfg.Count("start")
 	o.cfg.Log.Info("starting run", zap.String("task", r.key.task), zap.Uint64("attempt", r.key.attempt), zap.String("agent", a.id),
-		zap.Duration("waited", r.startedAt.Sub(t.WaitingSince)), zap.Duration("free", r.startedAt.Sub(t.FreeSince)), zap.Duration("table_age", r.startedAt.Sub(a.lastSnapshotAt)), zap.Bool("resumes", t.Checkpoint != ""))
+		zap.Duration("waited", r.startedAt.Sub(t.WaitingSince)), zap.Duration("free", freeFor(t, r.startedAt)), zap.Duration("table_age", r.startedAt.Sub(a.lastSnapshotAt)), zap.Bool("resumes", t.Checkpoint != ""))
 	return true
 }
 
--- a/orchestrator/waiting_test.go
+++ b/orchestrator/waiting_test.go
@@ -216,3 +216,25 @@
 	c.Assert(j.liveRuns, qt.HasLen, 0)
 	c.Assert(h.now.Sub(j.Task(0, 0, 0).WaitingSince), qt.Equals, time.Duration(0))
 }
+
+// The wait of a task that had moved was logged as 292 years.
+func TestAMovedTaskIsLoggedWithItsWait(t *testing.T) {
+	c := qt.New(t)
+	h := newHarness(c, 1)
+	core, logs := observer.New(zap.InfoLevel)
+	h.o.cfg.Log = zap.New(core)
+	moved := step(1, 1000)
+	moved.Checkpointable, moved.Estimate = true, time.Minute
+	j := h.submit(sequencer.Spec{Steps: []sequencer.Step{moved}})
+	h.o.place()
+	h.reportRunning("a0", 10)
+	h.connectAgent("a1")
+	h.drain("a0")
+	h.o.evacuate()
+	h.reportEnd("a0", 1, j.Task(0, 0, 0).Name(), 1, messenger.EndStopped)
+	h.reportRunning("a1", 10)
+	h.o.place()
+	lines := logs.FilterMessage("starting run").All()
+	c.Assert(lines, qt.HasLen, 2)
+	c.Assert(lines[1].ContextMap()["free"], qt.Equals, time.Duration(0))
+}
