--- a/orchestrator/agent_test.go
+++ b/orchestrator/agent_test.go
@@ -85,7 +85,7 @@
 			c := qt.New(t)
 			h, _, a := newBusyHarness(c)
 			h.disconnect(a, 2*registrationCloseDelay)
-			h.o.handleCommit(h.o.nextBatch(), 0, h.now, &storer.ConflictError{Items: []storer.Item{
+			h.o.handleCommit(h.o.nextBatch(), 0, &storer.ConflictError{Items: []storer.Item{
 				{Key: h.o.cfg.OwnerKey, Version: h.o.cfg.Epoch}, {Key: registrar.Key("a0"), Version: 7, Value: tt.stored.Encode()},
 			}})
 			h.o.closeRegistration(a, h.now)
--- a/orchestrator/crash_test.go
+++ b/orchestrator/crash_test.go
@@ -245,7 +245,7 @@
 	j := h.submit(sequencer.Spec{Steps: []sequencer.Step{step(1, 10)}})
 	id := h.crashAfter(j.Task(0, 0, 0), 10*time.Millisecond)
 	c.Assert(h.o.agents[id].durableEnd, qt.Equals, uint64(0))
-	h.o.handleCommit(h.o.nextBatch(), 40, h.now, nil)
+	h.o.handleCommit(h.o.nextBatch(), 40, nil)
 	c.Assert(h.o.agents[id].durableEnd, qt.Equals, uint64(1))
 }
 
--- a/orchestrator/ends_test.go
+++ b/orchestrator/ends_test.go
@@ -21,7 +21,7 @@
 	c.Assert(h.o.agents["a0"].durableEnd, qt.Equals, uint64(0))
 	c.Assert(visibleState(j.Job), qt.Equals, sequencer.Running, qt.Commentf("the end is not durable yet"))
 	b := h.o.nextBatch()
-	h.o.handleCommit(b, 40, h.now, nil)
+	h.o.handleCommit(b, 40, nil)
 	c.Assert(h.o.agents["a0"].durableEnd, qt.Equals, uint64(1))
 	c.Assert(visibleState(j.Job), qt.Equals, sequencer.Complete)
 }
@@ -71,7 +71,7 @@
 	c.Assert(b.openedAgents, qt.HasLen, 1)
 	h.reportRunning("a0", 1)
 	c.Assert(h.o.nextBatch().openedAgents, qt.HasLen, 0)
-	h.o.handleCommit(b, 40, h.now, nil)
+	h.o.handleCommit(b, 40, nil)
 	c.Assert(a.keyVersion, qt.Equals, uint64(40))
 	h.reportRunning("a0", 1)
 	c.Assert(h.o.nextBatch().openedAgents, qt.HasLen, 0)
@@ -93,8 +93,8 @@
 		j := h.submit(sequencer.Spec{Steps: []sequencer.Step{step(1, 10)}})
 		h.o.markDirty(j)
 		b := h.o.nextBatch()
-		version, sent, err := h.o.commit(ctx, &b.transaction)
-		h.o.handleCommit(b, version, sent, err)
+		version, err := h.o.commit(ctx, &b.transaction)
+		h.o.handleCommit(b, version, err)
 		_, err = h.store.Client().Get(ctx, ProgressKey(j.Spec.ID))
 		return err
 	}
@@ -125,7 +125,7 @@
 			b := h.o.nextBatch()
 			c.Assert(b.transaction.Writes, qt.HasLen, 1)
 			h.cancel(j)
-			h.o.handleCommit(b, 1001, h.now, tt.err)
+			h.o.handleCommit(b, 1001, tt.err)
 			c.Assert(h.o.reply(messenger.StateQuery{Job: j.Spec.ID}).State, qt.Equals, string(tt.state))
 			if tt.err == nil {
 				stored, err := sequencer.DecodeProgress(b.transaction.Writes[0].Value)
--- a/orchestrator/own_registration_test.go
+++ b/orchestrator/own_registration_test.go
@@ -19,7 +19,7 @@
 	if version != 0 {
 		items = append(items, storer.Item{Key: registrar.Key(id), Version: version, Value: stored.Encode()})
 	}
-	h.o.handleCommit(h.o.nextBatch(), 0, h.now, &storer.ConflictError{Items: items})
+	h.o.handleCommit(h.o.nextBatch(), 0, &storer.ConflictError{Items: items})
 }
 
 // restartAgent connects another process of an agent, whose worker has no runs.
@@ -58,7 +58,7 @@
 	h.restartAgent("a0", "b2")
 	b := h.o.nextBatch()
 	h.restartAgent("a0", "b3")
-	h.o.handleCommit(b, 50, h.now, nil)
+	h.o.handleCommit(b, 50, nil)
 	h.submit(sequencer.Spec{Steps: []sequencer.Step{step(1, 10)}})
 	h.o.place()
 	c.Assert(h.commands("a0"), qt.HasLen, 0)
--- a/orchestrator/registration_test.go
+++ b/orchestrator/registration_test.go
@@ -31,7 +31,7 @@
 // commitBatch commits the pending changes and returns them.
 func (h *harness) commitBatch(version uint64) *batch {
 	b := h.o.nextBatch()
-	h.o.handleCommit(b, version, h.now, nil)
+	h.o.handleCommit(b, version, nil)
 	return b
 }
 
@@ -330,7 +330,7 @@
 	c.Assert(b.closedAgents, qt.HasLen, 1)
 	h.sendSnapshot("a0", &messenger.WorkerSnapshot{Leaving: true, SentAt: h.now, Runs: h.runStatuses("a0", messenger.PhaseRunning, 10)})
 	c.Assert(lastAck().AppliedSentAt.IsZero(), qt.IsTrue, qt.Commentf("the outcome of the write is not known"))
-	h.o.handleCommit(b, 50, h.now, nil)
+	h.o.handleCommit(b, 50, nil)
 	c.Assert(lastAck().AppliedSentAt.Equal(h.now), qt.IsTrue)
 	c.Assert(j.liveRuns, qt.HasLen, 3)
 	c.Assert(lastAck().EchoSentAt.Equal(h.now), qt.IsTrue, qt.Commentf("its runs keep their lease"))
--- a/orchestrator/roster_test.go
+++ b/orchestrator/roster_test.go
@@ -75,7 +75,7 @@
 	h.reportRunning("a0", 10)
 	b := h.o.nextBatch()
 	c.Assert(b.rosterAgents, qt.HasLen, 1)
-	h.o.handleCommit(b, 0, h.now, &storer.ConflictError{Items: []storer.Item{{Key: h.o.cfg.OwnerKey, Version: h.o.cfg.Epoch}, {Key: rosterKey, Version: 44}}})
+	h.o.handleCommit(b, 0, &storer.ConflictError{Items: []storer.Item{{Key: h.o.cfg.OwnerKey, Version: h.o.cfg.Epoch}, {Key: rosterKey, Version: 44}}})
 	c.Assert(a.inRoster, qt.IsFalse)
 	h.now = h.now.Add(rosterInterval)
 	c.Assert(h.o.writeDue(), qt.IsTrue)
--- a/orchestrator/write.go
+++ b/orchestrator/write.go
@@ -72,10 +72,10 @@
 func (o *Orchestrator) commitAsync(ctx context.Context, b *batch) {
 	o.writing = true
 	o.background.Go(func() {
-		version, sent, err := o.commit(ctx, &b.transaction)
+		version, err := o.commit(ctx, &b.transaction)
 		o.enqueue(func() {
 			o.writing = false
-			o.handleCommit(b, version, sent, err)
+			o.handleCommit(b, version, err)
 		})
 	})
 }
@@ -138,13 +138,13 @@
 
 // commit retries a transaction until its outcome is known. The checks keep a
 // repeated or delayed transaction from taking effect twice.
-func (o *Orchestrator) commit(ctx context.Context, transaction *storer.Transaction) (uint64, time.Time, error) {
+func (o *Orchestrator) commit(ctx context.Context, transaction *storer.Transaction) (uint64, error) {
 	for {
 		sent := o.cfg.Now()
 		version, err := o.commitOnce(ctx, transaction)
 		o.cfg.ObserveDuration("ledger_write", o.cfg.Now().Sub(sent))
 		if err == nil || ctx.Err() != nil || !errors.Is(err, storer.ErrUnavailable) && !errors.Is(err, storer.ErrUnknownOutcome) {
-			return version, sent, err
+			return version, err
 		}
 		o.cfg.Log.Warn("ledger write failed; retrying", zap.Int("keys", len(transaction.Writes)), zap.Error(err))
 		waiter.Sleep(ctx, storeRetryDelay)
@@ -152,7 +152,7 @@
 }
 
 // commitOnce tries a transaction. One that took effect in an earlier attempt is a
-// success only while this process is the owner, as a success confirms ownership.
+// success only while this process is the owner: a later one may have changed the keys since.
 func (o *Orchestrator) commitOnce(ctx context.Context, transaction *storer.Transaction) (uint64, error) {
 	version, err := o.cfg.Store.Commit(ctx, *transaction)
 	var conflict *storer.ConflictError
@@ -163,7 +163,7 @@
 }
 
 // handleCommit processes the outcome of a transaction.
-func (o *Orchestrator) handleCommit(b *batch, version uint64, _ time.Time, err error) {
+func (o *Orchestrator) handleCommit(b *batch, version uint64, err error) {
 	var conflict *storer.ConflictError
 	if errors.As(err, &conflict) {
 		if conflict.Item(o.cfg.OwnerKey).Version != o.cfg.Epoch {
--- a/orchestrator/write_test.go
+++ b/orchestrator/write_test.go
@@ -58,8 +58,8 @@
 	a := h.o.agents["a0"]
 	a.keyVersion, a.mayRunAny, a.openPending = 0, false, true
 	b := h.o.nextBatch()
-	version, sent, err := h.o.commit(context.Background(), &b.transaction)
-	h.o.handleCommit(b, version, sent, err)
+	version, err := h.o.commit(context.Background(), &b.transaction)
+	h.o.handleCommit(b, version, err)
 	c.Assert(claimedAt.IsZero(), qt.IsFalse)
 	c.Assert(a.mayRunAny, qt.IsFalse)
 	c.Assert(h.o.stopReason, qt.ErrorIs, ErrOwnershipLost)
