elector: Send a confirmation while an earlier one hangs

One write of the confirmation without an answer held up all others until it was given up, 5.5 s later, and the owner acted on only while all other entries extended its confirmation. Up to ten writes may wait for a reply now, one sent each half second: each counts from when it was sent, and an older one that arrives late changes nothing.

--- a/elector/confirmation.go
+++ b/elector/confirmation.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -10,6 +11,7 @@
 
 	"github.com/endivefall/endivefall/estimator"
 	"github.com/endivefall/endivefall/storer"
+	"github.com/endivefall/endivefall/waiter"
 )
 
 // confirmationKey is the key that an owner writes to confirm its ownership, under a check of the
@@ -21,6 +23,10 @@
 // goes on writing would make the check fail again and again where the store is slow.
 const confirmationCheckAge = 2 * confirmInterval
 
+// maxConfirmations bounds the writes of the key that wait for a reply: as many as are sent until the
+// first of them is given up.
+const maxConfirmations = 10
+
 // confirmation is the newest known version of the confirmation key.
 type confirmation struct {
 	// version is 0 if there is no key, readAt the one at which this was read.
@@ -70,15 +76,43 @@
 	}
 }
 
-// confirm confirms this process as the owner if the last confirmation is old.
-func (e *Elector) confirm(ctx context.Context) {
+// confirmLoop confirms this process as the owner while it is. A write that hangs does not hold up
+// the next one.
+func (e *Elector) confirmLoop(ctx context.Context) {
+	var writes sync.WaitGroup
+	defer writes.Wait()
+	waiting := make(chan struct{}, maxConfirmations)
+	var lastSent time.Time
+	waiter.Every(ctx, checkInterval, func() {
+		sent := e.cfg.Now()
+		version, due := e.confirmationDue(lastSent, sent)
+		if !due {
+			return
+		}
+		select {
+		case waiting <- struct{}{}:
+		default: // the store answers none of them
+			return
+		}
+		lastSent = sent
+		writes.Go(func() {
+			defer func() { <-waiting }()
+			e.confirm(ctx, version, sent)
+		})
+	})
+}
+
+// confirmationDue reports whether this process is the owner, at a version of the owner key, and
+// is to confirm that again.
+func (e *Elector) confirmationDue(lastSent, now time.Time) (version uint64, due bool) {
 	e.mu.Lock()
-	sent, version := e.cfg.Now(), e.version
-	due := e.isOwnerLocked() && sent.Sub(e.confirmedAt) >= confirmInterval
-	e.mu.Unlock()
-	if !due {
-		return
-	}
+	defer e.mu.Unlock()
+	return e.version, e.isOwnerLocked() && now.Sub(later(lastSent, e.confirmedAt)) >= confirmInterval
+}
+
+// confirm writes the confirmation key if this process is still the owner at a version of the
+// owner key.
+func (e *Elector) confirm(ctx context.Context, version uint64, sent time.Time) {
 	_, err := e.cfg.Store.Commit(ctx, storer.Transaction{
 		Checks: []storer.Check{{Key: OwnerKey, Version: version}},
 		Writes: []storer.Write{e.confirmationWrite(sent)},
--- a/elector/elector.go
+++ b/elector/elector.go
@@ -14,7 +14,6 @@
 
 	"github.com/endivefall/endivefall/estimator"
 	"github.com/endivefall/endivefall/storer"
-	"github.com/endivefall/endivefall/waiter"
 )
 
 // Keys of the membership in the store.
@@ -230,7 +229,7 @@
 	wg.Go(func() { e.announceLoop(ctx) })
 	wg.Go(func() { e.watchLoop(ctx) })
 	wg.Go(func() { e.claimLoop(ctx) })
-	wg.Go(func() { waiter.Every(ctx, checkInterval, func() { e.confirm(ctx) }) })
+	wg.Go(func() { e.confirmLoop(ctx) })
 	wg.Wait()
 }
 
--- a/elector/gate_test.go
+++ b/elector/gate_test.go
@@ -9,16 +9,18 @@
 )
 
 // gate holds back replies of a store while it is closed, like a process that is frozen: what
-// it reads then is old.
+// it reads then is old. It sends one write more, which was on its way, and no other.
 type gate struct {
 	mu   sync.Mutex
 	open chan struct{} // nil while open
+	// written is set once a write was sent since it was closed.
+	written bool
 }
 
 func (g *gate) close() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.open = make(chan struct{})
+	g.open, g.written = make(chan struct{}), false
 }
 
 func (g *gate) reopen() {
@@ -28,6 +30,17 @@
 	g.open = nil
 }
 
+// passWrite holds back all writes but the first one that is sent while the gate is closed.
+func (g *gate) passWrite() {
+	g.mu.Lock()
+	first := !g.written
+	g.written = true
+	g.mu.Unlock()
+	if !first {
+		g.pass()
+	}
+}
+
 func (g *gate) pass() {
 	g.mu.Lock()
 	open := g.open
@@ -55,6 +68,7 @@
 		return page, err
 	}
 	wrapped.Commit = func(ctx context.Context, change storer.Transaction) (uint64, error) {
+		g.passWrite()
 		version, err := s.Commit(ctx, change)
 		g.pass()
 		return version, err
