orchestrator: Derive what is believed of a registration from its record

Cause: what the owner believes of a registration stood in some ten flags, which nextBatch set as it put a write together, and which a commit, a conflict and a load each undid in part. The owner that woke closed all registrations in one write; the agent that ended had closed its own, so that the write was refused. The conflict showed the other records as open, but left the flag that no lease under them is renewed any more. A rejected write went the same way with no records at all, so that all its keys were taken for absent.

Change: registrar.Tracker has the record that was last read or written beside the write in flight, and all that is believed follows from the two, whichever way the record was learned. A write in flight that ends the renewals holds them back until its outcome is known. A conflict tells it unless no check on an existing version fails: then an attempt without a reply may come late, and the record is written again before anything rests on it. A rejected write leaves what was known.

TestALeaseIsNotRenewedAfterAConflictOfItsLastRecord asked that the lease waits also after a conflict with a record that the agent had closed itself. That write expects a version that never comes back, so that it can take no effect: the new TestALeaseIsRenewedOnceAWriteThatEndsItCanTakeNoEffect asks for the renewal at once, and the old test for the write of the record in doubt, now also where the process has not changed.

--- a/coordinator/history_test.go
+++ b/coordinator/history_test.go
@@ -104,7 +104,10 @@
 		}
 	}
 	f.clearFaults()
-	advancer.Sleep(maxTakeoverTime + f.drainTime(ids))
+	advancer.Sleep(maxTakeoverTime)
+	leaseless := f.leaseless()
+	advancer.Sleep(f.drainTime(ids))
+	leaseless = append(leaseless, f.leaseless()...)
 	unfinished := f.unfinished(ids)
 	f.auditor.CheckCanceledRuns()
 	cancel()
@@ -112,6 +115,7 @@
 	sums.add(len(ids), f.auditor)
 	c.Check(f.auditor.Violations(), qt.HasLen, 0)
 	c.Check(unfinished, qt.HasLen, 0)
+	c.Check(leaseless, qt.HasLen, 0)
 	c.Check(f.auditor.StartCount() > 50, qt.IsTrue, qt.Commentf("only %d starts", f.auditor.StartCount()))
 	advancer.Sleep(time.Minute) // delayed writes and commands are applied
 }
--- a/faker/pool.go
+++ b/faker/pool.go
@@ -159,6 +159,13 @@
 	return paces
 }
 
+// LeaselessSince reports whether the worker has been up since a time and holds no lease.
+func (w *PoolWorker) LeaselessSince(since time.Time) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.id != "" && w.startedAt.Before(since) && !time.Now().Before(w.leaseExpiresAt)
+}
+
 // Running returns the sorted names of the running tasks.
 func (w *PoolWorker) Running() []string {
 	w.mu.Lock()
--- a/orchestrator/agent.go
+++ b/orchestrator/agent.go
@@ -9,6 +9,7 @@
 
 	"github.com/endivefall/endivefall/differ"
 	"github.com/endivefall/endivefall/messenger"
+	"github.com/endivefall/endivefall/registrar"
 )
 
 // agent is the state of an agent that may hold work.
@@ -26,42 +27,19 @@
 	snapshots differ.Decoder
 	// payloads has the payloads that the agent keeps, if it does.
 	payloads differ.PayloadEncoder
-	// keyVersion is the version of its key in the ledger, or 0 if it has none. The
-	// lease of an agent without a key is not renewed.
-	keyVersion uint64
-	// mayRunAny is set while the agent's registration is open, and is to stay so, so
-	// that it may run any task. Runs are started only on such agents.
-	mayRunAny bool
-	// recordOpen is set while its registration in the ledger is open, renewalBounded
-	// while it is closed and states that every owner renews the lease only within
-	// closedConfirmationTTL.
-	recordOpen, renewalBounded bool
-	// renewalsEnded is set from when a registration is loaded, or sent, that says that the lease is
-	// renewed no more, until one that doesn't say so has been written: no snapshot that arrives
-	// meanwhile renews it. writingEndsRenewals is set if the write in flight says so.
-	renewalsEnded, writingEndsRenewals bool
-	// renewalsEndedInTerm is the term at which the record in the ledger says so, or 0; earlier owners
-	// may have renewed the lease for recordEarlier after that. recordEpoch is the version of the
-	// claim of that term.
-	renewalsEndedInTerm, recordEpoch uint64
-	recordEarlier                    time.Duration
+	// registration is its record in the ledger and the changes of it. Runs are started only while
+	// it is open for the process that is connected.
+	registration registrar.Tracker
 	// lastRenewal is the last renewal of the lease.
 	lastRenewal renewal
 	// leaving is set once the process that is or was connected has said that it ends.
 	leaving bool
-	// recordIncarnation is the process that its registration in the ledger names,
-	// writingIncarnation the one that a write in flight names.
-	recordIncarnation, writingIncarnation string
 	// reached is set once this owner has a snapshot of it, inRoster once the roster of this
 	// owner in the ledger has the agent.
 	reached, inRoster bool
-	// recordedTasks are the tasks that a closed registration of an earlier owner
-	// lists as possibly running.
+	// recordedTasks are the tasks that a closed registration of an earlier owner, or of the
+	// agent itself, lists as possibly running, while hasUnknownRuns is set.
 	recordedTasks []string
-	// openPending, closePending and removalPending are set while the registration
-	// is to be written as open, written as closed, or removed; writing is set while
-	// that write is in flight.
-	openPending, closePending, removalPending, writing bool
 	// leaseExpiresAt is the local time until which its runs may continue without a
 	// lease renewal.
 	leaseExpiresAt time.Time
@@ -173,13 +151,13 @@
 	}
 	a.reconciled = false
 	switch {
-	case a.writing || a.openPending:
-	case a.keyVersion == 0:
+	case a.registration.Writing() || a.registration.Wanted() == registrar.Open:
+	case a.registration.Version() == 0:
 		if a.link == nil { // nothing is left of it
 			delete(o.agents, a.id)
 		}
 	case now.After(a.leaseExpiresAt.Add(registrationRemovalDelay)):
-		a.closePending, a.removalPending = false, true
+		a.registration.Want(registrar.Remove)
 	}
 }
 
--- a/orchestrator/agent_test.go
+++ b/orchestrator/agent_test.go
@@ -66,7 +66,7 @@
 			h.o.Connect(&AgentLink{ID: id, Incarnation: "b2", TrySend: func(messenger.Frame) error { return nil }})
 			(<-h.o.actions)()
 			h.tickFor(10*time.Second, map[string]*messenger.WorkerSnapshot{id: {Term: 1}})
-			c.Assert(h.o.agents[id].keyVersion, qt.Equals, uint64(0))
+			c.Assert(h.o.agents[id].registration.Version(), qt.Equals, uint64(0))
 		})
 	}
 }
@@ -90,7 +90,7 @@
 			}})
 			h.o.closeRegistration(a, h.now)
 			c.Assert(h.commitBatch(50).closedAgents, qt.HasLen, tt.closed)
-			c.Assert(a.mayRunAny, qt.IsFalse)
+			c.Assert(a.registration.Open(), qt.IsFalse)
 		})
 	}
 }
@@ -105,7 +105,8 @@
 		t.Run(name, func(t *testing.T) {
 			c := qt.New(t)
 			h := newHarness(c, 1)
-			h.o.loaded, h.o.agents["a0"].keyVersion = tt.loaded, 0
+			h.o.loaded = tt.loaded
+			h.o.agents["a0"].registration.Set(0, registrar.Registration{})
 			confirmed := h.now
 			h.o.cfg.OwnershipConfirmedAt = func() time.Time { return confirmed }
 			if !tt.confirmed {
--- a/orchestrator/ends_test.go
+++ b/orchestrator/ends_test.go
@@ -8,6 +8,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/endivefall/endivefall/messenger"
+	"github.com/endivefall/endivefall/registrar"
 	"github.com/endivefall/endivefall/sequencer"
 	"github.com/endivefall/endivefall/storer"
 )
@@ -47,8 +48,7 @@
 	h := newHarness(c, 30)
 	for n := range 30 {
 		a := h.o.agents[fmt.Sprint("a", n)]
-		a.removalPending = n%2 == 0
-		a.openPending = n%2 == 1
+		a.registration.Want([]registrar.Intent{registrar.Remove, registrar.Open}[n%2])
 		h.o.markDirty(h.submit(sequencer.Spec{Steps: []sequencer.Step{step(1, 1)}}))
 	}
 	for range 20 {
@@ -65,14 +65,14 @@
 	c := qt.New(t)
 	h := newHarness(c, 1)
 	a := h.o.agents["a0"]
-	a.keyVersion, a.mayRunAny, a.recordOpen = 0, false, false
+	a.registration.Set(0, registrar.Registration{})
 	h.reportRunning("a0", 1)
 	b := h.o.nextBatch()
 	c.Assert(b.openedAgents, qt.HasLen, 1)
 	h.reportRunning("a0", 1)
 	c.Assert(h.o.nextBatch().openedAgents, qt.HasLen, 0)
 	h.o.handleCommit(b, 40, nil)
-	c.Assert(a.keyVersion, qt.Equals, uint64(40))
+	c.Assert(a.registration.Version(), qt.Equals, uint64(40))
 	h.reportRunning("a0", 1)
 	c.Assert(h.o.nextBatch().openedAgents, qt.HasLen, 0)
 }
--- a/orchestrator/grant_takeover_test.go
+++ b/orchestrator/grant_takeover_test.go
@@ -8,6 +8,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/endivefall/endivefall/messenger"
+	"github.com/endivefall/endivefall/registrar"
 	"github.com/endivefall/endivefall/sequencer"
 	"github.com/endivefall/endivefall/storer"
 )
@@ -19,7 +20,8 @@
 	h.o.cfg.Term, h.o.cfg.RulesSince = 5, since
 	h.o.agents["a0"].snapshot.Term = 5
 	gone := h.o.agent("gone")
-	gone.keyVersion, gone.mayRunAny, gone.hasUnknownRuns, gone.leaseExpiresAt = 1, true, true, h.now.Add(16*time.Second)
+	gone.hasUnknownRuns, gone.leaseExpiresAt = true, h.now.Add(16*time.Second)
+	gone.registration.Set(1, registrar.Registration{Open: true})
 	spec := lastingSpec(1000)
 	spec.ID, spec.Pool, spec.Queue, spec.AcceptedAt = "00000000000000aa", "pool", "queue", h.now
 	raw, err := spec.Encode()
@@ -41,7 +43,10 @@
 		return &sequencer.Progress{State: sequencer.Running, GrantTerm: term, Tasks: []sequencer.TaskRecord{{Agent: agent}}}
 	}
 	closed := func(tasks ...string) func(gone *agent) {
-		return func(gone *agent) { gone.mayRunAny, gone.recordedTasks = false, tasks }
+		return func(gone *agent) {
+			gone.registration.Set(1, registrar.Registration{HeldTasks: tasks})
+			gone.recordedTasks = tasks
+		}
 	}
 	for name, tt := range map[string]struct {
 		progress *sequencer.Progress
@@ -93,7 +98,8 @@
 			h.now = h.now.Add(minClaimWait)
 			h.reportAllRunning()
 			other := h.o.agent("other")
-			other.keyVersion, other.mayRunAny, other.hasUnknownRuns = 1, true, true
+			other.hasUnknownRuns = true
+			other.registration.Set(1, registrar.Registration{Open: true})
 			h.o.agents["gone"].leaseExpiresAt, other.leaseExpiresAt = h.now.Add(tt.own), h.now.Add(tt.other)
 			h.o.place()
 			c.Check(h.o.claims, qt.HasLen, tt.claims)
--- a/orchestrator/grant_test.go
+++ b/orchestrator/grant_test.go
@@ -7,6 +7,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/endivefall/endivefall/messenger"
+	"github.com/endivefall/endivefall/registrar"
 	"github.com/endivefall/endivefall/sequencer"
 	"github.com/endivefall/endivefall/storer"
 )
@@ -103,7 +104,7 @@
 		"cancel":                  func(h *harness, j *job, _ *agent) { h.cancel(j) },
 		"disconnected":            func(h *harness, _ *job, a *agent) { h.o.dropOutbox(a) },
 		"other connection":        func(_ *harness, _ *job, a *agent) { a.link = &AgentLink{ID: a.id, TrySend: a.link.TrySend} },
-		"registration is closing": func(_ *harness, _ *job, a *agent) { a.mayRunAny = false },
+		"registration is closing": func(_ *harness, _ *job, a *agent) { a.registration.Want(registrar.Close) },
 		"silent":                  func(_ *harness, _ *job, a *agent) { a.lastSnapshotAt = time.Time{} },
 		"drains":                  func(_ *harness, _ *job, a *agent) { a.snapshot.Draining = true },
 		"ownership not confirmed": func(h *harness, _ *job, _ *agent) {
--- a/orchestrator/harness_test.go
+++ b/orchestrator/harness_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/endivefall/endivefall/faker"
 	"github.com/endivefall/endivefall/messenger"
+	"github.com/endivefall/endivefall/registrar"
 	"github.com/endivefall/endivefall/sequencer"
 	"github.com/endivefall/endivefall/storer"
 )
@@ -58,7 +59,8 @@
 		h.sent[id] = append(h.sent[id], f)
 		return nil
 	}}
-	a.incarnation, a.recordIncarnation, a.keyVersion, a.mayRunAny, a.recordOpen, a.inRoster = "b", "b", 1, true, true, true
+	a.incarnation, a.inRoster = "b", true
+	a.registration.Set(1, registrar.Registration{Open: true, Incarnation: "b"})
 	h.sendSnapshot(id, &messenger.WorkerSnapshot{})
 	return a
 }
--- a/orchestrator/incomplete_test.go
+++ b/orchestrator/incomplete_test.go
@@ -67,7 +67,7 @@
 	a := h.o.agents["a0"]
 	a.leaseExpiresAt = h.now.Add(5 * time.Second)
 	h.sendIncomplete("a0", &messenger.WorkerSnapshot{Draining: true})
-	c.Assert(a.removalPending, qt.IsFalse)
+	c.Assert(a.registration.Wanted(), qt.Not(qt.Equals), registrar.Remove)
 	lease := a.leaseExpiresAt
 	h.o.Disconnect(a.link)
 	(<-h.o.actions)()
--- a/orchestrator/orchestrator.go
+++ b/orchestrator/orchestrator.go
@@ -247,7 +247,7 @@
 
 // mayRenew reports whether the lease of an agent may be renewed.
 func (o *Orchestrator) mayRenew(a *agent) bool {
-	return a.keyVersion != 0 && !a.renewalsEnded && o.rosterAllows(a) && o.ownershipCurrent() && (a.mayRunAny || o.confirmedWithin(closedConfirmationTTL))
+	return a.registration.MayRenew() && o.rosterAllows(a) && o.ownershipCurrent() && (a.registration.Open() || o.confirmedWithin(closedConfirmationTTL))
 }
 
 // tick checks deadlines.
--- a/orchestrator/orchestrator_test.go
+++ b/orchestrator/orchestrator_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/endivefall/endivefall/advancer"
 	"github.com/endivefall/endivefall/messenger"
+	"github.com/endivefall/endivefall/registrar"
 	"github.com/endivefall/endivefall/sequencer"
 	"github.com/endivefall/endivefall/storer"
 )
@@ -21,7 +22,8 @@
 	c := qt.New(t)
 	h := newHarness(c, 1)
 	lost := h.o.agent("gone")
-	lost.keyVersion, lost.mayRunAny, lost.hasUnknownRuns, lost.leaseExpiresAt = 1, true, true, h.now.Add(16*time.Second)
+	lost.hasUnknownRuns, lost.leaseExpiresAt = true, h.now.Add(16*time.Second)
+	lost.registration.Set(1, registrar.Registration{Open: true})
 	old := h.submit(sequencer.Spec{Steps: []sequencer.Step{step(1, 10)}})
 	old.Version = 5 // before the epoch
 	newer := h.submit(sequencer.Spec{Steps: []sequencer.Step{step(1, 10)}})
--- a/orchestrator/own_registration_test.go
+++ b/orchestrator/own_registration_test.go
@@ -97,8 +97,8 @@
 			h, j, a := newBusyHarness(c)
 			h.disconnect(a, 2*registrationCloseDelay)
 			h.conflict("a0", tt.version, tt.stored)
-			c.Assert(a.keyVersion, qt.Equals, tt.version)
-			c.Assert(a.mayRunAny, qt.IsFalse)
+			c.Assert(a.registration.Version(), qt.Equals, tt.version)
+			c.Assert(a.registration.Open(), qt.IsFalse)
 			c.Assert(j.liveRuns, qt.HasLen, 3, qt.Commentf("they may be at work until the lease ends"))
 			h.now = a.leaseExpiresAt.Add(time.Millisecond)
 			h.connectAgent("a1")
@@ -130,8 +130,8 @@
 			c.Assert(err, qt.IsNil)
 			c.Assert(written.Open, qt.IsFalse)
 			c.Assert(written.HeldTasks, qt.HasLen, 3)
-			c.Assert(a.recordOpen, qt.IsFalse)
-			c.Assert(a.mayRunAny, qt.IsFalse)
+			c.Assert(a.registration.Record().Open, qt.IsFalse)
+			c.Assert(a.registration.Open(), qt.IsFalse)
 		})
 	}
 }
--- a/orchestrator/registration.go
+++ b/orchestrator/registration.go
@@ -10,24 +10,30 @@
 	"github.com/endivefall/endivefall/messenger"
 	"github.com/endivefall/endivefall/registrar"
 	"github.com/endivefall/endivefall/sequencer"
+	"github.com/endivefall/endivefall/storer"
 )
 
 // registrationCloseDelay is how long an agent may be disconnected before its
 // registration is closed. Most agents reconnect sooner.
 const registrationCloseDelay = 250 * time.Millisecond
 
-// loadRegistration sets the state of an agent from its ledger record. A record that
-// cannot be decoded counts as open, as the agent may run any task.
-func (o *Orchestrator) loadRegistration(a *agent, version uint64, value []byte) {
-	r, err := registrar.Decode(value)
-	if err != nil {
-		o.cfg.Log.Warn("registration can't be decoded; treating it as open", zap.String("agent", a.id), zap.Error(err))
-		o.cfg.Count(unreadableRegistrationCount)
+// loadRegistration takes over the record of an agent that the ledger has, if it has one. The write
+// of it that was in flight, if any, can take effect no more if that is final. A record that cannot
+// be decoded counts as open, as the agent may run any task.
+func (o *Orchestrator) loadRegistration(a *agent, item storer.Item, final bool) {
+	r := registrar.Registration{}
+	if item.Version != 0 {
+		var err error
+		if r, err = registrar.Decode(item.Value); err != nil {
+			o.cfg.Log.Warn("registration can't be decoded; treating it as open", zap.String("agent", a.id), zap.Error(err))
+			o.cfg.Count(unreadableRegistrationCount)
+		}
+		a.recordedTasks = r.HeldTasks
 	}
-	a.keyVersion, a.mayRunAny, a.recordedTasks = version, r.Open, r.HeldTasks
-	a.recordOpen, a.recordIncarnation, a.renewalBounded, a.renewalsEndedInTerm = r.Open, r.Incarnation, r.Bounded && !r.Open, 0
-	if !r.Open {
-		a.renewalsEndedInTerm, a.recordEpoch, a.recordEarlier = r.RenewalsEndedInTerm, r.Epoch, time.Duration(r.EarlierMs)*time.Millisecond
+	if final {
+		a.registration.Set(item.Version, r)
+	} else {
+		a.registration.SetInDoubt(item.Version, r)
 	}
 }
 
@@ -48,26 +54,24 @@
 	return r
 }
 
-// startsRegistered reports whether the open registration of an agent is of the process that is
-// connected. An earlier process may have closed it as it ended, which this owner learns only
-// when it writes the registration for the next one.
-func (a *agent) startsRegistered() bool { return a.recordIncarnation == a.incarnation }
-
 // boundRegistration writes a closed registration again that was written while an
 // earlier owner might still act, or before the agent left or became unreachable.
 func (o *Orchestrator) boundRegistration(a *agent) {
-	ends := !a.renewalsEnded && o.endsRenewal(a)
-	bounded := a.renewalBounded && !ends
-	if a.keyVersion == 0 || a.recordOpen || bounded || a.writing || a.openPending || a.removalPending || !a.reconciled || a.hasUnknownRuns {
+	r := &a.registration
+	ends := !r.RenewalsEnded() && o.endsRenewal(a)
+	bounded := r.Bounded() && !ends
+	if r.Version() == 0 || bounded || !r.Closed() || r.Wanted() != registrar.None || !a.reconciled || a.hasUnknownRuns {
 		return
 	}
-	a.closePending = a.closePending || ends || o.earlierOwnersStopped()
+	if ends || o.earlierOwnersStopped() {
+		r.Want(registrar.Close)
+	}
 }
 
 // renewedUntil returns until when an earlier owner may have renewed the lease of an agent.
 func (o *Orchestrator) renewedUntil(a *agent) time.Time {
 	until := earlierKnown(o.cfg.ClaimedAt.Add(o.cfg.PreviousOwnerTTL), o.cfg.EarlierOwnersUntil)
-	if !a.renewalBounded {
+	if !a.registration.Bounded() {
 		return until
 	}
 	until = earlierKnown(until, o.cfg.ClaimedAt.Add(closedConfirmationTTL))
@@ -90,26 +94,32 @@
 // its tasks; it is removed once nothing is left there, so that no later owner waits for it.
 func (o *Orchestrator) updateRegistration(a *agent, snapshot *messenger.WorkerSnapshot) {
 	closing := (snapshot.Draining || snapshot.Leaving) && snapshot.Reconciled
+	r := &a.registration
 	switch {
-	case !a.writing && a.hasUnknownRuns && a.renewalsEnded && !a.leaving && snapshot.Reconciled:
-		a.closePending = true // it may be renewed from then on, and holds what it did
-	case a.writing || a.hasUnknownRuns: // its registration stands until it is reconciled
+	case !r.Writing() && a.hasUnknownRuns && r.RenewalsEnded() && !a.leaving && snapshot.Reconciled:
+		r.Want(registrar.Close) // it may be renewed from then on, and holds what it did
+	case r.Writing() || a.hasUnknownRuns: // its registration stands until it is reconciled
 	case closing && snapshot.Complete && len(snapshot.Runs) == 0 && len(snapshot.RunEnds) == 0 && a.idle():
-		a.openPending, a.closePending, a.removalPending = false, false, a.keyVersion != 0
-	case closing && (a.mayRunAny || a.renewalsEnded && !a.leaving):
+		r.Want(registrar.None)
+		if r.Version() != 0 {
+			r.Want(registrar.Remove)
+		}
+	case closing && (r.Record().Open || r.RenewalsEnded() && !a.leaving):
 		// The write that names the process that is connected may not have been sent.
-		a.mayRunAny, a.openPending, a.closePending = false, false, true
+		r.Want(registrar.Close)
 	case closing:
 	case !snapshot.Reconciled: // it may run nothing; expireLease removes its registration
 	default:
-		a.closePending, a.removalPending = false, false // they are not written yet
-		a.mayRunAny, a.openPending = a.recordOpen, !a.recordOpen || !a.startsRegistered()
+		r.Want(registrar.None) // what is not sent yet is not needed
+		if !r.OpenFor(a.incarnation) {
+			r.Want(registrar.Open)
+		}
 	}
 }
 
 // mayLeave reports whether an agent that is to end may do so: the next owner does not wait
 // with all older tasks for one whose registration is closed.
-func (a *agent) mayLeave() bool { return !a.writing && (a.keyVersion == 0 || !a.recordOpen) }
+func (a *agent) mayLeave() bool { return a.registration.Closed() }
 
 // unreachable reports whether an agent has been disconnected, or silent, for long enough to close
 // its registration.
@@ -126,14 +136,14 @@
 // if the agent is idle. It waits for the end of an outage of the store: the write would
 // fail, and an agent that returns meanwhile gets no lease under a closed registration.
 func (o *Orchestrator) closeRegistration(a *agent, now time.Time) {
-	if !a.unreachable(now) || !o.confirmedWithin(closedConfirmationTTL) || !a.mayRunAny || a.writing || a.openPending || !a.reconciled || a.hasUnknownRuns || !o.loaded {
+	if !a.unreachable(now) || !o.confirmedWithin(closedConfirmationTTL) || !a.registration.Record().Open || a.registration.Writing() || a.registration.Wanted() != registrar.None || !a.reconciled || a.hasUnknownRuns || !o.loaded {
 		return
 	}
-	a.mayRunAny = false // no start is sent there until its registration is open again
+	// No start is sent there until its registration is open again.
 	if a.idle() {
-		a.removalPending = true
+		a.registration.Want(registrar.Remove)
 	} else {
-		a.closePending = true
+		a.registration.Want(registrar.Close)
 	}
 }
 
@@ -178,7 +188,7 @@
 		if !a.hasUnknownRuns {
 			continue
 		}
-		if a.mayRunAny {
+		if a.registration.Open() {
 			return true, nil
 		}
 		for _, task := range a.recordedTasks {
@@ -190,7 +200,7 @@
 
 // mayHold reports whether an agent, if there is one, may run a task that no other agent may run.
 func (a *agent) mayHold(t *sequencer.Task) bool {
-	return a != nil && a.hasUnknownRuns && (a.mayRunAny || slices.Contains(a.recordedTasks, t.Name()))
+	return a != nil && a.hasUnknownRuns && (a.registration.Open() || slices.Contains(a.recordedTasks, t.Name()))
 }
 
 // startBlocked returns a function that reports whether a task may not be started yet, as an
@@ -227,7 +237,7 @@
 	var last *agent
 	open := 0
 	for _, a := range o.agents {
-		if a.hasUnknownRuns && a.mayRunAny {
+		if a.hasUnknownRuns && a.registration.Open() {
 			open++
 		}
 		if a.hasUnknownRuns && (last == nil || a.leaseExpiresAt.After(last.leaseExpiresAt)) {
@@ -237,5 +247,5 @@
 	all, tasks := o.blockedTasks()
 	o.cfg.Log.Info("tasks of older jobs wait for agents that are not reconciled", zap.Uint64("term", o.cfg.Term), zap.Int("agents", blocking),
 		zap.Int("open_agents", open), zap.Bool("all", all), zap.Int("tasks", len(tasks)), zap.String("last", last.id), zap.Bool("connected", last.link != nil),
-		zap.Bool("open", last.mayRunAny), zap.Duration("lease", last.leaseExpiresAt.Sub(now)))
+		zap.Bool("open", last.registration.Open()), zap.Duration("lease", last.leaseExpiresAt.Sub(now)))
 }
--- a/orchestrator/registration_test.go
+++ b/orchestrator/registration_test.go
@@ -39,14 +39,14 @@
 	c := qt.New(t)
 	h, j, a := newBusyHarness(c)
 	h.disconnect(a, registrationCloseDelay/2)
-	c.Assert(a.closePending, qt.IsFalse, qt.Commentf("it may reconnect"))
+	c.Assert(a.registration.Wanted(), qt.Not(qt.Equals), registrar.Close, qt.Commentf("it may reconnect"))
 	h.disconnect(a, registrationCloseDelay)
 	b := h.commitBatch(50)
 	c.Assert(b.closedAgents, qt.HasLen, 1)
-	c.Assert(a.mayRunAny, qt.IsFalse)
+	c.Assert(a.registration.Open(), qt.IsFalse)
 	reloaded := &agent{id: "a0"}
-	h.o.loadRegistration(reloaded, 50, b.transaction.Writes[0].Value)
-	c.Assert(reloaded.mayRunAny, qt.IsFalse)
+	h.o.loadRegistration(reloaded, storer.Item{Version: 50, Value: b.transaction.Writes[0].Value}, true)
+	c.Assert(reloaded.registration.Open(), qt.IsFalse)
 	c.Assert(reloaded.recordedTasks, qt.HasLen, 3)
 	c.Assert(reloaded.recordedTasks, qt.Contains, j.Task(0, 0, 1).Name())
 }
@@ -64,7 +64,7 @@
 	h := newHarness(c, 1)
 	a := h.o.agents["a0"]
 	h.disconnect(a, 2*registrationCloseDelay)
-	c.Assert(a.removalPending, qt.IsTrue)
+	c.Assert(a.registration.Wanted(), qt.Equals, registrar.Remove)
 }
 
 // An agent must not receive tasks that its registration in the ledger doesn't
@@ -87,7 +87,7 @@
 	name := other.Task(0, 0, 0).Name()
 	c.Assert(h.commands("a0"), qt.Not(qt.Contains), "start "+name)
 	h.commitBatch(60)
-	c.Assert(a.mayRunAny, qt.IsTrue)
+	c.Assert(a.registration.Open(), qt.IsTrue)
 	h.o.place()
 	c.Assert(h.commands("a0"), qt.Contains, "start "+name)
 }
@@ -100,7 +100,7 @@
 	h.disconnect(a, 2*registrationCloseDelay)
 	a.link = link
 	h.reportRunning("a0", 10)
-	c.Assert(a.mayRunAny, qt.IsTrue)
+	c.Assert(a.registration.Open(), qt.IsTrue)
 	c.Assert(h.commitBatch(50).closedAgents, qt.HasLen, 0)
 }
 
@@ -113,7 +113,7 @@
 	lost := h.o.agents["lost"]
 	lost.link = &AgentLink{ID: "lost", Incarnation: "b2", TrySend: func(messenger.Frame) error { return nil }}
 	h.o.handleSnapshot(lost, &messenger.WorkerSnapshot{Term: 1})
-	c.Assert(lost.openPending, qt.IsFalse)
+	c.Assert(lost.registration.Wanted(), qt.Not(qt.Equals), registrar.Open)
 	all, tasks := h.o.blockedTasks()
 	c.Assert(all, qt.IsFalse)
 	c.Assert(tasks["x.0.0.0"], qt.IsTrue)
@@ -255,13 +255,13 @@
 	a := h.o.agents["a0"]
 	link := a.link
 	h.disconnect(a, 2*registrationCloseDelay)
-	c.Assert(a.removalPending, qt.IsTrue)
+	c.Assert(a.registration.Wanted(), qt.Equals, registrar.Remove)
 	a.link = link
 	h.sendSnapshot("a0", &messenger.WorkerSnapshot{})
 	b := h.commitBatch(50)
 	c.Assert(b.removedAgents, qt.HasLen, 0)
 	c.Assert(b.transaction.Deletes, qt.HasLen, 0)
-	c.Assert(a.mayRunAny, qt.IsTrue)
+	c.Assert(a.registration.Open(), qt.IsTrue)
 }
 
 // In an outage of the store a registration can't be written, and its runs would lapse
@@ -296,7 +296,7 @@
 			record = b.transaction.Writes[0].Value
 		}
 	}
-	c.Assert(a.keyVersion, qt.Equals, uint64(50))
+	c.Assert(a.registration.Version(), qt.Equals, uint64(50))
 	next := newHarness(c, 0)
 	next.o.cfg.PreviousOwnerTTL = next.o.cfg.ConfirmationTTL
 	next.o.takeOver(nil, nil, []storer.Item{{Key: registrar.Key("lost"), Value: record, Version: 50}})
@@ -325,7 +325,7 @@
 	lastAck := func() *messenger.SnapshotAck { return h.sent["a0"][len(h.sent["a0"])-1].SnapshotAck }
 	h.sendSnapshot("a0", &messenger.WorkerSnapshot{Leaving: true, SentAt: h.now, Runs: h.runStatuses("a0", messenger.PhaseRunning, 10)})
 	c.Assert(lastAck().AppliedSentAt.IsZero(), qt.IsTrue, qt.Commentf("its registration is open"))
-	c.Assert(a.mayRunAny, qt.IsFalse, qt.Commentf("it accepts no more starts"))
+	c.Assert(a.registration.Open(), qt.IsFalse, qt.Commentf("it accepts no more starts"))
 	b := h.o.nextBatch()
 	c.Assert(b.closedAgents, qt.HasLen, 1)
 	h.sendSnapshot("a0", &messenger.WorkerSnapshot{Leaving: true, SentAt: h.now, Runs: h.runStatuses("a0", messenger.PhaseRunning, 10)})
--- a/orchestrator/renewal.go
+++ b/orchestrator/renewal.go
@@ -38,14 +38,15 @@
 		return
 	}
 	for _, a := range o.agents {
-		if !a.hasUnknownRuns || a.renewalsEndedInTerm == 0 || !o.heededSince(a.renewalsEndedInTerm) {
+		record, version := a.registration.Record(), a.registration.Version()
+		if !a.hasUnknownRuns || record.RenewalsEndedInTerm == 0 || !o.heededSince(record.RenewalsEndedInTerm) {
 			continue
 		}
-		writtenBy, ok := o.cfg.KnownSince(a.keyVersion)
-		if !ok || a.keyVersion <= a.recordEpoch { // a version that is not above that of the claim is cut short
+		writtenBy, ok := o.cfg.KnownSince(version)
+		if !ok || version <= record.Epoch { // a version that is not above that of the claim is cut short
 			continue
 		}
-		earlierUntil := writtenBy.Add(estimator.MaxLocalElapsed(a.recordEarlier))
+		earlierUntil := writtenBy.Add(estimator.MaxLocalElapsed(time.Duration(record.EarlierMs) * time.Millisecond))
 		if known := o.cfg.UnrosteredUntil; !known.IsZero() && known.Before(earlierUntil) {
 			earlierUntil = known // no owner before the last one acts after that
 		}
--- a/orchestrator/renewal_takeover_test.go
+++ b/orchestrator/renewal_takeover_test.go
@@ -123,7 +123,7 @@
 			h.o.cfg.KnownSince = func(version uint64) (time.Time, bool) { return claimed.Add(known), version == 30 }
 			a := h.takeOverFrom(registrar.Registration{RenewalsEndedInTerm: 4, Epoch: tt.epoch}, 4, roster{})
 			c.Assert(a.leaseExpiresAt.Sub(claimed), qt.Equals, tt.until+h.o.maxLeaseElapsed())
-			c.Assert(a.renewalsEnded, qt.IsTrue, qt.Commentf("it is heeded all the same"))
+			c.Assert(a.registration.RenewalsEnded(), qt.IsTrue, qt.Commentf("it is heeded all the same"))
 		})
 	}
 }
--- a/orchestrator/renewal_test.go
+++ b/orchestrator/renewal_test.go
@@ -82,21 +82,15 @@
 	c.Assert(h.lastRenewal("a0").Equal(last), qt.IsTrue)
 }
 
-// A write of unknown outcome, and one that meets another record, may have taken effect.
+// A write that was refused, though each key has the version that it expects, may still take effect.
 func TestALeaseIsNotRenewedAfterAConflictOfItsLastRecord(t *testing.T) {
-	for name, tt := range map[string]struct {
-		version uint64
-		stored  registrar.Registration
-	}{
-		"unchanged": {1, registrar.Registration{Open: true, Incarnation: "b"}},
-		"closed":    {7, registrar.Registration{HeldTasks: []string{"0000000000000001.0.0.0"}, Incarnation: "b"}},
-	} {
+	for name, incarnation := range map[string]string{"next process": "b2", "same process": "b"} {
 		t.Run(name, func(t *testing.T) {
 			c := qt.New(t)
 			h, _, a := newBusyHarness(c)
 			last := h.report("a0", messenger.WorkerSnapshot{Leaving: true})
-			h.conflict("a0", tt.version, tt.stored)
-			a.incarnation, a.leaving = "b2", false
+			h.conflict("a0", 1, registrar.Registration{Open: true, Incarnation: "b"})
+			a.incarnation, a.leaving = incarnation, false
 			c.Assert(h.report("a0", messenger.WorkerSnapshot{}).Equal(last), qt.IsTrue)
 			h.commitBatch(50)
 			c.Assert(h.report("a0", messenger.WorkerSnapshot{}).Equal(h.now), qt.IsTrue)
@@ -104,6 +98,21 @@
 	}
 }
 
+// A write that met a record which the agent had closed itself can never take effect. Its lease was not
+// renewed before the next write, though the ledger does not say that it has ended.
+func TestALeaseIsRenewedOnceAWriteThatEndsItCanTakeNoEffect(t *testing.T) {
+	c := qt.New(t)
+	h, _, a := newBusyHarness(c)
+	h.report("a0", messenger.WorkerSnapshot{Leaving: true})
+	h.conflict("a0", 7, registrar.Registration{HeldTasks: []string{"0000000000000001.0.0.0"}, Incarnation: "b"})
+	a.incarnation, a.leaving = "b2", false
+	c.Assert(h.report("a0", messenger.WorkerSnapshot{}).Equal(h.now), qt.IsTrue)
+	h.o.place()
+	c.Assert(h.commands("a0"), qt.HasLen, 3, qt.Commentf("the starts of before: it gets none until it is registered"))
+	h.commitBatch(50)
+	c.Assert(h.report("a0", messenger.WorkerSnapshot{}).Equal(h.now), qt.IsTrue)
+}
+
 // The runs of a worker that drains would lapse, as its registration isn't opened again.
 func TestTheNextProcessOnADrainingWorkerIsRenewedOnceItIsRegistered(t *testing.T) {
 	c := qt.New(t)
--- a/orchestrator/snapshot.go
+++ b/orchestrator/snapshot.go
@@ -68,7 +68,7 @@
 		} else {
 			a.leaseExpiresAt = later(a.leaseExpiresAt, expiresAt)
 		}
-	} else if a.renewalsEnded && a.lastRenewal.worker == snapshot.WorkerIncarnation && !a.lastRenewal.sentAt.After(snapshot.SentAt) {
+	} else if a.registration.RenewalsEnded() && a.lastRenewal.worker == snapshot.WorkerIncarnation && !a.lastRenewal.sentAt.After(snapshot.SentAt) {
 		ack.EchoSentAt = a.lastRenewal.sentAt // which may not have arrived
 	}
 	a.ackedEnd = a.durableEnd
--- a/orchestrator/takeover_test.go
+++ b/orchestrator/takeover_test.go
@@ -72,11 +72,11 @@
 func TestNothingStartsAtAnUnregisteredAgent(t *testing.T) {
 	c := qt.New(t)
 	h := newHarness(c, 1)
-	h.o.agents["a0"].mayRunAny = false
+	h.o.agents["a0"].registration.Want(registrar.Close)
 	h.submit(sequencer.Spec{Steps: []sequencer.Step{step(1, 10)}})
 	h.o.place()
 	c.Assert(h.commands("a0"), qt.HasLen, 0)
-	h.o.agents["a0"].mayRunAny = true
+	h.o.agents["a0"].registration.Want(registrar.None)
 	h.o.place()
 	c.Assert(h.commands("a0"), qt.HasLen, 1)
 }
@@ -95,21 +95,21 @@
 	}
 	a := h.o.agents[id]
 	h.sendSnapshot(id, &messenger.WorkerSnapshot{Draining: true, Runs: h.runStatuses(id, messenger.PhaseRunning, 10)})
-	c.Assert(a.removalPending, qt.IsFalse, qt.Commentf("a task runs there"))
-	c.Assert(a.closePending, qt.IsTrue, qt.Commentf("it accepts no more starts"))
+	c.Assert(a.registration.Wanted(), qt.Not(qt.Equals), registrar.Remove, qt.Commentf("a task runs there"))
+	c.Assert(a.registration.Wanted(), qt.Equals, registrar.Close, qt.Commentf("it accepts no more starts"))
 	h.sendSnapshot(id, &messenger.WorkerSnapshot{Draining: true, RunEnds: []messenger.RunEnd{{Seq: 1, Task: name, Attempt: j.Task(0, 0, 0).Attempt, Status: messenger.EndDone}}})
-	c.Assert(a.removalPending, qt.IsFalse, qt.Commentf("its end is not in the ledger"))
+	c.Assert(a.registration.Wanted(), qt.Not(qt.Equals), registrar.Remove, qt.Commentf("its end is not in the ledger"))
 	j.durableRevision = j.revision
 	h.sendSnapshot(id, &messenger.WorkerSnapshot{Draining: true})
-	c.Assert(a.removalPending, qt.IsTrue)
+	c.Assert(a.registration.Wanted(), qt.Equals, registrar.Remove)
 	b := h.o.nextBatch()
 	c.Assert(b.removedAgents, qt.HasLen, 1)
 	c.Assert(b.closedAgents, qt.HasLen, 0)
-	a.writing = false
+	a.registration.Set(0, registrar.Registration{})
 	h.sendSnapshot(id, &messenger.WorkerSnapshot{Draining: true})
-	c.Assert(a.openPending, qt.IsFalse, qt.Commentf("the registration would be removed again"))
+	c.Assert(a.registration.Wanted(), qt.Not(qt.Equals), registrar.Open, qt.Commentf("the registration would be removed again"))
 	h.sendSnapshot(id, &messenger.WorkerSnapshot{})
-	c.Assert(a.openPending, qt.IsTrue, qt.Commentf("a new incarnation of its worker starts"))
+	c.Assert(a.registration.Wanted(), qt.Equals, registrar.Open, qt.Commentf("a new incarnation of its worker starts"))
 }
 
 // An owner that waited for a lost agent stopped runs on draining workers, although it
--- a/orchestrator/unavailability.go
+++ b/orchestrator/unavailability.go
@@ -27,7 +27,7 @@
 		return disconnected
 	case snapshot.Draining:
 		return draining
-	case !a.mayRunAny || !a.startsRegistered() || !a.reconciled:
+	case !a.registration.OpenFor(a.incarnation) || !a.reconciled:
 		return unregistered
 	case !snapshot.MayStart:
 		return leaseless
--- a/orchestrator/wait_report_test.go
+++ b/orchestrator/wait_report_test.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap/zaptest/observer"
 
 	"github.com/endivefall/endivefall/messenger"
+	"github.com/endivefall/endivefall/registrar"
 	"github.com/endivefall/endivefall/sequencer"
 )
 
@@ -27,7 +28,7 @@
 		"no lease":   {func(h *harness, _ *sequencer.Step) { h.o.agents["a0"].snapshot.MayStart = false }, map[string]int64{"leaseless": 1}},
 		"no agent":   {func(h *harness, _ *sequencer.Step) { h.o.agents["a0"].link = nil }, map[string]int64{"disconnected": 1}},
 		"no workers": {func(h *harness, _ *sequencer.Step) { h.o.agents["a0"].link, h.o.agents["a1"].link = nil, nil }, map[string]int64{"disconnected": 2, "lack_cpu": 0}},
-		"closed":     {func(h *harness, _ *sequencer.Step) { h.o.agents["a0"].mayRunAny = false }, map[string]int64{"unregistered": 1}},
+		"closed":     {func(h *harness, _ *sequencer.Step) { h.o.agents["a0"].registration.Want(registrar.Close) }, map[string]int64{"unregistered": 1}},
 		"excluded":   {func(h *harness, _ *sequencer.Step) { h.o.agents["a0"].health.excludedUntil = h.now.Add(time.Hour) }, map[string]int64{"excluded": 1}},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/orchestrator/waiting.go
+++ b/orchestrator/waiting.go
@@ -41,7 +41,7 @@
 	for _, a := range o.agents {
 		switch {
 		case !a.hasUnknownRuns:
-		case a.mayRunAny:
+		case a.registration.Open():
 			all = later(all, a.unblocksAt())
 		default:
 			for _, task := range a.recordedTasks {
--- a/orchestrator/waiting_test.go
+++ b/orchestrator/waiting_test.go
@@ -164,7 +164,7 @@
 	for name, change := range map[string]func(h *harness, j *job){
 		"shown at work": func(h *harness, j *job) {
 			lost := h.connectAgent("lost")
-			lost.mayRunAny = false // its registration is open, but it takes no starts
+			lost.registration.Want(registrar.Close) // its registration is open, but it takes no starts
 			h.sendSnapshot("lost", &messenger.WorkerSnapshot{Current: true, Runs: []messenger.RunStatus{{Task: j.Task(0, 0, 0).Name(), Attempt: 1, Phase: messenger.PhaseRunning, PacePercent: 100}}})
 		},
 		"blocked for longer": func(h *harness, _ *job) {
--- a/orchestrator/watch.go
+++ b/orchestrator/watch.go
@@ -115,12 +115,11 @@
 	for _, item := range agents {
 		id := strings.TrimPrefix(item.Key, registrar.Prefix)
 		a := o.agent(id)
-		o.loadRegistration(a, item.Version, item.Value)
+		o.loadRegistration(a, item, true)
 		a.hasUnknownRuns = !a.reconciled
 		// An earlier owner may have renewed its lease until the confirmation of its
 		// own ownership expired.
 		a.leaseExpiresAt = later(a.leaseExpiresAt, o.renewedUntil(a).Add(o.maxLeaseElapsed()))
-		a.renewalsEnded = a.renewalsEndedInTerm != 0
 	}
 	o.handleInputs(inputs) // for the cancellations
 	o.loaded, o.planDue = true, true
--- a/orchestrator/write.go
+++ b/orchestrator/write.go
@@ -36,6 +36,11 @@
 // keyCount returns the number of keys that the batch writes or deletes.
 func (b *batch) keyCount() int { return len(b.transaction.Writes) + len(b.transaction.Deletes) }
 
+// agents returns the agents whose registrations the batch changes.
+func (b *batch) agents() []*agent {
+	return slices.Concat(b.openedAgents, b.closedAgents, b.removedAgents)
+}
+
 // jobWrite is a version of a job's progress in a batch.
 type jobWrite struct {
 	job      *job
@@ -61,7 +66,7 @@
 		return true
 	}
 	for _, a := range o.agents {
-		if a.openPending || a.closePending || a.removalPending {
+		if a.registration.Wanted() != registrar.None {
 			return true
 		}
 	}
@@ -94,28 +99,29 @@
 		add(rosterKey, o.rosterVersion, value)
 	}
 	for _, a := range o.agents {
-		if a.openPending && b.keyCount() < maxBatchKeys {
-			a.openPending, a.writing, a.writingIncarnation = false, true, a.incarnation
-			b.openedAgents = append(b.openedAgents, a)
-			add(registrar.Key(a.id), a.keyVersion, registrar.Registration{Open: true, Incarnation: a.incarnation}.Encode())
+		if b.keyCount() == maxBatchKeys {
+			break
 		}
-		if a.closePending && b.keyCount() < maxBatchKeys {
-			a.closePending, a.writing, a.writingIncarnation = false, true, a.incarnation
-			r := o.closedRegistration(a)
-			a.renewalBounded = r.Bounded
-			a.writingEndsRenewals = r.RenewalsEndedInTerm != 0
-			a.renewalsEnded = a.renewalsEnded || a.writingEndsRenewals
+		r := registrar.Registration{}
+		switch a.registration.Wanted() {
+		case registrar.Open:
+			r = registrar.Registration{Open: true, Incarnation: a.incarnation}
+			b.openedAgents = append(b.openedAgents, a)
+		case registrar.Close:
+			r = o.closedRegistration(a)
 			b.closedAgents = append(b.closedAgents, a)
-			add(registrar.Key(a.id), a.keyVersion, r.Encode())
+		default:
+			continue // removals go last, as starts and leases wait for the others
 		}
+		a.registration.Send(r)
+		add(registrar.Key(a.id), a.registration.Version(), r.Encode())
 	}
 	for _, a := range o.agents {
-		if a.removalPending && b.keyCount() < maxBatchKeys {
-			a.removalPending, a.writing = false, true
+		if a.registration.Wanted() == registrar.Remove && b.keyCount() < maxBatchKeys {
+			a.registration.Send(registrar.Registration{})
 			b.removedAgents = append(b.removedAgents, a)
-			b.transaction.Checks = append(b.transaction.Checks, storer.Check{Key: registrar.Key(a.id), Version: a.keyVersion})
+			b.transaction.Checks = append(b.transaction.Checks, storer.Check{Key: registrar.Key(a.id), Version: a.registration.Version()})
 			b.transaction.Deletes = append(b.transaction.Deletes, registrar.Key(a.id))
-			a.keyVersion, a.mayRunAny, a.recordOpen = 0, false, false // from now on no command and no lease renewal is sent there
 		}
 	}
 	o.putGrantsFirst()
@@ -176,13 +182,13 @@
 	if err != nil {
 		if !errors.Is(err, context.Canceled) {
 			o.cfg.Log.Error("ledger rejected a write", zap.Int("keys", b.keyCount()), zap.Error(err))
-			o.resolveConflict(b, &storer.ConflictError{})
+			o.handleRejection(b)
 		}
 		return
 	}
 	o.handleRosterWritten(b, version)
 	for _, a := range b.openedAgents {
-		a.keyVersion, a.writing, a.mayRunAny, a.recordOpen, a.recordIncarnation, a.renewalsEnded = version, false, true, true, a.writingIncarnation, false
+		a.registration.Committed(version)
 		o.planDue = true
 		o.cfg.Log.Info("agent registered", zap.String("agent", a.id))
 		if a.snapshot != nil {
@@ -190,12 +196,12 @@
 		}
 	}
 	for _, a := range b.closedAgents {
-		a.keyVersion, a.writing, a.recordOpen, a.recordIncarnation, a.renewalsEnded = version, false, false, a.writingIncarnation, a.writingEndsRenewals
+		a.registration.Committed(version)
 		o.cfg.Log.Info("agent registration closed", zap.String("agent", a.id), zap.Int("runs", len(a.runs)), zap.Int("ends", len(a.pendingEnds)))
 		o.letLeave(a)
 	}
 	for _, a := range b.removedAgents {
-		a.writing = false
+		a.registration.Committed(version)
 		o.cfg.Log.Info("agent registration removed", zap.String("agent", a.id))
 		o.letLeave(a)
 		if a.link == nil {
@@ -230,19 +236,38 @@
 	}
 }
 
-// resolveConflict adopts the state in the ledger of the keys that were in conflict,
-// and queues the progress of the jobs again; the next snapshot or tick updates the
-// registration of an agent. A conflict means that the reply to an earlier write was lost, or
-// that an agent has closed its own registration as it ended.
+// resolveConflict adopts the state in the ledger of the keys of a batch that was refused. A conflict
+// means that the reply to an earlier attempt was lost, or that an agent has closed its own
+// registration as it ended. The next snapshot or tick updates the registration of an
+// agent.
 func (o *Orchestrator) resolveConflict(b *batch, conflict *storer.ConflictError) {
-	for _, a := range slices.Concat(b.openedAgents, b.closedAgents, b.removedAgents) {
-		a.writing, a.mayRunAny, a.recordOpen, a.recordIncarnation, a.keyVersion = false, false, false, "", 0
-		if item := conflict.Item(registrar.Key(a.id)); item.Version != 0 {
-			o.loadRegistration(a, item.Version, item.Value)
-		}
+	final := conflict.Final(b.transaction)
+	for _, a := range b.agents() {
+		o.loadRegistration(a, conflict.Item(registrar.Key(a.id)), final)
 	}
+	o.cfg.Log.Info("ledger versions differ", zap.Int("jobs", len(b.jobs)), zap.Int("agents", len(b.agents())), zap.Bool("final", final))
 	if b.hasRoster {
-		o.rosterVersion, o.rosterDueAt = conflict.Item(rosterKey).Version, o.cfg.Now().Add(rosterInterval)
+		o.rosterVersion = conflict.Item(rosterKey).Version
+	}
+	for _, write := range b.jobs {
+		write.job.ProgressVersion = conflict.Item(ProgressKey(write.job.Spec.ID)).Version
+	}
+	o.writeAgain(b)
+}
+
+// handleRejection keeps what was last known of the keys of a batch that the ledger rejected, though an
+// earlier attempt without a reply may take effect: the next write meets it then.
+func (o *Orchestrator) handleRejection(b *batch) {
+	for _, a := range b.agents() {
+		a.registration.SetInDoubt(a.registration.Version(), a.registration.Record())
+	}
+	o.writeAgain(b)
+}
+
+// writeAgain queues the roster and the progress of a batch that did not take effect.
+func (o *Orchestrator) writeAgain(b *batch) {
+	if b.hasRoster {
+		o.rosterDueAt = o.cfg.Now().Add(rosterInterval)
 	}
 	for _, write := range b.jobs {
 		write.job.endWriting = false
@@ -250,10 +275,8 @@
 			write.job.cancelWaiting = false
 			o.cancelJob(write.job.Spec.ID)
 		}
-		write.job.ProgressVersion = conflict.Item(ProgressKey(write.job.Spec.ID)).Version
 		o.markDirty(write.job)
 	}
-	o.cfg.Log.Info("ledger versions differ; writing again", zap.Int("jobs", len(b.jobs)), zap.Int("agents", len(b.openedAgents)+len(b.closedAgents)+len(b.removedAgents)))
 }
 
 // deleteExpiredJobs deletes jobs that ended longer than JobRetention ago.
--- a/orchestrator/write_test.go
+++ b/orchestrator/write_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/endivefall/endivefall/faker"
 	"github.com/endivefall/endivefall/messenger"
+	"github.com/endivefall/endivefall/registrar"
 	"github.com/endivefall/endivefall/sequencer"
 	"github.com/endivefall/endivefall/storer"
 )
@@ -56,12 +57,13 @@
 	}
 	h.connectAgent("a0")
 	a := h.o.agents["a0"]
-	a.keyVersion, a.mayRunAny, a.openPending = 0, false, true
+	a.registration.Set(0, registrar.Registration{})
+	a.registration.Want(registrar.Open)
 	b := h.o.nextBatch()
 	version, err := h.o.commit(context.Background(), &b.transaction)
 	h.o.handleCommit(b, version, err)
 	c.Assert(claimedAt.IsZero(), qt.IsFalse)
-	c.Assert(a.mayRunAny, qt.IsFalse)
+	c.Assert(a.registration.Open(), qt.IsFalse)
 	c.Assert(h.o.stopReason, qt.ErrorIs, ErrOwnershipLost)
 }
 
--- a/registrar/registration.go
+++ b/registrar/registration.go
@@ -59,7 +59,7 @@
 	if err := cbor.Unmarshal(raw, &r); err != nil {
 		return Registration{Open: true}, fmt.Errorf("decoding a registration: %w", err)
 	}
-	if r.EarlierMs < 0 || r.EarlierMs > maxEarlierMs || r.Epoch < r.RenewalsEndedInTerm { // no term is above its version
+	if r.Open || r.EarlierMs < 0 || r.EarlierMs > maxEarlierMs || r.Epoch < r.RenewalsEndedInTerm { // no term is above its version
 		r.RenewalsEndedInTerm, r.EarlierMs, r.Epoch = 0, 0, 0
 	}
 	return r, nil
--- a/storer/store.go
+++ b/storer/store.go
@@ -91,6 +91,15 @@
 	return len(change.Writes)+len(change.Deletes) > 0
 }
 
+// Final reports whether no attempt of the change can take effect any more, however late it
+// arrives: a key that the change expects at a version has another one, and versions never come back. A
+// key that must not exist may be deleted again.
+func (c *ConflictError) Final(change Transaction) bool {
+	return slices.ContainsFunc(change.Checks, func(check Check) bool {
+		return check.Version != 0 && c.Item(check.Key).Version != check.Version
+	})
+}
+
 // AppliedVersion returns the version that a change which has already been applied got.
 func (c *ConflictError) AppliedVersion(change Transaction) uint64 {
 	version := uint64(0)
