orchestrator: Keep an end that an earlier attempt has written

A caller that had been shown a job as complete could be shown it as canceled later.

The conflict was taken for a write without effect: only the versions of the keys were adopted, so that a cancellation that had waited for the outcome replaced the end that was durable already.

Change: the owner alone writes progress and the roster. If one of these keys has the value of the batch at a version that the batch does not expect, an earlier attempt has taken effect, and all of the batch with it; its progress is then handled as written.

TestAnEndThatAnEarlierAttemptHasWrittenOutlivesAConflict failed before: the state was "canceled".

--- a/orchestrator/conflict_test.go
+++ b/orchestrator/conflict_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
@@ -67,3 +68,36 @@
 	h.assertRenewed("a0")
 	h.assertRenewed("a1")
 }
+
+// The end of a job was durable, without a reply, when an agent closed its registration. The conflict of the next
+// attempt let a cancellation that came meanwhile replace the end, which callers may have been shown.
+func TestAnEndThatAnEarlierAttemptHasWrittenOutlivesAConflict(t *testing.T) {
+	c := qt.New(t)
+	h := newHarness(c, 2)
+	j := h.submit(sequencer.Spec{Steps: []sequencer.Step{step(1, 10)}})
+	h.o.place()
+	runner := "a0"
+	if len(h.o.agents["a1"].runs) > 0 {
+		runner = "a1"
+	}
+	h.reportRunning(runner, 10)
+	task := j.Task(0, 0, 0)
+	h.reportEnd(runner, 1, task.Name(), task.Attempt, messenger.EndDone)
+	h.disconnect(h.o.agents["a0"], 2*registrationCloseDelay)
+	b := h.o.nextBatch()
+	h.cancel(j)
+	items := []storer.Item{{Key: h.o.cfg.OwnerKey, Version: h.o.cfg.Epoch}}
+	for _, w := range b.transaction.Writes {
+		item := storer.Item{Key: w.Key, Value: w.Value, Version: 40}
+		if w.Key == registrar.Key("a0") {
+			item.Value, item.Version = registrar.Registration{Incarnation: "b"}.Encode(), 41
+		}
+		items = append(items, item)
+	}
+	h.o.handleCommit(b, 0, &storer.ConflictError{Items: items})
+	c.Assert(j.State(), qt.Equals, sequencer.Complete)
+	c.Assert(j.DurableState, qt.Equals, sequencer.Complete)
+	c.Assert(j.ProgressVersion, qt.Equals, uint64(40))
+	h.now = h.now.Add(time.Second)
+	c.Assert(h.o.dirtyJobs, qt.HasLen, 0)
+}
--- a/orchestrator/write.go
+++ b/orchestrator/write.go
@@ -1,9 +1,11 @@
 package orchestrator
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"slices"
+	"strings"
 	"time"
 
 	"go.uber.org/zap"
@@ -41,6 +43,19 @@
 	return slices.Concat(b.openedAgents, b.closedAgents, b.removedAgents)
 }
 
+// appliedVersion returns the version of the batch if the state that refuses it shows that an earlier
+// attempt has taken effect.
+func (b *batch) appliedVersion(conflict *storer.ConflictError) (uint64, bool) {
+	for _, w := range b.transaction.Writes {
+		item := conflict.Item(w.Key)
+		owners := w.Key == rosterKey || strings.HasPrefix(w.Key, progressPrefix) // nobody else writes these
+		if owners && bytes.Equal(item.Value, w.Value) && !slices.Contains(b.transaction.Checks, storer.Check{Key: w.Key, Version: item.Version}) {
+			return item.Version, true
+		}
+	}
+	return 0, false
+}
+
 // jobWrite is a version of a job's progress in a batch.
 type jobWrite struct {
 	job      *job
@@ -208,6 +223,15 @@
 			delete(o.agents, a.id)
 		}
 	}
+	o.handleProgressWritten(b, version)
+	for _, j := range b.deletedJobs {
+		delete(o.jobs, j.Spec.ID)
+		o.forgetLoads(j)
+	}
+}
+
+// handleProgressWritten processes that the progress of jobs is in the ledger.
+func (o *Orchestrator) handleProgressWritten(b *batch, version uint64) {
 	now := o.cfg.Now()
 	for _, write := range b.jobs {
 		write.job.endWriting, write.job.cancelWaiting = false, false
@@ -222,10 +246,6 @@
 			o.cfg.Count("job_" + string(write.state))
 		}
 	}
-	for _, j := range b.deletedJobs {
-		delete(o.jobs, j.Spec.ID)
-		o.forgetLoads(j)
-	}
 	o.ackDurableEnds()
 }
 
@@ -238,14 +258,21 @@
 
 // resolveConflict adopts the state in the ledger of the keys of a batch that was refused. A conflict
 // means that the reply to an earlier attempt was lost, or that an agent has closed its own
-// registration as it ended. The next snapshot or tick updates the registration of an
+// registration as it ended. Where an earlier attempt has taken effect, only registrations may have changed
+// since: the owner alone writes the other keys. The next snapshot or tick updates the registration of an
 // agent.
 func (o *Orchestrator) resolveConflict(b *batch, conflict *storer.ConflictError) {
 	final := conflict.Final(b.transaction)
 	for _, a := range b.agents() {
 		o.loadRegistration(a, conflict.Item(registrar.Key(a.id)), final)
 	}
-	o.cfg.Log.Info("ledger versions differ", zap.Int("jobs", len(b.jobs)), zap.Int("agents", len(b.agents())), zap.Bool("final", final))
+	version, applied := b.appliedVersion(conflict)
+	o.cfg.Log.Info("ledger versions differ", zap.Int("jobs", len(b.jobs)), zap.Int("agents", len(b.agents())), zap.Bool("final", final), zap.Bool("applied", applied))
+	if applied {
+		o.handleRosterWritten(b, version)
+		o.handleProgressWritten(b, version)
+		return
+	}
 	if b.hasRoster {
 		o.rosterVersion = conflict.Item(rosterKey).Version
 	}
