orchestrator: Write a refused grant again at once

A long-running task waited up to 150 ms longer, and behind other progress, if the write of its grant was refused.

Change: a batch that did not take effect marks the jobs that have runs without a durable grant again.

TestARefusedGrantIsWrittenAgainAtOnce failed before: no write was due.

--- a/orchestrator/conflict_test.go
+++ b/orchestrator/conflict_test.go
@@ -101,3 +101,14 @@
 	h.now = h.now.Add(time.Second)
 	c.Assert(h.o.dirtyJobs, qt.HasLen, 0)
 }
+
+// The start of a task that had been granted waited for other progress to be collected once the write of the
+// grant had been refused.
+func TestARefusedGrantIsWrittenAgainAtOnce(t *testing.T) {
+	c := qt.New(t)
+	h, j := newGrantHarness(c, 1)
+	h.o.place()
+	h.conflict("a0", 1, registrar.Registration{Open: true, Incarnation: "b"})
+	c.Assert(h.o.writeDue(), qt.IsTrue)
+	c.Assert(j.grantDue, qt.IsTrue)
+}
--- a/orchestrator/write.go
+++ b/orchestrator/write.go
@@ -303,6 +303,11 @@
 			o.cancelJob(write.job.Spec.ID)
 		}
 		o.markDirty(write.job)
+		for _, r := range write.job.liveRuns {
+			if o.granting[r] { // its start waits for the write
+				write.job.grantDue, o.progressDue = true, o.cfg.Now()
+			}
+		}
 	}
 }
 
