orchestrator: Start tasks where their queue is sent now

Cause: the service was copied into the job as it was accepted, and the owner placed, claimed, moved and counted by that copy; nothing read the routes that are in force. The policy of the queue was copied, too.

Change: where a job's tasks may start is its queue's business, by the configuration in force at the owner's entry, with the version that it comes from. A later version goes before an earlier one, whoever the owner is: the job's progress keeps the placement that differs from that of its acceptance. A queue whose route is gone keeps the last one. What runs goes on; a grant in flight is dropped, and claims of room end, at workers that are none of the queue's any more. All other terms of a job stay those of its acceptance.

--- a/acceptor/queue.go
+++ b/acceptor/queue.go
@@ -24,15 +24,17 @@
 	Version uint64
 	// MaxBodyBytes bounds the body of a submission; 0 for no limit.
 	MaxBodyBytes int64
-	// byHost holds the queues of each host, the longest prefix first.
+	// byHost holds the queues of each host, the longest prefix first; byName has them all.
 	byHost map[string][]Queue
+	byName map[string]Queue
 }
 
 // NewQueues returns a configuration of the queues in list.
 func NewQueues(version uint64, maxBodyBytes int64, list []Queue) *Queues {
-	q := &Queues{Version: version, MaxBodyBytes: maxBodyBytes, byHost: map[string][]Queue{}}
+	q := &Queues{Version: version, MaxBodyBytes: maxBodyBytes, byHost: map[string][]Queue{}, byName: map[string]Queue{}}
 	for _, queue := range list {
 		queue.Host = strings.ToLower(queue.Host)
+		q.byName[queue.Name] = queue
 		hostQueues := q.byHost[queue.Host]
 		n := 0
 		for n < len(hostQueues) && len(hostQueues[n].Prefix) >= len(queue.Prefix) {
@@ -58,3 +60,9 @@
 	}
 	return Queue{}, "", false
 }
+
+// Named returns the queue with a name.
+func (q *Queues) Named(name string) (Queue, bool) {
+	queue, ok := q.byName[name]
+	return queue, ok
+}
--- a/coordinator/ownership.go
+++ b/coordinator/ownership.go
@@ -8,6 +8,7 @@
 	"github.com/endivefall/endivefall/connector"
 	"github.com/endivefall/endivefall/elector"
 	"github.com/endivefall/endivefall/orchestrator"
+	"github.com/endivefall/endivefall/sequencer"
 	"github.com/endivefall/endivefall/waiter"
 )
 
@@ -45,6 +46,7 @@
 	o := orchestrator.New(orchestrator.Config{
 		Term: record.Term, Epoch: epoch, OwnerKey: elector.OwnerKey, ClaimedAt: claimedAt, ClaimSentAt: c.elector.ClaimSentAt(), Store: c.Store(), Now: c.cfg.Now, WallClock: c.cfg.WallClock,
 		LeaseDuration: RunLease(c.cfg.MaxWorkerLease), JobRetention: c.cfg.JobRetention, QueryPolicy: c.cfg.QueryPolicy,
+		ConfigVersion: c.configVersion, Placement: c.placement,
 		UnextendedTTL: elector.UnextendedTTL, ConfirmationTTL: elector.ConfirmationTTL, ConfirmationExtended: c.elector.ConfirmationExtended,
 		ExtendedForAnyAgent: c.elector.ExtendedForAnyAgent,
 		PreviousOwnerTTL:    previousOwnerTTL, EarlierConfirmedBy: earlierConfirmedBy, EarlierOwnersUntil: earlierOwnersUntil, KnownSince: c.chronicler.KnownSince,
@@ -128,3 +130,22 @@
 	defer c.mu.Unlock()
 	return c.orchestrator
 }
+
+// configVersion returns the version of the configuration in force at this entry, or 0.
+func (c *Coordinator) configVersion() uint64 {
+	if queues := c.Acceptor.Queues(); queues != nil {
+		return queues.Version
+	}
+	return 0
+}
+
+// placement returns where the configuration in force at this entry lets the tasks of a job start, and
+// false if it has no queue for the job.
+func (c *Coordinator) placement(spec *sequencer.Spec) (sequencer.Placement, bool) {
+	queues := c.Acceptor.Queues()
+	if queues == nil {
+		return sequencer.Placement{}, false
+	}
+	q, ok := queues.Named(spec.Queue)
+	return sequencer.Placement{Pool: q.Pool, PolicyRestricted: q.PolicyRestricted, Version: queues.Version}, ok
+}
--- a/faker/pool.go
+++ b/faker/pool.go
@@ -1,6 +1,7 @@
 package faker
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 	"sync"
@@ -50,6 +51,8 @@
 	MaxLease time.Duration
 
 	mu sync.Mutex
+	// pool is the worker's pool, "pool" if it is empty.
+	pool string
 	// id is the worker's ID, empty while it is down. startedAt is when it was started,
 	// starts how often; mu guards them.
 	id             string
@@ -133,12 +136,19 @@
 	w.endedAttempts = map[string]uint64{}
 }
 
+// SetPool changes the pool of the worker.
+func (w *PoolWorker) SetPool(pool string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.pool = pool
+}
+
 // Heartbeat returns the worker's heartbeat; its WorkerID is empty while it is down.
 func (w *PoolWorker) Heartbeat(seq uint64) supervisor.Heartbeat {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	return supervisor.Heartbeat{
-		WorkerID: w.id, StartedAt: w.startedAt, Seq: seq, Pool: "pool", Clock: w.clock(), CPU: w.CPU, Memory: w.Memory, Labels: []string{"a", "rack"},
+		WorkerID: w.id, StartedAt: w.startedAt, Seq: seq, Pool: cmp.Or(w.pool, "pool"), Clock: w.clock(), CPU: w.CPU, Memory: w.Memory, Labels: []string{"a", "rack"},
 	}
 }
 
--- a/orchestrator/claim.go
+++ b/orchestrator/claim.go
@@ -60,7 +60,7 @@
 	unmet := map[string]*apportioner.Unmet{}
 	for _, s := range list {
 		t, name := s.task, s.task.StepName()
-		granted := o.grantedCandidates(s.job, name, byPool[s.job.Spec.Pool], agents, now)
+		granted := o.grantedCandidates(s.job, name, byPool[s.job.Placement.Pool], agents, now)
 		claimed := o.claimedCandidate(t, granted)
 		if claimed == nil || isSuspect(t) {
 			delete(o.claims, t)
@@ -74,7 +74,7 @@
 			candidate = o.pickUnlessUnmet(s, granted, unmet, now)
 		}
 		if candidate != nil && candidate != claimed && !s.moved {
-			pool := s.job.Spec.Pool
+			pool := s.job.Placement.Pool
 			if spent[pool] = spent[pool] || !o.shareOf(pool).Allows(t.StepSpec(), now); spent[pool] {
 				candidate = nil
 			}
@@ -84,7 +84,7 @@
 			if o.startTask(t, s.job, agents[candidate.ID]) {
 				o.reserve(candidate, t)
 				if !s.moved {
-					o.shareOf(s.job.Spec.Pool).AddFirst(t.StepSpec(), now)
+					o.shareOf(s.job.Placement.Pool).AddFirst(t.StepSpec(), now)
 				}
 			} else {
 				delete(o.claims, t)
@@ -109,7 +109,7 @@
 // releaseClaims releases the claimed room on the candidates, but for what runs were stopped for.
 func (o *Orchestrator) releaseClaims(byPool map[string][]*allocator.Candidate) {
 	for t, cl := range o.claims {
-		if candidate := o.claimedCandidate(t, byPool[cl.job.Spec.Pool]); candidate != nil && !cl.promised() {
+		if candidate := o.claimedCandidate(t, byPool[cl.job.Placement.Pool]); candidate != nil && !cl.promised() {
 			candidate.Release(t.StepSpec(), t.StepName())
 		}
 	}
@@ -118,7 +118,7 @@
 // reserveMoves reserves the room that releaseClaims released of tasks that have a run.
 func (o *Orchestrator) reserveMoves(byPool map[string][]*allocator.Candidate) {
 	for t, cl := range o.claims {
-		if candidate := o.claimedCandidate(t, byPool[cl.job.Spec.Pool]); candidate != nil && cl.runs && !cl.promised() {
+		if candidate := o.claimedCandidate(t, byPool[cl.job.Placement.Pool]); candidate != nil && cl.runs && !cl.promised() {
 			candidate.Reserve(t.StepSpec(), t.StepName())
 		}
 	}
@@ -127,7 +127,7 @@
 // pickUnlessUnmet returns a candidate with room for a task, or nil if there is none, or was none for
 // a smaller one in this round.
 func (o *Orchestrator) pickUnlessUnmet(s starvingTask, granted []*allocator.Candidate, unmet map[string]*apportioner.Unmet, now time.Time) *allocator.Candidate {
-	pool := s.job.Spec.Pool
+	pool := s.job.Placement.Pool
 	if unmet[pool] == nil {
 		unmet[pool] = &apportioner.Unmet{}
 	}
@@ -137,7 +137,7 @@
 	}
 	candidate := allocator.Pick(s.task, name, granted, now, o.predictor.UpperInterference)
 	if candidate == nil {
-		unmet[pool].Add(s.task, name, !s.job.Spec.PolicyRestricted)
+		unmet[pool].Add(s.task, name, !s.job.Placement.PolicyRestricted)
 	}
 	return candidate
 }
--- a/orchestrator/claim_test.go
+++ b/orchestrator/claim_test.go
@@ -101,7 +101,7 @@
 func TestAWorkerThatDrainsLetsNoTaskOfAnotherPoolClaimAtOnce(t *testing.T) {
 	c := qt.New(t)
 	h, evacuated := newDrainingHarness(c)
-	h.o.agents["a0"].snapshot.Pool, evacuated.Spec.Pool = "other", "other"
+	h.o.agents["a0"].snapshot.Pool, evacuated.Placement.Pool = "other", "other"
 	h.submit(lastingSpec(6000))
 	h.reportRunning("a1", 10)
 	h.now = h.now.Add(claimInterval)
--- a/orchestrator/config.go
+++ b/orchestrator/config.go
@@ -6,6 +6,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/endivefall/endivefall/sequencer"
 	"github.com/endivefall/endivefall/storer"
 )
 
@@ -57,6 +58,11 @@
 	// OwnershipConfirmedAt returns the time of the newest confirmation of ownership. A write of
 	// the ledger is none, as the next owner knows of no more than the elector's.
 	OwnershipConfirmedAt func() time.Time
+	// ConfigVersion returns the version of the configuration in force at this entry, 0 if it has none;
+	// Placement returns where that lets the tasks of a job start, and false if it has no queue for the
+	// job. Both may be nil, so that jobs stay where they were accepted.
+	ConfigVersion func() uint64
+	Placement     func(spec *sequencer.Spec) (sequencer.Placement, bool)
 	// QueryPolicy asks the policy service of a queue which worker incarnations may
 	// run a step, and how long the answer is valid.
 	QueryPolicy func(ctx context.Context, step string, workers []string) ([]PolicyGrant, time.Duration, error)
--- a/orchestrator/crash.go
+++ b/orchestrator/crash.go
@@ -148,7 +148,7 @@
 // giveUpCrashing fails the job of a task that crashes its workers.
 func (o *Orchestrator) giveUpCrashing(t *sequencer.Task) {
 	j := o.jobs[t.Job.Spec.ID]
-	apart := t.CrashedInstances() >= min(minCrashedInstances, o.poolSize(j.Spec.Pool)) || len(t.Crashes) >= maxInstanceCrashes
+	apart := t.CrashedInstances() >= min(minCrashedInstances, o.poolSize(j.Placement.Pool)) || len(t.Crashes) >= maxInstanceCrashes
 	certain := quarantiner.Odds(t.CrashOdds) >= quarantiner.Certain || len(t.Crashes) >= maxCrashes
 	enough := t.ConfirmedCrashes() >= minConfirmedCrashes || len(t.Crashes) >= minCrashes
 	if j.Ended() || !certain || !enough || !apart {
--- a/orchestrator/evict.go
+++ b/orchestrator/evict.go
@@ -25,7 +25,7 @@
 	for _, a := range draining {
 		for _, r := range o.runsOf(a) {
 			if o.mayEvacuate(r, blocked) {
-				o.evacuateRun(r, byPool[r.job.Spec.Pool])
+				o.evacuateRun(r, byPool[r.job.Placement.Pool])
 			}
 		}
 	}
@@ -73,7 +73,7 @@
 	defer o.reserveMoves(byPool)
 	unmet := map[string]*apportioner.Unmet{}
 	for _, s := range list {
-		granted := o.grantedCandidates(s.job, s.task.StepName(), byPool[s.job.Spec.Pool], agents, now)
+		granted := o.grantedCandidates(s.job, s.task.StepName(), byPool[s.job.Placement.Pool], agents, now)
 		if claimed := o.claimedCandidate(s.task, granted); claimed != nil {
 			claimed.Reserve(s.task.StepSpec(), s.task.StepName())
 		} else if candidate := o.pickUnlessUnmet(s, granted, unmet, now); candidate != nil {
--- a/orchestrator/grant.go
+++ b/orchestrator/grant.go
@@ -134,6 +134,10 @@
 // startGrantedRun sends the start of a run if its agent may still receive it.
 func (o *Orchestrator) startGrantedRun(r *run) {
 	now := o.cfg.Now()
+	if !o.inPool(r.agent, r.job) {
+		o.dropGrant(r, "its queue has moved to other workers")
+		return
+	}
 	if r.link != r.agent.link || !o.ownershipCurrent() || o.unavailability(r.agent, now) != available {
 		o.dropGrant(r, "its agent may receive no starts any more")
 		return
--- a/orchestrator/orchestrator.go
+++ b/orchestrator/orchestrator.go
@@ -127,6 +127,8 @@
 	// at which it may start.
 	planDue  bool
 	nextPlan time.Time
+	// configVersion is the version of the configuration that the open jobs follow.
+	configVersion uint64
 	// policies holds the known grants by name of the step, for queues with a
 	// policy; policyQueries counts the queries in flight.
 	policies      map[string]*stepPolicy
@@ -162,6 +164,10 @@
 	if cfg.Gauge == nil {
 		cfg.Gauge = func(string, float64) {}
 	}
+	if cfg.Placement == nil {
+		cfg.ConfigVersion = func() uint64 { return 0 }
+		cfg.Placement = func(*sequencer.Spec) (sequencer.Placement, bool) { return sequencer.Placement{}, false }
+	}
 	if cfg.KnownSince == nil {
 		cfg.KnownSince = func(uint64) (time.Time, bool) { return time.Time{}, false }
 	}
@@ -270,6 +276,7 @@
 		o.logBlockingAgents(now)
 		o.reportStops(now)
 		o.adoptGrants()
+		o.followQueues()
 		o.evacuate()
 		o.relocateSlowedRuns(now)
 		o.stopIncompleteGangs()
--- a/orchestrator/place.go
+++ b/orchestrator/place.go
@@ -34,7 +34,7 @@
 	o.placeSuspects(blocked, byPool, agents, now, wall)
 	for _, j := range o.rankedJobs(wall) {
 		startable := slices.DeleteFunc(o.waitingTasks(j, blocked, now, wall), blocked)
-		o.placeJob(j, startable, byPool[j.Spec.Pool], agents, now)
+		o.placeJob(j, startable, byPool[j.Placement.Pool], agents, now)
 	}
 	o.waitsNoted = true
 	o.claimRoom(blocked, byPool, agents, now, wall)
@@ -199,7 +199,7 @@
 		a := agents[candidate.ID]
 		if o.startTask(t, j, a) {
 			o.reserve(candidate, t)
-			o.shareOf(j.Spec.Pool).AddOther(t.StepSpec(), now)
+			o.shareOf(j.Placement.Pool).AddOther(t.StepSpec(), now)
 		}
 		o.setBusy(candidate, a)
 	}
--- a/orchestrator/policy.go
+++ b/orchestrator/policy.go
@@ -53,7 +53,7 @@
 // grantedCandidates returns the candidates that may run a step of a queue with a policy.
 // For other queues it returns all candidates.
 func (o *Orchestrator) grantedCandidates(j *job, name string, candidates []*allocator.Candidate, agents map[string]*agent, now time.Time) []*allocator.Candidate {
-	if !j.Spec.PolicyRestricted {
+	if !j.Placement.PolicyRestricted {
 		return candidates
 	}
 	policy := o.policies[name]
@@ -79,7 +79,7 @@
 // queryUngranted queries the policy of a step about the candidates without a known or valid
 // grant. It is called when the granted ones have no room for the step.
 func (o *Orchestrator) queryUngranted(j *job, name string, candidates []*allocator.Candidate, agents map[string]*agent, now time.Time) {
-	if !j.Spec.PolicyRestricted || o.policyQueries >= maxPolicyQueries {
+	if !j.Placement.PolicyRestricted || o.policyQueries >= maxPolicyQueries {
 		return
 	}
 	policy := o.policies[name]
@@ -156,9 +156,13 @@
 
 // forgetPolicy drops the grants of a job that has ended.
 func (o *Orchestrator) forgetPolicy(j *job) {
-	if !j.Spec.PolicyRestricted {
-		return
+	if j.Placement.PolicyRestricted {
+		o.forgetStepPolicies(j)
 	}
+}
+
+// forgetStepPolicies drops the grants of all steps of a job.
+func (o *Orchestrator) forgetStepPolicies(j *job) {
 	for occurrence := range j.Occurrences() {
 		for n := range j.Spec.Steps {
 			delete(o.policies, j.Task(occurrence, n, 0).StepName())
--- a/orchestrator/relocate.go
+++ b/orchestrator/relocate.go
@@ -29,7 +29,7 @@
 		if step.BestEffort && step.Checkpointable && !step.Gang && r.phase == messenger.PhaseRunning && !r.evict && !blocked(r.task) {
 			movable = append(movable, r)
 			runs = append(runs, relocator.Run{
-				Task: r.task, Worker: r.agent.id, Pool: r.job.Spec.Pool, PacePercent: r.pacePercent, ProgressPercent: r.progressPercent, StartedAt: r.startedAt,
+				Task: r.task, Worker: r.agent.id, Pool: r.job.Placement.Pool, PacePercent: r.pacePercent, ProgressPercent: r.progressPercent, StartedAt: r.startedAt,
 			})
 		}
 	}
--- a/orchestrator/starvation.go
+++ b/orchestrator/starvation.go
@@ -55,8 +55,8 @@
 		pools[pool] = apportioner.New(now, forecasts)
 	}
 	for _, s := range starving {
-		if pool := pools[s.job.Spec.Pool]; pool != nil {
-			o.claimFor(s, pool, byPool[s.job.Spec.Pool], agents, blocked, now)
+		if pool := pools[s.job.Placement.Pool]; pool != nil {
+			o.claimFor(s, pool, byPool[s.job.Placement.Pool], agents, blocked, now)
 		} else {
 			delete(o.claims, s.task)
 		}
@@ -66,7 +66,7 @@
 // claimFor claims room for a task, or drops its claim if it won't fit anywhere in time.
 func (o *Orchestrator) claimFor(s starvingTask, pool *apportioner.Apportioner, candidates []*allocator.Candidate, agents map[string]*agent, blocked func(*sequencer.Task) bool, now time.Time) {
 	t, name := s.task, s.task.StepName()
-	request := apportioner.Request{Task: t, StepName: name, Workers: o.grantedCandidates(s.job, name, candidates, agents, now), AnyWorker: !s.job.Spec.PolicyRestricted, StartsAt: s.startsAt}
+	request := apportioner.Request{Task: t, StepName: name, Workers: o.grantedCandidates(s.job, name, candidates, agents, now), AnyWorker: !s.job.Placement.PolicyRestricted, StartsAt: s.startsAt}
 	held := o.claims[t]
 	if held != nil {
 		request.Held = held.agent.id
@@ -102,7 +102,7 @@
 	evacuations := o.lastingEvacuations(blocked, now)
 	drains := map[string]bool{} // the pools with evacuations
 	for _, s := range evacuations {
-		drains[s.job.Spec.Pool] = true
+		drains[s.job.Placement.Pool] = true
 	}
 	var list []starvingTask
 	unblockedAt := o.unblockedAt()
@@ -111,7 +111,7 @@
 			continue
 		}
 		minWait := minClaimWait
-		if drains[j.Spec.Pool] {
+		if drains[j.Placement.Pool] {
 			minWait = 0 // what runs gets no room before what doesn't
 		}
 		for _, t := range j.Runnable(wall) {
@@ -174,7 +174,7 @@
 	for _, j := range o.openJobs {
 		for n := range j.Spec.Steps {
 			if step := &j.Spec.Steps[n]; step.LongRunning && !step.BestEffort {
-				largest[j.Spec.Pool] = max(largest[j.Spec.Pool], step.Memory)
+				largest[j.Placement.Pool] = max(largest[j.Placement.Pool], step.Memory)
 			}
 		}
 	}
--- a/orchestrator/suspect.go
+++ b/orchestrator/suspect.go
@@ -26,8 +26,8 @@
 		byPool[a.snapshot.Pool].Workers++
 	}
 	for _, r := range o.runs {
-		if odds := r.oddsNow(); odds >= quarantiner.Suspect && byPool[r.job.Spec.Pool] != nil {
-			byPool[r.job.Spec.Pool].Add(r.job.Spec.ID, r.agent.id, odds)
+		if odds := r.oddsNow(); odds >= quarantiner.Suspect && byPool[r.job.Placement.Pool] != nil {
+			byPool[r.job.Placement.Pool].Add(r.job.Spec.ID, r.agent.id, odds)
 		}
 	}
 	return byPool
@@ -55,8 +55,8 @@
 	})
 	trials := o.trials()
 	for _, t := range suspects {
-		if pool := trials[t.Job.Spec.Pool]; pool != nil && o.mayStart(t, 1) {
-			o.tryTask(t, pool, byPool[t.Job.Spec.Pool], agents, now)
+		if pool := trials[t.Job.Placement.Pool]; pool != nil && o.mayStart(t, 1) {
+			o.tryTask(t, pool, byPool[t.Job.Placement.Pool], agents, now)
 		}
 	}
 }
--- a/orchestrator/wait_report.go
+++ b/orchestrator/wait_report.go
@@ -58,7 +58,7 @@
 		return
 	}
 	step := t.StepSpec()
-	report := o.reportWait(t, byPool[t.Job.Spec.Pool], agents, now)
+	report := o.reportWait(t, byPool[t.Job.Placement.Pool], agents, now)
 	fields := []zap.Field{
 		zap.String("task", t.Name()), zap.String("step", step.String()), zap.Duration("waited", now.Sub(t.WaitingSince)), zap.Int("tasks", counts.long),
 		zap.Int("lasting", counts.lasting), zap.Int("lasting_blocked", counts.lastingBlocked), zap.Int("claims", counts.claims), zap.Int("moves", counts.moves), zap.Duration("free", freeFor(t, now)),
@@ -133,7 +133,7 @@
 func (o *Orchestrator) reportWait(t *sequencer.Task, candidates []*allocator.Candidate, agents map[string]*agent, now time.Time) *waitReport {
 	report := &waitReport{unavailable: map[unavailability]int{}}
 	for _, a := range o.agents {
-		if a.snapshot == nil || a.snapshot.Pool == t.Job.Spec.Pool {
+		if a.snapshot == nil || a.snapshot.Pool == t.Job.Placement.Pool {
 			report.workers++
 			if why := o.unavailability(a, now); why != available {
 				report.unavailable[why]++
--- a/orchestrator/watch.go
+++ b/orchestrator/watch.go
@@ -201,6 +201,7 @@
 	}
 	o.openJobs[spec.ID] = j
 	o.loadGrants(j)
+	o.followQueue(j)
 	o.planDue = true
 	o.cfg.Log.Info("job added", zap.String("job", spec.ID), zap.String("queue", spec.Queue), zap.Uint64("version", item.Version), zap.Array("steps", loggedSteps(spec.Steps)), zap.Int("priority", spec.Priority), zap.Duration("age", o.cfg.WallClock().Sub(spec.AcceptedAt)))
 }
--- a/sequencer/job.go
+++ b/sequencer/job.go
@@ -24,6 +24,8 @@
 	// GrantTerm is the term of the owner that wrote the agents of the tasks to the ledger, or 0
 	// if no owner has done so before each start.
 	GrantTerm uint64
+	// Placement is where its tasks may start, by the newest version of the configuration that is known.
+	Placement Placement
 	// tasks has the tasks by occurrence and step; Tasks creates them on first use.
 	tasks map[[2]int][]*Task
 	// doneCount is the number of tasks that are done, by occurrence and step.
@@ -34,9 +36,13 @@
 // none.
 func NewJob(spec *Spec, version uint64, p *Progress) *Job {
 	j := &Job{Spec: spec, Version: version, tasks: map[[2]int][]*Task{}, doneCount: map[[2]int]int{}}
+	j.Placement = spec.Placement()
 	if p == nil {
 		return j
 	}
+	if p.Placement != nil {
+		j.Move(*p.Placement)
+	}
 	j.DurableState = p.State
 	j.Canceled, j.Failed, j.GrantTerm = p.State == Canceled, p.State == Failed, p.GrantTerm
 	for _, record := range p.Tasks {
@@ -193,6 +199,9 @@
 		return p // no task will run again
 	}
 	p.GrantTerm = j.GrantTerm
+	if placement := j.Placement; placement != j.Spec.Placement() {
+		p.Placement = &placement
+	}
 	for key, list := range j.tasks {
 		for _, t := range list {
 			record := TaskRecord{Occurrence: key[0], Step: key[1], Index: t.Index, Done: t.Done, FailedAttempts: t.FailedAttempts}
--- a/sequencer/progress.go
+++ b/sequencer/progress.go
@@ -31,6 +31,9 @@
 	Tasks []TaskRecord `cbor:"2,keyasint,omitempty"`
 	// GrantTerm is Job.GrantTerm.
 	GrantTerm uint64 `cbor:"3,keyasint,omitempty"`
+	// Placement is Job.Placement if it is of a later version of the configuration than that of the
+	// job's Spec.
+	Placement *Placement `cbor:"4,keyasint,omitempty"`
 }
 
 // TaskRecord is the durable part of a task.
--- a/sequencer/spec.go
+++ b/sequencer/spec.go
@@ -56,9 +56,11 @@
 
 // Spec is an accepted job. It never changes.
 type Spec struct {
-	ID               string        `cbor:"1,keyasint"`
-	Queue            string        `cbor:"2,keyasint"`
-	Pool             string        `cbor:"3,keyasint"` // service whose workers run the job
+	ID    string `cbor:"1,keyasint"`
+	Queue string `cbor:"2,keyasint"`
+	// Pool and PolicyRestricted are where its tasks may start by the configuration of PoolVersion, with which it
+	// was accepted. Later versions go before that.
+	Pool             string        `cbor:"3,keyasint"`
 	Payload          string        `cbor:"4,keyasint,omitempty"`
 	Steps            []Step        `cbor:"5,keyasint"`
 	Priority         int           `cbor:"6,keyasint,omitempty"` // 0 is the highest
@@ -66,12 +68,11 @@
 	StretchFactor    float64       `cbor:"8,keyasint,omitempty"`
 	LatencyAllowance time.Duration `cbor:"9,keyasint,omitempty"` // objective beyond StretchFactor times the estimate
 	// Repeat is how often the steps run; 0 means once, without a due time.
-	Repeat   int           `cbor:"10,keyasint,omitempty"`
-	FirstDue time.Time     `cbor:"11,keyasint,omitempty"` // due time of occurrence 0
-	Interval time.Duration `cbor:"12,keyasint,omitempty"`
-	// PolicyRestricted is set if the queue's policy allows only some workers. A policy
-	// service names them.
-	PolicyRestricted bool `cbor:"14,keyasint,omitempty"`
+	Repeat           int           `cbor:"10,keyasint,omitempty"`
+	FirstDue         time.Time     `cbor:"11,keyasint,omitempty"` // due time of occurrence 0
+	Interval         time.Duration `cbor:"12,keyasint,omitempty"`
+	PolicyRestricted bool          `cbor:"14,keyasint,omitempty"`
+	PoolVersion      uint64        `cbor:"15,keyasint,omitempty"`
 	// AcceptedAt is the wall time at which an entry accepted the job.
 	AcceptedAt time.Time `cbor:"13,keyasint"`
 }
