acceptor: Know a job under the route that replaces its own

Callers were answered 410 for accepted submissions, and a cancellation stopped nothing: a version of the configuration had replaced their route by one with another name at the same host and prefix.

Change: a job has the host and prefix of its queue, too. The queue of a job is the one with its name, or else the one at that place: its states, cancellations and pending jobs are answered there, and its tasks start where it is sent.

TestAJobIsKnownUnderARouteThatReplacesItsOwn failed before: no such job.

--- a/acceptor/cancel.go
+++ b/acceptor/cancel.go
@@ -67,7 +67,7 @@
 		a.cfg.Log.Error("stored job can't be decoded", zap.String("job", id), zap.Error(err))
 		return storer.Transaction{}, ErrStateUnavailable
 	}
-	if spec.Queue != queue {
+	if !a.has(queue, spec) {
 		return storer.Transaction{}, ErrNotFound
 	}
 	key := orchestrator.CancelKey(id)
@@ -82,7 +82,7 @@
 // later, whichever entry it came from, and one that is repeated finds the job canceled. The
 // owner deletes the tombstone like any ended job.
 func (a *Acceptor) tombstone(queue, id string) (storer.Transaction, error) {
-	spec := &sequencer.Spec{ID: id, Queue: queue, AcceptedAt: a.cfg.WallClock(), Steps: []sequencer.Step{{Count: 1}}} // no job is without a step
+	spec := &sequencer.Spec{ID: id, Queue: queue, Path: a.pathOf(queue), AcceptedAt: a.cfg.WallClock(), Steps: []sequencer.Step{{Count: 1}}} // no job is without a step
 	value, err := spec.Encode()
 	if err != nil {
 		return storer.Transaction{}, err
--- a/acceptor/queue.go
+++ b/acceptor/queue.go
@@ -3,6 +3,8 @@
 import (
 	"strings"
 	"time"
+
+	"github.com/endivefall/endivefall/sequencer"
 )
 
 // Queue receives the jobs of one path prefix at one host.
@@ -19,6 +21,9 @@
 	PolicyRestricted bool
 }
 
+// Path returns the host and the prefix of the queue.
+func (q Queue) Path() string { return q.Host + q.Prefix }
+
 // Queues is one version of the operator's configuration.
 type Queues struct {
 	Version uint64
@@ -66,3 +71,35 @@
 	queue, ok := q.byName[name]
 	return queue, ok
 }
+
+// Of returns the queue of a job: the one with its name, or else the one that has taken the place of that.
+func (q *Queues) Of(spec *sequencer.Spec) (Queue, bool) {
+	if queue, ok := q.byName[spec.Queue]; ok {
+		return queue, true
+	}
+	host, _, _ := strings.Cut(spec.Path, "/")
+	for _, queue := range q.byHost[host] {
+		if spec.Of(queue.Name, queue.Path()) {
+			return queue, true
+		}
+	}
+	return Queue{}, false
+}
+
+// pathOf returns the host and the prefix of the queue with a name, or an empty string if there is none.
+func (a *Acceptor) pathOf(queue string) string {
+	queues := a.Queues()
+	if queues == nil {
+		return ""
+	}
+	q, ok := queues.Named(queue)
+	if !ok {
+		return ""
+	}
+	return q.Path()
+}
+
+// has reports whether a job is one of the queue with a name.
+func (a *Acceptor) has(queue string, spec *sequencer.Spec) bool {
+	return spec.Of(queue, a.pathOf(queue))
+}
--- a/acceptor/state.go
+++ b/acceptor/state.go
@@ -20,7 +20,7 @@
 	reply, err := a.cfg.AskOwner(queryCtx, messenger.StateQuery{Job: id})
 	cancel()
 	if err == nil && reply.Found {
-		if reply.Queue != queue {
+		if !a.has(queue, &sequencer.Spec{Queue: reply.Queue, Path: reply.Path}) {
 			return "", ErrNotFound
 		}
 		return sequencer.State(reply.State), nil
@@ -42,7 +42,7 @@
 		a.cfg.Log.Error("stored job can't be decoded", zap.String("job", id), zap.Error(err))
 		return "", ErrStateUnavailable
 	}
-	if spec.Queue != queue {
+	if !a.has(queue, spec) {
 		return "", ErrNotFound
 	}
 	stored := sequencer.Queued
@@ -102,7 +102,7 @@
 	ctx, cancel := context.WithTimeout(ctx, pendingTimeout)
 	defer cancel()
 	for {
-		reply, err := a.cfg.AskOwner(ctx, messenger.StateQuery{Queue: queue})
+		reply, err := a.cfg.AskOwner(ctx, messenger.StateQuery{Queue: queue, Path: a.pathOf(queue)})
 		if err == nil && reply.Found {
 			return reply.Pending, nil
 		}
--- a/coordinator/ownership.go
+++ b/coordinator/ownership.go
@@ -146,6 +146,6 @@
 	if queues == nil {
 		return sequencer.Placement{}, false
 	}
-	q, ok := queues.Named(spec.Queue)
+	q, ok := queues.Of(spec)
 	return sequencer.Placement{Pool: q.Pool, PolicyRestricted: q.PolicyRestricted, Version: queues.Version}, ok
 }
--- a/messenger/pool_messages.go
+++ b/messenger/pool_messages.go
@@ -216,6 +216,7 @@
 type StateQuery struct {
 	Job   string `cbor:"1,keyasint,omitempty"`
 	Queue string `cbor:"2,keyasint,omitempty"`
+	Path  string `cbor:"4,keyasint,omitempty"` // host and prefix of the queue
 	// Extended is the confirmation that the sender extends, if any.
 	Extended *ConfirmationRef `cbor:"3,keyasint,omitempty"`
 }
@@ -244,6 +245,7 @@
 type StateReply struct {
 	Found   bool   `cbor:"1,keyasint,omitempty"`
 	Queue   string `cbor:"2,keyasint,omitempty"`
+	Path    string `cbor:"7,keyasint,omitempty"` // of the queue as the job was accepted
 	State   string `cbor:"3,keyasint,omitempty"`
 	Pending int    `cbor:"4,keyasint,omitempty"`
 	// Confirmation is set in replies of an owner to pings.
--- a/orchestrator/query.go
+++ b/orchestrator/query.go
@@ -37,11 +37,11 @@
 		if j == nil {
 			return messenger.StateReply{}
 		}
-		return messenger.StateReply{Found: true, Queue: j.Spec.Queue, State: string(visibleState(j.Job))}
+		return messenger.StateReply{Found: true, Queue: j.Spec.Queue, Path: j.Spec.Path, State: string(visibleState(j.Job))}
 	}
 	reply := messenger.StateReply{Found: true}
 	for _, j := range o.openJobs {
-		if j.Spec.Queue == query.Queue && !j.Started {
+		if j.Spec.Of(query.Queue, query.Path) && !j.Started {
 			reply.Pending++
 		}
 	}
--- a/sequencer/placement.go
+++ b/sequencer/placement.go
@@ -26,3 +26,9 @@
 	j.Placement = next
 	return last.Pool != next.Pool || last.PolicyRestricted != next.PolicyRestricted
 }
+
+// Of reports whether the job is one of the queue with a name, a host and a prefix: a queue that
+// replaces another one at the same place has its jobs, too.
+func (s *Spec) Of(queue, path string) bool {
+	return s.Queue == queue || s.Path != "" && s.Path == path
+}
--- a/sequencer/spec.go
+++ b/sequencer/spec.go
@@ -73,6 +73,9 @@
 	Interval         time.Duration `cbor:"12,keyasint,omitempty"`
 	PolicyRestricted bool          `cbor:"14,keyasint,omitempty"`
 	PoolVersion      uint64        `cbor:"15,keyasint,omitempty"`
+	// Path is the host and prefix of the queue as the job was accepted. The queue that has them later has
+	// the job, too, whatever its name.
+	Path string `cbor:"16,keyasint,omitempty"`
 	// AcceptedAt is the wall time at which an entry accepted the job.
 	AcceptedAt time.Time `cbor:"13,keyasint"`
 }
