orchestrator: Count failures that have not been heard against a task's attempts

Cause: a task that an agent shows at work after the claim is located, and waits for no agent. That shows that no other run is at work, but not that all earlier ends are known: the one on the list of an agent that is not back yet is missing.

Change: a start tells how many runs of the task may have failed before, and the agent repeats that with the state and the end of the run. A located task waits for the agents that may list an end of it only where that number and the failures since reach the limit of its job, or no number is known. Long-running tasks have no limit and wait for nobody.

The auditor of the histories judges starts by when the runs failed, whenever the ends are acknowledged: it counted only what had been acknowledged before the start.

--- a/coordinator/fleet_test.go
+++ b/coordinator/fleet_test.go
@@ -56,6 +56,9 @@
 	workerReplyLoss float64
 	// crashingJobs is the share of jobs with a task that crashes its workers.
 	crashingJobs float64
+	// failingRuns is the share of runs that fail, maxAttempts how many runs of a task of a job may.
+	failingRuns float64
+	maxAttempts int
 	// canceledJobs is the share of jobs that are canceled at some moment after they were
 	// accepted.
 	canceledJobs float64
@@ -71,7 +74,7 @@
 func newFleet(ctx context.Context, t *testing.T, seed uint64, entries, agents int) *fleet {
 	f := &fleet{
 		t: t, seed: seed, ctx: ctx, store: faker.NewStore(), network: faker.NewNetwork(), auditor: faker.NewPoolAuditor(), log: zap.NewNop(),
-		entries: map[string]*entryNode{}, agents: map[string]*agentNode{}, rejected: map[string]bool{}, frozen: map[string]bool{}, draws: map[string]int{}, callFaults: map[string]float64{},
+		entries: map[string]*entryNode{}, agents: map[string]*agentNode{}, rejected: map[string]bool{}, frozen: map[string]bool{}, draws: map[string]int{}, callFaults: map[string]float64{}, failingRuns: 0.05, maxAttempts: 4,
 	}
 	if *logged {
 		log, err := logger.New(os.Stdout, "debug")
@@ -128,8 +131,11 @@
 	if f.auditor.LongRunning(task) {
 		return faker.PoolRunPlan{Measure: f.measurement(task)}
 	}
+	f.mu.Lock()
+	failing := f.failingRuns
+	f.mu.Unlock()
 	r := rand.New(rand.NewPCG(f.seed, xxhash.Sum64String(fmt.Sprint(task, attempt))))
-	return faker.PoolRunPlan{Duration: 50*time.Millisecond + time.Duration(r.Float64()*float64(1500*time.Millisecond)), Fails: r.Float64() < 0.05}
+	return faker.PoolRunPlan{Duration: 50*time.Millisecond + time.Duration(r.Float64()*float64(1500*time.Millisecond)), Fails: r.Float64() < failing}
 }
 
 // crashesWorkers reports whether a task crashes its workers: the first of the first or the
--- a/faker/pool_auditor.go
+++ b/faker/pool_auditor.go
@@ -28,6 +28,10 @@
 	// failures counts the failed runs of a task, ackedFailures those whose end was
 	// acknowledged. A worker may crash before that.
 	failures, ackedFailures map[string]int
+	// failedAt is when the failed runs of a task ended, ackedFailedAt the same of those whose end was acknowledged
+	// before a lease of their worker expired, in order.
+	failedAt      map[runOnWorker]time.Time
+	ackedFailedAt map[string][]time.Time
 	// crashes counts the crashes of workers that ran a task, crashesCaused those that it
 	// caused, and startsAfterCrashes its starts after it has caused maxCrashes.
 	crashes, crashesCaused, startsAfterCrashes map[string]int
@@ -61,6 +65,7 @@
 func NewPoolAuditor() *PoolAuditor {
 	return &PoolAuditor{
 		jobs: map[string]*auditedJob{}, running: map[string][]string{}, ackedDone: map[string]bool{}, completed: map[string]bool{},
+		failedAt: map[runOnWorker]time.Time{}, ackedFailedAt: map[string][]time.Time{},
 		failures: map[string]int{}, ackedFailures: map[string]int{}, crashes: map[string]int{}, crashesCaused: map[string]int{}, startsAfterCrashes: map[string]int{}, givenUp: map[string]bool{}, runsSince: map[workerTaskKey]time.Time{},
 		doneAt: map[runOnWorker]time.Time{}, lastStart: map[string]time.Time{}, lapsedAt: map[string]time.Time{},
 	}
@@ -106,6 +111,7 @@
 			a.doneAt[runOnWorker{e.Incarnation, e.Task, e.Attempt}] = e.At
 		case messenger.EndFailed:
 			a.failures[e.Task]++
+			a.failedAt[runOnWorker{e.Incarnation, e.Task, e.Attempt}] = e.At
 		}
 	case "lapsed":
 		a.lapsedAt[e.Incarnation] = e.At
@@ -116,6 +122,7 @@
 			a.checkAckedDone(e)
 		case messenger.EndFailed:
 			a.ackedFailures[e.Task]++
+			a.checkAckedFailure(e)
 		}
 	}
 }
@@ -135,6 +142,35 @@
 	}
 }
 
+// checkAckedFailure checks that a task was not started after as many runs of it had failed as its job allows, also
+// if their ends are acknowledged only later, unless the worker's lease has expired in between.
+func (a *PoolAuditor) checkAckedFailure(e PoolEvent) {
+	id := sequencer.JobOf(e.Task)
+	failedAt := a.failedAt[runOnWorker{e.Incarnation, e.Task, e.Attempt}]
+	if a.jobs[id] == nil || a.lapsedAt[e.Incarnation].After(failedAt) {
+		return
+	}
+	times := append(a.ackedFailedAt[e.Task], failedAt)
+	slices.SortFunc(times, time.Time.Compare)
+	a.ackedFailedAt[e.Task] = times
+	limit := a.jobs[id].spec.MaxAttempts
+	if step := a.stepOf(e.Task); limit == 0 || len(times) < limit || step.LongRunning || step.Speculative {
+		return
+	}
+	if last := times[limit-1]; a.lastStart[e.Task].After(last) {
+		a.reportf("%s was started %s after %d runs of it had failed", e.Task, a.lastStart[e.Task].Sub(last), limit)
+	}
+}
+
+// stepOf returns the step of a task of a known job.
+func (a *PoolAuditor) stepOf(task string) sequencer.Step {
+	id, _, step, _, err := sequencer.ParseTaskName(task)
+	if err != nil || a.jobs[id] == nil {
+		return sequencer.Step{}
+	}
+	return a.jobs[id].spec.Steps[step]
+}
+
 func (a *PoolAuditor) recordStart(e PoolEvent) {
 	id, occurrence, step, _, err := sequencer.ParseTaskName(e.Task)
 	j := a.jobs[id]
--- a/messenger/pool_messages.go
+++ b/messenger/pool_messages.go
@@ -30,6 +30,9 @@
 	// PayloadKept is set if an earlier start of the job on the connection had the
 	// payload, which the agent keeps.
 	PayloadKept bool `cbor:"9,keyasint,omitempty"`
+	// Failures is one more than the most earlier runs of the task that may have failed, 0 if that is
+	// not known. The agent repeats it with the state and the end of the run.
+	Failures uint32 `cbor:"10,keyasint,omitempty"`
 }
 
 // Interference is how much a best-effort image reduces the spare rate of a serving
@@ -124,6 +127,8 @@
 	SpecUnknown bool  `cbor:"8,keyasint,omitempty"` // the agent does not know the task's spec
 	// Ref identifies the run on the connection.
 	Ref uint64 `cbor:"9,keyasint,omitempty"`
+	// Failures is that of its RunStart, 0 if an earlier process of the agent got that.
+	Failures uint32 `cbor:"10,keyasint,omitempty"`
 }
 
 // Phase is the phase of a run that has not ended.
@@ -169,6 +174,8 @@
 	// then until the agent heard of the term: every owner of an earlier term counts the run as
 	// one that may be at work. It never changes.
 	UntoldTerm uint64 `cbor:"9,keyasint,omitempty"`
+	// Failures is that of the run's RunStart, 0 if an earlier process of the agent got that.
+	Failures uint32 `cbor:"10,keyasint,omitempty"`
 }
 
 // Crash is the crash of a worker from the view of a run that was lost in it. Its times are
--- a/orchestrator/locate_test.go
+++ b/orchestrator/locate_test.go
@@ -54,3 +54,65 @@
 		})
 	}
 }
+
+// Tasks that had failed as often as they may were started again: the next owner saw their last run at work, so
+// that they waited for no agent, and did not know of an earlier failure that an agent had yet to list.
+func TestALocatedTaskWaitsForAgentsThatMayListItsLastFailure(t *testing.T) {
+	const limit = 2
+	for name, tt := range map[string]struct {
+		failures    sequencer.Failures
+		status      messenger.EndStatus
+		longRunning bool
+		starts      int
+	}{
+		"failed before, and now":         {sequencer.AtMost(1), messenger.EndFailed, false, 0},
+		"failed before, stopped now":     {sequencer.AtMost(1), messenger.EndStopped, false, 1},
+		"failed now":                     {sequencer.AtMost(0), messenger.EndFailed, false, 1},
+		"of an agent that started again": {0, messenger.EndStopped, false, 0},
+		"long-running":                   {sequencer.AtMost(7), messenger.EndFailed, true, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			h := newHarness(c, 1)
+			h.o.cfg.Epoch = 100
+			spec := sequencer.Spec{
+				ID: "00000000000000aa", Pool: "pool", Queue: "queue", AcceptedAt: h.now, MaxAttempts: limit,
+				Steps: []sequencer.Step{{Count: 2, CPU: 10, Memory: 10, LongRunning: tt.longRunning}},
+			}
+			raw, err := spec.Encode()
+			c.Assert(err, qt.IsNil)
+			h.o.takeOver([]storer.Item{{Key: JobKey(spec.ID), Value: raw, Version: 20}}, nil,
+				[]storer.Item{{Key: registrar.Key("lost"), Value: registrar.Registration{Open: true}.Encode(), Version: 30}})
+			status := messenger.RunStatus{Task: "00000000000000aa.0.0.0", Attempt: 2, Phase: messenger.PhaseRunning, PacePercent: 100, Failures: uint32(tt.failures)}
+			h.sendSnapshot("a0", &messenger.WorkerSnapshot{Current: true, Runs: []messenger.RunStatus{status}})
+			h.reportEnd("a0", 1, status.Task, 2, tt.status)
+			h.now = h.now.Add(time.Second)
+			h.sendSnapshot("a0", &messenger.WorkerSnapshot{})
+			h.o.place()
+			c.Assert(h.commands("a0"), qt.HasLen, tt.starts)
+			// The other agent returns, and lists the first failure.
+			h.connectAgent("lost")
+			h.reportEnd("lost", 1, status.Task, 1, messenger.EndFailed)
+			if j := h.o.jobs[spec.ID]; !tt.longRunning {
+				c.Assert(j.Failed, qt.Equals, tt.status == messenger.EndFailed)
+			}
+		})
+	}
+}
+
+// A start tells how many runs may have failed before it, so that the next owner knows, too.
+func TestAStartTellsHowManyRunsMayHaveFailed(t *testing.T) {
+	c := qt.New(t)
+	h := newHarness(c, 1)
+	j := h.submit(sequencer.Spec{Steps: []sequencer.Step{step(1, 10)}})
+	failures := func() sequencer.Failures {
+		h.now = h.now.Add(time.Second)
+		h.sendSnapshot("a0", &messenger.WorkerSnapshot{})
+		h.o.place()
+		frames := h.sent["a0"]
+		return sequencer.Failures(frames[len(frames)-1].Command.Start.Failures)
+	}
+	c.Assert(failures(), qt.Equals, sequencer.AtMost(0))
+	h.reportEnd("a0", 1, j.Task(0, 0, 0).Name(), 1, messenger.EndFailed)
+	c.Assert(failures(), qt.Equals, sequencer.AtMost(1))
+}
--- a/orchestrator/registration.go
+++ b/orchestrator/registration.go
@@ -163,19 +163,19 @@
 	return tasks
 }
 
-// locate records that a task was at work after this owner's claim, or that no earlier owner knew
+// locate records that a run of a task was at work after this owner's claim, or that no earlier owner knew
 // that it was not. A task has one run, so
 // that no agent that is not reconciled has one, and no earlier owner starts another.
-func (o *Orchestrator) locate(t *sequencer.Task) {
+func (o *Orchestrator) locate(t *sequencer.Task, attempt uint64, failures sequencer.Failures) {
 	o.planDue = o.planDue || !t.Located
-	t.Located = true
+	t.Locate(attempt, failures)
 }
 
 // locateByEnd locates a task by the end of a run that no owner of an earlier term has been told
 // of, nor concluded. Each of them counted the run as at work, and started the task nowhere else.
 func (o *Orchestrator) locateByEnd(t *sequencer.Task, end messenger.RunEnd) {
 	if end.UntoldTerm == o.cfg.Term && t.Attempt <= end.Attempt && !t.StepSpec().Speculative {
-		o.locate(t)
+		o.locate(t, end.Attempt, sequencer.Failures(end.Failures))
 	}
 }
 
@@ -203,13 +203,21 @@
 	return a != nil && a.hasUnknownRuns && (a.registration.Open() || slices.Contains(a.recordedTasks, t.Name()))
 }
 
+// attemptsMayBeUsedUp reports whether as many runs of a located task may have failed as its job allows,
+// though not all of these ends are known.
+func attemptsMayBeUsedUp(t *sequencer.Task) bool {
+	limit := t.Job.Spec.MaxAttempts
+	return limit > 0 && !t.StepSpec().LongRunning && t.MaxFailures().Exceeds(limit)
+}
+
 // startBlocked returns a function that reports whether a task may not be started yet, as an
-// agent that is not reconciled may run it. Its run should be stopped only if it must.
+// agent that is not reconciled may run it, or list an end by which its attempts are used up. Its run should
+// be stopped only if it must.
 func (o *Orchestrator) startBlocked() func(*sequencer.Task) bool {
 	all, tasks := o.blockedTasks()
 	return func(t *sequencer.Task) bool {
 		switch {
-		case t.Job.Version >= o.cfg.Epoch || t.Located:
+		case t.Job.Version >= o.cfg.Epoch || t.Located && !attemptsMayBeUsedUp(t):
 			return false
 		case t.NeedsGrant():
 			return o.agents[t.Agent].mayHold(t)
--- a/orchestrator/run.go
+++ b/orchestrator/run.go
@@ -19,6 +19,8 @@
 	task  *sequencer.Task
 	job   *job
 	agent *agent
+	// failures bounds the failed runs of the task before this one.
+	failures sequencer.Failures
 	// link and seq identify the command that started the run; seq is notSent while it
 	// waits in the outbox. A nil link means that the run was adopted from the snapshot of
 	// the agent.
--- a/orchestrator/snapshot.go
+++ b/orchestrator/snapshot.go
@@ -147,7 +147,7 @@
 		o.queueCommand(a, queuedCommand{kind: specCommand, run: r})
 	}
 	if a.snapshot.Current && a.snapshot.Term == o.cfg.Term && status.Phase != messenger.PhaseStarting && !r.task.StepSpec().Speculative {
-		o.locate(r.task)
+		o.locate(r.task, status.Attempt, sequencer.Failures(status.Failures))
 	}
 	now := o.cfg.Now()
 	if status.ProgressPercent > r.progressPercent || r.progressedAt.IsZero() {
@@ -188,7 +188,7 @@
 	}
 	t := j.Task(occurrence, step, index)
 	o.followRun(j, t, a)
-	r := &run{key: runKey{status.Task, status.Attempt}, task: t, job: j, agent: a, phase: status.Phase, pacePercent: 100, startedAt: o.cfg.Now(), resumed: true}
+	r := &run{key: runKey{status.Task, status.Attempt}, task: t, job: j, agent: a, phase: status.Phase, pacePercent: 100, startedAt: o.cfg.Now(), resumed: true, failures: sequencer.Failures(status.Failures)}
 	if t.LiveRuns > 0 && !t.StepSpec().Speculative {
 		r.evict = true
 		o.cfg.Log.Warn("stopping a run of a task that runs elsewhere", zap.String("task", status.Task), zap.Uint64("attempt", status.Attempt), zap.String("agent", a.id))
--- a/orchestrator/start.go
+++ b/orchestrator/start.go
@@ -35,7 +35,7 @@
 // addRun records the run of an attempt, nothing of which has been sent.
 func (o *Orchestrator) addRun(t *sequencer.Task, j *job, a *agent, attempt uint64) *run {
 	r := &run{
-		key: runKey{t.Name(), attempt}, task: t, job: j, agent: a, link: a.link, seq: notSent,
+		key: runKey{t.Name(), attempt}, task: t, job: j, agent: a, failures: o.failuresOf(t), link: a.link, seq: notSent,
 		phase: messenger.PhaseStarting, pacePercent: 100, startedAt: o.cfg.Now(), resumed: t.Checkpoint != "",
 	}
 	o.runs[r.key], j.liveRuns[r.key], a.runs[r.key] = r, r, r
@@ -43,6 +43,19 @@
 	return r
 }
 
+// failuresOf bounds the runs of a task that may have failed, before it is started: no more than those that are
+// known, unless an agent that is not reconciled may list the end of another one.
+func (o *Orchestrator) failuresOf(t *sequencer.Task) sequencer.Failures {
+	if t.Located && t.Job.Version < o.cfg.Epoch {
+		for _, a := range o.agents {
+			if a.mayHold(t) {
+				return t.MaxFailures()
+			}
+		}
+	}
+	return sequencer.AtMost(t.KnownFailures())
+}
+
 // sendStart sends or queues the start of a run, and reports whether the agent is still
 // connected.
 func (o *Orchestrator) sendStart(r *run) bool {
@@ -82,6 +95,7 @@
 			CPU: step.CPU, Memory: step.Memory, GPU: step.GPU, BestEffort: step.BestEffort, Image: step.Image, LatencyTargetMs: step.LatencyTargetMs,
 			LongRunning: step.LongRunning,
 		},
+		Failures: uint32(r.failures),
 	}
 	if alreadyRunning {
 		return start
--- a/sequencer/task.go
+++ b/sequencer/task.go
@@ -33,8 +33,12 @@
 	// LiveRuns is the number of runs that may still be running.
 	LiveRuns int
 	// Located is set once an agent has shown this owner a run of the task at work. No earlier
-	// owner can have started another one, so that the task waits for no absent agent.
-	Located bool
+	// owner can have started another one, so that no absent agent has a run of the task. It
+	// may list earlier ones that have failed: LocatedFailures bounds those before the run that was
+	// shown, LocatedAttempt.
+	Located         bool
+	LocatedAttempt  uint64
+	LocatedFailures Failures
 	// Agent is the only agent at which a run of a task that NeedsGrant may be at work or begin;
 	// empty if none may.
 	Agent string
--- a/supervisor/commands.go
+++ b/supervisor/commands.go
@@ -43,7 +43,7 @@
 	key := runKey{cmd.Task, cmd.Attempt}
 	if r := s.runs[key]; r != nil {
 		if r.specUnknown {
-			r.spec, r.specUnknown, r.pacedSince = cmd.Spec, false, s.cfg.Now()
+			r.spec, r.specUnknown, r.failures, r.pacedSince = cmd.Spec, false, cmd.Failures, s.cfg.Now()
 			s.requestEnforce()
 			s.markDirty()
 		}
@@ -53,7 +53,7 @@
 		return // the run has ended meanwhile
 	}
 	r := &run{
-		task: cmd.Task, attempt: cmd.Attempt, spec: cmd.Spec, phase: messenger.PhaseStarting, checkpoint: cmd.Checkpoint,
+		task: cmd.Task, attempt: cmd.Attempt, spec: cmd.Spec, failures: cmd.Failures, phase: messenger.PhaseStarting, checkpoint: cmd.Checkpoint,
 		seenTerm: s.term, pacePercent: 100, workerPace: 100, pacedSince: s.cfg.Now(),
 	}
 	s.runs[key] = r
--- a/supervisor/run.go
+++ b/supervisor/run.go
@@ -11,6 +11,8 @@
 	task    string
 	attempt uint64
 	spec    messenger.TaskSpec
+	// failures is that of its messenger.RunStart, 0 while it is not known.
+	failures uint32
 	// phase is messenger.PhaseRunning once the worker has shown or confirmed the run, and
 	// messenger.PhaseStarting before.
 	phase           messenger.Phase
@@ -92,7 +94,7 @@
 	}
 	return messenger.RunStatus{
 		Task: r.task, Attempt: r.attempt, Phase: phase, Checkpoint: r.checkpoint,
-		ProgressPercent: r.progressPercent, Measurement: measurement, PacePercent: r.pacePercent, SpecUnknown: r.specUnknown,
+		ProgressPercent: r.progressPercent, Measurement: measurement, PacePercent: r.pacePercent, SpecUnknown: r.specUnknown, Failures: r.failures,
 	}
 }
 
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -297,7 +297,7 @@
 	r.ended = true
 	delete(s.runs, runKey{r.task, r.attempt})
 	runEnd.Task, runEnd.Attempt = r.task, r.attempt
-	runEnd.Crash = r.crash
+	runEnd.Crash, runEnd.Failures = r.crash, r.failures
 	if runEnd.Checkpoint == "" {
 		runEnd.Checkpoint = r.checkpoint
 	}
