supervisor: Tell the owner for how long an agent has known no worker

Cause: a claim by an entry that the lost owner did not know states that the owner may act for 10 s, and the lease counts from then, also where the agent is back and knows that nobody can have renewed it: it alone renews the lease of its worker, its earlier process has ended, and it obeys no earlier owner any more.

Change: an agent that knows no worker says for how long it has known none. The new owner counts the lease from then once the agent has heard of its term.

--- a/elector/claim.go
+++ b/elector/claim.go
@@ -72,7 +72,7 @@
 	if now.Before(e.cooldownUntil) && rank > 0 {
 		return "", 0
 	}
-	if reason == reasonOwnerLost && !e.countedLocked() {
+	if reason == reasonOwnerLost && !e.asksLocked() {
 		rank += uncountedRanks
 	}
 	if now.Before(e.claimableSince.Add(time.Duration(rank) * claimDelayPerRank)) {
@@ -142,7 +142,7 @@
 	}
 	e.mu.Lock()
 	sent := e.claimSentAt // an earlier attempt may have taken effect since
-	counted, extended := e.countedLocked(), max(e.extensions.until.Sub(e.cfg.Now()), 0)
+	counted, extended := e.countedLocked(), max(e.extensions.claimedExtended.Sub(e.cfg.Now()), 0)
 	e.extensions.before = extender{record.Owner.ID, record.Owner.Incarnation}
 	list := storer.Write{Key: extendersKey, Value: e.currentExtendersLocked(next.Term).encode()}
 	e.mu.Unlock()
@@ -171,7 +171,7 @@
 		e.extensions.claimedVersion, e.extensions.pendingClaims = version, 0
 	}
 	if e.extensions.pendingClaims == 0 {
-		e.extensions.claimedUncounted, e.claimedUnchecked, e.claimedConfirmation, e.claimSentAt = false, false, time.Time{}, e.cfg.Now()
+		e.extensions.claimedUncounted, e.extensions.claimedExtended, e.claimedUnchecked, e.claimedConfirmation, e.claimSentAt = false, time.Time{}, false, time.Time{}, e.cfg.Now()
 	}
 	e.extensions.pendingClaims++
 	checks := []storer.Check{{Key: OwnerKey, Version: version}}
@@ -184,13 +184,14 @@
 	default: // the owner has stopped
 		ttl = record.EarlierOwnersTTL()
 	}
-	if e.countedLocked() { // the owner asks this entry only as long as the list has this version
+	if extended, known := e.extendedUntilLocked(); known { // the owner asks this entry only as long as the list has this version
 		checks = append(checks, storer.Check{Key: extendersKey, Version: e.extensions.listVersion})
+		e.extensions.claimedExtended = later(e.extensions.claimedExtended, extended)
 	} else {
 		e.extensions.claimedUncounted = true
 	}
 	checks = e.checkConfirmationLocked(reason, record, checks)
-	next := OwnerRecord{Owner: e.cfg.Self, Term: record.Term + 1, PredecessorsStopped: ttl == 0, RemainingTTL: ttl, Roster: true, Confirms: true, RulesSince: record.RulesSince}
+	next := OwnerRecord{Owner: e.cfg.Self, Term: record.Term + 1, PredecessorsStopped: ttl == 0, RemainingTTL: ttl, Roster: true, Confirms: true, RulesSince: record.RulesSince, ExtensionTTL: UnextendedTTL}
 	if next.RulesSince == 0 || next.RulesSince > record.Term {
 		next.RulesSince = next.Term
 	}
@@ -243,6 +244,13 @@
 	}, alongside...)
 	var conflict *storer.ConflictError
 	if errors.As(err, &conflict) {
+		e.mu.Lock()
+		for _, check := range checks {
+			if check.Key == confirmationKey && conflict.Item(confirmationKey).Version != check.Version {
+				e.confirmedMeanwhile = checks[0].Version
+			}
+		}
+		e.mu.Unlock()
 		e.apply([]storer.Item{conflict.Item(OwnerKey), conflict.Item(extendersKey), conflict.Item(confirmationKey)})
 	}
 	return newVersion, err
--- a/elector/claim_test.go
+++ b/elector/claim_test.go
@@ -73,7 +73,7 @@
 // The reply to a write may arrive after a watch has reported a later write.
 func TestAnOlderRecordDoesNotReplaceANewerOne(t *testing.T) {
 	c := qt.New(t)
-	e := New(Config{})
+	e := New(Config{Now: time.Now})
 	e.record, e.version = OwnerRecord{Owner: otherMember, Term: 5}, 9
 	c.Assert(e.adoptRecord(OwnerRecord{Owner: Member{ID: "entry-0"}, Term: 4}, 8), qt.IsFalse)
 	record, version := e.Owner()
--- a/elector/confirmation.go
+++ b/elector/confirmation.go
@@ -147,7 +147,10 @@
 // late still replaces an owner without a later confirmation.
 func (e *Elector) checkConfirmationLocked(reason string, record OwnerRecord, checks []storer.Check) []storer.Check {
 	last := e.confirmation
-	if reason != reasonOwnerLost || !record.Confirms || last.version == 0 || e.cfg.Now().Sub(last.seenAt) < confirmationCheckAge {
+	// A process that has just started has seen any confirmation just now, and learns from a refused check whether the
+	// owner goes on.
+	writes := e.cfg.Now().Sub(last.seenAt) < confirmationCheckAge && (e.countedLocked() || !e.asksLocked() || e.confirmedMeanwhile == e.version)
+	if reason != reasonOwnerLost || !record.Confirms || last.version == 0 || writes {
 		e.claimedUnchecked = true
 		return checks
 	}
@@ -164,7 +167,7 @@
 	known := earlierOwners{confirmedBy: e.claimedConfirmation}
 	if !e.extensions.claimedUncounted {
 		unextended := known.confirmedBy.Add(estimator.MaxLocalElapsed(UnextendedTTL))
-		known.until = later(later(unextended, e.extensions.until), e.earlierUntil)
+		known.until = later(later(unextended, later(e.extensions.until, e.extensions.claimedExtended)), e.earlierUntil)
 	}
 	return known
 }
--- a/elector/confirmation_test.go
+++ b/elector/confirmation_test.go
@@ -291,3 +291,40 @@
 		c.Check(next.OwnershipConfirmedAt().IsZero(), qt.IsTrue)
 	})
 }
+
+// The claim of a process that had just started counted from when it took effect, as the last confirmation was too
+// young to be checked: any is to a process that reads it first.
+func TestAProcessThatHasJustStartedChecksTheConfirmationThatItRead(t *testing.T) {
+	withCluster(t, 3, func(c *qt.C, cl *cluster) {
+		cl.killAll(cl.owner(), 900*time.Millisecond)
+		started := time.Now()
+		for cl.owner() == "" {
+			advancer.Sleep(10 * time.Millisecond)
+		}
+		claimed := time.Since(started)
+		_, until := cl.nodes[cl.owner()].EarlierOwners()
+		c.Assert(claimed < confirmationCheckAge, qt.IsTrue)
+		c.Check(until.IsZero(), qt.IsFalse)
+		c.Check(until.Sub(started) <= estimator.MaxLocalElapsed(UnextendedTTL)+checkInterval, qt.IsTrue, qt.Commentf("%v after the start", until.Sub(started)))
+	})
+}
+
+// An owner that goes on writing at a slow store made each claim fail. One that was refused for that is sent again
+// without the check.
+func TestAClaimThatWasRefusedForALaterConfirmationIsSentWithoutTheCheck(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(5000, 0)
+	e := New(Config{Self: Member{ID: "self", Incarnation: "2"}, Now: func() time.Time { return now }})
+	e.record, e.version = OwnerRecord{Owner: otherMember, Term: 5, ExtensionTTL: UnextendedTTL, Confirms: true}, 9
+	e.extensions.list, e.extensions.listVersion = extenders{Term: 5, Entries: []extender{{"self", "1"}}}, 9
+	e.confirmation = confirmation{version: 12, readAt: 12, seenAt: now}
+	_, checks := e.nextRecord(reasonOwnerLost, e.record, 9)
+	c.Assert(checks, qt.Contains, storer.Check{Key: confirmationKey, Version: 12})
+	e.endClaimAttempt(storer.ErrConflict)
+	e.confirmedMeanwhile = 9
+	_, checks = e.nextRecord(reasonOwnerLost, e.record, 9)
+	c.Assert(checks, qt.HasLen, 2)
+	now = now.Add(confirmationCheckAge)
+	_, checks = e.nextRecord(reasonOwnerLost, e.record, 9)
+	c.Assert(checks, qt.Contains, storer.Check{Key: confirmationKey, Version: 12})
+}
--- a/elector/elector.go
+++ b/elector/elector.go
@@ -118,6 +118,9 @@
 	// of them checks. claimedUnchecked is set if one checks none.
 	claimSentAt, claimedConfirmation time.Time
 	claimedUnchecked                 bool
+	// confirmedMeanwhile is the version of the owner key for which a claim of this entry was refused, as the
+	// owner had confirmed itself since.
+	confirmedMeanwhile uint64
 	// confirmation is the last one known of any owner, earlierOwners what the newest claim of this
 	// entry shows of those before it.
 	confirmation  confirmation
@@ -129,6 +132,9 @@
 	claimableSince time.Time
 	// lease is the lease of this entry's live key.
 	lease string
+	// startedAt is the local time at which this process started. Earlier ones of the entry have extended
+	// nothing since.
+	startedAt time.Time
 	// extensions are those of other entries' claims that this entry relies on as the owner,
 	// and those that others rely on.
 	extensions extensions
@@ -139,7 +145,7 @@
 	if cfg.Count == nil {
 		cfg.Count = func(string) {}
 	}
-	return &Elector{cfg: cfg, members: map[string]Member{}, unreadable: map[string]bool{}, extensions: extensions{granted: map[string]grant{}, pings: map[string]ping{}}}
+	return &Elector{cfg: cfg, startedAt: cfg.Now(), members: map[string]Member{}, unreadable: map[string]bool{}, extensions: extensions{granted: map[string]grant{}, pings: map[string]ping{}}}
 }
 
 // Owner returns the owner record and the version of the owner key.
--- a/elector/elector_test.go
+++ b/elector/elector_test.go
@@ -86,12 +86,25 @@
 	delete(cl.nodes, id)
 }
 
-// killUnaware kills an owner as all other entries start anew, so that it has asked none of their
-// processes for anything.
+// killUnaware kills an owner as all other entries are replaced, so that it has asked none of them for
+// anything.
 func (cl *cluster) killUnaware(owner string) {
 	cl.kill(owner)
 	for _, id := range slices.Collect(maps.Keys(cl.nodes)) {
 		cl.kill(id)
+		cl.start("new-"+id, "1")
+	}
+}
+
+// killAll kills all entries, and starts all but the owner anew after a while.
+func (cl *cluster) killAll(owner string, after time.Duration) {
+	others := slices.DeleteFunc(slices.Collect(maps.Keys(cl.nodes)), func(id string) bool { return id == owner })
+	cl.kill(owner)
+	for _, id := range others {
+		cl.kill(id)
+	}
+	advancer.Sleep(after)
+	for _, id := range others {
 		cl.start(id, "2")
 	}
 }
--- a/elector/extenders.go
+++ b/elector/extenders.go
@@ -130,3 +130,9 @@
 	x := &e.extensions
 	return x.list.Term == e.record.Term && slices.Contains(x.list.Entries, extender{e.cfg.Self.ID, e.cfg.Self.Incarnation})
 }
+
+// asksLocked reports whether the owner of record asks this process, or an earlier one of the entry; mu is held.
+func (e *Elector) asksLocked() bool {
+	_, known := e.extendedUntilLocked()
+	return known
+}
--- a/elector/extension.go
+++ b/elector/extension.go
@@ -59,8 +59,10 @@
 	claimedVersion uint64
 	pendingClaims  int
 	// claimedUncounted is set if one of them does not check the list, so that the owner may
-	// have stopped asking this entry before it takes effect.
+	// have stopped asking this entry before it takes effect. claimedExtended is until when the
+	// owner may rely on extensions of this entry as far as the others know.
 	claimedUncounted bool
+	claimedExtended  time.Time
 }
 
 // grant is an extension by a process of an entry.
@@ -120,11 +122,11 @@
 	e.extensions.granted[id] = grant{incarnation, extended}
 }
 
-// extendsLocked reports whether a process of an entry has extended the newest confirmation of
-// this owner until now or later; mu is held.
+// extendsLocked reports whether this owner may rely on a process of an entry to have extended its newest
+// confirmation, and not to have ended since; mu is held.
 func (e *Elector) extendsLocked(g grant, incarnation string) bool {
 	c := g.confirmation
-	return g.incarnation == incarnation && c.Term == e.record.Term && c.At == e.confirmedAt.UnixNano() && e.cfg.Now().UnixNano() < c.Sent+extensionTTL.Nanoseconds()
+	return g.incarnation == incarnation && c.Term == e.record.Term && c.At == e.confirmedAt.UnixNano() && e.cfg.Now().UnixNano() < c.Sent+UnextendedTTL.Nanoseconds()
 }
 
 // ConfirmationExtended reports whether every process that might claim extends the newest
@@ -202,11 +204,32 @@
 // lostOwnerTTLLocked returns how long the owner of record, which is lost, and those before it may
 // still act after a claim; mu is held.
 func (e *Elector) lostOwnerTTLLocked() time.Duration {
-	if !e.countedLocked() {
+	extended, known := e.extendedUntilLocked()
+	if !known {
 		return ConfirmationTTL
 	}
 	now := e.cfg.Now()
-	return max(UnextendedTTL, e.extensions.until.Sub(now), e.earlierUntil.Sub(now))
+	return max(UnextendedTTL, extended.Sub(now), e.earlierUntil.Sub(now))
+}
+
+// extendedUntilLocked returns until when the owner of record may rely on extensions, if it asks this entry: it
+// needs one of each that it asks; mu is held. That this process has extended nothing, says nothing of an
+// earlier one that the owner still asks, but that has ended.
+func (e *Elector) extendedUntilLocked() (time.Time, bool) {
+	x := &e.extensions
+	if x.list.Term != e.record.Term {
+		return time.Time{}, false
+	}
+	for _, asked := range x.list.Entries {
+		switch {
+		case asked.ID != e.cfg.Self.ID:
+		case asked.Incarnation == e.cfg.Self.Incarnation:
+			return x.until, true
+		default:
+			return later(x.until, e.record.reliesUntil(e.startedAt)), true
+		}
+	}
+	return time.Time{}, false
 }
 
 // later returns the later of two times.
--- a/elector/extension_test.go
+++ b/elector/extension_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -58,7 +59,15 @@
 			cl.kill(owner)
 			cl.store.SetFault(nil)
 		}, UnextendedTTL},
-		"owner does not know the process": {func(cl *cluster, _, owner string) { cl.killUnaware(owner) }, ConfirmationTTL},
+		"owner does not know the entry": {func(cl *cluster, _, owner string) { cl.killUnaware(owner) }, ConfirmationTTL},
+		"owner knew an earlier process": {func(cl *cluster, _, owner string) { cl.killAll(owner, 0) }, UnextendedTTL},
+		"all entries were lost in an outage": {func(cl *cluster, id, owner string) {
+			cl.store.SetFault(func(string) faker.StoreFault { return faker.StoreFault{Refuse: true} })
+			advancer.Sleep(2 * extensionAge)
+			cl.ping(id, owner, true)
+			cl.killAll(owner, time.Second)
+			cl.store.SetFault(nil)
+		}, UnextendedTTL},
 	} {
 		t.Run(name, func(t *testing.T) {
 			withCluster(t, 2, func(c *qt.C, cl *cluster) {
@@ -69,6 +78,9 @@
 					cl.kill(owner)
 				}
 				advancer.Sleep(4 * time.Second)
+				if cl.nodes[id] == nil {
+					id = "new-" + id
+				}
 				c.Assert(cl.owner(), qt.Equals, id)
 				record, _ := cl.nodes[id].Owner()
 				c.Check(record.PredecessorsStopped, qt.IsFalse)
@@ -78,6 +90,54 @@
 	}
 }
 
+// The claim of an entry that had started again stated the longest time, as if its earlier process had extended the lost
+// owner's confirmation to the end. The owner relies on an extension for a while after it has asked for it.
+func TestAClaimCountsFromTheStartOfTheProcessIfTheOwnerAsksAnEarlierOne(t *testing.T) {
+	for name, tt := range map[string]struct {
+		ttl, until time.Duration
+		listed     extender
+	}{
+		"earlier process":              {UnextendedTTL, UnextendedTTL, extender{"self", "1"}},
+		"owner of an earlier version":  {0, longExtensionTTL, extender{"self", "1"}},
+		"an odd time":                  {time.Hour, longExtensionTTL, extender{"self", "1"}},
+		"another entry with that name": {UnextendedTTL, 0, extender{"other", "2"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			now := time.Unix(5000, 0)
+			e := New(Config{Self: Member{ID: "self", Incarnation: "2"}, Now: func() time.Time { return now }})
+			e.record, e.version = OwnerRecord{Owner: otherMember, Term: 5, ExtensionTTL: tt.ttl}, 9
+			e.extensions.list, e.extensions.listVersion = extenders{Term: 5, Entries: []extender{tt.listed}}, 9
+			until, known := e.extendedUntilLocked()
+			c.Assert(known, qt.Equals, tt.until > 0)
+			if known {
+				c.Assert(until, qt.Equals, now.Add(estimator.MaxLocalElapsed(tt.until)))
+			}
+			next, checks := e.nextRecord(reasonOwnerLost, e.record, 9)
+			c.Assert(next.EarlierOwnersTTL() < ConfirmationTTL, qt.Equals, known)
+			c.Assert(slices.Contains(checks, storer.Check{Key: extendersKey, Version: 9}), qt.Equals, known)
+			c.Assert(e.extensions.claimedUncounted, qt.Equals, !known)
+		})
+	}
+}
+
+// An owner relies on an entry only while it hears of it: one that has ended extends nothing, and its next
+// process counts from its own start.
+func TestAnOwnerReliesOnAnExtensionForAWhile(t *testing.T) {
+	withCluster(t, 2, func(c *qt.C, cl *cluster) {
+		owner := cl.owner()
+		cl.store.SetFault(func(string) faker.StoreFault { return faker.StoreFault{Refuse: true} })
+		advancer.Sleep(extensionAge)
+		cl.ping(cl.other(owner), owner, true)
+		advancer.Sleep(UnextendedTTL - time.Millisecond)
+		c.Check(cl.nodes[owner].ConfirmationExtended(), qt.IsTrue)
+		advancer.Sleep(time.Millisecond)
+		c.Check(cl.nodes[owner].ConfirmationExtended(), qt.IsFalse)
+		cl.store.SetFault(nil)
+		advancer.Sleep(time.Second)
+	})
+}
+
 // An entry that was lost in an outage extends nothing any more. The owner stops, as the entry may
 // claim once it is back.
 func TestAnExtensionEnds(t *testing.T) {
--- a/elector/record.go
+++ b/elector/record.go
@@ -49,6 +49,22 @@
 	RulesSince uint64 `cbor:"7,keyasint,omitempty"`
 	// Confirms is set if the owner counts only calls as confirmations that write confirmationKey.
 	Confirms bool `cbor:"8,keyasint,omitempty"`
+	// ExtensionTTL is how long after it has asked for an extension the owner relies on it; longExtensionTTL
+	// if it is zero.
+	ExtensionTTL time.Duration `cbor:"9,keyasint,omitempty"`
+}
+
+// longExtensionTTL is how long owners of earlier versions rely on an extension.
+const longExtensionTTL = 3 * time.Second
+
+// reliesUntil returns how long the owner of the record relies on an extension that it has asked for by a
+// time.
+func (r OwnerRecord) reliesUntil(asked time.Time) time.Time {
+	ttl := r.ExtensionTTL
+	if ttl <= 0 || ttl > longExtensionTTL {
+		ttl = longExtensionTTL
+	}
+	return asked.Add(estimator.MaxLocalElapsed(ttl))
 }
 
 // EarlierOwnersTTL returns how long after the claim of the record's owner earlier
--- a/messenger/pool_messages.go
+++ b/messenger/pool_messages.go
@@ -110,6 +110,9 @@
 	// Leaving is set once the agent is to end. It starts nothing more, and waits until the
 	// ledger no longer says that it may run any task.
 	Leaving bool `cbor:"24,keyasint,omitempty"`
+	// WorkerlessMs is for how long, in ms and at least 1, this process of the agent has known no worker, so that
+	// nobody has renewed the lease of one there; 0 while it knows one. Earlier processes have ended before.
+	WorkerlessMs int64 `cbor:"26,keyasint,omitempty"`
 }
 
 // RunStatus is the state of a run at an agent's worker. In a Delta, a run that was in
--- a/orchestrator/renewal.go
+++ b/orchestrator/renewal.go
@@ -6,6 +6,7 @@
 	"go.uber.org/zap"
 
 	"github.com/endivefall/endivefall/estimator"
+	"github.com/endivefall/endivefall/messenger"
 )
 
 // renewal is a renewal of the lease of a worker.
@@ -69,3 +70,20 @@
 	at, ok := o.cfg.KnownSince(o.cfg.Epoch)
 	return !ok || !at.Before(o.cfg.ClaimSentAt)
 }
+
+// boundWorkerless bounds the wait for an agent that is connected and knows no worker: it alone renews the lease of
+// its worker, and obeys no earlier owner any more. What its worker runs, if there is one, ends with the
+// lease that an earlier process of the agent has renewed last.
+func (o *Orchestrator) boundWorkerless(a *agent, snapshot *messenger.WorkerSnapshot) {
+	if !a.hasUnknownRuns || snapshot.WorkerlessMs <= 0 || snapshot.Term != o.cfg.Term {
+		return
+	}
+	workerless := estimator.MinWorkerElapsed(time.Duration(min(snapshot.WorkerlessMs, o.maxLeaseElapsed().Milliseconds())) * time.Millisecond)
+	expiresAt := a.lastSnapshotAt.Add(o.maxLeaseElapsed() - workerless)
+	if !expiresAt.Before(a.leaseExpiresAt) {
+		return
+	}
+	o.cfg.Log.Info("wait for an agent without a worker bounded", zap.String("agent", a.id), zap.Duration("workerless", workerless), zap.Duration("lease", expiresAt.Sub(o.cfg.Now())),
+		zap.Duration("lease_before", a.leaseExpiresAt.Sub(o.cfg.Now())))
+	a.leaseExpiresAt = expiresAt
+}
--- a/orchestrator/snapshot.go
+++ b/orchestrator/snapshot.go
@@ -101,6 +101,7 @@
 	}
 	o.advanceDurableEnd(a)
 	if !snapshot.Reconciled {
+		o.boundWorkerless(a, snapshot)
 		return
 	}
 	for _, status := range snapshot.Runs {
--- a/supervisor/incarnation.go
+++ b/supervisor/incarnation.go
@@ -73,7 +73,7 @@
 			s.endRun(r, messenger.RunEnd{Status: messenger.EndWorkerLost, Reason: "replaced by " + heartbeat.Incarnation()}, 0)
 		}
 	}
-	s.heartbeat = heartbeat
+	s.heartbeat, s.workerlessSince = heartbeat, time.Time{}
 	s.workerClock, s.clockReadAt, s.aliveAt = reply.Clock, receivedAt, receivedAt
 	s.fence = max(fence, s.fenceFloor(heartbeat, reply.Clock))
 	// An earlier process of the agent may have sent leases up to this time.
@@ -158,7 +158,7 @@
 		s.ends[i].workerSeq = 0 // the numbers belong to that incarnation
 	}
 	s.earlierWorkerID, s.earlierStartedAt, s.earlierFence = s.heartbeat.WorkerID, s.heartbeat.StartedAt, s.fence
-	s.heartbeat, s.reconciled, s.complete, s.endsUnlisted = Heartbeat{}, false, false, false
+	s.heartbeat, s.workerlessSince, s.reconciled, s.complete, s.endsUnlisted = Heartbeat{}, s.cfg.Now(), false, false, false
 	s.draining, s.closed = false, false
 	s.fence, s.seenEnd, s.ackedEnd, s.appliedSentAt = 0, 0, 0, time.Time{}
 	s.leaseExpiresAt, s.sentLease, s.workerClock, s.unreachableSince = time.Time{}, time.Time{}, time.Time{}, time.Time{}
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -91,6 +91,8 @@
 	// heartbeat is the newest heartbeat of the worker's current incarnation, empty
 	// while none is confirmed.
 	heartbeat Heartbeat
+	// workerlessSince is the local time since which no incarnation has been confirmed; zero while one is.
+	workerlessSince time.Time
 	// reconciled is set once runs has been compared with the incarnation's lists, and
 	// complete once one of them had all runs and all ends: since then, each run of the
 	// incarnation whose end is not acknowledged is in runs or ends.
@@ -182,7 +184,7 @@
 	}
 	return &Supervisor{
 		cfg: cfg, dirty: make(chan struct{}, 1), applied: make(chan struct{}, 1), listNow: make(chan struct{}, 1), changed: make(chan struct{}, 1),
-		runs: map[runKey]*run{}, unknownStops: map[runKey]time.Time{},
+		runs: map[runKey]*run{}, unknownStops: map[runKey]time.Time{}, workerlessSince: cfg.Now(),
 	}
 }
 
@@ -241,6 +243,9 @@
 	if s.heartbeat.Incarnation() != "" {
 		snap.SentAt = s.workerNow()
 	}
+	if !s.workerlessSince.IsZero() {
+		snap.WorkerlessMs = max(s.cfg.Now().Sub(s.workerlessSince).Milliseconds(), 1)
+	}
 	if s.heartbeat.Draining && !s.heartbeat.EarliestExit.IsZero() {
 		snap.DrainRemainingMs = max(s.heartbeat.EarliestExit.Sub(s.workerNow()).Milliseconds(), 0)
 	}
