--- a/coordinator/lost_entries_test.go
+++ b/coordinator/lost_entries_test.go
@@ -55,3 +55,23 @@
 		c.Check(idle <= maxGap, qt.IsTrue, qt.Commentf("its tasks ran nowhere for %v after the last process was back", idle))
 	})
 }
+
+// All entries were killed, and the owner and an agent with its worker did not come back. The next processes of the
+// other entries waited as if their earlier ones had extended the owner's confirmation to the end.
+func TestTasksOfALostAgentDoNotWaitForExtensionsOfProcessesThatHaveEnded(t *testing.T) {
+	inLastingFleet(t, func(c *qt.C, f *fleet) {
+		busy, _ := f.agentsByLoad()
+		entries := len(f.entries)
+		owner := f.killEntries()
+		f.stopAgent(busy)
+		busy.worker.Crash()
+		advancer.Sleep(time.Second)
+		for n := range entries {
+			if name := fmt.Sprint("entry-", n); name != owner.name {
+				f.startEntry(name, n)
+			}
+		}
+		idle := f.idleUntilRunning(busy)
+		c.Check(idle <= maxGap, qt.IsTrue, qt.Commentf("its tasks ran nowhere for %v after the last process was back", idle))
+	})
+}
