elector: Send a confirmation at once where a lease that is over waits for it

Callers saw the tasks of a lost agent start up to 0.6 s later than they could.

Change: the owner asks for a confirmation that is sent after the lease, once for each.

--- a/coordinator/ownership.go
+++ b/coordinator/ownership.go
@@ -51,7 +51,7 @@
 		ExtendedForAnyAgent: c.elector.ExtendedForAnyAgent,
 		PreviousOwnerTTL:    previousOwnerTTL, EarlierConfirmedBy: earlierConfirmedBy, EarlierOwnersUntil: earlierOwnersUntil, KnownSince: c.chronicler.KnownSince,
 		RosterFrom: c.elector.RosterFrom(), UnrosteredUntil: c.elector.UnrosteredUntil(), RulesSince: record.RulesSince,
-		OwnershipConfirmedAt: c.elector.OwnershipConfirmedAt, HasStandby: func() bool { return len(c.elector.Members()) > 0 },
+		OwnershipConfirmedAt: c.elector.OwnershipConfirmedAt, ConfirmAfter: c.elector.ConfirmAfter, HasStandby: func() bool { return len(c.elector.Members()) > 0 },
 		Log: c.cfg.Log, Count: c.cfg.Count, Gauge: c.cfg.Gauge, ObserveDuration: c.cfg.ObserveDuration,
 	})
 	c.mu.Lock()
--- a/elector/confirmation.go
+++ b/elector/confirmation.go
@@ -107,7 +107,16 @@
 func (e *Elector) confirmationDue(lastSent, now time.Time) (version uint64, due bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.version, e.isOwnerLocked() && now.Sub(later(lastSent, e.confirmedAt)) >= confirmInterval
+	last := later(lastSent, e.confirmedAt)
+	return e.version, e.isOwnerLocked() && (now.Sub(last) >= confirmInterval || last.Before(e.confirmAfter))
+}
+
+// ConfirmAfter asks for a confirmation that is sent after a time, which has passed, without waiting until the next one
+// is due.
+func (e *Elector) ConfirmAfter(at time.Time) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.confirmAfter = later(e.confirmAfter, at)
 }
 
 // confirm writes the confirmation key if this process is still the owner at a version of the
--- a/elector/elector.go
+++ b/elector/elector.go
@@ -103,6 +103,8 @@
 	// confirmedAt is the send time of the newest write of the confirmation key by this entry that
 	// is known to have taken effect while it was the owner.
 	confirmedAt time.Time
+	// confirmAfter is a local time after which a confirmation is needed.
+	confirmAfter time.Time
 	// claimedAt is the local time at which this entry learned that its newest claim
 	// took effect.
 	claimedAt time.Time
--- a/orchestrator/agent.go
+++ b/orchestrator/agent.go
@@ -133,8 +133,12 @@
 // the agent reports their ends itself.
 func (o *Orchestrator) expireLease(a *agent, now time.Time) {
 	reporting := a.link != nil && a.snapshot != nil && a.snapshot.Reconciled && now.Sub(a.lastSnapshotAt) < isolationTimeout
+	if reporting || now.Before(a.leaseExpiresAt) || !o.loaded {
+		return
+	}
 	// A later owner may have renewed the lease unless there was none when it ended.
-	if reporting || now.Before(a.leaseExpiresAt) || o.cfg.OwnershipConfirmedAt().Before(a.leaseExpiresAt) || !o.loaded {
+	if o.cfg.OwnershipConfirmedAt().Before(a.leaseExpiresAt) {
+		o.cfg.ConfirmAfter(a.leaseExpiresAt)
 		return
 	}
 	for _, r := range o.runsOf(a) {
--- a/orchestrator/agent_test.go
+++ b/orchestrator/agent_test.go
@@ -136,3 +136,26 @@
 	h.o.expireLease(a, h.now)
 	c.Assert(j.liveRuns, qt.HasLen, 0)
 }
+
+// The lease of a lost agent is over for its owner once a confirmation that was sent after it shows that there is no
+// later owner. It asks for one then.
+func TestAnOwnerAsksForAConfirmationOnceALeaseIsOver(t *testing.T) {
+	c := qt.New(t)
+	h, j, a := newBusyHarness(c)
+	var asked []time.Time
+	h.o.cfg.ConfirmAfter = func(at time.Time) { asked = append(asked, at) }
+	a.link, a.snapshot = nil, nil
+	confirmedAt := a.leaseExpiresAt.Add(-time.Millisecond)
+	h.o.cfg.OwnershipConfirmedAt = func() time.Time { return confirmedAt }
+	h.now = a.leaseExpiresAt.Add(-time.Millisecond)
+	h.o.expireLease(a, h.now)
+	c.Check(asked, qt.HasLen, 0)
+	h.now = a.leaseExpiresAt
+	h.o.expireLease(a, h.now)
+	c.Check(asked, qt.DeepEquals, []time.Time{a.leaseExpiresAt})
+	c.Check(j.liveRuns, qt.HasLen, 3)
+	confirmedAt = a.leaseExpiresAt
+	h.o.expireLease(a, h.now)
+	c.Check(asked, qt.HasLen, 1)
+	c.Check(j.liveRuns, qt.HasLen, 0)
+}
--- a/orchestrator/config.go
+++ b/orchestrator/config.go
@@ -63,6 +63,9 @@
 	// job. Both may be nil, so that jobs stay where they were accepted.
 	ConfigVersion func() uint64
 	Placement     func(spec *sequencer.Spec) (sequencer.Placement, bool)
+	// ConfirmAfter asks for a confirmation of ownership that is sent after a time, which has passed; it may
+	// be nil.
+	ConfirmAfter func(at time.Time)
 	// QueryPolicy asks the policy service of a queue which worker incarnations may
 	// run a step, and how long the answer is valid.
 	QueryPolicy func(ctx context.Context, step string, workers []string) ([]PolicyGrant, time.Duration, error)
--- a/orchestrator/orchestrator.go
+++ b/orchestrator/orchestrator.go
@@ -164,6 +164,9 @@
 	if cfg.Gauge == nil {
 		cfg.Gauge = func(string, float64) {}
 	}
+	if cfg.ConfirmAfter == nil {
+		cfg.ConfirmAfter = func(time.Time) {}
+	}
 	if cfg.Placement == nil {
 		cfg.ConfigVersion = func() uint64 { return 0 }
 		cfg.Placement = func(*sequencer.Spec) (sequencer.Placement, bool) { return sequencer.Placement{}, false }
