coordinator: Share no seed and no random numbers between goroutines of a test

No history had failed.

Cause: TestLastingTasksRunAgainBesideAbsentAgents sets the seed of its fleet while runs read it, and injectLostOwners drew from the random numbers of the history in a timer's goroutine.

Change: the seed is read and set under the lock of the fleet, and what a timer needs is drawn before. The draws of a seed of TestHistoriesWithOwnersLostInSeries differ from before.

--- a/coordinator/cancel_history_test.go
+++ b/coordinator/cancel_history_test.go
@@ -97,7 +97,7 @@
 	if share == 0 {
 		return false
 	}
-	r := rand.New(rand.NewPCG(f.seed, xxhash.Sum64String("steps"+spec.ID)))
+	r := f.random("steps" + spec.ID)
 	if r.Float64() < endlessJobs {
 		step := sequencer.Step{Count: 2, CPU: 500, Memory: 100, LongRunning: true, Image: "idle"}
 		switch r.IntN(3) {
@@ -120,7 +120,7 @@
 	switch s := f.auditor.Spec(id).Steps[step]; {
 	case s.LatencyTargetMs > 0:
 		return func(worked time.Duration) int64 {
-			r := rand.New(rand.NewPCG(f.seed, xxhash.Sum64String(fmt.Sprint(task, worked/tailPeriod))))
+			r := f.random(fmt.Sprint(task, worked/tailPeriod))
 			return int64(float64(s.LatencyTargetMs) * (minTail + r.Float64()*(maxTail-minTail)))
 		}
 	default:
@@ -130,7 +130,7 @@
 
 // cancelLater cancels a job some time after it was accepted.
 func (f *fleet) cancelLater(id string) {
-	r := rand.New(rand.NewPCG(f.seed, xxhash.Sum64String("cancel"+id)))
+	r := f.random("cancel" + id)
 	span := math.Log(float64(maxCancelDelay) / float64(minCancelDelay))
 	time.AfterFunc(time.Duration(float64(minCancelDelay)*math.Exp(r.Float64()*span)), func() { f.cancelSurely(id, r) })
 }
--- a/coordinator/entry_node_test.go
+++ b/coordinator/entry_node_test.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"net"
 	"net/netip"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -62,3 +64,10 @@
 	defer f.mu.Unlock()
 	return f.entries[fmt.Sprintf("entry-%d", n%len(f.entries))]
 }
+
+// entryNames returns the names of the entries, which they keep across restarts.
+func (f *fleet) entryNames() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Sorted(maps.Keys(f.entries))
+}
--- a/coordinator/failure_history_test.go
+++ b/coordinator/failure_history_test.go
@@ -27,12 +27,12 @@
 	f.disturb("", maxFaultDuration)
 	f.setFaults(func() { f.storeDown = true })
 	advancer.Sleep(time.Duration(500+r.IntN(4000)) * time.Millisecond)
-	if owners := f.owners(); len(owners) > 0 {
-		owner := owners[0]
-		f.kill(owner)
-		var n int
-		_, _ = fmt.Sscanf(owner.name, "entry-%d", &n)
-		time.AfterFunc(time.Duration(500+r.IntN(2000))*time.Millisecond, func() { f.startEntry(owner.name, n) })
+	for n := range len(f.entries) {
+		if e := f.entry(n); e.isOwner() {
+			f.kill(e)
+			defer f.startEntry(e.name, n)
+			break
+		}
 	}
 	for range 1 + r.IntN(2) {
 		a := f.agents[fmt.Sprintf("agent-%d", r.IntN(len(f.agents)))]
--- a/coordinator/fleet_test.go
+++ b/coordinator/fleet_test.go
@@ -41,7 +41,7 @@
 	auditor *faker.PoolAuditor
 	log     *zap.Logger
 
-	mu      sync.Mutex
+	mu      sync.Mutex // guards all below, and seed
 	entries map[string]*entryNode
 	agents  map[string]*agentNode
 	// frozen has the entries that are frozen.
@@ -124,6 +124,13 @@
 	return rand.New(rand.NewPCG(f.seed, xxhash.Sum64String(fmt.Sprint(purpose, f.draws[purpose])))).Float64()
 }
 
+// random returns random numbers that depend on the seed and the purpose.
+func (f *fleet) random(purpose string) *rand.Rand {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return rand.New(rand.NewPCG(f.seed, xxhash.Sum64String(purpose)))
+}
+
 func (f *fleet) runPlan(task string, attempt uint64) faker.PoolRunPlan {
 	if f.crashesWorkers(task) {
 		return faker.PoolRunPlan{Duration: timeToCrash, Crashes: true}
@@ -134,7 +141,7 @@
 	f.mu.Lock()
 	failing := f.failingRuns
 	f.mu.Unlock()
-	r := rand.New(rand.NewPCG(f.seed, xxhash.Sum64String(fmt.Sprint(task, attempt))))
+	r := f.random(fmt.Sprint(task, attempt))
 	return faker.PoolRunPlan{Duration: 50*time.Millisecond + time.Duration(r.Float64()*float64(1500*time.Millisecond)), Fails: r.Float64() < failing}
 }
 
@@ -145,7 +152,7 @@
 	f.mu.Lock()
 	share := f.crashingJobs
 	f.mu.Unlock()
-	r := rand.New(rand.NewPCG(f.seed, xxhash.Sum64String(id)))
+	r := f.random(id)
 	if err != nil || r.Float64() >= share {
 		return false
 	}
--- a/coordinator/grant_history_test.go
+++ b/coordinator/grant_history_test.go
@@ -30,7 +30,7 @@
 
 func runAbsentHistory(t *testing.T, seed uint64) {
 	withLastingFleet(t, 4, func(c *qt.C, f *fleet) {
-		f.seed = seed
+		f.setFaults(func() { f.seed = seed })
 		r := rand.New(rand.NewPCG(seed, 2))
 		randomTime := func(most time.Duration) time.Duration { return time.Duration(r.Int64N(int64(most))) }
 		calmAt := time.Now()
--- a/coordinator/series_history_test.go
+++ b/coordinator/series_history_test.go
@@ -2,9 +2,7 @@
 
 import (
 	"fmt"
-	"maps"
 	"math/rand/v2"
-	"slices"
 	"testing"
 	"time"
 
@@ -43,7 +41,8 @@
 	switch r.IntN(5) {
 	case 0:
 		f.cutOffTogether(owner, a, true, true)
-		time.AfterFunc(duration, func() { f.cutOffTogether(owner, a, false, r.IntN(2) == 0) })
+		silent := r.IntN(2) == 0
+		time.AfterFunc(duration, func() { f.cutOffTogether(owner, a, false, silent) })
 		return
 	case 1:
 		f.stopAgent(a)
@@ -63,7 +62,7 @@
 // that. They reach each other.
 func (f *fleet) cutOffTogether(e *entryNode, a *agentNode, cut, silent bool) {
 	f.setFaults(func() { f.rejected[e.name], f.rejected[a.name] = cut, cut })
-	for _, name := range slices.Collect(maps.Keys(f.entries)) {
+	for _, name := range f.entryNames() {
 		if name != e.name {
 			f.network.SetPartition(e.name, name, cut, silent)
 			f.network.SetPartition(a.name, name, cut, silent)
