orchestrator: Let a job whose progress is rejected hold up no other

Cause: the progress of a job is one value with the checkpoints of all of its tasks, and the store takes 1 MiB. The owner puts the progress of up to 15 jobs into one transaction, and queued all of them again together each time it was rejected.

Change: progress leaves out the largest checkpoints where it would be too large: without one, a task only repeats work if all that keep it are lost at once. After a rejection, each job of the batch is written apart until a write of it takes effect, and one that is rejected alone waits for 5 s. A transaction gets no more progress once it has as much as one value may have.

--- a/orchestrator/ends.go
+++ b/orchestrator/ends.go
@@ -160,9 +160,13 @@
 }
 
 // markDirty queues a job's progress for writing: at once if the job has ended, otherwise
-// soon, together with further changes. Until then the agents keep the ends.
+// soon, together with further changes, or later if the ledger has rejected it. Until then the
+// agents keep the ends.
 func (o *Orchestrator) markDirty(j *job) {
 	j.revision++
+	if o.heldWrites[j] {
+		return
+	}
 	due := o.cfg.Now()
 	if !j.State().Final() {
 		due = due.Add(progressWriteDelay)
--- a/orchestrator/job.go
+++ b/orchestrator/job.go
@@ -13,6 +13,10 @@
 	// revision in the ledger.
 	revision, durableRevision uint64
 	dirty                     bool // it is in dirtyJobs
+	// apart is set once the ledger has rejected a write of it: until one takes effect, it is written
+	// apart from all other changes. While it is in heldWrites, that is not before writeFrom.
+	apart     bool
+	writeFrom time.Time
 	// endWriting is set while a write of a final state is in flight, cancelWaiting once a
 	// cancellation has been read meanwhile.
 	endWriting, cancelWaiting bool
--- a/orchestrator/orchestrator.go
+++ b/orchestrator/orchestrator.go
@@ -106,6 +106,9 @@
 	// dirtyJobs are jobs whose progress is yet to be written to the ledger, in
 	// order.
 	dirtyJobs []*job
+	// heldWrites has the jobs whose progress the ledger has rejected though it was written apart. They are not in
+	// dirtyJobs.
+	heldWrites map[*job]bool
 	// progressDue is when dirtyJobs are written at the latest.
 	progressDue time.Time
 	// writing is set while a commit is in flight.
@@ -176,7 +179,7 @@
 	}
 	return &Orchestrator{
 		cfg: cfg, actions: make(chan func(), queueCapacity), stopped: make(chan struct{}), done: make(chan struct{}),
-		jobs: map[string]*job{}, openJobs: map[string]*job{}, unreadableJobs: map[string]bool{}, runs: map[runKey]*run{}, granting: map[*run]bool{}, claims: map[*sequencer.Task]*claim{}, shares: map[string]*apportioner.Share{}, agents: map[string]*agent{},
+		jobs: map[string]*job{}, openJobs: map[string]*job{}, unreadableJobs: map[string]bool{}, runs: map[runKey]*run{}, granting: map[*run]bool{}, heldWrites: map[*job]bool{}, claims: map[*sequencer.Task]*claim{}, shares: map[string]*apportioner.Share{}, agents: map[string]*agent{},
 		predictor: predictor.New(), policies: map[string]*stepPolicy{}, starts: regulator.New(), isolation: isolation{firstContactBy: cfg.ClaimedAt.Add(firstContactTimeout)},
 	}
 }
@@ -280,6 +283,7 @@
 		o.reportStops(now)
 		o.adoptGrants()
 		o.followQueues()
+		o.releaseHeldWrites(now)
 		o.evacuate()
 		o.relocateSlowedRuns(now)
 		o.stopIncompleteGangs()
--- a/orchestrator/write.go
+++ b/orchestrator/write.go
@@ -20,6 +20,14 @@
 // write or deletion, and the owner's key takes a check.
 const maxBatchKeys = (storer.MaxTransactionOps - 1) / 2
 
+// maxBatchBytes is the size of the progress in one transaction from which no more is added to it: as much as
+// one value may have.
+const maxBatchBytes = storer.MaxValueBytes
+
+// rejectedWriteDelay is how long a job waits after the ledger has rejected a write of it alone: the same again
+// would most likely be rejected, too.
+const rejectedWriteDelay = 5 * time.Second
+
 // batch is a transaction with the state that it writes.
 type batch struct {
 	transaction storer.Transaction
@@ -140,19 +148,32 @@
 		}
 	}
 	o.putGrantsFirst()
-	for len(o.dirtyJobs) > 0 && b.keyCount() < maxBatchKeys {
-		j := o.dirtyJobs[0]
-		o.dirtyJobs = o.dirtyJobs[1:]
+	size := 0
+	for n := 0; n < len(o.dirtyJobs) && b.keyCount() < maxBatchKeys && size < maxBatchBytes; {
+		j := o.dirtyJobs[n]
+		if j.apart && b.keyCount() > 0 {
+			n++
+			continue
+		}
+		o.dirtyJobs = slices.Delete(o.dirtyJobs, n, n+1)
 		j.dirty, j.grantDue = false, false
 		p := j.Progress()
-		value, err := p.Encode()
+		value, omitted, err := p.EncodeWithin(storer.MaxValueBytes)
 		if err != nil {
 			o.cfg.Log.Error("encoding progress failed", zap.String("job", j.Spec.ID), zap.Error(err))
 			continue
 		}
+		if omitted > 0 {
+			o.cfg.Count("checkpoints_omitted")
+			o.cfg.Log.Warn("progress has no room for all checkpoints", zap.String("job", j.Spec.ID), zap.Int("omitted", omitted), zap.Int("bytes", len(value)))
+		}
 		j.endWriting = p.State.Final()
 		b.jobs = append(b.jobs, jobWrite{j, j.revision, p.State})
 		add(ProgressKey(j.Spec.ID), j.ProgressVersion, value)
+		size += len(value)
+		if j.apart {
+			break
+		}
 	}
 	return b
 }
@@ -235,6 +256,7 @@
 	now := o.cfg.Now()
 	for _, write := range b.jobs {
 		write.job.endWriting, write.job.cancelWaiting = false, false
+		write.job.apart = false
 		write.job.ProgressVersion, write.job.durableRevision = version, max(write.job.durableRevision, write.revision)
 		o.startGranted(write.job)
 		if write.state.Final() && !write.job.DurableState.Final() {
@@ -283,14 +305,33 @@
 }
 
 // handleRejection keeps what was last known of the keys of a batch that the ledger rejected, though an
-// earlier attempt without a reply may take effect: the next write meets it then.
+// earlier attempt without a reply may take effect: the next write meets it then. One job whose progress is
+// rejected must not hold up the others, so that each is written apart from now on.
 func (o *Orchestrator) handleRejection(b *batch) {
 	for _, a := range b.agents() {
 		a.registration.SetInDoubt(a.registration.Version(), a.registration.Record())
 	}
+	for _, write := range b.jobs {
+		if write.job.apart { // nothing else was in the batch
+			write.job.writeFrom, o.heldWrites[write.job] = o.cfg.Now().Add(rejectedWriteDelay), true
+			o.cfg.Count("rejected_job")
+			o.cfg.Log.Error("ledger takes no progress of a job", zap.String("job", write.job.Spec.ID), zap.Time("again", write.job.writeFrom))
+		}
+		write.job.apart = true
+	}
 	o.writeAgain(b)
 }
 
+// releaseHeldWrites queues the progress of jobs that have waited after a rejected write.
+func (o *Orchestrator) releaseHeldWrites(now time.Time) {
+	for j := range o.heldWrites {
+		if !now.Before(j.writeFrom) {
+			delete(o.heldWrites, j)
+			o.markDirty(j)
+		}
+	}
+}
+
 // writeAgain queues the roster and the progress of a batch that did not take effect.
 func (o *Orchestrator) writeAgain(b *batch) {
 	if b.hasRoster {
@@ -304,7 +345,7 @@
 		}
 		o.markDirty(write.job)
 		for _, r := range write.job.liveRuns {
-			if o.granting[r] { // its start waits for the write
+			if o.granting[r] && write.job.dirty { // its start waits for the write
 				write.job.grantDue, o.progressDue = true, o.cfg.Now()
 			}
 		}
--- a/sequencer/progress.go
+++ b/sequencer/progress.go
@@ -1,6 +1,7 @@
 package sequencer
 
 import (
+	"errors"
 	"fmt"
 	"slices"
 
@@ -60,6 +61,38 @@
 // Encode returns the progress as CBOR.
 func (p *Progress) Encode() ([]byte, error) { return encMode.Marshal(p) }
 
+// EncodeWithin returns the progress as CBOR in no more than a number of bytes, and how many checkpoints it leaves
+// out for that, the largest first: without its checkpoint, a task only repeats work if all that keep it
+// are lost at once.
+func (p *Progress) EncodeWithin(limit int) (raw []byte, omitted int, err error) {
+	raw, err = p.Encode()
+	if err != nil || len(raw) <= limit {
+		return raw, 0, err
+	}
+	small := *p
+	small.Tasks = slices.Clone(p.Tasks)
+	bySize := make([]*TaskRecord, 0, len(small.Tasks))
+	for n := range small.Tasks {
+		if small.Tasks[n].Checkpoint != "" {
+			bySize = append(bySize, &small.Tasks[n])
+		}
+	}
+	slices.SortStableFunc(bySize, func(a, b *TaskRecord) int { return len(b.Checkpoint) - len(a.Checkpoint) })
+	excess := len(raw) - limit
+	for _, record := range bySize {
+		if excess <= 0 {
+			break
+		}
+		excess -= len(record.Checkpoint)
+		record.Checkpoint = ""
+		omitted++
+	}
+	if raw, err = small.Encode(); err == nil && len(raw) > limit {
+		err = fmt.Errorf("%w: progress of %d bytes without checkpoints", ErrTooLarge, len(raw))
+	}
+	return raw, omitted, err
+}
+
 // DecodeProgress reads progress that was written by Encode.
 func DecodeProgress(raw []byte) (*Progress, error) {
 	var p Progress
@@ -69,6 +102,9 @@
 	return &p, p.check()
 }
 
+// ErrTooLarge means that progress does not fit into a value of the ledger.
+var ErrTooLarge = errors.New("progress is too large")
+
 // maxAttempt bounds the attempts in a record; a later attempt has a higher number.
 const maxAttempt = 1 << 53
 
