--- a/orchestrator/write.go
+++ b/orchestrator/write.go
@@ -1,17 +1,14 @@
 package orchestrator
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"slices"
-	"strings"
 	"time"
 
 	"go.uber.org/zap"
 
 	"github.com/endivefall/endivefall/registrar"
-	"github.com/endivefall/endivefall/sequencer"
 	"github.com/endivefall/endivefall/storer"
 	"github.com/endivefall/endivefall/waiter"
 )
@@ -24,53 +21,6 @@
 // one value may have.
 const maxBatchBytes = storer.MaxValueBytes
 
-// rejectedWriteDelay is how long a job waits after the ledger has rejected a write of it alone: the same again
-// would most likely be rejected, too.
-const rejectedWriteDelay = 5 * time.Second
-
-// batch is a transaction with the state that it writes.
-type batch struct {
-	transaction storer.Transaction
-	jobs        []jobWrite
-	// openedAgents and closedAgents are agents whose registrations are written.
-	openedAgents, closedAgents []*agent
-	// removedAgents are agents whose registrations are deleted.
-	removedAgents []*agent
-	// hasRoster is set if the roster is written, with rosterAgents.
-	hasRoster    bool
-	rosterAgents []*agent
-	// deletedJobs are jobs whose keys are deleted.
-	deletedJobs []*job
-}
-
-// keyCount returns the number of keys that the batch writes or deletes.
-func (b *batch) keyCount() int { return len(b.transaction.Writes) + len(b.transaction.Deletes) }
-
-// agents returns the agents whose registrations the batch changes.
-func (b *batch) agents() []*agent {
-	return slices.Concat(b.openedAgents, b.closedAgents, b.removedAgents)
-}
-
-// appliedVersion returns the version of the batch if the state that refuses it shows that an earlier
-// attempt has taken effect.
-func (b *batch) appliedVersion(conflict *storer.ConflictError) (uint64, bool) {
-	for _, w := range b.transaction.Writes {
-		item := conflict.Item(w.Key)
-		owners := w.Key == rosterKey || strings.HasPrefix(w.Key, progressPrefix) // nobody else writes these
-		if owners && bytes.Equal(item.Value, w.Value) && !slices.Contains(b.transaction.Checks, storer.Check{Key: w.Key, Version: item.Version}) {
-			return item.Version, true
-		}
-	}
-	return 0, false
-}
-
-// jobWrite is a version of a job's progress in a batch.
-type jobWrite struct {
-	job      *job
-	revision uint64
-	state    sequencer.State
-}
-
 // flush commits pending changes, one transaction at a time.
 func (o *Orchestrator) flush(ctx context.Context) {
 	if o.writing || !o.loaded || !o.writeDue() {
@@ -278,80 +228,6 @@
 	}
 }
 
-// resolveConflict adopts the state in the ledger of the keys of a batch that was refused. A conflict
-// means that the reply to an earlier attempt was lost, or that an agent has closed its own
-// registration as it ended. Where an earlier attempt has taken effect, only registrations may have changed
-// since: the owner alone writes the other keys. The next snapshot or tick updates the registration of an
-// agent.
-func (o *Orchestrator) resolveConflict(b *batch, conflict *storer.ConflictError) {
-	final := conflict.Final(b.transaction)
-	for _, a := range b.agents() {
-		o.loadRegistration(a, conflict.Item(registrar.Key(a.id)), final)
-	}
-	version, applied := b.appliedVersion(conflict)
-	o.cfg.Log.Info("ledger versions differ", zap.Int("jobs", len(b.jobs)), zap.Int("agents", len(b.agents())), zap.Bool("final", final), zap.Bool("applied", applied))
-	if applied {
-		o.handleRosterWritten(b, version)
-		o.handleProgressWritten(b, version)
-		return
-	}
-	if b.hasRoster {
-		o.rosterVersion = conflict.Item(rosterKey).Version
-	}
-	for _, write := range b.jobs {
-		write.job.ProgressVersion = conflict.Item(ProgressKey(write.job.Spec.ID)).Version
-	}
-	o.writeAgain(b)
-}
-
-// handleRejection keeps what was last known of the keys of a batch that the ledger rejected, though an
-// earlier attempt without a reply may take effect: the next write meets it then. One job whose progress is
-// rejected must not hold up the others, so that each is written apart from now on.
-func (o *Orchestrator) handleRejection(b *batch) {
-	for _, a := range b.agents() {
-		a.registration.SetInDoubt(a.registration.Version(), a.registration.Record())
-	}
-	for _, write := range b.jobs {
-		if write.job.apart { // nothing else was in the batch
-			write.job.writeFrom, o.heldWrites[write.job] = o.cfg.Now().Add(rejectedWriteDelay), true
-			o.cfg.Count("rejected_job")
-			o.cfg.Log.Error("ledger takes no progress of a job", zap.String("job", write.job.Spec.ID), zap.Time("again", write.job.writeFrom))
-		}
-		write.job.apart = true
-	}
-	o.writeAgain(b)
-}
-
-// releaseHeldWrites queues the progress of jobs that have waited after a rejected write.
-func (o *Orchestrator) releaseHeldWrites(now time.Time) {
-	for j := range o.heldWrites {
-		if !now.Before(j.writeFrom) {
-			delete(o.heldWrites, j)
-			o.markDirty(j)
-		}
-	}
-}
-
-// writeAgain queues the roster and the progress of a batch that did not take effect.
-func (o *Orchestrator) writeAgain(b *batch) {
-	if b.hasRoster {
-		o.rosterDueAt = o.cfg.Now().Add(rosterInterval)
-	}
-	for _, write := range b.jobs {
-		write.job.endWriting = false
-		if write.job.cancelWaiting {
-			write.job.cancelWaiting = false
-			o.cancelJob(write.job.Spec.ID)
-		}
-		o.markDirty(write.job)
-		for _, r := range write.job.liveRuns {
-			if o.granting[r] && write.job.dirty { // its start waits for the write
-				write.job.grantDue, o.progressDue = true, o.cfg.Now()
-			}
-		}
-	}
-}
-
 // deleteExpiredJobs deletes jobs that ended longer than JobRetention ago.
 func (o *Orchestrator) deleteExpiredJobs(ctx context.Context, now time.Time) {
 	if o.writing {
--- a/registrar/tracker.go
+++ b/registrar/tracker.go
@@ -15,15 +15,6 @@
 	wanted Intent
 }
 
-// write is a change of a registration. The record is empty if it is removed.
-type write struct {
-	intent Intent
-	record Registration
-}
-
-// closes reports whether the registration is open no more once it has taken effect.
-func (w write) closes() bool { return w.intent == Close || w.intent == Remove }
-
 // Set takes over the record that the ledger has at a version, 0 if it has none. A write in flight
 // has ended, and has taken effect or never will.
 func (t *Tracker) Set(version uint64, r Registration) {
