coordinator: Play histories whose queue moves between pools

The queue now moves there and back, at each entry at another time, beside all faults; entries that start again have the first version; and no worker is left in the other pool in the end. The jobs have to end all the same.

--- a/coordinator/caller_test.go
+++ b/coordinator/caller_test.go
@@ -15,7 +15,7 @@
 // submit submits a job at a random entry and returns its ID if it was accepted.
 func (f *fleet) submit(r *rand.Rand) string {
 	id := fmt.Sprintf("%016x", r.Uint64())
-	spec := &sequencer.Spec{ID: id, Queue: "queue", Pool: "pool", MaxAttempts: f.maxAttempts, StretchFactor: 2, LatencyAllowance: time.Second}
+	spec := &sequencer.Spec{ID: id, Queue: "queue", Pool: f.poolOfNewJobs(), MaxAttempts: f.maxAttempts, StretchFactor: 2, LatencyAllowance: time.Second}
 	for n := range 1 + r.IntN(3) {
 		step := sequencer.Step{Count: 1 + r.IntN(4), CPU: int64(500 + r.IntN(1500)), Memory: int64(100 + r.IntN(900)), Estimate: time.Second}
 		if n > 0 {
--- a/coordinator/fleet_test.go
+++ b/coordinator/fleet_test.go
@@ -67,8 +67,12 @@
 	callFaults map[string]float64
 	// restartAgents restarts the agent of each worker that a task has crashed.
 	restartAgents bool
-	incarnations  int
-	draws         map[string]int
+	// configVersion is the newest version of the configuration in histories that move queues.
+	configVersion uint64
+	// acceptedPool is the pool of jobs as they are accepted, "pool" if it is empty.
+	acceptedPool string
+	incarnations int
+	draws        map[string]int
 }
 
 func newFleet(ctx context.Context, t *testing.T, seed uint64, entries, agents int) *fleet {
