--- a/orchestrator/locate_test.go
+++ b/orchestrator/locate_test.go
@@ -60,10 +60,10 @@
 func TestALocatedTaskWaitsForAgentsThatMayListItsLastFailure(t *testing.T) {
 	const limit = 2
 	for name, tt := range map[string]struct {
-		failures    sequencer.Failures
-		status      messenger.EndStatus
-		longRunning bool
-		starts      int
+		failures sequencer.Failures
+		status   messenger.EndStatus
+		lasting  bool
+		starts   int
 	}{
 		"failed before, and now":         {sequencer.AtMost(1), messenger.EndFailed, false, 0},
 		"failed before, stopped now":     {sequencer.AtMost(1), messenger.EndStopped, false, 1},
@@ -77,7 +77,7 @@
 			h.o.cfg.Epoch = 100
 			spec := sequencer.Spec{
 				ID: "00000000000000aa", Pool: "pool", Queue: "queue", AcceptedAt: h.now, MaxAttempts: limit,
-				Steps: []sequencer.Step{{Count: 2, CPU: 10, Memory: 10, LongRunning: tt.longRunning}},
+				Steps: []sequencer.Step{{Count: 2, CPU: 10, Memory: 10, LongRunning: tt.lasting}},
 			}
 			raw, err := spec.Encode()
 			c.Assert(err, qt.IsNil)
@@ -93,7 +93,7 @@
 			// The other agent returns, and lists the first failure.
 			h.connectAgent("lost")
 			h.reportEnd("lost", 1, status.Task, 1, messenger.EndFailed)
-			if j := h.o.jobs[spec.ID]; !tt.longRunning {
+			if j := h.o.jobs[spec.ID]; !tt.lasting {
 				c.Assert(j.Failed, qt.Equals, tt.status == messenger.EndFailed)
 			}
 		})
