coordinator: End the failures of runs with the other faults

The history let 60% of the runs fail also after its last fault, so that two or three of the three workers that were left were excluded for their failures nearly all the time (104 exclusions, "excluded=3" in every third of the reports of the last 40 s), and the backlog of 83 jobs took longer than the history waits. The tasks that waited fell from 110 to 5 meanwhile: nothing was stuck.

Change: the share of failures is a fault like the others and ends with them, before the time in which all jobs have to end.

--- a/coordinator/fleet_test.go
+++ b/coordinator/fleet_test.go
@@ -23,6 +23,9 @@
 // maxWorkerLease is the longest lease that the fleet's workers accept.
 const maxWorkerLease = 6 * time.Second
 
+// usualFailures is the share of runs that fail where failures are no fault.
+const usualFailures = 0.05
+
 // workerDowntime is how long a worker is down that a task has crashed, timeToCrash how long
 // after the start of the task it crashes.
 const (
@@ -78,7 +81,7 @@
 func newFleet(ctx context.Context, t *testing.T, seed uint64, entries, agents int) *fleet {
 	f := &fleet{
 		t: t, seed: seed, ctx: ctx, store: faker.NewStore(), network: faker.NewNetwork(), auditor: faker.NewPoolAuditor(), log: zap.NewNop(),
-		entries: map[string]*entryNode{}, agents: map[string]*agentNode{}, rejected: map[string]bool{}, frozen: map[string]bool{}, draws: map[string]int{}, callFaults: map[string]float64{}, failingRuns: 0.05, maxAttempts: 4,
+		entries: map[string]*entryNode{}, agents: map[string]*agentNode{}, rejected: map[string]bool{}, frozen: map[string]bool{}, draws: map[string]int{}, callFaults: map[string]float64{}, failingRuns: usualFailures, maxAttempts: 4,
 	}
 	if *logged {
 		log, err := logger.New(os.Stdout, "debug")
--- a/coordinator/history_faults_test.go
+++ b/coordinator/history_faults_test.go
@@ -149,7 +149,7 @@
 // clearFaults ends all injected faults.
 func (f *fleet) clearFaults() {
 	f.mu.Lock()
-	f.storeDown, f.storeReplyLoss, f.workerReplyLoss = false, 0, 0
+	f.storeDown, f.storeReplyLoss, f.workerReplyLoss, f.failingRuns = false, 0, 0, usualFailures
 	f.callFaults = map[string]float64{}
 	f.rejected, f.frozen = map[string]bool{}, map[string]bool{}
 	f.mu.Unlock()
