evacuator: Start nothing in an evacuated failure domain

Cause: the operator's requests op/evacuate/ZONE were not read, so that starts went on in the domain. Change: the follower of the operator's keys passes on which domains are evacuated, and when the read was sent that showed it. The owner refuses starts there, and while it does not know the domains, or its view is over 2 s older than its confirmation of ownership; what is queued, granted or not begun is withdrawn. Each start carries a deadline on the worker's clock, after which the agent neither accepts it nor sends it to the worker. All but the obedience to known requests takes effect only with the setting evacuate.

--- a/configurer/pool.go
+++ b/configurer/pool.go
@@ -29,6 +29,9 @@
 	MaxWorkerLease time.Duration `yaml:"hold" validate:"gt=0"`
 	// JobRetention is the minimum time for which the state of an ended job is kept.
 	JobRetention time.Duration `yaml:"keep" validate:"gt=0"`
+	// EvacuationBound is the time from the acknowledgement of a request to evacuate a failure domain until which
+	// tasks may still start there. Without it requests are obeyed as soon as they are known, and nothing more.
+	EvacuationBound time.Duration `yaml:"evacuate" validate:"gte=0"`
 	// DrainTimeout limits the duration of a shutdown.
 	DrainTimeout time.Duration `yaml:"drain" validate:"gt=0"`
 	Level        string        `yaml:"level" validate:"omitempty,oneof=debug info warn error"`
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -21,6 +21,7 @@
 	"github.com/endivefall/endivefall/connector"
 	"github.com/endivefall/endivefall/dialer"
 	"github.com/endivefall/endivefall/elector"
+	"github.com/endivefall/endivefall/evacuator"
 	"github.com/endivefall/endivefall/messenger"
 	"github.com/endivefall/endivefall/orchestrator"
 	"github.com/endivefall/endivefall/relayer"
@@ -85,6 +86,11 @@
 	TakeStoreBytes func() (sent, received int64)
 	// QueryPolicy asks the policy service of the queues which workers may run a step.
 	QueryPolicy func(ctx context.Context, step string, workers []string) ([]orchestrator.PolicyGrant, time.Duration, error)
+	// Evacuations returns which failure domains are evacuated, as read from the store, and EvacuationBound is the
+	// time from the acknowledgement of a request until which tasks may still start in the domain; see
+	// orchestrator.Config.
+	Evacuations     func() evacuator.View
+	EvacuationBound time.Duration
 	// Listen opens the listener for peers; net.Listen when nil. Client sends
 	// requests to peers; when nil, a client that detects unresponsive peers is used.
 	Listen func(network, addr string) (net.Listener, error)
--- a/coordinator/ownership.go
+++ b/coordinator/ownership.go
@@ -46,7 +46,7 @@
 	o := orchestrator.New(orchestrator.Config{
 		Term: record.Term, Epoch: epoch, OwnerKey: elector.OwnerKey, ClaimedAt: claimedAt, ClaimSentAt: c.elector.ClaimSentAt(), Store: c.Store(), Now: c.cfg.Now, WallClock: c.cfg.WallClock,
 		LeaseDuration: RunLease(c.cfg.MaxWorkerLease), JobRetention: c.cfg.JobRetention, QueryPolicy: c.cfg.QueryPolicy,
-		ConfigVersion: c.configVersion, Placement: c.placement,
+		ConfigVersion: c.configVersion, Placement: c.placement, Evacuations: c.cfg.Evacuations, EvacuationBound: c.cfg.EvacuationBound,
 		UnextendedTTL: elector.UnextendedTTL, ConfirmationTTL: elector.ConfirmationTTL, ConfirmationExtended: c.elector.ConfirmationExtended,
 		ExtendedForAnyAgent: c.elector.ExtendedForAnyAgent,
 		PreviousOwnerTTL:    previousOwnerTTL, EarlierConfirmedBy: earlierConfirmedBy, EarlierOwnersUntil: earlierOwnersUntil, KnownSince: c.chronicler.KnownSince,
--- a/differ/differ.go
+++ b/differ/differ.go
@@ -51,7 +51,7 @@
 	earlier := map[runKey]messenger.RunStatus{}
 	if !first {
 		diff.Delta = true
-		diff.WorkerIncarnation, diff.CPU, diff.Memory, diff.GPU, diff.Labels, diff.Pool = "", 0, 0, 0, nil, ""
+		diff.WorkerIncarnation, diff.CPU, diff.Memory, diff.GPU, diff.Labels, diff.Pool, diff.Domain = "", 0, 0, 0, nil, "", ""
 		for _, status := range e.sent.Runs {
 			earlier[runKey{status.Task, status.Attempt}] = status
 		}
@@ -113,7 +113,7 @@
 // properties.
 func sameWorker(a, b *messenger.WorkerSnapshot) bool {
 	return a.WorkerIncarnation == b.WorkerIncarnation && a.CPU == b.CPU && a.Memory == b.Memory && a.GPU == b.GPU &&
-		a.Pool == b.Pool && slices.Equal(a.Labels, b.Labels)
+		a.Pool == b.Pool && a.Domain == b.Domain && slices.Equal(a.Labels, b.Labels)
 }
 
 // Decoder restores the snapshots that an Encoder has reduced. The zero value is ready
@@ -136,7 +136,7 @@
 	}
 	full := *received
 	full.Delta, full.Gone, full.FirstEnd = false, nil, 0
-	full.WorkerIncarnation, full.CPU, full.Memory, full.GPU, full.Labels, full.Pool = last.WorkerIncarnation, last.CPU, last.Memory, last.GPU, last.Labels, last.Pool
+	full.WorkerIncarnation, full.CPU, full.Memory, full.GPU, full.Labels, full.Pool, full.Domain = last.WorkerIncarnation, last.CPU, last.Memory, last.GPU, last.Labels, last.Pool, last.Domain
 	if full.MeasurementUpdates == 0 {
 		full.MeasurementUpdates = last.MeasurementUpdates
 	}
--- a/differ/differ_test.go
+++ b/differ/differ_test.go
@@ -13,9 +13,9 @@
 
 // state is an agent's state from which complete snapshots are made.
 type state struct {
-	worker string
-	runs   []messenger.RunStatus
-	ends   []messenger.RunEnd
+	worker, domain string
+	runs           []messenger.RunStatus
+	ends           []messenger.RunEnd
 	// lastRun and lastEnd number the runs and ends; updates counts measurements.
 	lastRun, lastEnd, updates uint64
 }
@@ -23,7 +23,7 @@
 // snapshot returns the complete snapshot, of which the caller may change everything.
 func (s *state) snapshot() *messenger.WorkerSnapshot {
 	return &messenger.WorkerSnapshot{
-		Term: 3, Seq: s.lastRun, WorkerIncarnation: s.worker, CPU: 64000, Memory: 256000, Pool: "pool", Labels: []string{"a"}, MeasurementUpdates: s.updates,
+		Term: 3, Seq: s.lastRun, WorkerIncarnation: s.worker, CPU: 64000, Memory: 256000, Pool: "pool", Domain: s.domain, Labels: []string{"a"}, MeasurementUpdates: s.updates,
 		Runs: append([]messenger.RunStatus(nil), s.runs...), RunEnds: append([]messenger.RunEnd(nil), s.ends[:min(len(s.ends), 3)]...),
 	}
 }
@@ -84,13 +84,15 @@
 				s.ends = s.ends[1+index%len(s.ends):]
 			case action == 6 && index < 3:
 				s.worker += "'"
+			case action == 6 && index < 6:
+				s.domain = fmt.Sprint("domain-", index)
 			}
 			want := s.snapshot()
 			got, _ := send(c, &e, &d, now, s.snapshot())
 			c.Assert(byTask(got), qt.DeepEquals, byTask(want))
 			c.Assert(got.RunEnds, qt.DeepEquals, want.RunEnds)
-			c.Assert([]any{got.Seq, got.WorkerIncarnation, got.CPU, got.Pool, got.Labels, got.MeasurementUpdates}, qt.DeepEquals,
-				[]any{want.Seq, want.WorkerIncarnation, want.CPU, want.Pool, want.Labels, want.MeasurementUpdates})
+			c.Assert([]any{got.Seq, got.WorkerIncarnation, got.CPU, got.Pool, got.Domain, got.Labels, got.MeasurementUpdates}, qt.DeepEquals,
+				[]any{want.Seq, want.WorkerIncarnation, want.CPU, want.Pool, want.Domain, want.Labels, want.MeasurementUpdates})
 		}
 	})
 }
--- a/messenger/pool_messages.go
+++ b/messenger/pool_messages.go
@@ -33,6 +33,9 @@
 	// Failures is one more than the most earlier runs of the task that may have failed, 0 if that is
 	// not known. The agent repeats it with the state and the end of the run.
 	Failures uint32 `cbor:"10,keyasint,omitempty"`
+	// StartByMs is when the agent must not start the task any more, in Unix ms on the worker's clock; 0 for no
+	// such time. The owner derives it from the SentAt of the last snapshot.
+	StartByMs int64 `cbor:"11,keyasint,omitempty"`
 }
 
 // Interference is how much a best-effort image reduces the spare rate of a serving
@@ -113,6 +116,8 @@
 	// WorkerlessMs is for how long, in ms and at least 1, this process of the agent has known no worker, so that
 	// nobody has renewed the lease of one there; 0 while it knows one. Earlier processes have ended before.
 	WorkerlessMs int64 `cbor:"26,keyasint,omitempty"`
+	// Domain is the failure domain that the worker reports; empty if it reports none.
+	Domain string `cbor:"27,keyasint,omitempty"`
 }
 
 // RunStatus is the state of a run at an agent's worker. In a Delta, a run that was in
--- a/orchestrator/config.go
+++ b/orchestrator/config.go
@@ -6,6 +6,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/endivefall/endivefall/evacuator"
 	"github.com/endivefall/endivefall/sequencer"
 	"github.com/endivefall/endivefall/storer"
 )
@@ -63,6 +64,10 @@
 	// job. Both may be nil, so that jobs stay where they were accepted.
 	ConfigVersion func() uint64
 	Placement     func(spec *sequencer.Spec) (sequencer.Placement, bool)
+	// Evacuations returns which domains are evacuated; nil if that is not followed. EvacuationBound is the time
+	// from the acknowledgement of a request until which tasks may still start in the domain; 0 for none.
+	Evacuations     func() evacuator.View
+	EvacuationBound time.Duration
 	// ConfirmAfter asks for a confirmation of ownership that is sent after a time, which has passed; it may
 	// be nil.
 	ConfirmAfter func(at time.Time)
--- a/orchestrator/harness_test.go
+++ b/orchestrator/harness_test.go
@@ -26,6 +26,8 @@
 	jobCount   int
 	// pools has the pools of agents whose workers are not of the pool "pool".
 	pools map[string]string
+	// domains has the failure domains of agents' workers.
+	domains map[string]string
 	// unconfirmed is set while workers confirm no run before they crash.
 	unconfirmed bool
 	// gauges has the last values of the owner's gauges.
@@ -77,6 +79,7 @@
 // sendIncomplete delivers a snapshot of an agent that does not know all runs of its worker.
 func (h *harness) sendIncomplete(id string, snapshot *messenger.WorkerSnapshot) {
 	snapshot.Term, snapshot.WorkerIncarnation, snapshot.CPU, snapshot.Memory, snapshot.Pool, snapshot.Reconciled, snapshot.MayStart = 1, "life-"+id, 8000, 16000, cmp.Or(h.pools[id], "pool"), true, true
+	snapshot.Domain = h.domains[id]
 	snapshot.Seq = h.o.agents[id].seq
 	h.o.handleSnapshot(h.o.agents[id], snapshot)
 }
--- a/orchestrator/orchestrator.go
+++ b/orchestrator/orchestrator.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"github.com/endivefall/endivefall/apportioner"
+	"github.com/endivefall/endivefall/evacuator"
 	"github.com/endivefall/endivefall/predictor"
 	"github.com/endivefall/endivefall/regulator"
 	"github.com/endivefall/endivefall/sequencer"
@@ -145,6 +146,8 @@
 	lastPreemption time.Time
 	// lastRelocation is when slowed runs were last checked for relocation.
 	lastRelocation time.Time
+	// evacuations are the evacuated domains as last reported.
+	evacuations evacuator.View
 	// isolation decides whether to give ownership up because agents are unreachable.
 	isolation isolation
 	// blockingAgents is the number of agents that block tasks as last logged, at
@@ -174,6 +177,9 @@
 		cfg.ConfigVersion = func() uint64 { return 0 }
 		cfg.Placement = func(*sequencer.Spec) (sequencer.Placement, bool) { return sequencer.Placement{}, false }
 	}
+	if cfg.Evacuations == nil {
+		cfg.Evacuations = func() evacuator.View { return evacuator.View{} }
+	}
 	if cfg.KnownSince == nil {
 		cfg.KnownSince = func(uint64) (time.Time, bool) { return time.Time{}, false }
 	}
@@ -190,7 +196,7 @@
 	defer close(o.done)
 	defer func() { // the next owner reports its own
 		o.cfg.Gauge(oldestStopGauge, 0)
-		for _, name := range []string{waitingCommandsGauge, lastingWaitsGauge, blockedWaitsGauge, claimsGauge} {
+		for _, name := range []string{waitingCommandsGauge, lastingWaitsGauge, blockedWaitsGauge, claimsGauge, evacuatedDomainsGauge, evacuatingRunsGauge} {
 			o.cfg.Gauge(name, 0)
 		}
 	}()
@@ -284,6 +290,7 @@
 		o.adoptGrants()
 		o.followQueues()
 		o.releaseHeldWrites(now)
+		o.followEvacuations(now)
 		o.evacuate()
 		o.relocateSlowedRuns(now)
 		o.stopIncompleteGangs()
--- a/orchestrator/outbox.go
+++ b/orchestrator/outbox.go
@@ -33,7 +33,7 @@
 	for len(a.outbox) > 0 && a.reachable() && a.seq < a.confirmedSeq+maxUnconfirmedCommands {
 		c := a.outbox[0]
 		a.outbox = a.outbox[1:]
-		if !o.obsolete(a, c) {
+		if !o.obsolete(a, c) && !o.refuseQueued(a, c) {
 			o.send(a, c)
 		}
 	}
@@ -58,6 +58,7 @@
 	switch {
 	case c.kind == startCommand:
 		command.Start = o.runStart(c.run, false)
+		command.Start.StartByMs = o.startBy(a)
 	case c.kind == specCommand:
 		command.Start = o.runStart(c.run, true)
 	case c.run != nil:
--- a/orchestrator/unavailability.go
+++ b/orchestrator/unavailability.go
@@ -1,6 +1,10 @@
 package orchestrator
 
-import "time"
+import (
+	"time"
+
+	"github.com/endivefall/endivefall/evacuator"
+)
 
 // unavailability is why the worker of an agent may not receive tasks.
 type unavailability int
@@ -15,6 +19,10 @@
 	draining
 	// leaseless workers start nothing before their lease is renewed.
 	leaseless
+	// evacuated workers are in a domain that is evacuated, possiblyEvacuated ones in one that may be:
+	// the evacuated domains are not known, or not known to be current.
+	evacuated
+	possiblyEvacuated
 	// excluded workers have failed several runs in a row.
 	excluded
 )
@@ -31,7 +39,14 @@
 		return unregistered
 	case !snapshot.MayStart:
 		return leaseless
-	case now.Before(a.health.excludedUntil):
+	}
+	switch o.startRefusal(a) {
+	case evacuator.Evacuated:
+		return evacuated
+	case evacuator.Unknown, evacuator.Outdated:
+		return possiblyEvacuated
+	}
+	if now.Before(a.health.excludedUntil) {
 		return excluded
 	}
 	return available
--- a/orchestrator/wait_report.go
+++ b/orchestrator/wait_report.go
@@ -64,7 +64,7 @@
 		zap.Int("lasting", counts.lasting), zap.Int("lasting_blocked", counts.lastingBlocked), zap.Int("claims", counts.claims), zap.Int("moves", counts.moves), zap.Duration("free", freeFor(t, now)),
 		zap.Bool("blocked", blocked(t)), zap.Bool("suspect", isSuspect(t)), zap.String("claimed", report.claimed), zap.Duration("not_before", max(t.NotBefore.Sub(now), 0)), zap.Int("workers", report.workers),
 		zap.Int("disconnected", report.unavailable[disconnected]), zap.Int("unregistered", report.unavailable[unregistered]), zap.Int("draining", report.unavailable[draining]),
-		zap.Int("leaseless", report.unavailable[leaseless]), zap.Int("excluded", report.unavailable[excluded]), zap.Int("not_granted", report.notGranted),
+		zap.Int("leaseless", report.unavailable[leaseless]), zap.Int("excluded", report.unavailable[excluded]), zap.Int("evacuated", report.unavailable[evacuated]), zap.Int("possibly_evacuated", report.unavailable[possiblyEvacuated]), zap.Int("not_granted", report.notGranted),
 		zap.Int("lack_cpu", report.lackCPU), zap.Int("lack_memory", report.lackMemory), zap.Int("lack_gpu", report.lackGPU), zap.Int("lack_label", report.lackLabel),
 		zap.Int("at_limit", report.atLimit), zap.Int("held", report.held), zap.Int("fit", report.fit), zap.Int64("free_cpu", report.freeCPU), zap.Int64("free_memory", report.freeMemory),
 	}
--- a/supervisor/commands.go
+++ b/supervisor/commands.go
@@ -56,8 +56,15 @@
 		task: cmd.Task, attempt: cmd.Attempt, spec: cmd.Spec, failures: cmd.Failures, phase: messenger.PhaseStarting, checkpoint: cmd.Checkpoint,
 		seenTerm: s.term, pacePercent: 100, workerPace: 100, pacedSince: s.cfg.Now(),
 	}
+	if cmd.StartByMs != 0 {
+		r.startBy = s.cfg.Now().Add(time.UnixMilli(cmd.StartByMs).Sub(s.workerNow()))
+	}
 	s.runs[key] = r
 	s.mergeInterference(cmd.Interference)
+	if s.startOverdue(r) {
+		s.endRun(r, messenger.RunEnd{Status: messenger.EndNotStarted, Reason: reasonStartOverdue}, 0)
+		return
+	}
 	if reason := s.rejectReason(cmd); reason != "" {
 		s.endRun(r, messenger.RunEnd{Status: messenger.EndNotStarted, Reason: reason}, 0)
 		return
@@ -67,6 +74,19 @@
 	s.calls.Go(func() { s.startRun(ctx, r, cmd) })
 }
 
+// reasonStartOverdue is the reason of runs that were not started by their deadline.
+const reasonStartOverdue = "its deadline for the start has passed"
+
+// startOverdue reports whether a run must not be started any more, as its domain may have been
+// evacuated since the owner sent the start.
+func (s *Supervisor) startOverdue(r *run) bool {
+	if r.startBy.IsZero() || s.cfg.Now().Before(r.startBy) {
+		return false
+	}
+	s.cfg.Count("overdue_start")
+	return true
+}
+
 // rejectReason returns why a start can't be carried out, or an empty string.
 func (s *Supervisor) rejectReason(cmd *messenger.RunStart) string {
 	if reason := s.blockedReason(); reason != "" {
@@ -109,6 +129,11 @@
 			s.mu.Unlock()
 			return
 		}
+		if s.startOverdue(r) { // nor has an earlier call
+			s.endRun(r, messenger.RunEnd{Status: messenger.EndNotStarted, Reason: reasonStartOverdue}, 0)
+			s.mu.Unlock()
+			return
+		}
 		r.startFence, r.startSentAt = s.fence, s.cfg.Now()
 		req := StartRequest{
 			RunRef:  RunRef{WorkerID: s.heartbeat.WorkerID, Fence: s.fence, Task: r.task, Attempt: r.attempt},
--- a/supervisor/run.go
+++ b/supervisor/run.go
@@ -42,6 +42,8 @@
 	// crash is the crash of the incarnation to which a run with an unknown outcome may
 	// have been started.
 	crash *messenger.Crash
+	// startBy is the local time from which on no start call is sent; zero for no such time.
+	startBy time.Time
 	// startFence is the fence of the last start call; 0 before it.
 	startFence uint64
 	// unansweredFence is the fence of a start with an unknown outcome, which a list
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -232,7 +232,7 @@
 func (s *Supervisor) snapshot() *messenger.WorkerSnapshot {
 	snap := &messenger.WorkerSnapshot{
 		Term: s.term, Seq: s.commandSeq, WorkerIncarnation: s.heartbeat.Incarnation(), CPU: s.heartbeat.CPU, Memory: s.heartbeat.Memory, GPU: s.heartbeat.GPU,
-		Labels: s.heartbeat.Labels, Pool: s.heartbeat.Pool, Draining: s.heartbeat.Draining || s.draining,
+		Labels: s.heartbeat.Labels, Pool: s.heartbeat.Pool, Domain: s.heartbeat.Domain, Draining: s.heartbeat.Draining || s.draining,
 		Unreachable: !s.unreachableSince.IsZero() && s.cfg.Now().Sub(s.unreachableSince) > time.Second, Reconciled: s.reconciled,
 		WarmupMs: s.heartbeat.Warmup.Milliseconds(), MayStart: s.blockedReason() == "",
 		Complete: s.complete && len(s.ends) <= maxSnapshotEnds, EndsUnlisted: s.endsUnlisted, Leaving: s.leaving, Current: true,
--- a/supervisor/worker.go
+++ b/supervisor/worker.go
@@ -125,7 +125,9 @@
 	Memory    int64 // MB
 	GPU       int64
 	Labels    []string
-	Draining  bool
+	// Domain is the failure domain that the worker reports; empty if it reports none.
+	Domain   string
+	Draining bool
 	// EarliestExit is when a draining worker may exit at the earliest, on its
 	// clock.
 	EarliestExit time.Time
