evacuator: Move what can move out of an evacuated domain, and use cold workers last

Cause: runs stayed in an evacuated domain until they ended, long-running ones for good; workers that are warming up after it got work like all others. Room is claimed first. What stays is logged with its reason. A worker costs 1.0 more for each second of warm-up left, where evacuations have a bound.

--- a/allocator/allocator.go
+++ b/allocator/allocator.go
@@ -33,6 +33,8 @@
 	// they are.
 	Speed  float64
 	Labels []string
+	// Warmup is for how long the worker is still slow after it was cold.
+	Warmup time.Duration
 	// FailureRate is the probability that a run fails on the worker, from 0 to 1.
 	FailureRate float64
 	// OnTrial is set while the worker tries a task that is likely to crash it. No other
@@ -181,6 +183,9 @@
 	// with neither image. It is above emptyWorkerCost, as a worker with many images is
 	// of little use to best-effort tasks.
 	mixedImagesCost = 2.0
+	// warmupCost is the cost of each second for which the worker is still slow. Four such seconds cost
+	// more than all terms but failedWorkerCost, so that a cold worker is used last.
+	warmupCost = 1.0
 	// failedWorkerCost is the cost of a worker on which the task has failed.
 	failedWorkerCost = 10.0
 	// servingUtilization is the fraction of its reserved CPU that a serving task
@@ -309,6 +314,7 @@
 		}
 	}
 	cost += slowdownCost * (1/max(c.Speed, 0.05) - 1)
+	cost += warmupCost * c.Warmup.Seconds()
 	if step.PreferredRack != "" && !slices.Contains(c.Labels, step.PreferredRack) {
 		cost += remoteDataCost
 	}
--- a/allocator/allocator_test.go
+++ b/allocator/allocator_test.go
@@ -251,3 +251,22 @@
 		})
 	}
 }
+
+// TestAColdWorkerIsUsedLast guards against work on workers that are slow after an evacuation while
+// others have room.
+func TestAColdWorkerIsUsedLast(t *testing.T) {
+	c := qt.New(t)
+	cold, colder, warm := emptyWorker("a"), emptyWorker("b"), emptyWorker("c")
+	cold.Warmup, colder.Warmup = 4*time.Second, 8*time.Second
+	warm.Speed, warm.FailureRate = 0.7, 0.3
+	for name, step := range map[string]sequencer.Step{
+		"reserved": {CPU: 1000}, "best effort": {CPU: 1000, BestEffort: true}, "serving": {CPU: 1000, LatencyTargetMs: 50, LongRunning: true, Image: "s"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			c.Check(Pick(task(step), "s", []*Candidate{cold, colder, warm}, now, constantInterference(0)).ID, qt.Equals, "c")
+			c.Check(Pick(task(step), "s", []*Candidate{colder, cold}, now, constantInterference(0)).ID, qt.Equals, "a", qt.Commentf("the less cold one of two"))
+		})
+	}
+	c.Check(Pick(task(sequencer.Step{CPU: 1000}), "s", []*Candidate{colder}, now, constantInterference(0)).ID, qt.Equals, "b", qt.Commentf("no task waits for a worker to warm up"))
+}
--- a/orchestrator/evacuation.go
+++ b/orchestrator/evacuation.go
@@ -50,6 +50,16 @@
 	return a.snapshot.SentAt.Add(estimator.MinWorkerElapsed(local.Sub(a.lastSnapshotAt))).UnixMilli()
 }
 
+// warmupOf returns for how long the worker of an agent is still slow, as after an evacuation; 0
+// where none has a bound, so that placement there stays as it was.
+func (o *Orchestrator) warmupOf(a *agent) time.Duration {
+	if o.cfg.EvacuationBound <= 0 {
+		return 0
+	}
+	left := time.Duration(a.snapshot.WarmupMs)*time.Millisecond - o.cfg.Now().Sub(a.lastSnapshotAt)
+	return max(left, 0)
+}
+
 // refuseQueued reports whether the start that a queued command asks for is no longer allowed, and
 // ends its run then.
 func (o *Orchestrator) refuseQueued(a *agent, c queuedCommand) bool {
--- a/orchestrator/harness_test.go
+++ b/orchestrator/harness_test.go
@@ -28,6 +28,8 @@
 	pools map[string]string
 	// domains has the failure domains of agents' workers.
 	domains map[string]string
+	// endSeq is the number of the last end that stopAll reported.
+	endSeq uint64
 	// unconfirmed is set while workers confirm no run before they crash.
 	unconfirmed bool
 	// gauges has the last values of the owner's gauges.
--- a/orchestrator/orchestrator.go
+++ b/orchestrator/orchestrator.go
@@ -146,8 +146,13 @@
 	lastPreemption time.Time
 	// lastRelocation is when slowed runs were last checked for relocation.
 	lastRelocation time.Time
-	// evacuations are the evacuated domains as last reported.
-	evacuations evacuator.View
+	// evacuations are the evacuated domains as last reported. lastEvacuation is when runs were last moved out of
+	// them, staysLoggedAt when it was last logged what stays there. roomless has the long-running ones that
+	// were to leave and found no room then.
+	evacuations    evacuator.View
+	lastEvacuation time.Time
+	staysLoggedAt  time.Time
+	roomless       map[*run]bool
 	// isolation decides whether to give ownership up because agents are unreachable.
 	isolation isolation
 	// blockingAgents is the number of agents that block tasks as last logged, at
@@ -185,7 +190,7 @@
 	}
 	return &Orchestrator{
 		cfg: cfg, actions: make(chan func(), queueCapacity), stopped: make(chan struct{}), done: make(chan struct{}),
-		jobs: map[string]*job{}, openJobs: map[string]*job{}, unreadableJobs: map[string]bool{}, runs: map[runKey]*run{}, granting: map[*run]bool{}, heldWrites: map[*job]bool{}, claims: map[*sequencer.Task]*claim{}, shares: map[string]*apportioner.Share{}, agents: map[string]*agent{},
+		jobs: map[string]*job{}, openJobs: map[string]*job{}, unreadableJobs: map[string]bool{}, runs: map[runKey]*run{}, granting: map[*run]bool{}, heldWrites: map[*job]bool{}, claims: map[*sequencer.Task]*claim{}, roomless: map[*run]bool{}, shares: map[string]*apportioner.Share{}, agents: map[string]*agent{},
 		predictor: predictor.New(), policies: map[string]*stepPolicy{}, starts: regulator.New(), isolation: isolation{firstContactBy: cfg.ClaimedAt.Add(firstContactTimeout)},
 	}
 }
@@ -292,6 +297,7 @@
 		o.releaseHeldWrites(now)
 		o.followEvacuations(now)
 		o.evacuate()
+		o.evacuateDomains(now)
 		o.relocateSlowedRuns(now)
 		o.stopIncompleteGangs()
 		o.planDue = o.planDue || len(o.openJobs) > 0
--- a/orchestrator/place.go
+++ b/orchestrator/place.go
@@ -91,6 +91,7 @@
 	candidate := &allocator.Candidate{
 		ID: a.id, CPU: snapshot.CPU, Memory: snapshot.Memory, GPU: snapshot.GPU, Labels: snapshot.Labels, Speed: a.health.speed(), FailureRate: a.health.failureRate,
 	}
+	candidate.Warmup = o.warmupOf(a)
 	o.setBusy(candidate, a)
 	return candidate
 }
--- a/orchestrator/starvation.go
+++ b/orchestrator/starvation.go
@@ -134,7 +134,7 @@
 	return append(list, evacuations...)
 }
 
-// lastingEvacuations returns the long-running tasks that are to leave draining workers.
+// lastingEvacuations returns the long-running tasks that are to leave draining workers and evacuated domains.
 func (o *Orchestrator) lastingEvacuations(blocked func(*sequencer.Task) bool, now time.Time) []starvingTask {
 	var list []starvingTask
 	for _, a := range o.drainingAgents() {
@@ -144,7 +144,7 @@
 			}
 		}
 	}
-	return list
+	return append(list, o.roomlessRuns(blocked, now)...)
 }
 
 // claims reports whether a task may claim room.
