coordinator: Histories with evacuations

Cause: nothing tried evacuations beside failures. Change: histories request evacuations of one, two or all domains beside lost owners, reads of the operator's keys that are cut while the store confirms ownership, entries that start again without having read them, outages, compaction, frozen agents and starts that are carried out late.

--- a/coordinator/entry_node_test.go
+++ b/coordinator/entry_node_test.go
@@ -13,6 +13,8 @@
 
 	"github.com/endivefall/endivefall/acceptor"
 	"github.com/endivefall/endivefall/coordinator"
+	"github.com/endivefall/endivefall/evacuator"
+	"github.com/endivefall/endivefall/platform"
 )
 
 // entryNode is an entry that can be killed and restarted.
@@ -33,12 +35,18 @@
 		name: name, addr: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(n + 1)}), 7000),
 		stop: stop, done: make(chan struct{}),
 	}
+	var evacuations func() evacuator.View
 	e.coordinator = coordinator.New(coordinator.Config{
+		EvacuationBound: f.evacuationBound, Evacuations: func() evacuator.View { return evacuations() },
 		ID: name, PeerAddr: e.addr, Store: f.storeFor(name), MaxWorkerLease: maxWorkerLease, JobRetention: time.Hour, Now: time.Now, Log: f.log.With(zap.String("at", name)),
 		Count: func(string) {}, ObserveDuration: func(string, time.Duration) {},
 		Listen: func(string, string) (net.Listener, error) { return f.network.Listen(name, e.addr), nil },
 		Client: f.network.Client(name),
 	})
+	evacuations = func() evacuator.View { return evacuator.View{} }
+	if f.evacuationBound > 0 {
+		evacuations = platform.FollowEvacuations(ctx, f.operatorReads(name, e.coordinator.Store()), time.Now, f.log.With(zap.String("at", name)))
+	}
 	e.coordinator.Acceptor.Configure(acceptor.NewQueues(1, 0, []acceptor.Queue{{Name: "queue", Host: "h", Prefix: "/q/", Pool: "pool", MaxAttempts: 4, StretchFactor: 2, LatencyAllowance: time.Second}}))
 	go func() {
 		defer close(e.done)
--- a/coordinator/fleet_test.go
+++ b/coordinator/fleet_test.go
@@ -43,6 +43,9 @@
 	network *faker.Network
 	auditor *faker.PoolAuditor
 	log     *zap.Logger
+	// evacuationBound is the bound of evacuations, 0 if they are not followed.
+	evacuationBound time.Duration
+	evacuations     *evacuationAudit
 
 	mu      sync.Mutex // guards all below, and seed
 	entries map[string]*entryNode
@@ -55,6 +58,8 @@
 	// storeReplyLoss is the share of writes to the store whose reply is lost.
 	storeReplyLoss float64
 	rejected       map[string]bool
+	// readsCut has the entries whose reads of the operator's keys fail, though the store serves them.
+	readsCut map[string]bool
 	// workerReplyLoss is the share of commands to workers whose reply is lost.
 	workerReplyLoss float64
 	// crashingJobs is the share of jobs with a task that crashes its workers.
@@ -79,9 +84,14 @@
 }
 
 func newFleet(ctx context.Context, t *testing.T, seed uint64, entries, agents int) *fleet {
+	return newFleetWithin(ctx, t, seed, entries, agents, 0)
+}
+
+// newFleetWithin returns a fleet that follows evacuations with a bound, or none if it is 0.
+func newFleetWithin(ctx context.Context, t *testing.T, seed uint64, entries, agents int, bound time.Duration) *fleet {
 	f := &fleet{
 		t: t, seed: seed, ctx: ctx, store: faker.NewStore(), network: faker.NewNetwork(), auditor: faker.NewPoolAuditor(), log: zap.NewNop(),
-		entries: map[string]*entryNode{}, agents: map[string]*agentNode{}, rejected: map[string]bool{}, frozen: map[string]bool{}, draws: map[string]int{}, callFaults: map[string]float64{}, failingRuns: usualFailures, maxAttempts: 4,
+		entries: map[string]*entryNode{}, agents: map[string]*agentNode{}, rejected: map[string]bool{}, frozen: map[string]bool{}, draws: map[string]int{}, callFaults: map[string]float64{}, readsCut: map[string]bool{}, evacuationBound: bound, evacuations: &evacuationAudit{ackedAt: map[string]time.Time{}}, failingRuns: usualFailures, maxAttempts: 4,
 	}
 	if *logged {
 		log, err := logger.New(os.Stdout, "debug")
@@ -100,8 +110,10 @@
 		w.Plan = f.runPlan
 		w.Fault = func(call string) faker.PoolFault { return f.workerFault(name, call) }
 		a := &agentNode{name: name, worker: w}
+		w.Domain = domainOf(n)
 		w.OnEvent = func(e faker.PoolEvent) {
 			f.auditor.Observe(e)
+			f.evacuations.observe(w.Domain, e)
 			if e.Kind == "crash" {
 				time.AfterFunc(workerDowntime, func() { f.restartWorker(a) })
 				time.AfterFunc(workerDowntime/10, func() { f.restartAgentIfSet(a) })
--- a/coordinator/history_faults_test.go
+++ b/coordinator/history_faults_test.go
@@ -150,7 +150,7 @@
 func (f *fleet) clearFaults() {
 	f.mu.Lock()
 	f.storeDown, f.storeReplyLoss, f.workerReplyLoss, f.failingRuns = false, 0, 0, usualFailures
-	f.callFaults = map[string]float64{}
+	f.callFaults, f.readsCut = map[string]float64{}, map[string]bool{}
 	f.rejected, f.frozen = map[string]bool{}, map[string]bool{}
 	f.mu.Unlock()
 	for name := range f.entries {
@@ -162,4 +162,7 @@
 			f.network.SetPartition(a.name, name, false, false)
 		}
 	}
+	for _, a := range f.agents {
+		f.network.SetFrozen(a.name, false)
+	}
 }
--- a/coordinator/history_test.go
+++ b/coordinator/history_test.go
@@ -79,10 +79,16 @@
 }
 
 func runHistory(t *testing.T, seed uint64, inject func(*fleet, *rand.Rand), sums *totals) {
+	runHistoryWithin(t, seed, 0, inject, sums)
+}
+
+// runHistoryWithin runs a history of a fleet that follows evacuations with a bound, or none if it
+// is 0, and returns the fleet.
+func runHistoryWithin(t *testing.T, seed uint64, bound time.Duration, inject func(*fleet, *rand.Rand), sums *totals) *fleet {
 	c := qt.New(t)
 	r := rand.New(rand.NewPCG(seed, 0))
 	ctx, cancel := context.WithCancel(context.Background())
-	f := newFleet(ctx, t, seed, 3, 5)
+	f := newFleetWithin(ctx, t, seed, 3, 5, bound)
 	advancer.Sleep(3 * time.Second)
 	var ids []string
 	end := time.Now().Add(40 * time.Second)
@@ -118,6 +124,7 @@
 	c.Check(leaseless, qt.HasLen, 0)
 	c.Check(f.auditor.StartCount() > 50, qt.IsTrue, qt.Commentf("only %d starts", f.auditor.StartCount()))
 	advancer.Sleep(time.Minute) // delayed writes and commands are applied
+	return f
 }
 
 const (
--- a/faker/pool.go
+++ b/faker/pool.go
@@ -45,6 +45,8 @@
 	Fault func(call string) PoolFault
 	// OnEvent is called for each event, with the worker's lock held; nil for none.
 	OnEvent func(e PoolEvent)
+	// Domain is the failure domain in its heartbeats.
+	Domain string
 	// CPU and Memory are the worker's capacity.
 	CPU, Memory int64
 	// MaxLease shortens longer leases; 0 shortens none.
@@ -148,7 +150,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	return supervisor.Heartbeat{
-		WorkerID: w.id, StartedAt: w.startedAt, Seq: seq, Pool: cmp.Or(w.pool, "pool"), Clock: w.clock(), CPU: w.CPU, Memory: w.Memory, Labels: []string{"a", "rack"},
+		WorkerID: w.id, StartedAt: w.startedAt, Seq: seq, Pool: cmp.Or(w.pool, "pool"), Clock: w.clock(), CPU: w.CPU, Memory: w.Memory, Labels: []string{"a", "rack"}, Domain: w.Domain,
 	}
 }
 
