--- a/coordinator/evacuation_history_test.go
+++ b/coordinator/evacuation_history_test.go
@@ -241,8 +241,10 @@
 	const tasks, services = 9, 2
 	withEvacuations(t, func(c *qt.C, f *fleet) {
 		for n := range services {
-			spec := &sequencer.Spec{ID: fmt.Sprintf("%016x", n+1), Queue: "queue", Pool: "pool", MaxAttempts: 4, StretchFactor: 2, LatencyAllowance: time.Second,
-				Steps: []sequencer.Step{{Count: tasks, CPU: 500, Memory: 100, LongRunning: true, MaxPerWorker: 2}}}
+			spec := &sequencer.Spec{
+				ID: fmt.Sprintf("%016x", n+1), Queue: "queue", Pool: "pool", MaxAttempts: 4, StretchFactor: 2, LatencyAllowance: time.Second,
+				Steps: []sequencer.Step{{Count: tasks, CPU: 500, Memory: 100, LongRunning: true, MaxPerWorker: 2}},
+			}
 			f.auditor.AddJob(spec)
 			c.Assert(f.submitAt(f.entry(n), spec), qt.IsNil)
 		}
