orchestrator: Log once that no worker is in an evacuated domain

Cause: a mistaken name of a domain had no visible effect. Change: the owner logs it once, 5 s after its claim at the earliest; runs of agents that do not answer are not moved. Measured: TestADomainWithoutAWorkerIsLoggedOnce.

--- a/orchestrator/evacuation.go
+++ b/orchestrator/evacuation.go
@@ -121,13 +121,12 @@
 		if !o.evacuations.Evacuated(domain) {
 			agents, runs := o.countIn(domain)
 			o.cfg.Log.Info("evacuation requested", zap.String("domain", domain), zap.Int("agents", agents), zap.Int("runs", runs), zap.Duration("age", now.Sub(view.ReadAt)))
-			if agents == 0 {
-				o.cfg.Log.Warn("no worker is in the evacuated domain", zap.String("domain", domain))
-			}
 		}
+		o.reportUnnamed(domain, now)
 	}
 	for _, domain := range o.evacuations.Domains() {
 		if !view.Evacuated(domain) {
+			delete(o.unnamedDomains, domain)
 			agents, runs := o.countIn(domain)
 			o.cfg.Log.Info("evacuation withdrawn", zap.String("domain", domain), zap.Int("agents", agents), zap.Int("runs", runs))
 			o.planDue = true
@@ -136,6 +135,20 @@
 	o.evacuations = view
 }
 
+// unnamedDelay is the time after the claim by which most agents have connected.
+const unnamedDelay = 5 * time.Second
+
+// reportUnnamed logs once that no worker is in an evacuated domain, as where its name is mistaken.
+func (o *Orchestrator) reportUnnamed(domain string, now time.Time) {
+	if o.unnamedDomains[domain] || now.Sub(o.cfg.ClaimedAt) < unnamedDelay {
+		return
+	}
+	o.unnamedDomains[domain] = true
+	if agents, _ := o.countIn(domain); agents == 0 {
+		o.cfg.Log.Warn("no worker is in the evacuated domain", zap.String("domain", domain))
+	}
+}
+
 // countIn returns the numbers of agents with a worker in a domain, and of their runs.
 func (o *Orchestrator) countIn(domain string) (agents, runs int) {
 	for _, a := range o.agents {
--- a/orchestrator/evacuation_moves.go
+++ b/orchestrator/evacuation_moves.go
@@ -73,11 +73,15 @@
 // stays otherwise.
 func (o *Orchestrator) leave(r *run, steps map[string]*evacuator.Step, byPool map[string][]*allocator.Candidate, agents map[string]*agent, blocked func(*sequencer.Task) bool, now time.Time) string {
 	choice := o.evacueeOf(r, steps, now)
-	switch action := evacuator.Choose(choice); {
+	action := evacuator.Choose(choice)
+	switch {
 	case r.evict:
 		return "stopping"
 	case action != evacuator.Move:
 		return action.String()
+	case !r.agent.answers(now): // a stop might not arrive
+		choice.Keep()
+		return "unreachable"
 	case !o.mayEvacuate(r, blocked):
 		choice.Keep()
 		return "blocked"
--- a/orchestrator/evacuation_test.go
+++ b/orchestrator/evacuation_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 
 	"github.com/endivefall/endivefall/evacuator"
 	"github.com/endivefall/endivefall/messenger"
@@ -225,3 +227,22 @@
 	evacuate()
 	c.Check([]float64{h.gauges[evacuatedDomainsGauge], h.gauges[evacuatingRunsGauge]}, qt.DeepEquals, []float64{0, 0})
 }
+
+// TestADomainWithoutAWorkerIsLoggedOnce guards against a mistaken name that nobody notices, and
+// against a log line for each round.
+func TestADomainWithoutAWorkerIsLoggedOnce(t *testing.T) {
+	c := qt.New(t)
+	core, logs := observer.New(zap.WarnLevel)
+	h, evacuate := newEvacuationHarness(c, 2)
+	h.o.cfg.Log = zap.New(core)
+	evacuate("Z0", "z1") // z0 is meant
+	c.Check(logs.Len(), qt.Equals, 0, qt.Commentf("agents may not have connected yet"))
+	for range 3 {
+		h.evacuationRound(unnamedDelay)
+	}
+	c.Check(logs.Len(), qt.Equals, 1)
+	c.Check(logs.All()[0].ContextMap(), qt.DeepEquals, map[string]any{"domain": "Z0"})
+	h.submit(sequencer.Spec{Steps: []sequencer.Step{step(1, 1000)}})
+	h.placeAfter(time.Second)
+	c.Check(h.commands("a0"), qt.HasLen, 1, qt.Commentf("it has no other effect"))
+}
--- a/orchestrator/orchestrator.go
+++ b/orchestrator/orchestrator.go
@@ -148,11 +148,13 @@
 	lastRelocation time.Time
 	// evacuations are the evacuated domains as last reported. lastEvacuation is when runs were last moved out of
 	// them, staysLoggedAt when it was last logged what stays there. roomless has the long-running ones that
-	// were to leave and found no room then.
+	// were to leave and found no room then. unnamedDomains are those for which it was checked if any worker is
+	// in them.
 	evacuations    evacuator.View
 	lastEvacuation time.Time
 	staysLoggedAt  time.Time
 	roomless       map[*run]bool
+	unnamedDomains map[string]bool
 	// isolation decides whether to give ownership up because agents are unreachable.
 	isolation isolation
 	// blockingAgents is the number of agents that block tasks as last logged, at
@@ -190,7 +192,7 @@
 	}
 	return &Orchestrator{
 		cfg: cfg, actions: make(chan func(), queueCapacity), stopped: make(chan struct{}), done: make(chan struct{}),
-		jobs: map[string]*job{}, openJobs: map[string]*job{}, unreadableJobs: map[string]bool{}, runs: map[runKey]*run{}, granting: map[*run]bool{}, heldWrites: map[*job]bool{}, claims: map[*sequencer.Task]*claim{}, roomless: map[*run]bool{}, shares: map[string]*apportioner.Share{}, agents: map[string]*agent{},
+		jobs: map[string]*job{}, openJobs: map[string]*job{}, unreadableJobs: map[string]bool{}, runs: map[runKey]*run{}, granting: map[*run]bool{}, heldWrites: map[*job]bool{}, claims: map[*sequencer.Task]*claim{}, roomless: map[*run]bool{}, unnamedDomains: map[string]bool{}, shares: map[string]*apportioner.Share{}, agents: map[string]*agent{},
 		predictor: predictor.New(), policies: map[string]*stepPolicy{}, starts: regulator.New(), isolation: isolation{firstContactBy: cfg.ClaimedAt.Add(firstContactTimeout)},
 	}
 }
--- a/orchestrator/unavailability.go
+++ b/orchestrator/unavailability.go
@@ -27,11 +27,16 @@
 	excluded
 )
 
+// answers reports whether the agent answers and reaches its worker.
+func (a *agent) answers(now time.Time) bool {
+	return a.reachable() && a.snapshot != nil && !a.snapshot.Unreachable && now.Sub(a.lastSnapshotAt) <= isolationTimeout/2
+}
+
 // unavailability returns why the worker of an agent may not receive tasks now.
 func (o *Orchestrator) unavailability(a *agent, now time.Time) unavailability {
 	snapshot := a.snapshot
 	switch {
-	case !a.reachable() || snapshot == nil || snapshot.Unreachable || now.Sub(a.lastSnapshotAt) > isolationTimeout/2:
+	case !a.answers(now):
 		return disconnected
 	case snapshot.Draining:
 		return draining
