--- a/supervisor/commands.go
+++ b/supervisor/commands.go
@@ -61,10 +61,6 @@
 	}
 	s.runs[key] = r
 	s.mergeInterference(cmd.Interference)
-	if s.startOverdue(r) {
-		s.endRun(r, messenger.RunEnd{Status: messenger.EndNotStarted, Reason: reasonStartOverdue}, 0)
-		return
-	}
 	if reason := s.rejectReason(cmd); reason != "" {
 		s.endRun(r, messenger.RunEnd{Status: messenger.EndNotStarted, Reason: reason}, 0)
 		return
@@ -74,11 +70,8 @@
 	s.calls.Go(func() { s.startRun(ctx, r, cmd) })
 }
 
-// reasonStartOverdue is the reason of runs that were not started by their deadline.
-const reasonStartOverdue = "its deadline for the start has passed"
-
-// startOverdue reports whether a run must not be started any more, as its domain may have been
-// evacuated since the owner sent the start.
+// startOverdue reports, before each try at the worker, whether a run must not be started any more,
+// as its domain may have been evacuated since the owner sent the start.
 func (s *Supervisor) startOverdue(r *run) bool {
 	if r.startBy.IsZero() || s.cfg.Now().Before(r.startBy) {
 		return false
@@ -130,7 +123,7 @@
 			return
 		}
 		if s.startOverdue(r) { // nor has an earlier call
-			s.endRun(r, messenger.RunEnd{Status: messenger.EndNotStarted, Reason: reasonStartOverdue}, 0)
+			s.endRun(r, messenger.RunEnd{Status: messenger.EndNotStarted, Reason: "its deadline for the start has passed"}, 0)
 			s.mu.Unlock()
 			return
 		}
