e2e: Evacuate a domain of real processes

Cause: no test went from the operator's key and the heartbeats through the processes to the workers. The processes of the soak have the setting evacuate, so that their starts have deadlines.

--- a/e2e/pools_test.go
+++ b/e2e/pools_test.go
@@ -91,8 +91,8 @@
 	for n := range entries {
 		addr := freeAddr(c)
 		conf := p.file(fmt.Sprintf("entry-%d.yaml", n), fmt.Sprintf(
-			"id: entry-%d\ndomain: d\nlisten: %s\nready: %s\npeer: %s\nbind: %s\nstore: %s\nhold: 6s\nkeep: 10m\ndrain: 4s\n",
-			n, addr, freeAddr(c), peers[n], binds[n], p.addLink(store)))
+			"id: entry-%d\ndomain: d\nlisten: %s\nready: %s\npeer: %s\nbind: %s\nstore: %s\nhold: 6s\nkeep: 10m\ndrain: 4s\nevacuate: %s\n",
+			n, addr, freeAddr(c), peers[n], binds[n], p.addLink(store), evacuationBound))
 		path := []*link{p.links[n], p.links[len(p.links)-1]}
 		p.entryAddrs = append(p.entryAddrs, p.addLink(addr))
 		p.procs = append(p.procs, &poolProcess{process: p.start(fmt.Sprint("entry-", n), "pool-entry", conf), role: "pool-entry", conf: conf, peer: peers[n], path: path})
@@ -102,7 +102,7 @@
 	c.Cleanup(cancel)
 	for n := range agents {
 		backend := faker.NewPoolWorker()
-		backend.Name = fmt.Sprint("agent-", n)
+		backend.Name, backend.Domain = fmt.Sprint("agent-", n), fmt.Sprint("zone-", n%2)
 		backend.CPU, backend.Memory, backend.OnEvent = 4000, 8000, p.auditor.Observe
 		backend.Plan = func(task string, attempt uint64) faker.PoolRunPlan {
 			if p.auditor.LongRunning(task) {
@@ -130,6 +130,10 @@
 	return p
 }
 
+// evacuationBound is the time after the request of an evacuation until which tasks may still start in
+// the domain.
+const evacuationBound = 5 * time.Second
+
 // heartbeatInterval is the time between two heartbeats of a worker.
 const heartbeatInterval = 500 * time.Millisecond
 
--- a/faker/pool.go
+++ b/faker/pool.go
@@ -138,6 +138,13 @@
 	w.endedAttempts = map[string]uint64{}
 }
 
+// SetOnEvent replaces OnEvent; it may be called while the worker is in use.
+func (w *PoolWorker) SetOnEvent(onEvent func(e PoolEvent)) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.OnEvent = onEvent
+}
+
 // SetPool changes the pool of the worker.
 func (w *PoolWorker) SetPool(pool string) {
 	w.mu.Lock()
