--- a/configurer/pool_test.go
+++ b/configurer/pool_test.go
@@ -14,6 +14,7 @@
 	entry, err := New().ReadPoolEntry("../examples/pool-entry.yaml")
 	c.Assert(err, qt.IsNil)
 	c.Assert(entry.MaxWorkerLease, qt.Equals, 6*time.Second)
+	c.Assert(entry.EvacuationBound, qt.Equals, 5*time.Second)
 	c.Assert(entry.Bind, qt.Equals, entry.Peer, qt.Commentf("Bind defaults to Peer"))
 	agent, err := New().ReadPoolAgent("../examples/pool-agent.yaml")
 	c.Assert(err, qt.IsNil)
@@ -23,6 +24,7 @@
 func TestPoolDiagnosticsNameTheField(t *testing.T) {
 	for name, tc := range map[string]struct{ text, field string }{
 		"missing address":  {"id: e\ndomain: d\nlisten: 127.0.0.1:1\nready: 127.0.0.1:2\npeer: 127.0.0.1:3\nhold: 6s\nkeep: 1s\ndrain: 1s\n", "store"},
+		"negative bound": {"id: e\ndomain: d\nlisten: 127.0.0.1:1\nready: 127.0.0.1:2\npeer: 127.0.0.1:3\nstore: 127.0.0.1:4\nhold: 6s\nkeep: 1s\ndrain: 1s\nevacuate: -1s\n", "evacuate"},
 		"invalid duration": {"id: e\ndomain: d\nlisten: 127.0.0.1:1\nready: 127.0.0.1:2\npeer: 127.0.0.1:3\nstore: 127.0.0.1:4\nhold: soon\nkeep: 1s\ndrain: 1s\n", "hold"},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/coordinator/evacuation_history_test.go
+++ b/coordinator/evacuation_history_test.go
@@ -36,6 +36,8 @@
 	// requests counts the requests, within the starts in evacuated domains before the bound, and beside those in
 	// other domains meanwhile.
 	requests, within, beside int
+	// latest is the longest time from an acknowledgement to a start in the domain.
+	latest time.Duration
 }
 
 // observe checks a start.
@@ -51,6 +53,7 @@
 		a.violations = append(a.violations, fmt.Sprintf("%s#%d started on %s in %s, which was evacuated %s before", e.Task, e.Attempt, e.Incarnation, domain, e.At.Sub(ackedAt)))
 	case evacuated:
 		a.within++
+		a.latest = max(a.latest, e.At.Sub(ackedAt))
 	case len(a.ackedAt) > 0:
 		a.beside++
 	}
@@ -60,7 +63,7 @@
 func (a *evacuationAudit) add(other *evacuationAudit) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.requests, a.within, a.beside = a.requests+other.requests, a.within+other.within, a.beside+other.beside
+	a.requests, a.within, a.beside, a.latest = a.requests+other.requests, a.within+other.within, a.beside+other.beside, max(a.latest, other.latest)
 }
 
 // evacuate requests the evacuation of a domain, and withdraws it some time after the request was
@@ -214,7 +217,7 @@
 			})
 		}
 	})
-	t.Logf("%d requests; %d starts in evacuated domains within the bound, %d in others", all.requests, all.within, all.beside)
+	t.Logf("%d requests; %d starts in evacuated domains within the bound, the last after %s, %d in others", all.requests, all.within, all.latest, all.beside)
 	qt.Check(t, all.requests >= *histories, qt.IsTrue, qt.Commentf("%d requests", all.requests))
 	qt.Check(t, all.beside >= *histories, qt.IsTrue, qt.Commentf("%d starts in other domains meanwhile", all.beside))
 }
--- a/evacuator/moves_test.go
+++ b/evacuator/moves_test.go
@@ -111,6 +111,7 @@
 	})
 	allAtOnce, _ := replay(func(s *service, _ time.Duration) int { return s.inside })
 	_, never := replay(func(*service, time.Duration) int { return 0 })
+	t.Logf("at most %d away, empty after %s", worst, emptyAt)
 	c.Check(worst, qt.Equals, 1)
 	c.Check(emptyAt <= 5*timeToServe+round, qt.IsTrue, qt.Commentf("%s", emptyAt))
 	c.Check(allAtOnce, qt.Equals, 6)
