evacuator: Move services only where a quarter of the CPU that is left is free

Cause: services moved in calm moments into domains that were nearly full, and batch jobs waited in the next burst. Change: a pool counts as contended, too, while less than a quarter of the CPU of its other workers is free.

--- a/orchestrator/evacuation_moves.go
+++ b/orchestrator/evacuation_moves.go
@@ -37,7 +37,7 @@
 	blocked := o.startBlocked()
 	o.setAside(blocked, byPool, agents)
 	steps := map[string]*evacuator.Step{}
-	contended := o.contendedPools(blocked, now)
+	contended := o.contendedPools(byPool, blocked, now)
 	stays := map[string]int{}
 	for _, r := range leaving {
 		stays[o.leave(r, steps, contended, byPool, agents, blocked, now)]++
@@ -49,12 +49,25 @@
 	}
 }
 
-// contentionDelay is how long a task waits for room before its pool counts as contended.
-const contentionDelay = 250 * time.Millisecond
+const (
+	// contentionDelay is how long a task waits for room before its pool counts as contended.
+	contentionDelay = 250 * time.Millisecond
+	// contendedPart is the share of the CPU of the workers that may receive tasks, as one in so many,
+	// that stays free for bursts of short tasks and for best-effort work.
+	contendedPart = 4
+)
 
-// contendedPools returns the pools in which tasks wait for room.
-func (o *Orchestrator) contendedPools(blocked func(*sequencer.Task) bool, now time.Time) map[string]bool {
+// contendedPools returns the pools in which tasks wait for room, or will when the next burst comes.
+func (o *Orchestrator) contendedPools(byPool map[string][]*allocator.Candidate, blocked func(*sequencer.Task) bool, now time.Time) map[string]bool {
 	pools := map[string]bool{}
+	for pool, candidates := range byPool {
+		free, capacity := int64(0), int64(0)
+		for _, c := range candidates {
+			free += c.FreeCPU()
+			capacity += c.CPU
+		}
+		pools[pool] = free*contendedPart < capacity
+	}
 	wall := o.cfg.WallClock()
 	for _, j := range o.openJobs {
 		pool := j.Placement.Pool
