--- a/e2e/world_test.go
+++ b/e2e/world_test.go
@@ -59,6 +59,7 @@
 	mu                sync.Mutex
 	processes         []*process
 	lease, hold, turn string // settings of the entries
+	settings          string // further settings of entries and agents
 }
 
 // lastPort is the last port that freeAddr tried. The ports lie below the range
@@ -91,7 +92,12 @@
 // agents keep running tasks without an owner, hold how long grants are extended
 // without the store.
 func newWorldWith(t testing.TB, entries, instances int, lease, hold string) *world {
-	w := &world{c: qt.New(t), dir: t.TempDir(), client: &http.Client{Timeout: waitTimeout}, lease: lease, hold: hold, turn: "200ms"}
+	return newWorldSettings(t, entries, instances, lease, hold, "")
+}
+
+// newWorldSettings is newWorldWith with further settings of entries and agents, one per line.
+func newWorldSettings(t testing.TB, entries, instances int, lease, hold, settings string) *world {
+	w := &world{c: qt.New(t), dir: t.TempDir(), client: &http.Client{Timeout: waitTimeout}, lease: lease, hold: hold, turn: "200ms", settings: settings}
 	t.Cleanup(w.stop)
 	w.platformAddr = freeAddr(w.c)
 	w.platform = w.start("platform", "fake", "-platform", w.platformAddr)
@@ -112,7 +118,7 @@
 hold: %s
 margin: 500ms
 turn: %s
-`, i, i, addr, peers[i], w.platformAddr, w.lease, w.hold, w.turn))
+%s`, i, i, addr, peers[i], w.platformAddr, w.lease, w.hold, w.turn, w.settings))
 		w.confs = append(w.confs, conf)
 		w.entries = append(w.entries, w.start(fmt.Sprintf("entry-%d", i), "entry", conf))
 	}
@@ -143,7 +149,7 @@
 team: association
 service: booking
 secret: shared
-`, in.name, i, in.http, strings.Join(peers, ", "), in.worker, in.target))
+%s`, in.name, i, in.http, strings.Join(peers, ", "), in.worker, in.target, w.settings))
 	in.agent = w.start(in.name, "agent", in.conf)
 	w.instances = append(w.instances, in)
 }
