platform: Limit callers, peers and heartbeats of the pools

Cause: ingress read each body whole, with no deadline and no bound on their sum or on the connections. A submission that is shed gets 503, or 504 if an earlier attempt may have stored the job. Frames before the handshake have 16 KiB; lists of a submission and of a relayed call end at what may be in them.

--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -176,6 +176,10 @@
 	return fmt.Errorf("%w: %s", ErrNotAccepted, reason)
 }
 
+// Reject returns the error of a submission that is rejected before Submit: ErrNotAccepted, or
+// ErrUnknownOutcome if an earlier attempt may have stored the job.
+func (a *Acceptor) Reject(id, reason string) error { return a.rejectionError(id, reason) }
+
 // mayBeStored reports whether a write of the job is known to have an unknown outcome.
 func (a *Acceptor) mayBeStored(id string) bool {
 	a.mu.Lock()
--- a/configurer/configurer.go
+++ b/configurer/configurer.go
@@ -41,7 +41,11 @@
 	ShutdownDelay       time.Duration `yaml:"turn" validate:"gte=0"`
 	StoreCallsPerSecond float64       `yaml:"calls" validate:"gte=0"`
 	MaxBodySize         decoder.Size  `yaml:"body" validate:"gte=0"`
-	Level               string        `yaml:"level" validate:"omitempty,oneof=debug info warn error"`
+	// Memory and Descriptors are what the instance has of both; 0 if that is not known. Limits
+	// for callers and peers are shares of them.
+	Memory      decoder.Size `yaml:"memory" validate:"gte=0"`
+	Descriptors int          `yaml:"descriptors" validate:"gte=0"`
+	Level       string       `yaml:"level" validate:"omitempty,oneof=debug info warn error"`
 }
 
 // Agent holds the settings of an agent.
@@ -60,7 +64,11 @@
 	DrainTimeout time.Duration    `yaml:"drain" validate:"gte=0"`
 	// ClaimRetention is how long an idempotency key is kept.
 	ClaimRetention time.Duration `yaml:"window" validate:"gte=0"`
-	Level          string        `yaml:"level" validate:"omitempty,oneof=debug info warn error"`
+	// Memory and Descriptors are what the instance has of both; 0 if that is not known. Limits
+	// for callers and peers are shares of them.
+	Memory      decoder.Size `yaml:"memory" validate:"gte=0"`
+	Descriptors int          `yaml:"descriptors" validate:"gte=0"`
+	Level       string       `yaml:"level" validate:"omitempty,oneof=debug info warn error"`
 }
 
 // Default values of the settings.
--- a/configurer/pool.go
+++ b/configurer/pool.go
@@ -3,6 +3,8 @@
 import (
 	"net/netip"
 	"time"
+
+	"github.com/endivefall/endivefall/decoder"
 )
 
 // PoolEntry holds the settings of an entry of the pools.
@@ -34,7 +36,11 @@
 	EvacuationBound time.Duration `yaml:"evacuate" validate:"gte=0"`
 	// DrainTimeout limits the duration of a shutdown.
 	DrainTimeout time.Duration `yaml:"drain" validate:"gt=0"`
-	Level        string        `yaml:"level" validate:"omitempty,oneof=debug info warn error"`
+	// Memory and Descriptors are what the instance has of both; 0 if that is not known. Limits
+	// for callers and peers are shares of them.
+	Memory      decoder.Size `yaml:"memory" validate:"gte=0"`
+	Descriptors int          `yaml:"descriptors" validate:"gte=0"`
+	Level       string       `yaml:"level" validate:"omitempty,oneof=debug info warn error"`
 }
 
 // PoolAgent holds the settings of an agent of a pool.
@@ -48,7 +54,11 @@
 	Pool    string         `yaml:"pool" validate:"required"` // the platform's service that the worker belongs to
 	// MaxWorkerLease is the longest lease that the worker accepts.
 	MaxWorkerLease time.Duration `yaml:"hold" validate:"gt=0"`
-	Level          string        `yaml:"level" validate:"omitempty,oneof=debug info warn error"`
+	// Memory and Descriptors are what the instance has of both; 0 if that is not known. Limits
+	// for callers and peers are shares of them.
+	Memory      decoder.Size `yaml:"memory" validate:"gte=0"`
+	Descriptors int          `yaml:"descriptors" validate:"gte=0"`
+	Level       string       `yaml:"level" validate:"omitempty,oneof=debug info warn error"`
 }
 
 // ReadPoolEntry reads the settings of an entry of the pools from a file.
--- a/configurer/pool_test.go
+++ b/configurer/pool_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"github.com/endivefall/endivefall/decoder"
 )
 
 func TestPoolExamples(t *testing.T) {
@@ -15,6 +17,8 @@
 	c.Assert(err, qt.IsNil)
 	c.Assert(entry.MaxWorkerLease, qt.Equals, 6*time.Second)
 	c.Assert(entry.EvacuationBound, qt.Equals, 5*time.Second)
+	c.Assert(entry.Memory, qt.Equals, 512*decoder.Size(1e6))
+	c.Assert(entry.Descriptors, qt.Equals, 4096)
 	c.Assert(entry.Bind, qt.Equals, entry.Peer, qt.Commentf("Bind defaults to Peer"))
 	agent, err := New().ReadPoolAgent("../examples/pool-agent.yaml")
 	c.Assert(err, qt.IsNil)
--- a/connector/connector.go
+++ b/connector/connector.go
@@ -13,6 +13,7 @@
 	"github.com/coder/websocket"
 	"go.uber.org/zap"
 
+	"github.com/endivefall/endivefall/limiter"
 	"github.com/endivefall/endivefall/messenger"
 )
 
@@ -26,6 +27,9 @@
 	redialDelay = time.Second
 )
 
+// maxHelloBytes bounds the frame of a peer that is not known yet.
+const maxHelloBytes = 16 << 10
+
 // Config configures a Connector.
 type Config struct {
 	ID, Incarnation, Secret string
@@ -63,7 +67,7 @@
 	if err != nil {
 		return // Accept has written the response
 	}
-	ws.SetReadLimit(messenger.MaxFrameBytes)
+	ws.SetReadLimit(maxHelloBytes)
 	ctx, cancel := context.WithTimeout(r.Context(), helloTimeout)
 	f, err := messenger.ReadFrame(ctx, ws)
 	cancel()
@@ -81,6 +85,7 @@
 	if err := messenger.WriteFrame(r.Context(), ws, messenger.Frame{Kind: messenger.KindWelcome, Welcome: welcome}); err != nil {
 		return
 	}
+	limiter.Established(r.Context())
 	c.serve(r.Context(), newLink(*f.Hello, ws, c))
 }
 
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -22,6 +22,7 @@
 	"github.com/endivefall/endivefall/dialer"
 	"github.com/endivefall/endivefall/elector"
 	"github.com/endivefall/endivefall/evacuator"
+	"github.com/endivefall/endivefall/limiter"
 	"github.com/endivefall/endivefall/messenger"
 	"github.com/endivefall/endivefall/orchestrator"
 	"github.com/endivefall/endivefall/relayer"
@@ -95,6 +96,8 @@
 	// requests to peers; when nil, a client that detects unresponsive peers is used.
 	Listen func(network, addr string) (net.Listener, error)
 	Client *http.Client
+	// Limits bounds the connections and bodies of peers; nil for no limits.
+	Limits *limiter.Group
 }
 
 // Coordinator is one entry of the pools.
@@ -140,7 +143,7 @@
 	}
 	c := &Coordinator{cfg: cfg, incarnation: uuid.NewString(), wake: make(chan struct{}, 1), links: map[*connector.Link]*orchestrator.AgentLink{}}
 	c.relayer = relayer.New(relayer.Config{
-		Store: cfg.Store, Peers: func() []netip.AddrPort { return c.elector.Peers() }, Client: cfg.Client,
+		Store: cfg.Store, Limits: cfg.Limits, Peers: func() []netip.AddrPort { return c.elector.Peers() }, Client: cfg.Client,
 		Now: cfg.Now, Log: cfg.Log, Count: func(name string) { cfg.Count("store_" + name) },
 	})
 	c.chronicler = chronicler.New(cfg.Now)
@@ -196,6 +199,7 @@
 	mux.Handle(messenger.PeerPath, c.connector)
 	mux.Handle(relayer.Path, c.relayer)
 	server := &http.Server{Handler: mux, ReadHeaderTimeout: readHeaderTimeout, ErrorLog: zap.NewStdLog(c.cfg.Log)}
+	listener = c.cfg.Limits.Attach(server, listener)
 	var wg sync.WaitGroup
 	wg.Go(func() {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
--- a/relayer/message.go
+++ b/relayer/message.go
@@ -4,6 +4,8 @@
 	"errors"
 	"fmt"
 
+	"github.com/fxamacker/cbor/v2"
+
 	"github.com/endivefall/endivefall/storer"
 )
 
@@ -39,6 +41,16 @@
 	Change  storer.Transaction `cbor:"6,keyasint,omitempty"`
 }
 
+// callDecoder decodes calls. Without its bound, a list of empty elements would take many times
+// the size of its body.
+var callDecoder = func() cbor.DecMode {
+	mode, err := cbor.DecOptions{MaxArrayElements: storer.MaxTransactionOps}.DecMode()
+	if err != nil {
+		panic(err) // the options are constant
+	}
+	return mode
+}()
+
 // reply is the result of a call.
 type reply struct {
 	Code    code          `cbor:"1,keyasint,omitempty"`
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -7,7 +7,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"net/netip"
 	"sync"
@@ -18,6 +17,7 @@
 	"go.uber.org/zap"
 
 	"github.com/endivefall/endivefall/fetcher"
+	"github.com/endivefall/endivefall/limiter"
 	"github.com/endivefall/endivefall/storer"
 )
 
@@ -60,6 +60,8 @@
 	Peers func() []netip.AddrPort
 	// Client sends requests to the peers.
 	Client *http.Client
+	// Limits bounds the bodies of relayed calls; nil for no limits.
+	Limits *limiter.Group
 	Now    func() time.Time
 	Log    *zap.Logger
 	Count  func(name string)
@@ -308,13 +310,19 @@
 
 // ServeHTTP makes a call for another entry. It does not relay the call any further.
 func (r *Relayer) ServeHTTP(w http.ResponseWriter, req *http.Request) {
-	raw, err := io.ReadAll(io.LimitReader(req.Body, maxBodyBytes))
+	payload, err := r.cfg.Limits.ReadAll(req, maxBodyBytes)
+	defer payload.Release()
 	var c call
 	if err == nil {
-		err = cbor.Unmarshal(raw, &c)
+		err = payload.Decode(req.Context(), func(raw []byte) error { return callDecoder.Unmarshal(raw, &c) })
 	}
 	if err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
+		status := http.StatusBadRequest
+		if errors.Is(err, limiter.ErrBusy) || errors.Is(err, limiter.ErrSlow) {
+			status = http.StatusServiceUnavailable
+		}
+		w.Header().Set("Connection", "close") // the rest of the body is not read
+		http.Error(w, err.Error(), status)
 		return
 	}
 	// The head tells the other entry that this one is alive.
@@ -337,7 +345,7 @@
 			p.Items = conflict.Items
 		}
 	}
-	raw, err = cbor.Marshal(p)
+	raw, err := cbor.Marshal(p)
 	if err != nil {
 		r.cfg.Log.Error("could not encode reply to a relayed call", zap.Error(err))
 		return // the other entry finds no reply
