entry, agent: Limit callers and peers

Change: the listeners of both roles have limits from memory and descriptors. Documents are read within the budget; bodies of calls, which are passed on, have a deadline that counts only the wait for the caller. The dispatcher's bound of 500 ms on draining a body holds for reads that set deadlines of their own.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -22,6 +22,7 @@
 	"github.com/endivefall/endivefall/configurer"
 	"github.com/endivefall/endivefall/estimator"
 	"github.com/endivefall/endivefall/executor"
+	"github.com/endivefall/endivefall/limiter"
 	"github.com/endivefall/endivefall/messenger"
 	"github.com/endivefall/endivefall/meter"
 	"github.com/endivefall/endivefall/parser"
@@ -138,6 +139,9 @@
 	workCtx, stopWork := context.WithCancel(context.Background())
 	defer stopWork()
 	server := &http.Server{Handler: a.routes(), ReadHeaderTimeout: headerTimeout, ErrorLog: zap.NewStdLog(a.cfg.Log)}
+	limits := limiter.Process{Memory: int64(s.Memory), Descriptors: s.Descriptors, Log: a.cfg.Log, Count: a.meter.Count, Gauge: a.meter.Set}
+	limits.SetMemoryLimit()
+	listener = limits.Group("health", limiter.Health()).Attach(server, listener)
 	a.wg.Go(func() { _ = server.Serve(listener) })
 	if err := a.recoverTasks(ctx, workCtx); err != nil {
 		_ = server.Close()
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -167,7 +167,11 @@
 		return
 	}
 	conn := http.NewResponseController(w)
-	_ = conn.SetReadDeadline(time.Now().Add(drainTimeout))
+	deadline := time.Now().Add(drainTimeout)
+	_ = conn.SetReadDeadline(deadline)
+	if limited, ok := q.r.Body.(interface{ SetReadDeadline(time.Time) }); ok {
+		limited.SetReadDeadline(deadline) // its reads set deadlines of their own
+	}
 	q.uploads.Wait()
 	if !q.body.consumed() {
 		_, _ = io.CopyN(io.Discard, q.r.Body, maxDrainBytes)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -24,6 +24,7 @@
 	"github.com/endivefall/endivefall/connector"
 	"github.com/endivefall/endivefall/dispatcher"
 	"github.com/endivefall/endivefall/estimator"
+	"github.com/endivefall/endivefall/limiter"
 	"github.com/endivefall/endivefall/messenger"
 	"github.com/endivefall/endivefall/meter"
 	"github.com/endivefall/endivefall/placer"
@@ -66,6 +67,8 @@
 	// draining is set at shutdown; from then on the readiness check fails.
 	draining      atomic.Bool
 	forwardClient *http.Client
+	// callerLimits bounds the connections and bodies of callers; set by Run.
+	callerLimits *limiter.Group
 
 	mu sync.Mutex
 	// dialing holds the cancel function of each link that this entry dials.
@@ -142,6 +145,9 @@
 	}
 	workCtx, stopWork := context.WithCancel(context.Background())
 	defer stopWork()
+	limits := limiter.Process{Memory: int64(s.Memory), Descriptors: s.Descriptors, Log: e.cfg.Log, Count: e.meter.Count, Gauge: e.meter.Set}
+	limits.SetMemoryLimit()
+	e.callerLimits = limits.Group("callers", limiter.Streams())
 	callerServer := &http.Server{
 		Handler: e.routes(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader,
 		ErrorLog: zap.NewStdLog(e.cfg.Log),
@@ -150,6 +156,8 @@
 		Handler: e.peerRoutes(), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeader,
 		ErrorLog: zap.NewStdLog(e.cfg.Log),
 	}
+	callerListener = e.callerLimits.Attach(callerServer, callerListener)
+	peerListener = limits.Group("peers", limiter.Peers()).Attach(peerServer, peerListener)
 	e.wg.Go(func() { _ = peerServer.Serve(peerListener) })
 	e.wg.Go(func() { _ = callerServer.Serve(callerListener) })
 	e.wg.Go(func() { e.announcer.Serve(workCtx) })
--- a/entry/teams.go
+++ b/entry/teams.go
@@ -1,16 +1,17 @@
 package entry
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
 	"time"
 
 	"github.com/endivefall/endivefall/decoder"
+	"github.com/endivefall/endivefall/limiter"
 	"github.com/endivefall/endivefall/parser"
 	"github.com/endivefall/endivefall/publisher"
 	"github.com/endivefall/endivefall/responder"
@@ -95,17 +96,29 @@
 }
 
 func (e *Entry) readDocument(w http.ResponseWriter, r *http.Request) ([]byte, bool) {
-	source, err := io.ReadAll(http.MaxBytesReader(w, r.Body, parser.MaxDocumentBytes+1))
-	var tooLarge *http.MaxBytesError
-	if err != nil && !errors.As(err, &tooLarge) {
-		e.problem(w, responder.Problem{Status: http.StatusBadRequest, Code: "body-cut-short", Detail: "the document ended early; nothing was changed"})
-		return nil, false
+	var source []byte
+	payload, err := e.callerLimits.ReadAll(r, parser.MaxDocumentBytes)
+	defer payload.Release()
+	if err == nil {
+		err = payload.Decode(r.Context(), func(raw []byte) error {
+			source = bytes.Clone(raw)
+			return nil
+		})
+	}
+	if err != nil {
+		w.Header().Set("Connection", "close") // the rest of the body is not read
 	}
-	if tooLarge != nil || len(source) > parser.MaxDocumentBytes {
+	switch {
+	case err == nil:
+		return source, true
+	case errors.Is(err, limiter.ErrBusy), errors.Is(err, limiter.ErrSlow):
+		e.problem(w, responder.Problem{Status: http.StatusServiceUnavailable, Code: "busy", Detail: err.Error() + "; nothing was changed", RetryAt: e.now().Add(time.Second)})
+	case errors.Is(err, limiter.ErrTooLarge):
 		e.problem(w, responder.Problem{Status: http.StatusRequestEntityTooLarge, Code: "document-too-large", Detail: fmt.Sprintf("a document has at most %d bytes; split the team", parser.MaxDocumentBytes)})
-		return nil, false
+	default:
+		e.problem(w, responder.Problem{Status: http.StatusBadRequest, Code: "body-cut-short", Detail: "the document ended early; nothing was changed"})
 	}
-	return source, true
+	return nil, false
 }
 
 // respondDocumentError replies why a document was not accepted, or that the
