acceptor, platform: Account for a job until its write ends

Cause: a caller that sends a large submission and goes away left its job in the queue of 800, which no budget counted: up to 210 MB. Change: SubmitHeld releases the room of a submission once nothing holds the job.

--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -233,13 +233,48 @@
 // Submit stores a job within the deadline of ctx. A stored job with the same ID is
 // the same job.
 func (a *Acceptor) Submit(ctx context.Context, spec *sequencer.Spec) error {
+	return a.SubmitHeld(ctx, spec, nil)
+}
+
+// SubmitHeld is Submit for a job whose memory the caller accounts for. It calls release, unless
+// that is nil, once nothing holds the job any more. That may be after it has returned: if ctx
+// ends, the write continues.
+func (a *Acceptor) SubmitHeld(ctx context.Context, spec *sequencer.Spec, release func()) error {
+	sub, err := a.enqueue(ctx, spec)
+	if err != nil {
+		if release != nil {
+			release()
+		}
+		return err
+	}
+	select {
+	case err = <-sub.done:
+		if release != nil {
+			release()
+		}
+	case <-ctx.Done():
+		err = ErrUnknownOutcome // the caller has gone; the write continues
+		a.markOwnInDoubt([]string{spec.ID})
+		if release != nil {
+			go func() {
+				<-sub.done
+				release()
+			}()
+		}
+	}
+	a.cfg.ObserveDuration("submit", a.cfg.Now().Sub(sub.receivedAt))
+	return err
+}
+
+// enqueue queues a job for the next write.
+func (a *Acceptor) enqueue(ctx context.Context, spec *sequencer.Spec) (*submission, error) {
 	spec.AcceptedAt = a.cfg.WallClock()
 	if err := spec.Check(); err != nil {
-		return err
+		return nil, err
 	}
 	value, err := spec.Encode()
 	if err != nil {
-		return err
+		return nil, err
 	}
 	sub := &submission{spec: spec, value: value, receivedAt: a.cfg.Now(), done: make(chan error, 1)}
 	sub.deadline = sub.receivedAt.Add(defaultSubmitTimeout)
@@ -247,21 +282,14 @@
 		sub.deadline = sub.receivedAt.Add(time.Until(deadline)) // the wall clock may jump meanwhile
 	}
 	if since, ok := a.StoreWritable(); !ok && a.cfg.Now().Sub(since) > failFastAfter {
-		return a.rejectionError(spec.ID, fmt.Sprintf("the store has answered no write for %s", a.cfg.Now().Sub(since).Round(time.Millisecond)))
+		return nil, a.rejectionError(spec.ID, fmt.Sprintf("the store has answered no write for %s", a.cfg.Now().Sub(since).Round(time.Millisecond)))
 	}
 	select {
 	case a.submissions <- sub:
+		return sub, nil
 	default:
-		return a.rejectionError(spec.ID, fmt.Sprintf("%d jobs are waiting for the store", maxQueued))
-	}
-	select {
-	case err = <-sub.done:
-	case <-ctx.Done():
-		err = ErrUnknownOutcome // the caller has gone; the write continues
-		a.markOwnInDoubt([]string{spec.ID})
+		return nil, a.rejectionError(spec.ID, fmt.Sprintf("%d jobs are waiting for the store", maxQueued))
 	}
-	a.cfg.ObserveDuration("submit", a.cfg.Now().Sub(sub.receivedAt))
-	return err
 }
 
 // StoreWritable returns ok while the store answers writes or none was sent, and
