limiter: Give peers room for three relayed writes of 1 MB

Cause: with 0.06 of 184 MB one relayed write of 1 MB at a time was handled, so that an owner without the store of its own would have waited for others. Change: peers have 0.1 of the memory for bodies that arrive, and 0.12 for those that are handled.

--- a/limiter/share.go
+++ b/limiter/share.go
@@ -54,9 +54,10 @@
 	return Share{Descriptors: 0.5, ConnMemory: 0.4, ConnBytes: streamConnBytes, Bodies: 0.08, Decoding: 0.08, BodyTimeout: streamTimeout, MinRate: minStreamRate}
 }
 
-// Peers returns the share of agents and other entries.
+// Peers returns the share of agents and other entries. It has room for three relayed writes of 1 MB
+// at once: an owner that does not reach the store sends those of its ledger.
 func Peers() Share {
-	return Share{Descriptors: 0.25, ConnMemory: 0.25, ConnBytes: peerConnBytes, Bodies: 0.08, Decoding: 0.06, BodyTimeout: bodyTimeout, MinRate: minRate}
+	return Share{Descriptors: 0.25, ConnMemory: 0.25, ConnBytes: peerConnBytes, Bodies: 0.1, Decoding: 0.12, BodyTimeout: bodyTimeout, MinRate: minRate}
 }
 
 // Heartbeats returns the share of the worker of an agent.
