e2e: Play a legal client at full size

Change: with -crowd, 64 connections submit three jobs of the largest size each to an entry of 184 MB; all must be accepted and no limit met.

--- a/e2e/crowd_pools_test.go
+++ b/e2e/crowd_pools_test.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"net/netip"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -27,6 +29,9 @@
 	fullDescriptors = 4100
 	// largeJobs is the number of the largest jobs that make an owner hold 31 MB.
 	largeJobs = 120
+	// legalConns is the most connections that a client has at once, legalTurns the jobs that each
+	// submits.
+	legalConns, legalTurns = 64, 3
 )
 
 // poolEntry is an entry of the pools that is the only one.
@@ -65,7 +70,12 @@
 // submit submits a job and returns the status of the response, or 0.
 func (e *poolEntry) submit(body string) int {
 	e.jobs++
-	req, err := http.NewRequest(http.MethodPost, fmt.Sprintf("http://%s/q/%016x", e.listen, 1<<40+e.jobs), strings.NewReader(body))
+	return e.submitAs(1<<40+e.jobs, body)
+}
+
+// submitAs submits the job with a number and returns the status of the response, or 0.
+func (e *poolEntry) submitAs(n int, body string) int {
+	req, err := http.NewRequest(http.MethodPost, fmt.Sprintf("http://%s/q/%016x", e.listen, n), strings.NewReader(body))
 	e.c.Assert(err, qt.IsNil)
 	req.Host = "h.example"
 	return e.do(req)
@@ -192,6 +202,25 @@
 			k.check(e.c, e.world, e.process, e.listen, *fullCrowd, fullMemory, fullDescriptors, e.accepts)
 		})
 	}
+	t.Run("legal client", func(t *testing.T) {
+		e := newPoolEntry(t, fullMemory, fullDescriptors)
+		body := string(callerCrowds()[0].body)
+		var refused atomic.Int64
+		var clients sync.WaitGroup
+		for n := range legalConns {
+			clients.Go(func() {
+				for turn := range legalTurns {
+					if e.submitAs(1<<41+n*legalTurns+turn, body) != http.StatusOK {
+						refused.Add(1)
+					}
+				}
+			})
+		}
+		clients.Wait()
+		e.c.Assert(refused.Load(), qt.Equals, int64(0))
+		e.c.Assert(strings.Contains(e.process.logs(), "limit met"), qt.IsFalse)
+		e.c.Logf("%d connections with %d of the largest bodies each: peak memory %.1f MB", legalConns, legalTurns, float64(e.process.peakMemory())/1e6)
+	})
 	t.Run("calm", func(t *testing.T) {
 		e := newPoolEntry(t, fullMemory, fullDescriptors)
 		e.c.Assert(e.submit(string(callerCrowds()[0].body)), qt.Equals, http.StatusOK)
