supervisor: Notice calls without a reply in 250 ms

Cause: a list or a start that the worker leaves unanswered was given up after 700 ms and the wait of up to 500 ms. No start was sent and no end seen at the worker meanwhile, so that short jobs missed their objectives: 5.5% of the calls were not answered. Change: a reply may take 250 ms, or twice as long as the last one, and lists are held for 100 ms at most while a run is to end soon.

--- a/supervisor/commands.go
+++ b/supervisor/commands.go
@@ -135,8 +135,9 @@
 		if s.leaseExpiresAt.After(s.sentLease) {
 			s.sentLease = s.leaseExpiresAt
 		}
+		timeout := s.replyTimeout()
 		s.mu.Unlock()
-		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+		callCtx, cancel := context.WithTimeout(ctx, timeout)
 		clock, err := s.cfg.Worker.Start(callCtx, req)
 		cancel()
 		s.mu.Lock()
--- a/supervisor/list.go
+++ b/supervisor/list.go
@@ -33,7 +33,7 @@
 // sendList sends one list request and reports whether the worker answered it.
 func (s *Supervisor) sendList(ctx context.Context, wait time.Duration) bool {
 	s.mu.Lock()
-	timeout := callTimeout
+	timeout := s.replyTimeout()
 	incarnation, startedAt := s.heartbeat.Incarnation(), s.heartbeat.StartedAt
 	req := ListRequest{WorkerID: s.heartbeat.WorkerID, Fence: s.fence, LeaseExpiresAt: s.leaseExpiresAt, AckedEnd: s.ackedEnd, Wait: wait}
 	if req.WorkerID == "" {
@@ -41,7 +41,7 @@
 		s.fenceNextIncarnation(ctx)
 		return false
 	}
-	if s.hasColocatedRuns() {
+	if s.hasColocatedRuns() || s.hasShortRuns() {
 		req.Wait = min(req.Wait, measurementWait)
 	}
 	if !s.reconciled || s.draining && len(s.ends) > 0 {
@@ -56,6 +56,7 @@
 		// Another incarnation may answer, for which neither lease nor ends are meant.
 		req.LeaseExpiresAt, req.AckedEnd = time.Time{}, 0
 		req.Wait = 0
+		timeout = callTimeout
 		if s.cfg.Now().Sub(s.unreachableSince) < probeDuration {
 			timeout = probeTimeout
 		}
@@ -91,11 +92,28 @@
 		return false
 	}
 	s.fenceStep = 0
+	s.replyTime = max(receivedAt.Sub(requested.at)-req.Wait, 0)
 	s.recordReply(reply, receivedAt)
 	s.reconcile(requested, reply)
 	return true
 }
 
+// replyTimeout returns how long the worker may take for a reply.
+func (s *Supervisor) replyTimeout() time.Duration {
+	return min(max(replyTimeFactor*s.replyTime, minReplyTimeout), callTimeout)
+}
+
+// hasShortRuns reports whether a run that is to end soon is at work, or a start has no reply yet. Its
+// end shows in a list only, and one that gets no reply is noticed after the wait.
+func (s *Supervisor) hasShortRuns() bool {
+	for _, r := range s.runs {
+		if !r.spec.LongRunning && !r.ended {
+			return true
+		}
+	}
+	return false
+}
+
 // recordReply records that the worker is reachable and updates the estimate of
 // its clock.
 func (s *Supervisor) recordReply(reply *ListReply, receivedAt time.Time) {
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -24,8 +24,15 @@
 
 // Timeouts and intervals of calls to the worker.
 const (
-	// callTimeout bounds a start, stop or set pace call; replies take 1 to 2 ms.
+	// callTimeout bounds a call to a worker; replies take 1 to 2 ms.
 	callTimeout = 700 * time.Millisecond
+	// minReplyTimeout bounds a start call, and a list request beyond its wait, unless the worker has
+	// taken long for its last list. A short task that waits for longer misses its objective; its end,
+	// too, shows only in a list. What is given up too early costs one more list: the fence tells what
+	// became of a start. An agent whose processor is capped may be delayed by a tenth of a second.
+	minReplyTimeout = 250 * time.Millisecond
+	// replyTimeFactor is how much longer than the last reply the next one may take.
+	replyTimeFactor = 2
 	// probeTimeout bounds a list request to a worker that did not answer the last one,
 	// for probeDuration; a worker that is slow for longer gets the usual time.
 	probeTimeout  = 200 * time.Millisecond
@@ -135,6 +142,8 @@
 	// workerClock is the latest time read from the worker's clock, clockReadAt the
 	// local time at which the reply arrived.
 	workerClock, clockReadAt time.Time
+	// replyTime is how long the worker took for its last list, beyond the wait.
+	replyTime time.Duration
 	// unreachableSince is when the first list request failed since the worker last
 	// answered one; zero while it answers.
 	unreachableSince time.Time
