provisioner: Keep CPU for short tasks of the first priority

Cause: long-running tasks that ask for more CPU than there is hold all of it for minutes; 71 of 544 short jobs waited for over 1 s for tasks of half a second, up to 14 s. Change: the demand of short tasks is kept free on each worker from long-running tasks that have not run yet, unless these would fit twice.

--- a/allocator/allocator.go
+++ b/allocator/allocator.go
@@ -49,6 +49,9 @@
 	AtRisk float64
 	// TasksByStep counts the tasks by step, for Step.MaxPerWorker.
 	TasksByStep map[string]int
+	// ShortCPU is the CPU reserved by short tasks, KeptCPU what is kept for further ones from
+	// long-running tasks that have not run yet, both in thousandths of a core.
+	ShortCPU, KeptCPU int64
 	// KeptMemory is the memory in MB that is kept for long-running tasks from best-effort ones
 	// that would gain nothing from their place.
 	KeptMemory int64
@@ -119,6 +122,9 @@
 	} else {
 		c.UsedCPU += step.CPU
 	}
+	if isShort(step) {
+		c.ShortCPU, c.KeptCPU = c.ShortCPU+step.CPU, max(c.KeptCPU-step.CPU, 0)
+	}
 	c.UsedMemory += step.Memory
 	c.UsedGPU += step.GPU
 	if step.LatencyTargetMs > 0 {
@@ -142,6 +148,9 @@
 	} else {
 		c.UsedCPU -= step.CPU
 	}
+	if isShort(step) {
+		c.ShortCPU -= step.CPU
+	}
 	c.UsedMemory -= step.Memory
 	c.UsedGPU -= step.GPU
 	if step.LatencyTargetMs > 0 {
@@ -202,7 +211,7 @@
 		return false
 	case c.UsedMemory+step.Memory > c.Memory || c.UsedGPU+step.GPU > c.GPU:
 		return false
-	case !step.BestEffort && c.UsedCPU+step.CPU > c.CPU:
+	case !step.BestEffort && c.UsedCPU+step.CPU+c.keptFrom(t) > c.CPU:
 		return false
 	case step.RequiredLabel != "" && !slices.Contains(c.Labels, step.RequiredLabel):
 		return false
@@ -212,11 +221,67 @@
 	return true
 }
 
-// Pick returns the candidate with the lowest cost for a task, or nil if none fits.
+// Pick returns the candidate with the lowest cost for a task, or nil if none fits. CPU that is kept
+// for short tasks is given up where the task would fit twice without it, as that much is not left
+// idle while a task waits.
 // A worker on which the task has failed is chosen only if there is no other.
 // interference returns the interference coefficient of a best-effort image and a
 // serving image.
 func Pick(t *sequencer.Task, stepName string, candidates []*Candidate, now time.Time, interference func(bestEffortImage, servingImage string) float64) *Candidate {
+	if best := pick(t, stepName, candidates, now, interference); best != nil || !yields(t) {
+		return best
+	}
+	var best *Candidate
+	places, bestCost := int64(0), 0.0
+	for _, c := range candidates {
+		lacks := ShortageOf(t, stepName, c)
+		lacks.CPU = c.UsedCPU+t.StepSpec().CPU > c.CPU
+		if (lacks != Shortage{}) {
+			continue
+		}
+		places += c.FreeCPU() / max(t.StepSpec().CPU, 1)
+		if cost := Cost(t, c, Pressure{Pace: 1}); best == nil || cost < bestCost {
+			best, bestCost = c, cost
+		}
+	}
+	if places < maxIdlePlaces {
+		return nil
+	}
+	return best
+}
+
+// maxIdlePlaces is the number of places for a waiting long-running task from which on one is not
+// kept for short tasks.
+const maxIdlePlaces = 2
+
+// isShort reports whether tasks of a step reserve CPU for moments only.
+func isShort(step *sequencer.Step) bool { return !step.BestEffort && !step.LongRunning }
+
+// yields reports whether a task leaves the CPU that is kept for short tasks: it would hold it for
+// minutes, and has not run yet. One that has run is to run again soon.
+func yields(t *sequencer.Task) bool {
+	step := t.StepSpec()
+	return step.LongRunning && !step.BestEffort && t.Attempt == 0 && t.LiveRuns == 0
+}
+
+// FitsClaim reports whether a task fits on the candidate on which it has claimed room.
+func FitsClaim(t *sequencer.Task, stepName string, c *Candidate) bool {
+	claimed := *c
+	claimed.KeptCPU = 0
+	return Fits(t, stepName, &claimed)
+}
+
+// keptFrom returns the CPU that is kept from a task. A task that needs more of the worker than is
+// not kept gets all of it.
+func (c *Candidate) keptFrom(t *sequencer.Task) int64 {
+	if yields(t) {
+		return min(c.KeptCPU, max(c.CPU-t.StepSpec().CPU, 0))
+	}
+	return 0
+}
+
+// pick returns the candidate with the lowest cost for a task among those that it Fits, or nil.
+func pick(t *sequencer.Task, stepName string, candidates []*Candidate, now time.Time, interference func(bestEffortImage, servingImage string) float64) *Candidate {
 	var best *Candidate
 	bestCost := 0.0
 	wait := maxPaceWait
--- a/allocator/forecast.go
+++ b/allocator/forecast.go
@@ -75,7 +75,7 @@
 		if ending.StepName == stepName {
 			tasks--
 		}
-		if (step.BestEffort || cpu+step.CPU <= f.CPU) && memory+step.Memory <= f.Memory && gpu+step.GPU <= f.GPU && (step.MaxPerWorker == 0 || tasks < step.MaxPerWorker) {
+		if (step.BestEffort || cpu+step.CPU+f.keptFrom(t) <= f.CPU) && memory+step.Memory <= f.Memory && gpu+step.GPU <= f.GPU && (step.MaxPerWorker == 0 || tasks < step.MaxPerWorker) {
 			return ending.At, true
 		}
 	}
--- a/allocator/shortage.go
+++ b/allocator/shortage.go
@@ -20,7 +20,7 @@
 func ShortageOf(t *sequencer.Task, stepName string, c *Candidate) Shortage {
 	step := t.StepSpec()
 	return Shortage{
-		CPU:    !step.BestEffort && c.UsedCPU+step.CPU > c.CPU,
+		CPU:    !step.BestEffort && c.UsedCPU+step.CPU+c.keptFrom(t) > c.CPU,
 		Memory: c.UsedMemory+step.Memory > c.Memory,
 		GPU:    c.UsedGPU+step.GPU > c.GPU,
 		Label:  step.RequiredLabel != "" && !slices.Contains(c.Labels, step.RequiredLabel),
--- a/orchestrator/claim.go
+++ b/orchestrator/claim.go
@@ -70,7 +70,7 @@
 		}
 		held := blocked(t) || now.Before(t.NotBefore) || !o.mayStart(t, 1)
 		candidate := claimed
-		if !held && (claimed == nil || !allocator.Fits(t, name, claimed)) {
+		if !held && (claimed == nil || !allocator.FitsClaim(t, name, claimed)) {
 			candidate = o.pickUnlessUnmet(s, granted, unmet, now)
 		}
 		if candidate != nil && candidate != claimed && !s.moved {
@@ -136,7 +136,7 @@
 		return nil
 	}
 	candidate := allocator.Pick(s.task, name, granted, now, o.predictor.UpperInterference)
-	if candidate == nil {
+	if candidate == nil && s.task.Attempt > 0 {
 		unmet[pool].Add(s.task, name, !s.job.Placement.PolicyRestricted)
 	}
 	return candidate
--- a/orchestrator/orchestrator.go
+++ b/orchestrator/orchestrator.go
@@ -14,6 +14,7 @@
 	"github.com/endivefall/endivefall/apportioner"
 	"github.com/endivefall/endivefall/evacuator"
 	"github.com/endivefall/endivefall/predictor"
+	"github.com/endivefall/endivefall/provisioner"
 	"github.com/endivefall/endivefall/regulator"
 	"github.com/endivefall/endivefall/sequencer"
 )
@@ -101,6 +102,8 @@
 	claims map[*sequencer.Task]*claim
 	// shares has what was started lately, by pool.
 	shares map[string]*apportioner.Share
+	// shortDemands has the demand of short tasks, by pool.
+	shortDemands map[string]*provisioner.Demand
 	// lastClaims is when room for waiting tasks was last searched for.
 	lastClaims time.Time
 	agents     map[string]*agent
@@ -192,7 +195,7 @@
 	}
 	return &Orchestrator{
 		cfg: cfg, actions: make(chan func(), queueCapacity), stopped: make(chan struct{}), done: make(chan struct{}),
-		jobs: map[string]*job{}, openJobs: map[string]*job{}, unreadableJobs: map[string]bool{}, runs: map[runKey]*run{}, granting: map[*run]bool{}, heldWrites: map[*job]bool{}, claims: map[*sequencer.Task]*claim{}, roomless: map[*run]bool{}, unnamedDomains: map[string]bool{}, shares: map[string]*apportioner.Share{}, agents: map[string]*agent{},
+		jobs: map[string]*job{}, openJobs: map[string]*job{}, unreadableJobs: map[string]bool{}, runs: map[runKey]*run{}, granting: map[*run]bool{}, heldWrites: map[*job]bool{}, claims: map[*sequencer.Task]*claim{}, roomless: map[*run]bool{}, unnamedDomains: map[string]bool{}, shares: map[string]*apportioner.Share{}, shortDemands: map[string]*provisioner.Demand{}, agents: map[string]*agent{},
 		predictor: predictor.New(), policies: map[string]*stepPolicy{}, starts: regulator.New(), isolation: isolation{firstContactBy: cfg.ClaimedAt.Add(firstContactTimeout)},
 	}
 }
--- a/orchestrator/place.go
+++ b/orchestrator/place.go
@@ -30,6 +30,7 @@
 		return
 	}
 	o.keepMemory(byPool)
+	o.keepCPU(byPool, blocked, now, wall)
 	o.placeStarving(blocked, byPool, agents, now, wall)
 	o.placeSuspects(blocked, byPool, agents, now, wall)
 	for _, j := range o.rankedJobs(wall) {
--- /dev/null
+++ b/orchestrator/short_demand.go
@@ -0,0 +1,56 @@
+package orchestrator
+
+import (
+	"time"
+
+	"github.com/endivefall/endivefall/allocator"
+	"github.com/endivefall/endivefall/provisioner"
+	"github.com/endivefall/endivefall/sequencer"
+)
+
+// keptCPUGauge is the CPU that is kept for short tasks, in cores.
+const keptCPUGauge = "kept_cpu"
+
+// keepCPU keeps CPU on each worker for the short tasks of the first priority of its pool.
+func (o *Orchestrator) keepCPU(byPool map[string][]*allocator.Candidate, blocked func(*sequencer.Task) bool, now, wall time.Time) {
+	waiting := o.waitingShortCPU(blocked, wall)
+	kept := int64(0)
+	for pool, candidates := range byPool {
+		demand, capacity := waiting[pool], int64(0)
+		for _, c := range candidates {
+			demand += c.ShortCPU
+			capacity += c.CPU
+		}
+		d := o.shortDemands[pool]
+		if d == nil {
+			d = provisioner.NewDemand(now)
+			o.shortDemands[pool] = d
+		}
+		d.Observe(now, demand, capacity)
+		for _, c := range candidates {
+			c.KeptCPU = d.KeptCPU(now, c.CPU, c.ShortCPU)
+			kept += c.KeptCPU
+		}
+	}
+	o.cfg.Gauge(keptCPUGauge, float64(kept)/milliPerCore)
+}
+
+// milliPerCore converts thousandths of a core.
+const milliPerCore = 1000
+
+// waitingShortCPU returns the CPU that short tasks of the first priority wait for, by pool, in
+// thousandths of a core. Those that can't meet their objective any more don't count.
+func (o *Orchestrator) waitingShortCPU(blocked func(*sequencer.Task) bool, wall time.Time) map[string]int64 {
+	waiting := map[string]int64{}
+	for _, j := range o.openJobs {
+		if rank := allocator.RankJob(j.Job, wall); rank.Class != allocator.Short || rank.Priority > 0 {
+			continue
+		}
+		for _, t := range j.Runnable(wall) {
+			if !blocked(t) {
+				waiting[j.Placement.Pool] += t.StepSpec().CPU
+			}
+		}
+	}
+	return waiting
+}
