supervisor: Give up set pace and stop calls as early as starts

Cause: a set pace call without a reply held up the next one for 700 ms, in which a service stays over its target; a stop was repeated after 1.4 s. Change: both have the time-out of starts; a stop is repeated 700 ms after it was sent.

--- a/supervisor/pace.go
+++ b/supervisor/pace.go
@@ -50,12 +50,12 @@
 // callSetPace sends a run's pace to the worker once.
 func (s *Supervisor) callSetPace(ctx context.Context, r *run) {
 	s.mu.Lock()
-	ref, percent, ended, incarnation := s.ref(r), r.pacePercent, r.ended, s.heartbeat.Incarnation()
+	ref, percent, ended, incarnation, timeout := s.ref(r), r.pacePercent, r.ended, s.heartbeat.Incarnation(), s.replyTimeout()
 	s.mu.Unlock()
 	if ended {
 		return
 	}
-	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+	callCtx, cancel := context.WithTimeout(ctx, timeout)
 	err := s.cfg.Worker.SetPace(callCtx, ref, percent)
 	cancel()
 	s.mu.Lock()
--- a/supervisor/stop.go
+++ b/supervisor/stop.go
@@ -55,17 +55,17 @@
 // callStop sends one stop to the worker.
 func (s *Supervisor) callStop(ctx context.Context, r *run) {
 	s.mu.Lock()
-	ref, ended := s.ref(r), r.ended
+	ref, ended, timeout, calledAt := s.ref(r), r.ended, s.replyTimeout(), s.cfg.Now()
 	s.mu.Unlock()
 	if ended {
 		return
 	}
-	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+	callCtx, cancel := context.WithTimeout(ctx, timeout)
 	err := s.cfg.Worker.Stop(callCtx, ref)
 	cancel()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	r.stopCalling, r.nextStopAt = false, s.cfg.Now().Add(callTimeout)
+	r.stopCalling, r.nextStopAt = false, calledAt.Add(callTimeout)
 	if errors.Is(err, ErrStaleFence) && s.fence > ref.Fence {
 		r.nextStopAt = s.cfg.Now()
 	}
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -26,10 +26,11 @@
 const (
 	// callTimeout bounds a call to a worker; replies take 1 to 2 ms.
 	callTimeout = 700 * time.Millisecond
-	// minReplyTimeout bounds a start call, and a list request beyond its wait, unless the worker has
-	// taken long for its last list. A short task that waits for longer misses its objective; its end,
-	// too, shows only in a list. What is given up too early costs one more list: the fence tells what
-	// became of a start. An agent whose processor is capped may be delayed by a tenth of a second.
+	// minReplyTimeout bounds a start, stop or set pace call, and a list request beyond its wait, unless
+	// the worker has taken long for its last list. A short task that waits for longer misses its
+	// objective; its end, too, shows only in a list. What is given up too early costs one more call:
+	// the fence tells what became of a start. An agent whose processor is capped may be delayed by a
+	// tenth of a second.
 	minReplyTimeout = 250 * time.Millisecond
 	// replyTimeFactor is how much longer than the last reply the next one may take.
 	replyTimeFactor = 2
