--- a/supervisor/deadline_test.go
+++ b/supervisor/deadline_test.go
@@ -70,5 +70,10 @@
 		h.sup.HandleHeartbeat(t.Context(), heartbeat)
 		advancer.Sleep(time.Second)
 		c.Check(h.latestSnapshot().Domain, qt.Equals, "north")
+		unreadable := h.worker.Heartbeat(3)
+		unreadable.Domain = ""
+		h.sup.HandleHeartbeat(t.Context(), unreadable)
+		advancer.Sleep(time.Second)
+		c.Check(h.latestSnapshot().Domain, qt.Equals, "north", qt.Commentf("a heartbeat without a domain takes it out of none"))
 	})
 }
--- a/supervisor/incarnation.go
+++ b/supervisor/incarnation.go
@@ -26,6 +26,9 @@
 				zap.Int64("memory", heartbeat.Memory), zap.Int64("memory_before", before.Memory), zap.Int("runs", len(s.runs)))
 			s.markDirty()
 		}
+		if heartbeat.Domain == "" { // it can't be read; tasks would start there although the domain is evacuated
+			heartbeat.Domain = s.heartbeat.Domain
+		}
 		heartbeat.Draining = heartbeat.Draining || s.heartbeat.Draining
 		s.heartbeat = heartbeat
 	}
