retrier: Derive Retry-After from the length of the outage

Each rejection told its caller to return after 1 s, so that callers used up their 4 retries within 4 s of an outage of 5.4 s, and all returned in the same second after it. Package retrier now derives the delay from the cause, the outage so far, the time until there is room, and the caller: three schedules, one for each caller by its hash, whose 4 delays reach 10 s from any moment of the outage.

relayer: a peer that says that the store does not answer it is left out for 0.7 s, where one such call kept all calls from being relayed for that long.

--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -16,6 +16,7 @@
 	"golang.org/x/time/rate"
 
 	"github.com/endivefall/endivefall/messenger"
+	"github.com/endivefall/endivefall/retrier"
 	"github.com/endivefall/endivefall/sequencer"
 	"github.com/endivefall/endivefall/storer"
 	"github.com/endivefall/endivefall/waiter"
@@ -37,8 +38,9 @@
 // Limits and timeouts.
 const (
 	// maxQueued bounds the submissions that wait for the store; any more are
-	// rejected. It is two seconds of the store's full write rate.
-	maxQueued = 800
+	// rejected. It is two seconds of the store's full write rate, which is queueDrainTime.
+	maxQueued      = 800
+	queueDrainTime = 2 * time.Second
 	// writerCount is the number of concurrent transactions.
 	writerCount = 3
 	// maxBatchJobs bounds the jobs in one transaction; each needs a check and a
@@ -65,6 +67,8 @@
 	// second and at once. The owner keeps each as long as an ended job.
 	tombstoneRate = 10
 	maxTombstones = 100
+	// tombstoneRoom is the period over which callers whose cancels exceed that are spread.
+	tombstoneRoom = time.Second
 	// retryDelay is the delay after a failed call to the store or the owner.
 	retryDelay = 40 * time.Millisecond
 	// pendingTimeout bounds the wait for an owner that knows a queue's pending
@@ -164,22 +168,6 @@
 	})
 }
 
-// rejectionError returns ErrNotAccepted for a job, or ErrUnknownOutcome if an
-// earlier attempt here or at another entry may have stored it.
-func (a *Acceptor) rejectionError(id, reason string) error {
-	switch {
-	case a.mayBeStored(id):
-		return fmt.Errorf("%w: an earlier attempt has an unknown outcome, and %s", ErrUnknownOutcome, reason)
-	case !a.cfg.PeersConnected():
-		return fmt.Errorf("%w: other entries can't report earlier attempts, and %s", ErrUnknownOutcome, reason)
-	}
-	return fmt.Errorf("%w: %s", ErrNotAccepted, reason)
-}
-
-// Reject returns the error of a submission that is rejected before Submit: ErrNotAccepted, or
-// ErrUnknownOutcome if an earlier attempt may have stored the job.
-func (a *Acceptor) Reject(id, reason string) error { return a.rejectionError(id, reason) }
-
 // mayBeStored reports whether a write of the job is known to have an unknown outcome.
 func (a *Acceptor) mayBeStored(id string) bool {
 	a.mu.Lock()
@@ -282,13 +270,13 @@
 		sub.deadline = sub.receivedAt.Add(time.Until(deadline)) // the wall clock may jump meanwhile
 	}
 	if since, ok := a.StoreWritable(); !ok && a.cfg.Now().Sub(since) > failFastAfter {
-		return nil, a.rejectionError(spec.ID, fmt.Sprintf("the store has answered no write for %s", a.cfg.Now().Sub(since).Round(time.Millisecond)))
+		return nil, a.rejectionError(spec.ID, retrier.StoreUnavailable, 0, fmt.Sprintf("the store has answered no write for %s", a.cfg.Now().Sub(since).Round(time.Millisecond)))
 	}
 	select {
 	case a.submissions <- sub:
 		return sub, nil
 	default:
-		return nil, a.rejectionError(spec.ID, fmt.Sprintf("%d jobs are waiting for the store", maxQueued))
+		return nil, a.rejectionError(spec.ID, retrier.QueueFull, queueDrainTime, fmt.Sprintf("%d jobs are waiting for the store", maxQueued))
 	}
 }
 
--- a/acceptor/cancel.go
+++ b/acceptor/cancel.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"github.com/endivefall/endivefall/orchestrator"
+	"github.com/endivefall/endivefall/retrier"
 	"github.com/endivefall/endivefall/sequencer"
 	"github.com/endivefall/endivefall/storer"
 	"github.com/endivefall/endivefall/waiter"
@@ -29,7 +30,7 @@
 		}
 		if !known && !admitted {
 			if admitted = a.tombstones.AllowN(a.cfg.Now(), 1); !admitted {
-				return fmt.Errorf("%w: too many cancels of jobs that are not known", ErrStateUnavailable)
+				return &Rejection{Cause: retrier.TooManyCancels, Room: tombstoneRoom, err: fmt.Errorf("%w: too many cancels of jobs that are not known", ErrStateUnavailable)}
 			}
 		}
 		var tx storer.Transaction
--- a/acceptor/write.go
+++ b/acceptor/write.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"github.com/endivefall/endivefall/orchestrator"
+	"github.com/endivefall/endivefall/retrier"
 	"github.com/endivefall/endivefall/sequencer"
 	"github.com/endivefall/endivefall/storer"
 	"github.com/endivefall/endivefall/waiter"
@@ -60,7 +61,7 @@
 	if sub.inDoubt {
 		return ErrUnknownOutcome
 	}
-	return a.rejectionError(sub.spec.ID, "the store did not accept the write")
+	return a.rejectionError(sub.spec.ID, retrier.StoreUnavailable, 0, "the store did not accept the write")
 }
 
 // writeBatch sends one transaction and returns the submissions to send in the next.
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -181,6 +181,10 @@
 // not, since when it does not.
 func (c *Coordinator) StoreReachable() (time.Time, bool) { return c.relayer.Reachable() }
 
+// StoreOutage returns for how long the store has answered this entry nothing, directly or through
+// another entry; 0 while it answers.
+func (c *Coordinator) StoreOutage() time.Duration { return c.relayer.Outage() }
+
 func (c *Coordinator) wakeOwnershipLoop() {
 	select {
 	case c.wake <- struct{}{}:
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -7,6 +7,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"net/http"
 	"net/netip"
 	"sync"
@@ -33,8 +34,9 @@
 	// watchRelayDelay is how long the store is unreachable before watches go through other
 	// entries first. Relaying a large reply takes longer than a reconnection.
 	watchRelayDelay = time.Second
-	// relayCooldown is how long calls are not relayed after no other entry could make
-	// one: the store is then likely down for all entries, and each call has a cost.
+	// relayCooldown is how long calls are not relayed through an entry after it said that the store
+	// does not answer it, nor through any after entries gave no answer: the store is then likely
+	// down for all, and each call has a cost.
 	relayCooldown = 700 * time.Millisecond
 	// peerTimeout is how long another entry may take to begin its reply, which it does
 	// before it makes the call. It covers a new connection and a round trip.
@@ -74,6 +76,12 @@
 	// relayFirstUntil is until when calls are relayed before they are made directly;
 	// noRelayUntil is until when they are not relayed.
 	relayFirstUntil, noRelayUntil time.Time
+	// peerFailedAt is when a peer last said that the store does not answer it. The next call goes
+	// through others, as the store may turn away only some of the entries.
+	peerFailedAt map[netip.AddrPort]time.Time
+	// unansweredReads and unansweredWrites are since when the store has answered none of the
+	// kind, directly or through a peer; zero while it answers. A busy store may answer reads only.
+	unansweredReads, unansweredWrites time.Time
 	// unreachableSince is since when the store cannot be reached directly; zero while
 	// it can. failedAt is when a direct call last failed.
 	unreachableSince, failedAt time.Time
@@ -82,7 +90,9 @@
 }
 
 // New returns a Relayer.
-func New(cfg Config) *Relayer { return &Relayer{cfg: cfg} }
+func New(cfg Config) *Relayer {
+	return &Relayer{cfg: cfg, peerFailedAt: map[netip.AddrPort]time.Time{}}
+}
 
 // Store returns the store, reached directly or through another entry.
 func (r *Relayer) Store() *storer.Store {
@@ -139,20 +149,56 @@
 	return !errors.Is(err, storer.ErrUnavailable) && !errors.Is(err, storer.ErrUnknownOutcome)
 }
 
-// send makes a call directly or through other entries, trying first what is more
+// Outage returns for how long the store has not answered reads, or writes, neither directly nor
+// through another entry; 0 while it answers both.
+func (r *Relayer) Outage() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now, outage := r.cfg.Now(), time.Duration(0)
+	for _, since := range []time.Time{r.unansweredReads, r.unansweredWrites} {
+		if !since.IsZero() {
+			outage = max(outage, now.Sub(since))
+		}
+	}
+	return outage
+}
+
+// send makes a call and notes whether the store answers.
+func (r *Relayer) send(ctx context.Context, c *call) (*reply, error) {
+	sent := r.cfg.Now()
+	p, err := r.sendEitherWay(ctx, c)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	since := &r.unansweredReads
+	if c.writes() {
+		since = &r.unansweredWrites
+	}
+	switch {
+	case outcomeKnown(err):
+		*since = time.Time{}
+	case since.IsZero() && ctx.Err() == nil:
+		*since = sent
+		if c.Op == opWatch {
+			*since = r.cfg.Now() // it may have waited for a change before
+		}
+	}
+	return p, err
+}
+
+// sendEitherWay makes a call directly or through other entries, trying first what is more
 // likely to succeed and then, if that gave no definite result, the other. If either
 // attempt at a write may have taken effect and neither gives a definite result, the
-// outcome is unknown. While relaying is paused, calls are only made directly.
-func (r *Relayer) send(ctx context.Context, c *call) (*reply, error) {
+// outcome is unknown. While all peers have failed lately, calls are only made directly.
+func (r *Relayer) sendEitherWay(ctx context.Context, c *call) (*reply, error) {
 	r.mu.Lock()
 	now := r.cfg.Now()
-	relayFirst, relayPaused := now.Before(r.relayFirstUntil), now.Before(r.noRelayUntil)
+	relayFirst := now.Before(r.relayFirstUntil)
 	if c.Op == opWatch && !r.unreachableSince.IsZero() && now.Sub(r.unreachableSince) > watchRelayDelay {
 		relayFirst = true // shorter calls find out sooner whether the store is reached again
 	}
 	r.mu.Unlock()
 	var unknownErr error
-	if relayFirst && !relayPaused {
+	if relayFirst {
 		p, err := r.relay(ctx, c)
 		if outcomeKnown(err) {
 			return p, err
@@ -163,7 +209,7 @@
 	}
 	p, err := r.direct(ctx, c)
 	r.updateReachability(err)
-	if !outcomeKnown(err) && ctx.Err() == nil && !relayFirst && !relayPaused {
+	if !outcomeKnown(err) && ctx.Err() == nil && !relayFirst {
 		relayed, relayErr := r.relay(ctx, c)
 		if outcomeKnown(relayErr) {
 			r.mu.Lock()
@@ -237,30 +283,52 @@
 	return p, err
 }
 
+// promisingPeers returns the other entries that have not failed lately, each time another one
+// first.
+func (r *Relayer) promisingPeers() []netip.AddrPort {
+	peers := r.cfg.Peers()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.cfg.Now()
+	if now.Before(r.noRelayUntil) {
+		return nil
+	}
+	maps.DeleteFunc(r.peerFailedAt, func(_ netip.AddrPort, at time.Time) bool { return now.Sub(at) >= relayCooldown })
+	r.nextPeer++
+	var list []netip.AddrPort
+	for n := range peers {
+		peer := peers[(r.nextPeer+n)%len(peers)]
+		if _, failed := r.peerFailedAt[peer]; !failed {
+			list = append(list, peer)
+		}
+	}
+	return list
+}
+
 // relay asks other entries to make a call. If all fail, it returns the last failure,
 // or ErrUnknownOutcome if any of them may have written.
 func (r *Relayer) relay(ctx context.Context, c *call) (*reply, error) {
-	peers := r.cfg.Peers()
+	peers := r.promisingPeers()
 	err := error(storer.ErrUnavailable)
 	unknownOutcome := false
-	r.mu.Lock()
-	r.nextPeer++
-	first := r.nextPeer
-	r.mu.Unlock()
 	for n, tried := 0, 0; n < len(peers) && tried < maxPeersPerCall; n++ {
 		var p *reply
-		p, err = r.callPeer(ctx, peers[(first+n)%len(peers)], c)
+		p, err = r.callPeer(ctx, peers[n], c)
 		if outcomeKnown(err) {
 			return p, err
 		}
+		r.mu.Lock()
+		if errors.Is(p.err(), storer.ErrUnavailable) {
+			r.peerFailedAt[peers[n]] = r.cfg.Now()
+		} else { // a silent entry delays each call that is tried through it
+			r.noRelayUntil = r.cfg.Now().Add(relayCooldown)
+		}
+		r.mu.Unlock()
 		unknownOutcome = unknownOutcome || errors.Is(err, storer.ErrUnknownOutcome)
 		if !errors.Is(err, errRefused) {
 			tried++
 		}
 	}
-	r.mu.Lock()
-	r.noRelayUntil = r.cfg.Now().Add(relayCooldown)
-	r.mu.Unlock()
 	if unknownOutcome {
 		return &reply{}, fmt.Errorf("%w: through another entry", storer.ErrUnknownOutcome)
 	}
