rehearser: Replay short-lived services, costly moves and pairs of a given strength

The patterns could not express deployment A's load of best-effort work beside services: services that end, checkpoints of 1 s with a restore time, jobs without checkpoints, estimates off by a factor, and the ratio of strong to weak pairs.

--- a/rehearser/generator.go
+++ b/rehearser/generator.go
@@ -42,6 +42,8 @@
 	worth float64
 	// endedAt is when its last task ended; zero before.
 	endedAt time.Time
+	// endsAt is when a serving job ends; zero if it never does.
+	endsAt time.Time
 }
 
 func newGenerator(p *Pattern, seed uint64) *generator {
@@ -56,11 +58,12 @@
 // drawPairs draws the coefficients of all pairs.
 func (g *generator) drawPairs() {
 	for _, class := range g.pattern.Jobs {
+		heavy, light := class.coefficients()
 		for n := range class.Images {
 			for m := range g.pattern.Serving.Images {
-				mean := lightMean
+				mean := light
 				if g.r.Float64() < class.Heavy {
-					mean = heavyMean
+					mean = heavy
 				}
 				g.pairs[[2]string{bestEffortImage(&class, n), servingImage(m)}] = mean * (0.5 + g.r.Float64())
 			}
@@ -68,6 +71,19 @@
 	}
 }
 
+// coefficients returns the mean interference coefficients of strongly interfering pairs and
+// of the others.
+func (c *Class) coefficients() (heavy, light float64) {
+	heavy, light = heavyMean, lightMean
+	if c.Strength > 0 {
+		heavy, light = c.Strength, c.Strength*lightMean/heavyMean
+	}
+	if c.Ratio > 0 {
+		light = heavy / c.Ratio
+	}
+	return heavy, light
+}
+
 func bestEffortImage(c *Class, n int) string { return fmt.Sprint(c.Name, n) }
 
 func servingImage(n int) string { return fmt.Sprint("serving", n) }
@@ -95,7 +111,11 @@
 	}
 	step.Count = min(step.Count, g.pattern.Workers)
 	spec := &sequencer.Spec{ID: g.id(), Pool: pool, Steps: []sequencer.Step{step}, AcceptedAt: at}
-	return &arrival{job: sequencer.NewJob(spec, 1, nil), at: at, phase: time.Duration(g.r.Float64() * float64(s.Period))}
+	a := &arrival{job: sequencer.NewJob(spec, 1, nil), at: at, phase: time.Duration(g.r.Float64() * float64(s.Period))}
+	if s.Lifetime > 0 {
+		a.endsAt = at.Add(time.Duration(g.r.ExpFloat64() * float64(s.Lifetime)))
+	}
+	return a
 }
 
 // batch returns a job of a class.
@@ -106,8 +126,15 @@
 	if c.Images > 0 {
 		step.BestEffort, step.Image = true, bestEffortImage(c, g.r.IntN(c.Images))
 	}
+	if c.Unsaved > 0 {
+		step.Checkpointable = g.r.Float64() >= c.Unsaved
+	}
+	spread := estimateSpread
+	if c.Error > 0 {
+		spread = c.Error
+	}
 	seconds := g.around(c.Task.Seconds(), 0.5, 0.05)
-	step.Estimate = time.Duration(seconds * math.Exp(estimateSpread*g.r.NormFloat64()) * float64(time.Second))
+	step.Estimate = time.Duration(seconds * math.Exp(spread*g.r.NormFloat64()) * float64(time.Second))
 	spec := &sequencer.Spec{ID: g.id(), Pool: pool, Priority: c.Priority, StretchFactor: c.Stretch, LatencyAllowance: c.Allowance, AcceptedAt: at}
 	steps := max(int(g.around(c.Steps, 0.4, 1)+0.5), 1)
 	for n := range steps {
--- a/rehearser/owner.go
+++ b/rehearser/owner.go
@@ -102,6 +102,7 @@
 		run.left = run.total
 		if left, ok := r.saved[t.Name()]; ok {
 			run.left = left
+			run.restoredAt = now.Add(r.pattern.Restore)
 		}
 		run.saved = run.left
 		r.report.wait(a.class, now.Sub(t.WaitingSince))
@@ -130,7 +131,7 @@
 	var movable []*run
 	for _, w := range r.workers {
 		for _, run := range w.runs {
-			if run.task.StepSpec().BestEffort && run.stopAt.IsZero() {
+			if run.task.StepSpec().BestEffort && run.task.StepSpec().Checkpointable && run.stopAt.IsZero() {
 				movable = append(movable, run)
 				runs = append(runs, relocator.Run{
 					Task: run.task, Worker: w.id, Pool: pool, PacePercent: run.pace, ProgressPercent: int(100 * (1 - run.left/max(run.total, math.SmallestNonzeroFloat64))), StartedAt: run.startedAt,
--- a/rehearser/pattern.go
+++ b/rehearser/pattern.go
@@ -22,8 +22,12 @@
 	Workers int     `yaml:"workers"`
 	Sizes   []int64 `yaml:"sizes"`
 	Memory  float64 `yaml:"memory"`
-	Serving Serving `yaml:"serving"`
-	Jobs    []Class `yaml:"jobs"`
+	// Save is how often a run saves its progress, 500 ms if not given. Restore is the time
+	// until a task that was stopped makes progress again.
+	Save    time.Duration `yaml:"save"`
+	Restore time.Duration `yaml:"restore"`
+	Serving Serving       `yaml:"serving"`
+	Jobs    []Class       `yaml:"jobs"`
 	// Bursts raise the rate of a class, Losses take workers away.
 	Bursts []Burst `yaml:"bursts"`
 	Losses []Loss  `yaml:"losses"`
@@ -43,6 +47,8 @@
 	Memory float64 `yaml:"memory"`
 	// Apart is the share of jobs that allow one task on a worker.
 	Apart float64 `yaml:"apart"`
+	// Lifetime is the mean time until a job ends; without it jobs never end.
+	Lifetime time.Duration `yaml:"lifetime"`
 	// Load is the mean load of a task and Swing its relative amplitude in a Period. Tail
 	// is the tail latency without load, Target its upper bound.
 	Load   float64       `yaml:"load"`
@@ -73,8 +79,18 @@
 	Priority  int           `yaml:"priority"`
 	// Images is the number of best-effort images; 0 for tasks that reserve their CPU.
 	// Heavy is the share of pairs with a serving image that interfere strongly.
-	Images int     `yaml:"images"`
-	Heavy  float64 `yaml:"heavy"`
+	// Strength is the mean part of a serving task's rate that such an image takes if it uses
+	// the whole worker, 1.7 if not given, Ratio how many times that of the other pairs it is,
+	// 8.5 if not given.
+	Images   int     `yaml:"images"`
+	Heavy    float64 `yaml:"heavy"`
+	Strength float64 `yaml:"strength"`
+	Ratio    float64 `yaml:"ratio"`
+	// Unsaved is the share of jobs that lose their progress when they are stopped.
+	Unsaved float64 `yaml:"unsaved"`
+	// Error is the standard deviation of the logarithm of an estimate's error, 0.4 if not
+	// given.
+	Error float64 `yaml:"error"`
 }
 
 // Burst multiplies the rate of a class by Times for a while.
@@ -117,6 +133,9 @@
 	if p.Length <= 0 || p.Length > maxLength || p.Workers < 1 || p.Workers > maxWorkers || len(p.Sizes) == 0 || p.Memory <= 0 {
 		return fmt.Errorf("%w: want a length up to %v, 1 to %d workers, sizes and memory", ErrPattern, maxLength, maxWorkers)
 	}
+	if p.Save < 0 || p.Restore < 0 || p.Serving.Lifetime < 0 {
+		return fmt.Errorf("%w: save, restore and lifetime must not be negative", ErrPattern)
+	}
 	s := p.Serving
 	if s.Images > 0 && (s.Fill < 0 || s.Fill > 1 || s.Width < 1 || s.CPU <= 0 || s.Period <= 0 || s.Tail <= 0 || s.Target <= s.Tail) {
 		return fmt.Errorf("%w: serving wants fill up to 1, width, cpu, period, and a target above tail", ErrPattern)
@@ -126,6 +145,9 @@
 		if c.Name == "" || names[c.Name] || c.Rate <= 0 || c.Steps < 1 || c.Width < 1 || c.CPU <= 0 || c.Task <= 0 || c.Stretch < 1 {
 			return fmt.Errorf("%w: job %q wants a name of its own, rate, steps, width, cpu, task and stretch", ErrPattern, c.Name)
 		}
+		if c.Ratio < 0 || c.Ratio != 0 && c.Ratio < 1 || c.Strength < 0 || c.Unsaved < 0 || c.Unsaved > 1 || c.Error < 0 {
+			return fmt.Errorf("%w: job %q wants a ratio of at least 1, unsaved up to 1, and no negative strength or error", ErrPattern, c.Name)
+		}
 		names[c.Name] = true
 	}
 	for _, b := range p.Bursts {
--- a/rehearser/rehearser.go
+++ b/rehearser/rehearser.go
@@ -67,6 +67,9 @@
 	for n := range p.Workers {
 		cpu := p.Sizes[n%len(p.Sizes)]
 		r.workers = append(r.workers, newWorker(fmt.Sprintf("w%04d", n), cpu, int64(float64(cpu)*p.Memory), r.generator.r, r.generator.interference))
+		if p.Save > 0 {
+			r.workers[n].saveInterval = p.Save
+		}
 	}
 	return r
 }
@@ -85,6 +88,7 @@
 			}
 		}
 		r.loseWorkers(elapsed)
+		r.endServing(now)
 		for n, w := range r.workers {
 			if w.lost {
 				continue
@@ -193,6 +197,22 @@
 	}
 }
 
+// endServing ends the serving jobs whose lifetime is over.
+func (r *Rehearser) endServing(now time.Time) {
+	for _, a := range r.open {
+		if a.endsAt.IsZero() || now.Before(a.endsAt) {
+			continue
+		}
+		a.endedAt = now
+		for _, w := range r.workers {
+			w.runs = slices.DeleteFunc(w.runs, func(run *run) bool { return run.task.Job == a.job })
+			w.setServing()
+		}
+		r.predictor.Forget(a.job.Task(0, 0, 0).StepName())
+	}
+	r.open = slices.DeleteFunc(r.open, func(a *arrival) bool { return !a.endedAt.IsZero() })
+}
+
 // end handles a run that has ended or was stopped.
 func (r *Rehearser) end(w *worker, ended *run, now time.Time) {
 	ended.task.LiveRuns--
@@ -218,7 +238,7 @@
 		}
 	}
 	for _, w := range r.workers {
-		usage, _ := w.usage(at)
+		usage, _ := w.usage(r.start.Add(at), at)
 		alone := w.tasks.TailLatencies(at, nil)
 		for n, tail := range w.tasks.TailLatencies(at, usage) {
 			r.report.ServingSeconds += step.Seconds()
--- a/rehearser/worker.go
+++ b/rehearser/worker.go
@@ -14,8 +14,8 @@
 const (
 	// paceDelay is the time until a pace takes effect.
 	paceDelay = 100 * time.Millisecond
-	// saveInterval is how often a run saves its progress.
-	saveInterval = 500 * time.Millisecond
+	// defaultSaveInterval is how often a run saves its progress if the pattern doesn't say.
+	defaultSaveInterval = 500 * time.Millisecond
 	// moveDelay is the time between stopping a run and the next start of its task.
 	moveDelay = 150 * time.Millisecond
 )
@@ -29,6 +29,8 @@
 	// the task, in thousandths of a core-second.
 	left, saved, total float64
 	savedAt, startedAt time.Time
+	// restoredAt is when it has read its saved progress and goes on.
+	restoredAt time.Time
 	// pace is the pace set in percent, applied the one in effect, which follows at paceAt.
 	pace, applied int
 	paceAt        time.Time
@@ -46,12 +48,14 @@
 	runs        []*run
 	tasks       simulator.SimulatedWorker
 	pacer       *pacer.Pacer
-	updates     uint64 // measurement updates that the owner has learned from
-	measureAt   time.Time
+	// saveInterval is how often its runs save their progress.
+	saveInterval time.Duration
+	updates      uint64 // measurement updates that the owner has learned from
+	measureAt    time.Time
 }
 
 func newWorker(id string, cpu, memory int64, r *rand.Rand, interference func(bestEffortImage, servingImage string) float64) *worker {
-	return &worker{id: id, cpu: cpu, memory: memory, pacer: pacer.New(), tasks: simulator.SimulatedWorker{Rand: r, Interference: interference}}
+	return &worker{id: id, cpu: cpu, memory: memory, pacer: pacer.New(), saveInterval: defaultSaveInterval, tasks: simulator.SimulatedWorker{Rand: r, Interference: interference}}
 }
 
 // candidate returns the worker as a candidate for placement, with its runs reserved
@@ -78,7 +82,7 @@
 
 // usage returns the share of the worker that each best-effort image uses, and the CPU
 // that a best-effort run gets of what its pace allows.
-func (w *worker) usage(elapsed time.Duration) (map[string]float64, float64) {
+func (w *worker) usage(now time.Time, elapsed time.Duration) (map[string]float64, float64) {
 	others, wanted := 0.0, 0.0
 	loads := w.tasks.Loads(elapsed)
 	for _, r := range w.runs {
@@ -86,6 +90,7 @@
 		switch {
 		case r.serving != nil:
 			others += cpu * loads[r.serving]
+		case now.Before(r.restoredAt):
 		case r.task.StepSpec().BestEffort:
 			wanted += cpu * float64(r.applied) / 100
 		default:
@@ -98,7 +103,7 @@
 	}
 	usage := map[string]float64{}
 	for _, r := range w.runs {
-		if r.task.StepSpec().BestEffort {
+		if r.task.StepSpec().BestEffort && !now.Before(r.restoredAt) {
 			usage[r.image] += share * float64(r.task.StepSpec().CPU) * float64(r.applied) / 100 / float64(w.cpu)
 		}
 	}
@@ -107,19 +112,19 @@
 
 // advance runs the tasks for a step of time and returns the runs that have ended.
 func (w *worker) advance(now time.Time, elapsed, step time.Duration) (ended []*run) {
-	_, share := w.usage(elapsed)
+	_, share := w.usage(now, elapsed)
 	kept := w.runs[:0]
 	for _, r := range w.runs {
 		if !now.Before(r.paceAt) {
 			r.applied = r.pace
 		}
-		if r.serving == nil {
+		if r.serving == nil && !now.Before(r.restoredAt) {
 			speed := 1.0
 			if r.task.StepSpec().BestEffort {
 				speed = share * float64(r.applied) / 100
 			}
 			r.left -= float64(r.task.StepSpec().CPU) * speed * step.Seconds()
-			if now.Sub(r.savedAt) >= saveInterval {
+			if r.task.StepSpec().Checkpointable && now.Sub(r.savedAt) >= w.saveInterval {
 				r.savedAt, r.saved = now, r.left
 			}
 		}
@@ -136,7 +141,7 @@
 // measure updates the measurements and lets the pacer decide. It returns the number of
 // changed paces.
 func (w *worker) measure(now time.Time, elapsed time.Duration, target time.Duration) int {
-	usage, share := w.usage(elapsed)
+	usage, share := w.usage(now, elapsed)
 	w.tasks.UpdateMeasurements(elapsed, usage)
 	runs := make([]pacer.Run, 0, len(w.runs))
 	byTask := map[string]*run{}
@@ -150,6 +155,9 @@
 		}
 		if spec.BestEffort {
 			r.usedCPU = int64(share * float64(spec.CPU) * float64(r.applied) / 100)
+			if now.Before(r.restoredAt) {
+				r.usedCPU = 0
+			}
 			p.UsedCPU = r.usedCPU
 		}
 		runs = append(runs, p)
