relayer: Count an outage by kind of call

A store that answers "busy" to transactions may still renew leases, which counted as writes, so that the outage looked 0.45 s long. Reads, transactions and leases now count on their own; a silence of transactions, which come with callers only, is forgotten 10 s after the last one that failed.

--- a/relayer/message.go
+++ b/relayer/message.go
@@ -51,11 +51,6 @@
 	return mode
 }()
 
-// writes reports whether the call changes the store.
-func (c *call) writes() bool {
-	return c.Op == opCommit || c.Op == opCreateLease || c.Op == opRenewLease || c.Op == opRevokeLease
-}
-
 // reply is the result of a call.
 type reply struct {
 	Code    code          `cbor:"1,keyasint,omitempty"`
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -79,9 +79,8 @@
 	// peerFailedAt is when a peer last said that the store does not answer it. The next call goes
 	// through others, as the store may turn away only some of the entries.
 	peerFailedAt map[netip.AddrPort]time.Time
-	// unansweredReads and unansweredWrites are since when the store has answered none of the
-	// kind, directly or through a peer; zero while it answers. A busy store may answer reads only.
-	unansweredReads, unansweredWrites time.Time
+	// silences are those of each kind of call: a busy store may answer all but transactions.
+	silences [kinds]silence
 	// unreachableSince is since when the store cannot be reached directly; zero while
 	// it can. failedAt is when a direct call last failed.
 	unreachableSince, failedAt time.Time
@@ -149,16 +148,14 @@
 	return !errors.Is(err, storer.ErrUnavailable) && !errors.Is(err, storer.ErrUnknownOutcome)
 }
 
-// Outage returns for how long the store has not answered reads, or writes, neither directly nor
-// through another entry; 0 while it answers both.
+// Outage returns for how long the store has not answered calls of some kind, neither directly nor through
+// another entry; 0 while it answers all kinds.
 func (r *Relayer) Outage() time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now, outage := r.cfg.Now(), time.Duration(0)
-	for _, since := range []time.Time{r.unansweredReads, r.unansweredWrites} {
-		if !since.IsZero() {
-			outage = max(outage, now.Sub(since))
-		}
+	for _, s := range r.silences {
+		outage = max(outage, s.length(now))
 	}
 	return outage
 }
@@ -169,18 +166,15 @@
 	p, err := r.sendEitherWay(ctx, c)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	since := &r.unansweredReads
-	if c.writes() {
-		since = &r.unansweredWrites
+	now := r.cfg.Now()
+	if c.Op == opWatch {
+		sent = now // it may have waited for a change before
 	}
-	switch {
+	switch s := &r.silences[c.kind()]; {
 	case outcomeKnown(err):
-		*since = time.Time{}
-	case since.IsZero() && ctx.Err() == nil:
-		*since = sent
-		if c.Op == opWatch {
-			*since = r.cfg.Now() // it may have waited for a change before
-		}
+		*s = silence{}
+	case ctx.Err() == nil:
+		s.extend(sent, now)
 	}
 	return p, err
 }
