allocator: Order best-effort jobs by due date and by tasks left

Best-effort jobs now go by their due date plus 300 ms for each task left to start, and the ended tasks of a job correct its estimates. Reserved jobs, and those of no more value, go by their dates as before.

New gauges waiting_jobs_CLASS and a log line.

--- a/allocator/allocator_test.go
+++ b/allocator/allocator_test.go
@@ -164,7 +164,7 @@
 		ID: "j", Steps: []sequencer.Step{step}, StretchFactor: 2, LatencyAllowance: time.Second,
 		AcceptedAt: now.Add(acceptedIn), Priority: priority,
 	}, 1, nil)
-	return RankJob(j, now)
+	return RankJob(j, nil, now)
 }
 
 // Under overload, jobs that can still meet their objective go before those that
--- a/orchestrator/ends.go
+++ b/orchestrator/ends.go
@@ -78,6 +78,7 @@
 		o.cfg.ObserveDuration("run", now.Sub(r.startedAt))
 		r.agent.health.recordSuccess()
 		o.learnSpeed(r, now)
+		o.learnTime(r, now)
 	}
 	o.applyRunEnd(r.job, r.task, r.agent, end)
 }
--- a/orchestrator/job.go
+++ b/orchestrator/job.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/endivefall/endivefall/allocator"
 	"github.com/endivefall/endivefall/sequencer"
 )
 
@@ -27,6 +28,8 @@
 	grantRevisions map[*sequencer.Task]uint64
 	// results has those of each step, by its index.
 	results map[int]*results
+	// corrections has what its ended tasks have shown this owner of its estimates.
+	corrections allocator.Corrections
 	// suspected is set once a task of it was suspected of crashing workers.
 	suspected bool
 	// checkpointsSavedAt is the local time at which new checkpoints were last
--- a/orchestrator/orchestrator.go
+++ b/orchestrator/orchestrator.go
@@ -168,6 +168,8 @@
 	reportStopsAt time.Time
 	// waitLoggedAt is when the task that waits the longest was last logged.
 	waitLoggedAt time.Time
+	// orderReportedAt is the wall time at which the order of waiting jobs was last reported.
+	orderReportedAt time.Time
 	// waitsNoted is set once a round of placement has noted which tasks wait.
 	waitsNoted bool
 	// stopReason is the error that Serve is to return.
--- a/orchestrator/place.go
+++ b/orchestrator/place.go
@@ -59,15 +59,17 @@
 	return byPool, agents
 }
 
+// rankedJob is an open job with its rank.
+type rankedJob struct {
+	j    *job
+	rank allocator.Rank
+}
+
 // rankedJobs returns the open jobs in scheduling order.
 func (o *Orchestrator) rankedJobs(wall time.Time) []*job {
-	type rankedJob struct {
-		j    *job
-		rank allocator.Rank
-	}
 	list := make([]rankedJob, 0, len(o.openJobs))
 	for _, j := range o.openJobs {
-		list = append(list, rankedJob{j, allocator.RankJob(j.Job, wall)})
+		list = append(list, rankedJob{j, allocator.RankJob(j.Job, &j.corrections, wall)})
 	}
 	slices.SortFunc(list, func(a, b rankedJob) int {
 		if c := a.rank.Compare(b.rank); c != 0 {
@@ -75,6 +77,7 @@
 		}
 		return strings.Compare(a.j.Spec.ID, b.j.Spec.ID)
 	})
+	o.reportOrder(list, wall)
 	jobs := make([]*job, len(list))
 	for n, ranked := range list {
 		jobs[n] = ranked.j
@@ -235,6 +238,17 @@
 	return allowed
 }
 
+// learnTime updates the estimates of a job from a finished run, by the time that it would have taken
+// at full pace. A run away from its data takes longer than the job's objective counts on.
+func (o *Orchestrator) learnTime(r *run, now time.Time) {
+	step := r.task.StepSpec()
+	if r.resumed || step.LongRunning || step.PreferredRack != "" && (r.agent.snapshot == nil || !slices.Contains(r.agent.snapshot.Labels, step.PreferredRack)) {
+		return
+	}
+	r.addPacedTime(now)
+	r.job.corrections.Learn(r.task.Step, step.Estimate, r.pacedTime)
+}
+
 // learnSpeed updates the speed of a worker from a finished run that was not
 // throttled.
 func (o *Orchestrator) learnSpeed(r *run, now time.Time) {
--- a/orchestrator/run.go
+++ b/orchestrator/run.go
@@ -42,6 +42,10 @@
 	measurement     int64
 	pacePercent     int
 	startedAt       time.Time
+	// pacedTime is the time that it would have taken at full pace for its work up to pacedUntil; the
+	// latter is zero before the first snapshot with the run.
+	pacedTime  time.Duration
+	pacedUntil time.Time
 	// progressedAt is the local time at which progressPercent last grew. It is also
 	// advanced while the run is throttled, and while its end may be unlisted.
 	progressedAt time.Time
@@ -56,3 +60,13 @@
 	// evict is set once the run is to be stopped.
 	evict bool
 }
+
+// addPacedTime counts the time since it was last called at the pace since then.
+func (r *run) addPacedTime(now time.Time) {
+	from := r.pacedUntil
+	if from.IsZero() {
+		from = r.startedAt
+	}
+	r.pacedTime += now.Sub(from) * time.Duration(r.pacePercent) / 100
+	r.pacedUntil = now
+}
--- a/orchestrator/short_demand.go
+++ b/orchestrator/short_demand.go
@@ -43,7 +43,7 @@
 func (o *Orchestrator) waitingShortCPU(blocked func(*sequencer.Task) bool, wall time.Time) map[string]int64 {
 	waiting := map[string]int64{}
 	for _, j := range o.openJobs {
-		if rank := allocator.RankJob(j.Job, wall); rank.Class != allocator.Short || rank.Priority > 0 {
+		if rank := allocator.RankJob(j.Job, &j.corrections, wall); rank.Class != allocator.Short || rank.Priority > 0 {
 			continue
 		}
 		for _, t := range j.Runnable(wall) {
--- a/orchestrator/snapshot.go
+++ b/orchestrator/snapshot.go
@@ -157,6 +157,7 @@
 	if status.Phase != messenger.PhaseStarting {
 		r.job.Started = true
 	}
+	r.addPacedTime(now)
 	r.phase, r.progressPercent, r.measurement, r.pacePercent = status.Phase, status.ProgressPercent, status.Measurement, status.PacePercent
 	r.throttled = r.throttled || status.PacePercent < 100
 	if status.Phase == messenger.PhaseRunning && a.snapshot.MayStart {
--- a/rehearser/generator.go
+++ b/rehearser/generator.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/endivefall/endivefall/allocator"
 	"github.com/endivefall/endivefall/sequencer"
 )
 
@@ -42,6 +43,8 @@
 	worth float64
 	// endedAt is when its last task ended; zero before.
 	endedAt time.Time
+	// corrections is what its ended tasks have shown of its estimates.
+	corrections allocator.Corrections
 	// endsAt is when a serving job ends; zero if it never does.
 	endsAt time.Time
 }
--- a/rehearser/owner.go
+++ b/rehearser/owner.go
@@ -58,7 +58,7 @@
 	}
 	queue := make([]ranked, len(r.open))
 	for n, a := range r.open {
-		queue[n] = ranked{a, r.policy.Rank(a.job, now)}
+		queue[n] = ranked{a, r.policy.Rank(a.job, &a.corrections, now)}
 	}
 	slices.SortStableFunc(queue, func(a, b ranked) int {
 		if c := a.rank.Compare(b.rank); c != 0 {
@@ -101,7 +101,7 @@
 		run.total = float64(spec.CPU) * a.seconds
 		run.left = run.total
 		if left, ok := r.saved[t.Name()]; ok {
-			run.left = left
+			run.left, run.resumed = left, true
 			run.restoredAt = now.Add(r.pattern.Restore)
 		}
 		run.saved = run.left
--- a/rehearser/policies.go
+++ b/rehearser/policies.go
@@ -12,6 +12,8 @@
 // Policies are the policies that can be rehearsed, by name.
 var Policies = map[string]Policy{
 	"built":    {Name: "built", Pick: allocator.Pick, Rank: allocator.RankJob, Relocate: true},
+	"due":      {Name: "due", Pick: allocator.Pick, Rank: rankByDue, Relocate: true},
+	"guessing": {Name: "guessing", Pick: allocator.Pick, Rank: rankByGuess, Relocate: true},
 	"unmoved":  {Name: "unmoved", Pick: allocator.Pick, Rank: allocator.RankJob},
 	"knowing":  {Name: "knowing", Pick: allocator.Pick, Rank: allocator.RankJob, Relocate: true, KnowsPairs: true},
 	"simplest": {Name: "simplest", Pick: pickEmptiest, Rank: rankByArrival},
@@ -31,6 +33,18 @@
 	return best
 }
 
-func rankByArrival(j *sequencer.Job, _ time.Time) allocator.Rank {
+func rankByArrival(j *sequencer.Job, _ *allocator.Corrections, _ time.Time) allocator.Rank {
 	return allocator.Rank{Due: j.Spec.AcceptedAt}
 }
+
+// rankByDue ranks the jobs of a class by their dates alone.
+func rankByDue(j *sequencer.Job, _ *allocator.Corrections, now time.Time) allocator.Rank {
+	rank := allocator.RankJob(j, nil, now)
+	rank.Waiting = 0
+	return rank
+}
+
+// rankByGuess learns nothing from ended tasks.
+func rankByGuess(j *sequencer.Job, _ *allocator.Corrections, now time.Time) allocator.Rank {
+	return allocator.RankJob(j, nil, now)
+}
--- a/rehearser/rehearser.go
+++ b/rehearser/rehearser.go
@@ -34,7 +34,7 @@
 	// Pick returns the worker for a task, or nil.
 	Pick func(t *sequencer.Task, stepName string, candidates []*allocator.Candidate, now time.Time, interference func(string, string) float64) *allocator.Candidate
 	// Rank returns the place of a job in the queue.
-	Rank func(j *sequencer.Job, now time.Time) allocator.Rank
+	Rank func(j *sequencer.Job, corrections *allocator.Corrections, now time.Time) allocator.Rank
 	// Relocate is set if throttled runs are moved.
 	Relocate bool
 	// KnowsPairs is set if the interference of all pairs is known from the start.
@@ -219,7 +219,11 @@
 	w.setServing()
 	if ended.left <= 0 && ended.serving == nil {
 		ended.task.Job.MarkDone(ended.task)
-		if a := r.byJob[ended.task.Job.Spec.ID]; a.job.Done() {
+		a := r.byJob[ended.task.Job.Spec.ID]
+		if !ended.resumed {
+			a.corrections.Learn(ended.task.Step, ended.task.StepSpec().Estimate, ended.pacedTime)
+		}
+		if a.job.Done() {
 			a.endedAt = now
 			r.open = slices.DeleteFunc(r.open, func(o *arrival) bool { return o == a })
 		}
--- a/rehearser/worker.go
+++ b/rehearser/worker.go
@@ -29,6 +29,10 @@
 	// the task, in thousandths of a core-second.
 	left, saved, total float64
 	savedAt, startedAt time.Time
+	// pacedTime is the time that the agent has let it run, in terms of full pace, resumed is set if
+	// it began from a checkpoint.
+	pacedTime time.Duration
+	resumed   bool
 	// restoredAt is when it has read its saved progress and goes on.
 	restoredAt time.Time
 	// pace is the pace set in percent, applied the one in effect, which follows at paceAt.
@@ -120,6 +124,7 @@
 		}
 		if r.serving == nil && !now.Before(r.restoredAt) {
 			speed := 1.0
+			r.pacedTime += step * time.Duration(r.applied) / 100
 			if r.task.StepSpec().BestEffort {
 				speed = share * float64(r.applied) / 100
 			}
