preemptor: Stop runs that throw away little, and no task twice without progress

Preemption and room for long-running tasks stopped the run with the least progress, which may have worked for a second since its checkpoint, be about to end, or have been stopped just before. Package preemptor orders runs by priority and by the work that a stop throws away; runs that end within 500 ms, and tasks that have saved nothing since their last stop, are not preempted, and go last where a long-running task must have room. A slowed task that was stopped just before is not moved for 5 s. Stops are counted by cause, with what each throws away.

--- a/orchestrator/evict.go
+++ b/orchestrator/evict.go
@@ -86,7 +86,7 @@
 // other task takes it.
 func (o *Orchestrator) moveRun(r *run, agentID, reason string) {
 	o.claims[r.task] = &claim{task: r.task, job: r.job, agent: o.agents[agentID], runs: true, endBy: o.cfg.Now().Add(maxMoveTime), moving: true}
-	o.stopRun(r, reason)
+	o.stopFor(r, stopToMove, reason)
 }
 
 // drainingAgents returns the agents with a draining worker, ordered by ID.
@@ -111,7 +111,7 @@
 )
 
 // preempt evicts less urgent tasks that resume from a checkpoint, on the worker
-// where the fewest evictions make room for a waiting task.
+// where making room for a waiting task throws away least work.
 func (o *Orchestrator) preempt(t *sequencer.Task, name string, candidates []*allocator.Candidate, agents map[string]*agent, now time.Time) {
 	if now.Sub(t.FreeSince) < preemptDelay || now.Sub(o.lastPreemption) < preemptInterval {
 		return
@@ -119,9 +119,11 @@
 	o.lastPreemption = now // a search without a result costs as much
 	blocked := o.startBlocked()
 	var victims []*run
+	lowest := 0.0
 	for _, candidate := range candidates {
 		trial := candidate.Clone()
 		var list []*run
+		loss := 0.0
 		for _, r := range o.preemptibleRuns(agents[candidate.ID], t.Job.Spec.Priority) {
 			if allocator.Fits(t, name, trial) {
 				break
@@ -136,20 +138,20 @@
 			trial.UsedMemory -= step.Memory
 			trial.UsedGPU -= step.GPU
 			list = append(list, r)
+			loss += r.preemptible().Loss()
 		}
-		if len(list) > 0 && allocator.Fits(t, name, trial) && (victims == nil || len(list) < len(victims)) {
-			victims = list
+		if len(list) > 0 && allocator.Fits(t, name, trial) && (victims == nil || loss < lowest) {
+			victims, lowest = list, loss
 		}
 	}
 	for _, r := range victims {
 		o.cfg.Count("preempted")
-		o.stopRun(r, "preempted by "+t.Name())
+		o.stopFor(r, stopForTask, "preempted by "+t.Name())
 	}
 }
 
 // preemptibleRuns returns the runs of an agent that a task of the given priority
-// may evict: the least urgent first, and among those the ones with the least
-// progress.
+// may evict, in the order of preemptor.Order.
 func (o *Orchestrator) preemptibleRuns(a *agent, priority int) []*run {
 	var list []*run
 	for _, r := range o.runsOf(a) {
@@ -158,14 +160,6 @@
 			list = append(list, r)
 		}
 	}
-	slices.SortFunc(list, func(a, b *run) int {
-		if c := b.job.Spec.Priority - a.job.Spec.Priority; c != 0 {
-			return c
-		}
-		if c := a.progressPercent - b.progressPercent; c != 0 {
-			return c
-		}
-		return strings.Compare(a.key.task, b.key.task)
-	})
-	return list
+	ordered, stoppable := preemptionOrder(list)
+	return ordered[:stoppable]
 }
--- a/orchestrator/relocate.go
+++ b/orchestrator/relocate.go
@@ -26,7 +26,7 @@
 	var runs []relocator.Run
 	for _, r := range o.runs {
 		step := r.task.StepSpec()
-		if step.BestEffort && step.Checkpointable && !step.Gang && r.phase == messenger.PhaseRunning && !r.evict && !blocked(r.task) {
+		if step.BestEffort && step.Checkpointable && !step.Gang && r.phase == messenger.PhaseRunning && !r.evict && !blocked(r.task) && r.movesAgain(now) {
 			movable = append(movable, r)
 			runs = append(runs, relocator.Run{
 				Task: r.task, Worker: r.agent.id, Pool: r.job.Placement.Pool, PacePercent: r.pacePercent, ProgressPercent: r.progressPercent, StartedAt: r.startedAt,
--- a/orchestrator/run.go
+++ b/orchestrator/run.go
@@ -44,8 +44,9 @@
 	startedAt       time.Time
 	// pacedTime is the time that it would have taken at full pace for its work up to pacedUntil; the
 	// latter is zero before the first snapshot with the run.
-	pacedTime  time.Duration
-	pacedUntil time.Time
+	// savedTime is that up to its last checkpoint.
+	pacedTime, savedTime time.Duration
+	pacedUntil           time.Time
 	// progressedAt is the local time at which progressPercent last grew. It is also
 	// advanced while the run is throttled, and while its end may be unlisted.
 	progressedAt time.Time
--- a/orchestrator/snapshot.go
+++ b/orchestrator/snapshot.go
@@ -172,6 +172,7 @@
 	}
 	if status.Checkpoint != "" && status.Checkpoint != r.task.Checkpoint {
 		r.task.Checkpoint, r.task.CheckpointAt = status.Checkpoint, now
+		r.noteSaved()
 		o.queueCheckpointSave(r.job, now)
 	}
 	if r.evict || r.job.Ended() || r.task.Done {
--- a/orchestrator/starvation.go
+++ b/orchestrator/starvation.go
@@ -214,8 +214,8 @@
 }
 
 // stopFillers stops best-effort runs of an agent if a task, which is expected to fit there at
-// a time, would not do so before apportioner.MaxDelay: as many as are needed, those with the least
-// progress first.
+// a time, would not do so before apportioner.MaxDelay: as many as are needed, those that throw away least
+// first. Such a task has to start in time, so that also those are stopped that had better go on.
 func (o *Orchestrator) stopFillers(t *sequencer.Task, name string, a *agent, candidate *allocator.Candidate, blocked func(*sequencer.Task) bool, now, at time.Time) {
 	horizon := now.Add(apportioner.MaxDelay)
 	if at.Before(horizon) {
@@ -227,12 +227,12 @@
 			fillers = append(fillers, r)
 		}
 	}
-	slices.SortStableFunc(fillers, func(a, b *run) int { return a.progressPercent - b.progressPercent })
+	fillers, _ = preemptionOrder(fillers)
 	for _, r := range fillers {
 		if at, fits := allocator.NewForecast(candidate, a.expectedEndings(now, blocked)).FitsAt(t, name, now); fits && at.Before(horizon) {
 			return
 		}
 		o.cfg.Count("preempted")
-		o.stopRun(r, "room for "+t.Name())
+		o.stopFor(r, stopForClaim, "room for "+t.Name())
 	}
 }
--- a/sequencer/task.go
+++ b/sequencer/task.go
@@ -28,6 +28,9 @@
 	Checkpoint string
 	// CheckpointAt is when Checkpoint was received.
 	CheckpointAt time.Time
+	// Unprogressed is set once a run was stopped to make room or to move, until a later one saves a
+	// checkpoint.
+	Unprogressed bool
 	// Attempt is the number of the latest attempt; the next one is higher.
 	Attempt uint64
 	// LiveRuns is the number of runs that may still be running.
