--- a/orchestrator/preemption_test.go
+++ b/orchestrator/preemption_test.go
@@ -139,3 +139,47 @@
 	h.reportEach("a0", func(_ int, s *messenger.RunStatus) { s.Checkpoint = "saved" })
 	c.Check(r.movesAgain(h.now), qt.IsTrue)
 }
+
+// Where a long-running task must have room, the run with the least progress was stopped, though another one
+// had just saved. Also runs that had better go on are stopped if no other room would do.
+func TestRoomForALongRunningTaskThrowsAwayLittle(t *testing.T) {
+	for name, tt := range map[string]struct {
+		memory int64 // of the long-running task
+		want   []string
+	}{
+		"the one that has just saved":       {4000, []string{"2"}},
+		"and the one with less to lose":     {8000, []string{"2", "3"}},
+		"and one stopped before, if needed": {16000, []string{"0", "1", "2", "3"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			h := newHarness(c, 1)
+			fillers := h.submit(sequencer.Spec{Steps: []sequencer.Step{{Count: 4, CPU: 2000, Memory: 4000, Estimate: 60 * time.Second, BestEffort: true, Checkpointable: true}}, StretchFactor: 100})
+			h.o.place()
+			h.reportEach("a0", func(int, *messenger.RunStatus) {})
+			c.Assert(len(fillers.liveRuns), qt.Equals, 4)
+			h.submit(sequencer.Spec{Steps: []sequencer.Step{{Count: 1, CPU: 6000, Memory: tt.memory, LongRunning: true}}})
+			h.o.place()
+			fillers.Task(0, 0, 0).Unprogressed = true
+			h.now = h.now.Add(minClaimWait / 2)
+			h.reportEach("a0", func(n int, s *messenger.RunStatus) {
+				if n == 3 {
+					s.Checkpoint = "saved"
+				}
+			})
+			h.now = h.now.Add(minClaimWait / 2)
+			h.reportEach("a0", func(n int, s *messenger.RunStatus) {
+				s.ProgressPercent = []int{4, 4, 5, 3}[n]
+				s.Checkpoint = []string{"", "", "saved", "saved"}[n]
+			})
+			h.o.place()
+			var stopped []string
+			for _, task := range h.stops("a0") {
+				stopped = append(stopped, task[len(task)-1:])
+			}
+			slices.Sort(stopped)
+			c.Check(stopped, qt.DeepEquals, tt.want)
+			c.Check(h.counts["stopped_for_claim"], qt.Equals, len(tt.want))
+		})
+	}
+}
