--- a/orchestrator/evacuation_moves_test.go
+++ b/orchestrator/evacuation_moves_test.go
@@ -43,11 +43,11 @@
 // TestServicesLeaveAnEvacuatedDomain guards against long-running tasks that stay in the domain
 // though there is room elsewhere, and against more of a step away than its submitter allows.
 func TestServicesLeaveAnEvacuatedDomain(t *testing.T) {
-	for name, test := range map[string]struct{ maxUnavailable, want int }{"no limit given": {0, 1}, "two": {2, 2}} {
+	for name, test := range map[string]struct{ limit, want int }{"no limit given": {0, 1}, "two": {2, 2}} {
 		t.Run(name, func(t *testing.T) {
 			c := qt.New(t)
 			h, evacuate := newEvacuationHarness(c, 1)
-			j := h.submit(sequencer.Spec{Steps: []sequencer.Step{{Count: 4, CPU: 1000, Memory: 10, LongRunning: true, MaxUnavailable: test.maxUnavailable}}})
+			j := h.submit(sequencer.Spec{Steps: []sequencer.Step{{Count: 4, CPU: 1000, Memory: 10, LongRunning: true, MaxUnavailable: test.limit}}})
 			h.placeAfter(time.Second)
 			h.reportRunning("a0", 100)
 			h.domains["a1"] = "z1"
