--- a/limiter/share.go
+++ b/limiter/share.go
@@ -79,3 +79,9 @@
 	s.Descriptors, s.ConnMemory = 0.25, 0.2
 	return s
 }
+
+// LargestBody returns the size of the largest body for which a process of some memory has room, while
+// it arrives and while it is handled.
+func (s Share) LargestBody(memory int64) int64 {
+	return int64(min(s.Bodies, s.Decoding/decodeFactor) * float64(memory))
+}
--- a/orchestrator/policy.go
+++ b/orchestrator/policy.go
@@ -26,9 +26,9 @@
 	// policyQueryTimeout bounds a query: the time that the service needs for 100
 	// workers, and the wait behind other queries.
 	policyQueryTimeout = 10 * time.Second
-	// ticketMargin is how long before its expiry a ticket is no longer used, since
+	// TicketMargin is how long before its expiry a ticket is no longer used, since
 	// the start command must reach the worker in time.
-	ticketMargin = 500 * time.Millisecond
+	TicketMargin = 500 * time.Millisecond
 	// policyRetryDelay is the delay after a failed query.
 	policyRetryDelay = 300 * time.Millisecond
 )
@@ -73,7 +73,7 @@
 // grants reports whether a worker may run the step.
 func (p *stepPolicy) grants(incarnation string, now time.Time) bool {
 	t, ok := p.tickets[incarnation]
-	return ok && now.Before(t.expiresAt.Add(-ticketMargin))
+	return ok && now.Before(t.expiresAt.Add(-TicketMargin))
 }
 
 // queryUngranted queries the policy of a step about the candidates without a known or valid
--- a/orchestrator/queue_test.go
+++ b/orchestrator/queue_test.go
@@ -128,7 +128,7 @@
 	h.o.policies[name] = &stepPolicy{tickets: map[string]ticket{}, queried: map[string]bool{"life-a0": true}}
 	h.o.place()
 	c.Assert(h.commands("a0"), qt.HasLen, 0)
-	h.o.policies[name].tickets["life-a0"] = ticket{"t", h.now.Add(ticketMargin * 2)}
+	h.o.policies[name].tickets["life-a0"] = ticket{"t", h.now.Add(TicketMargin * 2)}
 	h.o.place()
 	c.Assert(h.commands("a0"), qt.HasLen, 1)
 }
