--- a/commander/processes.go
+++ b/commander/processes.go
@@ -3,17 +3,12 @@
 import (
 	"context"
 	"errors"
-	"flag"
-	"fmt"
-	"io/fs"
 	"net/http"
-	"os"
 
 	"github.com/endivefall/endivefall/agent"
 	"github.com/endivefall/endivefall/configurer"
 	"github.com/endivefall/endivefall/entry"
 	"github.com/endivefall/endivefall/logger"
-	"github.com/endivefall/endivefall/parser"
 )
 
 func newEntry(s streams) *command {
@@ -75,63 +70,6 @@
 	}
 }
 
-func newCheck(s streams) *command {
-	var kind string
-	return &command{
-		streams: s, name: "check", synopsis: "check settings files and team documents",
-		usage: `endivefall check [-kind entry|agent|team] FILE...
-
-Prints every error with its line and column. Exit code 1 if there is any.
-
-  endivefall check -kind team examples/association.yaml`,
-		flags: func(f *flag.FlagSet) {
-			f.StringVar(&kind, "kind", "team", "what the files are: entry, agent or team")
-		},
-		run: func(_ context.Context, args []string) int {
-			if len(args) == 0 {
-				return s.usageError("check takes files; see endivefall help check")
-			}
-			code := ExitOK
-			for _, file := range args {
-				err := check(kind, file)
-				if errors.Is(err, errUnknownKind) {
-					return s.usageError("%v", err)
-				}
-				if err != nil {
-					fmt.Fprintln(s.err, err)
-					code = ExitFailed
-					continue
-				}
-				fmt.Fprintf(s.out, "%s: no fault\n", file)
-			}
-			return code
-		},
-	}
-}
-
-var errUnknownKind = errors.New("-kind must be entry, agent or team")
-
-func check(kind, file string) error {
-	var err error
-	switch kind {
-	case "entry":
-		_, err = configurer.New().ReadEntry(file)
-	case "agent":
-		_, err = configurer.New().ReadAgent(file)
-	case "team":
-		var src []byte
-		if src, err = os.ReadFile(file); err == nil {
-			_, err = parser.New().Parse(file, src)
-		}
-	default:
-		return errUnknownKind
-	}
-	if errors.Is(err, fs.ErrNotExist) {
-		return fmt.Errorf("%s: no such file", file)
-	}
-	return err
-}
-
 // serveHTTP serves a handler until ctx ends.
 func serveHTTP(ctx context.Context, addr string, h http.Handler) error {
 	server := &http.Server{Addr: addr, Handler: h, ReadHeaderTimeout: readHeaderTimeout}
