orchestrator: Count services of agents that do not answer as unavailable

Cause: a task whose agent did not answer counted as at work, so that another one of its step could be stopped beside it. Change: only runs of agents that answer count as at work while a domain is evacuated. Measured: TestNoServiceLeavesBesideOneThatMayBeLost, which fails without it.

--- a/orchestrator/evacuation_moves.go
+++ b/orchestrator/evacuation_moves.go
@@ -161,22 +161,23 @@
 	}
 	name := r.task.StepName()
 	if steps[name] == nil {
-		steps[name] = &evacuator.Step{MaxUnavailable: spec.MaxUnavailable, Unavailable: o.unavailableOf(r)}
+		steps[name] = &evacuator.Step{MaxUnavailable: spec.MaxUnavailable, Unavailable: unavailableBeside(r, now)}
 	}
-	choice.Step, choice.AtWork = steps[name], r.atWork()
+	choice.Step, choice.AtWork = steps[name], r.atWork(now)
 	return choice
 }
 
-// unavailableOf returns how many tasks of the step of a run are not fully at work.
-func (o *Orchestrator) unavailableOf(of *run) int {
+// unavailableBeside returns how many tasks of the step of a run, itself included, are not known to
+// be fully at work.
+func unavailableBeside(r *run, now time.Time) int {
 	atWork := map[*sequencer.Task]bool{}
-	for _, r := range of.job.liveRuns {
-		if r.atWork() {
-			atWork[r.task] = true
+	for _, other := range r.job.liveRuns {
+		if other.atWork(now) {
+			atWork[other.task] = true
 		}
 	}
 	n := 0
-	for _, t := range of.job.Tasks(of.task.Occurrence, of.task.Step) {
+	for _, t := range r.job.Tasks(r.task.Occurrence, r.task.Step) {
 		if !t.Done && !atWork[t] {
 			n++
 		}
@@ -184,9 +185,10 @@
 	return n
 }
 
-// atWork reports whether a long-running task is fully at work in a run that is not being stopped.
-func (r *run) atWork() bool {
-	return r.phase == messenger.PhaseRunning && !r.evict && r.progressPercent >= 100
+// atWork reports whether a long-running task is fully at work in a run that is not being stopped, as
+// far as an agent that answers says.
+func (r *run) atWork(now time.Time) bool {
+	return r.phase == messenger.PhaseRunning && !r.evict && r.progressPercent >= 100 && r.agent.answers(now)
 }
 
 // remaining returns for how long a run is expected to go on: by its progress if that tells, by the
--- a/orchestrator/evacuation_moves_test.go
+++ b/orchestrator/evacuation_moves_test.go
@@ -154,3 +154,23 @@
 		})
 	}
 }
+
+// TestNoServiceLeavesBesideOneThatMayBeLost guards against a task that is stopped while another of
+// its step is on a worker that doesn't answer.
+func TestNoServiceLeavesBesideOneThatMayBeLost(t *testing.T) {
+	c := qt.New(t)
+	h, evacuate := newEvacuationHarness(c, 2)
+	h.submit(sequencer.Spec{Steps: []sequencer.Step{{Count: 2, CPU: 1000, Memory: 10, LongRunning: true, MaxPerWorker: 1}}})
+	h.placeAfter(time.Second)
+	h.reportRunning("a0", 100)
+	h.reportRunning("a1", 100)
+	h.domains["a2"] = "z2"
+	h.connectAgent("a2")
+	evacuate("z0")
+	h.o.agents["a1"].snapshot.Unreachable = true
+	h.evacuationRound(time.Second)
+	c.Check(h.stopAll("a0"), qt.Equals, 0)
+	h.reportRunning("a1", 100)
+	h.evacuationRound(time.Second)
+	c.Check(h.stopAll("a0"), qt.Equals, 1)
+}
