supervisor: Let the worker refuse starts that it carries out after their deadline

Cause: a call that was sent in time and is carried out seconds later started its task in a domain that had been evacuated, unless a list had raised the fence before. Change: a start with a deadline carries a lease that ends one call time after it. A call shortens the lease of no run. Measured: TestAStartThatTheWorkerCarriesOutAfterItsDeadlineIsRefused, which fails without it; runs started so outlive 20 s.

--- a/supervisor/commands.go
+++ b/supervisor/commands.go
@@ -80,6 +80,20 @@
 	return true
 }
 
+// startLease returns the lease that the start of a run carries. The worker refuses a call that it
+// carries out after that time, so that a start with a deadline gets no longer one than the call may
+// take from the deadline on. It shortens the lease of no run there, and the next list extends it.
+func (s *Supervisor) startLease(r *run) time.Time {
+	if r.startBy.IsZero() {
+		return s.leaseExpiresAt
+	}
+	until := s.workerNow().Add(r.startBy.Sub(s.cfg.Now()) + callTimeout)
+	if until.Before(s.leaseExpiresAt) {
+		return until
+	}
+	return s.leaseExpiresAt
+}
+
 // rejectReason returns why a start can't be carried out, or an empty string.
 func (s *Supervisor) rejectReason(cmd *messenger.RunStart) string {
 	if reason := s.blockedReason(); reason != "" {
@@ -130,10 +144,10 @@
 		r.startFence, r.startSentAt = s.fence, s.cfg.Now()
 		req := StartRequest{
 			RunRef:  RunRef{WorkerID: s.heartbeat.WorkerID, Fence: s.fence, Task: r.task, Attempt: r.attempt},
-			Payload: cmd.Payload, Checkpoint: cmd.Checkpoint, Ticket: cmd.Ticket, LeaseExpiresAt: s.leaseExpiresAt,
+			Payload: cmd.Payload, Checkpoint: cmd.Checkpoint, Ticket: cmd.Ticket, LeaseExpiresAt: s.startLease(r),
 		}
-		if s.leaseExpiresAt.After(s.sentLease) {
-			s.sentLease = s.leaseExpiresAt
+		if req.LeaseExpiresAt.After(s.sentLease) {
+			s.sentLease = req.LeaseExpiresAt
 		}
 		timeout := s.replyTimeout()
 		s.mu.Unlock()
--- a/supervisor/deadline_test.go
+++ b/supervisor/deadline_test.go
@@ -77,3 +77,38 @@
 		c.Check(h.latestSnapshot().Domain, qt.Equals, "north", qt.Commentf("a heartbeat without a domain takes it out of none"))
 	})
 }
+
+// TestAStartThatTheWorkerCarriesOutAfterItsDeadlineIsRefused guards against a call that was sent in
+// time and is carried out late, while no list raises the fence at the worker.
+func TestAStartThatTheWorkerCarriesOutAfterItsDeadlineIsRefused(t *testing.T) {
+	for name, test := range map[string]struct {
+		applyDelay time.Duration
+		starts     int
+	}{"in time": {500 * time.Millisecond, 1}, "late": {3 * time.Second, 0}} {
+		t.Run(name, func(t *testing.T) {
+			inBubble(t, func(c *qt.C, h *harness) {
+				command := h.startUntil("j.0.0.0", 2*time.Second)
+				h.set(func() {
+					h.fault = func(call string) faker.PoolFault {
+						return faker.PoolFault{LoseReply: true, Drop: call != "start", ApplyDelay: test.applyDelay}
+					}
+				})
+				h.send(command)
+				advancer.Sleep(4 * time.Second)
+				c.Check(h.count("start"), qt.Equals, test.starts)
+			})
+		})
+	}
+}
+
+// TestAStartWithADeadlineKeepsItsLease guards against a run that lapses because its start carried a
+// short lease.
+func TestAStartWithADeadlineKeepsItsLease(t *testing.T) {
+	inBubble(t, func(c *qt.C, h *harness) {
+		h.set(func() { h.plan = faker.PoolRunPlan{} })
+		h.send(startCommand("j.0.0.0", 1))
+		h.send(h.startUntil("j.0.0.1", time.Second))
+		advancer.Sleep(20 * time.Second)
+		c.Check(h.worker.Running(), qt.HasLen, 2)
+	})
+}
