allocator: Keep best-effort work out of headroom that others still use

Headroom taken by best-effort tasks with a higher coefficient counted as free, as the pacer would slow those first. Until it did, the serving tasks were over their targets; then the slowed runs moved, at the cost of a restore. All placed tasks count now. With that, half a standard error of each predicted load is no longer left unused.

--- a/allocator/allocator.go
+++ b/allocator/allocator.go
@@ -83,24 +83,17 @@
 	// Headroom is the rate, in 1/s, that the task can lose to all best-effort tasks
 	// together and still meet its target.
 	Headroom float64
-	// Reserved is the interference of the best-effort tasks placed already.
-	Reserved []Interference
+	// Reserved has the rates, in 1/s, that it loses to the best-effort tasks placed already,
+	// at full pace.
+	Reserved []float64
 }
 
-// Interference is the rate that a serving task loses to a best-effort image at full
-// pace, and the interference coefficient: the rate it would lose if the image used
-// the whole worker. Both are in 1/s.
-type Interference struct{ Rate, Coefficient float64 }
-
-// headroomFor returns the headroom left for an image with the given interference
-// coefficient. Images with a higher coefficient don't count, as they are slowed
-// first.
-func (s *ServingTask) headroomFor(coefficient float64) float64 {
+// headroomLeft returns the headroom that the best-effort tasks placed already leave. Those
+// that would be slowed first count too: until they are, the serving task is over its target.
+func (s *ServingTask) headroomLeft() float64 {
 	headroom := s.Headroom
 	for _, reserved := range s.Reserved {
-		if reserved.Coefficient <= coefficient {
-			headroom -= reserved.Rate
-		}
+		headroom -= reserved
 	}
 	return max(headroom, 0)
 }
@@ -338,7 +331,7 @@
 	for n := range c.ServingTasks {
 		serving := &c.ServingTasks[n]
 		coefficient := interference(step.Image, serving.Image)
-		rate, headroom := coefficient*float64(step.CPU)/float64(max(c.CPU, 1)), serving.headroomFor(coefficient)
+		rate, headroom := coefficient*float64(step.CPU)/float64(max(c.CPU, 1)), serving.headroomLeft()
 		if rate > headroom {
 			p.Pace = min(p.Pace, headroom/rate)
 		}
@@ -353,7 +346,7 @@
 	for n := range c.ServingTasks {
 		serving := &c.ServingTasks[n]
 		coefficient := interference(image, serving.Image)
-		serving.Reserved = append(serving.Reserved, Interference{Rate: coefficient * float64(cpu) / float64(max(c.CPU, 1)), Coefficient: coefficient})
+		serving.Reserved = append(serving.Reserved, coefficient*float64(cpu)/float64(max(c.CPU, 1)))
 	}
 }
 
--- a/predictor/predictor.go
+++ b/predictor/predictor.go
@@ -48,8 +48,9 @@
 	// targetMargin is the safety margin, as a fraction of the rate that a target
 	// requires.
 	targetMargin = 0.05
-	// confidenceStdDevs is the safety margin for the errors of the estimates, in
-	// standard errors.
+	// confidenceStdDevs is the safety margin for the errors of interference coefficients, in
+	// standard errors. Predicted loads have none beside targetMargin: the owner leaves
+	// headroom to what runs already, so that errors of loads average out over its workers.
 	confidenceStdDevs = 0.5
 	// censoringThreshold is the relative rate below which a sample only shows that
 	// the task is overloaded, not by how much.
@@ -226,14 +227,12 @@
 // empty, can lose both at from and at until and still meet a target in ms, with a
 // safety margin. It returns false if there is no sample of the step.
 func (p *Predictor) Headroom(group, run string, from, until time.Time, targetMs int64) (float64, bool) {
-	spare, stdErr, ok := p.SpareRate(group, run, from)
+	spare, _, ok := p.SpareRate(group, run, from)
 	if !ok {
 		return 0, false
 	}
-	if later, laterStdErr, _ := p.SpareRate(group, run, until); later-confidenceStdDevs*laterStdErr < spare-confidenceStdDevs*stdErr {
-		spare, stdErr = later, laterStdErr
-	}
-	return max(spare-confidenceStdDevs*stdErr-RequiredRate(targetMs)*(1+targetMargin), 0), true
+	later, _, _ := p.SpareRate(group, run, until)
+	return max(min(spare, later)-RequiredRate(targetMs)*(1+targetMargin), 0), true
 }
 
 // UpperInterference returns the interference coefficient of a pair of images in 1/s
--- a/rehearser/rehearser_test.go
+++ b/rehearser/rehearser_test.go
@@ -44,6 +44,18 @@
 	c.Check(bookings >= 0.69, qt.IsTrue, qt.Commentf("%.3f", bookings))
 }
 
+// Serving tasks were over their targets for 1.8% of their time where three of five pairs of
+// images interfere: the owner placed best-effort tasks in headroom that others still used until
+// they were slowed, and left half a standard error of each predicted load unused. The bounds
+// are the aims of the older protection and the users' aim for jobs.
+func TestBestEffortWorkIsKeptFromContendedServices(t *testing.T) {
+	c := qt.New(t)
+	earned, over := rehearse(c, "contended-fleet.yaml", "batch", "built", 6)
+	t.Logf("batch earns %.3f; over target %.4f", earned, over)
+	c.Check(over < 0.01, qt.IsTrue, qt.Commentf("%.4f", over))
+	c.Check(earned >= 0.69, qt.IsTrue, qt.Commentf("%.3f", earned))
+}
+
 // Tasks of lost workers counted as at work.
 func TestTasksAtWorkDontExceedThoseAskedFor(t *testing.T) {
 	c := qt.New(t)
