--- a/allocator/allocator.go
+++ b/allocator/allocator.go
@@ -340,6 +340,12 @@
 	return p
 }
 
+// LacksHeadroom reports whether the serving tasks of a candidate have too little headroom left
+// for a best-effort task, which then waits for another worker.
+func LacksHeadroom(step *sequencer.Step, c *Candidate, interference func(bestEffortImage, servingImage string) float64) bool {
+	return step.BestEffort && ExpectedPressure(step, c, interference).Pace < minPace
+}
+
 // AddInterference reserves the rate that the serving tasks lose to an image that uses
 // the given CPU, in thousandths of a core.
 func (c *Candidate) AddInterference(image string, cpu int64, interference func(bestEffortImage, servingImage string) float64) {
--- a/allocator/allocator_test.go
+++ b/allocator/allocator_test.go
@@ -270,3 +270,15 @@
 	}
 	c.Check(Pick(task(sequencer.Step{CPU: 1000}), "s", []*Candidate{colder}, now, constantInterference(0)).ID, qt.Equals, "b", qt.Commentf("no task waits for a worker to warm up"))
 }
+
+// On a worker whose serving tasks had no headroom left, a best-effort task seemed to fit, and no
+// log line said why it waited.
+func TestAWorkerLacksHeadroomForWhatInterferes(t *testing.T) {
+	c := qt.New(t)
+	w := servingWorker("a", 0.4)
+	bestEffort := &sequencer.Step{CPU: 8000, BestEffort: true}
+	c.Check(LacksHeadroom(bestEffort, w, constantInterference(1)), qt.IsFalse)
+	c.Check(LacksHeadroom(bestEffort, w, constantInterference(30)), qt.IsTrue)
+	c.Check(LacksHeadroom(&sequencer.Step{CPU: 8000}, w, constantInterference(30)), qt.IsFalse, qt.Commentf("it reserves its CPU"))
+	c.Check(LacksHeadroom(bestEffort, emptyWorker("b"), constantInterference(30)), qt.IsFalse)
+}
--- a/orchestrator/interference_test.go
+++ b/orchestrator/interference_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 
 	"github.com/endivefall/endivefall/messenger"
 	"github.com/endivefall/endivefall/sequencer"
@@ -80,3 +82,26 @@
 	_, after := h.o.predictor.Interference("heavy", "serves")
 	c.Assert(after, qt.Equals, before)
 }
+
+// Best-effort tasks waited for the headroom of serving tasks, and the log line showed nothing but
+// workers on which they fit.
+func TestAWaitForHeadroomIsLogged(t *testing.T) {
+	c := qt.New(t)
+	h, _ := newInterferenceHarness(c)
+	core, logs := observer.New(zap.InfoLevel)
+	h.o.cfg.Log = zap.New(core)
+	gauges := map[string]float64{}
+	h.o.cfg.Gauge = func(name string, value float64) { gauges[name] = value }
+	s := step(1, 4000)
+	s.BestEffort, s.Image = true, "heavy"
+	j := h.submit(sequencer.Spec{Steps: []sequencer.Step{s}})
+	h.o.place()
+	h.now = h.now.Add(minLoggedWait)
+	h.sendSnapshot("a0", &messenger.WorkerSnapshot{Runs: h.runStatuses("a0", messenger.PhaseRunning, 100), MeasurementUpdates: 40})
+	h.o.place()
+	c.Assert(j.Task(0, 0, 0).LiveRuns, qt.Equals, 0)
+	lines := logs.FilterMessage("task waits").All()
+	c.Assert(lines, qt.HasLen, 1)
+	c.Check(lines[0].ContextMap()["lack_headroom"], qt.Equals, int64(1))
+	c.Check(gauges[headroomShortageGauge], qt.Equals, 1.0)
+}
--- a/orchestrator/relocate.go
+++ b/orchestrator/relocate.go
@@ -33,7 +33,7 @@
 			})
 		}
 	}
-	if !slices.ContainsFunc(movable, func(r *run) bool { return r.pacePercent < slowedPacePercent }) {
+	if !slices.ContainsFunc(movable, func(r *run) bool { return r.pacePercent < relocator.SlowedPacePercent }) {
 		return
 	}
 	byPool, agents := o.candidates()
--- a/orchestrator/wait_report.go
+++ b/orchestrator/wait_report.go
@@ -23,6 +23,9 @@
 	blockedWaitsGauge = "lasting_waits_blocked"
 	// claimsGauge is the number of claims of room.
 	claimsGauge = "room_claims"
+	// headroomShortageGauge is the number of workers from which the headroom of serving tasks
+	// alone keeps the best-effort task that has waited the longest.
+	headroomShortageGauge = "headroom_shortage"
 )
 
 // waitReport says why a waiting task is not placed, by the workers of its pool.
@@ -33,6 +36,9 @@
 	// The other workers: those that the queue's policy doesn't grant, and the granted ones by
 	// what they lack. A worker may lack several things.
 	notGranted, lackCPU, lackMemory, lackGPU, lackLabel, atLimit, held int
+	// lackHeadroom counts the granted workers where only serving tasks without headroom for a
+	// best-effort task keep it away.
+	lackHeadroom int
 	// claimed is the worker that keeps room for the task.
 	claimed string
 	// fit counts the workers on which the task could start.
@@ -55,10 +61,12 @@
 	o.cfg.Gauge(blockedWaitsGauge, float64(counts.lastingBlocked))
 	o.cfg.Gauge(claimsGauge, float64(len(o.claims)))
 	if t == nil {
+		o.cfg.Gauge(headroomShortageGauge, 0)
 		return
 	}
 	step := t.StepSpec()
 	report := o.reportWait(t, byPool[t.Job.Placement.Pool], agents, now)
+	o.cfg.Gauge(headroomShortageGauge, float64(report.lackHeadroom))
 	fields := []zap.Field{
 		zap.String("task", t.Name()), zap.String("step", step.String()), zap.Duration("waited", now.Sub(t.WaitingSince)), zap.Int("tasks", counts.long),
 		zap.Int("lasting", counts.lasting), zap.Int("lasting_blocked", counts.lastingBlocked), zap.Int("claims", counts.claims), zap.Int("moves", counts.moves), zap.Duration("free", freeFor(t, now)),
@@ -66,7 +74,7 @@
 		zap.Int("disconnected", report.unavailable[disconnected]), zap.Int("unregistered", report.unavailable[unregistered]), zap.Int("draining", report.unavailable[draining]),
 		zap.Int("leaseless", report.unavailable[leaseless]), zap.Int("excluded", report.unavailable[excluded]), zap.Int("evacuated", report.unavailable[evacuated]), zap.Int("possibly_evacuated", report.unavailable[possiblyEvacuated]), zap.Int("not_granted", report.notGranted),
 		zap.Int("lack_cpu", report.lackCPU), zap.Int("lack_memory", report.lackMemory), zap.Int("lack_gpu", report.lackGPU), zap.Int("lack_label", report.lackLabel),
-		zap.Int("at_limit", report.atLimit), zap.Int("held", report.held), zap.Int("fit", report.fit), zap.Int64("free_cpu", report.freeCPU), zap.Int64("free_memory", report.freeMemory),
+		zap.Int("at_limit", report.atLimit), zap.Int("held", report.held), zap.Int("lack_headroom", report.lackHeadroom), zap.Int("fit", report.fit), zap.Int64("free_cpu", report.freeCPU), zap.Int64("free_memory", report.freeMemory),
 	}
 	if c := report.roomiest; c != nil {
 		fields = append(fields, zap.String("roomiest", c.ID), zap.Int64("its_free_cpu", c.FreeCPU()), zap.Int64("its_free_memory", c.Memory-c.UsedMemory), zap.Int64("its_free_gpu", c.GPU-c.UsedGPU))
@@ -149,7 +157,11 @@
 			c = c.Clone()
 			c.Release(t.StepSpec(), name) // its own claim doesn't keep it from the room
 		}
-		report.add(allocator.ShortageOf(t, name, c), c)
+		lacks := allocator.ShortageOf(t, name, c)
+		report.add(lacks, c)
+		if lacks == (allocator.Shortage{}) && allocator.LacksHeadroom(t.StepSpec(), c, o.predictor.UpperInterference) {
+			report.lackHeadroom++
+		}
 	}
 	return report
 }
--- a/relocator/relocator.go
+++ b/relocator/relocator.go
@@ -16,8 +16,10 @@
 
 // Limits of the relocation of throttled runs.
 const (
-	// slowedPacePercent is the pace below which a run is worth relocating.
-	slowedPacePercent = 50
+	// SlowedPacePercent is the pace below which a run is worth relocating. A move costs a run
+	// what it has done since its last checkpoint, and a restore: 50 gave half as many moves
+	// again for no gain where restores take 0.6 s.
+	SlowedPacePercent = 30
 	// minRelocationAge is how long a run stays where it was started.
 	minRelocationAge = 600 * time.Millisecond
 	// nearEndPercent is the progress from which a run is left to finish.
@@ -55,7 +57,7 @@
 func Choose(now time.Time, runs []Run, candidates map[string][]*allocator.Candidate, workers int, interference func(bestEffortImage, servingImage string) float64) []Move {
 	var slowed []Run
 	for n, r := range runs {
-		if r.PacePercent < slowedPacePercent && r.ProgressPercent < nearEndPercent && now.Sub(r.StartedAt) > minRelocationAge {
+		if r.PacePercent < SlowedPacePercent && r.ProgressPercent < nearEndPercent && now.Sub(r.StartedAt) > minRelocationAge {
 			r.index = n
 			slowed = append(slowed, r)
 		}
