--- a/predictor/predictor_test.go
+++ b/predictor/predictor_test.go
@@ -161,3 +161,21 @@
 	u.Retain(map[string]bool{})
 	c.Assert(u.last, qt.HasLen, 0)
 }
+
+// Half a standard error of each predicted load was left unused beside the margin below the target:
+// on contended workers best-effort jobs earned 0.70 of their worth in place of 0.80.
+func TestHeadroomLeavesNoMoreThanTheMargin(t *testing.T) {
+	c := qt.New(t)
+	p, at := New(), time.Unix(1000, 0)
+	for n := range 8 {
+		at = at.Add(250 * time.Millisecond)
+		p.Learn(at, Sample{Group: "g", Image: "s", Rate: 60 - float64(n), StdErr: 6, RequiredRate: RequiredRate(100)}, nil)
+	}
+	until := at.Add(600 * time.Millisecond)
+	now, _, _ := p.SpareRate("g", "", at)
+	later, stdErr, _ := p.SpareRate("g", "", until)
+	c.Assert(later < now && stdErr > 1, qt.IsTrue, qt.Commentf("%g, later %g with an error of %g", now, later, stdErr))
+	headroom, ok := p.Headroom("g", "", at, until, 100)
+	c.Assert(ok, qt.IsTrue)
+	c.Check(headroom, qt.Equals, later-RequiredRate(100)*(1+targetMargin))
+}
