limiter: Leave the body of the server's own request alone

Cause: guard replaced Body in the request that net/http keeps. The server tells by the type of that body whether the connection can be used again, so the unread rest of a body was parsed as the next request after an early close or in full duplex; a 413 was lost to a reset while the caller sent 4 MiB; and a refusal of a body announced with Expect: 100-continue waited for the body.

Change: the handler gets a copy of the request. Path values, the pattern and hijacking work as before.

--- a/limiter/group.go
+++ b/limiter/group.go
@@ -162,9 +162,12 @@
 			return
 		}
 		body := &stream{ReadCloser: r.Body, conn: conn, group: g}
-		r.Body = body
+		// The server's own request keeps its body: the server tells by its type how much was left
+		// unread, and whether the connection can be used again.
+		limited := r.WithContext(r.Context())
+		limited.Body = body
 		_ = body.setDeadline(time.Now().Add(g.cfg.BodyTimeout)) // the server may read the body on its own
-		h.ServeHTTP(w, r)
+		h.ServeHTTP(w, limited)
 		if body.end() == nil {
 			body.SetReadDeadline(time.Now().Add(discardTimeout))
 		}
