dispatcher: Close the connection after a body that was not whole

Cause: a body that had ended with an error counted as read. In full duplex the server then used the connection again and parsed the rest of the body as a request. A body that was too slow was answered as one that the caller had cut short.

Change: only a body that ended with io.EOF leaves the connection in use. A body that was too slow gets 503 body-too-slow, and 502 broken if a part was passed on.

--- a/dispatcher/attempt.go
+++ b/dispatcher/attempt.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"github.com/endivefall/endivefall/connector"
+	"github.com/endivefall/endivefall/limiter"
 	"github.com/endivefall/endivefall/messenger"
 	"github.com/endivefall/endivefall/responder"
 	"github.com/endivefall/endivefall/router"
@@ -131,7 +132,14 @@
 	return problem(http.StatusBadGateway, "broken", responder.Unknown, detail)
 }
 
+// bodyProblem returns why the request's body was not read to its end.
 func (d *Dispatcher) bodyProblem(q *request, mayHaveRun bool) *responder.Problem {
+	if errors.Is(q.body.readErr(), limiter.ErrSlow) {
+		if mayHaveRun { // 503 would say that it has not
+			return d.unknownProblem(q, false)
+		}
+		return d.notRunProblem("body-too-slow", limiter.ErrSlow.Error(), d.cfg.Now().Add(time.Second))
+	}
 	outcome := responder.NotRun
 	if mayHaveRun {
 		outcome = responder.Unknown
--- a/dispatcher/body.go
+++ b/dispatcher/body.go
@@ -62,6 +62,13 @@
 	return b.err != nil
 }
 
+// complete reports whether the body was read to its end.
+func (b *body) complete() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.err == io.EOF
+}
+
 // attemptReader reads the body from its beginning for one attempt.
 type attemptReader struct {
 	body    *body
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -181,9 +181,10 @@
 
 // closeIfUnread makes the server close the connection after the response if the
 // caller's body has not been read to its end. The rest of the body must not be
-// parsed as the next request.
+// parsed as the next request. That is also so if an error ended it: in full duplex
+// the server does not notice that it has not read the rest.
 func (q *request) closeIfUnread(w http.ResponseWriter) {
-	if q.body != nil && !q.body.consumed() {
+	if q.body != nil && !q.body.complete() {
 		w.Header().Set("Connection", "close")
 	}
 }
