--- a/limiter/bodies.go
+++ b/limiter/bodies.go
@@ -56,12 +56,15 @@
 	return ended, true
 }
 
-// Complete marks a body of which all has arrived. It keeps its charge until End.
-func (b *Bodies) Complete(body *Body) {
-	if body.position != nil {
-		b.incomplete.Remove(body.position)
-		body.position = nil
+// Complete marks a body of which all has arrived. It keeps its charge until End. It returns false
+// if the body has ended or was complete before.
+func (b *Bodies) Complete(body *Body) bool {
+	if body.position == nil {
+		return false
 	}
+	b.incomplete.Remove(body.position)
+	body.position = nil
+	return true
 }
 
 // End releases the charge of a body. Calls after the first have no effect.
--- a/limiter/group.go
+++ b/limiter/group.go
@@ -191,19 +191,27 @@
 			_ = conn.Close()
 		}
 	})
+	if errors.Is(err, net.ErrClosed) || err == nil && !g.complete(p) {
+		err = ErrBusy // the connection was closed to make room
+	}
 	if err != nil {
 		if errors.Is(err, ErrTooLarge) {
 			g.note("body_too_large")
 		}
 		p.Release()
-		return p, err
 	}
-	if p.account != nil {
-		g.mu.Lock()
-		g.bodies.Complete(p.account)
-		g.mu.Unlock()
+	return p, err
+}
+
+// complete notes that all of a body has arrived. It returns false if the body was ended to make
+// room.
+func (g *Group) complete(p *Payload) bool {
+	if p.account == nil {
+		return true
 	}
-	return p, nil
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.bodies.Complete(p.account)
 }
 
 // charge charges n bytes to a body that arrives.
--- a/limiter/group_test.go
+++ b/limiter/group_test.go
@@ -271,3 +271,49 @@
 	}
 	c.Assert(g.decodeBytes >= decodeFactor*largest, qt.IsTrue)
 }
+
+// TestEvictedBodiesAreShed guards against a body that was closed to make room being taken for one
+// that its caller cut short, or for a whole one that is charged.
+func TestEvictedBodiesAreShed(t *testing.T) {
+	t.Run("incomplete", func(t *testing.T) {
+		outcome := make(chan error, 1)
+		s := newTestServer(t, GroupConfig{Conns: 10, BodyBytes: 2 * smallBody, DecodeBytes: 1 << 20}, func(g *Group, _ http.ResponseWriter, r *http.Request) {
+			p, err := g.ReadAll(r, 1<<20)
+			defer p.Release()
+			outcome <- err
+		})
+		s.group.bodies.grace = 0
+		s.open(post(1<<20, 2*smallBody))
+		for used := int64(0); used == 0; {
+			s.group.mu.Lock()
+			used = s.group.bodies.Used()
+			s.group.mu.Unlock()
+		}
+		s.open(post(3*smallBody, 3*smallBody))
+		s.c.Assert(<-outcome, qt.ErrorIs, ErrBusy)
+	})
+	t.Run("whole meanwhile", func(t *testing.T) {
+		c := qt.New(t)
+		g := NewGroup(GroupConfig{BodyBytes: 3 * smallBody, DecodeBytes: 1 << 20})
+		g.bodies.grace = 0
+		end := readerFunc(func([]byte) (int, error) {
+			g.mu.Lock()
+			defer g.mu.Unlock()
+			other := g.bodies.Begin(time.Now(), nil)
+			_, ok := g.bodies.Charge(other, 3*smallBody, time.Now())
+			c.Check(ok, qt.IsTrue)
+			return 0, io.EOF
+		})
+		r, err := http.NewRequest(http.MethodPost, "/", io.MultiReader(strings.NewReader(strings.Repeat("x", 2*smallBody)), end))
+		c.Assert(err, qt.IsNil)
+		p, err := g.ReadAll(r, 1<<20)
+		p.Release()
+		c.Assert(err, qt.ErrorIs, ErrBusy)
+	})
+}
+
+// readerFunc is a body.
+type readerFunc func(p []byte) (int, error)
+
+// Read reads from the body.
+func (f readerFunc) Read(p []byte) (int, error) { return f(p) }
