platform, acceptor: Reject large jobs at once while the store is down

Cause: a large job was decoded before the acceptor was asked, and decoding waits for room that other jobs hold until their writes end. In an outage further jobs above 16 KiB waited until their deadline.

Change: acceptor.CheckWritable tells whether a job would be rejected at once; a large body asks before it is decoded. Small bodies never wait and are checked as before, so that an invalid one still gets 400.

--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -168,6 +168,16 @@
 	})
 }
 
+// CheckWritable returns the error with which Submit rejects a job at once, while
+// the store answers no writes; otherwise nil.
+func (a *Acceptor) CheckWritable(id string) error {
+	since, ok := a.StoreWritable()
+	if down := a.cfg.Now().Sub(since); !ok && down > failFastAfter {
+		return a.rejectionError(id, retrier.StoreUnavailable, 0, fmt.Sprintf("the store has answered no write for %s", down.Round(time.Millisecond)))
+	}
+	return nil
+}
+
 // mayBeStored reports whether a write of the job is known to have an unknown outcome.
 func (a *Acceptor) mayBeStored(id string) bool {
 	a.mu.Lock()
@@ -269,8 +279,8 @@
 	if deadline, ok := ctx.Deadline(); ok {
 		sub.deadline = sub.receivedAt.Add(time.Until(deadline)) // the wall clock may jump meanwhile
 	}
-	if since, ok := a.StoreWritable(); !ok && a.cfg.Now().Sub(since) > failFastAfter {
-		return nil, a.rejectionError(spec.ID, retrier.StoreUnavailable, 0, fmt.Sprintf("the store has answered no write for %s", a.cfg.Now().Sub(since).Round(time.Millisecond)))
+	if err := a.CheckWritable(spec.ID); err != nil {
+		return nil, err
 	}
 	select {
 	case a.submissions <- sub:
--- a/limiter/payload.go
+++ b/limiter/payload.go
@@ -33,6 +33,9 @@
 // Size returns the size of the body in bytes.
 func (p *Payload) Size() int { return p.size }
 
+// Large reports whether Decode waits for room.
+func (p *Payload) Large() bool { return p.size > smallBody }
+
 // read reads a body of at most limit bytes.
 func (p *Payload) read(r io.Reader, limit int64, evict func()) error {
 	var head [probe]byte
@@ -100,7 +103,7 @@
 // there is room for what they become; that room is held until Release. ErrBusy means that ctx
 // ended before there was any.
 func (p *Payload) Decode(ctx context.Context, decode func(raw []byte) error) error {
-	if p.size > smallBody {
+	if p.Large() {
 		weight := min(int64(p.size)*decodeFactor, p.group.decodeBytes)
 		if p.group.decoding.Acquire(ctx, weight) != nil {
 			p.group.note("decode_busy")
