limiter: Skip requests whose connection was closed to make room

Cause: a connection could be closed for a new one between its complete request and the note that it is served. The handler then ran, and the caller got no response.

Change: serve reports whether the connection is open.

--- a/limiter/conns.go
+++ b/limiter/conns.go
@@ -47,12 +47,13 @@
 }
 
 // Serve notes that the connection has a complete request, or a peer that is known. It is not
-// closed to make room until it waits again.
-func (c *Conns) Serve(conn *Conn) {
+// closed to make room until it waits again. It returns false if the connection was removed before.
+func (c *Conns) Serve(conn *Conn) bool {
 	if conn.position != nil {
 		c.waiting.Remove(conn.position)
 		conn.position = nil
 	}
+	return conn.open
 }
 
 // Remove removes a connection. Calls after the first have no effect.
--- a/limiter/group.go
+++ b/limiter/group.go
@@ -149,10 +149,9 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		conn := connOf(r.Context())
 		if conn == nil || r.Body == nil || r.Body == http.NoBody {
-			if conn != nil {
-				g.serve(conn)
+			if conn == nil || g.serve(conn) {
+				h.ServeHTTP(w, r)
 			}
-			h.ServeHTTP(w, r)
 			return
 		}
 		if g.cfg.MaxBody != nil && r.ContentLength > g.cfg.MaxBody() {
@@ -274,10 +273,12 @@
 	g.gauge("connections", float64(open))
 }
 
-func (g *Group) serve(conn *Conn) {
+// serve notes that the request of a connection is complete. It returns false if the connection was
+// closed before.
+func (g *Group) serve(conn *Conn) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.conns.Serve(conn)
+	return g.conns.Serve(conn)
 }
 
 // note counts that a limit was met, and logs it from time to time.
--- a/limiter/server_test.go
+++ b/limiter/server_test.go
@@ -1,9 +1,12 @@
 package limiter
 
 import (
+	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
@@ -85,3 +88,43 @@
 	_, body := s.status(s.open("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nxx"))
 	s.c.Assert(body, qt.Equals, "a|POST /{name}|xx")
 }
+
+// TestRequestOfAClosedConnectionIsNotHandled guards against a handler that acts on a request whose
+// connection was closed to make room just before, and which gets no response.
+func TestRequestOfAClosedConnectionIsNotHandled(t *testing.T) {
+	for name, body := range map[string]string{"without body": "", "with body": "x"} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			g := NewGroup(GroupConfig{Conns: 1, BodyTimeout: testWait, MinRate: 1})
+			near, far := net.Pipe()
+			defer func() { _, _ = near.Close(), far.Close() }()
+			conn := &Conn{Conn: near, group: g}
+			g.add(conn)
+			r, err := http.NewRequestWithContext(context.WithValue(context.Background(), connKey{}, conn), http.MethodPost, "/", strings.NewReader(body))
+			c.Assert(err, qt.IsNil)
+			c.Assert(g.add(&Conn{group: g}), qt.IsTrue) // in place of the first
+			handled := false
+			h := g.guard(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+				p, err := g.ReadAll(r, 10)
+				p.Release()
+				handled = err == nil
+			}))
+			h.ServeHTTP(httptest.NewRecorder(), r)
+			c.Assert(handled, qt.IsFalse)
+		})
+	}
+}
+
+// TestRequestThatBecomesWholeOnAClosedConnection checks the same where the body is complete before
+// the connection is closed.
+func TestRequestThatBecomesWholeOnAClosedConnection(t *testing.T) {
+	outcome := make(chan error, 1)
+	s := newTestServer(t, GroupConfig{Conns: 1}, func(g *Group, _ http.ResponseWriter, r *http.Request) {
+		g.remove(connOf(r.Context()))
+		p, err := g.ReadAll(r, 1000)
+		p.Release()
+		outcome <- err
+	})
+	s.open(post(10, 10))
+	s.c.Assert(<-outcome, qt.ErrorIs, ErrBusy)
+}
--- a/limiter/stream.go
+++ b/limiter/stream.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"io"
+	"net"
 	"os"
 	"sync"
 	"time"
@@ -46,13 +47,15 @@
 		s.group.note("body_slow")
 		err = ErrSlow
 	}
-	s.mu.Lock()
-	s.err = err
-	s.mu.Unlock()
 	if err == io.EOF {
 		_ = s.conn.SetReadDeadline(time.Time{})
-		s.group.serve(s.conn)
+		if !s.group.serve(s.conn) {
+			err = net.ErrClosed // the caller gets no response
+		}
 	}
+	s.mu.Lock()
+	s.err = err
+	s.mu.Unlock()
 	return n, err
 }
 
