limiter: Set gauges in order and count only deadlines as busy

Cause: gauges were set after the lock was released, so that an older value could stay. A caller that disconnected while its body waited to be decoded counted as rejected for want of room.

Change: gauges are set under the lock; decode_busy counts only deadlines. Doc comments say what a handler must not do.

--- a/limiter/group.go
+++ b/limiter/group.go
@@ -58,7 +58,8 @@
 	MinRate     int
 	Log         *zap.Logger
 	Count       func(name string)
-	Gauge       func(name string, value float64)
+	// Gauge sets a gauge. It must not block nor use the Group.
+	Gauge func(name string, value float64)
 }
 
 // Group limits the connections and bodies of one listener. It is safe for concurrent use. A nil
@@ -114,7 +115,14 @@
 	}
 }
 
-// Attach makes a server keep to the limits and returns the listener that it is to serve.
+// Attach makes a server keep to the limits and returns the listener that it is to serve. It sets
+// the server's ConnContext and ConnState, and wraps its Handler.
+//
+// A handler must not set read deadlines with an http.ResponseController while it reads the body,
+// as each read sets one of its own; the body has a method SetReadDeadline(time.Time) for that. A
+// handler in full duplex must set "Connection: close" before it writes the header, unless it has
+// read the body up to io.EOF: the server may otherwise parse the rest as a request. While a body
+// is not read to its end, the connection may be closed to make room.
 func (g *Group) Attach(server *http.Server, inner net.Listener) net.Listener {
 	if g == nil {
 		return inner
@@ -174,7 +182,8 @@
 }
 
 // ReadAll reads the body of a request, which may have at most limit bytes. The caller must
-// release the result, which is never nil.
+// release the result, which is never nil. After ErrTooLarge the rest of the body is unread. ErrBusy
+// also means that the connection was closed to make room.
 func (g *Group) ReadAll(r *http.Request, limit int64) (*Payload, error) {
 	if g == nil {
 		g = unlimited
@@ -221,13 +230,12 @@
 		p.account = g.bodies.Begin(now, evict)
 	}
 	ended, ok := g.bodies.Charge(p.account, n, now)
-	used := g.bodies.Used()
+	g.gauge("body_bytes", float64(g.bodies.Used()))
 	g.mu.Unlock()
 	for _, body := range ended {
 		g.note("body_closed")
 		body.Evict()
 	}
-	g.gauge("body_bytes", float64(used))
 	if !ok {
 		g.note("body_busy")
 		return ErrBusy
@@ -241,20 +249,18 @@
 		return
 	}
 	g.mu.Lock()
+	defer g.mu.Unlock()
 	g.bodies.End(p.account)
-	used := g.bodies.Used()
-	g.mu.Unlock()
 	p.account = nil
-	g.gauge("body_bytes", float64(used))
+	g.gauge("body_bytes", float64(g.bodies.Used()))
 }
 
 // add adds a connection and reports whether it may stay open.
 func (g *Group) add(conn *Conn) bool {
 	g.mu.Lock()
 	victim, ok := g.conns.Add(conn)
-	open := g.conns.Open()
+	g.gauge("connections", float64(g.conns.Open()))
 	g.mu.Unlock()
-	g.gauge("connections", float64(open))
 	if victim != nil {
 		g.note("connection_closed")
 		_ = victim.Close()
@@ -267,10 +273,9 @@
 
 func (g *Group) remove(conn *Conn) {
 	g.mu.Lock()
+	defer g.mu.Unlock()
 	g.conns.Remove(conn)
-	open := g.conns.Open()
-	g.mu.Unlock()
-	g.gauge("connections", float64(open))
+	g.gauge("connections", float64(g.conns.Open()))
 }
 
 // serve notes that the request of a connection is complete. It returns false if the connection was
@@ -304,6 +309,7 @@
 	})
 }
 
+// gauge sets a gauge. The lock is held, so that a value does not replace a later one.
 func (g *Group) gauge(name string, value float64) {
 	if g.cfg.Gauge != nil {
 		g.cfg.Gauge(g.cfg.Name+"_"+name, value)
--- a/limiter/payload.go
+++ b/limiter/payload.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"sync"
 )
@@ -99,14 +100,17 @@
 	return part, nil
 }
 
-// Decode calls decode with the body, which it may not keep. Large bodies are decoded only while
+// Decode calls decode with the body, which it may not keep. It may be called again only after
+// ErrBusy, and not after Release. Large bodies are decoded only while
 // there is room for what they become; that room is held until Release. ErrBusy means that ctx
 // ended before there was any.
 func (p *Payload) Decode(ctx context.Context, decode func(raw []byte) error) error {
 	if p.Large() {
 		weight := min(int64(p.size)*decodeFactor, p.group.decodeBytes)
 		if p.group.decoding.Acquire(ctx, weight) != nil {
-			p.group.note("decode_busy")
+			if !errors.Is(ctx.Err(), context.Canceled) { // otherwise the caller has gone
+				p.group.note("decode_busy")
+			}
 			return ErrBusy
 		}
 		p.weight = weight
