delayer: Decide how long steps wait for their rack

Where the setting remote is given, a worker outside the rack that holds the data costs what the longer run takes, in place of a constant that other terms outweighed, so that tasks went away though their rack had room. Work without a preference leaves room in a rack in demand.

--- a/allocator/allocator.go
+++ b/allocator/allocator.go
@@ -25,6 +25,8 @@
 	// CPU that they reserve, in thousandths of a core.
 	ServingCount int
 	ServingCPU   int64
+	// LongRunningCPU is the part of UsedCPU that long-running tasks reserve, in thousandths of a core.
+	LongRunningCPU int64
 	// ServingByImage counts the serving tasks by image.
 	ServingByImage map[string]int
 	// ServingTasks holds the running serving tasks with their headroom.
@@ -55,6 +57,10 @@
 	// KeptMemory is the memory in MB that is kept for long-running tasks from best-effort ones
 	// that would gain nothing from their place.
 	KeptMemory int64
+	// RemoteFactor is how many times as long a task takes outside the rack that holds its data; 0 if that is
+	// not known. RackDemand says how much of the worker's rack is wanted by tasks with their data
+	// there, from 0 (others need not leave room) to 1.
+	RemoteFactor, RackDemand float64
 }
 
 // Rack returns the worker's rack, which is its last label.
@@ -114,6 +120,9 @@
 		c.BestEffortCPU += step.CPU
 	} else {
 		c.UsedCPU += step.CPU
+		if step.LongRunning {
+			c.LongRunningCPU += step.CPU
+		}
 	}
 	if isShort(step) {
 		c.ShortCPU, c.KeptCPU = c.ShortCPU+step.CPU, max(c.KeptCPU-step.CPU, 0)
@@ -140,6 +149,9 @@
 		c.BestEffortCPU -= step.CPU
 	} else {
 		c.UsedCPU -= step.CPU
+		if step.LongRunning {
+			c.LongRunningCPU -= step.CPU
+		}
 	}
 	if isShort(step) {
 		c.ShortCPU -= step.CPU
@@ -159,8 +171,8 @@
 	// failureCost is the cost of a failure rate of 1. On the same scale the free
 	// CPU of an empty worker costs 1.
 	failureCost = 2.0
-	// remoteDataCost is the cost of a worker outside the rack that holds the data:
-	// work takes 1.5 to 2 times as long there.
+	// remoteDataCost is the cost of a worker outside the rack that holds the data, where it is not known
+	// how much longer work takes there: 1.5 to 2 times as long.
 	remoteDataCost = 0.6
 	// slowdownCost is the cost of running at half the pace or speed.
 	slowdownCost = 0.5
@@ -379,9 +391,7 @@
 	}
 	cost += slowdownCost * (1/max(c.Speed, 0.05) - 1)
 	cost += warmupCost * c.Warmup.Seconds()
-	if step.PreferredRack != "" && !slices.Contains(c.Labels, step.PreferredRack) {
-		cost += remoteDataCost
-	}
+	cost += rackCost(step, c)
 	if slices.Contains(t.FailedWorkers, c.ID) {
 		cost += failedWorkerCost
 	}
--- a/configurer/pool.go
+++ b/configurer/pool.go
@@ -34,6 +34,9 @@
 	// EvacuationBound is the time from the acknowledgement of a request to evacuate a failure domain until which
 	// tasks may still start there. Without it requests are obeyed as soon as they are known, and nothing more.
 	EvacuationBound time.Duration `yaml:"evacuate" validate:"gte=0"`
+	// RemoteFactor is how many times as long a task takes outside the rack that holds its data, and a tightly
+	// coupled gang in several racks; 0 if that is not known, so that nothing waits for its rack.
+	RemoteFactor float64 `yaml:"remote" validate:"omitempty,gte=1,lte=100"`
 	// DrainTimeout limits the duration of a shutdown.
 	DrainTimeout time.Duration `yaml:"drain" validate:"gt=0"`
 	// Memory and Descriptors are what the instance has of both; 0 if that is not known. Limits
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -72,6 +72,9 @@
 	// MaxWorkerLease is the longest lease that workers accept; JobRetention is how
 	// long the state of a finished job is kept.
 	MaxWorkerLease, JobRetention time.Duration
+	// RemoteFactor is how many times as long a task takes outside the rack that holds its data; 0 if that is
+	// not known.
+	RemoteFactor float64
 	// Now is a clock that includes time during which the instance was suspended;
 	// WallClock is the time of day, time.Now when nil.
 	Now, WallClock  func() time.Time
--- a/coordinator/ownership.go
+++ b/coordinator/ownership.go
@@ -45,7 +45,7 @@
 	earlierConfirmedBy, earlierOwnersUntil := c.elector.EarlierOwners()
 	o := orchestrator.New(orchestrator.Config{
 		Term: record.Term, Epoch: epoch, OwnerKey: elector.OwnerKey, ClaimedAt: claimedAt, ClaimSentAt: c.elector.ClaimSentAt(), Store: c.Store(), Now: c.cfg.Now, WallClock: c.cfg.WallClock,
-		LeaseDuration: RunLease(c.cfg.MaxWorkerLease), JobRetention: c.cfg.JobRetention, QueryPolicy: c.cfg.QueryPolicy,
+		LeaseDuration: RunLease(c.cfg.MaxWorkerLease), JobRetention: c.cfg.JobRetention, RemoteFactor: c.cfg.RemoteFactor, QueryPolicy: c.cfg.QueryPolicy,
 		ConfigVersion: c.configVersion, Placement: c.placement, Evacuations: c.cfg.Evacuations, EvacuationBound: c.cfg.EvacuationBound,
 		UnextendedTTL: elector.UnextendedTTL, ConfirmationTTL: elector.ConfirmationTTL, ConfirmationExtended: c.elector.ConfirmationExtended,
 		ExtendedForAnyAgent: c.elector.ExtendedForAnyAgent,
--- a/orchestrator/config.go
+++ b/orchestrator/config.go
@@ -54,6 +54,9 @@
 	// started them, and has heeded that a registration says that a lease is renewed no more; 0 if
 	// this owner does not.
 	RulesSince uint64
+	// RemoteFactor is how many times as long a task takes outside the rack that holds its data; 0 if that is
+	// not known, so that no task waits for its rack.
+	RemoteFactor float64
 	// JobRetention is how long the state of an ended job is kept.
 	JobRetention time.Duration
 	// OwnershipConfirmedAt returns the time of the newest confirmation of ownership. A write of
--- a/orchestrator/ends.go
+++ b/orchestrator/ends.go
@@ -79,6 +79,7 @@
 		r.agent.health.recordSuccess()
 		o.learnSpeed(r, now)
 		o.learnTime(r, now)
+		o.learnRunTime(r, now)
 	}
 	o.applyRunEnd(r.job, r.task, r.agent, end)
 }
--- a/orchestrator/gang.go
+++ b/orchestrator/gang.go
@@ -1,6 +1,7 @@
 package orchestrator
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -20,9 +21,12 @@
 			return
 		}
 	}
-	for _, candidateSet := range gangCandidateSets(step, o.grantedCandidates(j, name, candidates, agents, now)) {
+	granted := o.grantedCandidates(j, name, candidates, agents, now)
+	for _, candidateSet := range gangCandidateSets(step, granted) {
 		if chosen := pickGang(members, name, candidateSet, now, o.predictor.UpperInterference); chosen != nil {
-			o.startGang(j, members, chosen, agents)
+			if !o.gangWaits(j, members, chosen, granted, now) {
+				o.startGang(j, members, chosen, agents)
+			}
 			return
 		}
 	}
@@ -35,8 +39,31 @@
 	if !step.TightlyCoupled {
 		return [][]*allocator.Candidate{candidates}
 	}
-	byRack := map[string][]*allocator.Candidate{}
-	var racks []string
+	racks, byRack := groupByRack(candidates)
+	if len(candidates) > 0 && candidates[0].RemoteFactor > 0 {
+		slices.SortStableFunc(racks, func(a, b string) int {
+			return cmp.Compare(rackOrder(step, byRack[a][0]), rackOrder(step, byRack[b][0]))
+		})
+	}
+	sets := make([][]*allocator.Candidate, 0, len(racks)+1)
+	for _, rack := range racks {
+		sets = append(sets, byRack[rack])
+	}
+	return append(sets, candidates)
+}
+
+// rackOrder returns the place of a candidate's rack in the order of those that a tightly coupled gang tries: its
+// own one first, and racks in demand last.
+func rackOrder(step *sequencer.Step, c *allocator.Candidate) float64 {
+	if step.PreferredRack != "" && slices.Contains(c.Labels, step.PreferredRack) {
+		return -1
+	}
+	return c.RackDemand
+}
+
+// groupByRack returns the racks of candidates in order, and the candidates by rack.
+func groupByRack(candidates []*allocator.Candidate) (racks []string, byRack map[string][]*allocator.Candidate) {
+	byRack = map[string][]*allocator.Candidate{}
 	for _, candidate := range candidates {
 		rack := candidate.Rack()
 		if byRack[rack] == nil {
@@ -45,11 +72,7 @@
 		byRack[rack] = append(byRack[rack], candidate)
 	}
 	slices.Sort(racks)
-	sets := make([][]*allocator.Candidate, 0, len(racks)+1)
-	for _, rack := range racks {
-		sets = append(sets, byRack[rack])
-	}
-	return append(sets, candidates)
+	return racks, byRack
 }
 
 // pickGang selects a candidate for each member, or returns nil if they do not all
@@ -94,8 +117,10 @@
 			return // stopIncompleteGangs stops the others
 		}
 		chosen[n].Reserve(t.StepSpec(), t.StepName())
+		o.startedForRack(t, chosen[n], o.cfg.Now())
 		o.setBusy(chosen[n], a)
 	}
+	o.startedGang(members[0], chosen)
 }
 
 // stopIncompleteGangs stops the members of gangs that are incomplete, as they would
--- a/orchestrator/orchestrator.go
+++ b/orchestrator/orchestrator.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"github.com/endivefall/endivefall/apportioner"
+	"github.com/endivefall/endivefall/delayer"
 	"github.com/endivefall/endivefall/evacuator"
 	"github.com/endivefall/endivefall/predictor"
 	"github.com/endivefall/endivefall/provisioner"
@@ -104,6 +105,8 @@
 	shares map[string]*apportioner.Share
 	// shortDemands has the demand of short tasks, by pool.
 	shortDemands map[string]*provisioner.Demand
+	// delayers decide which tasks wait for their rack, by pool, if RemoteFactor is known.
+	delayers map[string]*delayer.Delayer
 	// lastClaims is when room for waiting tasks was last searched for.
 	lastClaims time.Time
 	agents     map[string]*agent
@@ -197,7 +200,7 @@
 	}
 	return &Orchestrator{
 		cfg: cfg, actions: make(chan func(), queueCapacity), stopped: make(chan struct{}), done: make(chan struct{}),
-		jobs: map[string]*job{}, openJobs: map[string]*job{}, unreadableJobs: map[string]bool{}, runs: map[runKey]*run{}, granting: map[*run]bool{}, heldWrites: map[*job]bool{}, claims: map[*sequencer.Task]*claim{}, roomless: map[*run]bool{}, unnamedDomains: map[string]bool{}, shares: map[string]*apportioner.Share{}, shortDemands: map[string]*provisioner.Demand{}, agents: map[string]*agent{},
+		jobs: map[string]*job{}, openJobs: map[string]*job{}, unreadableJobs: map[string]bool{}, runs: map[runKey]*run{}, granting: map[*run]bool{}, heldWrites: map[*job]bool{}, claims: map[*sequencer.Task]*claim{}, roomless: map[*run]bool{}, unnamedDomains: map[string]bool{}, shares: map[string]*apportioner.Share{}, delayers: map[string]*delayer.Delayer{}, shortDemands: map[string]*provisioner.Demand{}, agents: map[string]*agent{},
 		predictor: predictor.New(), policies: map[string]*stepPolicy{}, starts: regulator.New(), isolation: isolation{firstContactBy: cfg.ClaimedAt.Add(firstContactTimeout)},
 	}
 }
@@ -208,7 +211,7 @@
 	defer close(o.done)
 	defer func() { // the next owner reports its own
 		o.cfg.Gauge(oldestStopGauge, 0)
-		for _, name := range []string{waitingCommandsGauge, lastingWaitsGauge, blockedWaitsGauge, claimsGauge, evacuatedDomainsGauge, evacuatingRunsGauge} {
+		for _, name := range []string{waitingCommandsGauge, lastingWaitsGauge, blockedWaitsGauge, claimsGauge, evacuatedDomainsGauge, evacuatingRunsGauge, rackWaitsGauge} {
 			o.cfg.Gauge(name, 0)
 		}
 	}()
--- a/orchestrator/place.go
+++ b/orchestrator/place.go
@@ -31,6 +31,7 @@
 	}
 	o.keepMemory(byPool)
 	o.keepCPU(byPool, blocked, now, wall)
+	o.beginLocality(byPool, now)
 	o.placeStarving(blocked, byPool, agents, now, wall)
 	o.placeSuspects(blocked, byPool, agents, now, wall)
 	for _, j := range o.rankedJobs(wall) {
@@ -194,16 +195,22 @@
 		if name == fullStep && len(t.FailedWorkers) == 0 {
 			continue
 		}
-		candidate := allocator.Pick(t, name, o.grantedCandidates(j, name, candidates, agents, now), now, o.predictor.UpperInterference)
+		granted := o.grantedCandidates(j, name, candidates, agents, now)
+		candidate := allocator.Pick(t, name, granted, now, o.predictor.UpperInterference)
 		if candidate == nil {
 			o.queryUngranted(j, name, candidates, agents, now)
 			o.preempt(t, name, candidates, agents, now)
 			fullStep = name
 			continue
 		}
+		if o.waitsForRack(j, waiting[n:], candidate, granted, now) {
+			fullStep = name
+			continue
+		}
 		a := agents[candidate.ID]
 		if o.startTask(t, j, a) {
 			o.reserve(candidate, t)
+			o.startedForRack(t, candidate, now)
 			o.shareOf(j.Placement.Pool).AddOther(t.StepSpec(), now)
 		}
 		o.setBusy(candidate, a)
--- a/orchestrator/wait_report.go
+++ b/orchestrator/wait_report.go
@@ -69,7 +69,7 @@
 	o.cfg.Gauge(headroomShortageGauge, float64(report.lackHeadroom))
 	fields := []zap.Field{
 		zap.String("task", t.Name()), zap.String("step", step.String()), zap.Duration("waited", now.Sub(t.WaitingSince)), zap.Int("tasks", counts.long),
-		zap.Int("lasting", counts.lasting), zap.Int("lasting_blocked", counts.lastingBlocked), zap.Int("claims", counts.claims), zap.Int("moves", counts.moves), zap.Duration("free", freeFor(t, now)),
+		zap.Int("lasting", counts.lasting), zap.Int("lasting_blocked", counts.lastingBlocked), zap.Int("claims", counts.claims), zap.Int("moves", counts.moves), zap.Duration("free", freeFor(t, now)), zap.Duration("rack_wait", o.rackWait(t, now)),
 		zap.Bool("blocked", blocked(t)), zap.Bool("suspect", isSuspect(t)), zap.String("claimed", report.claimed), zap.Duration("not_before", max(t.NotBefore.Sub(now), 0)), zap.Int("workers", report.workers),
 		zap.Int("disconnected", report.unavailable[disconnected]), zap.Int("unregistered", report.unavailable[unregistered]), zap.Int("draining", report.unavailable[draining]),
 		zap.Int("leaseless", report.unavailable[leaseless]), zap.Int("excluded", report.unavailable[excluded]), zap.Int("evacuated", report.unavailable[evacuated]), zap.Int("possibly_evacuated", report.unavailable[possiblyEvacuated]), zap.Int("not_granted", report.notGranted),
