delayer: Weigh waits by what they change in the value of a job

A wait gained by the time that it saved, so that jobs that would have been in time away were late by waiting. It now gains by the chance of the job to meet its objective, by room that others lack, and by little for time alone. Run times are learnt from estimates by a regression, and the places that best-effort tasks get from what others were given, as the headroom of services decides them. rehearse replays racks, affinity and the factor.

--- a/commander/rehearse.go
+++ b/commander/rehearse.go
@@ -26,6 +26,11 @@
 policy and seed.
 
   endivefall rehearse -policies built,simplest -seeds 3 examples/loads/full-fleet.yaml
+  endivefall rehearse -policies built,never,always examples/loads/hot-rack.yaml
+
+Where the pattern has racks, never starts tasks outside of the rack that holds their data
+at once, always lets them wait up to the bound, and unaware does not know how much
+longer they take there.
 
 Exit code 1 if the pattern is not valid or the CSV file cannot be written.`,
 		flags: func(f *flag.FlagSet) {
--- a/delayer/delayer.go
+++ b/delayer/delayer.go
@@ -24,13 +24,15 @@
 	// memory is how long a step that is not seen keeps the time that it has waited: as long as
 	// it may wait for room that there is.
 	memory = 3 * time.Second
-	// minGain is the gain below which nothing waits: less than a round of placement.
-	minGain = 20 * time.Millisecond
+	// minGain is the gain, as a part of the value of the job, below which nothing waits.
+	minGain = 0.1
 	// maxFailureRate is the failure rate of a worker above which its room is not waited for.
 	maxFailureRate = 0.5
-	// someFullness and allFullness are the shares of reserved room in a pool from which on
-	// the room that a longer run takes counts, and counts fully.
-	someFullness, allFullness = 0.6, 0.95
+	// scarceShare is the share of the CPU of a pool for which tasks wait without finding room from which on
+	// each further run takes the room of another one.
+	scarceShare = 0.1
+	// forever stands for a wait that does not end.
+	forever = time.Hour
 	// caution is by how many standard deviations fewer ends than expected are counted on.
 	caution = 0.5
 )
@@ -45,8 +47,11 @@
 // Delayer decides which tasks of a pool wait. Its methods are called for the tasks in the order in which they
 // get room. It is not safe for concurrent use.
 type Delayer struct {
-	cfg    Config
-	errors Errors
+	cfg Config
+	// reserved and bestEffort are the errors of estimates.
+	reserved, bestEffort errors
+	// openings is how soon best-effort tasks that wait are given a place.
+	openings openings
 	// outlooks has what is expected to come free on each worker.
 	outlooks map[string]*outlook
 	// ahead is what the tasks that wait in this round of placement need, by rack.
@@ -56,6 +61,9 @@
 	// awayUntil is when the last run away of a step is expected to end, by Task.StepName.
 	awayUntil map[string]time.Time
 	demand    demand
+	// unplaced is what the tasks need that found no room at all in this round, lacking the part of the
+	// pool that it was in the last one.
+	unplaced, lacking need
 }
 
 // need is what tasks need, in thousandths of a core: reserved CPU, and CPU for best effort.
@@ -64,27 +72,44 @@
 // wait is a step that waits.
 type wait struct {
 	since, seenAt time.Time
-	// ended is set once the end of the wait was reported.
-	ended bool
+	// waiting is set while tasks of it wait, ended once the end of the wait was reported.
+	waiting, ended bool
 }
 
 // New returns a Delayer.
 func New(cfg Config) *Delayer {
-	return &Delayer{cfg: cfg, errors: newErrors(), outlooks: map[string]*outlook{}, ahead: map[string]need{}, waits: map[string]*wait{}, awayUntil: map[string]time.Time{}, demand: demand{}}
+	return &Delayer{cfg: cfg, openings: newOpenings(), outlooks: map[string]*outlook{}, ahead: map[string]need{}, waits: map[string]*wait{}, awayUntil: map[string]time.Time{}, demand: demand{}}
 }
 
 // Begin begins a round of placement on the candidates of the pool, and sets what they cost with regard
 // to racks.
 func (d *Delayer) Begin(candidates []*allocator.Candidate, now time.Time) {
 	d.setDemand(candidates, now)
+	capacity := 0.0
+	for _, c := range candidates {
+		capacity += float64(c.CPU)
+	}
+	d.lacking, d.unplaced = need{cpu: d.unplaced.cpu / max(capacity, 1), bestEffort: d.unplaced.bestEffort / max(capacity, 1)}, need{}
 	clear(d.ahead)
 	maps.DeleteFunc(d.waits, func(_ string, w *wait) bool { return now.Sub(w.seenAt) > memory })
 	maps.DeleteFunc(d.awayUntil, func(_ string, until time.Time) bool { return now.After(until) })
 	maps.DeleteFunc(d.outlooks, func(_ string, o *outlook) bool { return now.Sub(o.at) > outlookAge })
 }
 
-// Learn learns how long a run took whose step had an estimate.
-func (d *Delayer) Learn(estimate, took time.Duration) { d.errors.Learn(estimate, took) }
+// Unplaced notes tasks of a step that found no room in this round.
+func (d *Delayer) Unplaced(step *sequencer.Step, count int) {
+	d.unplaced.add(step, count)
+}
+
+// scarcity returns how much the room that a longer run of a step takes is needed by others of its kind,
+// from 0 to 1: best-effort tasks lack headroom beside services before they lack CPU, so that reserved CPU
+// is of little use to them.
+func (d *Delayer) scarcity(step *sequencer.Step) float64 {
+	if step.BestEffort {
+		return min(d.lacking.bestEffort/scarceShare, 1)
+	}
+	return min(d.lacking.cpu/scarceShare, 1)
+}
 
 // Place is a rack with those of its workers that may run the tasks of a Request.
 type Place struct {
@@ -102,8 +127,6 @@
 	Places []Place
 	// Runs returns the runs on a worker.
 	Runs func(worker string) []Run
-	// Fullness is the part of the pool that is reserved, from 0 to 1.
-	Fullness float64
 	// Now is a local time, Wall the time of day.
 	Now, Wall time.Time
 }
@@ -131,8 +154,9 @@
 	Wait   bool
 	Until  time.Time
 	Reason Reason
-	// Expected is the expected wait, Gain what waiting gains beyond it; negative if it costs more.
-	Expected, Gain time.Duration
+	// Expected is the expected wait, Gain what it gains less what it costs, as a part of the value of the job.
+	Expected time.Duration
+	Gain     float64
 	// First is set if the step has not waited before.
 	First bool
 }
@@ -142,7 +166,10 @@
 	name := r.Task.StepName()
 	w, left := d.waits[name], MaxWait
 	if w != nil {
-		w.seenAt = r.Now
+		if w.waiting {
+			d.openings.exposed(r.Task.StepSpec(), r.Count, r.Now.Sub(w.seenAt))
+		}
+		w.seenAt, w.waiting = r.Now, false
 		if left -= r.Now.Sub(w.since); left <= 0 {
 			return Decision{Reason: Expired}
 		}
@@ -151,11 +178,14 @@
 	if !found {
 		return Decision{Reason: NoRack}
 	}
+	if r.Task.StepSpec().BestEffort {
+		expected = min(expected, d.openings.mean())
+	}
 	decision := Decision{Reason: TooLong, Expected: expected}
-	if expected > left {
+	if float64(expected)*waitQuantiles[0] > float64(left) && !r.Task.StepSpec().BestEffort {
 		return decision
 	}
-	decision.Gain = d.gain(r, expected)
+	decision.Gain = d.gain(r, expected, left)
 	if decision.Gain < minGain {
 		decision.Reason = NoGain
 		return decision
@@ -164,7 +194,7 @@
 		w = &wait{since: r.Now, seenAt: r.Now}
 		d.waits[name], decision.First = w, true
 	}
-	w.ended = false
+	w.waiting = true
 	step := r.Task.StepSpec()
 	n := d.ahead[rack]
 	n.add(step, r.Count)
@@ -232,27 +262,16 @@
 		}
 		last, lastSlots = horizon, max(sure, lastSlots)
 	}
-	return MaxWait + 1, true
-}
-
-// gain returns what the tasks of a request gain by a wait, less what it costs them.
-func (d *Delayer) gain(r Request, wait time.Duration) time.Duration {
-	step := r.Task.StepSpec()
-	near := d.errors.Expected(step.Estimate).Seconds()
-	away := near * d.cfg.Factor
-	others := max(d.awayUntil[r.Task.StepName()].Sub(r.Now).Seconds(), 0)
-	endAway, endWaiting := max(others, away), max(others, wait.Seconds()+near)
-	fullness := min(max((r.Fullness-someFullness)/(allFullness-someFullness), 0), 1)
-	gain := endAway - endWaiting + fullness*(away-near)
-	o := d.objective(r)
-	gain += o.length * (o.value(endWaiting, near) - o.value(endAway, near))
-	return time.Duration(gain * float64(time.Second))
+	if lastSlots <= 0 {
+		return forever, true
+	}
+	return time.Duration(min(needed/lastSlots*float64(MaxWait), float64(forever))), true
 }
 
 // Started records the start of a task that has a preference, near or away.
 func (d *Delayer) Started(t *sequencer.Task, near bool, now time.Time) (waited time.Duration, ended bool) {
 	step, name := t.StepSpec(), t.StepName()
-	run := d.errors.Expected(step.Estimate)
+	run := d.expected(step)
 	if !near {
 		run = time.Duration(float64(run) * d.cfg.Factor)
 		if until := now.Add(run); until.After(d.awayUntil[name]) {
@@ -260,12 +279,15 @@
 		}
 	}
 	if step.PreferredRack != "" {
-		d.demand.add(step.PreferredRack, float64(step.CPU)*d.errors.Expected(step.Estimate).Seconds(), now)
+		d.demand.add(step.PreferredRack, float64(step.CPU)*d.expected(step).Seconds(), now)
 	}
 	w := d.waits[name]
 	if w == nil {
 		return 0, false
 	}
+	if near && w.waiting {
+		d.openings.opened(step)
+	}
 	ended, w.ended, w.seenAt = !w.ended, true, now
 	return now.Sub(w.since), ended
 }
@@ -273,7 +295,7 @@
 // Waits returns how long a step has waited so far, and false if it does not wait.
 func (d *Delayer) Waits(stepName string, now time.Time) (time.Duration, bool) {
 	w := d.waits[stepName]
-	if w == nil || w.ended {
+	if w == nil || !w.waiting {
 		return 0, false
 	}
 	return now.Sub(w.since), true
@@ -283,7 +305,7 @@
 func (d *Delayer) Waiting() int {
 	n := 0
 	for _, w := range d.waits {
-		if !w.ended {
+		if w.waiting {
 			n++
 		}
 	}
@@ -300,13 +322,3 @@
 	}
 	return list
 }
-
-// Fullness returns the part of the workers of a pool that is taken, from 0 to 1.
-func Fullness(candidates []*allocator.Candidate) float64 {
-	taken, capacity := 0.0, 0.0
-	for _, c := range candidates {
-		taken += float64(min(c.UsedCPU+c.BestEffortCPU, c.CPU))
-		capacity += float64(c.CPU)
-	}
-	return taken / max(capacity, 1)
-}
--- a/delayer/outlook.go
+++ b/delayer/outlook.go
@@ -44,12 +44,12 @@
 		if run.Step.LongRunning && !run.Ending {
 			continue
 		}
-		expected := time.Duration(float64(d.errors.Expected(run.Step.Estimate)) * max(run.Slowdown, 1))
+		expected := time.Duration(float64(d.expected(run.Step)) * max(run.Slowdown, 1))
 		elapsed := max(r.Now.Sub(run.StartedAt), 0)
 		for n, horizon := range horizons {
 			p := 1.0
 			if !run.Ending {
-				p = d.errors.endsWithin(expected, elapsed, horizon)
+				p = endsWithin(d.errorsOf(run.Step).sigma(), expected, elapsed, horizon)
 			}
 			if run.Step.BestEffort {
 				o.bestEffort[n] += p * float64(run.Step.CPU)
--- a/orchestrator/locality.go
+++ b/orchestrator/locality.go
@@ -43,13 +43,25 @@
 	if allocator.Pick(t, t.StepName(), near, now, o.predictor.UpperInterference) != nil {
 		return false // the chosen one is better in spite of its rack
 	}
+	return o.delays(j, t, countStep(waiting), []delayer.Place{{Rack: step.PreferredRack, Workers: near}}, granted, now)
+}
+
+// countStep returns how many of some tasks are of the same step as the first.
+func countStep(tasks []*sequencer.Task) int {
 	count := 0
-	for _, other := range waiting {
-		if other.Step == t.Step && other.Occurrence == t.Occurrence {
+	for _, t := range tasks {
+		if t.Step == tasks[0].Step && t.Occurrence == tasks[0].Occurrence {
 			count++
 		}
 	}
-	return o.delays(j, t, count, []delayer.Place{{Rack: step.PreferredRack, Workers: near}}, granted, now)
+	return count
+}
+
+// noteUnplaced notes that the first of some waiting tasks of a job, and others of its step, have found no room.
+func (o *Orchestrator) noteUnplaced(j *job, waiting []*sequencer.Task) {
+	if d := o.delayers[j.Placement.Pool]; d != nil {
+		d.Unplaced(waiting[0].StepSpec(), countStep(waiting))
+	}
 }
 
 // gangWaits reports whether a gang, for which candidates were chosen, waits for a rack with room for all of
@@ -85,7 +97,7 @@
 // delays reports whether tasks of a step wait for one of the places.
 func (o *Orchestrator) delays(j *job, t *sequencer.Task, count int, places []delayer.Place, granted []*allocator.Candidate, now time.Time) bool {
 	decision := o.delayers[j.Placement.Pool].Decide(delayer.Request{
-		Task: t, Count: count, Places: places, Runs: o.runsForDelayer, Fullness: delayer.Fullness(granted), Now: now, Wall: o.cfg.WallClock(),
+		Task: t, Count: count, Places: places, Runs: o.runsForDelayer, Now: now, Wall: o.cfg.WallClock(),
 	})
 	if !decision.Wait {
 		o.cfg.Count("rack_away_" + string(decision.Reason))
@@ -94,7 +106,7 @@
 	if decision.First {
 		o.cfg.Count("rack_wait")
 		o.cfg.Log.Info("step waits for its rack", zap.String("step", t.StepName()), zap.String("rack", t.StepSpec().PreferredRack), zap.Int("tasks", count),
-			zap.Duration("expected", decision.Expected), zap.Duration("gain", decision.Gain), zap.Duration("at_most", decision.Until.Sub(now)))
+			zap.Duration("expected", decision.Expected), zap.Float64("gain", decision.Gain), zap.Duration("at_most", decision.Until.Sub(now)))
 	}
 	return true
 }
@@ -167,7 +179,7 @@
 	if d == nil || r.throttled || r.resumed || step.LongRunning || step.TightlyCoupled {
 		return
 	}
-	d.Learn(step.Estimate, time.Duration(float64(now.Sub(r.startedAt))/o.slowdownOf(r)))
+	d.Learn(step, time.Duration(float64(now.Sub(r.startedAt))/o.slowdownOf(r)))
 }
 
 // rackWait returns how long the step of a task has waited for its rack.
--- a/orchestrator/place.go
+++ b/orchestrator/place.go
@@ -198,6 +198,7 @@
 		granted := o.grantedCandidates(j, name, candidates, agents, now)
 		candidate := allocator.Pick(t, name, granted, now, o.predictor.UpperInterference)
 		if candidate == nil {
+			o.noteUnplaced(j, waiting[n:])
 			o.queryUngranted(j, name, candidates, agents, now)
 			o.preempt(t, name, candidates, agents, now)
 			fullStep = name
--- a/rehearser/pattern.go
+++ b/rehearser/pattern.go
@@ -26,6 +26,12 @@
 	// until a task that was stopped makes progress again.
 	Save    time.Duration `yaml:"save"`
 	Restore time.Duration `yaml:"restore"`
+	// Racks is the number of racks, which have the same number of neighbouring workers; 0 for none. Remote is
+	// how many times as long a task takes outside the rack that holds its data.
+	Racks  int     `yaml:"racks"`
+	Remote float64 `yaml:"remote"`
+	// Delay is the time from a decision to start a task until it works.
+	Delay   time.Duration `yaml:"delay"`
 	Serving Serving       `yaml:"serving"`
 	Jobs    []Class       `yaml:"jobs"`
 	// Bursts raise the rate of a class, Losses take workers away.
@@ -91,6 +97,14 @@
 	// Error is the standard deviation of the logarithm of an estimate's error, 0.4 if not
 	// given.
 	Error float64 `yaml:"error"`
+	// Bias is how many times as long the tasks take as they are estimated to, 1 if it is 0.
+	Bias float64 `yaml:"bias"`
+	// Affinity is the share of jobs whose data is in a rack, any of them.
+	Affinity float64 `yaml:"affinity"`
+	// Hot is the share of jobs that all want the first rack, from HotAt on for HotFor.
+	Hot    float64       `yaml:"hot"`
+	HotAt  time.Duration `yaml:"hotat"`
+	HotFor time.Duration `yaml:"hotfor"`
 }
 
 // Burst multiplies the rate of a class by Times for a while.
@@ -136,6 +150,9 @@
 	if p.Save < 0 || p.Restore < 0 || p.Serving.Lifetime < 0 {
 		return fmt.Errorf("%w: save, restore and lifetime must not be negative", ErrPattern)
 	}
+	if p.Racks < 0 || p.Racks > p.Workers || p.Racks > 0 && p.Remote < 1 {
+		return fmt.Errorf("%w: want no more racks than workers, and remote of at least 1", ErrPattern)
+	}
 	s := p.Serving
 	if s.Images > 0 && (s.Fill < 0 || s.Fill > 1 || s.Width < 1 || s.CPU <= 0 || s.Period <= 0 || s.Tail <= 0 || s.Target <= s.Tail) {
 		return fmt.Errorf("%w: serving wants fill up to 1, width, cpu, period, and a target above tail", ErrPattern)
@@ -148,6 +165,9 @@
 		if c.Ratio < 0 || c.Ratio != 0 && c.Ratio < 1 || c.Strength < 0 || c.Unsaved < 0 || c.Unsaved > 1 || c.Error < 0 {
 			return fmt.Errorf("%w: job %q wants a ratio of at least 1, unsaved up to 1, and no negative strength or error", ErrPattern, c.Name)
 		}
+		if min(c.Affinity, c.Hot, c.Error, c.Bias) < 0 || max(c.Affinity, c.Hot) > 1 || max(c.Affinity, c.Hot) > 0 && p.Racks == 0 {
+			return fmt.Errorf("%w: job %q wants affinity and hot up to 1, racks for them, and no negative error or bias", ErrPattern, c.Name)
+		}
 		names[c.Name] = true
 	}
 	for _, b := range p.Bursts {
--- a/rehearser/policies.go
+++ b/rehearser/policies.go
@@ -16,6 +16,9 @@
 	"guessing": {Name: "guessing", Pick: allocator.Pick, Rank: rankByGuess, Relocate: true},
 	"unmoved":  {Name: "unmoved", Pick: allocator.Pick, Rank: allocator.RankJob},
 	"knowing":  {Name: "knowing", Pick: allocator.Pick, Rank: allocator.RankJob, Relocate: true, KnowsPairs: true},
+	"unaware":  {Name: "unaware", Pick: allocator.Pick, Rank: allocator.RankJob, Relocate: true, Locality: Unaware},
+	"never":    {Name: "never", Pick: allocator.Pick, Rank: allocator.RankJob, Relocate: true, Locality: NeverWait},
+	"always":   {Name: "always", Pick: allocator.Pick, Rank: allocator.RankJob, Relocate: true, Locality: AlwaysWait},
 	"simplest": {Name: "simplest", Pick: pickEmptiest, Rank: rankByArrival},
 }
 
--- a/rehearser/rehearser_test.go
+++ b/rehearser/rehearser_test.go
@@ -88,6 +88,11 @@
 		"loss of too many": {"share: 0.25", "share: 2"},
 		"target below":     {"target: 50ms", "target: 5ms"},
 		"class twice":      {"name: bookings, rate", "name: rolls, rate"},
+		"no racks":         {"priority: 2", "priority: 2, affinity: 0.5"},
+		"factor below 1":   {"workers: 24", "workers: 24\nracks: 3\nremote: 0.5"},
+		"too many racks":   {"workers: 24", "workers: 24\nracks: 25\nremote: 2"},
+		"hot above 1":      {"priority: 2", "priority: 2, hot: 1.5"},
+		"negative error":   {"priority: 2", "priority: 2, error: -1"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			c := qt.New(t)
--- a/rehearser/worker.go
+++ b/rehearser/worker.go
@@ -41,12 +41,15 @@
 	usedCPU       int64 // as last measured
 	tailMs        int64 // as last measured
 	stopAt        time.Time
+	worksAt       time.Time
 	moveTo        *worker
 }
 
 // worker is a worker with its agent.
 type worker struct {
 	id          string
+	rack        string // empty if the pattern has none
+	remote      float64
 	cpu, memory int64
 	lost        bool
 	runs        []*run
@@ -66,6 +69,9 @@
 // but for their interference.
 func (w *worker) candidate() *allocator.Candidate {
 	c := &allocator.Candidate{ID: w.id, CPU: w.cpu, Memory: w.memory, Speed: 1}
+	if w.rack != "" {
+		c.Labels = []string{w.rack}
+	}
 	for _, r := range w.runs {
 		c.Reserve(r.task.StepSpec(), r.task.StepName())
 		if r.task.StepSpec().BestEffort {
@@ -75,6 +81,12 @@
 	return c
 }
 
+// away reports whether the data of a task is in another rack.
+func (w *worker) away(t *sequencer.Task) bool {
+	rack := t.StepSpec().PreferredRack
+	return rack != "" && rack != w.rack
+}
+
 // demand returns the CPU that a best-effort run is expected to use at full pace.
 func (r *run) demand() int64 {
 	declared := r.task.StepSpec().CPU
@@ -128,6 +140,12 @@
 			if r.task.StepSpec().BestEffort {
 				speed = share * float64(r.applied) / 100
 			}
+			if w.away(r.task) {
+				speed /= w.remote
+			}
+			if now.Before(r.worksAt) {
+				speed = 0
+			}
 			r.left -= float64(r.task.StepSpec().CPU) * speed * step.Seconds()
 			if r.task.StepSpec().Checkpointable && now.Sub(r.savedAt) >= w.saveInterval {
 				r.savedAt, r.saved = now, r.left
