--- a/delayer/objective.go
+++ b/delayer/objective.go
@@ -112,9 +112,9 @@
 	}
 	gain := 0.0
 	for _, z := range errorQuantiles {
-		error := math.Exp(p.sigma * z)
-		scale := p.scale * error
-		near, others := p.run*scale, p.others*error
+		deviation := math.Exp(p.sigma * z)
+		scale := p.scale * deviation
+		near, others := p.run*scale, p.others*deviation
 		endAway := max(others, near*d.cfg.Factor)
 		for _, share := range quantiles {
 			waits := wait.Seconds() * share
--- a/orchestrator/locality.go
+++ b/orchestrator/locality.go
@@ -43,7 +43,7 @@
 	if allocator.Pick(t, t.StepName(), near, now, o.predictor.UpperInterference) != nil {
 		return false // the chosen one is better in spite of its rack
 	}
-	return o.delays(j, t, countStep(waiting), []delayer.Place{{Rack: step.PreferredRack, Workers: near}}, granted, now)
+	return o.delays(j, t, countStep(waiting), []delayer.Place{{Rack: step.PreferredRack, Workers: near}}, now)
 }
 
 // countStep returns how many of some tasks are of the same step as the first.
@@ -91,11 +91,11 @@
 			places = append(places, delayer.Place{Rack: rack, Workers: byRack[rack]})
 		}
 	}
-	return o.delays(j, members[0], len(members), places, granted, now)
+	return o.delays(j, members[0], len(members), places, now)
 }
 
 // delays reports whether tasks of a step wait for one of the places.
-func (o *Orchestrator) delays(j *job, t *sequencer.Task, count int, places []delayer.Place, granted []*allocator.Candidate, now time.Time) bool {
+func (o *Orchestrator) delays(j *job, t *sequencer.Task, count int, places []delayer.Place, now time.Time) bool {
 	decision := o.delayers[j.Placement.Pool].Decide(delayer.Request{
 		Task: t, Count: count, Places: places, Runs: o.runsForDelayer, Now: now, Wall: o.cfg.WallClock(),
 	})
