--- a/delayer/delayer.go
+++ b/delayer/delayer.go
@@ -31,6 +31,8 @@
 	// scarceShare is the share of the CPU of a pool for which tasks wait without finding room from which on
 	// each further run takes the room of another one.
 	scarceShare = 0.1
+	// reservedShare is the part of reserved CPU that best-effort tasks could use.
+	reservedShare = 0.5
 	// forever stands for a wait that does not end.
 	forever = time.Hour
 	// caution is by how many standard deviations fewer ends than expected are counted on.
@@ -61,9 +63,10 @@
 	// awayUntil is when the last run away of a step is expected to end, by Task.StepName.
 	awayUntil map[string]time.Time
 	demand    demand
-	// unplaced is what the tasks need that found no room at all in this round, lacking the part of the
-	// pool that it was in the last one.
-	unplaced, lacking need
+	// unplaced is what the tasks need that found no room at all in this round, bound the part of it
+	// that prefers a rack. lacking is the part of the pool that unplaced was in the last round, picky
+	// the part of that which was bound.
+	unplaced, bound, lacking, picky need
 }
 
 // need is what tasks need, in thousandths of a core: reserved CPU, and CPU for best effort.
@@ -89,7 +92,9 @@
 	for _, c := range candidates {
 		capacity += float64(c.CPU)
 	}
-	d.lacking, d.unplaced = need{cpu: d.unplaced.cpu / max(capacity, 1), bestEffort: d.unplaced.bestEffort / max(capacity, 1)}, need{}
+	d.lacking = need{cpu: d.unplaced.cpu / max(capacity, 1), bestEffort: d.unplaced.bestEffort / max(capacity, 1)}
+	d.picky = need{cpu: d.bound.cpu / max(d.unplaced.cpu, 1), bestEffort: d.bound.bestEffort / max(d.unplaced.bestEffort, 1)}
+	d.unplaced, d.bound = need{}, need{}
 	clear(d.ahead)
 	maps.DeleteFunc(d.waits, func(_ string, w *wait) bool { return now.Sub(w.seenAt) > memory })
 	maps.DeleteFunc(d.awayUntil, func(_ string, until time.Time) bool { return now.After(until) })
@@ -99,16 +104,29 @@
 // Unplaced notes tasks of a step that found no room in this round.
 func (d *Delayer) Unplaced(step *sequencer.Step, count int) {
 	d.unplaced.add(step, count)
+	if step.PreferredRack != "" {
+		d.bound.add(step, count)
+	}
+}
+
+// idle returns which part of the room that a step leaves as it waits is idle meanwhile: others of its kind
+// take it unless they wait for their racks, too.
+func (d *Delayer) idle(step *sequencer.Step) float64 {
+	if step.BestEffort {
+		return d.picky.bestEffort
+	}
+	return d.picky.cpu
 }
 
 // scarcity returns how much the room that a longer run of a step takes is needed by others of its kind,
-// from 0 to 1: best-effort tasks lack headroom beside services before they lack CPU, so that reserved CPU
-// is of little use to them.
+// from 0 to 1: by others of its kind, and reserved CPU by best-effort tasks in part, as those lack headroom beside
+// services before they lack CPU.
 func (d *Delayer) scarcity(step *sequencer.Step) float64 {
+	bestEffort := min(d.lacking.bestEffort/scarceShare, 1)
 	if step.BestEffort {
-		return min(d.lacking.bestEffort/scarceShare, 1)
+		return bestEffort
 	}
-	return min(d.lacking.cpu/scarceShare, 1)
+	return max(min(d.lacking.cpu/scarceShare, 1), reservedShare*bestEffort)
 }
 
 // Place is a rack with those of its workers that may run the tasks of a Request.
--- a/delayer/objective.go
+++ b/delayer/objective.go
@@ -106,7 +106,7 @@
 	tasks := float64(r.Count) / float64(r.Task.StepSpec().Count)
 	// room is the value of a second in which the tasks leave their room to others, or leave it idle.
 	room := roomWeight * d.scarcity(r.Task.StepSpec()) * tasks / max(p.rest*p.scale+p.done, p.run*p.scale)
-	quantiles := waitQuantiles
+	quantiles, idle := waitQuantiles, d.idle(r.Task.StepSpec())
 	if r.Task.StepSpec().BestEffort {
 		quantiles = openingQuantiles
 	}
@@ -120,9 +120,10 @@
 			waits := wait.Seconds() * share
 			endWaiting := waits + near
 			if waits > left.Seconds() {
-				endWaiting = left.Seconds() + near*d.cfg.Factor // away after all
+				waits = left.Seconds()
+				endWaiting = waits + near*d.cfg.Factor // away after all
 			}
-			gain += room * (near*d.cfg.Factor - endWaiting)
+			gain += room * (near*d.cfg.Factor - (endWaiting - waits) - idle*waits)
 			endWaiting = max(others, endWaiting)
 			gain += timeWeight*(endAway-endWaiting)/length + p.value(endWaiting, scale) - p.value(endAway, scale)
 		}
