--- a/delayer/delayer.go
+++ b/delayer/delayer.go
@@ -197,7 +197,9 @@
 		return Decision{Reason: NoRack}
 	}
 	if r.Task.StepSpec().BestEffort {
-		expected = min(expected, d.openings.mean())
+		// Ends of runs promise a place as far as the other tasks that lack room don't wait for racks, too.
+		given := d.openings.mean()
+		expected = given - time.Duration((1-d.picky.bestEffort)*float64(given-min(expected, given)))
 	}
 	decision := Decision{Reason: TooLong, Expected: expected}
 	if float64(expected)*waitQuantiles[0] > float64(left) && !r.Task.StepSpec().BestEffort {
