--- a/allocator/allocator.go
+++ b/allocator/allocator.go
@@ -156,7 +156,7 @@
 	for n := range c.ServingTasks {
 		serving := &c.ServingTasks[n]
 		coefficient := interference(step.Image, serving.Image)
-		rate, headroom := coefficient*float64(step.CPU)/float64(max(c.CPU, 1)), serving.headroomLeft()
+		rate, headroom := coefficient*float64(step.CPU)/float64(max(c.CPU, 1)), serving.headroomLeft(coefficient, c.SmallPool)
 		if rate > headroom {
 			p.Pace = min(p.Pace, headroom/rate)
 		}
@@ -177,7 +177,7 @@
 	for n := range c.ServingTasks {
 		serving := &c.ServingTasks[n]
 		coefficient := interference(image, serving.Image)
-		serving.Reserved = append(serving.Reserved, coefficient*float64(cpu)/float64(max(c.CPU, 1)))
+		serving.Reserved = append(serving.Reserved, Interference{Rate: coefficient * float64(cpu) / float64(max(c.CPU, 1)), Coefficient: coefficient})
 	}
 }
 
--- a/allocator/allocator_test.go
+++ b/allocator/allocator_test.go
@@ -156,6 +156,8 @@
 	c.Assert(ExpectedPressure(&step, w, constantInterference(1)).Pace, qt.Equals, 0.0)
 	c.Assert(ExpectedPressure(&step, w, constantInterference(0)).Pace, qt.Equals, 1.0, qt.Commentf("it interferes with nothing"))
 	c.Assert(ExpectedPressure(&step, w, constantInterference(0.9)).Pace, qt.Equals, 0.0, qt.Commentf("tasks with a higher coefficient would be slowed too late"))
+	w.SmallPool = true
+	c.Assert(ExpectedPressure(&step, w, constantInterference(0.9)).Pace, qt.Equals, 1.0, qt.Commentf("there are few other places"))
 }
 
 func rankOf(acceptedIn time.Duration, estimate time.Duration, priority int, step sequencer.Step) Rank {
--- a/allocator/candidate.go
+++ b/allocator/candidate.go
@@ -29,6 +29,8 @@
 	ServingByImage map[string]int
 	// ServingTasks holds the running serving tasks with their headroom.
 	ServingTasks []ServingTask
+	// SmallPool is set if its pool has fewer than MinSelectiveWorkers.
+	SmallPool bool
 	// Speed is the worker's speed relative to the other workers; 1 means as fast as
 	// they are.
 	Speed  float64
@@ -87,17 +89,28 @@
 	// Headroom is the rate, in 1/s, that the task can lose to all best-effort tasks
 	// together and still meet its target.
 	Headroom float64
-	// Reserved has the rates, in 1/s, that it loses to the best-effort tasks placed already,
-	// at full pace.
-	Reserved []float64
+	// Reserved is the interference of the best-effort tasks placed already.
+	Reserved []Interference
 }
 
-// headroomLeft returns the headroom that the best-effort tasks placed already leave. Those
-// that would be slowed first count too: until they are, the serving task is over its target.
-func (s *ServingTask) headroomLeft() float64 {
+// Interference is the rate that a serving task loses to a best-effort image at full
+// pace, and the interference coefficient: the rate it would lose if the image used
+// the whole worker. Both are in 1/s.
+type Interference struct{ Rate, Coefficient float64 }
+
+// MinSelectiveWorkers is the number of a pool's workers from which on a best-effort task waits for a place
+// where nothing would have to be slowed. Among 11 it waited for longer than it would be slowed.
+const MinSelectiveWorkers = 24
+
+// headroomLeft returns the headroom that the best-effort tasks placed already leave to an image
+// with the given interference coefficient. Those with a higher one, which would be slowed first,
+// count too: until they are, the serving task is over its target. In a small pool they don't.
+func (s *ServingTask) headroomLeft(coefficient float64, smallPool bool) float64 {
 	headroom := s.Headroom
 	for _, reserved := range s.Reserved {
-		headroom -= reserved
+		if !smallPool || reserved.Coefficient <= coefficient {
+			headroom -= reserved.Rate
+		}
 	}
 	return max(headroom, 0)
 }
--- a/orchestrator/place.go
+++ b/orchestrator/place.go
@@ -54,6 +54,9 @@
 		}
 	}
 	for _, candidates := range byPool {
+		for _, c := range candidates {
+			c.SmallPool = len(candidates) < allocator.MinSelectiveWorkers
+		}
 		slices.SortFunc(candidates, func(a, b *allocator.Candidate) int { return strings.Compare(a.ID, b.ID) })
 	}
 	o.reserveRuns(byPool)
--- a/rehearser/owner.go
+++ b/rehearser/owner.go
@@ -23,6 +23,7 @@
 			continue
 		}
 		c := w.candidate()
+		c.SmallPool = len(r.workers) < allocator.MinSelectiveWorkers
 		for _, run := range w.runs {
 			if run.serving == nil {
 				continue
