--- a/review/rig/fleet.go
+++ b/review/rig/fleet.go
@@ -153,7 +153,9 @@
 				w.WriteHeader(http.StatusServiceUnavailable)
 				return
 			}
-			store.ServeHTTP(w, r)
+			if !f.servePages(w, r) {
+				store.ServeHTTP(w, r)
+			}
 		}))
 	}()
 	return l.Addr().String()
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -23,6 +23,8 @@
 	"crasher": crasher,
 	"leaker":  leaker,
 	"rack":    rack,
+	"wide":    wide,
+	"large":   large,
 	"label":   label,
 }
 
