--- a/review/rig/client.go
+++ b/review/rig/client.go
@@ -27,7 +27,7 @@
 			"service": q.Service, "maxAttempts": q.Attempts, "stretchFactor": 2.0,
 		}
 		if q.Restricted {
-			route["hint"] = map[string]any{"decisionMs": 20, "perWorkerMs": 2, "validityMs": 3000}
+			route["hint"] = map[string]any{"decisionMs": f.policy.Decision.Milliseconds(), "perWorkerMs": f.policy.PerWorker.Milliseconds(), "validityMs": f.policy.Validity.Milliseconds()}
 		}
 		routes = append(routes, route)
 	}
--- a/review/rig/fleet.go
+++ b/review/rig/fleet.go
@@ -39,8 +39,8 @@
 	agents  []*process
 	audit   *audit
 	advice  string
+	policy  advice
 	version int
-	decide  time.Duration
 	// disturbedAt is when the last disturbance ended.
 	disturbedAt time.Time
 	disturbing  int
--- a/review/rig/large.go
+++ b/review/rig/large.go
@@ -80,7 +80,7 @@
 	clients.Wait()
 	f.say("%d ordinary submissions accepted", len(jobs))
 	f.wait(jobs, finishTime)
-	f.judgeIdle(jobs)
+	f.judgeIdle(jobs, finishTime)
 }
 
 // finishTime is the time after the traffic from which on submissions are asked for.
@@ -103,7 +103,7 @@
 
 // judgeIdle looks at the submissions for 3 s and reports those that have nothing running, though under half of the CPU
 // is in use and two workers have room for them.
-func (f *fleet) judgeIdle(jobs []*job) {
+func (f *fleet) judgeIdle(jobs []*job, after time.Duration) {
 	idle := map[*job]bool{}
 	for _, j := range jobs {
 		idle[j] = j.final == ""
@@ -134,7 +134,7 @@
 	}
 	f.note("%d of %d ordinary submissions have nothing running", waiting, len(jobs))
 	if waiting > 0 {
-		f.audit.broken("LOST", "%d of %d ordinary submissions that were accepted have had nothing running for 3 s, %s after the last one, and the workers are free", waiting, len(jobs), finishTime)
+		f.audit.broken("LOST", "%d of %d ordinary submissions that were accepted have had nothing running for 3 s, %s after the last one, and the workers are free", waiting, len(jobs), after)
 	}
 }
 
--- a/review/rig/soak.go
+++ b/review/rig/soak.go
@@ -16,14 +16,27 @@
 
 func taskOf(j *job, k, n, i int) string { return fmt.Sprintf("%s.%d.%d.%d", j.ID, k, n, i) }
 
-// serveAdvice opens the service that names the workers of queues with a policy.
-func (f *fleet) serveAdvice() {
+// advice are the settings of the service that names the workers of queues with a policy.
+type advice struct{ Decision, PerWorker, Validity time.Duration }
+
+// maxAdviceWaiting is how many calls may wait for the service.
+const maxAdviceWaiting = 32
+
+// serveAdvice opens that service. It handles one call at a time, in turn.
+func (f *fleet) serveAdvice(a advice) {
+	f.policy = a
 	l, err := net.Listen("tcp", anyPort)
 	if err != nil {
 		panic(err)
 	}
 	f.advice = l.Addr().String()
-	var turn sync.Mutex
+	turns := make(chan chan bool, maxAdviceWaiting)
+	go func() {
+		for turn := range turns {
+			turn <- true // the call has its turn
+			<-turn       // and is done
+		}
+	}()
 	go func() {
 		_ = http.Serve(l, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			var ask struct {
@@ -34,24 +47,36 @@
 				w.WriteHeader(http.StatusBadRequest)
 				return
 			}
-			turn.Lock()
-			time.Sleep(20*time.Millisecond + time.Duration(len(ask.Workers))*2*time.Millisecond)
-			turn.Unlock()
+			turn, began := make(chan bool), time.Now()
+			select {
+			case turns <- turn:
+			default:
+				f.say("advice on %s refused: %d calls wait", ask.Step, maxAdviceWaiting)
+				w.WriteHeader(http.StatusTooManyRequests)
+				return
+			}
+			<-turn
+			time.Sleep(a.Decision + time.Duration(len(ask.Workers))*a.PerWorker)
+			turn <- true
 			granted := [][]string{}
 			f.mu.Lock()
 			for _, worker := range f.workers {
-				if worker.up && slices.Contains(ask.Workers, worker.id) && hash(ask.Step, worker.name)%2 == 0 {
+				if worker.up && slices.Contains(ask.Workers, worker.id) && f.allows(ask.Step, worker) {
 					ticket := fmt.Sprintf("%08x", f.rand.Uint32())
-					worker.tickets[ask.Step+"/"+ticket] = time.Now().Add(3 * time.Second)
+					worker.tickets[ask.Step+"/"+ticket] = time.Now().Add(a.Validity)
 					granted = append(granted, []string{worker.id, ticket})
 				}
 			}
+			f.note("advice on %s: %d of %d workers, after %s", ask.Step, len(granted), len(ask.Workers), time.Since(began).Round(time.Millisecond))
 			f.mu.Unlock()
-			answer(w, http.StatusOK, map[string]any{"granted": granted, "validityMs": 3000})
+			answer(w, http.StatusOK, map[string]any{"granted": granted, "validityMs": a.Validity.Milliseconds()})
 		}))
 	}()
 }
 
+// allows reports whether the policy allows a worker to run a step, which never changes.
+func (f *fleet) allows(step string, w *worker) bool { return hash(step, w.name)%2 == 0 }
+
 // randomJob returns a submission with traits that the sites of the bench lack.
 func randomJob(f *fleet, r *rand.Rand) *job {
 	j := &job{ID: newID(r), Queue: f.queues[r.IntN(len(f.queues))], Spec: fmt.Sprintf("text-%d", r.Uint64())}
@@ -94,7 +119,7 @@
 // soak plays random submissions under random disturbances.
 func soak(f *fleet, trouble bool, seed uint64) {
 	r := rand.New(rand.NewPCG(seed, 2))
-	f.serveAdvice()
+	f.serveAdvice(advice{20 * time.Millisecond, 2 * time.Millisecond, 3 * time.Second})
 	f.queues = []*queue{
 		{Name: "q-a", Host: "nony24.example", Prefix: "/pule252/", Service: f.service, Attempts: 3},
 		{Name: "q-b", Host: "ficu95.example", Prefix: "/pufi791/", Service: f.service, Priority: 2, Attempts: 4},
@@ -349,7 +374,7 @@
 		for n, s := range j.Steps {
 			fit := 0
 			for _, w := range f.workers {
-				if w.service == j.Queue.Service && hash(stepName(taskOf(j, k, n, 0)), w.name)%2 == 0 && (s.Label == "" || w.kind == s.Label) {
+				if w.service == j.Queue.Service && f.allows(stepName(taskOf(j, k, n, 0)), w) && (s.Label == "" || w.kind == s.Label) {
 					fit++
 				}
 			}
