--- a/review/rig/fleet.go
+++ b/review/rig/fleet.go
@@ -38,6 +38,7 @@
 	entries []*process
 	agents  []*process
 	audit   *audit
+	away    away
 	advice  string
 	policy  advice
 	version int
@@ -133,7 +134,7 @@
 		rand: rand.New(rand.NewPCG(seed, 1)), began: time.Now(), record: file, dir: dir, program: program, service: "huvo11a", version: 7,
 		zones: []string{"north", "east", "south", "west"}, client: &http.Client{Timeout: time.Second}, store: faker.NewStore(), blocked: map[string]bool{}, jobs: map[string]*job{},
 	}
-	f.audit = newAudit(f)
+	f.audit, f.away = newAudit(f), away{map[string]bool{}, map[string]time.Time{}}
 	return f, nil
 }
 
--- a/review/rig/job.go
+++ b/review/rig/job.go
@@ -68,12 +68,15 @@
 func (j *job) body() []byte {
 	var phases []map[string]any
 	for _, s := range j.Steps {
-		p := map[string]any{"count": s.Count, "cpu": s.CPU, "memMb": s.Memory, "estimateMs": s.EstimateMs}
+		p := map[string]any{"count": s.Count}
 		set := func(name string, is bool, value any) {
 			if is {
 				p[name] = value
 			}
 		}
+		set("cpu", s.CPU > 0, s.CPU)
+		set("memMb", s.Memory > 0, s.Memory)
+		set("estimateMs", s.EstimateMs > 0, s.EstimateMs)
 		set("after", len(s.After) > 0, s.After)
 		set("checkpointing", s.Saves, true)
 		set("gang", s.Gang, true)
--- a/review/rig/large.go
+++ b/review/rig/large.go
@@ -120,7 +120,7 @@
 			}
 		}
 		for _, j := range jobs {
-			idle[j] = idle[j] && !running[j] && used*2 < all && f.room(j, 0) >= 2
+			idle[j] = idle[j] && !running[j] && f.missing(j) != "" && used*2 < all && f.room(j, 0) >= 2
 		}
 		f.mu.Unlock()
 	}
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -25,6 +25,7 @@
 	"rack":    rack,
 	"wide":    wide,
 	"large":   large,
+	"cut":     cutOff,
 	"policy":  policy,
 	"label":   label,
 }
--- a/review/rig/monitor.go
+++ b/review/rig/monitor.go
@@ -25,6 +25,7 @@
 		case <-time.After(100 * time.Millisecond):
 		}
 		f.mu.Lock()
+		f.follow()
 		f.lookAtCanceled(reported)
 		f.lookAtIdle(idle, reported)
 		f.mu.Unlock()
