--- a/review/rig/soak.go
+++ b/review/rig/soak.go
@@ -187,6 +187,7 @@
 	go f.monitor(watched)
 	wg.Wait()
 	f.finish(jobs, 20*time.Second)
+	f.judgeRejected()
 	close(watched)
 }
 
@@ -412,6 +413,18 @@
 	return w.up
 }
 
+// judgeRejected reports tasks that were started of submissions of which all attempts were rejected.
+func (f *fleet) judgeRejected() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for task := range f.audit.starts {
+		name, _ := parseTask(task)
+		if j := f.jobs[name.job]; j != nil && j.rejected {
+			f.audit.broken("REFUSED", "%s was started, and all attempts to hand it in were rejected", task)
+		}
+	}
+}
+
 // possible reports whether each step of a submission has workers enough that its queue allows.
 func (f *fleet) possible(j *job) bool {
 	if !j.Queue.Restricted {
