--- a/review/rig/fleet.go
+++ b/review/rig/fleet.go
@@ -217,6 +217,12 @@
 	}
 	done := make(chan struct{})
 	p.f.mu.Lock()
+	if p.stopped { // the play has ended meanwhile
+		p.f.mu.Unlock()
+		_ = proc.Kill()
+		_, _ = proc.Wait()
+		return
+	}
 	p.proc, p.done, p.expected = proc, done, false
 	p.f.note("process %s starts", p.id)
 	p.f.mu.Unlock()
@@ -228,11 +234,13 @@
 			p.ends++
 			p.f.note("%s ENDED BY ITSELF: %v; %s", p.id, state, p.lastWords())
 		}
-		stopped := p.stopped
 		p.f.note("process %s ended: %v", p.id, state)
 		p.f.mu.Unlock()
+		time.Sleep(300 * time.Millisecond)
+		p.f.mu.Lock()
+		stopped := p.stopped
+		p.f.mu.Unlock()
 		if !stopped {
-			time.Sleep(300 * time.Millisecond)
 			p.start()
 		}
 	}()
@@ -260,17 +268,19 @@
 // close ends all processes.
 func (f *fleet) close() {
 	f.mu.Lock()
-	all := slices.Concat(f.entries, f.agents)
-	for _, p := range all {
+	procs, ends := []*os.Process{}, []chan struct{}{}
+	for _, p := range slices.Concat(f.entries, f.agents) {
 		p.stopped = true
-	}
-	f.mu.Unlock()
-	for _, p := range all {
 		if p.proc != nil {
-			_ = p.proc.Kill()
-			<-p.done
+			procs, ends = append(procs, p.proc), append(ends, p.done)
 		}
 	}
+	f.mu.Unlock()
+	for n := range procs {
+		_ = procs[n].Kill()
+		<-ends[n]
+	}
+	time.Sleep(100 * time.Millisecond) // a process that was just being started is ended by start
 	if os.Getenv("RIG_KEEP") == "" {
 		_ = os.RemoveAll(f.dir)
 	} else {
