meter: A metric that can't be recorded no longer ends the process

Callers saw broken connections: an entry that owns the pools ended with "panic: potential tally.Scope() vs Prometheus usage contract mismatch" as soon as a task was started that had waited for its rack, and so did each next owner.

Cause: meter.New left the handler of registration errors at its default, a panic, and metrics are registered when they are first recorded, on the path of the owner's loop. A decrease of a counter ended a process, too, from the goroutine that flushes ("panic: counter cannot decrease in value").

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -110,7 +110,7 @@
 	cfg.Transport.MaxIdleConnsPerHost = parser.DefaultConnections
 	s := cfg.Settings
 	a := &Agent{
-		cfg: cfg, incarnation: uuid.NewString(), now: estimator.NewMonotonicClock(), meter: meter.New("endivefall_agent"),
+		cfg: cfg, incarnation: uuid.NewString(), now: estimator.NewMonotonicClock(), meter: meter.New("endivefall_agent", cfg.Log),
 		cataloger: cataloger.New(), links: map[string]*link{}, dialing: map[netip.AddrPort]context.CancelFunc{},
 		drainNotice: make(chan struct{}),
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -82,7 +82,7 @@
 		cfg.Listen = net.Listen
 	}
 	e := &Entry{
-		cfg: cfg, incarnation: uuid.NewString(), now: estimator.NewMonotonicClock(), meter: meter.New("endivefall_entry"),
+		cfg: cfg, incarnation: uuid.NewString(), now: estimator.NewMonotonicClock(), meter: meter.New("endivefall_entry", cfg.Log),
 		dialing:       map[netip.AddrPort]context.CancelFunc{},
 		forwardClient: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}},
 	}
