orchestrator: The time of a wait for a rack has a name of its own

Callers saw broken connections, and accepted jobs were not run: each owner ended within a second of the start of a task that had waited for its rack.

Cause: the histogram of the time and the counter of the waits were both named rack_wait_paid, and rack_wait_unpaid; a registry takes a name once. The suite counted with a map and dropped durations, so that it could not see it.

Change: the histograms are rack_wait_paid_time and rack_wait_unpaid_time; the counters keep their names. The harness records with a real meter and checks that it refused nothing.

--- a/meter/meter.go
+++ b/meter/meter.go
@@ -5,7 +5,9 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -78,6 +80,13 @@
 	m.refusals.Inc(1) // by its handle, as the scope is locked while a metric is registered
 }
 
+// Refused returns what was refused so far, in order.
+func (m *Meter) Refused() []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return slices.Sorted(maps.Keys(m.refused))
+}
+
 // LatencyHistogram returns the latency histogram of a service.
 func (m *Meter) LatencyHistogram(name, team, service string) tally.Histogram {
 	return m.Tagged(map[string]string{"team": team, "service": service}).Histogram(name, latencyBuckets)
--- a/orchestrator/harness_test.go
+++ b/orchestrator/harness_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/endivefall/endivefall/faker"
 	"github.com/endivefall/endivefall/messenger"
+	"github.com/endivefall/endivefall/meter"
 	"github.com/endivefall/endivefall/registrar"
 	"github.com/endivefall/endivefall/sequencer"
 	"github.com/endivefall/endivefall/storer"
@@ -34,20 +35,35 @@
 	unconfirmed bool
 	// gauges has the last values of the owner's gauges.
 	gauges map[string]float64
-	// counts has the owner's counters.
-	counts map[string]int
+	// counts has the owner's counters, durations how often each of its histograms was recorded.
+	counts, durations map[string]int
 }
 
+// suiteMeter is a meter as in production, which refuses what a process may not record. One for all
+// tests: each has a goroutine of its own.
+var suiteMeter = meter.New("suite", zap.NewNop())
+
 func newHarness(c *qt.C, agents int) *harness {
-	h := &harness{c: c, now: time.Unix(5000, 0), sent: map[string][]messenger.Frame{}, sendErrors: map[string]error{}, store: faker.NewStore(), gauges: map[string]float64{}, counts: map[string]int{}}
+	h := &harness{c: c, now: time.Unix(5000, 0), sent: map[string][]messenger.Frame{}, sendErrors: map[string]error{}, store: faker.NewStore(), gauges: map[string]float64{}, counts: map[string]int{}, durations: map[string]int{}}
 	h.o = New(Config{
 		Term: 1, Epoch: 10, OwnerKey: "owner", Store: h.store.Client(),
 		Now: func() time.Time { return h.now }, WallClock: func() time.Time { return h.now },
 		LeaseDuration: 5800 * time.Millisecond, UnextendedTTL: 2 * time.Second, ConfirmationTTL: 10 * time.Second, ConfirmationExtended: func() bool { return true }, ExtendedForAnyAgent: func() bool { return true }, JobRetention: time.Hour,
 		OwnershipConfirmedAt: func() time.Time { return h.now }, HasStandby: func() bool { return true },
-		Log: zap.NewNop(), Count: func(name string) { h.counts[name]++ }, ObserveDuration: func(string, time.Duration) {},
-		Gauge: func(name string, value float64) { h.gauges[name] = value },
+		Log: zap.NewNop(), Count: func(name string) {
+			suiteMeter.Count(name)
+			h.counts[name]++
+		},
+		ObserveDuration: func(name string, d time.Duration) {
+			suiteMeter.ObserveDuration(name, d)
+			h.durations[name]++
+		},
+		Gauge: func(name string, value float64) {
+			suiteMeter.Set(name, value)
+			h.gauges[name] = value
+		},
 	})
+	c.Cleanup(func() { c.Check(suiteMeter.Refused(), qt.HasLen, 0) })
 	h.o.cfg.ClaimedAt, h.o.cfg.ClaimSentAt = h.now, h.now
 	h.o.takeOver(nil, nil, nil)
 	for n := range agents {
--- a/orchestrator/locality.go
+++ b/orchestrator/locality.go
@@ -148,7 +148,7 @@
 		o.cfg.Count("rack_start_away")
 	}
 	if waited > 0 {
-		o.cfg.ObserveDuration("rack_wait_"+outcome, waited)
+		o.cfg.ObserveDuration("rack_wait_"+outcome+"_time", waited)
 	}
 	if ended {
 		o.cfg.Count("rack_wait_" + outcome)
--- a/orchestrator/locality_test.go
+++ b/orchestrator/locality_test.go
@@ -121,6 +121,28 @@
 	c.Check(h.counts["rack_wait_paid"], qt.Equals, 1)
 }
 
+// The start of a task that had waited for its rack ended each owner in turn: the time of the wait was
+// recorded by a histogram with the name of the counter.
+func TestAWaitForARackIsRecordedWithoutAClash(t *testing.T) {
+	for rack, outcome := range map[string]string{"hot": "paid", "cold": "unpaid"} {
+		t.Run(outcome, func(t *testing.T) {
+			c := qt.New(t)
+			h := newRacks(c, 3)
+			first := h.fill(300 * time.Millisecond)
+			j := h.submit(sequencer.Spec{Steps: []sequencer.Step{near(2, 1000, time.Second)}})
+			h.o.place()
+			h.now = h.now.Add(100 * time.Millisecond)
+			if rack == "hot" {
+				h.end("a0", first)
+			}
+			h.tick(delayer.MaxWait)
+			c.Check(h.started(j, rack), qt.Equals, 2)
+			c.Check(h.counts["rack_wait_"+outcome], qt.Equals, 1)
+			c.Check(h.durations["rack_wait_"+outcome+"_time"] > 0, qt.IsTrue)
+		})
+	}
+}
+
 // A rack that stays full must not hold a job with nothing running for as long as half of the 3 s that it
 // may wait, as the next owner may make it wait once more.
 func TestAWaitForARackIsBounded(t *testing.T) {
