--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -12,6 +12,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/endivefall/endivefall/meter"
+
 	"go.uber.org/zap"
 	"golang.org/x/time/rate"
 
@@ -95,8 +97,8 @@
 	Now             func() time.Time
 	WallClock       func() time.Time
 	Log             *zap.Logger
-	Count           func(name string)
-	ObserveDuration func(name string, d time.Duration)
+	Count           func(c meter.Counter)
+	ObserveDuration func(h meter.Histogram, d time.Duration)
 }
 
 // Acceptor handles the calls of callers. It is safe for concurrent use.
@@ -260,7 +262,7 @@
 			}()
 		}
 	}
-	a.cfg.ObserveDuration("submit", a.cfg.Now().Sub(sub.receivedAt))
+	a.cfg.ObserveDuration(meter.Submissions, a.cfg.Now().Sub(sub.receivedAt))
 	return err
 }
 
--- a/acceptor/acceptor_test.go
+++ b/acceptor/acceptor_test.go
@@ -9,6 +9,8 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/endivefall/endivefall/meter"
+
 	qt "github.com/frankban/quicktest"
 	"go.uber.org/zap"
 
@@ -38,7 +40,7 @@
 		h := &harness{c: c, store: faker.NewStore()}
 		h.a = New(Config{
 			Store: h.store.Client(), Now: time.Now, WallClock: time.Now, Log: zap.NewNop(),
-			Count: func(string) {}, ObserveDuration: func(string, time.Duration) {},
+			Count: func(meter.Counter) {}, ObserveDuration: func(meter.Histogram, time.Duration) {},
 			BroadcastInDoubt: func([]string) {}, PeersConnected: func() bool { return !h.disconnected },
 			AskOwner: func(_ context.Context, query messenger.StateQuery) (messenger.StateReply, error) {
 				if h.owner == nil {
--- a/agent/agent.go
+++ b/agent/agent.go
@@ -141,7 +141,7 @@
 	server := &http.Server{Handler: a.routes(), ReadHeaderTimeout: headerTimeout, ErrorLog: zap.NewStdLog(a.cfg.Log)}
 	limits := limiter.Process{Memory: int64(s.Memory), Descriptors: s.Descriptors, Log: a.cfg.Log, Count: a.meter.Count, Gauge: a.meter.Set}
 	limits.SetMemoryLimit()
-	listener = limits.Group("health", limiter.Health()).Attach(server, listener)
+	listener = limits.Group(meter.Health, limiter.Health()).Attach(server, listener)
 	a.wg.Go(func() { _ = server.Serve(listener) })
 	if err := a.recoverTasks(ctx, workCtx); err != nil {
 		_ = server.Close()
--- a/agent/protect.go
+++ b/agent/protect.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"github.com/endivefall/endivefall/meter"
+
 	"go.uber.org/zap"
 
 	"github.com/endivefall/endivefall/protector"
@@ -84,16 +86,16 @@
 // updateGauges exports the agent's state as metrics.
 func (a *Agent) updateGauges() {
 	load, free := a.load(), a.reserver.Free()
-	a.meter.Gauge("requests_running").Update(float64(load.Running))
-	a.meter.Gauge("requests_waiting").Update(float64(load.Waiting))
-	a.meter.Gauge("grants").Update(float64(a.runner.HeldGrants()))
-	a.meter.Gauge("free_processors").Update(free.Processors)
-	a.meter.Gauge("free_memory").Update(float64(free.Memory))
+	a.meter.Set(meter.RequestsRunning, float64(load.Running))
+	a.meter.Set(meter.RequestsWaiting, float64(load.Waiting))
+	a.meter.Set(meter.HeldGrants, float64(a.runner.HeldGrants()))
+	a.meter.Set(meter.FreeProcessors, free.Processors)
+	a.meter.Set(meter.FreeMemory, float64(free.Memory))
 	pressure := 0.0
 	if a.underPressure() {
 		pressure = 1
 	}
-	a.meter.Gauge("tight").Update(pressure)
+	a.meter.Set(meter.Tight, pressure)
 }
 
 // protect executes one step of the controller: it passes on the interference
--- a/announcer/announcer.go
+++ b/announcer/announcer.go
@@ -13,6 +13,8 @@
 	"sync"
 	"time"
 
+	"github.com/endivefall/endivefall/meter"
+
 	"github.com/cespare/xxhash/v2"
 	"github.com/dgryski/go-rendezvous"
 	"go.uber.org/zap"
@@ -64,9 +66,6 @@
 	return e, nil
 }
 
-// unreadableCount counts registrations that can't be decoded.
-const unreadableCount = "unreadable_entry"
-
 // Config holds the settings and dependencies of an Announcer.
 type Config struct {
 	Self  Entry
@@ -77,7 +76,7 @@
 	// nil.
 	OnChange func([]Entry)
 	// Count increments the counter of a name; it may be nil.
-	Count func(name string)
+	Count func(c meter.Counter)
 }
 
 // Announcer registers one entry. It is safe for concurrent use.
@@ -100,7 +99,7 @@
 // New returns an Announcer that knows only its own entry.
 func New(cfg Config) *Announcer {
 	if cfg.Count == nil {
-		cfg.Count = func(string) {}
+		cfg.Count = func(meter.Counter) {}
 	}
 	return &Announcer{cfg: cfg, entries: map[string]Entry{cfg.Self.ID: cfg.Self}}
 }
@@ -244,7 +243,7 @@
 		e, err := decodeEntry(id, item.Value)
 		if err != nil && !item.Deleted {
 			a.cfg.Log.Warn("registration can't be decoded", zap.String("key", item.Key), zap.Error(err))
-			a.cfg.Count(unreadableCount)
+			a.cfg.Count(meter.UnreadableEntries)
 		}
 		switch {
 		case id == a.cfg.Self.ID:
--- a/announcer/announcer_test.go
+++ b/announcer/announcer_test.go
@@ -12,6 +12,8 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/endivefall/endivefall/meter"
+
 	qt "github.com/frankban/quicktest"
 	"go.uber.org/zap"
 
@@ -44,7 +46,7 @@
 		platform.ServeHTTP(w, r)
 		return w.Result(), r.Context().Err()
 	}})
-	return New(Config{Self: entryOf("self"), Store: store, Now: time.Now, Log: zap.NewNop(), Count: func(string) { *counted++ }})
+	return New(Config{Self: entryOf("self"), Store: store, Now: time.Now, Log: zap.NewNop(), Count: func(meter.Counter) { *counted++ }})
 }
 
 // The entry before stayed in force, or an address at which nothing can listen was dialled.
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -13,6 +13,8 @@
 	"sync"
 	"time"
 
+	"github.com/endivefall/endivefall/meter"
+
 	"github.com/google/uuid"
 	"go.uber.org/zap"
 
@@ -79,12 +81,12 @@
 	// WallClock is the time of day, time.Now when nil.
 	Now, WallClock  func() time.Time
 	Log             *zap.Logger
-	Count           func(name string)
-	ObserveDuration func(name string, d time.Duration)
+	Count           func(c meter.Counter)
+	ObserveDuration func(h meter.Histogram, d time.Duration)
 	// Gauge sets a gauge; it may be nil.
-	Gauge func(name string, value float64)
+	Gauge func(g meter.Gauge, value float64)
 	// Add increases a counter; nil if traffic is not counted.
-	Add func(name string, n int64)
+	Add func(c meter.Counter, n int64)
 	// TakeStoreBytes returns the bytes sent to and received from the store since the
 	// last call; nil if they are not counted.
 	TakeStoreBytes func() (sent, received int64)
@@ -147,7 +149,7 @@
 	c := &Coordinator{cfg: cfg, incarnation: uuid.NewString(), wake: make(chan struct{}, 1), links: map[*connector.Link]*orchestrator.AgentLink{}}
 	c.relayer = relayer.New(relayer.Config{
 		Store: cfg.Store, Limits: cfg.Limits, Peers: func() []netip.AddrPort { return c.elector.Peers() }, Client: cfg.Client,
-		Now: cfg.Now, Log: cfg.Log, Count: func(name string) { cfg.Count("store_" + name) },
+		Now: cfg.Now, Log: cfg.Log, Count: cfg.Count,
 	})
 	c.chronicler = chronicler.New(cfg.Now)
 	store := c.Store()
--- a/coordinator/entry_node_test.go
+++ b/coordinator/entry_node_test.go
@@ -39,7 +39,7 @@
 	e.coordinator = coordinator.New(coordinator.Config{
 		EvacuationBound: f.evacuationBound, Evacuations: func() evacuator.View { return evacuations() },
 		ID: name, PeerAddr: e.addr, Store: f.storeFor(name), MaxWorkerLease: maxWorkerLease, JobRetention: time.Hour, Now: time.Now, Log: f.log.With(zap.String("at", name)),
-		Count: func(string) {}, ObserveDuration: func(string, time.Duration) {},
+		Count: coordinator.SuiteMeter.Count, Gauge: coordinator.SuiteMeter.Set, ObserveDuration: coordinator.SuiteMeter.ObserveDuration,
 		Listen: func(string, string) (net.Listener, error) { return f.network.Listen(name, e.addr), nil },
 		Client: f.network.Client(name),
 	})
--- a/coordinator/ownership_test.go
+++ b/coordinator/ownership_test.go
@@ -69,7 +69,7 @@
 		addr := netip.MustParseAddrPort("10.0.0.1:1")
 		entry := New(Config{
 			ID: "entry", PeerAddr: addr, ListenAddr: addr, Store: store.Client(), MaxWorkerLease: 6 * time.Second, JobRetention: time.Hour,
-			Now: time.Now, Log: zap.NewNop(), Count: func(string) {}, ObserveDuration: func(string, time.Duration) {}, Client: network.Client("entry"),
+			Now: time.Now, Log: zap.NewNop(), Count: SuiteMeter.Count, Gauge: SuiteMeter.Set, ObserveDuration: SuiteMeter.ObserveDuration, Client: network.Client("entry"),
 			Listen: func(_, _ string) (net.Listener, error) { return network.Listen("entry", addr), nil },
 		})
 		ctx, cancel := context.WithCancel(context.Background())
--- a/coordinator/traffic.go
+++ b/coordinator/traffic.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/endivefall/endivefall/meter"
+
 	"go.uber.org/zap"
 )
 
@@ -18,16 +20,16 @@
 	fields := make([]zap.Field, 0, 2*len(kinds)+5)
 	for _, k := range kinds {
 		sent, received = sent+k.Sent, received+k.Received
-		c.cfg.Add("bytes_sent_"+k.Kind.String(), k.Sent)
-		c.cfg.Add("bytes_received_"+k.Kind.String(), k.Received)
+		c.cfg.Add(meter.BytesSent.Of(k.Kind.String()), k.Sent)
+		c.cfg.Add(meter.BytesReceived.Of(k.Kind.String()), k.Received)
 		fields = append(fields, zap.Int64(k.Kind.String()+"_sent", k.Sent), zap.Int64(k.Kind.String()+"_received", k.Received))
 	}
-	c.cfg.ObserveDuration("frame_wait", longestWait)
+	c.cfg.ObserveDuration(meter.FrameWait, longestWait)
 	fields = append(fields, zap.Int64("sent", sent), zap.Int64("received", received), zap.Duration("longest_wait", longestWait))
 	if c.cfg.TakeStoreBytes != nil {
 		sent, received := c.cfg.TakeStoreBytes()
-		c.cfg.Add("bytes_sent_store", sent)
-		c.cfg.Add("bytes_received_store", received)
+		c.cfg.Add(meter.BytesSent.Of("store"), sent)
+		c.cfg.Add(meter.BytesReceived.Of("store"), received)
 		fields = append(fields, zap.Int64("store_sent", sent), zap.Int64("store_received", received))
 	}
 	if c.IsOwner() {
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -318,11 +318,11 @@
 	defer d.mu.Unlock()
 	m := d.metrics[k]
 	if m == nil {
-		scope := d.cfg.Meter.Tagged(map[string]string{"team": k.team, "service": k.service})
+		count := func(c meter.Counter) tally.Counter { return d.cfg.Meter.CounterOf(c, k.team, k.service) }
 		m = &serviceMetrics{
-			latency: d.cfg.Meter.LatencyHistogram("call_latency", k.team, k.service),
-			done:    scope.Counter("calls_done"), notRun: scope.Counter("calls_not_run"),
-			unknown: scope.Counter("calls_unknown"), retry: scope.Counter("call_retries"),
+			latency: d.cfg.Meter.HistogramOf(meter.CallLatency, k.team, k.service),
+			done:    count(meter.CallsDone), notRun: count(meter.CallsNotRun),
+			unknown: count(meter.CallsUnknown), retry: count(meter.CallRetries),
 		}
 		d.metrics[k] = m
 	}
--- a/dispatcher/unread_test.go
+++ b/dispatcher/unread_test.go
@@ -10,6 +10,8 @@
 	"testing"
 	"time"
 
+	"github.com/endivefall/endivefall/meter"
+
 	qt "github.com/frankban/quicktest"
 
 	"github.com/endivefall/endivefall/limiter"
@@ -59,7 +61,7 @@
 	c.Assert(err, qt.IsNil)
 	share := limiter.Streams()
 	share.BodyTimeout = 20 * time.Millisecond
-	limited := limiter.Process{}.Group("test", share).Attach(server, listener)
+	limited := limiter.Process{}.Group(meter.Callers, share).Attach(server, listener)
 	go func() { _ = server.Serve(limited) }()
 	defer func() { _ = server.Close() }()
 	conn, err := net.Dial("tcp", listener.Addr().String())
--- a/elector/elector.go
+++ b/elector/elector.go
@@ -10,6 +10,8 @@
 	"sync"
 	"time"
 
+	"github.com/endivefall/endivefall/meter"
+
 	"go.uber.org/zap"
 
 	"github.com/endivefall/endivefall/estimator"
@@ -57,12 +59,6 @@
 	confirmInterval = 500 * time.Millisecond
 )
 
-// Counters of records that can't be decoded.
-const (
-	unreadableMemberCount = "unreadable_member"
-	unreadableOwnerCount  = "unreadable_owner"
-)
-
 // errReplaced means that another writer has replaced the live key of this entry.
 var errReplaced = errors.New("live key was replaced")
 
@@ -82,7 +78,7 @@
 	// one after every change.
 	OnChange func(OwnerRecord, []Member)
 	// Count increments the counter of a name; it may be nil.
-	Count func(name string)
+	Count func(c meter.Counter)
 }
 
 // Elector tracks the membership and claims ownership. It is safe for concurrent use.
@@ -145,7 +141,7 @@
 // New returns an Elector; Serve runs it.
 func New(cfg Config) *Elector {
 	if cfg.Count == nil {
-		cfg.Count = func(string) {}
+		cfg.Count = func(meter.Counter) {}
 	}
 	return &Elector{cfg: cfg, startedAt: cfg.Now(), members: map[string]Member{}, unreadable: map[string]bool{}, extensions: extensions{granted: map[string]grant{}, pings: map[string]ping{}}}
 }
@@ -263,7 +259,7 @@
 	r, err := decodeOwnerRecord(item.Value, item.Version)
 	if err != nil {
 		e.cfg.Log.Warn("cannot decode owner record", zap.Uint64("version", item.Version), zap.Error(err))
-		e.cfg.Count(unreadableOwnerCount)
+		e.cfg.Count(meter.UnreadableOwners)
 		r = OwnerRecord{Term: item.Version}
 	}
 	if r.Owner != e.record.Owner || r.Released != e.record.Released {
--- a/elector/extenders.go
+++ b/elector/extenders.go
@@ -7,6 +7,8 @@
 	"fmt"
 	"slices"
 
+	"github.com/endivefall/endivefall/meter"
+
 	"github.com/fxamacker/cbor/v2"
 	"go.uber.org/zap"
 
@@ -17,9 +19,6 @@
 // owner key, the owner each time the membership has changed.
 const extendersKey = livePrefix + "extenders"
 
-// unreadableExtendersCount counts lists of extenders that can't be decoded.
-const unreadableExtendersCount = "unreadable_extenders"
-
 // extenders lists the processes that the owner of a term asks before it acts on an old
 // confirmation. It asks a process until the store has a list without it, so that the claim of a
 // listed one may rely on having been asked, whatever became of its live key since.
@@ -82,7 +81,7 @@
 	list, err := decodeExtenders(item.Value, item.Version)
 	if err != nil {
 		e.cfg.Log.Warn("cannot decode the list of extenders", zap.Uint64("version", item.Version), zap.Error(err))
-		e.cfg.Count(unreadableExtendersCount)
+		e.cfg.Count(meter.UnreadableExtenders)
 	}
 	x.list = list
 }
--- a/elector/members.go
+++ b/elector/members.go
@@ -7,6 +7,8 @@
 	"strings"
 	"time"
 
+	"github.com/endivefall/endivefall/meter"
+
 	"github.com/fxamacker/cbor/v2"
 	"go.uber.org/zap"
 
@@ -169,7 +171,7 @@
 		m, err := decodeMember(id, item.Value)
 		if err != nil {
 			e.cfg.Log.Warn("cannot decode live key", zap.String("key", item.Key), zap.Error(err))
-			e.cfg.Count(unreadableMemberCount)
+			e.cfg.Count(meter.UnreadableMembers)
 			e.unreadable[id] = true
 			continue
 		}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -116,7 +116,7 @@
 	if err == nil || errors.Is(err, storer.ErrNotFound) || errors.Is(err, storer.ErrConflict) {
 		result = "ok" // the store replied
 	}
-	e.meter.Tagged(map[string]string{"call": call, "result": result}).Counter("store_calls").Inc(1)
+	e.meter.CounterOf(meter.CallsToStore, call, result).Inc(1)
 }
 
 // toLocalTime returns a lower bound of the local time at which the platform's
@@ -147,7 +147,7 @@
 	defer stopWork()
 	limits := limiter.Process{Memory: int64(s.Memory), Descriptors: s.Descriptors, Log: e.cfg.Log, Count: e.meter.Count, Gauge: e.meter.Set}
 	limits.SetMemoryLimit()
-	e.callerLimits = limits.Group("callers", limiter.Streams())
+	e.callerLimits = limits.Group(meter.Callers, limiter.Streams())
 	callerServer := &http.Server{
 		Handler: e.routes(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader,
 		ErrorLog: zap.NewStdLog(e.cfg.Log),
@@ -157,7 +157,7 @@
 		ErrorLog: zap.NewStdLog(e.cfg.Log),
 	}
 	callerListener = e.callerLimits.Attach(callerServer, callerListener)
-	peerListener = limits.Group("peers", limiter.Peers()).Attach(peerServer, peerListener)
+	peerListener = limits.Group(meter.Peers, limiter.Peers()).Attach(peerServer, peerListener)
 	e.wg.Go(func() { _ = peerServer.Serve(peerListener) })
 	e.wg.Go(func() { _ = callerServer.Serve(callerListener) })
 	e.wg.Go(func() { e.announcer.Serve(workCtx) })
--- a/entry/gauges.go
+++ b/entry/gauges.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/endivefall/endivefall/meter"
+
 	"github.com/endivefall/endivefall/waiter"
 )
 
@@ -13,19 +15,19 @@
 // gaugeLoop exports the entry's state as metrics.
 func (e *Entry) gaugeLoop(ctx context.Context) {
 	waiter.Every(ctx, gaugeInterval, func() {
-		e.meter.Gauge("requests_inside").Update(float64(e.dispatcher.InFlight()))
-		e.meter.Gauge("links").Update(float64(len(e.connector.Links())))
+		e.meter.Set(meter.RequestsInside, float64(e.dispatcher.InFlight()))
+		e.meter.Set(meter.Links, float64(len(e.connector.Links())))
 		synced := 0.0
 		if e.announcer.Synced() {
 			synced = 1
 		}
-		e.meter.Gauge("store_settled").Update(synced)
+		e.meter.Set(meter.StoreSettled, synced)
 		if s := e.scheduler.Load(); s != nil {
 			stats := s.Stats()
-			e.meter.Gauge("ledger_shards").Update(float64(stats.Shards))
-			e.meter.Gauge("ledger_commits").Update(float64(stats.Commits))
-			e.meter.Gauge("ledger_changes").Update(float64(stats.Changes))
-			e.meter.Gauge("ledger_bytes").Update(float64(stats.Bytes))
+			e.meter.Set(meter.LedgerShards, float64(stats.Shards))
+			e.meter.Set(meter.LedgerCommits, float64(stats.Commits))
+			e.meter.Set(meter.LedgerChanges, float64(stats.Changes))
+			e.meter.Set(meter.LedgerBytes, float64(stats.Bytes))
 		}
 	})
 }
--- a/limiter/group.go
+++ b/limiter/group.go
@@ -9,6 +9,8 @@
 	"sync"
 	"time"
 
+	"github.com/endivefall/endivefall/meter"
+
 	"go.uber.org/zap"
 	"golang.org/x/sync/semaphore"
 	"golang.org/x/time/rate"
@@ -42,8 +44,8 @@
 
 // GroupConfig configures a Group.
 type GroupConfig struct {
-	// Name is the prefix of the metrics.
-	Name string
+	// Metrics has the metrics of the listener, and its name.
+	Metrics meter.Listener
 	// Conns is the most connections that are open at once.
 	Conns int
 	// BodyBytes bounds the bytes of large bodies that are kept while they arrive, DecodeBytes the
@@ -57,9 +59,9 @@
 	BodyTimeout time.Duration
 	MinRate     int
 	Log         *zap.Logger
-	Count       func(name string)
+	Count       func(c meter.Counter)
 	// Gauge sets a gauge. It must not block nor use the Group.
-	Gauge func(name string, value float64)
+	Gauge func(g meter.Gauge, value float64)
 }
 
 // Group limits the connections and bodies of one listener. It is safe for concurrent use. A nil
@@ -230,7 +232,7 @@
 		p.account = g.bodies.Begin(now, evict)
 	}
 	ended, ok := g.bodies.Charge(p.account, n, now)
-	g.gauge("body_bytes", float64(g.bodies.Used()))
+	g.gauge(g.cfg.Metrics.BodyBytes, float64(g.bodies.Used()))
 	g.mu.Unlock()
 	for _, body := range ended {
 		g.note("body_closed")
@@ -252,14 +254,14 @@
 	defer g.mu.Unlock()
 	g.bodies.End(p.account)
 	p.account = nil
-	g.gauge("body_bytes", float64(g.bodies.Used()))
+	g.gauge(g.cfg.Metrics.BodyBytes, float64(g.bodies.Used()))
 }
 
 // add adds a connection and reports whether it may stay open.
 func (g *Group) add(conn *Conn) bool {
 	g.mu.Lock()
 	victim, ok := g.conns.Add(conn)
-	g.gauge("connections", float64(g.conns.Open()))
+	g.gauge(g.cfg.Metrics.Connections, float64(g.conns.Open()))
 	g.mu.Unlock()
 	if victim != nil {
 		g.note("connection_closed")
@@ -275,7 +277,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.conns.Remove(conn)
-	g.gauge("connections", float64(g.conns.Open()))
+	g.gauge(g.cfg.Metrics.Connections, float64(g.conns.Open()))
 }
 
 // serve notes that the request of a connection is complete. It returns false if the connection was
@@ -289,7 +291,7 @@
 // note counts that a limit was met, and logs it from time to time.
 func (g *Group) note(cause string) {
 	if g.cfg.Count != nil {
-		g.cfg.Count(g.cfg.Name + "_" + cause)
+		g.cfg.Count(g.cfg.Metrics.Shed.Of(cause))
 	}
 	if g.cfg.Log == nil {
 		return
@@ -303,15 +305,15 @@
 	}
 	n.times++
 	n.sometimes.Do(func() {
-		g.cfg.Log.Warn("limit met", zap.String("listener", g.cfg.Name), zap.String("cause", cause), zap.Int("times", n.times),
+		g.cfg.Log.Warn("limit met", zap.String("listener", g.cfg.Metrics.Name), zap.String("cause", cause), zap.Int("times", n.times),
 			zap.Int("connections", g.conns.Open()), zap.Int64("body_bytes", g.bodies.Used()))
 		n.times = 0
 	})
 }
 
 // gauge sets a gauge. The lock is held, so that a value does not replace a later one.
-func (g *Group) gauge(name string, value float64) {
+func (g *Group) gauge(metric meter.Gauge, value float64) {
 	if g.cfg.Gauge != nil {
-		g.cfg.Gauge(g.cfg.Name+"_"+name, value)
+		g.cfg.Gauge(metric, value)
 	}
 }
--- a/limiter/group_test.go
+++ b/limiter/group_test.go
@@ -12,6 +12,8 @@
 	"testing"
 	"time"
 
+	"github.com/endivefall/endivefall/meter"
+
 	qt "github.com/frankban/quicktest"
 )
 
@@ -33,7 +35,7 @@
 	if cfg.BodyTimeout == 0 {
 		cfg.BodyTimeout = testWait
 	}
-	cfg.Name, cfg.MinRate = "test", 1<<20
+	cfg.Metrics, cfg.MinRate = meter.Callers, 1<<20
 	s.group = NewGroup(cfg)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	s.c.Assert(err, qt.IsNil)
@@ -261,7 +263,7 @@
 func TestLegalClientFitsIntoSmallestInstances(t *testing.T) {
 	c := qt.New(t)
 	const clients, largest = 64, 262_144
-	g := Process{Memory: 184_000_000, Descriptors: 4100}.Group("callers", Submissions())
+	g := Process{Memory: 184_000_000, Descriptors: 4100}.Group(meter.Callers, Submissions())
 	c.Assert(g.cfg.Conns >= 2*clients, qt.IsTrue)
 	now := at(0)
 	for range clients {
--- a/limiter/process.go
+++ b/limiter/process.go
@@ -4,6 +4,8 @@
 	"runtime/debug"
 	"syscall"
 
+	"github.com/endivefall/endivefall/meter"
+
 	"go.uber.org/zap"
 )
 
@@ -29,8 +31,8 @@
 	Memory      int64
 	Descriptors int
 	Log         *zap.Logger
-	Count       func(name string)
-	Gauge       func(name string, value float64)
+	Count       func(c meter.Counter)
+	Gauge       func(g meter.Gauge, value float64)
 }
 
 // SetMemoryLimit makes the Go runtime collect garbage more often when the process comes near to
@@ -42,7 +44,7 @@
 }
 
 // Group returns the limits of a listener that has a share of the process.
-func (p Process) Group(name string, s Share) *Group {
+func (p Process) Group(metrics meter.Listener, s Share) *Group {
 	memory, descriptors := p.Memory, p.Descriptors
 	if memory <= 0 {
 		memory = defaultMemory
@@ -53,7 +55,7 @@
 	of := func(share float64) int64 { return int64(share * float64(memory)) }
 	conns := min(int64(s.Descriptors*float64(descriptors)), of(s.ConnMemory)/s.ConnBytes)
 	return NewGroup(GroupConfig{
-		Name: name, Conns: int(max(conns, minConns)), BodyBytes: of(s.Bodies), DecodeBytes: of(s.Decoding),
+		Metrics: metrics, Conns: int(max(conns, minConns)), BodyBytes: of(s.Bodies), DecodeBytes: of(s.Decoding),
 		MaxBody: s.MaxBody, BodyTimeout: s.BodyTimeout, MinRate: s.MinRate, Log: p.Log, Count: p.Count, Gauge: p.Gauge,
 	})
 }
--- a/limiter/signals_test.go
+++ b/limiter/signals_test.go
@@ -8,6 +8,8 @@
 	"testing"
 	"time"
 
+	"github.com/endivefall/endivefall/meter"
+
 	qt "github.com/frankban/quicktest"
 )
 
@@ -16,19 +18,19 @@
 func TestGaugesAreSetInOrder(t *testing.T) {
 	c := qt.New(t)
 	var g *Group
-	set := map[string]int{}
-	g = NewGroup(GroupConfig{Conns: 2, BodyBytes: 1 << 20, DecodeBytes: 1 << 20, Gauge: func(name string, _ float64) {
-		set[name]++
+	set := map[meter.Gauge]int{}
+	g = NewGroup(GroupConfig{Metrics: meter.Callers, Conns: 2, BodyBytes: 1 << 20, DecodeBytes: 1 << 20, Gauge: func(metric meter.Gauge, _ float64) {
+		set[metric]++
 		if g.mu.TryLock() {
 			g.mu.Unlock()
-			c.Errorf("%s is set without the lock", name)
+			c.Errorf("%s is set without the lock", metric.Name())
 		}
 	}})
 	conn := &Conn{group: g}
 	g.add(conn)
 	g.remove(conn)
 	readLarge(c, g).Release()
-	c.Assert(set, qt.DeepEquals, map[string]int{"_connections": 2, "_body_bytes": 2})
+	c.Assert(set, qt.DeepEquals, map[meter.Gauge]int{meter.Callers.Connections: 2, meter.Callers.BodyBytes: 2})
 }
 
 // TestOnlyDeadlinesCountAsBusy guards against callers that have gone being counted as rejected for
@@ -49,15 +51,15 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			c := qt.New(t)
-			var counts []string
-			g := NewGroup(GroupConfig{Name: "g", BodyBytes: 1 << 20, DecodeBytes: 1 << 10, Count: func(name string) { counts = append(counts, name) }})
+			var counts []meter.Counter
+			g := NewGroup(GroupConfig{Metrics: meter.Callers, BodyBytes: 1 << 20, DecodeBytes: 1 << 10, Count: func(counter meter.Counter) { counts = append(counts, counter) }})
 			first, second := readLarge(c, g), readLarge(c, g)
 			keep := func([]byte) error { return nil }
 			c.Assert(first.Decode(context.Background(), keep), qt.IsNil)
 			ctx, cancel := tc.end()
 			defer cancel()
 			c.Assert(second.Decode(ctx, keep), qt.ErrorIs, ErrBusy)
-			c.Assert(slices.Contains(counts, "g_decode_busy"), qt.Equals, tc.want)
+			c.Assert(slices.Contains(counts, meter.Callers.Shed.Of("decode_busy")), qt.Equals, tc.want)
 		})
 	}
 }
--- a/orchestrator/config.go
+++ b/orchestrator/config.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/endivefall/endivefall/meter"
+
 	"go.uber.org/zap"
 
 	"github.com/endivefall/endivefall/evacuator"
@@ -81,7 +83,7 @@
 	HasStandby func() bool
 	Log        *zap.Logger
 	// Count, Gauge and ObserveDuration record metrics; Gauge may be nil.
-	Count           func(name string)
-	Gauge           func(name string, value float64)
-	ObserveDuration func(name string, d time.Duration)
+	Count           func(c meter.Counter)
+	Gauge           func(g meter.Gauge, value float64)
+	ObserveDuration func(h meter.Histogram, d time.Duration)
 }
--- a/orchestrator/corrections_test.go
+++ b/orchestrator/corrections_test.go
@@ -4,6 +4,8 @@
 	"testing"
 	"time"
 
+	"github.com/endivefall/endivefall/meter"
+
 	qt "github.com/frankban/quicktest"
 
 	"github.com/endivefall/endivefall/messenger"
@@ -58,11 +60,11 @@
 	s.BestEffort, s.Memory, s.Estimate = true, 16000, 400*time.Millisecond
 	h.submit(sequencer.Spec{Steps: []sequencer.Step{s}, StretchFactor: 2})
 	h.o.place()
-	c.Check(h.gauges["waiting_jobs_filling"], qt.Equals, 1.0)
+	c.Check(h.gauges[meter.WaitingJobs.Of("filling")], qt.Equals, 1.0)
 	h.reportRunning("a0", 10)
 	h.now = h.now.Add(3 * time.Second)
 	h.reportRunning("a0", 20)
 	h.o.place()
-	c.Check(h.gauges["waiting_jobs_filling"], qt.Equals, 0.0)
-	c.Check(h.gauges["waiting_jobs_worthless"], qt.Equals, 1.0)
+	c.Check(h.gauges[meter.WaitingJobs.Of("filling")], qt.Equals, 0.0)
+	c.Check(h.gauges[meter.WaitingJobs.Of("worthless")], qt.Equals, 1.0)
 }
--- a/orchestrator/crash.go
+++ b/orchestrator/crash.go
@@ -5,6 +5,8 @@
 	"strings"
 	"time"
 
+	"github.com/endivefall/endivefall/meter"
+
 	"go.uber.org/zap"
 
 	"github.com/endivefall/endivefall/messenger"
@@ -55,7 +57,7 @@
 	for _, end := range lost[:min(len(lost), maxLoggedSuspects)] {
 		newest = append(newest, end.Task+"="+end.Crash.MinWorked().Round(time.Millisecond).String())
 	}
-	o.cfg.Count("crash")
+	o.cfg.Count(meter.Crashes)
 	o.cfg.Log.Warn("worker crashed", zap.String("agent", a.id), zap.String("worker", worker), zap.Int("runs", len(lost)), zap.String("newest", strings.Join(newest, ",")),
 		zap.Duration("silent", lost[0].Crash.LostAt.Sub(lost[0].Crash.AliveAt)))
 }
@@ -93,7 +95,7 @@
 					member.FailedWorkers = append(member.FailedWorkers, a.id)
 				}
 			}
-			o.cfg.Count("suspect")
+			o.cfg.Count(meter.Suspects)
 			o.cfg.Log.Info("task may have crashed its worker", zap.String("task", end.Task), zap.Uint64("attempt", end.Attempt), zap.String("worker", end.Crash.Worker),
 				zap.Duration("worked", end.Crash.MinWorked()), zap.Float64("odds_before", float64(lost[n].Odds)), zap.Float64("odds", t.CrashOdds), zap.Int("crashes", len(t.Crashes)), zap.Int("lost", len(lost)))
 		}
@@ -160,7 +162,7 @@
 		workers, attempts = append(workers, crash.Instance+"/"+crash.Worker), append(attempts, crash.Attempt)
 	}
 	j.Failed = true
-	o.cfg.Count("crashing_job")
+	o.cfg.Count(meter.CrashingJobs)
 	o.cfg.Log.Warn("job failed", zap.String("job", j.Spec.ID), zap.String("task", t.Name()), zap.String("why", "its workers crashed soon after the task started there"),
 		zap.Uint64s("attempts", attempts), zap.Strings("crashed", workers), zap.Float64("odds", t.CrashOdds))
 	o.closeJob(j)
--- a/orchestrator/ends.go
+++ b/orchestrator/ends.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/endivefall/endivefall/meter"
+
 	"go.uber.org/zap"
 
 	"github.com/endivefall/endivefall/messenger"
@@ -70,12 +72,12 @@
 	}
 	o.cfg.Log.Info("run ended", zap.String("task", end.Task), zap.Uint64("attempt", end.Attempt), zap.Stringer("how", end.Status),
 		zap.String("reason", end.Reason), zap.String("agent", r.agent.id), zap.Duration("ran", now.Sub(r.startedAt)), zap.Int("percent", r.progressPercent))
-	o.cfg.Count("end_" + end.Status.String())
+	o.cfg.Count(meter.RunEnds.Of(end.Status.String()))
 	if end.Crash == nil {
 		clearSuspicion(r, end.Status == messenger.EndDone || end.Status == messenger.EndFailed)
 	}
 	if end.Status == messenger.EndDone {
-		o.cfg.ObserveDuration("run", now.Sub(r.startedAt))
+		o.cfg.ObserveDuration(meter.RunTimes, now.Sub(r.startedAt))
 		r.agent.health.recordSuccess()
 		o.learnSpeed(r, now)
 		o.learnTime(r, now)
--- a/orchestrator/evacuation.go
+++ b/orchestrator/evacuation.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/endivefall/endivefall/meter"
+
 	"go.uber.org/zap"
 
 	"github.com/endivefall/endivefall/estimator"
@@ -10,17 +12,6 @@
 	"github.com/endivefall/endivefall/messenger"
 )
 
-// refusedStartCount counts starts that were dropped as their domain was evacuated, or might have
-// been.
-const refusedStartCount = "refused_start"
-
-const (
-	// evacuatedDomainsGauge is the number of evacuated domains.
-	evacuatedDomainsGauge = "evacuated_domains"
-	// evacuatingRunsGauge is the number of runs on workers in evacuated domains.
-	evacuatingRunsGauge = "evacuating_runs"
-)
-
 // startRefusal returns why no task may start in the domain of an agent's worker now.
 func (o *Orchestrator) startRefusal(a *agent) evacuator.Refusal {
 	domain := ""
@@ -72,7 +63,7 @@
 
 // refuseStart ends a run whose start was not sent.
 func (o *Orchestrator) refuseStart(r *run) {
-	o.cfg.Count(refusedStartCount)
+	o.cfg.Count(meter.RefusedStarts)
 	o.endRun(r, messenger.RunEnd{Task: r.key.task, Attempt: r.key.attempt, Status: messenger.EndNotStarted, Reason: "its domain is evacuated, or may be"})
 }
 
@@ -88,8 +79,8 @@
 		o.withdrawStarts(a)
 		runs += len(a.runs)
 	}
-	o.cfg.Gauge(evacuatedDomainsGauge, float64(view.Len()))
-	o.cfg.Gauge(evacuatingRunsGauge, float64(runs))
+	o.cfg.Gauge(meter.EvacuatedDomains, float64(view.Len()))
+	o.cfg.Gauge(meter.EvacuatingRuns, float64(runs))
 }
 
 // withdrawStarts drops the starts for an agent that were not sent, stops the runs that its worker
@@ -98,12 +89,12 @@
 	for _, r := range o.runsOf(a) {
 		switch {
 		case o.granting[r]:
-			o.cfg.Count(refusedStartCount)
+			o.cfg.Count(meter.RefusedStarts)
 			o.dropGrant(r, "its domain is evacuated")
 		case r.link != nil && r.seq == notSent:
 			o.refuseStart(r) // its command in the outbox is obsolete
 		case r.phase == messenger.PhaseStarting && !r.evict && o.ownershipCurrent():
-			o.cfg.Count(refusedStartCount)
+			o.cfg.Count(meter.RefusedStarts)
 			o.stopRun(r, "its domain is evacuated, and it has not begun")
 		}
 	}
--- a/orchestrator/evacuation_moves.go
+++ b/orchestrator/evacuation_moves.go
@@ -5,6 +5,8 @@
 	"strings"
 	"time"
 
+	"github.com/endivefall/endivefall/meter"
+
 	"go.uber.org/zap"
 
 	"github.com/endivefall/endivefall/allocator"
@@ -127,7 +129,7 @@
 	}
 	o.cfg.Log.Info("run leaves an evacuated domain", zap.String("task", r.key.task), zap.String("domain", r.agent.snapshot.Domain), zap.String("from", r.agent.id), zap.String("to", to.ID), zap.Int("percent", r.progressPercent))
 	o.moveRun(r, to.ID, "its domain is evacuated")
-	o.cfg.Count("evacuated")
+	o.cfg.Count(meter.Evacuated)
 	return ""
 }
 
--- a/orchestrator/evacuation_test.go
+++ b/orchestrator/evacuation_test.go
@@ -6,6 +6,8 @@
 	"testing"
 	"time"
 
+	"github.com/endivefall/endivefall/meter"
+
 	qt "github.com/frankban/quicktest"
 	"go.uber.org/zap"
 	"go.uber.org/zap/zaptest/observer"
@@ -116,7 +118,7 @@
 	h.reportRunning("a0", 0) // confirms the earlier commands
 	c.Check(h.commands("a0"), qt.HasLen, 0)
 	c.Check(h.o.runs, qt.HasLen, 0)
-	c.Check(h.counts[refusedStartCount], qt.Equals, 2)
+	c.Check(h.counts[meter.RefusedStarts], qt.Equals, 2)
 }
 
 // TestAQueuedStartIsNotSentWithAnOldView guards against starts that wait in the outbox while the
@@ -223,9 +225,9 @@
 	h.reportRunning("a0", 50)
 	h.reportRunning("a1", 50)
 	evacuate("z1", "elsewhere")
-	c.Check([]float64{h.gauges[evacuatedDomainsGauge], h.gauges[evacuatingRunsGauge]}, qt.DeepEquals, []float64{2, 1})
+	c.Check([]float64{h.gauges[meter.EvacuatedDomains], h.gauges[meter.EvacuatingRuns]}, qt.DeepEquals, []float64{2, 1})
 	evacuate()
-	c.Check([]float64{h.gauges[evacuatedDomainsGauge], h.gauges[evacuatingRunsGauge]}, qt.DeepEquals, []float64{0, 0})
+	c.Check([]float64{h.gauges[meter.EvacuatedDomains], h.gauges[meter.EvacuatingRuns]}, qt.DeepEquals, []float64{0, 0})
 }
 
 // TestADomainWithoutAWorkerIsLoggedOnce guards against a mistaken name that nobody notices, and
--- a/orchestrator/evict.go
+++ b/orchestrator/evict.go
@@ -5,6 +5,8 @@
 	"strings"
 	"time"
 
+	"github.com/endivefall/endivefall/meter"
+
 	"github.com/endivefall/endivefall/allocator"
 	"github.com/endivefall/endivefall/apportioner"
 	"github.com/endivefall/endivefall/messenger"
@@ -51,7 +53,7 @@
 		}
 		if fits {
 			o.moveRun(r, candidate.ID, "worker is draining")
-			o.cfg.Count("evacuated")
+			o.cfg.Count(meter.Evacuated)
 			return
 		}
 	}
@@ -145,7 +147,7 @@
 		}
 	}
 	for _, r := range victims {
-		o.cfg.Count("preempted")
+		o.cfg.Count(meter.Preempted)
 		o.stopFor(r, stopForTask, "preempted by "+t.Name())
 	}
 }
--- a/orchestrator/grant.go
+++ b/orchestrator/grant.go
@@ -5,6 +5,8 @@
 	"slices"
 	"time"
 
+	"github.com/endivefall/endivefall/meter"
+
 	"go.uber.org/zap"
 
 	"github.com/endivefall/endivefall/sequencer"
@@ -97,7 +99,7 @@
 	t.Agent = a.id
 	delete(o.claims, t)
 	o.writeGrant(t, j)
-	o.cfg.Count("grant")
+	o.cfg.Count(meter.Grants)
 }
 
 // writeGrant queues the agent of a task for writing at once.
@@ -143,7 +145,7 @@
 		return
 	}
 	delete(o.granting, r)
-	o.cfg.ObserveDuration("grant_wait", now.Sub(r.startedAt))
+	o.cfg.ObserveDuration(meter.GrantWait, now.Sub(r.startedAt))
 	r.startedAt = now
 	o.sendStart(r)
 }
@@ -152,7 +154,7 @@
 func (o *Orchestrator) dropGrant(r *run, reason string) {
 	o.removeRun(r)
 	o.planDue = true
-	o.cfg.Count("grant_dropped")
+	o.cfg.Count(meter.DroppedGrants)
 	o.cfg.Log.Info("start dropped before it was sent", zap.String("task", r.key.task), zap.Uint64("attempt", r.key.attempt), zap.String("agent", r.agent.id),
 		zap.String("why", reason), zap.Duration("granting", o.cfg.Now().Sub(r.startedAt)))
 }
--- a/orchestrator/grant_test.go
+++ b/orchestrator/grant_test.go
@@ -1,9 +1,12 @@
 package orchestrator
 
 import (
+	"strings"
 	"testing"
 	"time"
 
+	"github.com/endivefall/endivefall/meter"
+
 	qt "github.com/frankban/quicktest"
 
 	"github.com/endivefall/endivefall/messenger"
@@ -66,14 +69,14 @@
 func TestAGrantIsCountedAndTimedUnderDifferentNames(t *testing.T) {
 	c := qt.New(t)
 	h, _ := newGrantHarness(c, 1)
-	var timed []string
-	h.o.cfg.ObserveDuration = func(name string, _ time.Duration) { timed = append(timed, name) }
 	h.o.place()
 	h.commitBatch(50)
-	c.Check(h.counts["grant"], qt.Equals, 1)
-	c.Assert(timed, qt.Not(qt.HasLen), 0)
-	for _, name := range timed {
-		c.Check(h.counts[name], qt.Equals, 0, qt.Commentf(name))
+	c.Check(h.counts[meter.Grants], qt.Equals, 1)
+	c.Check(h.durations[meter.GrantWait], qt.Equals, 1)
+	for timed := range h.durations {
+		for counted := range h.counts {
+			c.Check(counted.Name(), qt.Not(qt.Equals), timed.Name())
+		}
 	}
 }
 
@@ -221,5 +224,7 @@
 	h.o.expireLease(a, h.now)
 	c.Check(h.o.granting, qt.HasLen, 0)
 	c.Check(task.WaitingSince, qt.Equals, since)
-	c.Check(h.counts["end_lease_expired"], qt.Equals, 0)
+	for counted := range h.counts {
+		c.Check(strings.HasPrefix(counted.Name(), "end_"), qt.IsFalse, qt.Commentf(counted.Name()))
+	}
 }
--- a/orchestrator/harness_test.go
+++ b/orchestrator/harness_test.go
@@ -34,9 +34,10 @@
 	// unconfirmed is set while workers confirm no run before they crash.
 	unconfirmed bool
 	// gauges has the last values of the owner's gauges.
-	gauges map[string]float64
+	gauges map[meter.Gauge]float64
 	// counts has the owner's counters, durations how often each of its histograms was recorded.
-	counts, durations map[string]int
+	counts    map[meter.Counter]int
+	durations map[meter.Histogram]int
 }
 
 // suiteMeter is a meter as in production, which refuses what a process may not record. One for all
@@ -44,23 +45,23 @@
 var suiteMeter = meter.New("suite", zap.NewNop())
 
 func newHarness(c *qt.C, agents int) *harness {
-	h := &harness{c: c, now: time.Unix(5000, 0), sent: map[string][]messenger.Frame{}, sendErrors: map[string]error{}, store: faker.NewStore(), gauges: map[string]float64{}, counts: map[string]int{}, durations: map[string]int{}}
+	h := &harness{c: c, now: time.Unix(5000, 0), sent: map[string][]messenger.Frame{}, sendErrors: map[string]error{}, store: faker.NewStore(), gauges: map[meter.Gauge]float64{}, counts: map[meter.Counter]int{}, durations: map[meter.Histogram]int{}}
 	h.o = New(Config{
 		Term: 1, Epoch: 10, OwnerKey: "owner", Store: h.store.Client(),
 		Now: func() time.Time { return h.now }, WallClock: func() time.Time { return h.now },
 		LeaseDuration: 5800 * time.Millisecond, UnextendedTTL: 2 * time.Second, ConfirmationTTL: 10 * time.Second, ConfirmationExtended: func() bool { return true }, ExtendedForAnyAgent: func() bool { return true }, JobRetention: time.Hour,
 		OwnershipConfirmedAt: func() time.Time { return h.now }, HasStandby: func() bool { return true },
-		Log: zap.NewNop(), Count: func(name string) {
-			suiteMeter.Count(name)
-			h.counts[name]++
+		Log: zap.NewNop(), Count: func(counter meter.Counter) {
+			suiteMeter.Count(counter)
+			h.counts[counter]++
 		},
-		ObserveDuration: func(name string, d time.Duration) {
-			suiteMeter.ObserveDuration(name, d)
-			h.durations[name]++
+		ObserveDuration: func(histogram meter.Histogram, d time.Duration) {
+			suiteMeter.ObserveDuration(histogram, d)
+			h.durations[histogram]++
 		},
-		Gauge: func(name string, value float64) {
-			suiteMeter.Set(name, value)
-			h.gauges[name] = value
+		Gauge: func(g meter.Gauge, value float64) {
+			suiteMeter.Set(g, value)
+			h.gauges[g] = value
 		},
 	})
 	c.Cleanup(func() { c.Check(suiteMeter.Refused(), qt.HasLen, 0) })
--- a/orchestrator/interference_test.go
+++ b/orchestrator/interference_test.go
@@ -4,6 +4,8 @@
 	"testing"
 	"time"
 
+	"github.com/endivefall/endivefall/meter"
+
 	qt "github.com/frankban/quicktest"
 	"go.uber.org/zap"
 	"go.uber.org/zap/zaptest/observer"
@@ -90,8 +92,8 @@
 	h, _ := newInterferenceHarness(c)
 	core, logs := observer.New(zap.InfoLevel)
 	h.o.cfg.Log = zap.New(core)
-	gauges := map[string]float64{}
-	h.o.cfg.Gauge = func(name string, value float64) { gauges[name] = value }
+	gauges := map[meter.Gauge]float64{}
+	h.o.cfg.Gauge = func(g meter.Gauge, value float64) { gauges[g] = value }
 	s := step(1, 4000)
 	s.BestEffort, s.Image = true, "heavy"
 	j := h.submit(sequencer.Spec{Steps: []sequencer.Step{s}})
@@ -103,5 +105,5 @@
 	lines := logs.FilterMessage("task waits").All()
 	c.Assert(lines, qt.HasLen, 1)
 	c.Check(lines[0].ContextMap()["lack_headroom"], qt.Equals, int64(1))
-	c.Check(gauges[headroomShortageGauge], qt.Equals, 1.0)
+	c.Check(gauges[meter.HeadroomShortage], qt.Equals, 1.0)
 }
--- a/orchestrator/locality.go
+++ b/orchestrator/locality.go
@@ -4,6 +4,8 @@
 	"slices"
 	"time"
 
+	"github.com/endivefall/endivefall/meter"
+
 	"go.uber.org/zap"
 
 	"github.com/endivefall/endivefall/allocator"
@@ -11,9 +13,6 @@
 	"github.com/endivefall/endivefall/sequencer"
 )
 
-// rackWaitsGauge is the number of steps that wait for a place in their rack.
-const rackWaitsGauge = "rack_waits"
-
 // beginLocality begins a round of placement for the decisions about racks, if it is known how much
 // longer tasks take outside of theirs.
 func (o *Orchestrator) beginLocality(byPool map[string][]*allocator.Candidate, now time.Time) {
@@ -28,7 +27,7 @@
 		o.delayers[pool].Begin(candidates, now)
 		waits += o.delayers[pool].Waiting()
 	}
-	o.cfg.Gauge(rackWaitsGauge, float64(waits))
+	o.cfg.Gauge(meter.RackWaits, float64(waits))
 }
 
 // waitsForRack reports whether the first of some waiting tasks of a job, for which the best candidate was
@@ -100,11 +99,11 @@
 		Task: t, Count: count, Places: places, Runs: o.runsForDelayer, Now: now, Wall: o.cfg.WallClock(),
 	})
 	if !decision.Wait {
-		o.cfg.Count("rack_away_" + string(decision.Reason))
+		o.cfg.Count(meter.RackAway.Of(string(decision.Reason)))
 		return false
 	}
 	if decision.First {
-		o.cfg.Count("rack_wait")
+		o.cfg.Count(meter.RackWaitsBegun)
 		o.cfg.Log.Info("step waits for its rack", zap.String("step", t.StepName()), zap.String("rack", t.StepSpec().PreferredRack), zap.Int("tasks", count),
 			zap.Duration("expected", decision.Expected), zap.Float64("gain", decision.Gain), zap.Duration("at_most", decision.Until.Sub(now)))
 	}
@@ -140,18 +139,16 @@
 		return
 	}
 	waited, ended := d.Started(t, near, now)
-	outcome := "unpaid"
+	starts, waits, times := meter.RackStartsAway, meter.RackWaitsUnpaid, meter.RackWaitUnpaidTime
 	if near {
-		outcome = "paid"
-		o.cfg.Count("rack_start_near")
-	} else {
-		o.cfg.Count("rack_start_away")
+		starts, waits, times = meter.RackStartsNear, meter.RackWaitsPaid, meter.RackWaitPaidTime
 	}
+	o.cfg.Count(starts)
 	if waited > 0 {
-		o.cfg.ObserveDuration("rack_wait_"+outcome+"_time", waited)
+		o.cfg.ObserveDuration(times, waited)
 	}
 	if ended {
-		o.cfg.Count("rack_wait_" + outcome)
+		o.cfg.Count(waits)
 		o.cfg.Log.Info("step no longer waits for its rack", zap.String("step", t.StepName()), zap.String("rack", t.StepSpec().PreferredRack),
 			zap.Bool("near", near), zap.Duration("waited", waited))
 	}
--- a/orchestrator/locality_test.go
+++ b/orchestrator/locality_test.go
@@ -5,6 +5,8 @@
 	"testing"
 	"time"
 
+	"github.com/endivefall/endivefall/meter"
+
 	qt "github.com/frankban/quicktest"
 
 	"github.com/endivefall/endivefall/delayer"
@@ -114,18 +116,24 @@
 	j := h.submit(sequencer.Spec{Steps: []sequencer.Step{near(2, 1000, time.Second)}})
 	h.o.place()
 	c.Check(h.started(j, "hot")+h.started(j, "cold"), qt.Equals, 0)
-	c.Check(h.counts["rack_wait"], qt.Equals, 1)
+	c.Check(h.counts[meter.RackWaitsBegun], qt.Equals, 1)
 	h.now = h.now.Add(100 * time.Millisecond)
 	h.end("a0", first)
 	c.Check(h.started(j, "hot"), qt.Equals, 2)
-	c.Check(h.counts["rack_wait_paid"], qt.Equals, 1)
+	c.Check(h.counts[meter.RackWaitsPaid], qt.Equals, 1)
 }
 
 // The start of a task that had waited for its rack ended each owner in turn: the time of the wait was
 // recorded by a histogram with the name of the counter.
 func TestAWaitForARackIsRecordedWithoutAClash(t *testing.T) {
-	for rack, outcome := range map[string]string{"hot": "paid", "cold": "unpaid"} {
-		t.Run(outcome, func(t *testing.T) {
+	for rack, tc := range map[string]struct {
+		waits meter.Counter
+		times meter.Histogram
+	}{
+		"hot":  {meter.RackWaitsPaid, meter.RackWaitPaidTime},
+		"cold": {meter.RackWaitsUnpaid, meter.RackWaitUnpaidTime},
+	} {
+		t.Run(rack, func(t *testing.T) {
 			c := qt.New(t)
 			h := newRacks(c, 3)
 			first := h.fill(300 * time.Millisecond)
@@ -137,8 +145,8 @@
 			}
 			h.tick(delayer.MaxWait)
 			c.Check(h.started(j, rack), qt.Equals, 2)
-			c.Check(h.counts["rack_wait_"+outcome], qt.Equals, 1)
-			c.Check(h.durations["rack_wait_"+outcome+"_time"] > 0, qt.IsTrue)
+			c.Check(h.counts[tc.waits], qt.Equals, 1)
+			c.Check(h.durations[tc.times] > 0, qt.IsTrue)
 		})
 	}
 }
@@ -253,7 +261,7 @@
 	gang.Gang, gang.TightlyCoupled = true, true
 	j := h.submit(sequencer.Spec{Steps: []sequencer.Step{gang}})
 	h.o.place()
-	c.Check(h.counts["rack_wait"], qt.Equals, 1)
+	c.Check(h.counts[meter.RackWaitsBegun], qt.Equals, 1)
 	c.Check(h.started(j, "hot")+h.started(j, "cold"), qt.Equals, 0)
 	h.now = h.now.Add(100 * time.Millisecond)
 	h.end("a0", first)
--- a/orchestrator/orchestrator.go
+++ b/orchestrator/orchestrator.go
@@ -9,6 +9,8 @@
 	"sync"
 	"time"
 
+	"github.com/endivefall/endivefall/meter"
+
 	"go.uber.org/zap"
 
 	"github.com/endivefall/endivefall/apportioner"
@@ -183,7 +185,7 @@
 // New returns an Orchestrator; Serve runs it.
 func New(cfg Config) *Orchestrator {
 	if cfg.Gauge == nil {
-		cfg.Gauge = func(string, float64) {}
+		cfg.Gauge = func(meter.Gauge, float64) {}
 	}
 	if cfg.ConfirmAfter == nil {
 		cfg.ConfirmAfter = func(time.Time) {}
@@ -210,9 +212,10 @@
 func (o *Orchestrator) Serve(ctx context.Context) error {
 	defer close(o.done)
 	defer func() { // the next owner reports its own
-		o.cfg.Gauge(oldestStopGauge, 0)
-		for _, name := range []string{waitingCommandsGauge, lastingWaitsGauge, blockedWaitsGauge, claimsGauge, evacuatedDomainsGauge, evacuatingRunsGauge, rackWaitsGauge} {
-			o.cfg.Gauge(name, 0)
+		for _, g := range []meter.Gauge{
+			meter.OldestStop, meter.WaitingCommands, meter.LastingWaits, meter.BlockedWaits, meter.RoomClaims, meter.EvacuatedDomains, meter.EvacuatingRuns, meter.RackWaits,
+		} {
+			o.cfg.Gauge(g, 0)
 		}
 	}()
 	ctx, cancel := context.WithCancel(ctx)
@@ -249,7 +252,7 @@
 			o.planDue = false
 			o.place()
 			took := o.cfg.Now().Sub(started)
-			o.cfg.ObserveDuration("plan", took)
+			o.cfg.ObserveDuration(meter.Plans, took)
 			o.nextPlan = started.Add(max(minPlanInterval, took*planIntervalFactor))
 		}
 	}
--- a/orchestrator/order_report.go
+++ b/orchestrator/order_report.go
@@ -3,14 +3,13 @@
 import (
 	"time"
 
+	"github.com/endivefall/endivefall/meter"
+
 	"go.uber.org/zap"
 
 	"github.com/endivefall/endivefall/allocator"
 )
 
-// waitingJobsGauge is the prefix of the numbers of jobs, by class, that have tasks left to start.
-const waitingJobsGauge = "waiting_jobs_"
-
 // reportOrder reports how many ranked jobs of each class have tasks left to start, at most each
 // waitLogInterval, and logs them while best-effort jobs wait.
 func (o *Orchestrator) reportOrder(ranked []rankedJob, now time.Time) {
@@ -35,7 +34,7 @@
 		}
 	}
 	for class := allocator.Filling; class <= allocator.Worthless; class++ {
-		o.cfg.Gauge(waitingJobsGauge+class.String(), float64(counts[class]))
+		o.cfg.Gauge(meter.WaitingJobs.Of(class.String()), float64(counts[class]))
 	}
 	if first == nil {
 		return
--- a/orchestrator/preemption.go
+++ b/orchestrator/preemption.go
@@ -3,12 +3,14 @@
 import (
 	"time"
 
+	"github.com/endivefall/endivefall/meter"
+
 	"go.uber.org/zap"
 
 	"github.com/endivefall/endivefall/preemptor"
 )
 
-// stopCause is why a run is stopped whose task starts again, in the names of counters.
+// stopCause is why a run is stopped whose task starts again; the parts of meter.StopCauses.
 type stopCause string
 
 // Causes of stops.
@@ -71,12 +73,12 @@
 func (o *Orchestrator) stopFor(r *run, cause stopCause, reason string) {
 	if !r.evict {
 		choice := r.preemptible()
-		o.cfg.Count("stopped_for_" + string(cause))
+		o.cfg.Count(meter.StopCauses.Of(string(cause)))
 		if choice.Unprogressed {
-			o.cfg.Count("stopped_again")
+			o.cfg.Count(meter.StoppedAgain)
 		}
 		lost := time.Duration(choice.Loss() * float64(time.Second))
-		o.cfg.ObserveDuration("stop_lost_core_time", lost)
+		o.cfg.ObserveDuration(meter.LostCoreTime, lost)
 		o.cfg.Log.Info("run stopped to start again", zap.String("task", choice.Name), zap.String("cause", string(cause)), zap.Duration("lost_core_time", lost),
 			zap.Duration("unsaved", choice.Unsaved), zap.Duration("left", choice.Left), zap.Bool("again", choice.Unprogressed))
 	}
--- a/orchestrator/preemption_test.go
+++ b/orchestrator/preemption_test.go
@@ -6,6 +6,8 @@
 	"testing"
 	"time"
 
+	"github.com/endivefall/endivefall/meter"
+
 	qt "github.com/frankban/quicktest"
 
 	"github.com/endivefall/endivefall/messenger"
@@ -76,7 +78,7 @@
 				want = []string{low.Task(0, 0, 0).StepName() + "." + tc.want}
 			}
 			c.Check(h.stops("a0"), qt.DeepEquals, want)
-			c.Check(h.counts["stopped_for_task"], qt.Equals, len(want))
+			c.Check(h.counts[meter.StopCauses.Of("task")], qt.Equals, len(want))
 		})
 	}
 }
@@ -118,7 +120,7 @@
 				want = 2
 			}
 			c.Check(h.stops("a0"), qt.HasLen, want)
-			c.Check(h.counts["stopped_again"], qt.Equals, 0)
+			c.Check(h.counts[meter.StoppedAgain], qt.Equals, 0)
 		})
 	}
 }
@@ -179,7 +181,7 @@
 			}
 			slices.Sort(stopped)
 			c.Check(stopped, qt.DeepEquals, tt.want)
-			c.Check(h.counts["stopped_for_claim"], qt.Equals, len(tt.want))
+			c.Check(h.counts[meter.StopCauses.Of("claim")], qt.Equals, len(tt.want))
 		})
 	}
 }
--- a/orchestrator/refusal.go
+++ b/orchestrator/refusal.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/endivefall/endivefall/meter"
+
 	"go.uber.org/zap"
 
 	"github.com/endivefall/endivefall/registrar"
@@ -49,7 +51,7 @@
 	for _, write := range b.jobs {
 		if write.job.apart { // nothing else was in the batch
 			write.job.writeFrom, o.heldWrites[write.job] = o.cfg.Now().Add(rejectedWriteDelay), true
-			o.cfg.Count("rejected_job")
+			o.cfg.Count(meter.RejectedJobs)
 			o.cfg.Log.Error("ledger takes no progress of a job", zap.String("job", write.job.Spec.ID), zap.Time("again", write.job.writeFrom))
 		}
 		write.job.apart = true
--- a/orchestrator/registration.go
+++ b/orchestrator/registration.go
@@ -4,6 +4,8 @@
 	"slices"
 	"time"
 
+	"github.com/endivefall/endivefall/meter"
+
 	"go.uber.org/zap"
 
 	"github.com/endivefall/endivefall/estimator"
@@ -26,7 +28,7 @@
 		var err error
 		if r, err = registrar.Decode(item.Value); err != nil {
 			o.cfg.Log.Warn("registration can't be decoded; treating it as open", zap.String("agent", a.id), zap.Error(err))
-			o.cfg.Count(unreadableRegistrationCount)
+			o.cfg.Count(meter.UnreadableRegistrations)
 		}
 		a.recordedTasks = r.HeldTasks
 	}
--- a/orchestrator/rejection_test.go
+++ b/orchestrator/rejection_test.go
@@ -6,6 +6,8 @@
 	"testing"
 	"time"
 
+	"github.com/endivefall/endivefall/meter"
+
 	qt "github.com/frankban/quicktest"
 
 	"github.com/endivefall/endivefall/sequencer"
@@ -59,7 +61,7 @@
 	h.now = h.now.Add(rejectedWriteDelay)
 	h.o.tick(c.TB.Context())
 	c.Assert(writtenJobs(write()), qt.DeepEquals, []string{bad.Spec.ID})
-	c.Assert(h.counts["rejected_job"], qt.Equals, 2)
+	c.Assert(h.counts[meter.RejectedJobs], qt.Equals, 2)
 }
 
 // The checkpoints of one large job made its progress larger than a value of the ledger may be.
@@ -89,7 +91,7 @@
 	}
 	c.Assert(kept > tasks/2, qt.IsTrue, qt.Commentf("%d checkpoints kept", kept))
 	c.Assert(j.Task(0, 0, 7).Checkpoint, qt.HasLen, 1000, qt.Commentf("the owner still has it"))
-	c.Assert(h.counts["checkpoints_omitted"], qt.Equals, 1)
+	c.Assert(h.counts[meter.LeftOut], qt.Equals, 1)
 }
 
 // A transaction had fifteen values of any size.
--- a/orchestrator/relocate.go
+++ b/orchestrator/relocate.go
@@ -5,6 +5,8 @@
 	"strconv"
 	"time"
 
+	"github.com/endivefall/endivefall/meter"
+
 	"github.com/endivefall/endivefall/messenger"
 	"github.com/endivefall/endivefall/relocator"
 )
@@ -41,7 +43,7 @@
 	for _, move := range relocator.Choose(now, runs, byPool, len(o.agents), o.predictor.UpperInterference) {
 		r := movable[move.Run]
 		o.moveRun(r, move.To, "throttled to "+strconv.Itoa(r.pacePercent)+" percent; would run faster on "+move.To)
-		o.cfg.Count("moved")
+		o.cfg.Count(meter.Moved)
 	}
 }
 
@@ -73,7 +75,7 @@
 		if r.job.resultsOf(r.task.Step).recordFailure(r.agent.id) {
 			r.agent.health.recordFailure(now)
 		}
-		o.cfg.Count("stuck")
+		o.cfg.Count(meter.Stuck)
 		o.stopRun(r, "no progress")
 	}
 }
--- a/orchestrator/roster.go
+++ b/orchestrator/roster.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/endivefall/endivefall/meter"
+
 	"github.com/fxamacker/cbor/v2"
 	"go.uber.org/zap"
 
@@ -54,7 +56,7 @@
 	}
 	if err != nil {
 		o.cfg.Log.Warn("roster can't be decoded; waiting for all agents", zap.Error(err))
-		o.cfg.Count(unreadableRosterCount)
+		o.cfg.Count(meter.UnreadableRosters)
 		return
 	}
 	if r.Term >= o.cfg.Term {
@@ -123,6 +125,3 @@
 		}
 	}
 }
-
-// unreadableRosterCount counts rosters that can't be decoded.
-const unreadableRosterCount = "unreadable_roster"
--- a/orchestrator/short_demand.go
+++ b/orchestrator/short_demand.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/endivefall/endivefall/meter"
+
 	"github.com/endivefall/endivefall/allocator"
 	"github.com/endivefall/endivefall/provisioner"
 	"github.com/endivefall/endivefall/sequencer"
@@ -12,9 +14,6 @@
 // job may wait for 3 s while there is room for it.
 const maxKeptWait = 2 * time.Second
 
-// keptCPUGauge is the CPU that is kept for short tasks, in cores.
-const keptCPUGauge = "kept_cpu"
-
 // keepCPU keeps CPU on each worker for the short tasks of the first priority of its pool.
 func (o *Orchestrator) keepCPU(byPool map[string][]*allocator.Candidate, blocked func(*sequencer.Task) bool, now, wall time.Time) {
 	waiting := o.waitingShortCPU(byPool, blocked, wall)
@@ -36,7 +35,7 @@
 			kept += c.KeptCPU
 		}
 	}
-	o.cfg.Gauge(keptCPUGauge, float64(kept)/milliPerCore)
+	o.cfg.Gauge(meter.KeptCPU, float64(kept)/milliPerCore)
 }
 
 // milliPerCore converts thousandths of a core.
--- a/orchestrator/start.go
+++ b/orchestrator/start.go
@@ -1,6 +1,7 @@
 package orchestrator
 
 import (
+	"github.com/endivefall/endivefall/meter"
 	"go.uber.org/zap"
 
 	"github.com/endivefall/endivefall/messenger"
@@ -66,7 +67,7 @@
 	}
 	t.Attempt = r.key.attempt
 	delete(o.claims, t)
-	o.cfg.Count("start")
+	o.cfg.Count(meter.Starts)
 	o.cfg.Log.Info("starting run", zap.String("task", r.key.task), zap.Uint64("attempt", r.key.attempt), zap.String("agent", a.id),
 		zap.Duration("waited", r.startedAt.Sub(t.WaitingSince)), zap.Duration("free", freeFor(t, r.startedAt)), zap.Duration("table_age", r.startedAt.Sub(a.lastSnapshotAt)), zap.Bool("resumes", t.Checkpoint != ""))
 	return true
--- a/orchestrator/starvation.go
+++ b/orchestrator/starvation.go
@@ -5,6 +5,8 @@
 	"slices"
 	"time"
 
+	"github.com/endivefall/endivefall/meter"
+
 	"go.uber.org/zap"
 
 	"github.com/endivefall/endivefall/allocator"
@@ -82,7 +84,7 @@
 		return
 	}
 	o.claims[t] = &claim{task: t, job: s.job, agent: agents[forecast.ID], runs: t.LiveRuns > 0, endBy: now.Add(apportioner.MaxDelay)}
-	o.cfg.Count("claimed")
+	o.cfg.Count(meter.Claims)
 	o.cfg.Log.Info("room claimed", zap.String("task", t.Name()), zap.String("agent", forecast.ID), zap.Duration("fits_in", at.Sub(now)), zap.Duration("starts_in", s.startsAt.Sub(now)), zap.Bool("runs", t.LiveRuns > 0))
 }
 
@@ -232,7 +234,7 @@
 		if at, fits := allocator.NewForecast(candidate, a.expectedEndings(now, blocked)).FitsAt(t, name, now); fits && at.Before(horizon) {
 			return
 		}
-		o.cfg.Count("preempted")
+		o.cfg.Count(meter.Preempted)
 		o.stopFor(r, stopForClaim, "room for "+t.Name())
 	}
 }
--- a/orchestrator/stop.go
+++ b/orchestrator/stop.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/endivefall/endivefall/meter"
+
 	"go.uber.org/zap"
 
 	"github.com/endivefall/endivefall/messenger"
@@ -62,10 +64,6 @@
 }
 
 const (
-	// oldestStopGauge is the age in seconds of the oldest stop whose run has not ended.
-	oldestStopGauge = "oldest_stop_seconds"
-	// waitingCommandsGauge is the number of commands in all outboxes.
-	waitingCommandsGauge = "waiting_commands"
 	// stopReportInterval is the time between two reports of outstanding stops.
 	stopReportInterval = time.Second
 	// maxStopAge is the age from which an outstanding stop is logged.
@@ -99,8 +97,8 @@
 		}
 	}
 	age := now.Sub(oldest)
-	o.cfg.Gauge(oldestStopGauge, age.Seconds())
-	o.cfg.Gauge(waitingCommandsGauge, float64(waiting))
+	o.cfg.Gauge(meter.OldestStop, age.Seconds())
+	o.cfg.Gauge(meter.WaitingCommands, float64(waiting))
 	if age < maxStopAge {
 		return
 	}
--- a/orchestrator/stop_test.go
+++ b/orchestrator/stop_test.go
@@ -5,6 +5,8 @@
 	"testing"
 	"time"
 
+	"github.com/endivefall/endivefall/meter"
+
 	qt "github.com/frankban/quicktest"
 
 	"github.com/endivefall/endivefall/messenger"
@@ -32,11 +34,11 @@
 	j := h.cancelRunning()
 	h.now = h.now.Add(2 * time.Second)
 	h.o.tick(t.Context())
-	c.Assert(h.gauges["oldest_stop_seconds"], qt.Equals, 2.0)
+	c.Assert(h.gauges[meter.OldestStop], qt.Equals, 2.0)
 	h.reportEnd("a0", 1, j.Task(0, 0, 0).Name(), j.Task(0, 0, 0).Attempt, messenger.EndStopped)
 	h.now = h.now.Add(2 * time.Second)
 	h.o.tick(t.Context())
-	c.Assert(h.gauges["oldest_stop_seconds"], qt.Equals, 0.0)
+	c.Assert(h.gauges[meter.OldestStop], qt.Equals, 0.0)
 }
 
 // stopCount returns the number of stop commands sent to an agent.
@@ -144,7 +146,7 @@
 		h.now = h.now.Add(maxStopAge)
 		h.o.tick(t.Context())
 	}
-	c.Assert(h.gauges[oldestStopGauge], qt.Equals, (5 * maxStopAge).Seconds())
+	c.Assert(h.gauges[meter.OldestStop], qt.Equals, (5 * maxStopAge).Seconds())
 }
 
 // Each kind of stop goes the same way, and was lost the same way.
--- a/orchestrator/wait_report.go
+++ b/orchestrator/wait_report.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/endivefall/endivefall/meter"
+
 	"go.uber.org/zap"
 
 	"github.com/endivefall/endivefall/allocator"
@@ -16,18 +18,6 @@
 	minLoggedWait = 2 * time.Second
 )
 
-const (
-	// lastingWaitsGauge is the number of long-running tasks without a run, blockedWaitsGauge of
-	// those that may not be started yet.
-	lastingWaitsGauge = "lasting_waits"
-	blockedWaitsGauge = "lasting_waits_blocked"
-	// claimsGauge is the number of claims of room.
-	claimsGauge = "room_claims"
-	// headroomShortageGauge is the number of workers from which the headroom of serving tasks
-	// alone keeps the best-effort task that has waited the longest.
-	headroomShortageGauge = "headroom_shortage"
-)
-
 // waitReport says why a waiting task is not placed, by the workers of its pool.
 type waitReport struct {
 	workers int
@@ -57,16 +47,16 @@
 	}
 	o.waitLoggedAt = now
 	t, counts := o.longestWaiting(blocked, now, wall)
-	o.cfg.Gauge(lastingWaitsGauge, float64(counts.lasting))
-	o.cfg.Gauge(blockedWaitsGauge, float64(counts.lastingBlocked))
-	o.cfg.Gauge(claimsGauge, float64(len(o.claims)))
+	o.cfg.Gauge(meter.LastingWaits, float64(counts.lasting))
+	o.cfg.Gauge(meter.BlockedWaits, float64(counts.lastingBlocked))
+	o.cfg.Gauge(meter.RoomClaims, float64(len(o.claims)))
 	if t == nil {
-		o.cfg.Gauge(headroomShortageGauge, 0)
+		o.cfg.Gauge(meter.HeadroomShortage, 0)
 		return
 	}
 	step := t.StepSpec()
 	report := o.reportWait(t, byPool[t.Job.Placement.Pool], agents, now)
-	o.cfg.Gauge(headroomShortageGauge, float64(report.lackHeadroom))
+	o.cfg.Gauge(meter.HeadroomShortage, float64(report.lackHeadroom))
 	fields := []zap.Field{
 		zap.String("task", t.Name()), zap.String("step", step.String()), zap.Duration("waited", now.Sub(t.WaitingSince)), zap.Int("tasks", counts.long),
 		zap.Int("lasting", counts.lasting), zap.Int("lasting_blocked", counts.lastingBlocked), zap.Int("claims", counts.claims), zap.Int("moves", counts.moves), zap.Duration("free", freeFor(t, now)), zap.Duration("rack_wait", o.rackWait(t, now)),
--- a/orchestrator/waiting_test.go
+++ b/orchestrator/waiting_test.go
@@ -4,6 +4,8 @@
 	"testing"
 	"time"
 
+	"github.com/endivefall/endivefall/meter"
+
 	qt "github.com/frankban/quicktest"
 	"go.uber.org/zap"
 	"go.uber.org/zap/zaptest/observer"
@@ -79,9 +81,9 @@
 	for field, want := range map[string]int64{"lasting": 4, "lasting_blocked": 3, "claims": 1, "moves": 0} {
 		c.Check(fields[field], qt.Equals, want, qt.Commentf(field))
 	}
-	c.Check(h.gauges[lastingWaitsGauge], qt.Equals, 4.0)
-	c.Check(h.gauges[blockedWaitsGauge], qt.Equals, 3.0)
-	c.Check(h.gauges[claimsGauge], qt.Equals, 1.0)
+	c.Check(h.gauges[meter.LastingWaits], qt.Equals, 4.0)
+	c.Check(h.gauges[meter.BlockedWaits], qt.Equals, 3.0)
+	c.Check(h.gauges[meter.RoomClaims], qt.Equals, 1.0)
 }
 
 // Tasks that had waited for 7 s for an agent claimed room only 3 s after that, and not in the order
--- a/orchestrator/watch.go
+++ b/orchestrator/watch.go
@@ -8,6 +8,8 @@
 	"strings"
 	"time"
 
+	"github.com/endivefall/endivefall/meter"
+
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 
@@ -18,13 +20,6 @@
 	"github.com/endivefall/endivefall/waiter"
 )
 
-// Counters of ledger entries that can't be decoded.
-const (
-	unreadableJobCount          = "unreadable_job"
-	unreadableProgressCount     = "unreadable_progress"
-	unreadableRegistrationCount = "unreadable_registration"
-)
-
 // watchLedger reads the ledger and then watches it for new inputs, until ctx ends.
 func (o *Orchestrator) watchLedger(ctx context.Context) {
 	for first := true; ctx.Err() == nil; {
@@ -105,7 +100,7 @@
 			var err error
 			if p, err = sequencer.DecodeProgress(stored.Value); err != nil {
 				o.cfg.Log.Error("progress can't be decoded; the job is not scheduled", zap.String("job", id), zap.Error(err))
-				o.cfg.Count(unreadableProgressCount)
+				o.cfg.Count(meter.UnreadableProgress)
 				o.unreadableJobs[id] = true
 				continue
 			}
@@ -188,7 +183,7 @@
 	}
 	if err != nil {
 		o.cfg.Log.Error("job can't be decoded", zap.String("key", item.Key), zap.Error(err))
-		o.cfg.Count(unreadableJobCount)
+		o.cfg.Count(meter.UnreadableJobs)
 		return
 	}
 	j := &job{Job: sequencer.NewJob(spec, item.Version, progress), liveRuns: map[runKey]*run{}, grantRevisions: map[*sequencer.Task]uint64{}, results: map[int]*results{}}
--- a/orchestrator/watch_test.go
+++ b/orchestrator/watch_test.go
@@ -9,6 +9,8 @@
 	"testing"
 	"time"
 
+	"github.com/endivefall/endivefall/meter"
+
 	qt "github.com/frankban/quicktest"
 
 	"github.com/endivefall/endivefall/registrar"
@@ -137,12 +139,12 @@
 	h.o.place()
 	raw, err := j.Spec.Encode()
 	c.Assert(err, qt.IsNil)
-	unreadable := h.counts["unreadable_job"]
+	unreadable := h.counts[meter.UnreadableJobs]
 	h.o.handleInputs([]storer.Item{{Key: JobKey("00000000000000ff"), Value: raw, Version: 90}})
 	h.o.place()
 	c.Check(h.o.jobs[j.Spec.ID] == j, qt.IsTrue)
 	c.Check(len(h.commands("a0"))+len(h.commands("a1")), qt.Equals, 1)
-	c.Check(h.counts["unreadable_job"], qt.Equals, unreadable+1)
+	c.Check(h.counts[meter.UnreadableJobs], qt.Equals, unreadable+1)
 }
 
 // Which tasks of a job are done is not known where its progress can't be read.
@@ -167,7 +169,7 @@
 			h.o.handleInputs(inputs)
 			h.o.place()
 			c.Check(h.commands("a0"), qt.HasLen, 0)
-			c.Check(h.counts["unreadable_progress"], qt.Equals, 1)
+			c.Check(h.counts[meter.UnreadableProgress], qt.Equals, 1)
 		})
 	}
 }
@@ -184,7 +186,7 @@
 			h.o.takeOver([]storer.Item{{Key: JobKey(spec.ID), Value: raw, Version: 9}}, nil, []storer.Item{{Key: registrar.Key("lost"), Value: value, Version: 8}})
 			h.o.place()
 			c.Check(h.commands("a0"), qt.HasLen, 0)
-			c.Check(h.counts["unreadable_registration"], qt.Equals, 1)
+			c.Check(h.counts[meter.UnreadableRegistrations], qt.Equals, 1)
 		})
 	}
 }
--- a/orchestrator/write.go
+++ b/orchestrator/write.go
@@ -6,6 +6,8 @@
 	"slices"
 	"time"
 
+	"github.com/endivefall/endivefall/meter"
+
 	"go.uber.org/zap"
 
 	"github.com/endivefall/endivefall/registrar"
@@ -114,7 +116,7 @@
 			continue
 		}
 		if omitted > 0 {
-			o.cfg.Count("checkpoints_omitted")
+			o.cfg.Count(meter.LeftOut)
 			o.cfg.Log.Warn("progress has no room for all checkpoints", zap.String("job", j.Spec.ID), zap.Int("omitted", omitted), zap.Int("bytes", len(value)))
 		}
 		j.endWriting = p.State.Final()
@@ -134,7 +136,7 @@
 	for {
 		sent := o.cfg.Now()
 		version, err := o.commitOnce(ctx, transaction)
-		o.cfg.ObserveDuration("ledger_write", o.cfg.Now().Sub(sent))
+		o.cfg.ObserveDuration(meter.LedgerWrites, o.cfg.Now().Sub(sent))
 		if err == nil || ctx.Err() != nil || !errors.Is(err, storer.ErrUnavailable) && !errors.Is(err, storer.ErrUnknownOutcome) {
 			return version, err
 		}
@@ -214,8 +216,8 @@
 			delete(o.openJobs, write.job.Spec.ID)
 			o.forgetPolicy(write.job)
 			o.cfg.Log.Info("job ended", zap.String("job", write.job.Spec.ID), zap.String("state", string(write.state)), zap.Duration("age", o.cfg.WallClock().Sub(write.job.Spec.AcceptedAt)))
-			o.cfg.ObserveDuration("job", o.cfg.WallClock().Sub(write.job.Spec.AcceptedAt))
-			o.cfg.Count("job_" + string(write.state))
+			o.cfg.ObserveDuration(meter.JobTimes, o.cfg.WallClock().Sub(write.job.Spec.AcceptedAt))
+			o.cfg.Count(meter.JobEnds.Of(string(write.state)))
 		}
 	}
 	o.ackDurableEnds()
--- a/relayer/odd_test.go
+++ b/relayer/odd_test.go
@@ -12,6 +12,8 @@
 	"testing"
 	"time"
 
+	"github.com/endivefall/endivefall/meter"
+
 	qt "github.com/frankban/quicktest"
 	"github.com/fxamacker/cbor/v2"
 	"go.uber.org/zap"
@@ -23,17 +25,17 @@
 // An entry that can't be read is no sign that the store is not reached.
 func TestEntriesThatCantBeReadAreCounted(t *testing.T) {
 	c := qt.New(t)
-	counts := map[string]int{}
+	counts := map[meter.Counter]int{}
 	r := New(Config{
 		Store: &storer.Store{ListPage: func(context.Context, string, string) (storer.Page, error) {
 			return storer.Page{Items: []storer.Item{{Key: "a", Version: 1}, {Key: "b"}}, Version: 1}, nil
 		}},
-		Now: time.Now, Log: zap.NewNop(), Count: func(name string) { counts[name]++ },
+		Now: time.Now, Log: zap.NewNop(), Count: func(counter meter.Counter) { counts[counter]++ },
 	})
 	page, err := r.Store().List(context.Background(), "")
 	c.Assert(err, qt.IsNil)
 	c.Check(page.Items, qt.HasLen, 2)
-	c.Check(counts["unreadable"], qt.Equals, 1)
+	c.Check(counts[meter.UnreadableStoreEntries], qt.Equals, 1)
 	_, ok := r.Reachable()
 	c.Check(ok, qt.IsTrue)
 }
@@ -57,7 +59,7 @@
 		CreateLease: func(context.Context, time.Duration) (string, error) { return "", storer.ErrUnavailable },
 	}
 	return New(Config{
-		Store: none, Client: &http.Client{Transport: replies(raw)}, Now: time.Now, Log: zap.NewNop(), Count: func(string) {},
+		Store: none, Client: &http.Client{Transport: replies(raw)}, Now: time.Now, Log: zap.NewNop(), Count: func(meter.Counter) {},
 		Peers: func() []netip.AddrPort { return []netip.AddrPort{netip.MustParseAddrPort("10.0.0.1:80")} },
 	}).Store()
 }
@@ -120,7 +122,7 @@
 	f.Fuzz(func(_ *testing.T, raw []byte) {
 		ctx, cancel := context.WithTimeout(context.Background(), time.Millisecond)
 		defer cancel()
-		r := New(Config{Store: faker.NewStore().Client(), Now: time.Now, Log: zap.NewNop(), Count: func(string) {}})
+		r := New(Config{Store: faker.NewStore().Client(), Now: time.Now, Log: zap.NewNop(), Count: func(meter.Counter) {}})
 		r.ServeHTTP(httptest.NewRecorder(), httptest.NewRequest(http.MethodPost, Path, bytes.NewReader(raw)).WithContext(ctx))
 	})
 }
--- a/relayer/partial_test.go
+++ b/relayer/partial_test.go
@@ -10,6 +10,8 @@
 	"testing"
 	"time"
 
+	"github.com/endivefall/endivefall/meter"
+
 	qt "github.com/frankban/quicktest"
 	"go.uber.org/zap"
 
@@ -36,7 +38,7 @@
 		}
 	}
 	var peers []netip.AddrPort
-	cfg := Config{Client: http.DefaultClient, Now: func() time.Time { return at }, Log: zap.NewNop(), Count: func(string) {}, Peers: func() []netip.AddrPort { return peers }}
+	cfg := Config{Client: http.DefaultClient, Now: func() time.Time { return at }, Log: zap.NewNop(), Count: func(meter.Counter) {}, Peers: func() []netip.AddrPort { return peers }}
 	for n := range peerCount {
 		peerCfg := cfg
 		if peerCfg.Store = backend.Client(); n < peerCount-reachable {
--- a/relayer/refusal_test.go
+++ b/relayer/refusal_test.go
@@ -8,6 +8,8 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/endivefall/endivefall/meter"
+
 	qt "github.com/frankban/quicktest"
 	"go.uber.org/zap"
 
@@ -53,7 +55,7 @@
 		var peers []netip.AddrPort
 		var servers []*http.Server
 		client := network.Client("entry")
-		cfg := Config{Now: time.Now, Log: zap.NewNop(), Count: func(string) {}, Client: client, Peers: func() []netip.AddrPort { return peers }}
+		cfg := Config{Now: time.Now, Log: zap.NewNop(), Count: func(meter.Counter) {}, Client: client, Peers: func() []netip.AddrPort { return peers }}
 		for n := range peerCount {
 			addr := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(n + 1)}), 80)
 			peers = append(peers, addr)
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -13,6 +13,8 @@
 	"sync"
 	"time"
 
+	"github.com/endivefall/endivefall/meter"
+
 	"github.com/dghubble/sling"
 	"github.com/fxamacker/cbor/v2"
 	"go.uber.org/zap"
@@ -66,7 +68,7 @@
 	Limits *limiter.Group
 	Now    func() time.Time
 	Log    *zap.Logger
-	Count  func(name string)
+	Count  func(c meter.Counter)
 }
 
 // Relayer makes calls to the store, directly or through other entries.
@@ -242,7 +244,7 @@
 func (r *Relayer) direct(ctx context.Context, c *call) (*reply, error) {
 	p := &reply{}
 	var err error
-	r.cfg.Count(c.Op.String())
+	r.cfg.Count(meter.StoreCalls.Of(c.Op.String()))
 	switch c.Op {
 	case opGet:
 		var item storer.Item
@@ -271,7 +273,7 @@
 	for _, item := range p.Items {
 		if item.Version == 0 {
 			r.cfg.Log.Warn("entry of the store can't be read", zap.String("key", item.Key))
-			r.cfg.Count("unreadable")
+			r.cfg.Count(meter.UnreadableStoreEntries)
 		}
 	}
 	return p, err
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -11,6 +11,8 @@
 	"testing"
 	"time"
 
+	"github.com/endivefall/endivefall/meter"
+
 	qt "github.com/frankban/quicktest"
 	"go.uber.org/zap"
 
@@ -47,7 +49,7 @@
 		return s
 	}
 	cfg := Config{
-		Client: http.DefaultClient, Now: func() time.Time { return p.now }, Log: zap.NewNop(), Count: func(string) {},
+		Client: http.DefaultClient, Now: func() time.Time { return p.now }, Log: zap.NewNop(), Count: func(meter.Counter) {},
 	}
 	peerCfg := cfg
 	peerCfg.Store = failing(&p.peerErr)
--- a/relayer/slow_link_test.go
+++ b/relayer/slow_link_test.go
@@ -10,6 +10,8 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/endivefall/endivefall/meter"
+
 	qt "github.com/frankban/quicktest"
 	"go.uber.org/zap"
 
@@ -30,7 +32,7 @@
 		_, err := backend.Client().Commit(ctx, storer.Transaction{Writes: []storer.Write{{Key: "a/1", Value: value}, {Key: "a/2", Value: value}}})
 		c.Assert(err, qt.IsNil)
 		peerAddr := netip.MustParseAddrPort("10.0.0.1:80")
-		cfg := Config{Now: time.Now, Log: zap.NewNop(), Count: func(string) {}}
+		cfg := Config{Now: time.Now, Log: zap.NewNop(), Count: func(meter.Counter) {}}
 		peerCfg := cfg
 		peerCfg.Store = backend.Client()
 		server := &http.Server{Handler: New(peerCfg)}
--- a/supervisor/commands.go
+++ b/supervisor/commands.go
@@ -5,6 +5,8 @@
 	"errors"
 	"time"
 
+	"github.com/endivefall/endivefall/meter"
+
 	"go.uber.org/zap"
 
 	"github.com/endivefall/endivefall/messenger"
@@ -76,7 +78,7 @@
 	if r.startBy.IsZero() || s.cfg.Now().Before(r.startBy) {
 		return false
 	}
-	s.cfg.Count("overdue_start")
+	s.cfg.Count(meter.OverdueStarts)
 	return true
 }
 
--- a/supervisor/harness_test.go
+++ b/supervisor/harness_test.go
@@ -10,6 +10,8 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/endivefall/endivefall/meter"
+
 	"github.com/coder/websocket"
 	qt "github.com/frankban/quicktest"
 	"go.uber.org/zap"
@@ -75,7 +77,7 @@
 	stopIgnored bool
 	stopCount   int
 	// gauges has the last values of the agent's gauges.
-	gauges map[string]float64
+	gauges map[meter.Gauge]float64
 }
 
 // answeredList is a list request with the start of the incarnation that answered it.
@@ -109,7 +111,7 @@
 }
 
 func newHarness(c *qt.C) *harness {
-	h := &harness{c: c, worker: faker.NewPoolWorker(), store: faker.NewStore(), acking: true, owner: ownerAddr, term: 1, paces: map[string]int{}, payloads: map[string]string{}, gauges: map[string]float64{}}
+	h := &harness{c: c, worker: faker.NewPoolWorker(), store: faker.NewStore(), acking: true, owner: ownerAddr, term: 1, paces: map[string]int{}, payloads: map[string]string{}, gauges: map[meter.Gauge]float64{}}
 	h.worker.CPU, h.worker.Memory = 4000, 8000
 	h.plan = faker.PoolRunPlan{Duration: time.Second}
 	h.worker.Plan = func(string, uint64) faker.PoolRunPlan {
@@ -205,7 +207,7 @@
 		},
 		GetItem: h.store.Client().Get, Commit: h.store.Client().Commit,
 		Client: h.network.Client("agent"), Pacer: pacer.New(),
-		Gauge: func(name string, value float64) { h.set(func() { h.gauges[name] = value }) },
+		Gauge: func(g meter.Gauge, value float64) { h.set(func() { h.gauges[g] = value }) },
 	})
 	ctx, stop := context.WithCancel(context.Background())
 	done := make(chan struct{})
--- a/supervisor/stop.go
+++ b/supervisor/stop.go
@@ -5,6 +5,8 @@
 	"errors"
 	"time"
 
+	"github.com/endivefall/endivefall/meter"
+
 	"go.uber.org/zap"
 
 	"github.com/endivefall/endivefall/messenger"
@@ -46,7 +48,7 @@
 			continue
 		default:
 			s.cfg.Log.Info("stop command dropped; the worker does not list the run", zap.String("task", key.task), zap.Uint64("attempt", key.attempt))
-			s.cfg.Count("stop_dropped")
+			s.cfg.Count(meter.DroppedStops)
 		}
 		delete(s.unknownStops, key)
 	}
@@ -76,8 +78,6 @@
 }
 
 const (
-	// oldestStopGauge is the age in seconds of the oldest stop whose run has not ended.
-	oldestStopGauge = "oldest_stop_seconds"
 	// stopReportInterval is the time between two reports of outstanding stops.
 	stopReportInterval = time.Second
 	// maxStopAge is the age from which an outstanding stop is logged: a few calls to a
@@ -109,7 +109,7 @@
 		}
 	}
 	age := now.Sub(oldest)
-	s.cfg.Gauge(oldestStopGauge, age.Seconds())
+	s.cfg.Gauge(meter.OldestStop, age.Seconds())
 	if age < maxStopAge {
 		return
 	}
--- a/supervisor/stop_test.go
+++ b/supervisor/stop_test.go
@@ -4,6 +4,8 @@
 	"testing"
 	"time"
 
+	"github.com/endivefall/endivefall/meter"
+
 	qt "github.com/frankban/quicktest"
 
 	"github.com/endivefall/endivefall/advancer"
@@ -17,7 +19,7 @@
 func TestTheAgeOfAnOutstandingStopIsReported(t *testing.T) {
 	inBubble(t, func(c *qt.C, h *harness) {
 		age := func() (seconds float64) {
-			h.set(func() { seconds = h.gauges["oldest_stop_seconds"] })
+			h.set(func() { seconds = h.gauges[meter.OldestStop] })
 			return seconds
 		}
 		h.set(func() {
@@ -166,7 +168,7 @@
 		})
 		h.send(stopCommand)
 		advancer.Sleep(4 * time.Second)
-		h.set(func() { c.Check(h.gauges["oldest_stop_seconds"] > 2, qt.IsTrue) })
+		h.set(func() { c.Check(h.gauges[meter.OldestStop] > 2, qt.IsTrue) })
 	})
 }
 
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -13,6 +13,8 @@
 	"sync"
 	"time"
 
+	"github.com/endivefall/endivefall/meter"
+
 	"go.uber.org/zap"
 
 	"github.com/endivefall/endivefall/differ"
@@ -80,8 +82,8 @@
 	// OnPeers is called with the addresses of the entries that the owner knows.
 	OnPeers func([]netip.AddrPort)
 	// Count increments the counter of a name, Gauge sets the gauge of a name.
-	Count func(name string)
-	Gauge func(name string, value float64)
+	Count func(c meter.Counter)
+	Gauge func(g meter.Gauge, value float64)
 	// Pacer decides the paces of best-effort tasks; nil if none is ever slowed.
 	Pacer *pacer.Pacer
 }
@@ -187,10 +189,10 @@
 // New returns a Supervisor; Serve runs it.
 func New(cfg Config) *Supervisor {
 	if cfg.Count == nil {
-		cfg.Count = func(string) {}
+		cfg.Count = func(meter.Counter) {}
 	}
 	if cfg.Gauge == nil {
-		cfg.Gauge = func(string, float64) {}
+		cfg.Gauge = func(meter.Gauge, float64) {}
 	}
 	if cfg.WallClock == nil {
 		cfg.WallClock = time.Now
