authorizer: One query to the policy service at a time, in an order of our own

Callers saw accepted jobs that never started: of forty that came at once to a queue with a policy thirty did not, beside idle workers.

Cause: the service handles one query of an instance after the other, and 16 were sent at once. Each answer was 16 queries old on arrival, its tickets were over or within the 500 ms in which none was used, and the same 16 steps were asked about again; the others never were.

A ticket of 500 ms was never used at all.

Change: queries wait at the owner. authorizer, without I/O, holds the answers and chooses the next query when the last is answered: a step that has room now first, with as many workers as it needs. Tickets are used up to a tenth of their validity before they end, 100 ms at most, and in the round after they arrive in any case.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -13,6 +13,8 @@
 	"sync"
 	"time"
 
+	"github.com/endivefall/endivefall/authorizer"
+
 	"github.com/endivefall/endivefall/meter"
 
 	"github.com/google/uuid"
@@ -91,7 +93,7 @@
 	// last call; nil if they are not counted.
 	TakeStoreBytes func() (sent, received int64)
 	// QueryPolicy asks the policy service of the queues which workers may run a step.
-	QueryPolicy func(ctx context.Context, step string, workers []string) ([]orchestrator.PolicyGrant, time.Duration, error)
+	QueryPolicy func(ctx context.Context, step string, workers []string) ([]authorizer.Grant, time.Duration, error)
 	// Evacuations returns which failure domains are evacuated, as read from the store, and EvacuationBound is the
 	// time from the acknowledgement of a request until which tasks may still start in the domain; see
 	// orchestrator.Config.
--- a/meter/pool_metrics.go
+++ b/meter/pool_metrics.go
@@ -90,3 +90,13 @@
 	RackStartsAway     = counter("rack_start_away", "tasks", "Tasks with a preferred rack that started elsewhere.")
 	RackAway           = counters("rack_away", "decisions", "Why tasks did not wait for their rack, or no longer.", "pays", "no_rack", "too_long", "no_gain", "expired")
 )
+
+// Metrics of the policy service.
+var (
+	PolicyWaits         = gauge("policy_waits", "steps", "Steps that wait for a ticket of the policy service.")
+	OldestPolicyWait    = gauge("policy_oldest_wait_seconds", "seconds", "Age of the oldest of these waits.")
+	PolicyQueries       = histogram("policy_query", "Time of a query to the policy service.")
+	FailedPolicyQueries = counter("policy_query_failed", "queries", "Queries without a usable answer.")
+	LapsedTickets       = counter("ticket_lapsed", "tickets", "Tickets that ran out unused.")
+	RefusedTickets      = counter("ticket_refused", "starts", "Starts that the worker refused for want of a valid ticket.")
+)
--- a/orchestrator/config.go
+++ b/orchestrator/config.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/endivefall/endivefall/authorizer"
+
 	"github.com/endivefall/endivefall/meter"
 
 	"go.uber.org/zap"
@@ -78,7 +80,7 @@
 	ConfirmAfter func(at time.Time)
 	// QueryPolicy asks the policy service of a queue which worker incarnations may
 	// run a step, and how long the answer is valid.
-	QueryPolicy func(ctx context.Context, step string, workers []string) ([]PolicyGrant, time.Duration, error)
+	QueryPolicy func(ctx context.Context, step string, workers []string) ([]authorizer.Grant, time.Duration, error)
 	// HasStandby reports whether another live entry could own the pools.
 	HasStandby func() bool
 	Log        *zap.Logger
--- a/orchestrator/ends.go
+++ b/orchestrator/ends.go
@@ -157,6 +157,7 @@
 		o.markDirty(j)
 	case messenger.EndNotStarted:
 		t.NotBefore = now.Add(refusedStartDelay)
+		o.rejectTicket(t, a, now)
 		if end.WorkerUnhealthy {
 			a.health.recordUnhealthy(now)
 		}
--- a/orchestrator/gang.go
+++ b/orchestrator/gang.go
@@ -30,7 +30,7 @@
 			return
 		}
 	}
-	o.queryUngranted(j, name, candidates, agents, now)
+	o.wantTickets(members[0], len(members), candidates, agents, now)
 }
 
 // gangCandidateSets returns the candidate sets to try in order. A tightly coupled
--- a/orchestrator/orchestrator.go
+++ b/orchestrator/orchestrator.go
@@ -9,6 +9,8 @@
 	"sync"
 	"time"
 
+	"github.com/endivefall/endivefall/authorizer"
+
 	"github.com/endivefall/endivefall/meter"
 
 	"go.uber.org/zap"
@@ -141,10 +143,8 @@
 	nextPlan time.Time
 	// configVersion is the version of the configuration that the open jobs follow.
 	configVersion uint64
-	// policies holds the known grants by name of the step, for queues with a
-	// policy; policyQueries counts the queries in flight.
-	policies      map[string]*stepPolicy
-	policyQueries int
+	// authorizer has the answers of the policy service, and decides what it is asked next.
+	authorizer *authorizer.Authorizer
 	// predictor estimates the interference between images that share a worker.
 	predictor *predictor.Predictor
 	// meanSlowdown is the mean logarithm of the ratio of actual to estimated run
@@ -203,7 +203,7 @@
 	return &Orchestrator{
 		cfg: cfg, actions: make(chan func(), queueCapacity), stopped: make(chan struct{}), done: make(chan struct{}),
 		jobs: map[string]*job{}, openJobs: map[string]*job{}, unreadableJobs: map[string]bool{}, runs: map[runKey]*run{}, granting: map[*run]bool{}, heldWrites: map[*job]bool{}, claims: map[*sequencer.Task]*claim{}, roomless: map[*run]bool{}, unnamedDomains: map[string]bool{}, shares: map[string]*apportioner.Share{}, delayers: map[string]*delayer.Delayer{}, shortDemands: map[string]*provisioner.Demand{}, agents: map[string]*agent{},
-		predictor: predictor.New(), policies: map[string]*stepPolicy{}, starts: regulator.New(), isolation: isolation{firstContactBy: cfg.ClaimedAt.Add(firstContactTimeout)},
+		predictor: predictor.New(), authorizer: authorizer.New(), starts: regulator.New(), isolation: isolation{firstContactBy: cfg.ClaimedAt.Add(firstContactTimeout)},
 	}
 }
 
@@ -214,6 +214,7 @@
 	defer func() { // the next owner reports its own
 		for _, g := range []meter.Gauge{
 			meter.OldestStop, meter.WaitingCommands, meter.LastingWaits, meter.BlockedWaits, meter.RoomClaims, meter.EvacuatedDomains, meter.EvacuatingRuns, meter.RackWaits,
+			meter.PolicyWaits, meter.OldestPolicyWait,
 		} {
 			o.cfg.Gauge(g, 0)
 		}
--- a/orchestrator/place.go
+++ b/orchestrator/place.go
@@ -22,6 +22,9 @@
 	blocked := o.startBlocked()
 	now, wall := o.cfg.Now(), o.cfg.WallClock()
 	defer o.logLongestWait(blocked, byPool, agents, now, wall)
+	o.authorizer.Begin()
+	defer o.sendQueries()
+	defer o.reportPolicy(now)
 	if len(agents) == 0 {
 		for _, j := range o.openJobs {
 			o.waitingTasks(j, blocked, now, wall)
@@ -202,7 +205,7 @@
 		candidate := allocator.Pick(t, name, granted, now, o.predictor.UpperInterference)
 		if candidate == nil {
 			o.noteUnplaced(j, waiting[n:])
-			o.queryUngranted(j, name, candidates, agents, now)
+			o.wantTickets(t, countStep(waiting[n:]), candidates, agents, now)
 			o.preempt(t, name, granted, agents, now)
 			fullStep = name
 			continue
--- a/orchestrator/policy.go
+++ b/orchestrator/policy.go
@@ -1,6 +1,7 @@
 package orchestrator
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"time"
@@ -8,109 +9,99 @@
 	"go.uber.org/zap"
 
 	"github.com/endivefall/endivefall/allocator"
+	"github.com/endivefall/endivefall/authorizer"
+	"github.com/endivefall/endivefall/meter"
+	"github.com/endivefall/endivefall/sequencer"
 )
 
-// PolicyGrant allows a worker incarnation to run a step.
-type PolicyGrant struct {
-	Incarnation string // of the worker
-	Ticket      string
-}
-
-// Limits of policy queries.
-const (
-	// maxWorkersPerQuery is how many workers the platform allows in one query.
-	maxWorkersPerQuery = 100
-	// maxPolicyQueries is how many queries may be in flight: half of what the
-	// policy service accepts from one instance.
-	maxPolicyQueries = 16
-	// policyQueryTimeout bounds a query: the time that the service needs for 100
-	// workers, and the wait behind other queries.
-	policyQueryTimeout = 10 * time.Second
-	// TicketMargin is how long before its expiry a ticket is no longer used, since
-	// the start command must reach the worker in time.
-	TicketMargin = 500 * time.Millisecond
-	// policyRetryDelay is the delay after a failed query.
-	policyRetryDelay = 300 * time.Millisecond
-)
-
-// stepPolicy holds the known answers about the workers that may run a step.
-type stepPolicy struct {
-	// tickets are the valid grants by worker incarnation.
-	tickets map[string]ticket
-	// queried are the incarnations about which an answer was received.
-	queried map[string]bool
-	// querying is set while a query is in flight; nextQueryAt is the earliest time
-	// of the next one.
-	querying    bool
-	nextQueryAt time.Time
-}
+// policyQueryTimeout bounds a query. The service may need long for a hundred workers; queries that are overdue hold
+// up no others.
+const policyQueryTimeout = 10 * time.Second
 
-type ticket struct {
-	text      string
-	expiresAt time.Time
-}
-
-// grantedCandidates returns the candidates that may run a step of a queue with a policy.
-// For other queues it returns all candidates.
+// grantedCandidates returns the candidates that may run a step now: of a queue with a policy, those for which
+// there is a valid ticket.
 func (o *Orchestrator) grantedCandidates(j *job, name string, candidates []*allocator.Candidate, agents map[string]*agent, now time.Time) []*allocator.Candidate {
 	if !j.Placement.PolicyRestricted {
 		return candidates
 	}
-	policy := o.policies[name]
-	if policy == nil {
+	if !o.authorizer.HasTickets(name, now) {
 		return nil
 	}
-	var granted []*allocator.Candidate
+	return reachable(candidates, agents, func(incarnation string) bool { return o.authorizer.Granted(name, incarnation, now) })
+}
+
+// allowedCandidates returns the candidates that may run a step later: of a queue with a policy, those that it is
+// known to allow. A start there may need a new ticket.
+func (o *Orchestrator) allowedCandidates(j *job, name string, candidates []*allocator.Candidate, agents map[string]*agent) []*allocator.Candidate {
+	if !j.Placement.PolicyRestricted {
+		return candidates
+	}
+	return reachable(candidates, agents, func(incarnation string) bool { return o.authorizer.Allowed(name, incarnation) })
+}
+
+// reachable returns the candidates that are still connected and whose worker incarnations are accepted.
+func reachable(candidates []*allocator.Candidate, agents map[string]*agent, accept func(incarnation string) bool) []*allocator.Candidate {
+	var list []*allocator.Candidate
 	for _, candidate := range candidates {
-		a := agents[candidate.ID]
-		if a.reachable() && policy.grants(a.snapshot.WorkerIncarnation, now) {
-			granted = append(granted, candidate)
+		if a := agents[candidate.ID]; a.reachable() && accept(a.snapshot.WorkerIncarnation) {
+			list = append(list, candidate)
 		}
 	}
-	return granted
+	return list
 }
 
-// grants reports whether a worker may run the step.
-func (p *stepPolicy) grants(incarnation string, now time.Time) bool {
-	t, ok := p.tickets[incarnation]
-	return ok && now.Before(t.expiresAt.Add(-TicketMargin))
+// mayStartAt reports whether a start of a task at an agent would have a valid ticket, if it needs one.
+func (o *Orchestrator) mayStartAt(j *job, t *sequencer.Task, a *agent, now time.Time) bool {
+	return !j.Placement.PolicyRestricted || a.snapshot != nil && o.authorizer.Granted(t.StepName(), a.snapshot.WorkerIncarnation, now)
 }
 
-// queryUngranted queries the policy of a step about the candidates without a known or valid
-// grant. It is called when the granted ones have no room for the step.
-func (o *Orchestrator) queryUngranted(j *job, name string, candidates []*allocator.Candidate, agents map[string]*agent, now time.Time) {
-	if !j.Placement.PolicyRestricted || o.policyQueries >= maxPolicyQueries {
+// wantTickets says on which candidates tasks of a step would start if there were tickets. It is called if there
+// is none with which one could start now.
+func (o *Orchestrator) wantTickets(t *sequencer.Task, tasks int, candidates []*allocator.Candidate, agents map[string]*agent, now time.Time) {
+	name, step := t.StepName(), t.StepSpec()
+	if !t.Job.Placement.PolicyRestricted || !o.authorizer.Waits(name, now) {
 		return
 	}
-	policy := o.policies[name]
-	if policy == nil {
-		policy = &stepPolicy{tickets: map[string]ticket{}, queried: map[string]bool{}}
-		o.policies[name] = policy
+	want := authorizer.Want{Step: name, Queue: t.Job.Spec.Queue, Tasks: tasks, Gang: step.Gang}
+	preferred := reachable(candidates, agents, func(string) bool { return true })
+	slices.SortStableFunc(preferred, func(a, b *allocator.Candidate) int {
+		return cmp.Or(-compareBools(nearData(step, a), nearData(step, b)), cmp.Compare(b.FreeCPU(), a.FreeCPU()))
+	})
+	for _, c := range preferred {
+		want.Workers = append(want.Workers, authorizer.Worker{Incarnation: agents[c.ID].snapshot.WorkerIncarnation, Room: allocator.Places(t, name, c)})
 	}
-	if policy.querying || !now.After(policy.nextQueryAt) {
-		return
+	o.authorizer.Want(want, now)
+}
+
+// nearData reports whether the data of a step is in the rack of a candidate.
+func nearData(step *sequencer.Step, c *allocator.Candidate) bool {
+	return step.PreferredRack != "" && slices.Contains(c.Labels, step.PreferredRack)
+}
+
+// compareBools orders false before true.
+func compareBools(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
 	}
-	var unknown []string
-	for _, candidate := range candidates {
-		a := agents[candidate.ID]
-		if !a.reachable() {
-			continue // its connection ended during this round
-		}
-		incarnation := a.snapshot.WorkerIncarnation
-		_, expired := policy.tickets[incarnation]
-		if !policy.grants(incarnation, now) && (expired || !policy.queried[incarnation]) {
-			unknown = append(unknown, incarnation)
+	return 1
+}
+
+// sendQueries sends the queries to the policy service that are due.
+func (o *Orchestrator) sendQueries() {
+	for {
+		query, due := o.authorizer.Next(o.cfg.Now())
+		if !due {
+			return
 		}
-	}
-	if len(unknown) > 0 {
-		o.queryPolicy(policy, name, unknown[:min(len(unknown), maxWorkersPerQuery)])
+		o.sendQuery(query)
 	}
 }
 
-// queryPolicy asks the policy service which worker incarnations may run a step.
-func (o *Orchestrator) queryPolicy(policy *stepPolicy, name string, incarnations []string) {
-	policy.querying = true
-	o.policyQueries++
+// sendQuery asks the policy service which worker incarnations may run a step.
+func (o *Orchestrator) sendQuery(query *authorizer.Query) {
 	sent := o.cfg.Now()
 	o.background.Go(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), policyQueryTimeout)
@@ -122,36 +113,50 @@
 			case <-ctx.Done():
 			}
 		}()
-		grants, validity, err := o.cfg.QueryPolicy(ctx, name, incarnations)
+		grants, validity, err := o.cfg.QueryPolicy(ctx, query.Step, query.Workers)
 		o.enqueue(func() {
-			policy.querying = false
-			o.policyQueries--
-			o.cfg.Log.Info("policy queried", zap.String("step", name), zap.Int("asked", len(incarnations)), zap.Int("granted", len(grants)), zap.Duration("valid", validity), zap.Duration("took", o.cfg.Now().Sub(sent)), zap.Error(err))
+			now := o.cfg.Now()
+			o.cfg.Log.Info("policy queried", zap.String("step", query.Step), zap.Int("asked", len(query.Workers)), zap.Int("granted", len(grants)), zap.Duration("valid", validity), zap.Duration("took", now.Sub(sent)), zap.Error(err))
+			o.cfg.ObserveDuration(meter.PolicyQueries, now.Sub(sent))
 			if err != nil {
-				policy.nextQueryAt = o.cfg.Now().Add(policyRetryDelay)
-				return
-			}
-			for _, incarnation := range incarnations {
-				policy.queried[incarnation] = true
-				delete(policy.tickets, incarnation)
-			}
-			for _, grant := range grants {
-				if slices.Contains(incarnations, grant.Incarnation) {
-					policy.tickets[grant.Incarnation] = ticket{grant.Ticket, sent.Add(validity)}
-				}
+				o.cfg.Count(meter.FailedPolicyQueries)
+				o.authorizer.Fail(query, now)
+			} else {
+				o.authorizer.Answer(query, grants, validity, now)
 			}
+			o.sendQueries() // the service is not left idle until the next round
 			o.planDue = true
 		})
 	})
 }
 
-// ticketFor returns the ticket that a start of a step requires on an agent's
-// worker.
-func (o *Orchestrator) ticketFor(name string, a *agent) string {
-	if policy := o.policies[name]; policy != nil && a.snapshot != nil {
-		return policy.tickets[a.snapshot.WorkerIncarnation].text
+// reportPolicy reports how the policy service keeps up.
+func (o *Orchestrator) reportPolicy(now time.Time) {
+	report := o.authorizer.Report()
+	age := time.Duration(0)
+	if report.Waiting > 0 {
+		age = now.Sub(report.Since)
+	}
+	o.cfg.Gauge(meter.PolicyWaits, float64(report.Waiting))
+	o.cfg.Gauge(meter.OldestPolicyWait, age.Seconds())
+	for range report.Lapsed {
+		o.cfg.Count(meter.LapsedTickets)
+	}
+}
+
+// ticketFor returns the ticket that a start of a task requires on an agent's worker.
+func (o *Orchestrator) ticketFor(t *sequencer.Task, a *agent) string {
+	if !t.Job.Placement.PolicyRestricted || a.snapshot == nil {
+		return ""
+	}
+	return o.authorizer.Use(t.StepName(), a.snapshot.WorkerIncarnation)
+}
+
+// rejectTicket drops the ticket of a start that was not carried out.
+func (o *Orchestrator) rejectTicket(t *sequencer.Task, a *agent, now time.Time) {
+	if t.Job.Placement.PolicyRestricted && a.snapshot != nil {
+		o.authorizer.Reject(t.StepName(), a.snapshot.WorkerIncarnation, now)
 	}
-	return ""
 }
 
 // forgetPolicy drops the grants of a job that has ended.
@@ -165,7 +170,7 @@
 func (o *Orchestrator) forgetStepPolicies(j *job) {
 	for occurrence := range j.Occurrences() {
 		for n := range j.Spec.Steps {
-			delete(o.policies, j.Task(occurrence, n, 0).StepName())
+			o.authorizer.Forget(j.Task(occurrence, n, 0).StepName())
 		}
 	}
 }
--- a/orchestrator/start.go
+++ b/orchestrator/start.go
@@ -101,7 +101,7 @@
 	if alreadyRunning {
 		return start
 	}
-	start.Checkpoint, start.Ticket, start.Interference = r.task.Checkpoint, o.ticketFor(r.task.StepName(), r.agent), o.knownInterference(r.agent, step.Image)
+	start.Checkpoint, start.Ticket, start.Interference = r.task.Checkpoint, o.ticketFor(r.task, r.agent), o.knownInterference(r.agent, step.Image)
 	if start.PayloadKept = r.agent.link.KeepsPayloads && r.agent.payloads.Keeps(r.job.Spec.ID); !start.PayloadKept {
 		start.Payload = r.job.Spec.Payload
 	}
--- a/orchestrator/suspect.go
+++ b/orchestrator/suspect.go
@@ -78,7 +78,7 @@
 		candidate = allocator.Pick(t, name, allowed, now, o.predictor.UpperInterference)
 	}
 	if candidate == nil {
-		o.queryUngranted(j, name, candidates, agents, now)
+		o.wantTickets(t, 1, trials.Allowed(j.Spec.ID, odds, candidates), agents, now)
 		return
 	}
 	a := agents[candidate.ID]
--- a/orchestrator/wait_report.go
+++ b/orchestrator/wait_report.go
@@ -25,7 +25,7 @@
 	unavailable map[unavailability]int
 	// The other workers: those that the queue's policy doesn't grant, and the granted ones by
 	// what they lack. A worker may lack several things.
-	notGranted, lackCPU, lackMemory, lackGPU, lackLabel, atLimit, held int
+	notAllowed, withoutTicket, lackCPU, lackMemory, lackGPU, lackLabel, atLimit, held int
 	// lackHeadroom counts the granted workers where only serving tasks without headroom for a
 	// best-effort task keep it away.
 	lackHeadroom int
@@ -62,7 +62,7 @@
 		zap.Int("lasting", counts.lasting), zap.Int("lasting_blocked", counts.lastingBlocked), zap.Int("claims", counts.claims), zap.Int("moves", counts.moves), zap.Duration("free", freeFor(t, now)), zap.Duration("rack_wait", o.rackWait(t, now)),
 		zap.Bool("blocked", blocked(t)), zap.Bool("suspect", isSuspect(t)), zap.String("claimed", report.claimed), zap.Duration("not_before", max(t.NotBefore.Sub(now), 0)), zap.Int("workers", report.workers),
 		zap.Int("disconnected", report.unavailable[disconnected]), zap.Int("unregistered", report.unavailable[unregistered]), zap.Int("draining", report.unavailable[draining]),
-		zap.Int("leaseless", report.unavailable[leaseless]), zap.Int("excluded", report.unavailable[excluded]), zap.Int("evacuated", report.unavailable[evacuated]), zap.Int("possibly_evacuated", report.unavailable[possiblyEvacuated]), zap.Int("not_granted", report.notGranted),
+		zap.Int("leaseless", report.unavailable[leaseless]), zap.Int("excluded", report.unavailable[excluded]), zap.Int("evacuated", report.unavailable[evacuated]), zap.Int("possibly_evacuated", report.unavailable[possiblyEvacuated]), zap.Int("not_granted", report.notAllowed), zap.Int("no_ticket", report.withoutTicket),
 		zap.Int("lack_cpu", report.lackCPU), zap.Int("lack_memory", report.lackMemory), zap.Int("lack_gpu", report.lackGPU), zap.Int("lack_label", report.lackLabel),
 		zap.Int("at_limit", report.atLimit), zap.Int("held", report.held), zap.Int("lack_headroom", report.lackHeadroom), zap.Int("fit", report.fit), zap.Int64("free_cpu", report.freeCPU), zap.Int64("free_memory", report.freeMemory),
 	}
@@ -139,9 +139,11 @@
 		}
 	}
 	name := t.StepName()
-	granted := o.grantedCandidates(o.jobs[t.Job.Spec.ID], name, candidates, agents, now)
-	report.notGranted = len(candidates) - len(granted)
-	for _, c := range granted {
+	j := o.jobs[t.Job.Spec.ID]
+	allowed := o.allowedCandidates(j, name, candidates, agents)
+	report.notAllowed = len(candidates) - len(allowed)
+	report.withoutTicket = len(allowed) - len(o.grantedCandidates(j, name, candidates, agents, now))
+	for _, c := range allowed {
 		if cl := o.claims[t]; cl != nil && cl.agent.id == c.ID {
 			report.claimed = c.ID
 			c = c.Clone()
--- a/supervisor/commands.go
+++ b/supervisor/commands.go
@@ -194,6 +194,9 @@
 		s.cfg.Log.Warn("outcome of start is unknown; fence raised", zap.String("task", r.task), zap.Uint64("attempt", r.attempt), zap.Uint64("fence", s.fence), zap.Error(err))
 		s.requestList()
 	default:
+		if errors.Is(err, ErrInvalidTicket) {
+			s.cfg.Count(meter.RefusedTickets)
+		}
 		s.endRun(r, messenger.RunEnd{Status: messenger.EndNotStarted, Reason: err.Error(), WorkerUnhealthy: errors.Is(err, ErrUnhealthy)}, 0)
 	}
 	s.markDirty()
