orchestrator: A claim of room outlives the ticket for its worker

Cause: claims, and the room that is set aside beside them, went by the tickets that were valid at that moment, so that a long-running task lost its claim each time its ticket ran out and began to wait anew. A start that waited for the ledger to name its agent was sent with the ticket of before, which had run out.

Change: claims go by what the policy allows, which doesn't change; the start waits for a new ticket with its claim kept. A granted start without a valid ticket is dropped and granted again.

Measured: TestAClaimOutlivesItsTicket and TestAGrantThatOutlivesItsTicketSendsNoStart fail without the change.

--- a/orchestrator/claim.go
+++ b/orchestrator/claim.go
@@ -60,8 +60,8 @@
 	unmet := map[string]*apportioner.Unmet{}
 	for _, s := range list {
 		t, name := s.task, s.task.StepName()
-		granted := o.grantedCandidates(s.job, name, byPool[s.job.Placement.Pool], agents, now)
-		claimed := o.claimedCandidate(t, granted)
+		candidates := byPool[s.job.Placement.Pool]
+		claimed := o.claimedCandidate(t, o.allowedCandidates(s.job, name, candidates, agents))
 		if claimed == nil || isSuspect(t) {
 			delete(o.claims, t)
 		}
@@ -70,8 +70,12 @@
 		}
 		held := blocked(t) || now.Before(t.NotBefore) || !o.mayStart(t, 1)
 		candidate := claimed
-		if !held && (claimed == nil || !allocator.FitsClaim(t, name, claimed)) {
-			candidate = o.pickUnlessUnmet(s, granted, unmet, now)
+		ticketless := claimed != nil && !o.mayStartAt(s.job, t, agents[claimed.ID], now)
+		if !held && ticketless && allocator.FitsClaim(t, name, claimed) {
+			o.wantTickets(t, 1, []*allocator.Candidate{claimed}, agents, now)
+		}
+		if !held && (claimed == nil || ticketless || !allocator.FitsClaim(t, name, claimed)) {
+			candidate = o.pickUnlessUnmet(s, o.grantedCandidates(s.job, name, candidates, agents, now), unmet, now)
 		}
 		if candidate != nil && candidate != claimed && !s.moved {
 			pool := s.job.Placement.Pool
@@ -90,7 +94,7 @@
 				delete(o.claims, t)
 			}
 			o.setBusy(candidate, agents[candidate.ID])
-		case claimed != nil && (held || claimed.Busy || claims(t)):
+		case claimed != nil && (held || ticketless || claimed.Busy || claims(t)):
 			claimed.Reserve(t.StepSpec(), name)
 		default:
 			delete(o.claims, t)
--- a/orchestrator/evict.go
+++ b/orchestrator/evict.go
@@ -75,10 +75,10 @@
 	defer o.reserveMoves(byPool)
 	unmet := map[string]*apportioner.Unmet{}
 	for _, s := range list {
-		granted := o.grantedCandidates(s.job, s.task.StepName(), byPool[s.job.Placement.Pool], agents, now)
-		if claimed := o.claimedCandidate(s.task, granted); claimed != nil {
+		allowed := o.allowedCandidates(s.job, s.task.StepName(), byPool[s.job.Placement.Pool], agents)
+		if claimed := o.claimedCandidate(s.task, allowed); claimed != nil {
 			claimed.Reserve(s.task.StepSpec(), s.task.StepName())
-		} else if candidate := o.pickUnlessUnmet(s, granted, unmet, now); candidate != nil {
+		} else if candidate := o.pickUnlessUnmet(s, allowed, unmet, now); candidate != nil {
 			candidate.Reserve(s.task.StepSpec(), s.task.StepName())
 		}
 	}
--- a/orchestrator/grant.go
+++ b/orchestrator/grant.go
@@ -140,6 +140,10 @@
 		o.dropGrant(r, "its queue has moved to other workers")
 		return
 	}
+	if !o.mayStartAt(r.job, r.task, r.agent, now) {
+		o.dropGrant(r, "its ticket has run out")
+		return
+	}
 	if r.link != r.agent.link || !o.ownershipCurrent() || o.unavailability(r.agent, now) != available {
 		o.dropGrant(r, "its agent may receive no starts any more")
 		return
--- a/orchestrator/policy_test.go
+++ b/orchestrator/policy_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -75,3 +76,84 @@
 		c.Check(starts, qt.Equals, 2*jobs)
 	})
 }
+
+// allow answers the queries to the policy service with tickets for the workers of some agents.
+func (h *harness) allow(ids ...string) (asked *[][]string) {
+	asked = &[][]string{}
+	h.o.cfg.QueryPolicy = func(_ context.Context, _ string, workers []string) ([]authorizer.Grant, time.Duration, error) {
+		*asked = append(*asked, workers)
+		var grants []authorizer.Grant
+		for _, id := range ids {
+			if slices.Contains(workers, "life-"+id) {
+				grants = append(grants, authorizer.Grant{Incarnation: "life-" + id, Ticket: "t"})
+			}
+		}
+		return grants, 3 * time.Second, nil
+	}
+	return asked
+}
+
+// answer handles the answer to the query in flight and places.
+func (h *harness) answer() {
+	(<-h.o.actions)()
+	h.o.place()
+}
+
+// A claim of room ended with the ticket for its worker, though the policy goes on to allow that worker.
+func TestAClaimOutlivesItsTicket(t *testing.T) {
+	c := qt.New(t)
+	h := newHarness(c, 1)
+	asked := h.allow("a0")
+	spec := lastingSpec(1000)
+	spec.PolicyRestricted = true
+	j := h.submit(spec)
+	task := j.Task(0, 0, 0)
+	h.o.place()
+	(<-h.o.actions)()
+	h.o.claims[task] = &claim{task: task, job: j, agent: h.o.agents["a0"], endBy: h.now.Add(time.Minute)}
+	h.now = h.now.Add(4 * time.Second)
+	h.sendSnapshot("a0", &messenger.WorkerSnapshot{})
+	h.o.place()
+	c.Assert(h.o.claims[task], qt.Not(qt.IsNil))
+	c.Assert(h.commands("a0"), qt.HasLen, 0)
+	h.answer()
+	c.Check(h.commands("a0"), qt.HasLen, 1)
+	c.Check(*asked, qt.HasLen, 2)
+}
+
+// A start was sent with a ticket that had run out while its grant was written.
+func TestAGrantThatOutlivesItsTicketSendsNoStart(t *testing.T) {
+	c := qt.New(t)
+	h, _ := newGrantHarness(c, 1)
+	h.allow("a0")
+	spec := lastingSpec(1000)
+	spec.PolicyRestricted = true
+	j := h.submit(spec)
+	h.o.place()
+	h.answer()
+	b := h.o.nextBatch()
+	h.now = h.now.Add(4 * time.Second)
+	h.sendSnapshot("a0", &messenger.WorkerSnapshot{})
+	h.o.handleCommit(b, 50, nil)
+	c.Assert(h.commands("a0"), qt.Not(qt.Contains), "start "+j.Task(0, 0, 0).Name())
+	h.o.place()
+	h.answer()
+	c.Check(h.commands("a0"), qt.Contains, "start "+j.Task(0, 0, 0).Name())
+}
+
+// A worker that refuses a ticket is not sent it again.
+func TestARefusedTicketIsNotUsedAgain(t *testing.T) {
+	c := qt.New(t)
+	h := newHarness(c, 1)
+	asked := h.allow("a0")
+	j := h.submit(sequencer.Spec{Steps: []sequencer.Step{step(1, 100)}, PolicyRestricted: true})
+	h.o.place()
+	h.answer()
+	h.reportEnd("a0", 1, j.Task(0, 0, 0).Name(), 1, messenger.EndNotStarted)
+	h.now = h.now.Add(refusedStartDelay)
+	h.o.place()
+	c.Assert(h.commands("a0"), qt.HasLen, 1)
+	h.answer()
+	c.Check(h.commands("a0"), qt.HasLen, 2)
+	c.Check(*asked, qt.HasLen, 2)
+}
--- a/orchestrator/starvation.go
+++ b/orchestrator/starvation.go
@@ -68,7 +68,7 @@
 // claimFor claims room for a task, or drops its claim if it won't fit anywhere in time.
 func (o *Orchestrator) claimFor(s starvingTask, pool *apportioner.Apportioner, candidates []*allocator.Candidate, agents map[string]*agent, blocked func(*sequencer.Task) bool, now time.Time) {
 	t, name := s.task, s.task.StepName()
-	request := apportioner.Request{Task: t, StepName: name, Workers: o.grantedCandidates(s.job, name, candidates, agents, now), AnyWorker: !s.job.Placement.PolicyRestricted, StartsAt: s.startsAt}
+	request := apportioner.Request{Task: t, StepName: name, Workers: o.allowedCandidates(s.job, name, candidates, agents), AnyWorker: !s.job.Placement.PolicyRestricted, StartsAt: s.startsAt}
 	held := o.claims[t]
 	if held != nil {
 		request.Held = held.agent.id
