orchestrator: Tasks move only to workers that their policy allows

Cause: moves off draining workers, and of best-effort runs that are throttled, took any worker of the pool. Where the policy did not allow it, the run had been stopped for nothing, and its task waited for a ticket elsewhere. Moves out of evacuated domains went by the tickets of the moment, and asked for none.

Change: moves go by what the policy is known to allow; where no such worker has room the policy service is asked, and the run goes on until then.

Measured: TestATaskMovesOnlyToAWorkerThatItsPolicyAllows and TestRunsMoveOnlyWhereTheirPolicyAllowsIt fail without the change.

--- a/orchestrator/evacuation_moves.go
+++ b/orchestrator/evacuation_moves.go
@@ -119,9 +119,10 @@
 		choice.Keep()
 		return "blocked"
 	}
-	granted := o.grantedCandidates(r.job, r.task.StepName(), byPool[r.job.Placement.Pool], agents, now)
-	to := o.pickForMove(r, granted, now)
+	candidates := byPool[r.job.Placement.Pool]
+	to := o.pickForMove(r, o.allowedCandidates(r.job, r.task.StepName(), candidates, agents), now)
 	if to == nil {
+		o.wantTickets(r.task, 1, candidates, agents, now)
 		if choice.Step != nil {
 			o.roomless[r] = true // its turn lasts until it has room
 		}
@@ -135,13 +136,13 @@
 
 // pickForMove returns a candidate with room for the task of a run, its own claim included, and
 // reserves the room, or nil.
-func (o *Orchestrator) pickForMove(r *run, granted []*allocator.Candidate, now time.Time) *allocator.Candidate {
+func (o *Orchestrator) pickForMove(r *run, allowed []*allocator.Candidate, now time.Time) *allocator.Candidate {
 	step, name := r.task.StepSpec(), r.task.StepName()
-	claimed := o.claimedCandidate(r.task, granted)
+	claimed := o.claimedCandidate(r.task, allowed)
 	if claimed != nil {
 		claimed.Release(step, name)
 	}
-	to := allocator.Pick(r.task, name, granted, now, o.predictor.UpperInterference)
+	to := allocator.Pick(r.task, name, allowed, now, o.predictor.UpperInterference)
 	switch {
 	case to != nil:
 		o.reserve(to, r.task)
--- a/orchestrator/evict.go
+++ b/orchestrator/evict.go
@@ -27,7 +27,7 @@
 	for _, a := range draining {
 		for _, r := range o.runsOf(a) {
 			if o.mayEvacuate(r, blocked) {
-				o.evacuateRun(r, byPool[r.job.Placement.Pool])
+				o.evacuateRun(r, byPool[r.job.Placement.Pool], agents)
 			}
 		}
 	}
@@ -40,9 +40,9 @@
 }
 
 // evacuateRun moves a run to a candidate that has room, its own claim included.
-func (o *Orchestrator) evacuateRun(r *run, candidates []*allocator.Candidate) {
+func (o *Orchestrator) evacuateRun(r *run, candidates []*allocator.Candidate, agents map[string]*agent) {
 	step, name := r.task.StepSpec(), r.task.StepName()
-	for _, candidate := range candidates {
+	for _, candidate := range o.allowedCandidates(r.job, name, candidates, agents) {
 		claimed := o.claims[r.task] != nil && o.claims[r.task].agent.id == candidate.ID
 		if claimed {
 			candidate.Release(step, name)
@@ -57,6 +57,7 @@
 			return
 		}
 	}
+	o.wantTickets(r.task, 1, candidates, agents, o.cfg.Now())
 }
 
 // maxMoveTime is how long a run that is stopped to move may take to end before the room for
--- a/orchestrator/policy.go
+++ b/orchestrator/policy.go
@@ -39,6 +39,18 @@
 	return reachable(candidates, agents, func(incarnation string) bool { return o.authorizer.Allowed(name, incarnation) })
 }
 
+// policyOf returns a function that reports whether the policy of a task is known to allow the worker of an agent, or nil
+// if it has none.
+func (o *Orchestrator) policyOf(j *job, t *sequencer.Task) func(agent string) bool {
+	if !j.Placement.PolicyRestricted {
+		return nil
+	}
+	return func(agent string) bool {
+		a := o.agents[agent]
+		return a != nil && a.snapshot != nil && o.authorizer.Allowed(t.StepName(), a.snapshot.WorkerIncarnation)
+	}
+}
+
 // reachable returns the candidates that are still connected and whose worker incarnations are accepted.
 func reachable(candidates []*allocator.Candidate, agents map[string]*agent, accept func(incarnation string) bool) []*allocator.Candidate {
 	var list []*allocator.Candidate
--- a/orchestrator/policy_test.go
+++ b/orchestrator/policy_test.go
@@ -99,6 +99,33 @@
 	h.o.place()
 }
 
+// A task on a worker that drains was stopped for a worker that its policy does not allow.
+func TestATaskMovesOnlyToAWorkerThatItsPolicyAllows(t *testing.T) {
+	c := qt.New(t)
+	h := newHarness(c, 1)
+	h.allow("a0", "a2")
+	spec := lastingSpec(1000)
+	spec.PolicyRestricted = true
+	j := h.submit(spec)
+	h.o.place()
+	h.answer()
+	c.Assert(h.commands("a0"), qt.HasLen, 1)
+	h.reportRunning("a0", 100)
+	h.connectAgent("a1")
+	h.drain("a0")
+	for range 2 {
+		h.o.evacuate()
+		h.o.sendQueries()
+		c.Assert(h.o.authorizer.InFlight(), qt.Equals, 1)
+		h.answer()
+		c.Assert(h.commands("a0"), qt.HasLen, 1, qt.Commentf("it goes on"))
+		h.connectAgent("a2")
+	}
+	h.o.evacuate()
+	c.Assert(h.commands("a0"), qt.HasLen, 2)
+	c.Check(h.o.claims[j.Task(0, 0, 0)].agent.id, qt.Equals, "a2")
+}
+
 // A claim of room ended with the ticket for its worker, though the policy goes on to allow that worker.
 func TestAClaimOutlivesItsTicket(t *testing.T) {
 	c := qt.New(t)
--- a/orchestrator/relocate.go
+++ b/orchestrator/relocate.go
@@ -32,6 +32,7 @@
 			movable = append(movable, r)
 			runs = append(runs, relocator.Run{
 				Task: r.task, Worker: r.agent.id, Pool: r.job.Placement.Pool, PacePercent: r.pacePercent, ProgressPercent: r.progressPercent, StartedAt: r.startedAt,
+				MayRunOn: o.policyOf(r.job, r.task),
 			})
 		}
 	}
--- a/relocator/relocator.go
+++ b/relocator/relocator.go
@@ -38,6 +38,8 @@
 	Worker, Pool                 string
 	PacePercent, ProgressPercent int
 	StartedAt                    time.Time
+	// MayRunOn reports whether the policy of its queue allows a worker; nil if it allows all.
+	MayRunOn func(worker string) bool
 	// index is the position in the argument of Choose.
 	index int
 }
@@ -88,7 +90,7 @@
 	var best *allocator.Candidate
 	lowest := 0.0
 	for _, c := range candidates {
-		if c.ID == r.Worker || !allocator.Fits(r.Task, name, c) || c.BestEffortCPU+step.CPU > c.ReclaimableCPU() {
+		if c.ID == r.Worker || r.MayRunOn != nil && !r.MayRunOn(c.ID) || !allocator.Fits(r.Task, name, c) || c.BestEffortCPU+step.CPU > c.ReclaimableCPU() {
 			continue
 		}
 		pressure := allocator.ExpectedPressure(step, c, interference)
--- a/relocator/relocator_test.go
+++ b/relocator/relocator_test.go
@@ -45,6 +45,14 @@
 	c.Check(choose([]Run{slowedRun("j", 10)}, servingWorker("b", "heavy"), servingWorker("c", "light")), qt.DeepEquals, []Move{{Run: 0, To: "c"}})
 }
 
+// A run was stopped for a worker that its policy does not allow.
+func TestRunsMoveOnlyWhereTheirPolicyAllowsIt(t *testing.T) {
+	c := qt.New(t)
+	r := slowedRun("j", 10)
+	r.MayRunOn = func(worker string) bool { return worker == "b" }
+	c.Check(choose([]Run{r}, servingWorker("b", "heavy"), servingWorker("c", "light"), servingWorker("d", "light")), qt.DeepEquals, []Move{{Run: 0, To: "b"}})
+}
+
 func TestTheMostThrottledRunMovesFirst(t *testing.T) {
 	c := qt.New(t)
 	small := servingWorker("b", "light")
