orchestrator: Runs of an agent that is not heard are not stuck

Callers saw all four long-running tasks of a step stopped at once, though one may be away at a time, after their owner's entry had been cut off for 3.5 s.

Cause: a run counted as stuck when its progress had not grown for 2.5 s, whether its agent had been heard in that time or not. Its stop was sent as soon as the agent was back, though the task was at work. The same held for an agent that did not reach its worker, and runs of silent agents were moved by a pace that might be old.

Change: the time in which the agent doesn't answer doesn't count, and no run of such an agent is moved.

--- a/orchestrator/incomplete_test.go
+++ b/orchestrator/incomplete_test.go
@@ -101,3 +101,36 @@
 		})
 	}
 }
+
+// Long-running tasks that were at work were all stopped as stuck, as their agents had not been heard for 3.5 s.
+func TestRunsOfAnAgentThatIsNotHeardAreNotStuck(t *testing.T) {
+	for name, silent := range map[string]func(h *harness){
+		"cut off": func(*harness) {},
+		"without its worker": func(h *harness) {
+			h.sendSnapshot("a0", &messenger.WorkerSnapshot{Runs: h.runStatuses("a0", messenger.PhaseRunning, 50), Unreachable: true})
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			h := newHarness(c, 1)
+			h.submit(lastingSpec(1000))
+			h.o.place()
+			h.reportRunning("a0", 50)
+			for range 14 {
+				h.now = h.now.Add(250 * time.Millisecond)
+				silent(h)
+				h.o.relocateSlowedRuns(h.now)
+			}
+			h.reportRunning("a0", 50) // held back by the cut
+			h.now = h.now.Add(relocationInterval)
+			h.o.relocateSlowedRuns(h.now)
+			c.Check(h.stopCount("a0"), qt.Equals, 0)
+			for range 20 {
+				h.now = h.now.Add(relocationInterval)
+				h.reportRunning("a0", 50)
+				h.o.relocateSlowedRuns(h.now)
+			}
+			c.Check(h.stopCount("a0") > 0, qt.IsTrue, qt.Commentf("it is stuck, as its agent shows"))
+		})
+	}
+}
--- a/orchestrator/relocate.go
+++ b/orchestrator/relocate.go
@@ -28,7 +28,7 @@
 	var runs []relocator.Run
 	for _, r := range o.runs {
 		step := r.task.StepSpec()
-		if step.BestEffort && step.Checkpointable && !step.Gang && r.phase == messenger.PhaseRunning && !r.evict && !blocked(r.task) && r.movesAgain(now) {
+		if step.BestEffort && step.Checkpointable && !step.Gang && r.phase == messenger.PhaseRunning && !r.evict && !blocked(r.task) && r.agent.answers(now) && r.movesAgain(now) {
 			movable = append(movable, r)
 			runs = append(runs, relocator.Run{
 				Task: r.task, Worker: r.agent.id, Pool: r.job.Placement.Pool, PacePercent: r.pacePercent, ProgressPercent: r.progressPercent, StartedAt: r.startedAt,
@@ -61,12 +61,11 @@
 	blocked := o.startBlocked()
 	for _, r := range o.runs {
 		step := r.task.StepSpec()
-		if blocked(r.task) || r.phase != messenger.PhaseRunning || r.evict || step.Gang || r.agent.link == nil || r.agent.snapshot == nil || r.agent.snapshot.Unreachable ||
-			step.LongRunning && r.progressPercent >= 100 {
+		if blocked(r.task) || r.phase != messenger.PhaseRunning || r.evict || step.Gang || step.LongRunning && r.progressPercent >= 100 {
 			continue
 		}
-		if r.pacePercent < slowedPacePercent || r.agent.snapshot.EndsUnlisted {
-			r.progressedAt = now // throttled on purpose, or it may have ended
+		if !r.agent.answers(now) || r.pacePercent < slowedPacePercent || r.agent.snapshot.EndsUnlisted {
+			r.progressedAt = now // nothing is known of its progress, it is throttled on purpose, or it may have ended
 			continue
 		}
 		if r.progressedAt.IsZero() || now.Sub(r.progressedAt) < stuckTimeout {
