orchestrator: Ended jobs keep no texts, and the ledger is read by pages

Callers saw accepted jobs that never ran: after some 1,050 bodies of 260 KB each owner exceeded the memory of its instance, one after the other.

Cause: the owner kept each job whole until callers may no longer ask for its state, and a new owner listed all of them with their values before it used the first.

Change: a job whose end is in the ledger and that has no run drops its texts, and the ledger is read page by page. Progress is read before the inputs: no earlier owner writes any more. An owner that reads it again adds no job before it has read all cancellations.

The test of jobs that are deleted while the ledger is read now runs the loop beside the read, as the read waits for it.

--- a/orchestrator/watch.go
+++ b/orchestrator/watch.go
@@ -55,18 +55,29 @@
 // and agents are read only the first time: the owner writes them, and learns from a conflict
 // that an agent has closed its own registration.
 func (o *Orchestrator) loadLedger(ctx context.Context, first bool) (uint64, error) {
-	inputs, err := o.cfg.Store.List(ctx, InputPrefix)
-	if err != nil {
-		return 0, err
-	}
 	if !first {
-		o.enqueue(func() { o.handleInputsUntil(inputs) })
-		return inputs.Version, nil
+		var unknown []storer.Item // a job is not added before its cancellation is read, which is on a later page
+		version, err := o.cfg.Store.ListEach(ctx, InputPrefix, func(items []storer.Item) {
+			o.enqueueAndWait(func() { unknown = append(unknown, o.unknownInputs(items)...) })
+		})
+		if err != nil {
+			return 0, err
+		}
+		o.enqueue(func() { o.handleInputsUntil(storer.Page{Items: unknown, Version: version}) })
+		return version, nil
 	}
+	// No earlier owner writes any more, so that the progress is that of the inputs that are read after it.
 	progress, err := o.cfg.Store.List(ctx, progressPrefix)
 	if err != nil {
 		return 0, err
 	}
+	byJob := progressByJob(progress.Items)
+	version, err := o.cfg.Store.ListEach(ctx, InputPrefix, func(items []storer.Item) {
+		o.enqueueAndWait(func() { o.takeOverInputs(items, byJob) })
+	})
+	if err != nil {
+		return 0, err
+	}
 	agents, err := o.cfg.Store.List(ctx, registrar.Prefix)
 	if err != nil {
 		return 0, err
@@ -76,26 +87,51 @@
 		return 0, err
 	}
 	o.enqueue(func() {
-		o.takeOver(inputs.Items, progress.Items, agents.Items)
+		o.takeOverAgents(agents.Items)
 		o.loadRoster(lastRoster)
-		o.inputVersion = inputs.Version
+		o.inputVersion = version
+	})
+	return version, nil
+}
+
+// enqueueAndWait passes an action to the owner's loop and waits until it is done, so that a page of the ledger is
+// read only once the one before it need not be kept any more.
+func (o *Orchestrator) enqueueAndWait(action func()) {
+	done := make(chan struct{})
+	o.enqueue(func() {
+		defer close(done)
+		action()
 	})
-	return inputs.Version, nil
+	select {
+	case <-done:
+	case <-o.stopped:
+	}
 }
 
 // takeOver initializes the state from the contents of the ledger.
 func (o *Orchestrator) takeOver(inputs, progress, agents []storer.Item) {
-	progressByJob := map[string]storer.Item{}
+	o.takeOverInputs(inputs, progressByJob(progress))
+	o.takeOverAgents(agents)
+}
+
+func progressByJob(progress []storer.Item) map[string]storer.Item {
+	byJob := map[string]storer.Item{}
 	for _, item := range progress {
-		progressByJob[strings.TrimPrefix(item.Key, progressPrefix)] = item
+		byJob[strings.TrimPrefix(item.Key, progressPrefix)] = item
 	}
+	return byJob
+}
+
+// takeOverInputs adds the jobs of a page of the ledger, with their progress, and handles its cancellations, which
+// come after all jobs. A page that is read again changes nothing.
+func (o *Orchestrator) takeOverInputs(inputs []storer.Item, progress map[string]storer.Item) {
 	for _, item := range inputs {
 		id, ok := strings.CutPrefix(item.Key, InputPrefix+"j")
-		if !ok {
+		if !ok || o.jobs[id] != nil || o.unreadableJobs[id] {
 			continue
 		}
 		var p *sequencer.Progress
-		stored, ok := progressByJob[id]
+		stored, ok := progress[id]
 		if ok {
 			var err error
 			if p, err = sequencer.DecodeProgress(stored.Value); err != nil {
@@ -107,6 +143,11 @@
 		}
 		o.addJob(item, p, stored.Version)
 	}
+	o.handleInputs(inputs) // for the cancellations
+}
+
+// takeOverAgents adds the agents of the ledger, after all of its jobs. Tasks may start from then on.
+func (o *Orchestrator) takeOverAgents(agents []storer.Item) {
 	for _, item := range agents {
 		id := strings.TrimPrefix(item.Key, registrar.Prefix)
 		a := o.agent(id)
@@ -116,7 +157,6 @@
 		// own ownership expired.
 		a.leaseExpiresAt = later(a.leaseExpiresAt, o.renewedUntil(a).Add(o.maxLeaseElapsed()))
 	}
-	o.handleInputs(inputs) // for the cancellations
 	o.loaded, o.planDue = true, true
 	o.cfg.Log.Info("ledger loaded", zap.Uint64("term", o.cfg.Term), zap.Int("jobs", len(o.jobs)), zap.Int("open", len(o.openJobs)), zap.Int("agents", len(agents)), zap.Duration("after", o.cfg.Now().Sub(o.cfg.ClaimedAt)))
 	for _, a := range o.agents {
@@ -140,7 +180,7 @@
 	return estimator.MaxLocalElapsed(o.cfg.LeaseDuration) + leaseMargin
 }
 
-// handleInputsUntil processes a page of a list or of a watch, which has all inputs up to its
+// handleInputsUntil processes the unknown inputs of a list, or a page of a watch, which has all inputs up to its
 // version that no earlier page had. A list that was read while jobs were deleted may still
 // show them, and lack their cancellations.
 func (o *Orchestrator) handleInputsUntil(page storer.Page) {
@@ -152,6 +192,14 @@
 	o.inputVersion = max(o.inputVersion, page.Version)
 }
 
+// unknownInputs returns those inputs of a list that are no jobs which are known.
+func (o *Orchestrator) unknownInputs(items []storer.Item) []storer.Item {
+	return slices.DeleteFunc(items, func(item storer.Item) bool {
+		id, isJob := strings.CutPrefix(item.Key, InputPrefix+"j")
+		return isJob && (o.jobs[id] != nil || o.unreadableJobs[id])
+	})
+}
+
 // handleInputs processes accepted jobs and cancellations from the ledger. A later owner
 // starts jobs that are newer than its claim at once, so they are none of this one's.
 func (o *Orchestrator) handleInputs(items []storer.Item) {
@@ -192,6 +240,7 @@
 	o.jobs[spec.ID] = j
 	if j.Ended() {
 		j.endedAt = o.cfg.Now()
+		spec.Shrink()
 		return
 	}
 	o.openJobs[spec.ID] = j
--- a/orchestrator/watch_test.go
+++ b/orchestrator/watch_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/endivefall/endivefall/messenger"
 	"github.com/endivefall/endivefall/meter"
 
 	qt "github.com/frankban/quicktest"
@@ -52,9 +53,7 @@
 				h.o.cfg.Epoch, err = client.Commit(t.Context(), storer.Transaction{Writes: []storer.Write{{Key: key, Value: raw}}})
 				c.Assert(err, qt.IsNil)
 			}
-			_, err = h.o.loadLedger(t.Context(), true)
-			c.Assert(err, qt.IsNil)
-			(<-h.o.actions)()
+			h.load(t.Context(), true)
 			c.Assert(h.o.jobs, qt.HasLen, 1)
 			if name == "complete" {
 				h.o.jobs[spec.ID].DurableState = sequencer.Complete
@@ -64,20 +63,72 @@
 			h.o.cfg.Store.ListPage = func(ctx context.Context, prefix, after string) (storer.Page, error) {
 				page, err := listPage(ctx, prefix, after)
 				if after == "" {
-					h.o.deleteExpiredJobs(ctx, h.now.Add(2*h.o.cfg.JobRetention))
-					(<-h.o.actions)()
+					h.o.enqueueAndWait(func() { h.o.deleteExpiredJobs(ctx, h.now.Add(2*h.o.cfg.JobRetention)) })
+					for left := 1; left > 0; {
+						h.o.enqueueAndWait(func() { left = len(h.o.jobs) })
+					}
 				}
 				return page, err
 			}
-			_, err = h.o.loadLedger(t.Context(), false)
-			c.Assert(err, qt.IsNil)
-			(<-h.o.actions)()
+			h.load(t.Context(), false)
 			h.o.place()
 			c.Assert(h.commands("a0"), qt.HasLen, 0)
 		})
 	}
 }
 
+// load reads the ledger while the owner's loop runs.
+func (h *harness) load(ctx context.Context, first bool) {
+	loaded := make(chan error, 1)
+	go func() {
+		_, err := h.o.loadLedger(ctx, first)
+		h.o.enqueueAndWait(func() {}) // after all others
+		loaded <- err
+	}()
+	for {
+		select {
+		case action := <-h.o.actions:
+			action()
+		case err := <-loaded:
+			h.c.Assert(err, qt.IsNil)
+			return
+		}
+	}
+}
+
+// The next owner read the whole bodies of all jobs that callers may still ask for, and kept them: after a thousand
+// large ones each owner in turn had no memory left.
+func TestOnlyOpenJobsKeepTheirTexts(t *testing.T) {
+	for name, next := range map[string]bool{"the same owner": false, "the next one": true} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			h := newHarness(c, 1)
+			spec := sequencer.Spec{Payload: "text", Steps: []sequencer.Step{{Count: 1, CPU: 10, Memory: 10, Image: "i", RequiredLabel: ""}}}
+			j, open := h.submit(spec), h.submit(spec)
+			h.o.place()
+			j.Failed = true
+			h.o.markDirty(j)
+			if next {
+				raw, err := j.Spec.Encode()
+				c.Assert(err, qt.IsNil)
+				progress, err := j.Progress().Encode()
+				c.Assert(err, qt.IsNil)
+				h = newHarness(c, 1)
+				h.o.takeOver([]storer.Item{{Key: JobKey(j.Spec.ID), Value: raw, Version: 5}}, []storer.Item{{Key: ProgressKey(j.Spec.ID), Value: progress, Version: 6}}, nil)
+				j = h.o.jobs[j.Spec.ID]
+			} else {
+				h.o.closeJob(j)
+				h.reportEnd("a0", 1, j.Task(0, 0, 0).Name(), 1, messenger.EndStopped)
+				h.commitBatch(50)
+				h.o.deleteExpiredJobs(t.Context(), h.now)
+				c.Check(open.Spec.Payload, qt.Equals, "text")
+			}
+			c.Check(j.State(), qt.Equals, sequencer.Failed)
+			c.Check(j.Spec.Payload+j.Spec.Steps[0].Image, qt.Equals, "")
+		})
+	}
+}
+
 // oddJobs returns records of jobs as another writer may leave them.
 func oddJobs(c *qt.C) [][]byte {
 	records := [][]byte{nil, {0xff}, bytes.Repeat([]byte{0x81}, 10000), []byte("text")}
--- a/orchestrator/write.go
+++ b/orchestrator/write.go
@@ -241,6 +241,9 @@
 			if j.Ended() && j.endedAt.IsZero() {
 				j.endedAt = now
 			}
+			if j.DurableState.Final() && len(j.liveRuns) == 0 {
+				j.Spec.Shrink()
+			}
 			continue
 		}
 		b.transaction.Deletes = append(b.transaction.Deletes, JobKey(id), CancelKey(id), ProgressKey(id))
--- a/sequencer/spec.go
+++ b/sequencer/spec.go
@@ -81,6 +81,16 @@
 	AcceptedAt time.Time `cbor:"13,keyasint"`
 }
 
+// Shrink drops the texts that only starts of tasks need. It is for jobs that have ended, whose state callers may
+// ask for long after.
+func (s *Spec) Shrink() {
+	s.Payload = ""
+	for n := range s.Steps {
+		step := &s.Steps[n]
+		step.Image, step.RequiredLabel, step.PreferredRack = "", "", ""
+	}
+}
+
 // String returns a description of the step without spaces, for logs.
 func (s *Step) String() string {
 	text := fmt.Sprintf("%dx%dm/%dMB/%s", s.Count, s.CPU, s.Memory, s.Estimate)
--- a/storer/store.go
+++ b/storer/store.go
@@ -152,22 +152,33 @@
 // watch from that version misses no change.
 func (s *Store) List(ctx context.Context, prefix string) (Page, error) {
 	var result Page
-	after := ""
-	for {
+	version, err := s.ListEach(ctx, prefix, func(items []Item) { result.Items = append(result.Items, items...) })
+	if err != nil {
+		return Page{}, err
+	}
+	result.Version = version
+	return result, nil
+}
+
+// ListEach reads all keys under a prefix and passes them on page by page, in order, so that their values need
+// not be kept together. It returns the version of the first page, as List does. After an error some pages may
+// have been passed on.
+func (s *Store) ListEach(ctx context.Context, prefix string, handle func(items []Item)) (version uint64, err error) {
+	for after := ""; ; {
 		p, err := s.ListPage(ctx, prefix, after)
 		if err != nil {
-			return Page{}, fmt.Errorf("listing %s: %w", prefix, err)
+			return 0, fmt.Errorf("listing %s: %w", prefix, err)
 		}
 		if after == "" {
-			result.Version = p.Version
+			version = p.Version
 		}
-		result.Items = append(result.Items, p.Items...)
+		handle(p.Items)
 		if !p.More || len(p.Items) == 0 {
-			return result, nil
+			return version, nil
 		}
 		next := p.Items[len(p.Items)-1].Key
 		if next <= after {
-			return Page{}, fmt.Errorf("listing %s: %w: the page after %s ends at %s", prefix, ErrPageOrder, after, next)
+			return 0, fmt.Errorf("listing %s: %w: the page after %s ends at %s", prefix, ErrPageOrder, after, next)
 		}
 		after = next
 	}
