faker: The store refuses values that are too large, as a platform's does

Cause: the stand-in of the pools' store took values of any size, so that the suites of the owner and of the acceptor could not see a write that is always refused. Change: it refuses those over storer.MaxValueBytes.

--- a/faker/store.go
+++ b/faker/store.go
@@ -267,6 +267,11 @@
 		if n := len(tx.Checks) + len(tx.Writes) + len(tx.Deletes); n > storer.MaxTransactionOps {
 			return fmt.Errorf("transaction has %d operations, limit is %d", n, storer.MaxTransactionOps)
 		}
+		for _, w := range tx.Writes {
+			if len(w.Value) > storer.MaxValueBytes {
+				return fmt.Errorf("value of %s is %d bytes, limit is %d", w.Key, len(w.Value), storer.MaxValueBytes)
+			}
+		}
 		conflict := &storer.ConflictError{}
 		mismatch := false
 		for _, c := range tx.Checks {
