authorizer: A round looks at the workers for 64 steps at the most

Cause: while no query was prepared, each round of placement looked at all workers for each step that waits for a ticket: with a thousand steps and sixty workers for longer than the round itself. Change: 64 steps a round; of the second half, those with nothing to ask are left out for 0.1 s, so that the next rounds get to others. Measured: TestALongBacklogWithoutRoomLetsOthersAsk: 300 steps were looked at in each round before.

--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -12,12 +12,11 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/endivefall/endivefall/meter"
-
 	"go.uber.org/zap"
 	"golang.org/x/time/rate"
 
 	"github.com/endivefall/endivefall/messenger"
+	"github.com/endivefall/endivefall/meter"
 	"github.com/endivefall/endivefall/retrier"
 	"github.com/endivefall/endivefall/sequencer"
 	"github.com/endivefall/endivefall/storer"
--- a/agent/protect.go
+++ b/agent/protect.go
@@ -7,10 +7,9 @@
 	"sync"
 	"time"
 
-	"github.com/endivefall/endivefall/meter"
-
 	"go.uber.org/zap"
 
+	"github.com/endivefall/endivefall/meter"
 	"github.com/endivefall/endivefall/protector"
 	"github.com/endivefall/endivefall/waiter"
 )
--- a/announcer/announcer.go
+++ b/announcer/announcer.go
@@ -13,12 +13,11 @@
 	"sync"
 	"time"
 
-	"github.com/endivefall/endivefall/meter"
-
 	"github.com/cespare/xxhash/v2"
 	"github.com/dgryski/go-rendezvous"
 	"go.uber.org/zap"
 
+	"github.com/endivefall/endivefall/meter"
 	"github.com/endivefall/endivefall/storer"
 )
 
--- a/authorizer/authorizer.go
+++ b/authorizer/authorizer.go
@@ -18,6 +18,11 @@
 	maxQueries = 4
 	// maxReady is how many queries of each kind are prepared in a round; the next round prepares others.
 	maxReady = 8
+	// maxExamined is for how many steps a round looks for workers to ask about, so that a long backlog does not
+	// hold up placement. Of the second half, those for which nothing is to be asked are left out for idleDelay, so
+	// that the next rounds get to others.
+	maxExamined = 64
+	idleDelay   = 100 * time.Millisecond
 	// minOverdue is the shortest time after which a query is overdue. overdueFactor is how many times as long
 	// as the last one of its queue it may take.
 	minOverdue    = time.Second
@@ -33,6 +38,8 @@
 	queues map[string]*queue
 	// round is the number of the present round of placement.
 	round uint64
+	// examined is the number of steps for which Waits was true in it.
+	examined int
 	// useful has the queries of the last round of placement whose tickets should be used at once: there is room, and
 	// earlier tickets of their steps have not run out unused. others has the rest. Both are in the order of
 	// the round, in which prepared counts them.
@@ -91,6 +98,7 @@
 // Begin begins a round of placement, which asks again for all that it needs.
 func (a *Authorizer) Begin() {
 	a.round++
+	a.examined = 0
 	a.useful, a.others, a.prepared = a.useful[:0], a.others[:0], 0
 	a.report.Waiting, a.report.Since = 0, time.Time{}
 }
@@ -111,7 +119,11 @@
 	if s.lapses > 0 {
 		isFull = len(a.others) >= maxReady
 	}
-	return !isFull && !s.asking && !now.Before(s.retryAt)
+	if isFull || s.asking || now.Before(s.retryAt) || a.examined >= maxExamined {
+		return false
+	}
+	a.examined++
+	return true
 }
 
 // noteWait counts a step without any valid ticket.
@@ -129,15 +141,18 @@
 func (a *Authorizer) Want(w Want, now time.Time) {
 	s, q := a.step(w.Step), a.queue(w.Queue)
 	named, unknown, hasRoom := choose(w, s, q, now)
-	if len(named) == 0 {
+	isUseful := hasRoom && s.lapses == 0
+	if len(named) == 0 || !isUseful && len(a.others) >= maxReady {
+		if a.examined > maxExamined/2 {
+			s.retryAt = now.Add(idleDelay)
+		}
 		return
 	}
 	a.prepared++
 	p := prepared{&Query{Step: w.Step, Queue: w.Queue, Workers: named, unknown: unknown}, a.prepared, !hasRoom && unknown == 0}
-	switch {
-	case hasRoom && s.lapses == 0:
+	if isUseful {
 		a.useful = append(a.useful, p)
-	case len(a.others) < maxReady:
+	} else {
 		a.others = append(a.others, p)
 	}
 }
--- a/authorizer/model_test.go
+++ b/authorizer/model_test.go
@@ -268,6 +268,33 @@
 	c.Check(queries <= 15, qt.IsTrue, qt.Commentf("%d", queries))
 }
 
+// Each round looked at the workers of all waiting steps.
+func TestALongBacklogWithoutRoomLetsOthersAsk(t *testing.T) {
+	c := qt.New(t)
+	a, now := New(), time.Unix(1000, 0)
+	for range 10 {
+		a.Begin()
+		looked := 0
+		for n := range 300 {
+			name := fmt.Sprint("full-", n)
+			if a.Waits(name, now) {
+				looked++
+				a.Want(Want{Step: name, Queue: "q", Tasks: 1}, now)
+			}
+		}
+		c.Check(looked <= maxExamined, qt.IsTrue)
+		if a.Waits("free", now) {
+			a.Want(Want{Step: "free", Queue: "q", Tasks: 1, Workers: []Worker{{"w", 1}}}, now)
+		}
+		if query, ok := a.Next(now); ok {
+			c.Check(query.Step, qt.Equals, "free")
+			return
+		}
+		now = now.Add(planInterval)
+	}
+	c.Error("the step with room is not asked about")
+}
+
 // A query without an answer held a place for ten seconds.
 func TestLostAnswersHoldUpNoOtherSteps(t *testing.T) {
 	c := qt.New(t)
--- a/authorizer/step.go
+++ b/authorizer/step.go
@@ -22,9 +22,9 @@
 	asked, allowed map[string]bool
 	// asking is set while a query is in flight.
 	asking bool
-	// answers counts the answers, failures the failed queries since the last one, lapses how often in a row
-	// all tickets ran out unused or one was refused.
-	answers, failures, lapses int
+	// failures counts the failed queries since the last answer, lapses how often in a row all tickets ran out
+	// unused or one was refused.
+	failures, lapses int
 	// took is how long the last query took.
 	took time.Duration
 	// retryAt is when the service may be asked again.
@@ -44,7 +44,6 @@
 
 // answer records an answer, and returns how many unused tickets were replaced.
 func (s *step) answer(query *Query, grants []Grant, validity, took time.Duration, now time.Time) (replaced int) {
-	s.answers++
 	s.took = took
 	for _, incarnation := range query.Workers {
 		s.asked[incarnation] = true
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -13,14 +13,11 @@
 	"sync"
 	"time"
 
-	"github.com/endivefall/endivefall/authorizer"
-
-	"github.com/endivefall/endivefall/meter"
-
 	"github.com/google/uuid"
 	"go.uber.org/zap"
 
 	"github.com/endivefall/endivefall/acceptor"
+	"github.com/endivefall/endivefall/authorizer"
 	"github.com/endivefall/endivefall/chronicler"
 	"github.com/endivefall/endivefall/connector"
 	"github.com/endivefall/endivefall/dialer"
@@ -28,6 +25,7 @@
 	"github.com/endivefall/endivefall/evacuator"
 	"github.com/endivefall/endivefall/limiter"
 	"github.com/endivefall/endivefall/messenger"
+	"github.com/endivefall/endivefall/meter"
 	"github.com/endivefall/endivefall/orchestrator"
 	"github.com/endivefall/endivefall/relayer"
 	"github.com/endivefall/endivefall/storer"
--- a/coordinator/traffic.go
+++ b/coordinator/traffic.go
@@ -3,9 +3,9 @@
 import (
 	"time"
 
-	"github.com/endivefall/endivefall/meter"
-
 	"go.uber.org/zap"
+
+	"github.com/endivefall/endivefall/meter"
 )
 
 // trafficInterval is how often the traffic of the process is counted and, at the
--- a/dispatcher/unread_test.go
+++ b/dispatcher/unread_test.go
@@ -10,11 +10,10 @@
 	"testing"
 	"time"
 
-	"github.com/endivefall/endivefall/meter"
-
 	qt "github.com/frankban/quicktest"
 
 	"github.com/endivefall/endivefall/limiter"
+	"github.com/endivefall/endivefall/meter"
 	"github.com/endivefall/endivefall/responder"
 )
 
--- a/elector/elector.go
+++ b/elector/elector.go
@@ -10,11 +10,10 @@
 	"sync"
 	"time"
 
-	"github.com/endivefall/endivefall/meter"
-
 	"go.uber.org/zap"
 
 	"github.com/endivefall/endivefall/estimator"
+	"github.com/endivefall/endivefall/meter"
 	"github.com/endivefall/endivefall/storer"
 )
 
--- a/elector/members.go
+++ b/elector/members.go
@@ -7,11 +7,10 @@
 	"strings"
 	"time"
 
-	"github.com/endivefall/endivefall/meter"
-
 	"github.com/fxamacker/cbor/v2"
 	"go.uber.org/zap"
 
+	"github.com/endivefall/endivefall/meter"
 	"github.com/endivefall/endivefall/storer"
 	"github.com/endivefall/endivefall/waiter"
 )
--- a/entry/gauges.go
+++ b/entry/gauges.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/endivefall/endivefall/meter"
-
 	"github.com/endivefall/endivefall/waiter"
 )
 
--- a/limiter/group.go
+++ b/limiter/group.go
@@ -9,11 +9,11 @@
 	"sync"
 	"time"
 
-	"github.com/endivefall/endivefall/meter"
-
 	"go.uber.org/zap"
 	"golang.org/x/sync/semaphore"
 	"golang.org/x/time/rate"
+
+	"github.com/endivefall/endivefall/meter"
 )
 
 // Errors of reading a body. None of the request has been handled.
--- a/limiter/group_test.go
+++ b/limiter/group_test.go
@@ -12,9 +12,9 @@
 	"testing"
 	"time"
 
-	"github.com/endivefall/endivefall/meter"
-
 	qt "github.com/frankban/quicktest"
+
+	"github.com/endivefall/endivefall/meter"
 )
 
 // testWait bounds waits for an event.
--- a/limiter/process.go
+++ b/limiter/process.go
@@ -4,9 +4,9 @@
 	"runtime/debug"
 	"syscall"
 
-	"github.com/endivefall/endivefall/meter"
-
 	"go.uber.org/zap"
+
+	"github.com/endivefall/endivefall/meter"
 )
 
 // Limits of a process without settings.
--- a/limiter/signals_test.go
+++ b/limiter/signals_test.go
@@ -8,9 +8,9 @@
 	"testing"
 	"time"
 
-	"github.com/endivefall/endivefall/meter"
-
 	qt "github.com/frankban/quicktest"
+
+	"github.com/endivefall/endivefall/meter"
 )
 
 // TestGaugesAreSetInOrder guards against gauges that keep an old value, as one that is set outside
--- a/meter/listener.go
+++ b/meter/listener.go
@@ -21,10 +21,10 @@
 
 // Listeners of the processes.
 var (
-	Callers    = listener("callers")
-	Heartbeats = listener("heartbeats")
-	Health     = listener("health")
-	Page       = listener("metrics")
-	Peers      = listener("peers")
-	Readiness  = listener("readiness")
+	Callers     = listener("callers")
+	Heartbeats  = listener("heartbeats")
+	Health      = listener("health")
+	MetricsPage = listener("metrics")
+	Peers       = listener("peers")
+	Readiness   = listener("readiness")
 )
--- a/orchestrator/config.go
+++ b/orchestrator/config.go
@@ -4,13 +4,11 @@
 	"context"
 	"time"
 
-	"github.com/endivefall/endivefall/authorizer"
-
-	"github.com/endivefall/endivefall/meter"
-
 	"go.uber.org/zap"
 
+	"github.com/endivefall/endivefall/authorizer"
 	"github.com/endivefall/endivefall/evacuator"
+	"github.com/endivefall/endivefall/meter"
 	"github.com/endivefall/endivefall/sequencer"
 	"github.com/endivefall/endivefall/storer"
 )
--- a/orchestrator/crash.go
+++ b/orchestrator/crash.go
@@ -5,11 +5,10 @@
 	"strings"
 	"time"
 
-	"github.com/endivefall/endivefall/meter"
-
 	"go.uber.org/zap"
 
 	"github.com/endivefall/endivefall/messenger"
+	"github.com/endivefall/endivefall/meter"
 	"github.com/endivefall/endivefall/quarantiner"
 	"github.com/endivefall/endivefall/sequencer"
 )
--- a/orchestrator/evacuation.go
+++ b/orchestrator/evacuation.go
@@ -3,13 +3,12 @@
 import (
 	"time"
 
-	"github.com/endivefall/endivefall/meter"
-
 	"go.uber.org/zap"
 
 	"github.com/endivefall/endivefall/estimator"
 	"github.com/endivefall/endivefall/evacuator"
 	"github.com/endivefall/endivefall/messenger"
+	"github.com/endivefall/endivefall/meter"
 )
 
 // startRefusal returns why no task may start in the domain of an agent's worker now.
--- a/orchestrator/evacuation_moves.go
+++ b/orchestrator/evacuation_moves.go
@@ -5,13 +5,12 @@
 	"strings"
 	"time"
 
-	"github.com/endivefall/endivefall/meter"
-
 	"go.uber.org/zap"
 
 	"github.com/endivefall/endivefall/allocator"
 	"github.com/endivefall/endivefall/evacuator"
 	"github.com/endivefall/endivefall/messenger"
+	"github.com/endivefall/endivefall/meter"
 	"github.com/endivefall/endivefall/sequencer"
 )
 
--- a/orchestrator/evict.go
+++ b/orchestrator/evict.go
@@ -5,11 +5,10 @@
 	"strings"
 	"time"
 
-	"github.com/endivefall/endivefall/meter"
-
 	"github.com/endivefall/endivefall/allocator"
 	"github.com/endivefall/endivefall/apportioner"
 	"github.com/endivefall/endivefall/messenger"
+	"github.com/endivefall/endivefall/meter"
 	"github.com/endivefall/endivefall/sequencer"
 )
 
--- a/orchestrator/grant.go
+++ b/orchestrator/grant.go
@@ -5,10 +5,9 @@
 	"slices"
 	"time"
 
-	"github.com/endivefall/endivefall/meter"
-
 	"go.uber.org/zap"
 
+	"github.com/endivefall/endivefall/meter"
 	"github.com/endivefall/endivefall/sequencer"
 )
 
--- a/orchestrator/interference_test.go
+++ b/orchestrator/interference_test.go
@@ -4,13 +4,12 @@
 	"testing"
 	"time"
 
-	"github.com/endivefall/endivefall/meter"
-
 	qt "github.com/frankban/quicktest"
 	"go.uber.org/zap"
 	"go.uber.org/zap/zaptest/observer"
 
 	"github.com/endivefall/endivefall/messenger"
+	"github.com/endivefall/endivefall/meter"
 	"github.com/endivefall/endivefall/sequencer"
 )
 
--- a/orchestrator/locality.go
+++ b/orchestrator/locality.go
@@ -4,12 +4,11 @@
 	"slices"
 	"time"
 
-	"github.com/endivefall/endivefall/meter"
-
 	"go.uber.org/zap"
 
 	"github.com/endivefall/endivefall/allocator"
 	"github.com/endivefall/endivefall/delayer"
+	"github.com/endivefall/endivefall/meter"
 	"github.com/endivefall/endivefall/sequencer"
 )
 
--- a/orchestrator/orchestrator.go
+++ b/orchestrator/orchestrator.go
@@ -9,15 +9,13 @@
 	"sync"
 	"time"
 
-	"github.com/endivefall/endivefall/authorizer"
-
-	"github.com/endivefall/endivefall/meter"
-
 	"go.uber.org/zap"
 
 	"github.com/endivefall/endivefall/apportioner"
+	"github.com/endivefall/endivefall/authorizer"
 	"github.com/endivefall/endivefall/delayer"
 	"github.com/endivefall/endivefall/evacuator"
+	"github.com/endivefall/endivefall/meter"
 	"github.com/endivefall/endivefall/predictor"
 	"github.com/endivefall/endivefall/provisioner"
 	"github.com/endivefall/endivefall/regulator"
--- a/orchestrator/orchestrator_test.go
+++ b/orchestrator/orchestrator_test.go
@@ -6,11 +6,10 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/endivefall/endivefall/authorizer"
-
 	qt "github.com/frankban/quicktest"
 
 	"github.com/endivefall/endivefall/advancer"
+	"github.com/endivefall/endivefall/authorizer"
 	"github.com/endivefall/endivefall/messenger"
 	"github.com/endivefall/endivefall/registrar"
 	"github.com/endivefall/endivefall/sequencer"
--- a/orchestrator/policy.go
+++ b/orchestrator/policy.go
@@ -76,8 +76,14 @@
 	}
 	want := authorizer.Want{Step: name, Queue: t.Job.Spec.Queue, Tasks: tasks, Gang: step.Gang}
 	preferred := reachable(candidates, agents, func(string) bool { return true })
+	distance := func(c *allocator.Candidate) int {
+		if step.PreferredRack == "" || slices.Contains(c.Labels, step.PreferredRack) {
+			return 0
+		}
+		return 1
+	}
 	slices.SortStableFunc(preferred, func(a, b *allocator.Candidate) int {
-		return cmp.Or(-compareBools(nearData(step, a), nearData(step, b)), cmp.Compare(b.FreeCPU(), a.FreeCPU()))
+		return cmp.Or(distance(a)-distance(b), cmp.Compare(b.FreeCPU(), a.FreeCPU()))
 	})
 	for _, c := range preferred {
 		want.Workers = append(want.Workers, authorizer.Worker{Incarnation: agents[c.ID].snapshot.WorkerIncarnation, Room: allocator.Places(t, name, c)})
@@ -85,22 +91,6 @@
 	o.authorizer.Want(want, now)
 }
 
-// nearData reports whether the data of a step is in the rack of a candidate.
-func nearData(step *sequencer.Step, c *allocator.Candidate) bool {
-	return step.PreferredRack != "" && slices.Contains(c.Labels, step.PreferredRack)
-}
-
-// compareBools orders false before true.
-func compareBools(a, b bool) int {
-	switch {
-	case a == b:
-		return 0
-	case b:
-		return -1
-	}
-	return 1
-}
-
 // sendQueries sends the queries to the policy service that are due.
 func (o *Orchestrator) sendQueries() {
 	for {
--- a/orchestrator/preemption.go
+++ b/orchestrator/preemption.go
@@ -3,10 +3,9 @@
 import (
 	"time"
 
-	"github.com/endivefall/endivefall/meter"
-
 	"go.uber.org/zap"
 
+	"github.com/endivefall/endivefall/meter"
 	"github.com/endivefall/endivefall/preemptor"
 )
 
--- a/orchestrator/preemption_test.go
+++ b/orchestrator/preemption_test.go
@@ -6,11 +6,10 @@
 	"testing"
 	"time"
 
-	"github.com/endivefall/endivefall/meter"
-
 	qt "github.com/frankban/quicktest"
 
 	"github.com/endivefall/endivefall/messenger"
+	"github.com/endivefall/endivefall/meter"
 	"github.com/endivefall/endivefall/sequencer"
 )
 
--- a/orchestrator/queue_test.go
+++ b/orchestrator/queue_test.go
@@ -5,10 +5,9 @@
 	"testing"
 	"time"
 
-	"github.com/endivefall/endivefall/authorizer"
-
 	qt "github.com/frankban/quicktest"
 
+	"github.com/endivefall/endivefall/authorizer"
 	"github.com/endivefall/endivefall/messenger"
 	"github.com/endivefall/endivefall/sequencer"
 	"github.com/endivefall/endivefall/storer"
--- a/orchestrator/registration.go
+++ b/orchestrator/registration.go
@@ -4,12 +4,11 @@
 	"slices"
 	"time"
 
-	"github.com/endivefall/endivefall/meter"
-
 	"go.uber.org/zap"
 
 	"github.com/endivefall/endivefall/estimator"
 	"github.com/endivefall/endivefall/messenger"
+	"github.com/endivefall/endivefall/meter"
 	"github.com/endivefall/endivefall/registrar"
 	"github.com/endivefall/endivefall/sequencer"
 	"github.com/endivefall/endivefall/storer"
--- a/orchestrator/rejection_test.go
+++ b/orchestrator/rejection_test.go
@@ -6,10 +6,9 @@
 	"testing"
 	"time"
 
-	"github.com/endivefall/endivefall/meter"
-
 	qt "github.com/frankban/quicktest"
 
+	"github.com/endivefall/endivefall/meter"
 	"github.com/endivefall/endivefall/sequencer"
 	"github.com/endivefall/endivefall/storer"
 )
@@ -91,7 +90,7 @@
 	}
 	c.Assert(kept > tasks/2, qt.IsTrue, qt.Commentf("%d checkpoints kept", kept))
 	c.Assert(j.Task(0, 0, 7).Checkpoint, qt.HasLen, 1000, qt.Commentf("the owner still has it"))
-	c.Assert(h.counts[meter.LeftOut], qt.Equals, 1)
+	c.Assert(h.counts[meter.OmittedCheckpoints], qt.Equals, 1)
 }
 
 // A transaction had fifteen values of any size.
--- a/orchestrator/relocate.go
+++ b/orchestrator/relocate.go
@@ -5,9 +5,8 @@
 	"strconv"
 	"time"
 
-	"github.com/endivefall/endivefall/meter"
-
 	"github.com/endivefall/endivefall/messenger"
+	"github.com/endivefall/endivefall/meter"
 	"github.com/endivefall/endivefall/relocator"
 )
 
--- a/orchestrator/short_demand.go
+++ b/orchestrator/short_demand.go
@@ -3,9 +3,8 @@
 import (
 	"time"
 
-	"github.com/endivefall/endivefall/meter"
-
 	"github.com/endivefall/endivefall/allocator"
+	"github.com/endivefall/endivefall/meter"
 	"github.com/endivefall/endivefall/provisioner"
 	"github.com/endivefall/endivefall/sequencer"
 )
--- a/orchestrator/start.go
+++ b/orchestrator/start.go
@@ -1,10 +1,10 @@
 package orchestrator
 
 import (
-	"github.com/endivefall/endivefall/meter"
 	"go.uber.org/zap"
 
 	"github.com/endivefall/endivefall/messenger"
+	"github.com/endivefall/endivefall/meter"
 	"github.com/endivefall/endivefall/sequencer"
 )
 
--- a/orchestrator/starvation.go
+++ b/orchestrator/starvation.go
@@ -5,13 +5,12 @@
 	"slices"
 	"time"
 
-	"github.com/endivefall/endivefall/meter"
-
 	"go.uber.org/zap"
 
 	"github.com/endivefall/endivefall/allocator"
 	"github.com/endivefall/endivefall/apportioner"
 	"github.com/endivefall/endivefall/messenger"
+	"github.com/endivefall/endivefall/meter"
 	"github.com/endivefall/endivefall/sequencer"
 )
 
--- a/orchestrator/stop.go
+++ b/orchestrator/stop.go
@@ -3,11 +3,10 @@
 import (
 	"time"
 
-	"github.com/endivefall/endivefall/meter"
-
 	"go.uber.org/zap"
 
 	"github.com/endivefall/endivefall/messenger"
+	"github.com/endivefall/endivefall/meter"
 )
 
 // stopRun marks a run to be stopped and asks its agent to do so.
--- a/orchestrator/wait_report.go
+++ b/orchestrator/wait_report.go
@@ -3,11 +3,10 @@
 import (
 	"time"
 
-	"github.com/endivefall/endivefall/meter"
-
 	"go.uber.org/zap"
 
 	"github.com/endivefall/endivefall/allocator"
+	"github.com/endivefall/endivefall/meter"
 	"github.com/endivefall/endivefall/sequencer"
 )
 
--- a/orchestrator/watch.go
+++ b/orchestrator/watch.go
@@ -8,12 +8,11 @@
 	"strings"
 	"time"
 
-	"github.com/endivefall/endivefall/meter"
-
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 
 	"github.com/endivefall/endivefall/estimator"
+	"github.com/endivefall/endivefall/meter"
 	"github.com/endivefall/endivefall/registrar"
 	"github.com/endivefall/endivefall/sequencer"
 	"github.com/endivefall/endivefall/storer"
--- a/orchestrator/watch_test.go
+++ b/orchestrator/watch_test.go
@@ -9,11 +9,10 @@
 	"testing"
 	"time"
 
-	"github.com/endivefall/endivefall/messenger"
-	"github.com/endivefall/endivefall/meter"
-
 	qt "github.com/frankban/quicktest"
 
+	"github.com/endivefall/endivefall/messenger"
+	"github.com/endivefall/endivefall/meter"
 	"github.com/endivefall/endivefall/registrar"
 	"github.com/endivefall/endivefall/sequencer"
 	"github.com/endivefall/endivefall/storer"
--- a/orchestrator/write.go
+++ b/orchestrator/write.go
@@ -6,10 +6,9 @@
 	"slices"
 	"time"
 
-	"github.com/endivefall/endivefall/meter"
-
 	"go.uber.org/zap"
 
+	"github.com/endivefall/endivefall/meter"
 	"github.com/endivefall/endivefall/registrar"
 	"github.com/endivefall/endivefall/storer"
 	"github.com/endivefall/endivefall/waiter"
@@ -116,7 +115,7 @@
 			continue
 		}
 		if omitted > 0 {
-			o.cfg.Count(meter.LeftOut)
+			o.cfg.Count(meter.OmittedCheckpoints)
 			o.cfg.Log.Warn("progress has no room for all checkpoints", zap.String("job", j.Spec.ID), zap.Int("omitted", omitted), zap.Int("bytes", len(value)))
 		}
 		j.endWriting = p.State.Final()
--- a/relayer/odd_test.go
+++ b/relayer/odd_test.go
@@ -12,13 +12,12 @@
 	"testing"
 	"time"
 
-	"github.com/endivefall/endivefall/meter"
-
 	qt "github.com/frankban/quicktest"
 	"github.com/fxamacker/cbor/v2"
 	"go.uber.org/zap"
 
 	"github.com/endivefall/endivefall/faker"
+	"github.com/endivefall/endivefall/meter"
 	"github.com/endivefall/endivefall/storer"
 )
 
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -13,14 +13,13 @@
 	"sync"
 	"time"
 
-	"github.com/endivefall/endivefall/meter"
-
 	"github.com/dghubble/sling"
 	"github.com/fxamacker/cbor/v2"
 	"go.uber.org/zap"
 
 	"github.com/endivefall/endivefall/fetcher"
 	"github.com/endivefall/endivefall/limiter"
+	"github.com/endivefall/endivefall/meter"
 	"github.com/endivefall/endivefall/storer"
 )
 
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -11,12 +11,11 @@
 	"testing"
 	"time"
 
-	"github.com/endivefall/endivefall/meter"
-
 	qt "github.com/frankban/quicktest"
 	"go.uber.org/zap"
 
 	"github.com/endivefall/endivefall/faker"
+	"github.com/endivefall/endivefall/meter"
 	"github.com/endivefall/endivefall/storer"
 )
 
--- a/supervisor/commands.go
+++ b/supervisor/commands.go
@@ -5,11 +5,10 @@
 	"errors"
 	"time"
 
-	"github.com/endivefall/endivefall/meter"
-
 	"go.uber.org/zap"
 
 	"github.com/endivefall/endivefall/messenger"
+	"github.com/endivefall/endivefall/meter"
 	"github.com/endivefall/endivefall/sequencer"
 )
 
--- a/supervisor/harness_test.go
+++ b/supervisor/harness_test.go
@@ -10,8 +10,6 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/endivefall/endivefall/meter"
-
 	"github.com/coder/websocket"
 	qt "github.com/frankban/quicktest"
 	"go.uber.org/zap"
@@ -19,6 +17,7 @@
 	"github.com/endivefall/endivefall/advancer"
 	"github.com/endivefall/endivefall/faker"
 	"github.com/endivefall/endivefall/messenger"
+	"github.com/endivefall/endivefall/meter"
 	"github.com/endivefall/endivefall/pacer"
 	"github.com/endivefall/endivefall/supervisor"
 )
--- a/supervisor/stop.go
+++ b/supervisor/stop.go
@@ -5,11 +5,10 @@
 	"errors"
 	"time"
 
-	"github.com/endivefall/endivefall/meter"
-
 	"go.uber.org/zap"
 
 	"github.com/endivefall/endivefall/messenger"
+	"github.com/endivefall/endivefall/meter"
 )
 
 // handleStop records that a run is to be stopped. A run that is not known may still be at
--- a/supervisor/stop_test.go
+++ b/supervisor/stop_test.go
@@ -4,13 +4,12 @@
 	"testing"
 	"time"
 
-	"github.com/endivefall/endivefall/meter"
-
 	qt "github.com/frankban/quicktest"
 
 	"github.com/endivefall/endivefall/advancer"
 	"github.com/endivefall/endivefall/faker"
 	"github.com/endivefall/endivefall/messenger"
+	"github.com/endivefall/endivefall/meter"
 	"github.com/endivefall/endivefall/supervisor"
 )
 
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -13,13 +13,12 @@
 	"sync"
 	"time"
 
-	"github.com/endivefall/endivefall/meter"
-
 	"go.uber.org/zap"
 
 	"github.com/endivefall/endivefall/differ"
 	"github.com/endivefall/endivefall/estimator"
 	"github.com/endivefall/endivefall/messenger"
+	"github.com/endivefall/endivefall/meter"
 	"github.com/endivefall/endivefall/pacer"
 	"github.com/endivefall/endivefall/storer"
 )
