authorizer: The test of long backlogs has a bound of its own

Cause: it compared with the constant that it guards, so that it passed with any value of it. Change: 100 steps a round, whatever the constant.

--- a/authorizer/model_test.go
+++ b/authorizer/model_test.go
@@ -282,7 +282,7 @@
 				a.Want(Want{Step: name, Queue: "q", Tasks: 1}, now)
 			}
 		}
-		c.Check(looked <= maxExamined, qt.IsTrue)
+		c.Check(looked <= 100, qt.IsTrue, qt.Commentf("%d", looked))
 		if a.Waits("free", now) {
 			a.Want(Want{Step: "free", Queue: "q", Tasks: 1, Workers: []Worker{{"w", 1}}}, now)
 		}
