orchestrator: Moves that find no allowed worker are asked about in the next round

Cause: a run that is to leave its worker asked for tickets as the evacuation looked at it, between two rounds of placement. The next round began its list of queries anew, so that nothing was sent unless an answer arrived in between: on a worker that drains, a new owner moved no run of a queue with a policy. The test sent the queries itself. Change: the evacuation notes such runs, and the next round asks about them, before all tasks that wait. Measured: TestATaskMovesOnlyToAWorkerThatItsPolicyAllows, which now goes through a round, failed before.

--- a/orchestrator/evacuation_moves.go
+++ b/orchestrator/evacuation_moves.go
@@ -121,7 +121,7 @@
 	candidates := byPool[r.job.Placement.Pool]
 	to := o.pickForMove(r, o.allowedCandidates(r.job, r.task.StepName(), candidates, agents), now)
 	if to == nil {
-		o.wantTickets(r.task, 1, candidates, agents, now)
+		o.unplacedMoves[r] = now
 		if choice.Step != nil {
 			o.roomless[r] = true // its turn lasts until it has room
 		}
--- a/orchestrator/evict.go
+++ b/orchestrator/evict.go
@@ -56,7 +56,7 @@
 			return
 		}
 	}
-	o.wantTickets(r.task, 1, candidates, agents, o.cfg.Now())
+	o.unplacedMoves[r] = o.cfg.Now()
 }
 
 // maxMoveTime is how long a run that is stopped to move may take to end before the room for
--- a/orchestrator/orchestrator.go
+++ b/orchestrator/orchestrator.go
@@ -160,6 +160,9 @@
 	lastEvacuation time.Time
 	staysLoggedAt  time.Time
 	roomless       map[*run]bool
+	// unplacedMoves has the runs that are to leave their workers and found none that takes them, with the time at
+	// which that was seen last.
+	unplacedMoves  map[*run]time.Time
 	unnamedDomains map[string]bool
 	// isolation decides whether to give ownership up because agents are unreachable.
 	isolation isolation
@@ -200,7 +203,7 @@
 	}
 	return &Orchestrator{
 		cfg: cfg, actions: make(chan func(), queueCapacity), stopped: make(chan struct{}), done: make(chan struct{}),
-		jobs: map[string]*job{}, openJobs: map[string]*job{}, unreadableJobs: map[string]bool{}, runs: map[runKey]*run{}, granting: map[*run]bool{}, heldWrites: map[*job]bool{}, claims: map[*sequencer.Task]*claim{}, roomless: map[*run]bool{}, unnamedDomains: map[string]bool{}, shares: map[string]*apportioner.Share{}, delayers: map[string]*delayer.Delayer{}, shortDemands: map[string]*provisioner.Demand{}, agents: map[string]*agent{},
+		jobs: map[string]*job{}, openJobs: map[string]*job{}, unreadableJobs: map[string]bool{}, runs: map[runKey]*run{}, granting: map[*run]bool{}, heldWrites: map[*job]bool{}, claims: map[*sequencer.Task]*claim{}, roomless: map[*run]bool{}, unplacedMoves: map[*run]time.Time{}, unnamedDomains: map[string]bool{}, shares: map[string]*apportioner.Share{}, delayers: map[string]*delayer.Delayer{}, shortDemands: map[string]*provisioner.Demand{}, agents: map[string]*agent{},
 		predictor: predictor.New(), authorizer: authorizer.New(), starts: regulator.New(), isolation: isolation{firstContactBy: cfg.ClaimedAt.Add(firstContactTimeout)},
 	}
 }
--- a/orchestrator/place.go
+++ b/orchestrator/place.go
@@ -32,6 +32,7 @@
 		o.waitsNoted = true
 		return
 	}
+	o.wantTicketsForMoves(byPool, agents, now)
 	o.keepMemory(byPool)
 	o.keepCPU(byPool, blocked, now, wall)
 	o.beginLocality(byPool, now)
--- a/orchestrator/policy.go
+++ b/orchestrator/policy.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"slices"
+	"strings"
 	"time"
 
 	"go.uber.org/zap"
@@ -91,6 +92,26 @@
 	o.authorizer.Want(want, now)
 }
 
+// maxUnplacedAge is how long a move that found no worker is wanted after it was seen last: two rounds of evacuation.
+const maxUnplacedAge = 2 * evacuationInterval
+
+// wantTicketsForMoves says where the runs would go that are to leave their workers. They go before all tasks that
+// wait, as their workers may be gone soon.
+func (o *Orchestrator) wantTicketsForMoves(byPool map[string][]*allocator.Candidate, agents map[string]*agent, now time.Time) {
+	var moves []*run
+	for r, seenAt := range o.unplacedMoves {
+		if o.runs[r.key] != r || r.evict || now.Sub(seenAt) > maxUnplacedAge {
+			delete(o.unplacedMoves, r)
+		} else if r.job.Placement.PolicyRestricted {
+			moves = append(moves, r)
+		}
+	}
+	slices.SortFunc(moves, func(a, b *run) int { return strings.Compare(a.key.task, b.key.task) })
+	for _, r := range moves {
+		o.wantTickets(r.task, 1, byPool[r.job.Placement.Pool], agents, now)
+	}
+}
+
 // sendQueries sends the queries to the policy service that are due.
 func (o *Orchestrator) sendQueries() {
 	for {
--- a/orchestrator/policy_test.go
+++ b/orchestrator/policy_test.go
@@ -115,7 +115,7 @@
 	h.drain("a0")
 	for range 2 {
 		h.o.evacuate()
-		h.o.sendQueries()
+		h.o.place()
 		c.Assert(h.o.authorizer.InFlight(), qt.Equals, 1)
 		h.answer()
 		c.Assert(h.commands("a0"), qt.HasLen, 1, qt.Commentf("it goes on"))
