storer: A page that its handler changes still says where the next one begins

Cause: since the ledger is read page by page, and the place of the next page was taken from the page after it was handled. An owner that reads the ledger again dropped the known jobs from the page in place, so that its last key was empty, and each such read failed: from a compaction on it heard of no new job or cancellation.

Change: ListEach takes the next place before it passes the page on, and the owner copies what it keeps.

Measured: TestALedgerOfSeveralPagesIsReadAgain failed before with "pages are not in order: the page after ends at".

--- a/orchestrator/watch.go
+++ b/orchestrator/watch.go
@@ -193,10 +193,14 @@
 
 // unknownInputs returns those inputs of a list that are no jobs which are known.
 func (o *Orchestrator) unknownInputs(items []storer.Item) []storer.Item {
-	return slices.DeleteFunc(items, func(item storer.Item) bool {
+	var unknown []storer.Item
+	for _, item := range items {
 		id, isJob := strings.CutPrefix(item.Key, InputPrefix+"j")
-		return isJob && (o.jobs[id] != nil || o.unreadableJobs[id])
-	})
+		if !isJob || o.jobs[id] == nil && !o.unreadableJobs[id] {
+			unknown = append(unknown, item)
+		}
+	}
+	return unknown
 }
 
 // handleInputs processes accepted jobs and cancellations from the ledger. A later owner
--- a/orchestrator/watch_test.go
+++ b/orchestrator/watch_test.go
@@ -95,6 +95,34 @@
 	}
 }
 
+// An owner that read the ledger again, over several pages, never heard of what was new: the page that it had handled
+// did not say any more where the next one begins.
+func TestALedgerOfSeveralPagesIsReadAgain(t *testing.T) {
+	c := qt.New(t)
+	h := newHarness(c, 1)
+	h.store.PageSize = 2
+	put := func(key string, value []byte) {
+		_, err := h.store.Client().Commit(t.Context(), storer.Transaction{Writes: []storer.Write{{Key: key, Value: value}}})
+		c.Assert(err, qt.IsNil)
+	}
+	store := func(id string) {
+		spec := sequencer.Spec{ID: id, Pool: "pool", Queue: "queue", AcceptedAt: h.now, Steps: []sequencer.Step{step(1, 10)}}
+		raw, err := spec.Encode()
+		c.Assert(err, qt.IsNil)
+		put(JobKey(id), raw)
+	}
+	known := []string{"00000000000000a1", "00000000000000a2", "00000000000000a3"}
+	for _, id := range known {
+		store(id)
+	}
+	h.load(t.Context(), true)
+	store("00000000000000a4")
+	put(CancelKey(known[0]), nil)
+	h.load(t.Context(), false)
+	c.Check(h.o.jobs, qt.HasLen, 4)
+	c.Check(h.o.jobs[known[0]].State(), qt.Equals, sequencer.Canceled)
+}
+
 // The next owner read the whole bodies of all jobs that callers may still ask for, and kept them: after a thousand
 // large ones each owner in turn had no memory left.
 func TestOnlyOpenJobsKeepTheirTexts(t *testing.T) {
--- a/storer/store.go
+++ b/storer/store.go
@@ -172,11 +172,14 @@
 		if after == "" {
 			version = p.Version
 		}
-		handle(p.Items)
+		next := ""
+		if len(p.Items) > 0 {
+			next = p.Items[len(p.Items)-1].Key
+		}
+		handle(p.Items) // which may change them
 		if !p.More || len(p.Items) == 0 {
 			return version, nil
 		}
-		next := p.Items[len(p.Items)-1].Key
 		if next <= after {
 			return 0, fmt.Errorf("listing %s: %w: the page after %s ends at %s", prefix, ErrPageOrder, after, next)
 		}
